--- /dev/null
+++ b/agent/refusals.h
@@ -0,0 +1,22 @@
+//===- agent/refusals.h - Reasons an agent gives ----------------*- C++ -*-===//
+///
+/// \file
+/// The reasons with which an agent proves that a task has not started; an
+/// entry acts on some of them.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_AGENT_REFUSALS_H
+#define YARDWHEEL_AGENT_REFUSALS_H
+
+namespace yardwheel {
+
+constexpr const char *StaleNews = "the dispatch rests on old news";
+constexpr const char *SlotsFull = "slots and queue are full";
+constexpr const char *Leaving = "the minion is leaving";
+constexpr const char *Withdrawn = "withdrawn before its start";
+constexpr const char *MinionUnreachable = "the minion refuses connections";
+constexpr const char *WasFrozen = "the agent was stopped while it waited";
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/agent/task_runner.h
@@ -0,0 +1,50 @@
+//===- agent/task_runner.h - What runs a task at the minion -----*- C++ -*-===//
+///
+/// \file
+/// The agent's interface to its minion, and so to the platform's worker. The
+/// daemon speaks HTTP behind it; tests and the bench have small fakes.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_AGENT_TASK_RUNNER_H
+#define YARDWHEEL_AGENT_TASK_RUNNER_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace yardwheel {
+
+struct TaskKey {
+  std::string Job;
+  std::uint32_t Index = 0;
+  auto operator<=>(const TaskKey &) const = default;
+};
+
+enum class TaskEndKind {
+  Succeeded,
+  Failed,
+  /// Proof that the minion never saw the task.
+  NeverStarted,
+};
+
+struct TaskEnd {
+  TaskEndKind Kind = TaskEndKind::Failed;
+  std::string Result;
+  std::string Reason;
+  std::chrono::microseconds Service{};
+};
+
+class TaskRunner {
+public:
+  virtual ~TaskRunner() = default;
+  /// Starts a task; its end is reported to the agent later.
+  virtual void start(const TaskKey &Task, const std::string &Workspace,
+                     const std::string &Payload) = 0;
+  /// Asks to end a running task early; its end is still reported.
+  virtual void stop(const TaskKey &Task) = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/catalog/catalog.h
@@ -0,0 +1,81 @@
+//===- catalog/catalog.h - The replicated configuration ---------*- C++ -*-===//
+///
+/// \file
+/// The state machine behind the consensus log: templates, workspaces,
+/// experiments and ledger groups. It applies committed changes in order and
+/// is deterministic, so that all replicas hold the same state.
+///
+/// A revision is the log index of a change. Objects carry the revision that
+/// changed them last, so the difference since any revision is a filter and
+/// needs no history.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_CATALOG_CATALOG_H
+#define YARDWHEEL_CATALOG_CATALOG_H
+
+#include "protocol/peer.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace yardwheel {
+
+/// Results of changes that are remembered for those who send one again.
+constexpr std::size_t RememberedChanges = 4096;
+
+class Catalog {
+public:
+  /// Applies a committed change. A change whose id was applied before is not
+  /// applied again; its first result is returned.
+  peer::ChangeResult apply(std::uint64_t Revision, const peer::Change &Change);
+
+  /// Records that the log has reached \p Revision without a change.
+  void advance(std::uint64_t Revision);
+
+  std::uint64_t revision() const { return this->Revision; }
+
+  /// Everything that has changed since \p Since; the whole for 0.
+  peer::CatalogUpdate updateSince(std::uint64_t Since) const;
+
+  const peer::Template *findTemplate(const std::string &Name) const;
+  const peer::Workspace *findWorkspace(const std::string &Name) const;
+  const std::map<std::uint32_t, peer::HolderGroup> &groups() const {
+    return this->Groups;
+  }
+  /// The first result of a change id, if it is remembered.
+  std::optional<peer::ChangeResult> resultOf(const std::string &Id) const;
+
+  std::string saveSnapshot() const;
+  /// \throws Error if \p State is not a snapshot of this class.
+  void loadSnapshot(const std::string &State);
+
+private:
+  peer::ChangeResult dispatch(const peer::Change &Change);
+  peer::ChangeResult applyTemplate(const peer::SetTemplate &Body);
+  peer::ChangeResult createWorkspace(const peer::CreateWorkspace &Body);
+  peer::ChangeResult setWorkspace(const peer::SetWorkspace &Body);
+  peer::ChangeResult setExperiment(const peer::SetExperiment &Body);
+  peer::ChangeResult setGroup(const peer::SetGroup &Body);
+  peer::ChangeResult touch(peer::Workspace &Target);
+  peer::ChangeResult done(std::uint64_t Version) const;
+  void remember(const peer::Change &Change, const peer::ChangeResult &Result);
+
+  struct Remembered {
+    peer::ChangeResult Result;
+    std::uint64_t Digest = 0;
+  };
+
+  std::uint64_t Revision = 0;
+  std::map<std::string, peer::Template> Templates;
+  std::map<std::string, peer::Workspace> Workspaces;
+  std::map<std::uint32_t, peer::HolderGroup> Groups;
+  std::map<std::string, Remembered> Results;
+  std::deque<std::string> ResultOrder;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/catalog/node_catalog.cpp
@@ -0,0 +1,26 @@
+#include "catalog/node_catalog.h"
+
+namespace yardwheel {
+
+const peer::Workspace *
+CatalogView::findWorkspace(const std::string &Name) const {
+  auto Found = this->Workspaces.find(Name);
+  return Found == this->Workspaces.end() ? nullptr : &Found->second;
+}
+
+bool NodeCatalog::merge(const peer::CatalogUpdate &Update) {
+  std::shared_ptr<const CatalogView> Old = this->view();
+  bool Gap = Update.since() > Old->Revision;
+  if (Gap || Update.revision() <= Old->Revision)
+    return false;
+  auto New = std::make_shared<CatalogView>(*Old);
+  New->Revision = Update.revision();
+  for (const peer::Workspace &Object : Update.workspaces())
+    New->Workspaces[Object.name()] = Object;
+  for (const peer::HolderGroup &Object : Update.groups())
+    New->Groups[Object.group()] = Object;
+  this->Current.store(std::move(New), std::memory_order_release);
+  return true;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/consensus/file_log_storage.cpp
@@ -0,0 +1,186 @@
+#include "consensus/file_log_storage.h"
+
+#include "core/error.h"
+
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr const char *IdentityName = "identity";
+constexpr const char *SnapshotName = "snapshot";
+constexpr const char *LogName = "log";
+constexpr const char *LockName = "lock";
+constexpr mode_t LockMode = 0600;
+
+std::string join(const std::string &Folder, const char *Name) {
+  return (std::filesystem::path(Folder) / Name).string();
+}
+
+/// Reads a file that holds exactly one record.
+std::string readOnly(const std::string &Path) {
+  std::vector<std::string> Records = RecordFile(Path, writeToDisk).readAll();
+  if (Records.size() != 1)
+    throw Error("storage", Path, "expected one whole record at offset 0");
+  return Records.front();
+}
+
+peer::WalRecord hardRecord(const peer::HardState &State) {
+  peer::WalRecord Record;
+  *Record.mutable_hard_state() = State;
+  return Record;
+}
+
+peer::WalRecord entryRecord(const peer::LogEntry &Entry) {
+  peer::WalRecord Record;
+  *Record.mutable_entry() = Entry;
+  return Record;
+}
+
+/// Applies one record of the log file to what has been read so far.
+void replay(const peer::WalRecord &Record, StoredLog &Stored,
+            const std::string &Path) {
+  if (Record.has_hard_state()) {
+    Stored.Hard = Record.hard_state();
+    return;
+  }
+  std::uint64_t Next = Stored.Snapshot.index() + Stored.Entries.size() + 1;
+  if (Record.body_case() == peer::WalRecord::kTruncateFrom) {
+    while (Next > Record.truncate_from() && !Stored.Entries.empty()) {
+      Stored.Entries.pop_back();
+      --Next;
+    }
+    return;
+  }
+  std::uint64_t Index = Record.entry().index();
+  // The snapshot may be newer than the log file beside it.
+  if (Index <= Stored.Snapshot.index())
+    return;
+  if (Index != Next)
+    throw Error("storage", Path,
+                fmt::format("expected entry {}, found {}", Next, Index));
+  Stored.Entries.push_back(Record.entry());
+}
+
+} // namespace
+
+void initDataFolder(const std::string &Folder, const peer::Identity &Identity) {
+  std::filesystem::create_directories(Folder);
+  std::string Path = join(Folder, IdentityName);
+  if (std::filesystem::exists(Path))
+    throw Error("storage", Path, "the folder belongs to a replica already");
+  replaceRecordFile(Path, {Identity.SerializeAsString()}, writeToDisk);
+}
+
+FileLogStorage::FileLogStorage(std::string Folder, const std::string &Cluster,
+                               const std::string &Replica, WriteFunction Write)
+    : Folder(std::move(Folder)), Write(std::move(Write)) {
+  std::string Path = this->pathOf(IdentityName);
+  if (!std::filesystem::exists(Path))
+    throw Error("storage", this->Folder,
+                "holds no replica; start once with --init for a new cluster "
+                "or --join to replace a lost replica under a new name");
+  this->Identity = this->readIdentity();
+  if (this->Identity.cluster() != Cluster ||
+      this->Identity.replica() != Replica)
+    throw Error("storage", Path,
+                fmt::format("belongs to replica '{}' of cluster '{}'",
+                            this->Identity.replica(),
+                            this->Identity.cluster()));
+  this->lock();
+  this->Log = std::make_unique<RecordFile>(this->pathOf(LogName), this->Write);
+}
+
+FileLogStorage::~FileLogStorage() {
+  if (this->LockFile >= 0)
+    ::close(this->LockFile);
+}
+
+std::string FileLogStorage::pathOf(const char *Name) const {
+  return join(this->Folder, Name);
+}
+
+void FileLogStorage::lock() {
+  std::string Path = this->pathOf(LockName);
+  this->LockFile = ::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, LockMode);
+  if (this->LockFile < 0 || ::flock(this->LockFile, LOCK_EX | LOCK_NB) != 0)
+    throw Error("storage", Path, "another process uses this data folder");
+}
+
+peer::Identity FileLogStorage::readIdentity() const {
+  peer::Identity Read;
+  std::string Path = this->pathOf(IdentityName);
+  if (!Read.ParseFromString(readOnly(Path)))
+    throw Error("storage", Path, "expected an identity at offset 0");
+  return Read;
+}
+
+peer::Snapshot FileLogStorage::readSnapshot() const {
+  peer::Snapshot Read;
+  std::string Path = this->pathOf(SnapshotName);
+  if (!std::filesystem::exists(Path)) {
+    // A new cluster begins with the replicas that it was set up with.
+    *Read.mutable_replicas() = this->Identity.bootstrap();
+    return Read;
+  }
+  if (!Read.ParseFromString(readOnly(Path)))
+    throw Error("storage", Path, "expected a snapshot at offset 0");
+  return Read;
+}
+
+StoredLog FileLogStorage::load() {
+  StoredLog Stored;
+  Stored.Snapshot = this->readSnapshot();
+  for (const std::string &Content : this->Log->readAll()) {
+    peer::WalRecord Record;
+    if (!Record.ParseFromString(Content))
+      throw Error("storage", this->Log->path(), "expected a log record");
+    replay(Record, Stored, this->Log->path());
+  }
+  return Stored;
+}
+
+void FileLogStorage::appendRecord(const peer::WalRecord &Record) {
+  this->Log->append({Record.SerializeAsString()});
+}
+
+void FileLogStorage::saveHardState(const peer::HardState &State) {
+  this->appendRecord(hardRecord(State));
+}
+
+void FileLogStorage::append(const std::vector<peer::LogEntry> &Entries) {
+  std::vector<std::string> Records;
+  for (const peer::LogEntry &Entry : Entries)
+    Records.push_back(entryRecord(Entry).SerializeAsString());
+  this->Log->append(Records);
+}
+
+void FileLogStorage::truncateFrom(std::uint64_t Index) {
+  peer::WalRecord Record;
+  Record.set_truncate_from(Index);
+  this->appendRecord(Record);
+}
+
+void FileLogStorage::saveSnapshot(const peer::Snapshot &Snapshot,
+                                  const peer::HardState &Hard,
+                                  const std::vector<peer::LogEntry> &Rest) {
+  // The snapshot first: the log that follows it is of no use without it.
+  replaceRecordFile(this->pathOf(SnapshotName), {Snapshot.SerializeAsString()},
+                    this->Write);
+  std::vector<std::string> Records;
+  Records.push_back(hardRecord(Hard).SerializeAsString());
+  for (const peer::LogEntry &Entry : Rest)
+    Records.push_back(entryRecord(Entry).SerializeAsString());
+  replaceRecordFile(this->pathOf(LogName), Records, this->Write);
+  this->Log = std::make_unique<RecordFile>(this->pathOf(LogName), this->Write);
+  this->Log->readAll();
+}
+
+void FileLogStorage::sync() { this->Log->sync(); }
+
+} // namespace yardwheel
--- /dev/null
+++ b/consensus/raft_election.cpp
@@ -0,0 +1,156 @@
+//===- The part of RaftNode that elects and deposes leaders ---------------===//
+
+#include "consensus/raft_node.h"
+
+#include "core/error.h"
+
+namespace yardwheel {
+
+bool RaftNode::hearsLeader(TimePoint Now) const {
+  if (this->leads())
+    return true;
+  return !this->Leader.empty() && this->LeaderHeard != TimePoint::min() &&
+         Now - this->LeaderHeard < this->Options.Election;
+}
+
+void RaftNode::campaign(bool Pre, TimePoint Now) {
+  std::uint64_t NewTerm = this->Hard.term() + 1;
+  if (!Pre) {
+    try {
+      this->saveHard(NewTerm, this->Options.Name);
+    } catch (const Error &) {
+      // A vote that would not last must not be given, not even to oneself.
+      return;
+    }
+  }
+  this->Role = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
+  this->Leader.clear();
+  this->Votes = {this->Options.Name};
+  for (const std::string &Name : this->voters()) {
+    if (Name == this->Options.Name)
+      continue;
+    peer::RaftMessage Message = this->messageTo(Name);
+    Message.set_term(NewTerm);
+    peer::VoteRequest *Request = Message.mutable_vote_request();
+    Request->set_pre(Pre);
+    Request->set_last_index(this->Log.lastIndex());
+    Request->set_last_term(this->Log.lastTerm());
+    this->Events.send(std::move(Message));
+  }
+  if (!this->isQuorum(this->Votes))
+    return;
+  if (Pre)
+    this->campaign(/*Pre=*/false, Now);
+  else
+    this->becomeLeader(Now);
+}
+
+bool RaftNode::mayVoteFor(const peer::RaftMessage &Message,
+                          TimePoint Now) const {
+  const peer::VoteRequest &Request = Message.vote_request();
+  if (this->Options.PreVote && this->hearsLeader(Now))
+    return false;
+  bool UpToDate = Request.last_term() > this->Log.lastTerm() ||
+                  (Request.last_term() == this->Log.lastTerm() &&
+                   Request.last_index() >= this->Log.lastIndex());
+  if (!UpToDate)
+    return false;
+  if (Request.pre())
+    return Message.term() > this->Hard.term();
+  bool Free = this->Hard.voted_for().empty() ||
+              this->Hard.voted_for() == Message.from();
+  return Message.term() == this->Hard.term() && Free;
+}
+
+void RaftNode::onVoteRequest(const peer::RaftMessage &Message, TimePoint Now) {
+  const peer::VoteRequest &Request = Message.vote_request();
+  bool Granted = this->mayVoteFor(Message, Now);
+  if (Granted && !Request.pre()) {
+    try {
+      this->saveHard(this->Hard.term(), Message.from());
+    } catch (const Error &) {
+      return;
+    }
+    this->resetElection(Now);
+  }
+  peer::RaftMessage Reply = this->messageTo(Message.from());
+  // A granted pre-vote speaks of the term that was asked for.
+  if (Granted)
+    Reply.set_term(Message.term());
+  Reply.mutable_vote_reply()->set_pre(Request.pre());
+  Reply.mutable_vote_reply()->set_granted(Granted);
+  this->Events.send(std::move(Reply));
+}
+
+void RaftNode::onVoteReply(const peer::RaftMessage &Message, TimePoint Now) {
+  const peer::VoteReply &Reply = Message.vote_reply();
+  if (!Reply.granted()) {
+    if (Message.term() > this->Hard.term())
+      this->becomeFollower(Message.term(), "", Now);
+    return;
+  }
+  RaftRole Expected =
+      Reply.pre() ? RaftRole::PreCandidate : RaftRole::Candidate;
+  std::uint64_t ExpectedTerm = this->Hard.term() + (Reply.pre() ? 1 : 0);
+  if (this->Role != Expected || Message.term() != ExpectedTerm)
+    return;
+  this->Votes.insert(Message.from());
+  if (!this->isQuorum(this->Votes))
+    return;
+  if (Reply.pre())
+    this->campaign(/*Pre=*/false, Now);
+  else
+    this->becomeLeader(Now);
+}
+
+void RaftNode::becomeFollower(std::uint64_t Term, const std::string &NewLeader,
+                              TimePoint Now) {
+  if (Term > this->Hard.term()) {
+    try {
+      this->saveHard(Term, "");
+    } catch (const Error &) {
+      // The term is taken in memory: it only lets this replica do less. No
+      // vote is given without being stored.
+      this->Hard.set_term(Term);
+      this->Hard.clear_voted_for();
+    }
+  }
+  bool Led = this->leads();
+  this->Role = RaftRole::Follower;
+  this->Leader = NewLeader;
+  this->Reads.clear();
+  this->resetElection(Now);
+  if (Led)
+    this->Events.onRole(false);
+}
+
+void RaftNode::becomeLeader(TimePoint Now) {
+  this->Role = RaftRole::Leader;
+  this->Leader = this->Options.Name;
+  this->Followers.clear();
+  this->syncProgress(Now);
+  // An entry of its own term lets the leader commit what came before.
+  peer::LogEntry Entry;
+  Entry.set_no_op(true);
+  try {
+    this->LeadershipIndex = this->Log.lastIndex() + 1;
+    this->appendLocal(std::move(Entry), Now);
+  } catch (const Error &) {
+    this->becomeFollower(this->Hard.term(), "", Now);
+    return;
+  }
+  this->Events.onRole(true);
+}
+
+void RaftNode::checkQuorum(TimePoint Now) {
+  if (!this->Options.CheckQuorum)
+    return;
+  std::set<std::string> Heard = {this->Options.Name};
+  for (const auto &[Name, Follower] : this->Followers)
+    if (Now - Follower.LastHeard < 2 * this->Options.Election)
+      Heard.insert(Name);
+  if (!this->isQuorum(Heard))
+    this->becomeFollower(this->Hard.term(), "", Now);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/consensus/raft_node.cpp
@@ -0,0 +1,192 @@
+#include "consensus/raft_node.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+namespace {
+
+/// Heartbeats in one election time-out.
+constexpr int HeartbeatsPerElection = 5;
+
+} // namespace
+
+RaftNode::RaftNode(RaftOptions Options, LogStorage &Storage, RaftEvents &Events,
+                   TimePoint Now)
+    : Options(std::move(Options)), Storage(Storage), Events(Events),
+      Random(this->Options.Seed) {
+  StoredLog Stored = this->Storage.load();
+  this->Hard = Stored.Hard;
+  this->Log.load(Stored);
+  this->Commit = Stored.Snapshot.index();
+  this->Applied = Stored.Snapshot.index();
+  if (Stored.Snapshot.index() > 0)
+    this->Events.restoreState(Stored.Snapshot);
+  this->resetElection(Now);
+}
+
+void RaftNode::tick(TimePoint Now) {
+  if (this->leads()) {
+    this->checkQuorum(Now);
+    if (this->leads() && Now >= this->NextHeartbeat)
+      this->broadcast(/*Heartbeat=*/true, Now);
+    return;
+  }
+  if (Now < this->ElectionAt)
+    return;
+  this->resetElection(Now);
+  if (this->isVoter())
+    this->campaign(this->Options.PreVote, Now);
+}
+
+void RaftNode::step(const peer::RaftMessage &Message, TimePoint Now) {
+  // Meant for a replica that lived at this address before.
+  if (Message.to() != this->Options.Name)
+    return;
+  bool IsVote = Message.has_vote_request();
+  bool PreReply = Message.has_vote_reply() && Message.vote_reply().pre();
+  // A replica that still hears its leader lets nobody disturb it.
+  if (IsVote && this->Options.CheckQuorum && this->hearsLeader(Now) &&
+      Message.from() != this->Leader)
+    return;
+  bool PreVote = IsVote && Message.vote_request().pre();
+  if (Message.term() > this->Hard.term() && !PreVote && !PreReply) {
+    bool FromLeader =
+        Message.has_append_request() || Message.has_install_snapshot();
+    this->becomeFollower(Message.term(), FromLeader ? Message.from() : "", Now);
+  }
+  switch (Message.body_case()) {
+  case peer::RaftMessage::kVoteRequest:
+    this->onVoteRequest(Message, Now);
+    return;
+  case peer::RaftMessage::kVoteReply:
+    this->onVoteReply(Message, Now);
+    return;
+  case peer::RaftMessage::kAppendRequest:
+    this->onAppend(Message, Now);
+    return;
+  case peer::RaftMessage::kAppendReply:
+    this->onAppendReply(Message, Now);
+    return;
+  case peer::RaftMessage::kInstallSnapshot:
+    this->onInstall(Message, Now);
+    return;
+  default:
+    return;
+  }
+}
+
+std::optional<std::uint64_t> RaftNode::propose(const std::string &Command,
+                                               TimePoint Now) {
+  if (!this->leads())
+    return std::nullopt;
+  peer::LogEntry Entry;
+  Entry.set_command(Command);
+  this->appendLocal(std::move(Entry), Now);
+  return this->Log.lastIndex();
+}
+
+std::optional<std::uint64_t>
+RaftNode::proposeReplicas(const peer::ReplicaSet &Set, TimePoint Now) {
+  bool Settled = this->Log.replicasIndex() <= this->Commit &&
+                 this->LeadershipIndex <= this->Commit;
+  if (!this->leads() || !Settled)
+    return std::nullopt;
+  peer::LogEntry Entry;
+  *Entry.mutable_replicas() = Set;
+  this->appendLocal(std::move(Entry), Now);
+  return this->Log.lastIndex();
+}
+
+std::optional<std::uint64_t> RaftNode::read(TimePoint Now) {
+  if (!this->leads())
+    return std::nullopt;
+  this->Reads.push_back({++this->LastRead, this->Round + 1});
+  std::uint64_t Number = this->LastRead;
+  this->broadcast(/*Heartbeat=*/true, Now);
+  this->finishReads();
+  return Number;
+}
+
+void RaftNode::stepDown(TimePoint Now) {
+  if (this->leads())
+    this->becomeFollower(this->Hard.term(), "", Now);
+}
+
+bool RaftNode::isVoter() const {
+  const peer::Replica *Self = this->findReplica(this->Options.Name);
+  return Self != nullptr && !Self->learner();
+}
+
+bool RaftNode::isCaughtUp(const std::string &Name) const {
+  auto Found = this->Followers.find(Name);
+  return Found != this->Followers.end() && Found->second.Match >= this->Commit;
+}
+
+const peer::Replica *RaftNode::findReplica(const std::string &Name) const {
+  for (const peer::Replica &Candidate : this->Log.replicas().replicas())
+    if (Candidate.name() == Name)
+      return &Candidate;
+  return nullptr;
+}
+
+std::vector<std::string> RaftNode::voters() const {
+  std::vector<std::string> Names;
+  for (const peer::Replica &Candidate : this->Log.replicas().replicas())
+    if (!Candidate.learner())
+      Names.push_back(Candidate.name());
+  return Names;
+}
+
+bool RaftNode::isQuorum(const std::set<std::string> &Names) const {
+  std::vector<std::string> Voters = this->voters();
+  auto Count =
+      std::count_if(Voters.begin(), Voters.end(), [&](const std::string &Name) {
+        return Names.contains(Name);
+      });
+  return static_cast<std::size_t>(Count) * 2 > Voters.size();
+}
+
+std::uint64_t RaftNode::quorumValue(std::vector<std::uint64_t> Values) const {
+  if (Values.empty())
+    return 0;
+  // The greatest value that a majority has reached.
+  std::sort(Values.begin(), Values.end());
+  return Values[(Values.size() - 1) / 2];
+}
+
+peer::RaftMessage RaftNode::messageTo(const std::string &Name) const {
+  peer::RaftMessage Message;
+  Message.set_from(this->Options.Name);
+  Message.set_to(Name);
+  Message.set_term(this->Hard.term());
+  return Message;
+}
+
+void RaftNode::saveHard(std::uint64_t Term, const std::string &VotedFor) {
+  peer::HardState New;
+  New.set_term(Term);
+  New.set_voted_for(VotedFor);
+  this->Storage.saveHardState(New);
+  if (this->Options.SyncBeforeReply)
+    this->Storage.sync();
+  this->Hard = New;
+}
+
+void RaftNode::resetElection(TimePoint Now) {
+  auto Base = std::chrono::duration_cast<Duration>(this->Options.Election);
+  Duration Extra(this->Random() % static_cast<std::uint64_t>(Base.count()));
+  this->ElectionAt = Now + Base + Extra;
+}
+
+void RaftNode::broadcast(bool Heartbeat, TimePoint Now) {
+  ++this->Round;
+  this->NextHeartbeat = Now + this->Options.Election / HeartbeatsPerElection;
+  this->syncProgress(Now);
+  for (const auto &[Name, Follower] : this->Followers)
+    this->sendTo(Name, /*FromMatch=*/Heartbeat);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/consensus/raft_replication.cpp
@@ -0,0 +1,274 @@
+//===- The part of RaftNode that replicates and applies the log -----------===//
+
+#include "consensus/raft_node.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::size_t MaxEntriesPerMessage = 200;
+
+} // namespace
+
+void RaftNode::syncProgress(TimePoint Now) {
+  for (const peer::Replica &Candidate : this->Log.replicas().replicas()) {
+    if (Candidate.name() == this->Options.Name)
+      continue;
+    auto [Target, New] = this->Followers.try_emplace(Candidate.name());
+    if (!New)
+      continue;
+    Target->second.Next = this->Log.lastIndex() + 1;
+    Target->second.LastHeard = Now;
+  }
+  std::erase_if(this->Followers, [&](const auto &Item) {
+    return this->findReplica(Item.first) == nullptr;
+  });
+}
+
+void RaftNode::appendLocal(peer::LogEntry Entry, TimePoint Now) {
+  Entry.set_index(this->Log.lastIndex() + 1);
+  Entry.set_term(this->Hard.term());
+  this->Storage.append({Entry});
+  if (this->Options.SyncBeforeReply)
+    this->Storage.sync();
+  this->Log.append(Entry);
+  this->broadcast(/*Heartbeat=*/false, Now);
+  this->advanceCommit(Now);
+}
+
+void RaftNode::sendTo(const std::string &Name, bool FromMatch) {
+  Progress &Follower = this->Followers.at(Name);
+  // A heartbeat repeats what has not been acknowledged, in case it was lost.
+  std::uint64_t From =
+      FromMatch && Follower.Match > 0 ? Follower.Match + 1 : Follower.Next;
+  std::optional<std::uint64_t> PreviousTerm = this->Log.termAt(From - 1);
+  if (!PreviousTerm) {
+    this->sendSnapshot(Name);
+    return;
+  }
+  peer::RaftMessage Message = this->messageTo(Name);
+  peer::AppendRequest *Append = Message.mutable_append_request();
+  Append->set_previous_index(From - 1);
+  Append->set_previous_term(*PreviousTerm);
+  Append->set_commit(this->Commit);
+  Append->set_round(this->Round);
+  for (peer::LogEntry &Entry : this->Log.slice(From, MaxEntriesPerMessage))
+    *Append->add_entries() = std::move(Entry);
+  Follower.Next = std::max(
+      Follower.Next, From + static_cast<std::uint64_t>(Append->entries_size()));
+  this->Events.send(std::move(Message));
+}
+
+void RaftNode::sendSnapshot(const std::string &Name) {
+  peer::RaftMessage Message = this->messageTo(Name);
+  *Message.mutable_install_snapshot()->mutable_snapshot() =
+      this->Log.snapshot();
+  Message.mutable_install_snapshot()->set_round(this->Round);
+  this->Events.send(std::move(Message));
+}
+
+void RaftNode::onAppend(const peer::RaftMessage &Message, TimePoint Now) {
+  peer::RaftMessage Answer = this->messageTo(Message.from());
+  peer::AppendReply *Reply = Answer.mutable_append_reply();
+  const peer::AppendRequest &Append = Message.append_request();
+  if (Message.term() < this->Hard.term()) {
+    this->Events.send(std::move(Answer));
+    return;
+  }
+  this->Role = RaftRole::Follower;
+  this->Leader = Message.from();
+  this->LeaderHeard = Now;
+  this->resetElection(Now);
+  Reply->set_round(Append.round());
+
+  std::uint64_t Previous = Append.previous_index();
+  std::optional<std::uint64_t> Known = this->Log.termAt(Previous);
+  // What a snapshot covers is committed and so agrees with any leader.
+  bool Compacted = Previous < this->Log.snapshot().index();
+  bool Agrees = Compacted || (Known && *Known == Append.previous_term());
+  if (!Agrees) {
+    Reply->set_hint_index(std::min(Previous - 1, this->Log.lastIndex()));
+    this->Events.send(std::move(Answer));
+    return;
+  }
+  try {
+    this->takeEntries(Append);
+  } catch (const Error &) {
+    // What has not been stored is not acknowledged.
+    return;
+  }
+  std::uint64_t Last =
+      Previous + static_cast<std::uint64_t>(Append.entries_size());
+  Reply->set_success(true);
+  Reply->set_match_index(Last);
+  this->Events.send(std::move(Answer));
+  std::uint64_t NewCommit = std::min(Append.commit(), Last);
+  if (NewCommit > this->Commit) {
+    this->Commit = NewCommit;
+    this->applyCommitted(Now);
+  }
+}
+
+void RaftNode::takeEntries(const peer::AppendRequest &Append) {
+  std::vector<peer::LogEntry> New;
+  for (const peer::LogEntry &Entry : Append.entries()) {
+    if (Entry.index() <= this->Log.snapshot().index())
+      continue;
+    std::optional<std::uint64_t> Known = this->Log.termAt(Entry.index());
+    if (New.empty() && Known && *Known == Entry.term())
+      continue;
+    New.push_back(Entry);
+  }
+  if (New.empty())
+    return;
+  if (New.front().index() <= this->Log.lastIndex()) {
+    this->Storage.truncateFrom(New.front().index());
+    this->Log.truncateFrom(New.front().index());
+  }
+  this->Storage.append(New);
+  if (this->Options.SyncBeforeReply)
+    this->Storage.sync();
+  for (const peer::LogEntry &Entry : New)
+    this->Log.append(Entry);
+}
+
+void RaftNode::onAppendReply(const peer::RaftMessage &Message, TimePoint Now) {
+  auto Found = this->Followers.find(Message.from());
+  if (!this->leads() || Found == this->Followers.end() ||
+      Message.term() != this->Hard.term())
+    return;
+  const peer::AppendReply &Reply = Message.append_reply();
+  Progress &Follower = Found->second;
+  Follower.LastHeard = Now;
+  Follower.AckedRound = std::max(Follower.AckedRound, Reply.round());
+  if (!Reply.success()) {
+    Follower.Next = std::max(Reply.hint_index() + 1, Follower.Match + 1);
+    this->sendTo(Message.from(), /*FromMatch=*/false);
+  } else {
+    Follower.Match = std::max(Follower.Match, Reply.match_index());
+    Follower.Next = std::max(Follower.Next, Follower.Match + 1);
+    this->advanceCommit(Now);
+    // More than one message's worth was missing.
+    if (Follower.Match < this->Log.lastIndex() &&
+        Follower.Next <= this->Log.lastIndex())
+      this->sendTo(Message.from(), /*FromMatch=*/false);
+  }
+  this->finishReads();
+}
+
+void RaftNode::onInstall(const peer::RaftMessage &Message, TimePoint Now) {
+  if (Message.term() < this->Hard.term())
+    return;
+  this->Role = RaftRole::Follower;
+  this->Leader = Message.from();
+  this->LeaderHeard = Now;
+  this->resetElection(Now);
+  const peer::Snapshot &Snapshot = Message.install_snapshot().snapshot();
+  if (Snapshot.index() > this->Commit) {
+    RaftLog Compacted = this->Log;
+    Compacted.compact(Snapshot);
+    try {
+      this->Storage.saveSnapshot(
+          Snapshot, this->Hard,
+          Compacted.slice(Compacted.firstIndex(), Compacted.size()));
+    } catch (const Error &) {
+      return;
+    }
+    this->Log = Compacted;
+    this->Commit = Snapshot.index();
+    this->Applied = Snapshot.index();
+    this->Events.restoreState(Snapshot);
+  }
+  peer::RaftMessage Answer = this->messageTo(Message.from());
+  peer::AppendReply *Reply = Answer.mutable_append_reply();
+  Reply->set_success(true);
+  Reply->set_match_index(std::max(Snapshot.index(), this->Commit));
+  Reply->set_round(Message.install_snapshot().round());
+  this->Events.send(std::move(Answer));
+}
+
+void RaftNode::advanceCommit(TimePoint Now) {
+  std::vector<std::uint64_t> Matches;
+  for (const std::string &Name : this->voters()) {
+    auto Follower = this->Followers.find(Name);
+    if (Name == this->Options.Name)
+      Matches.push_back(this->Log.lastIndex());
+    else
+      Matches.push_back(
+          Follower == this->Followers.end() ? 0 : Follower->second.Match);
+  }
+  std::uint64_t Reached = this->quorumValue(std::move(Matches));
+  std::optional<std::uint64_t> Term = this->Log.termAt(Reached);
+  // Only an entry of the leader's own term commits by counting.
+  if (Reached <= this->Commit || !Term || *Term != this->Hard.term())
+    return;
+  this->Commit = Reached;
+  this->applyCommitted(Now);
+  this->finishReads();
+  bool Removed = this->Log.replicasIndex() <= this->Commit && !this->isVoter();
+  if (this->leads() && Removed)
+    this->becomeFollower(this->Hard.term(), "", Now);
+  else if (this->leads())
+    this->broadcast(/*Heartbeat=*/false, Now);
+}
+
+void RaftNode::applyCommitted(TimePoint) {
+  while (this->Applied < this->Commit) {
+    ++this->Applied;
+    this->Events.apply(this->Log.at(this->Applied));
+  }
+  this->maybeSnapshot();
+}
+
+void RaftNode::maybeSnapshot() {
+  if (this->Applied <
+      this->Log.snapshot().index() + this->Options.SnapshotEvery)
+    return;
+  peer::Snapshot New;
+  New.set_index(this->Applied);
+  New.set_term(*this->Log.termAt(this->Applied));
+  *New.mutable_replicas() = this->Log.replicasAt(this->Applied);
+  New.set_state(this->Events.saveState());
+  RaftLog Compacted = this->Log;
+  Compacted.compact(New);
+  try {
+    this->Storage.saveSnapshot(
+        New, this->Hard,
+        Compacted.slice(Compacted.firstIndex(), Compacted.size()));
+  } catch (const Error &) {
+    // The log stays longer; the next entry tries again.
+    return;
+  }
+  this->Log = std::move(Compacted);
+}
+
+void RaftNode::finishReads() {
+  if (this->Reads.empty() || !this->leads() ||
+      this->Commit < this->LeadershipIndex)
+    return;
+  std::vector<std::uint64_t> Rounds;
+  for (const std::string &Name : this->voters()) {
+    auto Follower = this->Followers.find(Name);
+    if (Name == this->Options.Name)
+      Rounds.push_back(this->Round);
+    else
+      Rounds.push_back(
+          Follower == this->Followers.end() ? 0 : Follower->second.AckedRound);
+  }
+  std::uint64_t Confirmed = this->quorumValue(std::move(Rounds));
+  std::vector<std::uint64_t> Ready;
+  std::erase_if(this->Reads, [&](const PendingRead &Read) {
+    bool Done = Read.Round <= Confirmed;
+    if (Done)
+      Ready.push_back(Read.Number);
+    return Done;
+  });
+  for (std::uint64_t Number : Ready)
+    this->Events.onReadReady(Number);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/consensus/record_file.cpp
@@ -0,0 +1,210 @@
+#include "consensus/record_file.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::uint64_t HeaderSize = 12;
+constexpr std::uint64_t LengthSize = 4;
+constexpr std::uint32_t MaxRecord = 268435456;
+constexpr mode_t FileMode = 0600;
+
+std::uint32_t checksum(const char *Data, std::size_t Size) {
+  boost::crc_32_type Crc;
+  Crc.process_bytes(Data, Size);
+  return Crc.checksum();
+}
+
+void putNumber(std::string &Target, std::uint32_t Value) {
+  constexpr int Bytes = 4;
+  constexpr int ByteBits = 8;
+  for (int I = 0; I < Bytes; ++I)
+    Target.push_back(static_cast<char>((Value >> (ByteBits * I)) & 0xffU));
+}
+
+std::uint32_t getNumber(const char *Data) {
+  std::uint32_t Value = 0;
+  constexpr int Bytes = 4;
+  constexpr int ByteBits = 8;
+  for (int I = 0; I < Bytes; ++I)
+    Value |= static_cast<std::uint32_t>(static_cast<unsigned char>(Data[I]))
+             << (ByteBits * I);
+  return Value;
+}
+
+std::string encode(const std::string &Content) {
+  std::string Record;
+  putNumber(Record, static_cast<std::uint32_t>(Content.size()));
+  putNumber(Record, checksum(Record.data(), LengthSize));
+  putNumber(Record, checksum(Content.data(), Content.size()));
+  return Record + Content;
+}
+
+[[noreturn]] void fail(const std::string &Path, const std::string &What) {
+  throw Error("storage", Path, fmt::format("{}: {}", What, strerror(errno)));
+}
+
+[[noreturn]] void damaged(const std::string &Path, std::uint64_t Offset) {
+  throw Error("storage", Path,
+              fmt::format("record at offset {} is damaged; restore the replica "
+                          "under a new name",
+                          Offset));
+}
+
+void writeAll(int File, const std::string &Data, const WriteFunction &Write,
+              const std::string &Path) {
+  std::size_t Done = 0;
+  while (Done < Data.size()) {
+    ssize_t Count = Write(File, Data.data() + Done, Data.size() - Done);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count <= 0)
+      fail(Path, "cannot write");
+    Done += static_cast<std::size_t>(Count);
+  }
+}
+
+void syncFolderOf(const std::string &Path) {
+  std::string Folder = std::filesystem::path(Path).parent_path().string();
+  int Descriptor = ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY);
+  if (Descriptor < 0)
+    fail(Folder, "cannot open the folder");
+  int Result = ::fsync(Descriptor);
+  ::close(Descriptor);
+  if (Result != 0)
+    fail(Folder, "cannot sync the folder");
+}
+
+bool isAllZero(const std::string &Data, std::uint64_t From) {
+  return std::all_of(Data.begin() + static_cast<std::ptrdiff_t>(From),
+                     Data.end(), [](char C) { return C == '\0'; });
+}
+
+} // namespace
+
+ssize_t writeToDisk(int File, const void *Data, std::size_t Size) {
+  return ::write(File, Data, Size);
+}
+
+RecordFile::RecordFile(std::string Path, WriteFunction Write)
+    : Path(std::move(Path)), Write(std::move(Write)) {
+  this->File =
+      ::open(this->Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+  if (this->File < 0)
+    fail(this->Path, "cannot open");
+  syncFolderOf(this->Path);
+}
+
+RecordFile::~RecordFile() { ::close(this->File); }
+
+std::vector<std::string> RecordFile::readAll() {
+  std::ifstream Input(this->Path, std::ios::binary);
+  std::stringstream Buffer;
+  Buffer << Input.rdbuf();
+  std::string Data = Buffer.str();
+  std::vector<std::string> Records;
+  std::uint64_t Offset = 0;
+  while (Offset < Data.size()) {
+    std::uint64_t Left = Data.size() - Offset;
+    // A crash leaves a short record, or bytes that were never written.
+    if (Left < HeaderSize || isAllZero(Data, Offset))
+      break;
+    const char *Header = Data.data() + Offset;
+    std::uint32_t Length = getNumber(Header);
+    bool HeaderGood =
+        getNumber(Header + LengthSize) == checksum(Header, LengthSize);
+    if (!HeaderGood || Length > MaxRecord)
+      damaged(this->Path, Offset);
+    if (Left < HeaderSize + Length)
+      break;
+    const char *Content = Header + HeaderSize;
+    bool ContentGood =
+        getNumber(Header + 2 * LengthSize) == checksum(Content, Length);
+    bool LastAndUnwritten = Offset + HeaderSize + Length == Data.size() &&
+                            isAllZero(Data, Offset + HeaderSize);
+    if (!ContentGood && LastAndUnwritten)
+      break;
+    if (!ContentGood)
+      damaged(this->Path, Offset);
+    Records.emplace_back(Content, Length);
+    Offset += HeaderSize + Length;
+  }
+  this->Torn = Data.size() - Offset;
+  this->Size = Offset;
+  if (::ftruncate(this->File, static_cast<off_t>(Offset)) != 0)
+    fail(this->Path, "cannot cut the torn tail");
+  if (::lseek(this->File, static_cast<off_t>(Offset), SEEK_SET) < 0)
+    fail(this->Path, "cannot seek");
+  return Records;
+}
+
+void RecordFile::requireUsable() const {
+  if (this->Broken)
+    throw Error("storage", this->Path,
+                "an earlier failure left its end unknown; restart");
+}
+
+void RecordFile::append(const std::vector<std::string> &Contents) {
+  this->requireUsable();
+  std::string Record;
+  for (const std::string &Content : Contents)
+    Record += encode(Content);
+  try {
+    writeAll(this->File, Record, this->Write, this->Path);
+  } catch (const Error &) {
+    // Take back what was written of it, so that the next record fits.
+    bool Cut =
+        ::ftruncate(this->File, static_cast<off_t>(this->Size)) == 0 &&
+        ::lseek(this->File, static_cast<off_t>(this->Size), SEEK_SET) >= 0;
+    this->Broken = !Cut;
+    throw;
+  }
+  this->Size += Record.size();
+}
+
+void RecordFile::sync() {
+  this->requireUsable();
+  if (::fsync(this->File) == 0)
+    return;
+  this->Broken = true;
+  fail(this->Path, "cannot sync");
+}
+
+void replaceRecordFile(const std::string &Path,
+                       const std::vector<std::string> &Records,
+                       const WriteFunction &Write) {
+  std::string Temporary = Path + ".new";
+  int File = ::open(Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+                    FileMode);
+  if (File < 0)
+    fail(Temporary, "cannot open");
+  try {
+    for (const std::string &Content : Records)
+      writeAll(File, encode(Content), Write, Temporary);
+    if (::fsync(File) != 0)
+      fail(Temporary, "cannot sync");
+  } catch (const Error &) {
+    ::close(File);
+    ::unlink(Temporary.c_str());
+    throw;
+  }
+  ::close(File);
+  if (::rename(Temporary.c_str(), Path.c_str()) != 0)
+    fail(Path, "cannot replace");
+  syncFolderOf(Path);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/core/peer_sink.h
@@ -0,0 +1,34 @@
+//===- core/peer_sink.h - Where messages to peers go ------------*- C++ -*-===//
+///
+/// \file
+/// The outlet through which decision code sends messages. The daemon hands
+/// them to its links; tests and benches keep, delay, drop or repeat them.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_CORE_PEER_SINK_H
+#define YARDWHEEL_CORE_PEER_SINK_H
+
+#include <string>
+
+namespace yardwheel {
+
+namespace peer {
+class Message;
+} // namespace peer
+
+/// A process of the cluster and the IP number and port of its link.
+struct PeerRef {
+  std::string Node;
+  std::string Address;
+};
+
+class PeerSink {
+public:
+  virtual ~PeerSink() = default;
+  /// Sends without waiting. The message may be lost, late or doubled.
+  virtual void send(const PeerRef &To, peer::Message Message) = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/dispatch/fair_queue.h
@@ -0,0 +1,71 @@
+//===- dispatch/fair_queue.h - Whose task goes next -------------*- C++ -*-===//
+///
+/// \file
+/// Tasks that wait at an entry for a minion of one pool. Between workspaces,
+/// start-time fair queueing by weight; within a workspace, jobs in the order
+/// of their arrival, so that a job's last task does not wait behind a later
+/// job's first.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_DISPATCH_FAIR_QUEUE_H
+#define YARDWHEEL_DISPATCH_FAIR_QUEUE_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+/// A job's number within one entry's life; grows with its arrival.
+using JobNumber = std::uint64_t;
+
+struct WaitingTask {
+  std::string Workspace;
+  JobNumber Job = 0;
+  std::uint32_t Index = 0;
+};
+
+class FairQueue {
+public:
+  /// Sets a workspace's weight and how many of its tasks may be out at once.
+  void configure(const std::string &Workspace, std::uint32_t Weight,
+                 std::uint32_t Capacity);
+
+  void push(const std::string &Workspace, JobNumber Job, std::uint32_t Index);
+  /// Drops everything that waits of a job.
+  void removeJob(const std::string &Workspace, JobNumber Job);
+
+  /// The task that goes next; it stays queued until pop(). Nothing if no
+  /// workspace both waits and is under its capacity.
+  std::optional<WaitingTask> front() const;
+  /// Takes the front and counts it as out.
+  void pop();
+  /// A task that was out has ended or has come back.
+  void onSettled(const std::string &Workspace);
+
+  std::size_t waiting(const std::string &Workspace) const;
+  std::size_t waiting() const { return this->Total; }
+
+private:
+  struct Line {
+    std::uint32_t Weight = 1;
+    std::uint32_t Capacity = UINT32_MAX;
+    std::uint32_t Out = 0;
+    std::size_t Waiting = 0;
+    double VirtualStart = 0;
+    std::map<JobNumber, std::deque<std::uint32_t>> Jobs;
+  };
+
+  const std::pair<const std::string, Line> *next() const;
+
+  std::map<std::string, Line> Lines;
+  double VirtualTime = 0;
+  std::size_t Total = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/dispatch/late_binding_policy.cpp
@@ -0,0 +1,27 @@
+#include "dispatch/late_binding_policy.h"
+
+namespace yardwheel {
+
+namespace {
+
+/// Tasks that wait at an agent beyond its slots, so that a slot that falls
+/// free there is taken without a message's delay.
+constexpr std::uint32_t QueueAhead = 2;
+
+} // namespace
+
+std::optional<MinionIndex> LateBindingPolicy::choose(const MinionTable &Table,
+                                                     std::mt19937_64 &Random) {
+  std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random);
+  if (Free)
+    return Free;
+  std::optional<MinionIndex> Shortest = Table.byQueueRoom().pickBest(Random);
+  if (!Shortest)
+    return std::nullopt;
+  const Minion &Target = Table.at(*Shortest);
+  if (Target.load() >= Target.Slots + QueueAhead)
+    return std::nullopt;
+  return Shortest;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/dispatch/minion_table.cpp
@@ -0,0 +1,214 @@
+#include "dispatch/minion_table.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::size_t NoPlace = SIZE_MAX;
+constexpr std::uint32_t WholePercent = 100;
+/// The deepest agent queue that the queue-room index tells apart.
+constexpr int QueueRoomRange = 256;
+
+bool holds(const peer::Resources &Has, const peer::Resources &Needs) {
+  return Has.cpus() >= Needs.cpus() && Has.memory_mb() >= Needs.memory_mb() &&
+         Has.accelerators() >= Needs.accelerators();
+}
+
+} // namespace
+
+MinionIndex MinionTable::update(const peer::Member &Member, bool &Replaced) {
+  auto [Found, New] = this->ByName.try_emplace(
+      Member.name(), static_cast<MinionIndex>(this->Minions.size()));
+  MinionIndex Index = Found->second;
+  if (New) {
+    this->Minions.emplace_back();
+    this->EligiblePlace.push_back(NoPlace);
+  }
+  Minion &Target = this->Minions[Index];
+  bool WasAlive = Target.Alive;
+  bool NewLife = Target.Incarnation != Member.incarnation();
+  Replaced = !New && NewLife;
+  if (NewLife) {
+    if (Target.Ejected)
+      --this->EjectedCount;
+    // What was known of the older life says nothing of this one.
+    Target = Minion();
+    Target.Incarnation = Member.incarnation();
+    Target.Freshness = Member.freshness();
+  }
+  Target.Name = Member.name();
+  Target.Agent = {Member.name(), Member.address()};
+  Target.Slots = Member.slots();
+  Target.Resources = Member.resources();
+  Target.Alive = Member.state() == peer::MEMBER_ALIVE;
+  if (WasAlive && Member.state() == peer::MEMBER_LOST)
+    Replaced = true;
+  this->assignShare(Target);
+  this->reindex(Index);
+  return Index;
+}
+
+void MinionTable::setShares(std::uint32_t NewPosition,
+                            std::uint32_t NewEntries) {
+  this->Position = NewPosition;
+  this->Entries = std::max(NewEntries, 1U);
+  for (MinionIndex I = 0; I < this->Minions.size(); ++I) {
+    this->assignShare(this->Minions[I]);
+    this->reindex(I);
+  }
+}
+
+void MinionTable::assignShare(Minion &Target) const {
+  std::uint32_t Base = Target.Slots / this->Entries;
+  std::uint32_t Rest = Target.Slots % this->Entries;
+  // The odd slots go round by the minion's name, so that each entry gets
+  // about as many over the whole pool.
+  std::uint64_t Turn = (stableHash(Target.Name) + this->Position);
+  Target.Share = Base + (Turn % this->Entries < Rest ? 1 : 0);
+}
+
+void MinionTable::hear(MinionIndex Index, const peer::AgentLoad &Load,
+                       TimePoint Now) {
+  Minion &Target = this->Minions[Index];
+  if (Load.incarnation() != Target.Incarnation)
+    return;
+  if (Load.leaving())
+    Target.Alive = false;
+  Target.Silent = false;
+  Target.LastHeard = Now;
+  // An older word that comes late says less than what is known.
+  if (Load.freshness() >= Target.Freshness) {
+    Target.Freshness = Load.freshness();
+    std::uint32_t Busy = Load.running() + Load.queued();
+    Target.Others = Busy > Target.Own ? Busy - Target.Own : 0;
+  }
+  this->reindex(Index);
+}
+
+void MinionTable::onSent(MinionIndex Index) {
+  ++this->Minions[Index].Own;
+  this->reindex(Index);
+}
+
+void MinionTable::onSettled(MinionIndex Index) {
+  Minion &Target = this->Minions[Index];
+  if (Target.Own > 0)
+    --Target.Own;
+  this->reindex(Index);
+}
+
+void MinionTable::onSuccess(MinionIndex Index) {
+  Minion &Target = this->Minions[Index];
+  Target.FailuresInRow = 0;
+  Target.OnProbation = false;
+  if (!Target.Ejected)
+    Target.Backoff = {};
+  this->reindex(Index);
+}
+
+void MinionTable::onFailure(MinionIndex Index, std::uint32_t Threshold,
+                            TimePoint Now) {
+  Minion &Target = this->Minions[Index];
+  ++Target.FailuresInRow;
+  bool TooMany = Target.FailuresInRow >= Threshold || Target.OnProbation;
+  if (TooMany && !Target.Ejected && this->mayEjectOneMore()) {
+    Target.Ejected = true;
+    ++this->EjectedCount;
+    Target.Backoff = std::clamp(Target.Backoff * 2, this->Rules.FirstBackoff,
+                                this->Rules.MaxBackoff);
+    Target.EjectedUntil = Now + Target.Backoff;
+  }
+  this->reindex(Index);
+}
+
+bool MinionTable::mayEjectOneMore() const {
+  auto Alive = std::count_if(this->Minions.begin(), this->Minions.end(),
+                             [](const Minion &M) { return M.Alive; });
+  return (this->EjectedCount + 1) * WholePercent <=
+         static_cast<std::uint32_t>(Alive) * this->Rules.MaxShare;
+}
+
+void MinionTable::setSilent(MinionIndex Index, bool Silent) {
+  this->Minions[Index].Silent = Silent;
+  this->reindex(Index);
+}
+
+void MinionTable::tick(TimePoint Now) {
+  if (this->EjectedCount == 0)
+    return;
+  for (MinionIndex I = 0; I < this->Minions.size(); ++I) {
+    Minion &Target = this->Minions[I];
+    if (!Target.Ejected || Now < Target.EjectedUntil)
+      continue;
+    Target.Ejected = false;
+    Target.OnProbation = true;
+    --this->EjectedCount;
+    this->reindex(I);
+  }
+}
+
+std::optional<MinionIndex> MinionTable::find(const std::string &Name) const {
+  auto Found = this->ByName.find(Name);
+  if (Found == this->ByName.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::uint32_t MinionTable::aliveSlots() const {
+  std::uint32_t Total = 0;
+  for (const Minion &M : this->Minions)
+    Total += M.Alive ? M.Slots : 0;
+  return Total;
+}
+
+bool MinionTable::fitsSomewhere(const peer::Resources &Needs) const {
+  return std::any_of(
+      this->Minions.begin(), this->Minions.end(),
+      [&](const Minion &M) { return holds(M.Resources, Needs); });
+}
+
+bool MinionTable::mayGetWork(const Minion &Target) const {
+  if (!Target.Alive || Target.Silent || Target.Ejected)
+    return false;
+  return !Target.OnProbation || Target.Own == 0;
+}
+
+void MinionTable::reindex(MinionIndex Index) {
+  const Minion &Target = this->Minions[Index];
+  bool May = this->mayGetWork(Target);
+  this->setEligible(Index, May);
+  if (!May) {
+    this->ByOwnFree.remove(Index);
+    this->ByTotalFree.remove(Index);
+    this->ByQueueRoom.remove(Index);
+    return;
+  }
+  auto Own = static_cast<int>(Target.Own);
+  auto Load = static_cast<int>(Target.load());
+  auto Slots = static_cast<int>(Target.Slots);
+  this->ByOwnFree.put(Index, static_cast<int>(Target.Share) - Own);
+  this->ByTotalFree.put(Index, Slots - Load);
+  this->ByQueueRoom.put(Index, QueueRoomRange + Slots - Load);
+}
+
+void MinionTable::setEligible(MinionIndex Index, bool May) {
+  std::size_t &Place = this->EligiblePlace[Index];
+  if (May == (Place != NoPlace))
+    return;
+  if (May) {
+    Place = this->Eligible.size();
+    this->Eligible.push_back(Index);
+    return;
+  }
+  MinionIndex Last = this->Eligible.back();
+  this->Eligible[Place] = Last;
+  this->EligiblePlace[Last] = Place;
+  this->Eligible.pop_back();
+  Place = NoPlace;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/dispatch/minion_table.h
@@ -0,0 +1,125 @@
+//===- dispatch/minion_table.h - An entry's view of its minions -*- C++ -*-===//
+///
+/// \file
+/// What one entry knows of the minions of one pool: who may get work, how
+/// many tasks each has of ours, what it last said of others' tasks, and how
+/// it has fared lately. Knowledge of others' tasks is as old as the last
+/// message, and no decision relies on it being fresh.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_DISPATCH_MINION_TABLE_H
+#define YARDWHEEL_DISPATCH_MINION_TABLE_H
+
+#include "core/clock.h"
+#include "core/peer_sink.h"
+#include "dispatch/bucket_index.h"
+#include "protocol/peer.pb.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace yardwheel {
+
+/// How a minion that fails its tasks is taken out and tried again.
+struct EjectionRules {
+  std::chrono::milliseconds FirstBackoff{1000};
+  std::chrono::milliseconds MaxBackoff{30000};
+  /// No more than this share of the minions is out at once, in percent.
+  std::uint32_t MaxShare = 50;
+};
+
+struct Minion {
+  std::string Name;
+  PeerRef Agent;
+  std::uint64_t Incarnation = 0;
+  std::uint32_t Slots = 0;
+  peer::Resources Resources;
+  bool Alive = false;
+  /// Given up on by this entry until it is heard of again.
+  bool Silent = false;
+
+  /// Tasks that this entry sent and that have not ended.
+  std::uint32_t Own = 0;
+  /// Tasks of other entries, as the agent last told.
+  std::uint32_t Others = 0;
+  /// Slots that this entry alone may count on.
+  std::uint32_t Share = 0;
+  std::uint64_t Freshness = 0;
+  TimePoint LastHeard;
+
+  std::uint32_t FailuresInRow = 0;
+  bool Ejected = false;
+  /// Back from ejection with one task at a time, until one succeeds.
+  bool OnProbation = false;
+  TimePoint EjectedUntil;
+  std::chrono::milliseconds Backoff{};
+
+  std::uint32_t load() const { return this->Own + this->Others; }
+};
+
+class MinionTable {
+public:
+  explicit MinionTable(EjectionRules Rules = {}) : Rules(Rules) {}
+
+  /// Takes a member's announcement. \returns its place, and sets
+  /// \p Replaced if an older life of it has ended.
+  MinionIndex update(const peer::Member &Member, bool &Replaced);
+
+  /// Divides the slots between \p Entries entries, of which this is number
+  /// \p Position from 0.
+  void setShares(std::uint32_t Position, std::uint32_t Entries);
+
+  /// Takes what an agent says of its load. Words of another life are dropped.
+  void hear(MinionIndex Index, const peer::AgentLoad &Load, TimePoint Now);
+
+  void onSent(MinionIndex Index);
+  /// A task ended or was proved not to have started.
+  void onSettled(MinionIndex Index);
+  void onSuccess(MinionIndex Index);
+  void onFailure(MinionIndex Index, std::uint32_t Threshold, TimePoint Now);
+  void setSilent(MinionIndex Index, bool Silent);
+
+  /// Lets ejected minions back whose time is up.
+  void tick(TimePoint Now);
+
+  std::size_t size() const { return this->Minions.size(); }
+  const Minion &at(MinionIndex Index) const { return this->Minions[Index]; }
+  std::optional<MinionIndex> find(const std::string &Name) const;
+  std::uint32_t aliveSlots() const;
+  /// Whether any minion, even when busy or out, could ever hold the task.
+  bool fitsSomewhere(const peer::Resources &Needs) const;
+
+  /// The minions that may get work now, in no particular order.
+  const std::vector<MinionIndex> &eligible() const { return this->Eligible; }
+  /// Eligible minions by their free slots of this entry's share.
+  const BucketIndex &byOwnFree() const { return this->ByOwnFree; }
+  /// Eligible minions by the slots believed free of anybody's tasks.
+  const BucketIndex &byTotalFree() const { return this->ByTotalFree; }
+  /// Eligible minions by the room left in their agents' queues.
+  const BucketIndex &byQueueRoom() const { return this->ByQueueRoom; }
+
+private:
+  bool mayGetWork(const Minion &Target) const;
+  void reindex(MinionIndex Index);
+  void setEligible(MinionIndex Index, bool May);
+  bool mayEjectOneMore() const;
+  void assignShare(Minion &Target) const;
+
+  EjectionRules Rules;
+  std::vector<Minion> Minions;
+  std::unordered_map<std::string, MinionIndex> ByName;
+  std::vector<MinionIndex> Eligible;
+  /// Place in Eligible, or absent, of each minion.
+  std::vector<std::size_t> EligiblePlace;
+  BucketIndex ByOwnFree;
+  BucketIndex ByTotalFree;
+  BucketIndex ByQueueRoom;
+  std::uint32_t Position = 0;
+  std::uint32_t Entries = 1;
+  std::uint32_t EjectedCount = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/dispatch/random_policy.h
@@ -0,0 +1,23 @@
+//===- dispatch/random_policy.h --- *- C++ -*-===//
+///
+/// \file
+/// Naive baseline: any minion that may get work, at random, however busy.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_DISPATCH_RANDOM_POLICY_H
+#define YARDWHEEL_DISPATCH_RANDOM_POLICY_H
+
+#include "dispatch/route_policy.h"
+
+namespace yardwheel {
+
+class RandomPolicy final : public RoutePolicy {
+public:
+  std::optional<MinionIndex> choose(const MinionTable &Table,
+                                    std::mt19937_64 &Random) override;
+  bool queuesAtAgent() const override { return true; }
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/dispatch/slot_share_policy.cpp
@@ -0,0 +1,10 @@
+#include "dispatch/slot_share_policy.h"
+
+namespace yardwheel {
+
+std::optional<MinionIndex> SlotSharePolicy::choose(const MinionTable &Table,
+                                                   std::mt19937_64 &Random) {
+  return Table.byOwnFree().pickBest(Random);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/dispatch/two_choices_policy.h
@@ -0,0 +1,24 @@
+//===- dispatch/two_choices_policy.h --- *- C++ -*-===//
+///
+/// \file
+/// The less loaded of two minions picked at random. Needs little knowledge,
+/// but several entries that share it may pick the same one.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_DISPATCH_TWO_CHOICES_POLICY_H
+#define YARDWHEEL_DISPATCH_TWO_CHOICES_POLICY_H
+
+#include "dispatch/route_policy.h"
+
+namespace yardwheel {
+
+class TwoChoicesPolicy final : public RoutePolicy {
+public:
+  std::optional<MinionIndex> choose(const MinionTable &Table,
+                                    std::mt19937_64 &Random) override;
+  bool queuesAtAgent() const override { return true; }
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/entry/attach_desk.cpp
@@ -0,0 +1,58 @@
+#include "entry/attach_desk.h"
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds AskEvery{500};
+constexpr std::uint32_t MaxUnanswered = 4;
+
+} // namespace
+
+Ticket AttachDesk::open(const std::string &Key, const peer::Owner &Owner,
+                        std::uint64_t Fingerprint, AttachMode Mode,
+                        TimePoint Now) {
+  Ticket Number = ++this->Last;
+  Request &Target = this->Requests[Number];
+  Target.Owner = Owner;
+  peer::AttachRequest *Body = Target.Message.mutable_attach_request();
+  Body->set_job_key(Key);
+  Body->set_fingerprint(Fingerprint);
+  Body->set_ticket(Number);
+  Body->set_owner_incarnation(Owner.incarnation());
+  Body->set_peek(Mode == AttachMode::Peek);
+  Body->set_cancel(Mode == AttachMode::Cancel);
+  this->send(Target, Now);
+  return Number;
+}
+
+void AttachDesk::send(Request &Target, TimePoint Now) {
+  ++Target.Unanswered;
+  Target.NextSend = Now + AskEvery;
+  this->Sink.send({Target.Owner.entry(), Target.Owner.address()},
+                  Target.Message);
+}
+
+bool AttachDesk::onReply(const peer::AttachReply &Reply, TimePoint Now) {
+  auto Found = this->Requests.find(Reply.ticket());
+  if (Found == this->Requests.end())
+    return false;
+  Found->second.Unanswered = 0;
+  Found->second.NextSend = Now + AskEvery;
+  return true;
+}
+
+std::vector<Ticket> AttachDesk::tick(TimePoint Now) {
+  std::vector<Ticket> Silent;
+  for (auto &[Number, Target] : this->Requests) {
+    if (Now < Target.NextSend)
+      continue;
+    if (Target.Unanswered >= MaxUnanswered)
+      Silent.push_back(Number);
+    else
+      this->send(Target, Now);
+  }
+  return Silent;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/entry/entry_http.h
@@ -0,0 +1,71 @@
+//===- entry/entry_http.h - The callers' interface --------------*- C++ -*-===//
+///
+/// \file
+/// HTTP for callers: submissions, later answers, cancellation, health and
+/// metrics. Requests are decoded and validated on the server's threads, from
+/// a view of the configuration that they read without a lock.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_ENTRY_HTTP_H
+#define YARDWHEEL_ENTRY_ENTRY_HTTP_H
+
+#include "catalog/node_catalog.h"
+#include "core/clock.h"
+#include "entry/job_metrics.h"
+#include "entry/job_service.h"
+#include "http/http_server.h"
+#include "transport/event_loop.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace yardwheel {
+
+class EntryHttp final : public HttpHandler, public OutcomeSink {
+public:
+  EntryHttp(const Clock &Source, const NodeCatalog &Catalog,
+            const JobMetrics &Metrics, std::string Node);
+
+  /// Must be called before the first request comes.
+  void connect(EventLoop &NewLoop, JobService &NewService);
+
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpReply> Reply) override;
+  void onOutcome(Ticket Ticket, const peer::JobOutcome *Outcome) override;
+
+  /// What /readyz says.
+  void setReady(bool NewReady) { this->Ready.store(NewReady); }
+  /// Requests that wait for their outcome; for the loop's thread.
+  std::size_t waiting() const { return this->Waiting.size(); }
+
+private:
+  struct Waiter {
+    std::shared_ptr<HttpReply> Reply;
+    std::string Workspace;
+    std::string Id;
+  };
+
+  void routeHealth(const HttpRequest &Request, HttpReply &Reply) const;
+  void submit(const HttpRequest &Request,
+              const std::shared_ptr<HttpReply> &Reply);
+  void query(const HttpRequest &Request, QueryKind Kind,
+             const std::shared_ptr<HttpReply> &Reply);
+  void report(const HttpRequest &Request, HttpReply &Reply) const;
+
+  const Clock &Source;
+  const NodeCatalog &Catalog;
+  const JobMetrics &Metrics;
+  std::string Node;
+  EventLoop *Loop = nullptr;
+  JobService *Service = nullptr;
+  std::atomic<bool> Ready{false};
+  std::atomic<Ticket> LastTicket{0};
+  /// For the loop's thread.
+  std::unordered_map<Ticket, Waiter> Waiting;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/entry/job_metrics.cpp
@@ -0,0 +1,179 @@
+#include "entry/job_metrics.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::size_t SmallJob = 32;
+constexpr int ResponseBins = 50;
+constexpr double ResponseLowMs = 1;
+constexpr double ResponseHighMs = 100000;
+constexpr int SlowdownBins = 120;
+constexpr double SlowdownLow = 1;
+constexpr double SlowdownHigh = 1000;
+constexpr double MicrosPerMilli = 1000;
+
+} // namespace
+
+const char *jobClass(std::size_t Tasks) {
+  if (Tasks <= 1)
+    return "single";
+  return Tasks <= SmallJob ? "small" : "large";
+}
+
+const char *failureName(peer::FailureKind Kind) {
+  switch (Kind) {
+  case peer::FAILURE_LIMIT:
+    return "limit";
+  case peer::FAILURE_NEVER_FITS:
+    return "never_fits";
+  case peer::FAILURE_TASK_FAILED:
+    return "task_failed";
+  case peer::FAILURE_DEADLINE:
+    return "deadline";
+  case peer::FAILURE_CANCELLED:
+    return "cancelled";
+  case peer::FAILURE_UNAVAILABLE:
+    return "unavailable";
+  case peer::FAILURE_CONFLICT:
+    return "conflict";
+  case peer::FAILURE_EXPIRED:
+    return "expired";
+  case peer::FAILURE_IN_FUTURE:
+    return "in_future";
+  case peer::FAILURE_PEER_LOST:
+    return "peer_lost";
+  case peer::FAILURE_NOT_FOUND:
+    return "not_found";
+  default:
+    return "invalid";
+  }
+}
+
+JobMetrics::Series JobMetrics::makeSeries() {
+  namespace bh = boost::histogram;
+  return {bh::make_histogram(Axis(ResponseBins, ResponseLowMs, ResponseHighMs)),
+          bh::make_histogram(Axis(SlowdownBins, SlowdownLow, SlowdownHigh)),
+          0,
+          0,
+          0,
+          {}};
+}
+
+void JobMetrics::onJobEnded(const Job &Ended, std::uint32_t PoolSlots,
+                            TimePoint Now) {
+  std::size_t Tasks = Ended.States.size();
+  Key Labels{Ended.Request.Workspace, jobClass(Tasks), Ended.Policy};
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->All.try_emplace(Labels, makeSeries()).first;
+  Series &Target = Found->second;
+  ++Target.Jobs;
+  Target.Tasks += Tasks;
+  Target.Wasted += Ended.WastedMessages;
+  if (!Ended.Outcome->complete()) {
+    ++Target.Failures[failureName(Ended.Outcome->failure().kind())];
+    return;
+  }
+  auto Response = static_cast<double>((Now - Ended.Submitted).count());
+  double Spread =
+      static_cast<double>(Ended.TotalService.count()) / std::max(PoolSlots, 1U);
+  double Ideal = std::max(
+      {static_cast<double>(Ended.LongestService.count()), Spread, 1.0});
+  Target.Response(Response / MicrosPerMilli);
+  // The first bin begins at 1, which rounding must not undercut.
+  Target.Slowdown(std::max(Response / Ideal, SlowdownLow));
+}
+
+void JobMetrics::writeHistogram(std::string &Text, const std::string &Name,
+                                const Key &Labels, const Histogram &Source) {
+  std::string Common =
+      fmt::format("workspace=\"{}\",class=\"{}\",policy=\"{}\"",
+                  Labels.Workspace, Labels.Class, Labels.Policy);
+  double Total = 0;
+  double Sum = 0;
+  for (auto &&Cell :
+       boost::histogram::indexed(Source, boost::histogram::coverage::all)) {
+    Total += *Cell;
+    Sum += *Cell * Cell.bin().lower();
+    if (*Cell != 0 && Cell.index() < Source.axis(0).size())
+      Text += fmt::format("{}_bucket{{{},le=\"{:.4g}\"}} {}\n", Name, Common,
+                          Cell.bin().upper(), Total);
+  }
+  Text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", Name, Common, Total);
+  Text += fmt::format("{}_sum{{{}}} {:.6g}\n", Name, Common, Sum);
+  Text += fmt::format("{}_count{{{}}} {}\n", Name, Common, Total);
+}
+
+std::string JobMetrics::text() const {
+  std::lock_guard Lock(this->Mutex);
+  std::string Text = "# TYPE yardwheel_response_ms histogram\n"
+                     "# TYPE yardwheel_slowdown histogram\n";
+  for (const auto &[Labels, Source] : this->All) {
+    writeHistogram(Text, "yardwheel_response_ms", Labels, Source.Response);
+    writeHistogram(Text, "yardwheel_slowdown", Labels, Source.Slowdown);
+    std::string Common =
+        fmt::format("workspace=\"{}\",class=\"{}\",policy=\"{}\"",
+                    Labels.Workspace, Labels.Class, Labels.Policy);
+    Text += fmt::format("yardwheel_jobs_total{{{}}} {}\n", Common, Source.Jobs);
+    Text +=
+        fmt::format("yardwheel_tasks_total{{{}}} {}\n", Common, Source.Tasks);
+    Text += fmt::format("yardwheel_wasted_messages_total{{{}}} {}\n", Common,
+                        Source.Wasted);
+    for (const auto &[Kind, Count] : Source.Failures)
+      Text += fmt::format("yardwheel_failures_total{{{},kind=\"{}\"}} {}\n",
+                          Common, Kind, Count);
+  }
+  return Text;
+}
+
+api::WorkspaceReport JobMetrics::report(const std::string &Workspace,
+                                        const std::string &Entry) const {
+  struct Arm {
+    api::ArmReport Report;
+    Histogram Slowdown;
+    std::map<std::string, std::uint64_t> Failures;
+  };
+  std::lock_guard Lock(this->Mutex);
+  std::map<std::string, Arm> Arms;
+  for (const auto &[Labels, Source] : this->All) {
+    if (Labels.Workspace != Workspace)
+      continue;
+    auto Found =
+        Arms.try_emplace(Labels.Policy, Arm{{}, makeSeries().Slowdown, {}});
+    Arm &Target = Found.first->second;
+    Target.Slowdown += Source.Slowdown;
+    api::ArmReport &Report = Target.Report;
+    Report.set_policy(Labels.Policy);
+    Report.set_jobs(Report.jobs() + static_cast<std::uint32_t>(Source.Jobs));
+    Report.set_tasks(Report.tasks() + static_cast<std::uint32_t>(Source.Tasks));
+    Report.set_wasted_messages(Report.wasted_messages() +
+                               static_cast<std::uint32_t>(Source.Wasted));
+    for (const auto &[Kind, Count] : Source.Failures)
+      Target.Failures[Kind] += Count;
+  }
+  api::WorkspaceReport Result;
+  Result.set_workspace(Workspace);
+  Result.set_entry(Entry);
+  for (auto &[Policy, Source] : Arms) {
+    api::ArmReport *Added = Result.add_arms();
+    *Added = Source.Report;
+    for (const auto &[Kind, Count] : Source.Failures) {
+      api::FailureCount *Failure = Added->add_failures();
+      Failure->set_kind(Kind);
+      Failure->set_count(static_cast<std::uint32_t>(Count));
+    }
+    for (auto &&Cell : boost::histogram::indexed(Source.Slowdown)) {
+      if (*Cell == 0)
+        continue;
+      api::Bucket *Bucket = Added->add_slowdown();
+      Bucket->set_upper(Cell.bin().upper());
+      Bucket->set_count(static_cast<std::uint32_t>(*Cell));
+    }
+  }
+  return Result;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/entry/job_runner.cpp
@@ -0,0 +1,549 @@
+#include "entry/job_runner.h"
+
+#include "agent/refusals.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds ShortestRetryAfter{50};
+
+bool needsAnything(const peer::Resources &Needs) {
+  return Needs.cpus() != 0 || Needs.memory_mb() != 0 ||
+         Needs.accelerators() != 0;
+}
+
+bool fits(const peer::Resources &Has, const peer::Resources &Needs) {
+  return Has.cpus() >= Needs.cpus() && Has.memory_mb() >= Needs.memory_mb() &&
+         Has.accelerators() >= Needs.accelerators();
+}
+
+/// How long until what waits now will have been taken in.
+std::chrono::milliseconds expectedWait(const Pool &Target) {
+  std::uint32_t Slots = std::max(Target.Minions.aliveSlots(), 1U);
+  auto Wait = Target.typicalService() *
+              static_cast<std::int64_t>(Target.Queue.waiting()) / Slots;
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(Wait),
+                  ShortestRetryAfter);
+}
+
+} // namespace
+
+JobRunner::JobRunner(RunnerOptions Options, PeerSink &Sink, JobEvents &Events)
+    : Options(Options), Sink(Sink), Events(Events), Random(Options.Seed) {}
+
+FailureSpec JobRunner::admit(const Job &Target) {
+  FailureSpec Refusal;
+  Refusal.Ran = peer::RAN_NOT_RUN;
+  Refusal.Step = "admit";
+  Refusal.Peer = Target.PoolName;
+  auto Found = this->Pools.find(Target.PoolName);
+  std::size_t Count = Target.Request.Tasks.size();
+  if (Count > Target.Limits.queue_limit()) {
+    Refusal.Kind = peer::FAILURE_NEVER_FITS;
+    Refusal.Reason = fmt::format("{} tasks, but queue_limit is {}", Count,
+                                 Target.Limits.queue_limit());
+    return Refusal;
+  }
+  if (Found == this->Pools.end() || Found->second.Minions.size() == 0) {
+    Refusal.Kind = peer::FAILURE_UNAVAILABLE;
+    Refusal.Reason = "no minion has joined the pool";
+    Refusal.RetryAfter = std::chrono::seconds(1);
+    return Refusal;
+  }
+  Pool &Place = Found->second;
+  for (std::size_t I = 0; I < Count; ++I) {
+    if (Place.Minions.fitsSomewhere(Target.Request.Tasks[I].Needs))
+      continue;
+    Refusal.Kind = peer::FAILURE_NEVER_FITS;
+    Refusal.Reason = "no worker of the pool is large enough, even when empty";
+    Refusal.Task = static_cast<int>(I);
+    return Refusal;
+  }
+  std::size_t Waiting = Place.Queue.waiting(Target.Request.Workspace);
+  if (Waiting + Count > Target.Limits.queue_limit()) {
+    Refusal.Kind = peer::FAILURE_LIMIT;
+    Refusal.Reason = fmt::format("{} tasks wait already, queue_limit is {}",
+                                 Waiting, Target.Limits.queue_limit());
+    Refusal.RetryAfter = expectedWait(Place);
+  }
+  return Refusal;
+}
+
+void JobRunner::start(Job &Target, TimePoint Now) {
+  this->Jobs[Target.Number] = &Target;
+  this->NumberOfKey[Target.Request.key()] = Target.Number;
+  Target.States.assign(Target.Request.Tasks.size(), {});
+  Target.Results.assign(Target.Request.Tasks.size(), {});
+  Pool &Place = this->Pools[Target.PoolName];
+  const std::string &Workspace = Target.Request.Workspace;
+  Place.Queue.configure(Workspace, Target.Limits.weight(),
+                        Target.Limits.capacity());
+  for (std::uint32_t I = 0; I < Target.States.size(); ++I)
+    Place.Queue.push(Workspace, Target.Number, I);
+  this->schedule(Place, Now);
+}
+
+void JobRunner::stop(Job &Target, TimePoint Now) {
+  Pool &Place = this->Pools[Target.PoolName];
+  Place.Queue.removeJob(Target.Request.Workspace, Target.Number);
+  std::map<MinionIndex, std::vector<std::uint32_t>> Out;
+  for (std::uint32_t I = 0; I < Target.States.size(); ++I) {
+    const TaskState &Task = Target.States[I];
+    if (Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started)
+      Out[Task.Minion].push_back(I);
+  }
+  for (const auto &[Minion, Tasks] : Out)
+    this->sendWithdraw(Target, Minion, Tasks, /*Probe=*/false);
+}
+
+void JobRunner::onMember(const peer::Member &Member, TimePoint Now) {
+  Pool &Target = this->Pools[Member.pool()];
+  this->PoolOfAgent[Member.name()] = Member.pool();
+  bool Replaced = false;
+  bool New = !Target.Minions.find(Member.name());
+  MinionIndex Index = Target.Minions.update(Member, Replaced);
+  if (New)
+    Target.Minions.setShares(this->Position, this->Entries);
+  if (Replaced)
+    this->loseTasks(Target, Index, "the agent was lost", Now);
+  this->schedule(Target, Now);
+}
+
+void JobRunner::setShares(std::uint32_t NewPosition, std::uint32_t NewEntries) {
+  this->Position = NewPosition;
+  this->Entries = NewEntries;
+  for (auto &[Name, Target] : this->Pools)
+    Target.Minions.setShares(NewPosition, NewEntries);
+}
+
+Pool *JobRunner::poolOf(const std::string &Agent) {
+  auto Found = this->PoolOfAgent.find(Agent);
+  return Found == this->PoolOfAgent.end() ? nullptr
+                                          : &this->Pools[Found->second];
+}
+
+Job *JobRunner::find(JobNumber Number) {
+  auto Found = this->Jobs.find(Number);
+  return Found == this->Jobs.end() ? nullptr : Found->second;
+}
+
+Job *JobRunner::findByKey(const std::string &Key) {
+  auto Found = this->NumberOfKey.find(Key);
+  if (Found == this->NumberOfKey.end())
+    return nullptr;
+  Job *Known = this->find(Found->second);
+  if (Known == nullptr)
+    this->NumberOfKey.erase(Found);
+  return Known;
+}
+
+// ---- Order, route, dispatch ----
+
+void JobRunner::schedule(Pool &Target, TimePoint Now) {
+  std::map<DispatchKey, peer::Dispatch> Batch;
+  while (this->sendNext(Target, Now, Batch)) {
+  }
+  this->flush(Target, Batch);
+  if (Target.Queue.waiting() == 0)
+    this->moveWaiting(Target, Now);
+}
+
+bool JobRunner::sendNext(Pool &Target, TimePoint Now,
+                         std::map<DispatchKey, peer::Dispatch> &Batch) {
+  std::optional<WaitingTask> Next = Target.Queue.front();
+  if (!Next)
+    return false;
+  Job *Owner = this->find(Next->Job);
+  if (Owner == nullptr) {
+    Target.Queue.removeJob(Next->Workspace, Next->Job);
+    return true;
+  }
+  std::optional<MinionIndex> Minion = this->route(Target, *Owner, Next->Index);
+  if (!Minion)
+    return false;
+  Target.Queue.pop();
+  this->addToBatch(Target, *Owner, Next->Index, *Minion, Batch);
+  std::uint32_t Attempt = Owner->States[Next->Index].Attempt;
+  this->Probes.emplace(Now + this->Options.ProbeAfter,
+                       DueProbe{{Owner->Number, Next->Index}, Attempt});
+  return true;
+}
+
+std::optional<MinionIndex> JobRunner::route(Pool &Target, const Job &Owner,
+                                            std::uint32_t Index) {
+  RoutePolicy &Policy = Target.policy(Owner.Policy);
+  std::optional<MinionIndex> Chosen =
+      Policy.choose(Target.Minions, this->Random);
+  const peer::Resources &Needs = Owner.Request.Tasks[Index].Needs;
+  if (!Chosen || !needsAnything(Needs) ||
+      fits(Target.Minions.at(*Chosen).Resources, Needs))
+    return Chosen;
+  // The policy's choice is too small: take the least loaded that is not.
+  std::optional<MinionIndex> Best;
+  for (MinionIndex I : Target.Minions.eligible()) {
+    const Minion &Candidate = Target.Minions.at(I);
+    bool Free = Candidate.load() < Candidate.Slots;
+    if (!Free || !fits(Candidate.Resources, Needs))
+      continue;
+    if (!Best || Candidate.load() < Target.Minions.at(*Best).load())
+      Best = I;
+  }
+  return Best;
+}
+
+void JobRunner::addToBatch(Pool &Target, Job &Owner, std::uint32_t Index,
+                           MinionIndex Minion,
+                           std::map<DispatchKey, peer::Dispatch> &Batch) {
+  const yardwheel::Minion &Chosen = Target.Minions.at(Minion);
+  TaskState &Task = Owner.States[Index];
+  if (Task.Attempt == 0)
+    Target.budget(Owner.Request.Workspace)
+        .onFirstSend(Owner.Limits.retry_budget_percent());
+  Task.Phase = TaskPhase::Sent;
+  Task.Minion = Minion;
+  Task.Incarnation = Chosen.Incarnation;
+  Task.Freshness = Chosen.Freshness;
+  Task.UnansweredProbes = 0;
+  ++Task.Attempt;
+  ++Owner.OutCount;
+  Target.Minions.onSent(Minion);
+  Target.addTask(Minion, {Owner.Number, Index});
+
+  peer::Dispatch &Message = Batch[{Owner.Number, Minion}];
+  if (Message.tasks_size() == 0) {
+    Message.set_job_key(Owner.Request.key());
+    Message.set_workspace(Owner.Request.Workspace);
+    Message.set_agent_incarnation(Chosen.Incarnation);
+    Message.set_freshness(Chosen.Freshness);
+    bool Queues = Target.policy(Owner.Policy).queuesAtAgent();
+    Message.set_queue_limit(Queues ? Owner.Limits.agent_queue() : 0);
+  }
+  peer::TaskOrder *Order = Message.add_tasks();
+  Order->set_index(Index);
+  Order->set_payload(Owner.Request.Tasks[Index].Payload);
+  Order->set_attempt(Task.Attempt);
+}
+
+void JobRunner::flush(Pool &Target,
+                      std::map<DispatchKey, peer::Dispatch> &Batch) {
+  bool MoreWaiting = Target.Queue.waiting() > 0;
+  for (auto &[Key, Dispatch] : Batch) {
+    Dispatch.set_more_waiting(MoreWaiting);
+    peer::Message Message;
+    *Message.mutable_dispatch() = std::move(Dispatch);
+    this->Sink.send(Target.Minions.at(Key.Minion).Agent, std::move(Message));
+  }
+}
+
+void JobRunner::moveWaiting(Pool &Target, TimePoint Now) {
+  std::optional<MinionIndex> Free =
+      Target.Minions.byTotalFree().pickBest(this->Random);
+  if (!Free || Target.Minions.eligible().empty())
+    return;
+  // A sample keeps the cost independent of the number of minions.
+  constexpr int Sample = 8;
+  const std::vector<MinionIndex> &Eligible = Target.Minions.eligible();
+  std::optional<MinionIndex> Longest;
+  for (int I = 0; I < Sample; ++I) {
+    MinionIndex Index = Eligible[this->Random() % Eligible.size()];
+    const Minion &Candidate = Target.Minions.at(Index);
+    if (Candidate.Own == 0 || Candidate.load() <= Candidate.Slots)
+      continue;
+    if (!Longest || Candidate.load() > Target.Minions.at(*Longest).load())
+      Longest = Index;
+  }
+  if (Longest)
+    this->takeBackLast(Target, *Longest);
+}
+
+void JobRunner::takeBackLast(Pool &Target, MinionIndex Minion) {
+  const std::vector<TaskRef> &Tasks = Target.tasksAt(Minion);
+  if (Tasks.empty())
+    return;
+  TaskRef Last = Tasks.back();
+  Job *Owner = this->find(Last.Job);
+  if (Owner == nullptr || Owner->Phase == JobPhase::Finished)
+    return;
+  if (!Target.policy(Owner->Policy).movesWaiting())
+    return;
+  // A task that was asked about already is not asked again.
+  TaskState &Task = Owner->States[Last.Index];
+  if (Task.Phase != TaskPhase::Sent || Task.UnansweredProbes > 0)
+    return;
+  ++Task.UnansweredProbes;
+  this->sendWithdraw(*Owner, Minion, {Last.Index}, /*Probe=*/false);
+}
+
+// ---- Collect ----
+
+void JobRunner::onLoad(const std::string &Agent, const peer::AgentLoad &Load,
+                       TimePoint Now) {
+  Pool *Target = this->poolOf(Agent);
+  if (Target == nullptr)
+    return;
+  std::optional<MinionIndex> Index = Target->Minions.find(Agent);
+  if (!Index)
+    return;
+  Target->Minions.hear(*Index, Load, Now);
+  this->schedule(*Target, Now);
+}
+
+void JobRunner::onUpdate(const std::string &Agent,
+                         const peer::TaskUpdate &Update, TimePoint Now) {
+  Pool *Place = this->poolOf(Agent);
+  std::optional<MinionIndex> Minion;
+  if (Place != nullptr)
+    Minion = Place->Minions.find(Agent);
+  if (!Minion)
+    return;
+  Job *Owner = this->findByKey(Update.job_key());
+  if (Owner != nullptr && Update.index() < Owner->States.size()) {
+    TaskState &Task = Owner->States[Update.index()];
+    bool Out =
+        Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started;
+    // Words of an older send, of another life or of another agent are late.
+    bool SameSend =
+        Out && Task.Minion == *Minion && Task.Attempt == Update.attempt();
+    std::uint64_t Life = Update.load().incarnation();
+    // A later life can only say that it knows nothing of the task.
+    bool LifeOver =
+        Life > Task.Incarnation && Update.event() == peer::TASK_CANNOT_KNOW;
+    if (SameSend && (Life == Task.Incarnation || LifeOver))
+      this->apply(*Owner, Update, Now);
+  }
+  Place->Minions.hear(*Minion, Update.load(), Now);
+  this->schedule(*Place, Now);
+}
+
+void JobRunner::apply(Job &Owner, const peer::TaskUpdate &Update,
+                      TimePoint Now) {
+  TaskState &Task = Owner.States[Update.index()];
+  switch (Update.event()) {
+  case peer::TASK_NOT_STARTED:
+    this->onNotStarted(Owner, Update.index(), Update, Now);
+    return;
+  case peer::TASK_STARTED:
+    Task.Phase = TaskPhase::Started;
+    Task.UnansweredProbes = 0;
+    Owner.AnythingRan = true;
+    return;
+  case peer::TASK_QUEUED:
+    Task.UnansweredProbes = 0;
+    return;
+  case peer::TASK_SUCCEEDED:
+  case peer::TASK_FAILED:
+  case peer::TASK_CANNOT_KNOW:
+    this->onEnded(Owner, Update.index(), Update, Now);
+    return;
+  default:
+    return;
+  }
+}
+
+void JobRunner::settle(Job &Owner, std::uint32_t Index) {
+  Pool &Place = this->Pools[Owner.PoolName];
+  TaskState &Task = Owner.States[Index];
+  Place.Minions.onSettled(Task.Minion);
+  Place.removeTask(Task.Minion, {Owner.Number, Index});
+  Place.Queue.onSettled(Owner.Request.Workspace);
+  --Owner.OutCount;
+}
+
+void JobRunner::onNotStarted(Job &Owner, std::uint32_t Index,
+                             const peer::TaskUpdate &Update, TimePoint Now) {
+  TaskState &Task = Owner.States[Index];
+  Pool &Place = this->Pools[Owner.PoolName];
+  if (Update.reason() == MinionUnreachable)
+    Place.Minions.onFailure(Task.Minion, Owner.Limits.eject_failures(), Now);
+  this->settle(Owner, Index);
+  Task.Phase = TaskPhase::Waiting;
+  // The task went out and came back: both messages were for nothing.
+  Owner.WastedMessages += 2;
+  if (Owner.Phase == JobPhase::Finished)
+    return;
+  // News that was merely old costs no retry: the answer brought newer.
+  if (Update.reason() == StaleNews)
+    Place.Queue.push(Owner.Request.Workspace, Owner.Number, Index);
+  else
+    this->resend(Owner, Index, Update.reason(), Now);
+}
+
+void JobRunner::resend(Job &Owner, std::uint32_t Index,
+                       const std::string &Reason, TimePoint Now) {
+  Pool &Place = this->Pools[Owner.PoolName];
+  if (!Place.budget(Owner.Request.Workspace).spend()) {
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_UNAVAILABLE;
+    Failure.Step = "dispatch";
+    Failure.Reason =
+        fmt::format("retry budget spent; last refusal: {}", Reason);
+    Failure.Task = static_cast<int>(Index);
+    Failure.RetryAfter = expectedWait(Place);
+    this->fail(Owner, Failure, Now);
+    return;
+  }
+  Place.Queue.push(Owner.Request.Workspace, Owner.Number, Index);
+}
+
+void JobRunner::onEnded(Job &Owner, std::uint32_t Index,
+                        const peer::TaskUpdate &Update, TimePoint Now) {
+  TaskState &Task = Owner.States[Index];
+  Pool &Place = this->Pools[Owner.PoolName];
+  this->settle(Owner, Index);
+  Task.Phase = TaskPhase::Done;
+  bool Ran = Update.event() != peer::TASK_CANNOT_KNOW;
+  Owner.AnythingRan = Owner.AnythingRan || Ran;
+  if (Update.event() == peer::TASK_SUCCEEDED) {
+    std::chrono::microseconds Service(Update.service_us());
+    Place.Minions.onSuccess(Task.Minion);
+    Place.learnService(Service);
+    Owner.LongestService = std::max(Owner.LongestService, Service);
+    Owner.TotalService += Service;
+    if (Owner.Phase == JobPhase::Finished)
+      return;
+    Owner.Results[Index] = Update.result();
+    if (++Owner.DoneCount == Owner.States.size())
+      this->Events.onComplete(Owner, Now);
+    return;
+  }
+  if (Owner.Phase == JobPhase::Finished)
+    return;
+  FailureSpec Failure;
+  Failure.Step = "execute";
+  Failure.Peer = Place.Minions.at(Task.Minion).Name;
+  Failure.Task = static_cast<int>(Index);
+  Failure.Reason = Update.reason();
+  if (Ran) {
+    Place.Minions.onFailure(Task.Minion, Owner.Limits.eject_failures(), Now);
+    Failure.Kind = peer::FAILURE_TASK_FAILED;
+  } else {
+    Failure.Kind = peer::FAILURE_PEER_LOST;
+    Failure.Ran = peer::RAN_UNKNOWN;
+  }
+  this->fail(Owner, Failure, Now);
+}
+
+void JobRunner::fail(Job &Owner, FailureSpec Failure, TimePoint Now) {
+  if (Owner.AnythingRan || Failure.Ran == peer::RAN_UNSPECIFIED)
+    Failure.Ran = Owner.ran();
+  this->Events.onFailed(Owner, Failure, Now);
+}
+
+// ---- Silence and loss ----
+
+void JobRunner::loseTasks(Pool &Target, MinionIndex Minion,
+                          const std::string &Reason, TimePoint Now) {
+  std::vector<TaskRef> Lost = Target.tasksAt(Minion);
+  for (const TaskRef &Ref : Lost) {
+    Job *Owner = this->find(Ref.Job);
+    if (Owner == nullptr) {
+      Target.removeTask(Minion, Ref);
+      continue;
+    }
+    this->settle(*Owner, Ref.Index);
+    Owner->States[Ref.Index].Phase = TaskPhase::Done;
+    if (Owner->Phase == JobPhase::Finished)
+      continue;
+    if (!this->Options.ResendOnlyOnProof) {
+      Owner->States[Ref.Index].Phase = TaskPhase::Waiting;
+      this->resend(*Owner, Ref.Index, Reason, Now);
+      continue;
+    }
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_PEER_LOST;
+    Failure.Ran = peer::RAN_UNKNOWN;
+    Failure.Step = "execute";
+    Failure.Peer = Target.Minions.at(Minion).Name;
+    Failure.Reason = Reason;
+    Failure.Task = static_cast<int>(Ref.Index);
+    this->fail(*Owner, Failure, Now);
+  }
+}
+
+void JobRunner::forget(const Job &Target) {
+  this->Jobs.erase(Target.Number);
+  auto Named = this->NumberOfKey.find(Target.Request.key());
+  if (Named != this->NumberOfKey.end() && Named->second == Target.Number)
+    this->NumberOfKey.erase(Named);
+}
+
+void JobRunner::refreshIdle(Pool &Target, TimePoint Now) {
+  for (MinionIndex Index : Target.Minions.eligible()) {
+    const Minion &Idle = Target.Minions.at(Index);
+    if (Now - Idle.LastHeard < this->Options.RefreshAfter)
+      continue;
+    peer::Message Message;
+    Message.mutable_withdraw()->set_probe(true);
+    this->Sink.send(Idle.Agent, std::move(Message));
+  }
+}
+
+void JobRunner::tick(TimePoint Now) {
+  this->probeDue(Now);
+  if (Now >= this->NextRefresh) {
+    this->NextRefresh = Now + this->Options.RefreshAfter / 4;
+    for (auto &[Name, Target] : this->Pools)
+      this->refreshIdle(Target, Now);
+  }
+  for (auto &[Name, Target] : this->Pools) {
+    Target.Minions.tick(Now);
+    this->schedule(Target, Now);
+  }
+}
+
+void JobRunner::probeDue(TimePoint Now) {
+  while (!this->Probes.empty() && this->Probes.begin()->first <= Now) {
+    DueProbe Due = this->Probes.begin()->second;
+    this->Probes.erase(this->Probes.begin());
+    Job *Owner = this->find(Due.Task.Job);
+    if (Owner == nullptr)
+      continue;
+    const TaskState &Task = Owner->States[Due.Task.Index];
+    bool Out =
+        Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started;
+    if (Out && Task.Attempt == Due.Attempt)
+      this->probe(*Owner, Due.Task.Index, Now);
+  }
+}
+
+void JobRunner::probe(Job &Owner, std::uint32_t Index, TimePoint Now) {
+  TaskState &Task = Owner.States[Index];
+  Pool &Place = this->Pools[Owner.PoolName];
+  if (Task.UnansweredProbes >= this->Options.MaxUnanswered) {
+    Place.Minions.setSilent(Task.Minion, true);
+    this->loseTasks(Place, Task.Minion, "the agent does not answer", Now);
+    return;
+  }
+  ++Task.UnansweredProbes;
+  bool Finished = Owner.Phase == JobPhase::Finished;
+  this->sendWithdraw(Owner, Task.Minion, {Index}, /*Probe=*/!Finished);
+  this->Probes.emplace(Now + this->Options.ProbeEvery,
+                       DueProbe{{Owner.Number, Index}, Task.Attempt});
+}
+
+void JobRunner::sendWithdraw(Job &Owner, MinionIndex Minion,
+                             const std::vector<std::uint32_t> &Tasks,
+                             bool Probe) {
+  Pool &Place = this->Pools[Owner.PoolName];
+  peer::Message Message;
+  peer::Withdraw *Withdraw = Message.mutable_withdraw();
+  Withdraw->set_job_key(Owner.Request.key());
+  Withdraw->set_agent_incarnation(Place.Minions.at(Minion).Incarnation);
+  Withdraw->set_probe(Probe);
+  Withdraw->set_stop_running(Owner.Phase == JobPhase::Finished);
+  for (std::uint32_t Index : Tasks) {
+    peer::TaskAttempt *Task = Withdraw->add_tasks();
+    Task->set_index(Index);
+    Task->set_attempt(Owner.States[Index].Attempt);
+    Task->set_freshness(Owner.States[Index].Freshness);
+  }
+  // The question and its answer.
+  Owner.WastedMessages += 2;
+  this->Sink.send(Place.Minions.at(Minion).Agent, std::move(Message));
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/entry/job_service.cpp
@@ -0,0 +1,482 @@
+#include "entry/job_service.h"
+
+#include "core/hash.h"
+
+#include <fmt/format.h>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds EpochRetry{50};
+constexpr std::chrono::milliseconds SoonAgain{1000};
+
+peer::Ran freshRan(const JobRequest &Request) {
+  return Request.IdMadeHere ? peer::RAN_NOT_RUN : peer::RAN_UNKNOWN;
+}
+
+FailureSpec unavailable(const std::string &Step, const std::string &Reason,
+                        peer::Ran Ran) {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_UNAVAILABLE;
+  Failure.Ran = Ran;
+  Failure.Step = Step;
+  Failure.Reason = Reason;
+  Failure.RetryAfter = SoonAgain;
+  return Failure;
+}
+
+FailureSpec conflict() {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_CONFLICT;
+  Failure.Ran = peer::RAN_NOT_RUN;
+  Failure.Step = "claim";
+  Failure.Reason = "the id was submitted before with other content";
+  return Failure;
+}
+
+FailureSpec answerGone() {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_EXPIRED;
+  Failure.Ran = peer::RAN_SOMETHING;
+  Failure.Step = "answer";
+  Failure.Reason = "the job has ended and its answer is no longer kept";
+  return Failure;
+}
+
+/// Whether a policy's share of an experiment covers this job.
+std::string policyFor(const peer::Workspace &Place, const std::string &Key) {
+  if (Place.experiment_size() == 0)
+    return Place.parameters().policy();
+  constexpr std::uint64_t WholePercent = 100;
+  std::uint64_t Point = combineHash(stableHash(Key), Place.version());
+  Point %= WholePercent;
+  for (const peer::PolicyShare &Arm : Place.experiment()) {
+    if (Point < Arm.share())
+      return Arm.policy();
+    Point -= Arm.share();
+  }
+  return Place.parameters().policy();
+}
+
+} // namespace
+
+JobService::JobService(ServiceOptions Options, PeerSink &Sink,
+                       OutcomeSink &Outcomes, JobObserver &Observer)
+    : Options(std::move(Options)), Sink(Sink), Outcomes(Outcomes),
+      Observer(Observer), Runner(this->Options.Runner, Sink, *this), Desk(Sink),
+      View(std::make_shared<const CatalogView>()) {
+  this->LiveEntries.insert(this->Options.Self.entry());
+}
+
+void JobService::setCatalog(std::shared_ptr<const CatalogView> NewView) {
+  this->View = std::move(NewView);
+}
+
+void JobService::onMember(const peer::Member &Member, TimePoint Now) {
+  this->Peers[Member.name()] = {Member.name(), Member.address()};
+  if (Member.role() == peer::ROLE_AGENT) {
+    this->Runner.onMember(Member, Now);
+    return;
+  }
+  if (Member.role() != peer::ROLE_ENTRY)
+    return;
+  bool Self = Member.name() == this->Options.Self.entry();
+  if (Self || Member.state() == peer::MEMBER_ALIVE)
+    this->LiveEntries.insert(Member.name());
+  else
+    this->LiveEntries.erase(Member.name());
+  this->updateShares();
+}
+
+void JobService::updateShares() {
+  auto Self = this->LiveEntries.find(this->Options.Self.entry());
+  auto Position = std::distance(this->LiveEntries.begin(), Self);
+  this->Runner.setShares(static_cast<std::uint32_t>(Position),
+                         static_cast<std::uint32_t>(this->LiveEntries.size()));
+}
+
+bool JobService::isConfirmed(TimePoint Now) const {
+  return this->LastConfirmed != TimePoint::min() &&
+         Now - this->LastConfirmed <= this->Options.MaxUnconfirmed;
+}
+
+Job *JobService::find(const std::string &Key) {
+  auto Found = this->Jobs.find(Key);
+  return Found == this->Jobs.end() ? nullptr : Found->second.get();
+}
+
+// ---- Validate and claim ----
+
+void JobService::submit(JobRequest Request, Ticket Waiter, Instant Now) {
+  Job *Known = this->find(Request.key());
+  if (Known != nullptr && !Known->Released) {
+    this->joinExisting(*Known, Request, Waiter);
+    return;
+  }
+  std::optional<FailureSpec> Refusal = this->checkForm(Request, Now);
+  if (!Refusal)
+    Refusal = this->checkReadiness(Request, Now);
+  if (Refusal) {
+    peer::JobOutcome Outcome = failureOutcome(*Refusal);
+    this->Outcomes.onOutcome(Waiter, &Outcome);
+    return;
+  }
+  Job &Target = this->addJob(std::move(Request), Waiter, Now);
+  // Nobody else can hold an id made here, so a refusal needs no claim.
+  if (Target.Request.IdMadeHere) {
+    FailureSpec Admission = this->Runner.admit(Target);
+    if (Admission.Kind != peer::FAILURE_UNSPECIFIED) {
+      this->dismiss(Target, Admission, Now.Steady);
+      return;
+    }
+  }
+  PendingClaim Claim;
+  Claim.JobKey = Target.Request.key();
+  Claim.GiveUp = Now.Steady + this->Options.Claims.Timeout;
+  this->openClaim(std::move(Claim), toUnixMillis(Target.Request.FirstSubmitted),
+                  Target.Request.Fingerprint, Now);
+}
+
+void JobService::joinExisting(Job &Known, const JobRequest &Request,
+                              Ticket Waiter) {
+  if (Known.Request.Fingerprint != Request.Fingerprint) {
+    peer::JobOutcome Outcome = failureOutcome(conflict());
+    this->Outcomes.onOutcome(Waiter, &Outcome);
+  } else if (Known.Outcome) {
+    this->Outcomes.onOutcome(Waiter, &*Known.Outcome);
+  } else {
+    Known.Waiters.push_back(Waiter);
+  }
+}
+
+std::optional<FailureSpec> JobService::checkForm(const JobRequest &Request,
+                                                 Instant Now) const {
+  FailureSpec Failure;
+  Failure.Step = "validate";
+  if (this->View->findWorkspace(Request.Workspace) == nullptr) {
+    Failure.Kind = peer::FAILURE_NOT_FOUND;
+    Failure.Ran = peer::RAN_NOT_RUN;
+    Failure.Reason =
+        fmt::format("workspace '{}': not found", Request.Workspace);
+    return Failure;
+  }
+  if (Request.FirstSubmitted > Now.Wall + this->Options.ClockAllowance) {
+    Failure.Kind = peer::FAILURE_IN_FUTURE;
+    Failure.Ran = peer::RAN_NOT_RUN;
+    Failure.Reason =
+        fmt::format("id: its first submission is more than {} ms in the future",
+                    this->Options.ClockAllowance.count());
+    return Failure;
+  }
+  if (Request.FirstSubmitted < Now.Wall - this->Options.LedgerRetention) {
+    Failure.Kind = peer::FAILURE_EXPIRED;
+    Failure.Ran = peer::RAN_UNKNOWN;
+    Failure.Reason = fmt::format("id: first submitted more than {} ms ago",
+                                 this->Options.LedgerRetention.count());
+    return Failure;
+  }
+  return std::nullopt;
+}
+
+std::optional<FailureSpec> JobService::checkReadiness(const JobRequest &Request,
+                                                      Instant Now) const {
+  peer::Ran Ran = freshRan(Request);
+  if (this->Draining)
+    return unavailable("admit", "the entry is stopping; use another", Ran);
+  if (!this->isConfirmed(Now.Steady))
+    return unavailable("admit", "control has not confirmed the configuration",
+                       Ran);
+  if (this->Active >= this->Options.MaxJobs)
+    return unavailable(
+        "admit", fmt::format("{} jobs are in flight here", this->Active), Ran);
+  return std::nullopt;
+}
+
+Job &JobService::addJob(JobRequest Request, Ticket Waiter, Instant Now) {
+  const peer::Workspace &Place = *this->View->findWorkspace(Request.Workspace);
+  std::string Key = Request.key();
+  auto New = std::make_unique<Job>();
+  New->Number = ++this->LastNumber;
+  New->Limits = Place.parameters();
+  New->PoolName = Place.parameters().pool().empty() ? Place.name()
+                                                    : Place.parameters().pool();
+  New->Policy = policyFor(Place, Key);
+  New->Submitted = Now.Steady;
+  New->Deadline = Now.Steady + Request.TimeLeft;
+  New->Waiters.push_back(Waiter);
+  New->Request = std::move(Request);
+  this->Deadlines.emplace(New->Deadline, Key);
+  ++this->Active;
+  std::unique_ptr<Job> &Slot = this->Jobs[Key];
+  Slot = std::move(New);
+  return *Slot;
+}
+
+void JobService::openClaim(PendingClaim Claim, std::int64_t StampMs,
+                           std::uint64_t Fingerprint, Instant Now) {
+  std::uint64_t Attempt = ++this->LastAttempt;
+  bool Planned = this->plan(Claim, Attempt, StampMs, Fingerprint, Now);
+  this->Claims[Attempt] = std::move(Claim);
+  if (Planned)
+    this->Claims[Attempt].Claim->ask(this->Sink);
+  else
+    this->onDecision(Attempt, ClaimDecision(), Now);
+}
+
+bool JobService::plan(PendingClaim &Claim, std::uint64_t Attempt,
+                      std::int64_t StampMs, std::uint64_t Fingerprint,
+                      Instant Now) {
+  if (this->View->Groups.empty())
+    return false;
+  std::uint32_t Count = this->View->Groups.begin()->second.group_count();
+  const std::string &Key = Claim.Asked ? Claim.Asked->Key : Claim.JobKey;
+  auto Group = this->View->Groups.find(groupOf(Key, Count));
+  if (Group == this->View->Groups.end())
+    return false;
+  std::vector<PeerRef> Holders;
+  for (const std::string &Name : Group->second.holders()) {
+    auto Known = this->Peers.find(Name);
+    if (Known != this->Peers.end())
+      Holders.push_back(Known->second);
+  }
+  peer::ClaimRequest Request;
+  Request.set_job_key(Key);
+  Request.set_stamp_ms(StampMs);
+  Request.set_fingerprint(Fingerprint);
+  *Request.mutable_owner() = this->Options.Self;
+  Request.set_attempt(Attempt);
+  Request.set_group(Group->first);
+  Request.set_epoch(Group->second.epoch());
+  Request.set_read_only(Claim.Asked.has_value());
+  ClaimTimes Times = this->Options.Claims;
+  Times.Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Claim.GiveUp - Now.Steady);
+  Claim.Claim.emplace(std::move(Request), std::move(Holders), Times,
+                      Now.Steady);
+  return true;
+}
+
+void JobService::tickClaims(Instant Now) {
+  std::vector<std::pair<std::uint64_t, ClaimDecision>> Decided;
+  for (auto &[Attempt, Pending] : this->Claims) {
+    std::optional<ClaimDecision> Decision =
+        Pending.Claim->onTick(Now.Steady, this->Sink);
+    if (Decision)
+      Decided.emplace_back(Attempt, *Decision);
+  }
+  for (const auto &[Attempt, Decision] : Decided)
+    this->onDecision(Attempt, Decision, Now);
+}
+
+void JobService::onDecision(std::uint64_t Attempt,
+                            const ClaimDecision &Decision, Instant Now) {
+  auto Found = this->Claims.find(Attempt);
+  if (Found == this->Claims.end())
+    return;
+  PendingClaim Claim = std::move(Found->second);
+  this->Claims.erase(Found);
+  // The holders have moved on: ask again, by then with their epoch.
+  bool MayRetry = Now.Steady + EpochRetry < Claim.GiveUp;
+  if (Decision.Result == ClaimResult::WrongEpoch && MayRetry) {
+    std::int64_t Stamp = Claim.Claim->request().stamp_ms();
+    std::uint64_t Fingerprint = Claim.Claim->request().fingerprint();
+    Claim.Claim->release(this->Sink);
+    Claim.RetryAt = Now.Steady + EpochRetry;
+    this->openClaim(std::move(Claim), Stamp, Fingerprint, Now);
+    return;
+  }
+  if (Claim.Asked) {
+    this->onQueryDecision(*Claim.Asked, Decision, Now);
+    return;
+  }
+  Job *Target = this->find(Claim.JobKey);
+  bool Open = Target != nullptr && Target->Phase == JobPhase::Claiming;
+  if (Open)
+    this->onJobDecision(*Target, Claim, Decision, Now);
+  else if (Claim.Claim)
+    Claim.Claim->release(this->Sink);
+}
+
+void JobService::onJobDecision(Job &Target, PendingClaim &Claim,
+                               const ClaimDecision &Decision, Instant Now) {
+  if (Decision.Result == ClaimResult::Won) {
+    this->onWon(Target, Claim, Now);
+    return;
+  }
+  // What was granted is given back before anything else is done.
+  if (Claim.Claim)
+    Claim.Claim->release(this->Sink);
+  if (Decision.Result == ClaimResult::Held) {
+    this->onHeld(Target, Claim, Decision, Now);
+    return;
+  }
+  FailureSpec Failure = unavailable("claim", "too few ledger holders answered",
+                                    freshRan(Target.Request));
+  if (Decision.Result == ClaimResult::Unknown) {
+    Failure.Reason = "the ledger's holders have restarted since the id's "
+                     "first submission and cannot know whether it ran";
+  } else if (Decision.Result == ClaimResult::Expired) {
+    Failure.Kind = peer::FAILURE_EXPIRED;
+    Failure.Reason = "id: first submitted too long ago";
+  } else if (Decision.Result == ClaimResult::InFuture) {
+    Failure.Kind = peer::FAILURE_IN_FUTURE;
+    Failure.Reason = "id: its first submission is in the future";
+  } else if (Decision.Result == ClaimResult::WrongEpoch) {
+    Failure.Reason = "the ledger's holders are being replaced";
+  }
+  this->dismiss(Target, Failure, Now.Steady);
+}
+
+void JobService::onWon(Job &Target, PendingClaim &Claim, Instant Now) {
+  FailureSpec Admission = this->Runner.admit(Target);
+  if (Admission.Kind != peer::FAILURE_UNSPECIFIED) {
+    // This entry is the only owner, so that "not run" is true.
+    Claim.Claim->release(this->Sink);
+    this->dismiss(Target, Admission, Now.Steady);
+    return;
+  }
+  Target.Phase = JobPhase::Running;
+  this->Runner.start(Target, Now.Steady);
+}
+
+void JobService::onHeld(Job &Target, PendingClaim &,
+                        const ClaimDecision &Decision, Instant Now) {
+  if (Decision.Fingerprint != Target.Request.Fingerprint) {
+    this->dismiss(Target, conflict(), Now.Steady);
+    return;
+  }
+  Target.Phase = JobPhase::Attached;
+  Ticket Request =
+      this->Desk.open(Target.Request.key(), Decision.Owner,
+                      Decision.Fingerprint, AttachMode::Wait, Now.Steady);
+  this->Attaches[Request] = {Target.Request.key(), std::nullopt};
+}
+
+// ---- Answer ----
+
+void JobService::onComplete(Job &Target, TimePoint Now) {
+  peer::JobOutcome Outcome;
+  Outcome.set_complete(true);
+  for (std::string &Result : Target.Results)
+    Outcome.add_results(std::move(Result));
+  this->finish(Target, std::move(Outcome), Now);
+}
+
+void JobService::onFailed(Job &Target, const FailureSpec &Failure,
+                          TimePoint Now) {
+  if (Target.Phase != JobPhase::Finished)
+    this->finish(Target, failureOutcome(Failure), Now);
+}
+
+void JobService::finish(Job &Target, peer::JobOutcome Outcome, TimePoint Now) {
+  bool WasRunning = Target.Phase == JobPhase::Running;
+  Target.Phase = JobPhase::Finished;
+  Target.Outcome = std::move(Outcome);
+  --this->Active;
+  if (WasRunning) {
+    this->Runner.stop(Target, Now);
+    const auto &Pools = this->Runner.pools();
+    auto Place = Pools.find(Target.PoolName);
+    this->Observer.onJobEnded(
+        Target, Place == Pools.end() ? 0 : Place->second.Minions.aliveSlots(),
+        Now);
+  }
+  for (Ticket Waiter : Target.Waiters)
+    this->Outcomes.onOutcome(Waiter, &*Target.Outcome);
+  for (const RemoteWaiter &Waiter : Target.RemoteWaiters)
+    this->replyAttach(Waiter.Entry, Waiter.TheirTicket, peer::ATTACH_ANSWERED,
+                      &*Target.Outcome);
+  Target.Waiters.clear();
+  Target.RemoteWaiters.clear();
+  Target.Request.Tasks.clear();
+  Target.Request.Tasks.shrink_to_fit();
+  std::chrono::milliseconds Keep(Target.Limits.answer_retention_ms());
+  Target.KeepUntil = Now + Keep;
+  this->Expiries.emplace(Target.KeepUntil, Target.Request.key());
+}
+
+void JobService::dismiss(Job &Target, const FailureSpec &Failure,
+                         TimePoint Now) {
+  Target.Released = true;
+  this->finish(Target, failureOutcome(Failure), Now);
+}
+
+void JobService::cancel(Job &Target, Instant Now) {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_CANCELLED;
+  Failure.Step = "cancel";
+  Failure.Reason = "cancelled by the caller";
+  Failure.Ran = Target.Phase == JobPhase::Running ? Target.ran()
+                                                  : freshRan(Target.Request);
+  this->finish(Target, failureOutcome(Failure), Now.Steady);
+}
+
+void JobService::tick(Instant Now) {
+  this->tickClaims(Now);
+  this->Runner.tick(Now.Steady);
+  this->tickDeadlines(Now.Steady);
+  this->tickExpiries(Now.Steady);
+  for (Ticket Silent : this->Desk.tick(Now.Steady)) {
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_PEER_LOST;
+    Failure.Ran = peer::RAN_UNKNOWN;
+    Failure.Step = "attach";
+    Failure.Peer = this->Desk.ownerOf(Silent).entry();
+    Failure.Reason = "the entry that owns the job does not answer";
+    peer::JobOutcome Outcome = failureOutcome(Failure);
+    this->closeAttach(Silent, &Outcome, Now.Steady);
+  }
+}
+
+void JobService::tickDeadlines(TimePoint Now) {
+  while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now) {
+    Job *Target = this->find(this->Deadlines.begin()->second);
+    this->Deadlines.erase(this->Deadlines.begin());
+    if (Target == nullptr || Target->Phase == JobPhase::Finished ||
+        Now < Target->Deadline)
+      continue;
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_DEADLINE;
+    Failure.Step = Target->Phase == JobPhase::Running ? "execute" : "claim";
+    Failure.Reason = "the deadline has passed";
+    Failure.Ran = Target->Phase == JobPhase::Running
+                      ? Target->ran()
+                      : freshRan(Target->Request);
+    this->finish(*Target, failureOutcome(Failure), Now);
+  }
+}
+
+void JobService::tickExpiries(TimePoint Now) {
+  while (!this->Expiries.empty() && this->Expiries.begin()->first <= Now) {
+    std::string Key = this->Expiries.begin()->second;
+    this->Expiries.erase(this->Expiries.begin());
+    this->expire(Key, Now);
+  }
+}
+
+void JobService::expire(const std::string &Key, TimePoint Now) {
+  Job *Target = this->find(Key);
+  if (Target == nullptr || Target->Phase != JobPhase::Finished ||
+      Now < Target->KeepUntil)
+    return;
+  TimePoint Forget = Target->Submitted + this->Options.LedgerRetention +
+                     2 * this->Options.ClockAllowance;
+  bool Done = Target->OutCount == 0 && (Target->Released || Now >= Forget);
+  if (Done) {
+    this->Runner.forget(*Target);
+    this->Jobs.erase(Key);
+    return;
+  }
+  // The id stays known as used for as long as the ledger knows it.
+  if (!Target->Released)
+    Target->Outcome = failureOutcome(answerGone());
+  if (Target->OutCount == 0) {
+    this->Runner.forget(*Target);
+    Target->States.clear();
+    Target->Results.clear();
+  }
+  this->Expiries.emplace(std::max(Forget, Now + SoonAgain), Key);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/entry/job_service.h
@@ -0,0 +1,170 @@
+//===- entry/job_service.h - Jobs from submission to answer -----*- C++ -*-===//
+///
+/// \file
+/// The core of an entry. It claims each job at the ledger before anything
+/// starts, runs the jobs it owns through JobRunner, asks other owners for the
+/// rest, and gives every caller the whole outcome of its own request.
+///
+/// Single-threaded, without sockets or clocks.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_JOB_SERVICE_H
+#define YARDWHEEL_ENTRY_JOB_SERVICE_H
+
+#include "catalog/node_catalog.h"
+#include "entry/attach_desk.h"
+#include "entry/job.h"
+#include "entry/job_runner.h"
+#include "ledger/claimant.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace yardwheel {
+
+/// Hears how requests end.
+class OutcomeSink {
+public:
+  virtual ~OutcomeSink() = default;
+  /// \param Outcome Null for a job that is still running.
+  virtual void onOutcome(Ticket Ticket, const peer::JobOutcome *Outcome) = 0;
+};
+
+/// Hears of every job that this entry has run, for metrics.
+class JobObserver {
+public:
+  virtual ~JobObserver() = default;
+  /// \param PoolSlots Slots of the job's pool, for its ideal time.
+  virtual void onJobEnded(const Job &Ended, std::uint32_t PoolSlots,
+                          TimePoint Now) = 0;
+};
+
+struct ServiceOptions {
+  peer::Owner Self;
+  std::chrono::milliseconds ClockAllowance{};
+  std::chrono::milliseconds LedgerRetention{};
+  ClaimTimes Claims;
+  std::chrono::milliseconds MaxUnconfirmed{};
+  std::uint32_t MaxJobs = 0;
+  RunnerOptions Runner;
+};
+
+enum class QueryKind { Look, Cancel };
+
+class JobService final : public JobEvents {
+public:
+  JobService(ServiceOptions Options, PeerSink &Sink, OutcomeSink &Outcomes,
+             JobObserver &Observer);
+
+  void setCatalog(std::shared_ptr<const CatalogView> View);
+  void onMember(const peer::Member &Member, TimePoint Now);
+  /// Control has confirmed the configuration held here.
+  void confirm(TimePoint Now) { this->LastConfirmed = Now; }
+  bool isConfirmed(TimePoint Now) const;
+  /// From now on, new jobs are refused.
+  void drain() { this->Draining = true; }
+  bool isDraining() const { return this->Draining; }
+
+  void submit(JobRequest Request, Ticket Ticket, Instant Now);
+  void query(const std::string &Key, QueryKind Kind, Ticket Ticket,
+             Instant Now);
+  void onMessage(const PeerRef &From, const peer::Message &Message,
+                 Instant Now);
+  void tick(Instant Now);
+
+  /// Jobs whose callers wait, and tasks not yet accounted for.
+  std::size_t inFlight() const { return this->Active; }
+  const JobRunner &runner() const { return this->Runner; }
+
+  void onComplete(Job &Target, TimePoint Now) override;
+  void onFailed(Job &Target, const FailureSpec &Failure,
+                TimePoint Now) override;
+
+private:
+  struct Query {
+    std::string Key;
+    QueryKind Kind = QueryKind::Look;
+    Ticket Waiter = 0;
+  };
+  struct PendingClaim {
+    std::optional<Claimant> Claim;
+    /// Set where a job is claimed, else the claim serves a query.
+    std::string JobKey;
+    std::optional<Query> Asked;
+    TimePoint GiveUp;
+    TimePoint RetryAt;
+  };
+  struct OpenAttach {
+    std::string JobKey;
+    std::optional<Query> Asked;
+  };
+
+  std::optional<FailureSpec> checkForm(const JobRequest &Request,
+                                       Instant Now) const;
+  std::optional<FailureSpec> checkReadiness(const JobRequest &Request,
+                                            Instant Now) const;
+  void joinExisting(Job &Known, const JobRequest &Request, Ticket Waiter);
+  Job &addJob(JobRequest Request, Ticket Waiter, Instant Now);
+
+  void openClaim(PendingClaim Claim, std::int64_t StampMs,
+                 std::uint64_t Fingerprint, Instant Now);
+  bool plan(PendingClaim &Claim, std::uint64_t Attempt, std::int64_t StampMs,
+            std::uint64_t Fingerprint, Instant Now);
+  void onDecision(std::uint64_t Attempt, const ClaimDecision &Decision,
+                  Instant Now);
+  void onJobDecision(Job &Target, PendingClaim &Claim,
+                     const ClaimDecision &Decision, Instant Now);
+  void onQueryDecision(const Query &Asked, const ClaimDecision &Decision,
+                       Instant Now);
+  void onWon(Job &Target, PendingClaim &Claim, Instant Now);
+  void onHeld(Job &Target, PendingClaim &Claim, const ClaimDecision &Decision,
+              Instant Now);
+  void tickClaims(Instant Now);
+
+  void onAttachRequest(const PeerRef &From, const peer::AttachRequest &Request,
+                       Instant Now);
+  void disown(const std::string &Key);
+  void onAttachReply(const peer::AttachReply &Reply, Instant Now);
+  void closeAttach(Ticket Request, const peer::JobOutcome *Outcome,
+                   TimePoint Now);
+  void replyAttach(const PeerRef &To, Ticket Ticket, peer::AttachState State,
+                   const peer::JobOutcome *Outcome);
+
+  void cancel(Job &Target, Instant Now);
+  void finish(Job &Target, peer::JobOutcome Outcome, TimePoint Now);
+  /// Finishes a job that starts nothing and whose record is of no more use.
+  void dismiss(Job &Target, const FailureSpec &Failure, TimePoint Now);
+  void tickDeadlines(TimePoint Now);
+  void tickExpiries(TimePoint Now);
+  void expire(const std::string &Key, TimePoint Now);
+  void updateShares();
+  Job *find(const std::string &Key);
+
+  ServiceOptions Options;
+  PeerSink &Sink;
+  OutcomeSink &Outcomes;
+  JobObserver &Observer;
+  JobRunner Runner;
+  AttachDesk Desk;
+  std::shared_ptr<const CatalogView> View;
+  std::map<std::string, PeerRef> Peers;
+  std::set<std::string> LiveEntries;
+
+  std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  std::map<std::uint64_t, PendingClaim> Claims;
+  std::map<Ticket, OpenAttach> Attaches;
+  std::multimap<TimePoint, std::string> Deadlines;
+  std::multimap<TimePoint, std::string> Expiries;
+  JobNumber LastNumber = 0;
+  std::uint64_t LastAttempt = 0;
+  std::size_t Active = 0;
+  TimePoint LastConfirmed = TimePoint::min();
+  bool Draining = false;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/entry/pool.cpp
@@ -0,0 +1,42 @@
+#include "entry/pool.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+RoutePolicy &Pool::policy(const std::string &Name) {
+  std::unique_ptr<RoutePolicy> &Known = this->Policies[Name];
+  if (!Known)
+    Known = makePolicy(Name);
+  return *Known;
+}
+
+RetryBudget &Pool::budget(const std::string &Workspace) {
+  return this->Budgets[Workspace];
+}
+
+const std::vector<TaskRef> &Pool::tasksAt(MinionIndex Minion) {
+  if (Minion >= this->Tasks.size())
+    this->Tasks.resize(Minion + 1);
+  return this->Tasks[Minion];
+}
+
+void Pool::addTask(MinionIndex Minion, TaskRef Task) {
+  this->tasksAt(Minion);
+  this->Tasks[Minion].push_back(Task);
+}
+
+void Pool::removeTask(MinionIndex Minion, TaskRef Task) {
+  this->tasksAt(Minion);
+  std::vector<TaskRef> &List = this->Tasks[Minion];
+  auto Found = std::find(List.begin(), List.end(), Task);
+  if (Found != List.end())
+    List.erase(Found);
+}
+
+void Pool::learnService(std::chrono::microseconds Seen) {
+  constexpr int Memory = 16;
+  this->Service += (Seen - this->Service) / Memory;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/entry/pool.h
@@ -0,0 +1,57 @@
+//===- entry/pool.h - The minions and the queue of one pool -----*- C++ -*-===//
+///
+/// \file
+/// Everything an entry holds for one pool of minions: its view of them, the
+/// tasks that wait, the policies in use, and which of our tasks is where.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_POOL_H
+#define YARDWHEEL_ENTRY_POOL_H
+
+#include "dispatch/fair_queue.h"
+#include "dispatch/minion_table.h"
+#include "dispatch/retry_budget.h"
+#include "dispatch/route_policy.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+/// A task of a job in flight.
+struct TaskRef {
+  JobNumber Job = 0;
+  std::uint32_t Index = 0;
+  bool operator==(const TaskRef &) const = default;
+};
+
+class Pool {
+public:
+  MinionTable Minions;
+  FairQueue Queue;
+
+  /// The policy of that name, made when first asked for.
+  RoutePolicy &policy(const std::string &Name);
+  RetryBudget &budget(const std::string &Workspace);
+
+  /// Tasks of this entry at a minion, in the order they were sent.
+  const std::vector<TaskRef> &tasksAt(MinionIndex Minion);
+  void addTask(MinionIndex Minion, TaskRef Task);
+  void removeTask(MinionIndex Minion, TaskRef Task);
+
+  /// Typical service time of a task here, learned from what ended.
+  std::chrono::microseconds typicalService() const { return this->Service; }
+  void learnService(std::chrono::microseconds Seen);
+
+private:
+  std::map<std::string, std::unique_ptr<RoutePolicy>> Policies;
+  std::map<std::string, RetryBudget> Budgets;
+  std::vector<std::vector<TaskRef>> Tasks;
+  std::chrono::microseconds Service{300000};
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/http/http_server.cpp
@@ -0,0 +1,200 @@
+#include "http/http_server.h"
+
+#include "core/error.h"
+
+#include <atomic>
+#include <fmt/format.h>
+#include <pistache/endpoint.h>
+#include <pistache/http.h>
+
+namespace yardwheel {
+
+namespace {
+
+HttpMethod methodOf(Pistache::Http::Method Method) {
+  switch (Method) {
+  case Pistache::Http::Method::Get:
+    return HttpMethod::Get;
+  case Pistache::Http::Method::Post:
+    return HttpMethod::Post;
+  case Pistache::Http::Method::Put:
+    return HttpMethod::Put;
+  case Pistache::Http::Method::Patch:
+    return HttpMethod::Patch;
+  case Pistache::Http::Method::Delete:
+    return HttpMethod::Delete;
+  default:
+    return HttpMethod::Other;
+  }
+}
+
+int hexValue(char C) {
+  if (C >= '0' && C <= '9')
+    return C - '0';
+  if (C >= 'a' && C <= 'f')
+    return C - 'a' + 10;
+  if (C >= 'A' && C <= 'F')
+    return C - 'A' + 10;
+  return -1;
+}
+
+std::string decodePart(const std::string &Part) {
+  std::string Decoded;
+  constexpr int HexBase = 16;
+  for (std::size_t I = 0; I < Part.size(); ++I) {
+    bool Escape = Part[I] == '%' && I + 2 < Part.size() &&
+                  hexValue(Part[I + 1]) >= 0 && hexValue(Part[I + 2]) >= 0;
+    if (!Escape) {
+      Decoded.push_back(Part[I]);
+      continue;
+    }
+    Decoded.push_back(static_cast<char>(hexValue(Part[I + 1]) * HexBase +
+                                        hexValue(Part[I + 2])));
+    I += 2;
+  }
+  return Decoded;
+}
+
+std::vector<std::string> splitPath(const std::string &Resource) {
+  std::vector<std::string> Parts;
+  std::string Part;
+  for (char C : Resource + "/") {
+    if (C != '/') {
+      Part.push_back(C);
+      continue;
+    }
+    if (!Part.empty())
+      Parts.push_back(decodePart(Part));
+    Part.clear();
+  }
+  return Parts;
+}
+
+std::string rawHeader(const Pistache::Http::Request &Request,
+                      const std::string &Name) {
+  auto Found = Request.headers().tryGetRaw(Name);
+  return Found ? Found->value() : "";
+}
+
+/// Pistache writes only headers that are types of their own.
+template <typename Tag>
+class TextHeader : public Pistache::Http::Header::Header {
+public:
+  explicit TextHeader(std::string Value) : Value(std::move(Value)) {}
+  static constexpr const char *Name = Tag::Text;
+  const char *name() const override { return Name; }
+  static constexpr std::uint64_t Hash =
+      Pistache::Http::Header::detail::hash(Tag::Text);
+  std::uint64_t hash() const override { return Hash; }
+  void parse(const std::string &) override {}
+  void write(std::ostream &Stream) const override { Stream << this->Value; }
+
+private:
+  std::string Value;
+};
+
+struct RetryAfterName {
+  static constexpr const char *Text = "Retry-After";
+};
+struct LocationName {
+  static constexpr const char *Text = "Location";
+};
+struct ContentTypeName {
+  static constexpr const char *Text = "Content-Type";
+};
+
+class PistacheReply final : public HttpReply {
+public:
+  explicit PistacheReply(Pistache::Http::ResponseWriter Writer)
+      : Writer(std::move(Writer)) {}
+
+  void send(const HttpAnswer &Answer) override {
+    if (this->Sent.exchange(true))
+      return;
+    auto &Headers = this->Writer.headers();
+    Headers.add<TextHeader<ContentTypeName>>(Answer.ContentType);
+    if (Answer.RetryAfter.count() > 0) {
+      // HTTP counts in whole seconds; the body has the milliseconds.
+      auto Seconds = std::chrono::ceil<std::chrono::seconds>(Answer.RetryAfter);
+      Headers.add<TextHeader<RetryAfterName>>(fmt::to_string(Seconds.count()));
+    }
+    if (!Answer.Location.empty())
+      Headers.add<TextHeader<LocationName>>(Answer.Location);
+    auto Code = static_cast<Pistache::Http::Code>(Answer.Status);
+    try {
+      this->Writer.send(Code, Answer.Body);
+    } catch (const std::exception &) {
+      // The client has gone; there is nobody to tell.
+    }
+  }
+
+private:
+  Pistache::Http::ResponseWriter Writer;
+  std::atomic<bool> Sent{false};
+};
+
+class PistacheHandler final : public Pistache::Http::Handler {
+public:
+  HTTP_PROTOTYPE(PistacheHandler)
+
+  explicit PistacheHandler(std::shared_ptr<HttpHandler> Target)
+      : Target(std::move(Target)) {}
+
+  void onRequest(const Pistache::Http::Request &Request,
+                 Pistache::Http::ResponseWriter Writer) override {
+    HttpRequest Plain;
+    Plain.Method = methodOf(Request.method());
+    Plain.Resource = Request.resource();
+    Plain.Path = splitPath(Request.resource());
+    Plain.Body = Request.body();
+    Plain.Job = rawHeader(Request, "X-Yardwheel-Job");
+    Plain.Task = rawHeader(Request, "X-Yardwheel-Task");
+    this->Target->handle(Plain,
+                         std::make_shared<PistacheReply>(std::move(Writer)));
+  }
+
+private:
+  std::shared_ptr<HttpHandler> Target;
+};
+
+} // namespace
+
+class HttpServer::Implementation {
+public:
+  explicit Implementation(const std::string &Listen)
+      : Endpoint(Pistache::Address(Listen)) {}
+  Pistache::Http::Endpoint Endpoint;
+  bool Running = false;
+};
+
+HttpServer::HttpServer(const HttpServerOptions &Options,
+                       std::shared_ptr<HttpHandler> Handler) {
+  try {
+    this->Inner = std::make_unique<Implementation>(Options.Listen);
+    auto Settings = Pistache::Http::Endpoint::options()
+                        .threads(static_cast<int>(Options.Threads))
+                        .maxRequestSize(Options.MaxBodyBytes)
+                        .headerTimeout(Options.HeaderTimeout)
+                        .bodyTimeout(Options.HeaderTimeout)
+                        .flags(Pistache::Flags<Pistache::Tcp::Options>(
+                            Pistache::Tcp::Options::ReuseAddr));
+    this->Inner->Endpoint.init(Settings);
+    this->Inner->Endpoint.setHandler(
+        std::make_shared<PistacheHandler>(std::move(Handler)));
+    this->Inner->Endpoint.serveThreaded();
+    this->Inner->Running = true;
+  } catch (const std::exception &Problem) {
+    throw Error("http server", Options.Listen, Problem.what());
+  }
+}
+
+HttpServer::~HttpServer() { this->stop(); }
+
+void HttpServer::stop() {
+  if (!this->Inner->Running)
+    return;
+  this->Inner->Running = false;
+  this->Inner->Endpoint.shutdown();
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/ledger/ledger_holder.cpp
@@ -0,0 +1,138 @@
+#include "ledger/ledger_holder.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+namespace {
+
+bool names(const peer::HolderGroup &Group, const std::string &Name) {
+  return std::find(Group.holders().begin(), Group.holders().end(), Name) !=
+         Group.holders().end();
+}
+
+bool isSameOwner(const peer::Owner &A, const peer::Owner &B) {
+  return A.entry() == B.entry() && A.incarnation() == B.incarnation();
+}
+
+} // namespace
+
+LedgerHolder::LedgerHolder(std::string Name, LedgerOptions Options)
+    : Name(std::move(Name)), Options(Options) {}
+
+void LedgerHolder::setGroups(const CatalogView &View, WallTime Now) {
+  for (const auto &[Number, Group] : View.Groups) {
+    if (!names(Group, this->Name)) {
+      this->Seats.erase(Number);
+      continue;
+    }
+    // Claims granted elsewhere, before this seat was taken, carry stamps of
+    // at most one allowance ahead of a clock that differs by another one.
+    auto [Held, New] = this->Seats.try_emplace(Number);
+    if (New)
+      Held->second.KnownSince = Now + 2 * this->Options.ClockAllowance;
+    Held->second.Epoch = Group.epoch();
+    Held->second.Sealed = Group.sealed();
+  }
+}
+
+peer::ClaimReply LedgerHolder::onClaim(const peer::ClaimRequest &Request,
+                                       WallTime Now) {
+  peer::ClaimReply Reply;
+  Reply.set_job_key(Request.job_key());
+  Reply.set_attempt(Request.attempt());
+  Reply.set_holder(this->Name);
+  Reply.set_verdict(this->judge(Request, Now, Reply));
+  return Reply;
+}
+
+peer::ClaimVerdict LedgerHolder::judge(const peer::ClaimRequest &Request,
+                                       WallTime Now, peer::ClaimReply &Reply) {
+  auto Held = this->Seats.find(Request.group());
+  if (Held == this->Seats.end())
+    return peer::CLAIM_WRONG_EPOCH;
+  Reply.set_epoch(Held->second.Epoch);
+  if (Held->second.Sealed || Held->second.Epoch != Request.epoch())
+    return peer::CLAIM_WRONG_EPOCH;
+
+  auto Known = this->Records.find(Request.job_key());
+  if (Known != this->Records.end() && !Known->second.Owner.entry().empty() &&
+      (Request.read_only() ||
+       !isSameOwner(Known->second.Owner, Request.owner()))) {
+    *Reply.mutable_owner() = Known->second.Owner;
+    Reply.set_fingerprint(Known->second.Fingerprint);
+    return peer::CLAIM_HELD;
+  }
+  if (Known == this->Records.end()) {
+    peer::ClaimVerdict Verdict = this->judgeStamp(Request, Held->second, Now);
+    if (Verdict != peer::CLAIM_GRANTED)
+      return Verdict;
+  }
+  if (Request.read_only())
+    return peer::CLAIM_ABSENT;
+  // A late copy of a claim that was given back must not bring it to life.
+  if (Known != this->Records.end() &&
+      Request.attempt() <= Known->second.Attempt &&
+      Known->second.Owner.entry().empty() &&
+      Request.owner().incarnation() == Known->second.Owner.incarnation())
+    return peer::CLAIM_ABSENT;
+  this->record(Request);
+  return peer::CLAIM_GRANTED;
+}
+
+peer::ClaimVerdict LedgerHolder::judgeStamp(const peer::ClaimRequest &Request,
+                                            const Seat &Held,
+                                            WallTime Now) const {
+  WallTime Stamp = fromUnixMillis(Request.stamp_ms());
+  if (Stamp > Now + this->Options.ClockAllowance)
+    return peer::CLAIM_IN_FUTURE;
+  if (Stamp < Now - this->Options.Retention)
+    return peer::CLAIM_EXPIRED;
+  if (this->Options.RefuseUnknownPast && Stamp <= Held.KnownSince)
+    return peer::CLAIM_CANNOT_KNOW;
+  return peer::CLAIM_GRANTED;
+}
+
+void LedgerHolder::record(const peer::ClaimRequest &Request) {
+  auto [Target, New] = this->Records.try_emplace(Request.job_key());
+  if (New)
+    this->Order.push_back(Request.job_key());
+  // A late copy of an earlier attempt must not let that attempt's release
+  // give the present one back.
+  bool Again = isSameOwner(Target->second.Owner, Request.owner());
+  std::uint64_t Newest = std::max(Target->second.Attempt, Request.attempt());
+  Target->second.Attempt = Again ? Newest : Request.attempt();
+  Target->second.Owner = Request.owner();
+  Target->second.Fingerprint = Request.fingerprint();
+  Target->second.Stamp = fromUnixMillis(Request.stamp_ms());
+}
+
+void LedgerHolder::onRelease(const peer::ClaimRelease &Release) {
+  auto Known = this->Records.find(Release.job_key());
+  if (Known == this->Records.end())
+    return;
+  Record &Target = Known->second;
+  if (!isSameOwner(Target.Owner, Release.owner()) ||
+      Target.Attempt > Release.attempt())
+    return;
+  // The incarnation and the attempt stay, to know late copies by.
+  Target.Owner.clear_entry();
+  Target.Attempt = Release.attempt();
+}
+
+void LedgerHolder::expire(WallTime Now) {
+  // An id is refused as expired before its record goes.
+  WallTime Limit =
+      Now - this->Options.Retention - 2 * this->Options.ClockAllowance;
+  while (!this->Order.empty()) {
+    auto Oldest = this->Records.find(this->Order.front());
+    if (Oldest != this->Records.end()) {
+      if (Oldest->second.Stamp >= Limit)
+        return;
+      this->Records.erase(Oldest);
+    }
+    this->Order.pop_front();
+  }
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/main/agent_process.cpp
@@ -0,0 +1,149 @@
+#include "agent/agent_core.h"
+#include "agent/minion_client.h"
+#include "main/process.h"
+#include "main/wiring.h"
+#include "transport/event_loop.h"
+#include "transport/link_server.h"
+
+namespace yardwheel {
+
+namespace {
+
+class AgentProcess final : public Process, AnnouncerEvents {
+public:
+  explicit AgentProcess(const Settings &Values);
+  ~AgentProcess() override { this->stop(); }
+  void drain() override;
+
+  void onConfirmed(TimePoint) override {}
+  void onCatalog(Instant Now) override;
+  void onMember(const peer::Member &, Instant) override {}
+
+private:
+  AgentOptions agentOptions() const;
+  peer::Member selfAsMember() const;
+  void receive(const std::shared_ptr<peer::Envelope> &Envelope);
+  void tick(Instant Now);
+  void stop();
+
+  Settings Values;
+  std::uint64_t Incarnation = newIncarnation();
+  Logger Log{"agent"};
+  SystemClock Source;
+  NodeCatalog Catalog;
+  std::atomic<bool> Idle{false};
+  LinkPool Links;
+  EventLoop Loop;
+  MinionClient Minion;
+  AgentCore Core;
+  Announcer Announce;
+  LinkServer Server;
+};
+
+AgentProcess::AgentProcess(const Settings &Values)
+    : Values(Values),
+      Links(identityOf(Values, peer::ROLE_AGENT, this->Incarnation)),
+      Loop(
+          this->Source, TickInterval, [this](Instant Now) { this->tick(Now); },
+          [this] { this->Links.flush(); }),
+      Minion(Values.Agent.MinionUrl, Values.Agent.TaskTimeout,
+             [this](const TaskKey &Task, const TaskEnd &End) {
+               this->Loop.post([this, Task, End](Instant Now) {
+                 this->Core.onTaskEnded(Task, End, Now);
+               });
+             }),
+      Core(this->agentOptions(), this->Links, this->Minion),
+      Announce(announcerOptions(Values), this->selfAsMember(), this->Catalog,
+               this->Links, *this),
+      Server(identityOf(Values, peer::ROLE_AGENT, this->Incarnation),
+             [this](const std::shared_ptr<peer::Envelope> &Envelope) {
+               this->receive(Envelope);
+             }) {
+  this->Loop.start();
+  this->Log.info("Agent {} serves {} with {} slots.", Values.Node,
+                 Values.Agent.MinionUrl, Values.Agent.Slots);
+}
+
+AgentOptions AgentProcess::agentOptions() const {
+  AgentOptions Options;
+  Options.Name = this->Values.Node;
+  Options.Incarnation = this->Incarnation;
+  Options.Slots = this->Values.Agent.Slots;
+  Options.Freshness = this->Values.Agent.Freshness;
+  Options.Ledger.Retention = this->Values.LedgerRetention;
+  Options.Ledger.ClockAllowance = this->Values.ClockAllowance;
+  return Options;
+}
+
+peer::Member AgentProcess::selfAsMember() const {
+  peer::Member Self;
+  Self.set_name(this->Values.Node);
+  Self.set_role(peer::ROLE_AGENT);
+  Self.set_incarnation(this->Incarnation);
+  Self.set_address(this->Values.Listen);
+  Self.set_data_centre(this->Values.DataCentre);
+  Self.set_rack(this->Values.Rack);
+  Self.set_pool(this->Values.Agent.Pool);
+  Self.set_slots(this->Values.Agent.Slots);
+  Self.mutable_resources()->set_cpus(this->Values.Agent.Cpus);
+  Self.mutable_resources()->set_memory_mb(this->Values.Agent.MemoryMb);
+  Self.mutable_resources()->set_accelerators(this->Values.Agent.Accelerators);
+  Self.set_state(peer::MEMBER_ALIVE);
+  Self.set_freshness(this->Core.load(this->Source.now()).freshness());
+  return Self;
+}
+
+void AgentProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
+  this->Loop.post([this, Envelope](Instant Now) {
+    PeerRef From{Envelope->sender(), Envelope->sender_address()};
+    for (const peer::Message &Message : Envelope->messages()) {
+      if (Message.has_heartbeat_reply())
+        this->Announce.onReply(Message.heartbeat_reply(), Now);
+      else
+        this->Core.onMessage(From, Message, Now);
+    }
+  });
+}
+
+void AgentProcess::tick(Instant Now) {
+  this->Announce.tick(Now);
+  this->Core.tick(Now);
+  this->Idle.store(this->Core.isDraining() && this->Core.isIdle());
+}
+
+void AgentProcess::onCatalog(Instant Now) {
+  this->Links.setRevision(this->Catalog.revision());
+  this->Core.setCatalog(*this->Catalog.view(), Now);
+  this->Log.info("Configuration revision {} is in force.",
+                 this->Catalog.revision());
+}
+
+void AgentProcess::drain() {
+  this->Log.info("Agent {} drains.", this->Values.Node);
+  this->Loop.post([this](Instant Now) {
+    this->Core.drain(Now);
+    this->Announce.update(
+        [](peer::Member &Self) { Self.set_state(peer::MEMBER_LEAVING); }, Now);
+  });
+  bool Done = waitUntil(this->Values.Agent.DrainTimeout,
+                        [this] { return this->Idle.load(); });
+  if (!Done)
+    this->Log.warning("Agent {} stops with tasks running.", this->Values.Node);
+  // The last results must reach their entries.
+  constexpr std::chrono::seconds Delivery{3};
+  waitUntil(Delivery, [this] { return this->Links.isIdle(); });
+  this->stop();
+}
+
+void AgentProcess::stop() {
+  this->Server.stop();
+  this->Loop.stop();
+}
+
+} // namespace
+
+std::unique_ptr<Process> startAgent(const Settings &Values) {
+  return std::make_unique<AgentProcess>(Values);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/main/control_process.cpp
@@ -0,0 +1,118 @@
+#include "consensus/file_log_storage.h"
+#include "control/control_http.h"
+#include "main/process.h"
+#include "main/wiring.h"
+#include "transport/link_server.h"
+
+namespace yardwheel {
+
+namespace {
+
+class ControlProcess final : public Process {
+public:
+  explicit ControlProcess(const Settings &Values);
+  ~ControlProcess() override { this->stop(); }
+  void drain() override;
+
+private:
+  ControlOptions controlOptions() const;
+  void receive(const std::shared_ptr<peer::Envelope> &Envelope);
+  void tick(Instant Now);
+  void stop();
+
+  Settings Values;
+  std::uint64_t Incarnation = newIncarnation();
+  Logger Log{"control"};
+  SystemClock Source;
+  FileLogStorage Storage;
+  LinkPool Links;
+  ControlService Service;
+  EventLoop Loop;
+  std::shared_ptr<ControlHttp> Http;
+  std::atomic<std::size_t> Open{0};
+  bool Led = false;
+  LinkServer Server;
+  HttpServer Operators;
+};
+
+ControlProcess::ControlProcess(const Settings &Values)
+    : Values(Values),
+      Storage(Values.Control.DataDir, Values.Cluster, Values.Node),
+      Links(identityOf(Values, peer::ROLE_CONTROL, this->Incarnation)),
+      Service(this->controlOptions(), this->Storage, this->Links,
+              this->Source.now()),
+      Loop(
+          this->Source, TickInterval, [this](Instant Now) { this->tick(Now); },
+          [this] { this->Links.flush(); }),
+      Http(std::make_shared<ControlHttp>(this->Loop, this->Service, Values.Node,
+                                         this->Incarnation)),
+      Server(identityOf(Values, peer::ROLE_CONTROL, this->Incarnation),
+             [this](const std::shared_ptr<peer::Envelope> &Envelope) {
+               this->receive(Envelope);
+             }),
+      Operators({.Listen = Values.Control.HttpListen}, this->Http) {
+  if (this->Storage.tornBytes() > 0)
+    this->Log.warning("A torn tail of {} bytes was cut from the log.",
+                      this->Storage.tornBytes());
+  this->Loop.start();
+  this->Log.info("Control replica {} takes operators at {}.", Values.Node,
+                 Values.Control.HttpListen);
+}
+
+ControlOptions ControlProcess::controlOptions() const {
+  ControlOptions Options;
+  Options.Raft.Name = this->Values.Node;
+  Options.Raft.Election = this->Values.Control.Election;
+  Options.Raft.SnapshotEvery = this->Values.Control.SnapshotEvery;
+  Options.Raft.Seed = this->Incarnation;
+  Options.Groups.Groups = this->Values.Control.HolderGroups;
+  Options.Groups.ReplaceAfter = this->Values.Control.HolderReplaceAfter;
+  Options.Lease = this->Values.Control.Lease;
+  Options.ProposalTimeout = this->Values.Control.ProposalTimeout;
+  return Options;
+}
+
+void ControlProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
+  this->Loop.post([this, Envelope](Instant Now) {
+    PeerRef From{Envelope->sender(), Envelope->sender_address()};
+    for (const peer::Message &Message : Envelope->messages())
+      this->Service.onMessage(From, Message, Now);
+  });
+}
+
+void ControlProcess::tick(Instant Now) {
+  this->Service.tick(Now);
+  this->Links.setRevision(this->Service.catalog().revision());
+  this->Open.store(this->Service.openProposals());
+  bool Leads = this->Service.raft().leads();
+  if (Leads != this->Led)
+    this->Log.info("Replica {} {} in term {}.", this->Values.Node,
+                   Leads ? "leads" : "no longer leads",
+                   this->Service.raft().term());
+  this->Led = Leads;
+}
+
+void ControlProcess::drain() {
+  this->Log.info("Control replica {} drains.", this->Values.Node);
+  this->Http->drain();
+  waitUntil(this->Values.Control.ProposalTimeout,
+            [this] { return this->Open.load() == 0; });
+  this->Loop.post([this](Instant Now) { this->Service.drain(Now); });
+  constexpr std::chrono::milliseconds Flush{200};
+  std::this_thread::sleep_for(Flush);
+  this->stop();
+}
+
+void ControlProcess::stop() {
+  this->Operators.stop();
+  this->Server.stop();
+  this->Loop.stop();
+}
+
+} // namespace
+
+std::unique_ptr<Process> startControl(const Settings &Values) {
+  return std::make_unique<ControlProcess>(Values);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/main/entry_process.cpp
@@ -0,0 +1,166 @@
+#include "entry/entry_http.h"
+#include "main/process.h"
+#include "main/wiring.h"
+#include "transport/link_server.h"
+
+namespace yardwheel {
+
+namespace {
+
+class EntryProcess final : public Process, AnnouncerEvents {
+public:
+  explicit EntryProcess(const Settings &Values);
+  ~EntryProcess() override { this->stop(); }
+  void drain() override;
+
+  void onConfirmed(TimePoint Asked) override;
+  void onCatalog(Instant Now) override;
+  void onMember(const peer::Member &Member, Instant Now) override;
+
+private:
+  ServiceOptions serviceOptions() const;
+  peer::Member selfAsMember() const;
+  void receive(const std::shared_ptr<peer::Envelope> &Envelope);
+  void tick(Instant Now);
+  void stop();
+
+  Settings Values;
+  std::uint64_t Incarnation = newIncarnation();
+  Logger Log{"entry"};
+  SystemClock Source;
+  NodeCatalog Catalog;
+  JobMetrics Metrics;
+  std::atomic<std::size_t> InFlight{0};
+  LinkPool Links;
+  std::shared_ptr<EntryHttp> Http;
+  JobService Service;
+  Announcer Announce;
+  EventLoop Loop;
+  LinkServer Server;
+  HttpServer Callers;
+};
+
+EntryProcess::EntryProcess(const Settings &Values)
+    : Values(Values),
+      Links(identityOf(Values, peer::ROLE_ENTRY, this->Incarnation)),
+      Http(std::make_shared<EntryHttp>(this->Source, this->Catalog,
+                                       this->Metrics, Values.Node)),
+      Service(this->serviceOptions(), this->Links, *this->Http, this->Metrics),
+      Announce(announcerOptions(Values), this->selfAsMember(), this->Catalog,
+               this->Links, *this),
+      Loop(
+          this->Source, TickInterval, [this](Instant Now) { this->tick(Now); },
+          [this] { this->Links.flush(); }),
+      Server(identityOf(Values, peer::ROLE_ENTRY, this->Incarnation),
+             [this](const std::shared_ptr<peer::Envelope> &Envelope) {
+               this->receive(Envelope);
+             }),
+      Callers((this->Http->connect(this->Loop, this->Service),
+               HttpServerOptions{.Listen = Values.Entry.HttpListen,
+                                 .Threads = Values.Entry.HttpThreads,
+                                 .MaxBodyBytes = Values.Entry.MaxBodyBytes,
+                                 .HeaderTimeout = Values.Entry.HeaderTimeout}),
+              this->Http) {
+  this->Loop.start();
+  this->Log.info("Entry {} takes callers at {}.", Values.Node,
+                 Values.Entry.HttpListen);
+}
+
+ServiceOptions EntryProcess::serviceOptions() const {
+  ServiceOptions Options;
+  Options.Self.set_entry(this->Values.Node);
+  Options.Self.set_incarnation(this->Incarnation);
+  Options.Self.set_address(this->Values.Listen);
+  Options.ClockAllowance = this->Values.ClockAllowance;
+  Options.LedgerRetention = this->Values.LedgerRetention;
+  Options.Claims.Timeout = this->Values.Entry.ClaimTimeout;
+  Options.MaxUnconfirmed = this->Values.Entry.MaxUnconfirmed;
+  Options.MaxJobs = this->Values.Entry.MaxJobs;
+  Options.Runner.Seed = this->Incarnation;
+  return Options;
+}
+
+peer::Member EntryProcess::selfAsMember() const {
+  peer::Member Self;
+  Self.set_name(this->Values.Node);
+  Self.set_role(peer::ROLE_ENTRY);
+  Self.set_incarnation(this->Incarnation);
+  Self.set_address(this->Values.Listen);
+  Self.set_http_address(this->Values.Entry.HttpListen);
+  Self.set_data_centre(this->Values.DataCentre);
+  Self.set_rack(this->Values.Rack);
+  Self.set_state(peer::MEMBER_ALIVE);
+  return Self;
+}
+
+void EntryProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
+  this->Loop.post([this, Envelope](Instant Now) {
+    PeerRef From{Envelope->sender(), Envelope->sender_address()};
+    for (const peer::Message &Message : Envelope->messages()) {
+      if (Message.has_heartbeat_reply())
+        this->Announce.onReply(Message.heartbeat_reply(), Now);
+      else
+        this->Service.onMessage(From, Message, Now);
+    }
+  });
+}
+
+void EntryProcess::tick(Instant Now) {
+  this->Announce.tick(Now);
+  this->Service.tick(Now);
+  this->Http->setReady(this->Service.isConfirmed(Now.Steady) &&
+                       !this->Service.isDraining());
+  this->InFlight.store(this->Service.inFlight() + this->Http->waiting());
+}
+
+void EntryProcess::onConfirmed(TimePoint Asked) {
+  this->Service.confirm(Asked);
+}
+
+void EntryProcess::onCatalog(Instant) {
+  this->Links.setRevision(this->Catalog.revision());
+  this->Service.setCatalog(this->Catalog.view());
+  this->Log.info("Configuration revision {} is in force.",
+                 this->Catalog.revision());
+}
+
+void EntryProcess::onMember(const peer::Member &Member, Instant Now) {
+  this->Log.debug("Member {} is now in state {}.", Member.name(),
+                  static_cast<int>(Member.state()));
+  this->Service.onMember(Member, Now.Steady);
+}
+
+void EntryProcess::drain() {
+  this->Log.info("Entry {} drains.", this->Values.Node);
+  // The balancer is told first, then the cluster.
+  this->Http->setReady(false);
+  this->InFlight.store(SIZE_MAX);
+  this->Loop.post([this](Instant Now) {
+    this->Service.drain();
+    this->Announce.update(
+        [](peer::Member &Self) { Self.set_state(peer::MEMBER_LEAVING); }, Now);
+  });
+  bool Done = waitUntil(this->Values.Entry.DrainTimeout,
+                        [this] { return this->InFlight.load() == 0; });
+  if (!Done)
+    this->Log.warning("Entry {} stops with {} requests in flight.",
+                      this->Values.Node, this->InFlight.load());
+  // Answers handed to the server still have to reach their sockets.
+  constexpr std::chrono::milliseconds Flush{200};
+  std::this_thread::sleep_for(Flush);
+  this->stop();
+}
+
+void EntryProcess::stop() {
+  this->Callers.stop();
+  this->Server.stop();
+  this->Loop.stop();
+}
+
+} // namespace
+
+std::unique_ptr<Process> startEntry(const Settings &Values) {
+  return std::make_unique<EntryProcess>(Values);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/main/wiring.h
@@ -0,0 +1,55 @@
+//===- main/wiring.h - What the roles are wired with ------------*- C++ -*-===//
+#ifndef YARDWHEEL_MAIN_WIRING_H
+#define YARDWHEEL_MAIN_WIRING_H
+
+#include "core/clock.h"
+#include "membership/announcer.h"
+#include "settings/settings.h"
+#include "transport/link_pool.h"
+
+#include <chrono>
+#include <functional>
+#include <thread>
+
+namespace yardwheel {
+
+/// How often decision code is told of the time.
+constexpr std::chrono::milliseconds TickInterval{5};
+
+/// A number that is greater in every later life of a process.
+inline std::uint64_t newIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+inline LinkIdentity identityOf(const Settings &Values, peer::Role Role,
+                               std::uint64_t Incarnation) {
+  return {Values.Cluster, Role, Values.Node, Values.Listen, Incarnation};
+}
+
+inline AnnouncerOptions announcerOptions(const Settings &Values) {
+  AnnouncerOptions Options;
+  Options.Interval = Values.Heartbeat;
+  for (const ControlPeer &Known : Values.Controls)
+    Options.Controls.push_back({Known.Name, Known.Address});
+  return Options;
+}
+
+/// Waits until \p Done says so, for at most \p Limit.
+inline bool waitUntil(std::chrono::milliseconds Limit,
+                      const std::function<bool()> &Done) {
+  constexpr std::chrono::milliseconds Pause{10};
+  auto End = std::chrono::steady_clock::now() + Limit;
+  while (std::chrono::steady_clock::now() < End) {
+    if (Done())
+      return true;
+    std::this_thread::sleep_for(Pause);
+  }
+  return Done();
+}
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/membership/announcer.cpp
@@ -0,0 +1,141 @@
+#include "membership/announcer.h"
+
+#include <set>
+
+namespace yardwheel {
+
+namespace {
+
+/// Heartbeats without a reply after which another replica is tried.
+constexpr std::uint64_t MaxUnanswered = 2;
+constexpr std::size_t MaxRemembered = 64;
+
+} // namespace
+
+Announcer::Announcer(AnnouncerOptions Options, peer::Member Self,
+                     NodeCatalog &Catalog, PeerSink &Sink,
+                     AnnouncerEvents &Events)
+    : Options(std::move(Options)), Self(std::move(Self)), Catalog(Catalog),
+      Sink(Sink), Events(Events) {}
+
+void Announcer::tick(Instant Now) {
+  if (Now.Steady < this->NextBeat)
+    return;
+  if (this->Sequence - this->Answered >= MaxUnanswered)
+    this->nextControl();
+  this->beat(Now);
+}
+
+void Announcer::update(const std::function<void(peer::Member &)> &Change,
+                       Instant Now) {
+  Change(this->Self);
+  this->beat(Now);
+}
+
+void Announcer::beat(Instant Now) {
+  this->NextBeat = Now.Steady + this->Options.Interval;
+  peer::Message Message;
+  peer::Heartbeat *Beat = Message.mutable_heartbeat();
+  *Beat->mutable_member() = this->Self;
+  Beat->set_revision(this->Catalog.revision());
+  Beat->set_table_term(this->TableTerm);
+  Beat->set_table_version(this->TableVersion);
+  Beat->set_sequence(++this->Sequence);
+  this->SentAt[this->Sequence] = Now.Steady;
+  if (this->SentAt.size() > MaxRemembered)
+    this->SentAt.erase(this->SentAt.begin());
+  this->Sink.send(this->Options.Controls[this->Current], std::move(Message));
+}
+
+void Announcer::nextControl() {
+  this->Answered = this->Sequence;
+  this->Current = (this->Current + 1) % this->Options.Controls.size();
+}
+
+void Announcer::follow(const std::string &LeaderAddress) {
+  for (std::size_t I = 0; I < this->Options.Controls.size(); ++I) {
+    if (this->Options.Controls[I].Address != LeaderAddress)
+      continue;
+    // Beat again at once, but never in a circle between two replicas.
+    if (this->Current != I)
+      this->NextBeat = TimePoint::min();
+    this->Current = I;
+    return;
+  }
+  this->nextControl();
+}
+
+void Announcer::onReply(const peer::HeartbeatReply &Reply, Instant Now) {
+  // Meant for an earlier life of this node.
+  if (Reply.incarnation() != this->Self.incarnation())
+    return;
+  bool Asked =
+      Reply.sequence() > this->Answered && Reply.sequence() <= this->Sequence;
+  if (!Reply.accepted()) {
+    if (Asked) {
+      this->Answered = Reply.sequence();
+      this->follow(Reply.leader_address());
+    }
+    return;
+  }
+  // A life begins with a whole state that a quorum has confirmed for it.
+  bool Begun = this->Catalog.revision() > 0;
+  if (!Asked && !Begun)
+    return;
+  if (Reply.has_catalog() && this->Catalog.merge(Reply.catalog()))
+    this->Events.onCatalog(Now);
+  if (Reply.has_members())
+    this->takeMembers(Reply.members(), Now);
+  if (Asked) {
+    this->Answered = Reply.sequence();
+    this->confirm(Reply.sequence());
+  }
+}
+
+void Announcer::confirm(std::uint64_t Confirmed) {
+  // Counted from the question: the answer may have been long under way.
+  auto Sent = this->SentAt.find(Confirmed);
+  if (Sent == this->SentAt.end())
+    return;
+  this->Events.onConfirmed(Sent->second);
+  this->SentAt.erase(this->SentAt.begin(), std::next(Sent));
+}
+
+void Announcer::takeMembers(const peer::MemberUpdate &Update, Instant Now) {
+  bool SameTable = Update.term() == this->TableTerm;
+  bool Older = Update.term() < this->TableTerm ||
+               (SameTable && Update.version() < this->TableVersion);
+  if (Older || (!SameTable && !Update.full()))
+    return;
+  this->TableTerm = Update.term();
+  this->TableVersion = Update.version();
+  if (Update.full())
+    this->dropMissing(Update, Now);
+  for (const peer::Member &Member : Update.members()) {
+    peer::Member &Known = this->Table[Member.name()];
+    // Late words of an older life change nothing.
+    if (Member.incarnation() < Known.incarnation())
+      continue;
+    bool Gone = Known.incarnation() == Member.incarnation() &&
+                Known.state() == peer::MEMBER_LEAVING &&
+                Member.state() == peer::MEMBER_ALIVE;
+    if (Gone)
+      continue;
+    Known = Member;
+    this->Events.onMember(Member, Now);
+  }
+}
+
+void Announcer::dropMissing(const peer::MemberUpdate &Update, Instant Now) {
+  std::set<std::string> Present;
+  for (const peer::Member &Member : Update.members())
+    Present.insert(Member.name());
+  for (auto &[Name, Known] : this->Table) {
+    if (Present.contains(Name) || Known.state() == peer::MEMBER_LOST)
+      continue;
+    Known.set_state(peer::MEMBER_LOST);
+    this->Events.onMember(Known, Now);
+  }
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/membership/announcer.h
@@ -0,0 +1,76 @@
+//===- membership/announcer.h - A node's heartbeats to control --*- C++ -*-===//
+///
+/// \file
+/// Announces an entry or an agent to control, renews its lease, and takes the
+/// configuration and the member table from the replies. Holds to the leader
+/// and tries the next replica when it falls silent.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_MEMBERSHIP_ANNOUNCER_H
+#define YARDWHEEL_MEMBERSHIP_ANNOUNCER_H
+
+#include "catalog/node_catalog.h"
+#include "core/clock.h"
+#include "core/peer_sink.h"
+#include "protocol/peer.pb.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+/// Hears what control has told this node.
+class AnnouncerEvents {
+public:
+  virtual ~AnnouncerEvents() = default;
+  /// A quorum of control stood behind the configuration held here at some
+  /// time after \p Asked.
+  virtual void onConfirmed(TimePoint Asked) = 0;
+  virtual void onCatalog(Instant Now) = 0;
+  virtual void onMember(const peer::Member &Member, Instant Now) = 0;
+};
+
+struct AnnouncerOptions {
+  std::vector<PeerRef> Controls;
+  std::chrono::milliseconds Interval{1000};
+};
+
+class Announcer {
+public:
+  Announcer(AnnouncerOptions Options, peer::Member Self, NodeCatalog &Catalog,
+            PeerSink &Sink, AnnouncerEvents &Events);
+
+  void tick(Instant Now);
+  void onReply(const peer::HeartbeatReply &Reply, Instant Now);
+  /// Announces the state that \p Change has made at once.
+  void update(const std::function<void(peer::Member &)> &Change, Instant Now);
+
+private:
+  void beat(Instant Now);
+  void nextControl();
+  void follow(const std::string &LeaderAddress);
+  void confirm(std::uint64_t Sequence);
+  void dropMissing(const peer::MemberUpdate &Update, Instant Now);
+  void takeMembers(const peer::MemberUpdate &Update, Instant Now);
+
+  AnnouncerOptions Options;
+  peer::Member Self;
+  NodeCatalog &Catalog;
+  PeerSink &Sink;
+  AnnouncerEvents &Events;
+  std::map<std::string, peer::Member> Table;
+  std::uint64_t TableTerm = 0;
+  std::uint64_t TableVersion = 0;
+  std::size_t Current = 0;
+  std::uint64_t Sequence = 0;
+  std::uint64_t Answered = 0;
+  /// When the heartbeats that may still be answered were sent.
+  std::map<std::uint64_t, TimePoint> SentAt;
+  TimePoint NextBeat = TimePoint::min();
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/membership/member_registry.cpp
@@ -0,0 +1,75 @@
+#include "membership/member_registry.h"
+
+namespace yardwheel {
+
+void MemberRegistry::reset(std::uint64_t NewTerm, TimePoint Now) {
+  this->SettledAt = Now + this->Lease;
+  this->Term = NewTerm;
+  this->Version = 0;
+  this->Entries.clear();
+}
+
+void MemberRegistry::touch(Entry &Target) {
+  Target.Member.set_version(++this->Version);
+}
+
+bool MemberRegistry::onHeartbeat(const peer::Heartbeat &Beat, TimePoint Now) {
+  const peer::Member &Told = Beat.member();
+  auto [Found, New] = this->Entries.try_emplace(Told.name());
+  Entry &Target = Found->second;
+  std::uint64_t Known = Target.Member.incarnation();
+  // Late words of an older life change nothing.
+  if (!New && Told.incarnation() < Known)
+    return false;
+  bool SameLife = !New && Told.incarnation() == Known;
+  // Leaving is final for a life.
+  bool Returns = SameLife && Target.Member.state() == peer::MEMBER_LEAVING &&
+                 Told.state() != peer::MEMBER_LEAVING;
+  Target.LastHeard = Now;
+  Target.Revision =
+      SameLife ? std::max(Target.Revision, Beat.revision()) : Beat.revision();
+  Target.TableTerm = Beat.table_term();
+  Target.TableVersion = Beat.table_version();
+  bool Changed = !SameLife || (Target.Member.state() != Told.state());
+  if (Returns || !Changed)
+    return false;
+  Target.Member = Told;
+  this->touch(Target);
+  return true;
+}
+
+bool MemberRegistry::tick(TimePoint Now) {
+  bool Any = false;
+  for (auto &[Name, Target] : this->Entries) {
+    bool Silent = Now - Target.LastHeard > this->Lease;
+    if (!Silent || Target.Member.state() == peer::MEMBER_LOST)
+      continue;
+    Target.Member.set_state(peer::MEMBER_LOST);
+    this->touch(Target);
+    Any = true;
+  }
+  return Any;
+}
+
+peer::MemberUpdate
+MemberRegistry::updateFor(const peer::Heartbeat &Beat) const {
+  peer::MemberUpdate Update;
+  Update.set_term(this->Term);
+  Update.set_version(this->Version);
+  Update.set_full(Beat.table_term() != this->Term);
+  if (Beat.member().role() == peer::ROLE_AGENT)
+    return Update;
+  std::uint64_t Since = Update.full() ? 0 : Beat.table_version();
+  for (const auto &[Name, Target] : this->Entries)
+    if (Target.Member.version() > Since)
+      *Update.add_members() = Target.Member;
+  return Update;
+}
+
+const MemberRegistry::Entry *
+MemberRegistry::find(const std::string &Name) const {
+  auto Found = this->Entries.find(Name);
+  return Found == this->Entries.end() ? nullptr : &Found->second;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/tool/table_printer.h
@@ -0,0 +1,18 @@
+//===- tool/table_printer.h - Plain tables ----------------------*- C++ -*-===//
+#ifndef YARDWHEEL_TOOL_TABLE_PRINTER_H
+#define YARDWHEEL_TOOL_TABLE_PRINTER_H
+
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+/// Rows of cells; the first row is the head.
+using TableRows = std::vector<std::vector<std::string>>;
+
+/// Lays rows out in columns of equal width, two spaces apart.
+std::string formatTable(const TableRows &Rows);
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/transport/link_pool.cpp
@@ -0,0 +1,119 @@
+#include "transport/link_pool.h"
+
+#include <grpcpp/grpcpp.h>
+#include <thread>
+
+namespace yardwheel {
+
+namespace {
+
+/// A peer that does not answer must not hold memory without bound.
+constexpr std::uint32_t MaxInFlight = 2000;
+constexpr std::chrono::seconds CallTimeout{2};
+constexpr std::chrono::milliseconds ReconnectMin{100};
+constexpr std::chrono::milliseconds ReconnectMax{500};
+/// An envelope that grows beyond this is sent before the flush.
+constexpr std::size_t SplitBytes = MaxEnvelopeBytes / 4;
+
+/// What one call needs until its callback.
+struct Call {
+  grpc::ClientContext Context;
+  peer::Envelope Envelope;
+  peer::Receipt Receipt;
+};
+
+grpc::ChannelArguments channelArguments() {
+  grpc::ChannelArguments Arguments;
+  Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectMin.count());
+  Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectMin.count());
+  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectMax.count());
+  // What the library would do about retries and proxies is our own work.
+  Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  Arguments.SetMaxSendMessageSize(MaxEnvelopeBytes);
+  return Arguments;
+}
+
+} // namespace
+
+LinkPool::LinkPool(LinkIdentity Self)
+    : Self(std::move(Self)),
+      UnderWay(std::make_shared<std::atomic<std::uint64_t>>(0)),
+      Counters(std::make_shared<LinkCounters>()) {}
+
+LinkPool::~LinkPool() {
+  constexpr std::chrono::milliseconds Pause{5};
+  while (!this->isIdle())
+    std::this_thread::sleep_for(Pause);
+}
+
+LinkPool::Link &LinkPool::linkTo(const PeerRef &To) {
+  auto [Found, New] = this->Links.try_emplace(To.Address);
+  Link &Target = Found->second;
+  if (New) {
+    auto Channel = grpc::CreateCustomChannel(
+        To.Address, grpc::InsecureChannelCredentials(), channelArguments());
+    Target.Stub = peer::Link::NewStub(Channel);
+    Target.InFlight = std::make_shared<std::atomic<std::uint32_t>>(0);
+  }
+  Target.Queued.set_recipient(To.Node);
+  return Target;
+}
+
+void LinkPool::send(const PeerRef &To, peer::Message Message) {
+  if (To.Address.empty())
+    return;
+  Link &Target = this->linkTo(To);
+  Target.QueuedBytes += Message.ByteSizeLong();
+  *Target.Queued.add_messages() = std::move(Message);
+  if (Target.QueuedBytes > SplitBytes)
+    this->transmit(Target);
+}
+
+void LinkPool::flush() {
+  for (auto &[Address, Target] : this->Links)
+    if (Target.Queued.messages_size() > 0)
+      this->transmit(Target);
+}
+
+void LinkPool::transmit(Link &Target) {
+  auto Open = std::make_shared<Call>();
+  Open->Envelope.Swap(&Target.Queued);
+  Target.QueuedBytes = 0;
+  if (Target.InFlight->load() >= MaxInFlight) {
+    this->Counters->Dropped += Open->Envelope.messages_size();
+    return;
+  }
+  Open->Envelope.set_cluster(this->Self.Cluster);
+  Open->Envelope.set_sender_role(this->Self.Role);
+  Open->Envelope.set_sender(this->Self.Node);
+  Open->Envelope.set_sender_address(this->Self.Address);
+  Open->Envelope.set_sender_incarnation(this->Self.Incarnation);
+  Open->Envelope.set_revision(this->Revision);
+  Open->Context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
+  ++this->Counters->EnvelopesSent;
+  this->Counters->MessagesSent += Open->Envelope.messages_size();
+  this->Counters->BytesSent += Open->Envelope.ByteSizeLong();
+  ++*Target.InFlight;
+  ++*this->UnderWay;
+  // The callback owns what it needs: the pool may be gone when it runs.
+  auto Done = [Open, InFlight = Target.InFlight, Total = this->UnderWay,
+               Counters = this->Counters,
+               Log = this->Log](const grpc::Status &Status) {
+    if (!Status.ok()) {
+      ++Counters->Failed;
+      Log.debug("An envelope to {} failed: {}.", Open->Envelope.recipient(),
+                Status.error_message());
+    } else if (!Open->Receipt.refusal().empty()) {
+      ++Counters->Failed;
+      Log.warning("{} refused an envelope: {}.", Open->Envelope.recipient(),
+                  Open->Receipt.refusal());
+    }
+    --*InFlight;
+    --*Total;
+  };
+  Target.Stub->async()->Deliver(&Open->Context, &Open->Envelope, &Open->Receipt,
+                                Done);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/transport/link_pool.h
@@ -0,0 +1,82 @@
+//===- transport/link_pool.h - Sends envelopes to peers ---------*- C++ -*-===//
+///
+/// \file
+/// Keeps one gRPC channel for each address and sends envelopes over it. What
+/// is queued for one peer when the loop flushes goes in one envelope; nothing
+/// waits for more to come (grouping what is already queued is an idea of
+/// "Weir: Batching"; its effect is in docs/design/transport.md).
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TRANSPORT_LINK_POOL_H
+#define YARDWHEEL_TRANSPORT_LINK_POOL_H
+
+#include "core/logger.h"
+#include "core/peer_sink.h"
+#include "protocol/peer.grpc.pb.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace yardwheel {
+
+/// Who a process says it is in every envelope.
+struct LinkIdentity {
+  std::string Cluster;
+  peer::Role Role = peer::ROLE_UNSPECIFIED;
+  std::string Node;
+  std::string Address;
+  std::uint64_t Incarnation = 0;
+};
+
+/// The largest envelope that is sent or read, in bytes.
+constexpr int MaxEnvelopeBytes = 16777216;
+
+struct LinkCounters {
+  std::atomic<std::uint64_t> EnvelopesSent{0};
+  std::atomic<std::uint64_t> MessagesSent{0};
+  std::atomic<std::uint64_t> BytesSent{0};
+  std::atomic<std::uint64_t> Failed{0};
+  std::atomic<std::uint64_t> Dropped{0};
+};
+
+/// Used by the loop's thread only, but for the counters.
+class LinkPool final : public PeerSink {
+public:
+  explicit LinkPool(LinkIdentity Self);
+  /// Waits for the calls under way.
+  ~LinkPool() override;
+
+  void send(const PeerRef &To, peer::Message Message) override;
+  /// Sends what has been queued since the last flush.
+  void flush();
+  void setRevision(std::uint64_t NewRevision) { this->Revision = NewRevision; }
+
+  /// Whether every envelope has been delivered or has failed.
+  bool isIdle() const { return this->UnderWay->load() == 0; }
+  const LinkCounters &counters() const { return *this->Counters; }
+
+private:
+  struct Link {
+    std::unique_ptr<peer::Link::Stub> Stub;
+    std::shared_ptr<std::atomic<std::uint32_t>> InFlight;
+    peer::Envelope Queued;
+    std::size_t QueuedBytes = 0;
+  };
+
+  Link &linkTo(const PeerRef &To);
+  void transmit(Link &Target);
+
+  LinkIdentity Self;
+  Logger Log{"link"};
+  std::uint64_t Revision = 0;
+  std::map<std::string, Link> Links;
+  std::shared_ptr<std::atomic<std::uint64_t>> UnderWay;
+  std::shared_ptr<LinkCounters> Counters;
+};
+
+} // namespace yardwheel
+
+#endif
