Prove the job ledger in virtual time, with each mechanism seen failing when off

Cause: no promise of the ledger had a test that causes its failure.

Change: a virtual world (delays, loss, doubling, reordering, cuts, freezes, kills), a cluster of entries and agents in it that counts starts as minions see them, ten scenarios that each run with their mechanism off (a task starts twice) and on (never), and 600 random stories.

A first form of the frozen-agent scenario passed with its mechanism off, since the freeze fence alone caught it; it now freezes after the start.

--- a/agent/task_runner.h
+++ b/agent/task_runner.h
@@ -9,16 +9,19 @@
 #define YARDWHEEL_AGENT_TASK_RUNNER_H
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace yardwheel {
 
 struct TaskKey {
   std::string Job;
   std::uint32_t Index = 0;
-  auto operator<=>(const TaskKey &) const = default;
+  bool operator==(const TaskKey &) const = default;
+  bool operator<(const TaskKey &Other) const {
+    return std::tie(this->Job, this->Index) < std::tie(Other.Job, Other.Index);
+  }
 };
 
 enum class TaskEndKind {
--- a/consensus/file_log_storage.cpp
+++ b/consensus/file_log_storage.cpp
@@ -155,6 +155,7 @@
 
 void FileLogStorage::append(const std::vector<peer::LogEntry> &Entries) {
   std::vector<std::string> Records;
+  Records.reserve(Entries.size());
   for (const peer::LogEntry &Entry : Entries)
     Records.push_back(entryRecord(Entry).SerializeAsString());
   this->Log->append(Records);
@@ -173,6 +174,7 @@
   replaceRecordFile(this->pathOf(SnapshotName), {Snapshot.SerializeAsString()},
                     this->Write);
   std::vector<std::string> Records;
+  Records.reserve(Rest.size() + 1);
   Records.push_back(hardRecord(Hard).SerializeAsString());
   for (const peer::LogEntry &Entry : Rest)
     Records.push_back(entryRecord(Entry).SerializeAsString());
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -14,7 +14,7 @@
 // ---- Changes ----
 
 void ControlService::propose(const peer::Change &Change, Instant Now,
-                             ChangeHandler Done) {
+                             const ChangeHandler &Done) {
   this->Latest = Now;
   std::optional<std::uint64_t> Index;
   // A single replica commits at once: the handler must be there before.
@@ -33,7 +33,7 @@
 }
 
 void ControlService::proposeReplicas(const peer::ReplicaSet &Set, Instant Now,
-                                     ChangeHandler Done) {
+                                     const ChangeHandler &Done) {
   this->Latest = Now;
   std::optional<std::uint64_t> Index;
   std::uint64_t Expected = this->Raft->log().lastIndex() + 1;
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -58,10 +58,11 @@
   ControlService(ControlOptions Options, LogStorage &Storage, PeerSink &Sink,
                  Instant Now);
 
-  void propose(const peer::Change &Change, Instant Now, ChangeHandler Done);
+  void propose(const peer::Change &Change, Instant Now,
+               const ChangeHandler &Done);
   /// Adds, promotes or removes one replica of the log.
   void proposeReplicas(const peer::ReplicaSet &Set, Instant Now,
-                       ChangeHandler Done);
+                       const ChangeHandler &Done);
   /// Runs \p Done once a quorum has confirmed that this replica leads.
   void read(Instant Now, ReadHandler Done);
   void onMessage(const PeerRef &From, const peer::Message &Message,
--- a/control/holder_group_manager.cpp
+++ b/control/holder_group_manager.cpp
@@ -78,19 +78,21 @@
     // There is no use in sealing a group that cannot be filled again.
     if (this->choose(Kept, Group.group(), Members).size() < HoldersPerGroup)
       return std::nullopt;
-    Next.set_sealed(true);
-    return changeOf(std::move(Next), Group.epoch(), false);
+    if (this->Options.Seals) {
+      Next.set_sealed(true);
+      return changeOf(std::move(Next), Group.epoch(), false);
+    }
   }
   std::vector<std::string> Holders = this->choose(Kept, Group.group(), Members);
-  if (Holders.size() < HoldersPerGroup ||
-      !this->mayReplace(Group, Members, Now))
+  bool May = !this->Options.Seals || this->mayReplace(Group, Members, Now);
+  if (Holders.size() < HoldersPerGroup || !May)
     return std::nullopt;
   Next.set_sealed(false);
   Next.set_epoch(Group.epoch() + 1);
   Next.clear_holders();
   for (const std::string &Holder : Holders)
     Next.add_holders(Holder);
-  return changeOf(std::move(Next), Group.epoch(), true);
+  return changeOf(std::move(Next), Group.epoch(), Group.sealed());
 }
 
 bool HolderGroupManager::mayReplace(const peer::HolderGroup &Group,
--- a/control/holder_group_manager.h
+++ b/control/holder_group_manager.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds ReplaceAfter{30000};
   /// Longer than the longest entry.max_unconfirmed plus a claim's time-out.
   std::chrono::milliseconds SealWait{15000};
+  /// Off only in tests that show what the seal is for.
+  bool Seals = true;
 };
 
 class HolderGroupManager {
--- a/entry/job_metrics.h
+++ b/entry/job_metrics.h
@@ -16,10 +16,10 @@
 #include "protocol/api.pb.h"
 
 #include <boost/histogram.hpp>
-#include <compare>
 #include <map>
 #include <mutex>
 #include <string>
+#include <tuple>
 
 namespace yardwheel {
 
@@ -50,7 +50,10 @@
     std::string Workspace;
     std::string Class;
     std::string Policy;
-    auto operator<=>(const Key &) const = default;
+    bool operator<(const Key &Other) const {
+      return std::tie(this->Workspace, this->Class, this->Policy) <
+             std::tie(Other.Workspace, Other.Class, Other.Policy);
+    }
   };
   struct Series {
     Histogram Response;
--- a/entry/job_runner.h
+++ b/entry/job_runner.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 namespace yardwheel {
@@ -77,7 +78,10 @@
   struct DispatchKey {
     JobNumber Job;
     MinionIndex Minion;
-    auto operator<=>(const DispatchKey &) const = default;
+    bool operator<(const DispatchKey &Other) const {
+      return std::tie(this->Job, this->Minion) <
+             std::tie(Other.Job, Other.Minion);
+    }
   };
 
   void schedule(Pool &Target, TimePoint Now);
--- a/entry/job_service.cpp
+++ b/entry/job_service.cpp
@@ -131,6 +131,11 @@
       return;
     }
   }
+  if (!this->Options.ClaimsFirst) {
+    Target.Phase = JobPhase::Running;
+    this->Runner.start(Target, Now.Steady);
+    return;
+  }
   PendingClaim Claim;
   Claim.JobKey = Target.Request.key();
   Claim.GiveUp = Now.Steady + this->Options.Claims.Timeout;
--- a/entry/job_service.h
+++ b/entry/job_service.h
@@ -50,6 +50,8 @@
   std::chrono::milliseconds MaxUnconfirmed{};
   std::uint32_t MaxJobs = 0;
   RunnerOptions Runner;
+  /// Off only in tests that show what the ledger is for.
+  bool ClaimsFirst = true;
 };
 
 enum class QueryKind { Look, Cancel };
--- a/settings/settings_parser.cpp
+++ b/settings/settings_parser.cpp
@@ -107,7 +107,7 @@
 
   void readControlField(ControlPeer &Peer, const YAML::Node &Name,
                         const YAML::Node &Value) {
-    std::string Key = Name.Scalar();
+    const std::string &Key = Name.Scalar();
     std::string Text = Value.IsScalar() ? Value.Scalar() : "";
     bool IsAddressKey = Key == "address" || Key == "http_address";
     if (!IsAddressKey && Key != "name")
--- a/settings/settings_rules.cpp
+++ b/settings/settings_rules.cpp
@@ -39,7 +39,7 @@
 
 SettingRule number(std::string Key, std::optional<std::string> Default,
                    std::string Unit, std::int64_t Low, std::int64_t High,
-                   std::string Meaning, NumberField Field) {
+                   std::string Meaning, const NumberField &Field) {
   auto Set = [=](Settings &Target, const std::string &Text) {
     std::int64_t Value = 0;
     std::string Expected = parseWithin(Text, Low, High, Value);
@@ -54,7 +54,7 @@
 
 SettingRule time(std::string Key, std::optional<std::string> Default,
                  std::int64_t Low, std::int64_t High, std::string Meaning,
-                 TimeField Field) {
+                 const TimeField &Field) {
   auto Set = [=](Settings &Target, const std::string &Text) {
     std::int64_t Value = 0;
     std::string Expected = parseWithin(Text, Low, High, Value);
@@ -70,7 +70,8 @@
           Set};
 }
 
-SettingRule address(std::string Key, std::string Meaning, TextField Field) {
+SettingRule address(std::string Key, std::string Meaning,
+                    const TextField &Field) {
   auto Set = [=](Settings &Target, const std::string &Text) -> std::string {
     if (!isAddress(Text))
       return "an IP number and a port, such as 127.0.0.1:7000";
@@ -81,7 +82,7 @@
 }
 
 SettingRule name(std::string Key, std::optional<std::string> Default,
-                 std::string Meaning, TextField Field) {
+                 std::string Meaning, const TextField &Field) {
   auto Set = [=](Settings &Target, const std::string &Text) -> std::string {
     if (!isPlainKey(Text))
       return "1 to 128 letters, digits, '-', '_', '.' or ':'";
@@ -93,7 +94,7 @@
 }
 
 SettingRule text(std::string Key, std::string Range, std::string Meaning,
-                 const std::string &Prefix, TextField Field) {
+                 const std::string &Prefix, const TextField &Field) {
   auto Set = [=](Settings &Target, const std::string &Text) -> std::string {
     if (Text.size() <= Prefix.size() || !Text.starts_with(Prefix))
       return fmt::format("a text that starts with '{}'", Prefix);
--- /dev/null
+++ b/tests/ledger/at_most_once_fuzz_test.cpp
@@ -0,0 +1,134 @@
+//===- Random faults on random submissions, for many seeds ----------------===//
+///
+/// Entries and agents under loss, doubling, reordering, cuts, freezes, kills
+/// and restarts. A failing seed is printed; running the test with that seed
+/// alone replays it.
+///
+//===----------------------------------------------------------------------===//
+
+#include "tests/support/virtual_cluster.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 600;
+
+std::string randomNode(std::mt19937_64 &Random) {
+  bool Entry = Random() % 3 == 0;
+  return VirtualCluster::nodeName(Entry ? 'e' : 'a',
+                                  1 + Random() % (Entry ? 3 : 4));
+}
+
+void causeFault(VirtualCluster &Cluster, std::mt19937_64 &Random) {
+  std::string Node = randomNode(Random);
+  NetworkFaults Faults;
+  switch (Random() % 7) {
+  case 0:
+    Cluster.restart(Node);
+    return;
+  case 1:
+    Cluster.World.freeze(Node);
+    return;
+  case 2:
+    Cluster.World.thaw(Node);
+    return;
+  case 3:
+    Cluster.World.cut(Node, randomNode(Random));
+    return;
+  case 4:
+    Cluster.World.isolate(Node);
+    return;
+  case 5:
+    Faults.LossPermille = Random() % 200;
+    Faults.DoublePermille = Random() % 300;
+    Faults.Jitter = std::chrono::milliseconds(1 + Random() % 500);
+    Cluster.World.setFaults(Faults);
+    return;
+  default:
+    Cluster.World.healAll();
+    return;
+  }
+}
+
+struct Run {
+  std::uint32_t Doubles = 0;
+  std::uint32_t Complete = 0;
+  std::uint32_t Unanswered = 0;
+  std::string Violation;
+};
+
+/// One random story of ten seconds, and time to end it.
+Run runSeed(std::uint64_t Seed, bool Mechanisms) {
+  ClusterOptions Options;
+  Options.Seed = Seed;
+  Options.Entries = 3;
+  Options.Agents = 4;
+  Options.Tick = 20ms;
+  Options.ClaimsFirst = Mechanisms;
+  Options.ResendOnlyOnProof = Mechanisms;
+  const char *Policies[] = {"slot_borrow", "late_binding", "two_choices",
+                            "slot_share"};
+  Options.Policy = Policies[Seed % 4];
+  VirtualCluster Cluster(Options);
+  Cluster.settle();
+  std::mt19937_64 Random(Seed);
+  std::vector<JobRequest> Jobs;
+  std::vector<std::size_t> Numbers;
+  for (int Step = 0; Step < 40; ++Step) {
+    if (Random() % 3 == 0)
+      Jobs.push_back(
+          Cluster.makeJob(fmt::format("job{}", Step), 1 + Random() % 6));
+    // Any job so far may be submitted again, anywhere.
+    if (!Jobs.empty() && Random() % 2 == 0) {
+      std::string Entry = VirtualCluster::nodeName('e', 1 + Random() % 3);
+      Numbers.push_back(Cluster.submit(Entry, Jobs[Random() % Jobs.size()]));
+    }
+    if (Random() % 4 == 0)
+      causeFault(Cluster, Random);
+    Cluster.run(std::chrono::milliseconds(Random() % 400));
+  }
+  Cluster.World.healAll();
+  for (std::size_t I = 1; I <= 4; ++I) {
+    Cluster.World.thaw(VirtualCluster::nodeName('a', I));
+    if (I <= 3)
+      Cluster.World.thaw(VirtualCluster::nodeName('e', I));
+  }
+  Cluster.run(30s);
+  Run Result;
+  Result.Doubles = Cluster.doubleStarts();
+  Result.Violation = Cluster.violation();
+  for (std::size_t Number : Numbers) {
+    const Answer &Heard = Cluster.answer(Number);
+    Result.Complete += Heard.Outcome.complete() ? 1 : 0;
+  }
+  return Result;
+}
+
+} // namespace
+
+TEST_GROUP(AtMostOnceFuzzTest){};
+
+TEST(AtMostOnceFuzzTest, NoSeedStartsATaskTwice) {
+  std::uint64_t Complete = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    Run Result = runSeed(Seed, true);
+    std::string Name = fmt::format("seed {}", Seed);
+    LONGS_EQUAL_TEXT(0, Result.Doubles, Name.c_str());
+    STRCMP_EQUAL_TEXT("", Result.Violation.c_str(), Name.c_str());
+    Complete += Result.Complete;
+  }
+  // A cluster that refused everything would prove nothing.
+  CHECK_TRUE(Complete > Seeds * 3);
+}
+
+TEST(AtMostOnceFuzzTest, TheCheckerCatchesAPlantedFault) {
+  std::uint32_t Caught = 0;
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
+    Caught += runSeed(Seed, false).Doubles > 0 ? 1 : 0;
+  CHECK_TRUE(Caught > 20);
+}
--- /dev/null
+++ b/tests/ledger/at_most_once_test.cpp
@@ -0,0 +1,276 @@
+//===- Each failure that could start a task twice, caused on purpose ------===//
+///
+/// Every scenario runs twice: with the mechanism that guards against it off,
+/// where a task must be seen to start twice (or an answer to be wrong), and
+/// with everything on, where it must not.
+///
+//===----------------------------------------------------------------------===//
+
+#include "tests/support/virtual_cluster.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+void sameMoment(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.submit("e2", Job);
+  Cluster.run(3s);
+}
+
+void whileRunning(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.run(50ms);
+  Cluster.submit("e2", Job);
+  Cluster.run(3s);
+}
+
+void afterEnd(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.run(3s);
+  Cluster.submit("e2", Job);
+  Cluster.run(3s);
+}
+
+void ownerKilled(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.run(50ms);
+  Cluster.kill("e1");
+  Cluster.submit("e2", Job);
+  Cluster.run(10s);
+}
+
+void holderRestarts(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.run(1s);
+  // One of the two whose grants decided, and the third never asked anew.
+  Cluster.restart("a1");
+  Cluster.restart("a2");
+  Cluster.run(500ms);
+  Cluster.submit("e2", Job);
+  Cluster.run(5s);
+}
+
+void everythingRestarts(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 3);
+  Cluster.submit("e1", Job);
+  Cluster.run(1s);
+  for (const char *Node : {"e1", "e2", "a1", "a2", "a3"})
+    Cluster.restart(Node);
+  Cluster.run(500ms);
+  Cluster.submit("e2", Job);
+  Cluster.run(5s);
+}
+
+void agentKilled(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 6);
+  Cluster.submit("e1", Job);
+  Cluster.run(50ms);
+  Cluster.kill("a1");
+  Cluster.run(15s);
+}
+
+void agentFrozen(VirtualCluster &Cluster) {
+  JobRequest Job = Cluster.makeJob("job", 6);
+  Cluster.submit("e1", Job);
+  Cluster.run(50ms);
+  Cluster.World.freeze("a4");
+  Cluster.run(15s);
+  Cluster.World.thaw("a4");
+  Cluster.run(5s);
+}
+
+/// Holds the first dispatch to each agent back for longer than anything else
+/// may take.
+void dispatchLate(VirtualCluster &Cluster, Duration Late) {
+  int Held = 0;
+  Cluster.World.setFilter([Held, Late](const PeerRef &, const PeerRef &,
+                                       const peer::Message &Message) mutable {
+    bool First = Message.has_dispatch() && Held == 0;
+    Held += First ? 1 : 0;
+    return First ? Late : Duration(0);
+  });
+  JobRequest Job = Cluster.makeJob("job", 1);
+  Cluster.submit("e1", Job);
+  Cluster.run(Late + 10s);
+}
+
+void dispatchVeryLate(VirtualCluster &Cluster) { dispatchLate(Cluster, 40s); }
+
+void everythingDoubled(VirtualCluster &Cluster) {
+  NetworkFaults Faults;
+  Faults.DoublePermille = 1000;
+  Faults.Jitter = 300ms;
+  Cluster.World.setFaults(Faults);
+  for (int I = 0; I < 5; ++I)
+    Cluster.submit("e1", Cluster.makeJob(fmt::format("job{}", I), 4));
+  Cluster.run(10s);
+}
+
+struct Scenario {
+  const char *Name;
+  void (*Run)(VirtualCluster &Cluster);
+  /// The mechanism that guards against it.
+  bool ClusterOptions::*Mechanism;
+};
+
+const Scenario Scenarios[] = {
+    {"two entries at the same moment", sameMoment,
+     &ClusterOptions::ClaimsFirst},
+    {"resubmitted while it runs", whileRunning, &ClusterOptions::ClaimsFirst},
+    {"resubmitted after its end", afterEnd, &ClusterOptions::ClaimsFirst},
+    {"owner killed, resubmitted elsewhere", ownerKilled,
+     &ClusterOptions::ClaimsFirst},
+    {"two holders restarted", holderRestarts,
+     &ClusterOptions::RefuseUnknownPast},
+    {"every process restarted", everythingRestarts,
+     &ClusterOptions::RefuseUnknownPast},
+    {"agent killed in mid-task", agentKilled,
+     &ClusterOptions::ResendOnlyOnProof},
+    {"agent frozen and woken", agentFrozen, &ClusterOptions::ResendOnlyOnProof},
+    {"dispatch delivered late", dispatchVeryLate,
+     &ClusterOptions::FencesOldDispatches},
+    {"every message doubled", everythingDoubled,
+     &ClusterOptions::RemembersTasks},
+};
+
+ClusterOptions scenarioOptions() {
+  ClusterOptions Options;
+  Options.Seed = 11;
+  // A fourth agent holds no seat of the ledger.
+  Options.Agents = 4;
+  return Options;
+}
+
+} // namespace
+
+TEST_GROUP(AtMostOnceTest){};
+
+TEST(AtMostOnceTest, WithoutItsMechanismEachScenarioStartsTwice) {
+  for (const Scenario &Case : Scenarios) {
+    ClusterOptions Options = scenarioOptions();
+    Options.*Case.Mechanism = false;
+    VirtualCluster Cluster(Options);
+    Cluster.settle();
+    Case.Run(Cluster);
+    CHECK_TRUE_TEXT(Cluster.doubleStarts() > 0, Case.Name);
+  }
+}
+
+TEST(AtMostOnceTest, WithAllMechanismsNoScenarioStartsTwice) {
+  for (const Scenario &Case : Scenarios) {
+    VirtualCluster Cluster(scenarioOptions());
+    Cluster.settle();
+    Case.Run(Cluster);
+    LONGS_EQUAL_TEXT(0, Cluster.doubleStarts(), Case.Name);
+    STRCMP_EQUAL_TEXT("", Cluster.violation().c_str(), Case.Name);
+  }
+}
+
+TEST(AtMostOnceTest, BothSubmittersHearTheSameWholeAnswer) {
+  for (auto Run : {sameMoment, whileRunning, afterEnd}) {
+    VirtualCluster Cluster(ClusterOptions{});
+    Cluster.settle();
+    Run(Cluster);
+    for (std::size_t I : {0U, 1U}) {
+      CHECK_TRUE(Cluster.answer(I).Done);
+      CHECK_TRUE(Cluster.answer(I).Outcome.complete());
+      LONGS_EQUAL(3, Cluster.answer(I).Outcome.results_size());
+    }
+  }
+}
+
+TEST(AtMostOnceTest, WhatCannotBeKnownIsSaidSo) {
+  for (auto Run : {ownerKilled, everythingRestarts}) {
+    VirtualCluster Cluster(ClusterOptions{});
+    Cluster.settle();
+    Run(Cluster);
+    const Answer &Late = Cluster.answer(1);
+    CHECK_TRUE(Late.Done);
+    CHECK_FALSE(Late.Outcome.complete());
+    LONGS_EQUAL(peer::RAN_UNKNOWN, Late.Outcome.failure().ran());
+  }
+}
+
+TEST(AtMostOnceTest, OneRestartedHolderDoesNotStopNewJobs) {
+  VirtualCluster Cluster(ClusterOptions{});
+  Cluster.settle();
+  Cluster.restart("a2");
+  Cluster.run(50ms);
+  std::size_t Number = Cluster.submit("e1", Cluster.makeJob("job", 2));
+  Cluster.run(3s);
+  CHECK_TRUE(Cluster.answer(Number).Outcome.complete());
+}
+
+TEST(AtMostOnceTest, OtherContentUnderTheSameIdIsAConflict) {
+  for (const char *Entry : {"e1", "e2"}) {
+    VirtualCluster Cluster(ClusterOptions{});
+    Cluster.settle();
+    JobRequest Job = Cluster.makeJob("job", 3);
+    JobRequest Other = Cluster.makeJob("job", 2);
+    Cluster.submit("e1", Job);
+    Cluster.run(20ms);
+    std::size_t Number = Cluster.submit(Entry, Other);
+    Cluster.run(3s);
+    LONGS_EQUAL(peer::FAILURE_CONFLICT,
+                Cluster.answer(Number).Outcome.failure().kind());
+    CHECK_TRUE(Cluster.answer(0).Outcome.complete());
+  }
+}
+
+TEST(AtMostOnceTest, LaterAnswersAndCancellationsWorkAtAnyEntry) {
+  for (const char *Entry : {"e1", "e2"}) {
+    VirtualCluster Cluster(ClusterOptions{});
+    Cluster.settle();
+    JobRequest Job = Cluster.makeJob("job", 30);
+    Cluster.submit("e1", Job);
+    Cluster.run(50ms);
+    std::size_t Early = Cluster.query(Entry, Job, QueryKind::Look);
+    Cluster.run(50ms);
+    CHECK_TRUE(Cluster.answer(Early).Pending);
+    std::size_t Cancel = Cluster.query(Entry, Job, QueryKind::Cancel);
+    Cluster.run(2s);
+    LONGS_EQUAL(peer::FAILURE_CANCELLED,
+                Cluster.answer(Cancel).Outcome.failure().kind());
+    LONGS_EQUAL(peer::FAILURE_CANCELLED,
+                Cluster.answer(0).Outcome.failure().kind());
+    CHECK_TRUE(Cluster.starts(Job) < 30);
+    JobRequest Nobody = Cluster.makeJob("nobody", 1);
+    std::size_t Unknown = Cluster.query(Entry, Nobody, QueryKind::Look);
+    Cluster.run(1s);
+    LONGS_EQUAL(peer::FAILURE_NOT_FOUND,
+                Cluster.answer(Unknown).Outcome.failure().kind());
+  }
+}
+
+TEST(AtMostOnceTest, ARefusedJobMayBeSentAgainUnderItsId) {
+  ClusterOptions Options;
+  Options.QueueLimit = 20;
+  VirtualCluster Cluster(Options);
+  Cluster.settle();
+  for (int I = 0; I < 4; ++I)
+    Cluster.submit("e1", Cluster.makeJob(fmt::format("fill{}", I), 10));
+  Cluster.run(30ms);
+  JobRequest Job = Cluster.makeJob("job", 15);
+  std::size_t Refused = Cluster.submit("e1", Job);
+  Cluster.run(30ms);
+  const peer::JobFailure &Failure = Cluster.answer(Refused).Outcome.failure();
+  LONGS_EQUAL(peer::FAILURE_LIMIT, Failure.kind());
+  LONGS_EQUAL(peer::RAN_NOT_RUN, Failure.ran());
+  CHECK_TRUE(Failure.retry_after_ms() > 0);
+  LONGS_EQUAL(0, Cluster.starts(Job));
+  Cluster.run(2s);
+  std::size_t Again = Cluster.submit("e2", Job);
+  Cluster.run(3s);
+  CHECK_TRUE(Cluster.answer(Again).Outcome.complete());
+  LONGS_EQUAL(15, Cluster.starts(Job));
+}
--- /dev/null
+++ b/tests/support/virtual_cluster.h
@@ -0,0 +1,132 @@
+//===- tests/support/virtual_cluster.h - Entries and agents -----*- C++ -*-===//
+///
+/// \file
+/// Entries, agents and, where wanted, control replicas in one virtual world,
+/// with a count of the starts that the minions have seen. Checks after every
+/// event what must always hold.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_SUPPORT_VIRTUAL_CLUSTER_H
+#define YARDWHEEL_TESTS_SUPPORT_VIRTUAL_CLUSTER_H
+
+#include "agent/agent_core.h"
+#include "control/control_service.h"
+#include "emulator/memory_log_storage.h"
+#include "emulator/virtual_world.h"
+#include "entry/job_service.h"
+#include "membership/announcer.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+struct ClusterOptions {
+  std::uint64_t Seed = 1;
+  std::size_t Entries = 2;
+  std::size_t Agents = 3;
+  /// 0 puts a fixed configuration in place of control.
+  std::size_t Controls = 0;
+  std::uint32_t Slots = 4;
+  std::string Policy = "slot_borrow";
+  Duration Service = std::chrono::milliseconds(100);
+  Duration Tick = std::chrono::milliseconds(10);
+  std::uint32_t QueueLimit = 1000;
+  // Mechanisms that a test may turn off.
+  bool ClaimsFirst = true;
+  bool RefuseUnknownPast = true;
+  bool ResendOnlyOnProof = true;
+  bool RemembersTasks = true;
+  bool FencesOldDispatches = true;
+  bool SealsGroups = true;
+};
+
+/// What became of one submission.
+struct Answer {
+  std::string Entry;
+  std::string JobKey;
+  bool Done = false;
+  bool Pending = false;
+  std::uint32_t Count = 0;
+  peer::JobOutcome Outcome;
+};
+
+class VirtualCluster {
+public:
+  explicit VirtualCluster(ClusterOptions Options);
+  ~VirtualCluster();
+
+  VirtualWorld World;
+
+  /// Runs until entries take jobs.
+  void settle();
+  void run(Duration Time) { this->World.run(Time); }
+
+  JobRequest makeJob(const std::string &Id, std::size_t Tasks);
+  /// \returns the number of the submission.
+  std::size_t submit(const std::string &Entry, const JobRequest &Request);
+  std::size_t query(const std::string &Entry, const JobRequest &Request,
+                    QueryKind Kind);
+  const Answer &answer(std::size_t Number) const {
+    return this->Answers[Number];
+  }
+
+  void kill(const std::string &Node);
+  void restart(const std::string &Node);
+  /// Starts a replica that never was a member, as a replacement.
+  void startReplica(const std::string &Name);
+
+  std::uint32_t starts(const JobRequest &Request, std::uint32_t Task) const;
+  std::uint32_t starts(const JobRequest &Request) const;
+  /// Tasks that were started more than once, over the whole run.
+  std::uint32_t doubleStarts() const;
+  /// What else was seen to be wrong; empty if nothing was.
+  const std::string &violation() const { return this->Violation; }
+  /// When the newest task was started at an agent's minion.
+  TimePoint lastStartAt(const std::string &Agent) const;
+
+  ControlService *control(const std::string &Name);
+  /// The replica that leads and is up; empty if there is none.
+  std::string leader();
+  const NodeCatalog &catalogOf(const std::string &Node) const;
+  AgentCore &agent(const std::string &Name);
+
+  static std::string nodeName(char Kind, std::size_t Number) {
+    return Kind + std::to_string(Number);
+  }
+
+private:
+  class EntryNode;
+  class AgentNode;
+  class ControlNode;
+
+  void startEntry(const std::string &Name);
+  void startAgent(const std::string &Name);
+  void startControl(const std::string &Name);
+  peer::Member memberFor(const std::string &Name, peer::Role Role) const;
+  std::shared_ptr<const CatalogView> fixedView() const;
+  AnnouncerOptions announcerOptions() const;
+  void takeOutcome(std::size_t Number, const peer::JobOutcome *Outcome);
+  void noteStart(const std::string &Agent, const TaskKey &Task);
+  void announceFixed();
+  std::uint64_t nextLife() { return ++this->Lives; }
+  peer::ReplicaSet bootstrap() const;
+
+  ClusterOptions Options;
+  std::uint64_t Lives = 0;
+  std::map<std::string, std::unique_ptr<EntryNode>> Entries;
+  std::map<std::string, std::unique_ptr<AgentNode>> Agents;
+  std::map<std::string, std::unique_ptr<ControlNode>> Controls;
+  std::map<std::string, std::unique_ptr<MemoryLogStorage>> Disks;
+  std::map<std::string, std::uint64_t> NewestRevision;
+  std::vector<Answer> Answers;
+  std::map<TaskKey, std::uint32_t> Starts;
+  std::map<std::string, TimePoint> LastStart;
+  std::string Violation;
+};
+
+} // namespace yardwheel
+
+#endif
--- a/tool/comparison.cpp
+++ b/tool/comparison.cpp
@@ -64,6 +64,7 @@
     }
   }
   std::vector<ArmSummary> Result;
+  Result.reserve(Arms.size());
   for (auto &[Policy, Summary] : Arms)
     Result.push_back(std::move(Summary));
   return Result;
--- a/tool/yardwheelctl.cpp
+++ b/tool/yardwheelctl.cpp
@@ -126,6 +126,7 @@
       Shared.push_back(Given[++I]);
   }
   std::vector<char *> Pointers;
+  Pointers.reserve(Shared.size());
   for (std::string &Word : Shared)
     Pointers.push_back(Word.data());
   int Count = static_cast<int>(Pointers.size());
