Replies name the life that asked: a late answer could reach another caller

Cause: found by seed 1953 of 5000 random stories. Attach tickets and claim attempts count from 1 in each life of an entry. A reply to an earlier life that came late met a request of the new life with the same number, so one caller was given another job's results (a grant could have been taken over in the same way).

Ruled out: agents' task updates (they carry job key, attempt and the agent's life), and the owner's side.

Change: requests and replies carry the asker's incarnation, checked at the desk and at the claimant. Before: the new test and seed 1953 fail.

Conclusion: numbers that cross the network must name the life they belong to.

--- a/entry/attach_desk.cpp
+++ b/entry/attach_desk.cpp
@@ -19,6 +19,7 @@
   Body->set_job_key(Key);
   Body->set_fingerprint(Fingerprint);
   Body->set_ticket(Number);
+  Body->set_asker_incarnation(this->Incarnation);
   Body->set_owner_incarnation(Owner.incarnation());
   Body->set_peek(Mode == AttachMode::Peek);
   Body->set_cancel(Mode == AttachMode::Cancel);
@@ -35,7 +36,9 @@
 
 bool AttachDesk::onReply(const peer::AttachReply &Reply, TimePoint Now) {
   auto Found = this->Requests.find(Reply.ticket());
-  if (Found == this->Requests.end())
+  // A reply to an earlier life may carry a number in use again.
+  if (Found == this->Requests.end() ||
+      Reply.asker_incarnation() != this->Incarnation)
     return false;
   Found->second.Unanswered = 0;
   Found->second.NextSend = Now + AskEvery;
--- a/entry/attach_desk.h
+++ b/entry/attach_desk.h
@@ -22,7 +22,8 @@
 
 class AttachDesk {
 public:
-  explicit AttachDesk(PeerSink &Sink) : Sink(Sink) {}
+  AttachDesk(std::uint64_t Incarnation, PeerSink &Sink)
+      : Incarnation(Incarnation), Sink(Sink) {}
 
   /// Asks \p Owner for a job. \returns the number of the request.
   Ticket open(const std::string &Key, const peer::Owner &Owner,
@@ -50,6 +51,8 @@
 
   void send(Request &Target, TimePoint Now);
 
+  /// The life of this entry, which replies must name.
+  std::uint64_t Incarnation;
   PeerSink &Sink;
   Ticket Last = 0;
   std::map<Ticket, Request> Requests;
--- a/entry/job.h
+++ b/entry/job.h
@@ -63,6 +63,7 @@
 struct RemoteWaiter {
   PeerRef Entry;
   Ticket TheirTicket = 0;
+  std::uint64_t TheirIncarnation = 0;
 };
 
 struct Job {
--- a/entry/job_service.cpp
+++ b/entry/job_service.cpp
@@ -64,7 +64,8 @@
 JobService::JobService(ServiceOptions Options, PeerSink &Sink,
                        OutcomeSink &Outcomes, JobObserver &Observer)
     : Options(std::move(Options)), Sink(Sink), Outcomes(Outcomes),
-      Observer(Observer), Runner(this->Options.Runner, Sink, *this), Desk(Sink),
+      Observer(Observer), Runner(this->Options.Runner, Sink, *this),
+      Desk(this->Options.Self.incarnation(), Sink),
       View(std::make_shared<const CatalogView>()) {
   this->LiveEntries.insert(this->Options.Self.entry());
 }
@@ -390,8 +391,7 @@
   for (Ticket Waiter : Target.Waiters)
     this->Outcomes.onOutcome(Waiter, &*Target.Outcome);
   for (const RemoteWaiter &Waiter : Target.RemoteWaiters)
-    this->replyAttach(Waiter.Entry, Waiter.TheirTicket, peer::ATTACH_ANSWERED,
-                      &*Target.Outcome);
+    this->replyAttach(Waiter, peer::ATTACH_ANSWERED, &*Target.Outcome);
   Target.Waiters.clear();
   Target.RemoteWaiters.clear();
   Target.Request.Tasks.clear();
--- a/entry/job_service.h
+++ b/entry/job_service.h
@@ -132,7 +132,7 @@
   void onAttachReply(const peer::AttachReply &Reply, Instant Now);
   void closeAttach(Ticket Request, const peer::JobOutcome *Outcome,
                    TimePoint Now);
-  void replyAttach(const PeerRef &To, Ticket Ticket, peer::AttachState State,
+  void replyAttach(const RemoteWaiter &To, peer::AttachState State,
                    const peer::JobOutcome *Outcome);
 
   void cancel(Job &Target, Instant Now);
--- a/entry/job_service_peers.cpp
+++ b/entry/job_service_peers.cpp
@@ -86,36 +86,38 @@
 void JobService::onAttachRequest(const PeerRef &From,
                                  const peer::AttachRequest &Request,
                                  Instant Now) {
+  RemoteWaiter Asker{From, Request.ticket(), Request.asker_incarnation()};
   Job *Known = this->find(Request.job_key());
+  bool ThisLife =
+      Request.owner_incarnation() == this->Options.Self.incarnation();
   bool Mine = Known != nullptr && Known->Phase != JobPhase::Attached &&
-              !Known->Released &&
-              Request.owner_incarnation() == this->Options.Self.incarnation();
+              !Known->Released && ThisLife;
   if (!Mine) {
-    if (Request.owner_incarnation() == this->Options.Self.incarnation())
+    if (ThisLife)
       this->disown(Request.job_key());
-    this->replyAttach(From, Request.ticket(), peer::ATTACH_NOT_MINE, nullptr);
+    this->replyAttach(Asker, peer::ATTACH_NOT_MINE, nullptr);
     return;
   }
   if (Known->Request.Fingerprint != Request.fingerprint()) {
-    this->replyAttach(From, Request.ticket(), peer::ATTACH_CONFLICT, nullptr);
+    this->replyAttach(Asker, peer::ATTACH_CONFLICT, nullptr);
     return;
   }
   if (Request.cancel() && !Known->Outcome)
     this->cancel(*Known, Now);
   if (Known->Outcome) {
-    this->replyAttach(From, Request.ticket(), peer::ATTACH_ANSWERED,
-                      &*Known->Outcome);
+    this->replyAttach(Asker, peer::ATTACH_ANSWERED, &*Known->Outcome);
     return;
   }
   auto IsSame = [&](const RemoteWaiter &Waiter) {
     return Waiter.Entry.Node == From.Node &&
-           Waiter.TheirTicket == Request.ticket();
+           Waiter.TheirTicket == Asker.TheirTicket &&
+           Waiter.TheirIncarnation == Asker.TheirIncarnation;
   };
   bool Listed = std::any_of(Known->RemoteWaiters.begin(),
                             Known->RemoteWaiters.end(), IsSame);
   if (!Request.peek() && !Listed)
-    Known->RemoteWaiters.push_back({From, Request.ticket()});
-  this->replyAttach(From, Request.ticket(), peer::ATTACH_PENDING, nullptr);
+    Known->RemoteWaiters.push_back(Asker);
+  this->replyAttach(Asker, peer::ATTACH_PENDING, nullptr);
 }
 
 void JobService::disown(const std::string &Key) {
@@ -127,16 +129,16 @@
     Claim.Claim->release(this->Sink);
 }
 
-void JobService::replyAttach(const PeerRef &To, Ticket Ticket,
-                             peer::AttachState State,
+void JobService::replyAttach(const RemoteWaiter &To, peer::AttachState State,
                              const peer::JobOutcome *Outcome) {
   peer::Message Message;
   peer::AttachReply *Reply = Message.mutable_attach_reply();
-  Reply->set_ticket(Ticket);
+  Reply->set_ticket(To.TheirTicket);
+  Reply->set_asker_incarnation(To.TheirIncarnation);
   Reply->set_state(State);
   if (Outcome != nullptr)
     *Reply->mutable_outcome() = *Outcome;
-  this->Sink.send(To, std::move(Message));
+  this->Sink.send(To.Entry, std::move(Message));
 }
 
 // ---- The asking side ----
--- a/ledger/claimant.cpp
+++ b/ledger/claimant.cpp
@@ -58,7 +58,11 @@
 }
 
 std::optional<ClaimDecision> Claimant::onReply(const peer::ClaimReply &Reply) {
-  if (Reply.attempt() != this->Request.attempt())
+  // Attempts count anew in each life of an entry.
+  bool Mine = Reply.attempt() == this->Request.attempt() &&
+              Reply.job_key() == this->Request.job_key() &&
+              Reply.asker_incarnation() == this->Request.owner().incarnation();
+  if (!Mine)
     return std::nullopt;
   for (std::size_t I = 0; I < this->Holders.size(); ++I) {
     if (this->Holders[I].Node != Reply.holder())
--- a/ledger/ledger_holder.cpp
+++ b/ledger/ledger_holder.cpp
@@ -42,6 +42,7 @@
   Reply.set_job_key(Request.job_key());
   Reply.set_attempt(Request.attempt());
   Reply.set_holder(this->Name);
+  Reply.set_asker_incarnation(Request.owner().incarnation());
   Reply.set_verdict(this->judge(Request, Now, Reply));
   return Reply;
 }
--- a/tests/ledger/at_most_once_fuzz_test.cpp
+++ b/tests/ledger/at_most_once_fuzz_test.cpp
@@ -17,13 +17,19 @@
 
 namespace {
 
-constexpr std::uint64_t DefaultSeeds = 600;
+constexpr std::uint64_t DefaultSeeds = 2000;
 
-/// More seeds, outside CI: YARDWHEEL_SEEDS=5000.
+std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
+  const char *Given = std::getenv(Variable);
+  return Given == nullptr ? Default : std::stoull(Given);
+}
+
+/// More seeds, outside CI: YARDWHEEL_SEEDS=5000. A failing one is replayed
+/// alone by YARDWHEEL_FIRST_SEED=N YARDWHEEL_SEEDS=N.
 std::uint64_t seedCount() {
-  const char *Given = std::getenv("YARDWHEEL_SEEDS");
-  return Given == nullptr ? DefaultSeeds : std::stoull(Given);
+  return numberFrom("YARDWHEEL_SEEDS", DefaultSeeds);
 }
+std::uint64_t firstSeed() { return numberFrom("YARDWHEEL_FIRST_SEED", 1); }
 
 std::string randomNode(std::mt19937_64 &Random) {
   bool Entry = Random() % 3 == 0;
@@ -122,7 +128,7 @@
 TEST(AtMostOnceFuzzTest, NoSeedStartsATaskTwice) {
   std::uint64_t Complete = 0;
   const std::uint64_t Seeds = seedCount();
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+  for (std::uint64_t Seed = firstSeed(); Seed <= Seeds; ++Seed) {
     Run Result = runSeed(Seed, true);
     std::string Name = fmt::format("seed {}", Seed);
     LONGS_EQUAL_TEXT(0, Result.Doubles, Name.c_str());
@@ -130,7 +136,7 @@
     Complete += Result.Complete;
   }
   // A cluster that refused everything would prove nothing.
-  CHECK_TRUE(Complete > Seeds * 3);
+  CHECK_TRUE(Complete > (Seeds - firstSeed()) * 3);
 }
 
 TEST(AtMostOnceFuzzTest, TheCheckerCatchesAPlantedFault) {
--- a/tests/ledger/at_most_once_test.cpp
+++ b/tests/ledger/at_most_once_test.cpp
@@ -274,3 +274,30 @@
   CHECK_TRUE(Cluster.answer(Again).Outcome.complete());
   LONGS_EQUAL(15, Cluster.starts(Job));
 }
+
+TEST(AtMostOnceTest, AnAnswerToAnEarlierLifeReachesNobodyElse) {
+  // Found by seed 1953 of the random stories: numbers of requests begin anew
+  // in each life of an entry, so a late answer met another job's number.
+  VirtualCluster Cluster(ClusterOptions{});
+  Cluster.settle();
+  JobRequest First = Cluster.makeJob("first", 2);
+  Cluster.submit("e2", First);
+  Cluster.run(500ms);
+  Cluster.World.setFilter(
+      [](const PeerRef &, const PeerRef &, const peer::Message &Message) {
+        bool Late = Message.has_attach_reply() &&
+                    Message.attach_reply().state() == peer::ATTACH_ANSWERED;
+        return Late ? Duration(300ms) : Duration(0);
+      });
+  Cluster.submit("e1", First);
+  Cluster.run(100ms);
+  Cluster.restart("e1");
+  JobRequest Other = Cluster.makeJob("other", 2);
+  Cluster.submit("e2", Other);
+  Cluster.run(50ms);
+  std::size_t Number = Cluster.submit("e1", Other);
+  Cluster.run(5s);
+  STRCMP_EQUAL("", Cluster.violation().c_str());
+  CHECK_TRUE(Cluster.answer(Number).Outcome.complete());
+  STRCMP_EQUAL("other#0", Cluster.answer(Number).Outcome.results(0).c_str());
+}
--- a/tests/membership/leaving_test.cpp
+++ b/tests/membership/leaving_test.cpp
@@ -46,7 +46,8 @@
 std::size_t lateDispatches(const Way &Case, Duration After) {
   ClusterOptions Options;
   Options.Seed = 61;
-  // Many slots, so that tasks stuck there do not alone keep others away.
+  // Many slots, so that tasks stuck there do not alone keep others away, and
+  // jobs large enough to use them.
   Options.Slots = 16;
   Options.Controls = 3;
   Options.Agents = 5;
@@ -66,7 +67,7 @@
   auto Load = [&](Duration Time) {
     for (Duration Passed{0}; Passed < Time; Passed += 20ms) {
       Cluster.submit(Number % 2 == 0 ? "e1" : "e2",
-                     Cluster.makeJob(fmt::format("job{}", Number), 2));
+                     Cluster.makeJob(fmt::format("job{}", Number), 12));
       ++Number;
       Cluster.run(20ms);
     }
--- a/tests/support/virtual_cluster.cpp
+++ b/tests/support/virtual_cluster.cpp
@@ -439,7 +439,8 @@
   for (int I = 0; I < Outcome->results_size(); ++I) {
     std::string Id = Target.JobKey.substr(Target.JobKey.find('/') + 1);
     if (Outcome->results(I) != fmt::format("{}#{}", Id, I))
-      this->Violation = "wrong result in " + Target.JobKey;
+      this->Violation = fmt::format("wrong result {} in {}: '{}'", I,
+                                    Target.JobKey, Outcome->results(I));
   }
   bool SaysNotRun = !Outcome->complete() &&
                     Outcome->failure().ran() == peer::RAN_NOT_RUN &&
