--- /dev/null
+++ b/bench/decision_benchmark.cpp
@@ -0,0 +1,91 @@
+//===- bench/decision_benchmark.cpp - The time of one decision ------------===//
+
+#include "catalog/policy_names.h"
+#include "dispatch/fair_queue.h"
+#include "dispatch/minion_table.h"
+#include "dispatch/route_policy.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace yardwheel;
+
+constexpr std::uint32_t Slots = 8;
+
+MinionTable makeTable(std::int64_t Minions) {
+  MinionTable Table;
+  for (std::int64_t I = 0; I < Minions; ++I) {
+    peer::Member Member;
+    Member.set_name(fmt::format("a{}", I));
+    Member.set_incarnation(1);
+    Member.set_slots(Slots);
+    Member.set_state(peer::MEMBER_ALIVE);
+    bool Replaced = false;
+    Table.update(Member, Replaced);
+  }
+  Table.setShares(0, 3);
+  return Table;
+}
+
+/// Chooses a minion, notes the send, and settles the oldest of the tasks out,
+/// so that about half of the slots stay taken.
+void decide(benchmark::State &State, std::string_view Name) {
+  MinionTable Table = makeTable(State.range(0));
+  std::unique_ptr<RoutePolicy> Policy = makePolicy(Name);
+  std::mt19937_64 Random(1);
+  std::vector<MinionIndex> Out(static_cast<std::size_t>(State.range(0)) *
+                               Slots / 4);
+  for (std::size_t I = 0; I < Out.size(); ++I) {
+    Out[I] = static_cast<MinionIndex>(I % Table.size());
+    Table.onSent(Out[I]);
+  }
+  std::size_t Next = 0;
+  for (auto Unused : State) {
+    (void)Unused;
+    std::optional<MinionIndex> Chosen = Policy->choose(Table, Random);
+    Table.onSettled(Out[Next]);
+    Out[Next] = Chosen.value_or(0);
+    Table.onSent(Out[Next]);
+    Next = (Next + 1) % Out.size();
+  }
+}
+
+/// Takes the next task of many workspaces and puts another in its place.
+void order(benchmark::State &State) {
+  FairQueue Queue;
+  for (std::int64_t I = 0; I < State.range(0); ++I) {
+    std::string Name = fmt::format("w{}", I);
+    Queue.configure(Name, 100, 1000000);
+    for (JobNumber Job = 0; Job < 10; ++Job)
+      Queue.push(Name, Job, 0);
+  }
+  JobNumber Number = 100;
+  for (auto Unused : State) {
+    (void)Unused;
+    std::optional<WaitingTask> Next = Queue.front();
+    Queue.pop();
+    Queue.onSettled(Next->Workspace);
+    Queue.push(Next->Workspace, ++Number, 0);
+  }
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  for (std::string_view Name : PolicyNames)
+    benchmark::RegisterBenchmark(
+        fmt::format("decide/{}", Name).c_str(),
+        [Name](benchmark::State &State) { decide(State, Name); })
+        ->Arg(11)
+        ->Arg(110)
+        ->Arg(1100);
+  benchmark::RegisterBenchmark("order/workspaces", order)
+      ->Arg(1)
+      ->Arg(17)
+      ->Arg(170);
+  benchmark::Initialize(&Count, Arguments);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- /dev/null
+++ b/bench/ideal_queue.cpp
@@ -0,0 +1,65 @@
+#include "bench/ideal_queue.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace yardwheel {
+
+namespace {
+
+/// Times at which slots fall free, earliest first.
+using FreeTimes =
+    std::priority_queue<Duration, std::vector<Duration>, std::greater<>>;
+
+/// Takes a minion's slots away; those that fall free first.
+void loseMinion(FreeTimes &Slots, std::uint32_t Count) {
+  for (std::uint32_t I = 0; I < Count; ++I)
+    Slots.pop();
+}
+
+/// Runs one job. \returns when its last task ended.
+Duration runJob(const JobPlan &Job, FreeTimes &Slots) {
+  Duration End = Job.At;
+  for (const TaskPlan &Task : Job.Tasks) {
+    Duration Start = std::max(Job.At, Slots.top());
+    if (Job.CancelAt && Start >= *Job.CancelAt)
+      continue;
+    Duration Finish = Start + Task.Service;
+    if (Job.CancelAt)
+      Finish = std::min(Finish, *Job.CancelAt);
+    Slots.pop();
+    Slots.push(Finish);
+    End = std::max(End, Finish);
+  }
+  return End;
+}
+
+} // namespace
+
+std::vector<std::optional<Duration>>
+idealResponses(const std::vector<JobPlan> &Jobs, const Deployment &Place,
+               const LoadSpec &Load, Duration Length) {
+  FreeTimes Slots;
+  for (std::uint32_t I = 0; I < Place.totalSlots(); ++I)
+    Slots.push(Duration(0));
+  if (Load.FailingMinion)
+    loseMinion(Slots, Place.Slots);
+  bool Whole = Load.LostMinion;
+  std::vector<std::optional<Duration>> Responses;
+  Responses.reserve(Jobs.size());
+  for (const JobPlan &Job : Jobs) {
+    if (Whole && Job.At >= Length / 2) {
+      loseMinion(Slots, Place.Slots);
+      Whole = false;
+    }
+    Duration End = runJob(Job, Slots);
+    if (Job.CancelAt)
+      Responses.emplace_back();
+    else
+      Responses.emplace_back(End - Job.At);
+  }
+  return Responses;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/bench/workload.cpp
@@ -0,0 +1,172 @@
+#include "bench/workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+
+namespace yardwheel {
+
+namespace {
+
+// Most tasks take 50 ms to a second, a few take several seconds.
+constexpr double MedianServiceUs = 180000;
+constexpr double ServiceSpread = 0.7;
+constexpr double ShortestUs = 50000;
+constexpr double LongestUs = 1000000;
+constexpr double FewShare = 0.02;
+constexpr double FewShortestUs = 2000000;
+constexpr double FewLongestUs = 5000000;
+constexpr double StragglerShare = 0.01;
+constexpr double StragglerFactor = 10;
+constexpr double WholePercent = 100;
+constexpr double MicrosPerSecond = 1e6;
+/// In a burst, jobs come at this multiple of the load's mean.
+constexpr double BurstFactor = 2.5;
+constexpr Duration BurstEvery{5000000};
+constexpr Duration BurstLength{1000000};
+
+class JobMaker {
+public:
+  JobMaker(const Deployment &Place, const LoadSpec &Load, std::uint64_t Seed)
+      : Place(Place), Load(Load), Random(Seed) {}
+
+  std::vector<JobPlan> make(Duration Length) {
+    std::vector<JobPlan> Jobs;
+    Duration Now{0};
+    while (true) {
+      Now += this->nextGap(Now);
+      if (Now >= Length)
+        return Jobs;
+      Jobs.push_back(this->makeJob(Now, Length));
+    }
+  }
+
+private:
+  double uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(this->Random);
+  }
+
+  /// Mean of drawService(), found once by drawing from a fixed seed.
+  static double meanService() {
+    static const double Mean = [] {
+      Deployment Place;
+      LoadSpec Load;
+      JobMaker Sample(Place, Load, 1);
+      constexpr int Draws = 200000;
+      double Total = 0;
+      for (int I = 0; I < Draws; ++I)
+        Total += Sample.drawService();
+      return Total / Draws;
+    }();
+    return Mean;
+  }
+
+  double drawService() {
+    if (this->uniform() < FewShare)
+      return FewShortestUs + this->uniform() * (FewLongestUs - FewShortestUs);
+    std::lognormal_distribution<double> Usual(std::log(MedianServiceUs),
+                                              ServiceSpread);
+    return std::clamp(Usual(this->Random), ShortestUs, LongestUs);
+  }
+
+  Duration nextGap(Duration Now) {
+    double Work = meanService() * this->Place.MeanTasks;
+    double Rate = this->Load.Percent / WholePercent * this->Place.totalSlots() /
+                  Work * MicrosPerSecond;
+    if (this->Load.Bursts) {
+      bool InBurst = Now % BurstEvery < BurstLength;
+      double Share = static_cast<double>(BurstLength.count()) /
+                     static_cast<double>(BurstEvery.count());
+      double Quiet = (1 - BurstFactor * Share) / (1 - Share);
+      Rate *= InBurst ? BurstFactor : Quiet;
+    }
+    std::exponential_distribution<double> Gap(Rate / MicrosPerSecond);
+    return Duration(static_cast<std::int64_t>(Gap(this->Random)) + 1);
+  }
+
+  JobPlan makeJob(Duration Now, Duration Length) {
+    JobPlan Job;
+    Job.At = Now;
+    Job.Entry = this->Random() % this->Place.Entries;
+    std::geometric_distribution<int> Size(1 / this->Place.MeanTasks);
+    int Tasks = Size(this->Random) + 1;
+    for (int I = 0; I < Tasks; ++I)
+      Job.Tasks.push_back(this->makeTask());
+    Duration Wave = Length / 2;
+    constexpr Duration WaveReach{3000000};
+    bool Near = Now < Wave && Now + WaveReach > Wave;
+    if (this->Load.CancelWave && Near && this->Random() % 3 != 0)
+      Job.CancelAt = Wave;
+    return Job;
+  }
+
+  TaskPlan makeTask() {
+    double Service = this->drawService();
+    if (this->Load.Stragglers && this->uniform() < StragglerShare)
+      Service *= StragglerFactor;
+    double Declared = Service;
+    if (this->Load.WrongSizes)
+      Declared *= std::pow(StragglerFactor, 2 * this->uniform() - 1);
+    return {Duration(static_cast<std::int64_t>(Service)),
+            Duration(static_cast<std::int64_t>(Declared))};
+  }
+
+  const Deployment &Place;
+  const LoadSpec &Load;
+  std::mt19937_64 Random;
+};
+
+} // namespace
+
+Deployment tradingUnit() {
+  Deployment Place;
+  Place.Name = "trading";
+  return Place;
+}
+
+Deployment skyArchive() {
+  Deployment Place;
+  Place.Name = "archive";
+  Place.DataCentres = 4;
+  Place.FarDelay = Duration(1500);
+  constexpr double ArchiveMeanTasks = 8;
+  Place.MeanTasks = ArchiveMeanTasks;
+  return Place;
+}
+
+const std::vector<LoadSpec> &allLoads() {
+  static const std::vector<LoadSpec> Loads = {
+      {.Name = "calm 50", .Percent = 50},
+      {.Name = "calm 80", .Percent = 80},
+      {.Name = "calm 95", .Percent = 95},
+      {.Name = "bursts", .Percent = 60, .Bursts = true},
+      {.Name = "stragglers", .Percent = 70, .Stragglers = true},
+      {.Name = "failing minion", .Percent = 70, .FailingMinion = true},
+      {.Name = "wrong sizes", .Percent = 80, .WrongSizes = true},
+      {.Name = "cancel wave", .Percent = 95, .CancelWave = true},
+      {.Name = "callers retry", .Percent = 90, .Retries = true},
+      {.Name = "minion lost", .Percent = 70, .LostMinion = true},
+  };
+  return Loads;
+}
+
+Duration JobPlan::longest() const {
+  Duration Longest{0};
+  for (const TaskPlan &Task : this->Tasks)
+    Longest = std::max(Longest, Task.Service);
+  return Longest;
+}
+
+Duration JobPlan::total() const {
+  return std::accumulate(
+      this->Tasks.begin(), this->Tasks.end(), Duration(0),
+      [](Duration Sum, const TaskPlan &Task) { return Sum + Task.Service; });
+}
+
+std::vector<JobPlan> makeJobs(const Deployment &Place, const LoadSpec &Load,
+                              Duration Length, std::uint64_t Seed) {
+  return JobMaker(Place, Load, Seed).make(Length);
+}
+
+} // namespace yardwheel
--- a/tests/support/virtual_cluster.cpp
+++ b/emulator/virtual_cluster.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/virtual_cluster.h"
+#include "emulator/virtual_cluster.h"
 
 #include "catalog/parameters.h"
 
@@ -136,32 +136,37 @@
     this->Cluster.noteStart(this->Name, Task);
     // The minion goes on when its agent dies; its answer then goes nowhere.
     VirtualCluster *Owner = &this->Cluster;
+    TaskBehaviour Plan;
+    if (Owner->Options.Behaviour)
+      Plan = Owner->Options.Behaviour(this->Name, Payload);
     Owner->World.after(
-        Owner->Options.Service,
-        [Owner, Agent = this->Name, Started = this->Life, Task, Payload] {
+        Plan.Service,
+        [Owner, Agent = this->Name, Started = this->Life, Task, Payload, Plan] {
           const auto &Node = Owner->Agents.at(Agent);
           if (Node->Life == Started && Owner->World.isUp(Agent))
-            Node->finishLater(Task, Payload);
+            Node->finishLater(Task, Payload, Plan);
         });
   }
-  void stop(const TaskKey &) override {}
+  void stop(const TaskKey &Task) override {
+    TaskEnd End;
+    End.Reason = "stopped";
+    this->Core.onTaskEnded(Task, End, this->Cluster.World.now());
+  }
 
   /// A frozen agent reads the minion's answer when it wakes.
-  void finishLater(const TaskKey &Task, const std::string &Payload) {
+  void finishLater(const TaskKey &Task, const std::string &Payload,
+                   const TaskBehaviour &Plan) {
     VirtualCluster *Owner = &this->Cluster;
-    Owner->World.runOn(this->Name, [Owner, Agent = this->Name, Task, Payload] {
-      Owner->Agents.at(Agent)->finish(Task, Payload);
+    Owner->World.runOn(this->Name, [Owner, Agent = this->Name, Task, Payload,
+                                    Plan] {
+      TaskEnd End;
+      End.Kind = Plan.Fails ? TaskEndKind::Failed : TaskEndKind::Succeeded;
+      End.Result = Payload.substr(0, Payload.find(' '));
+      End.Service = Plan.Service;
+      Owner->Agents.at(Agent)->Core.onTaskEnded(Task, End, Owner->World.now());
     });
   }
 
-  void finish(const TaskKey &Task, const std::string &Payload) {
-    TaskEnd End;
-    End.Kind = TaskEndKind::Succeeded;
-    End.Result = Payload;
-    End.Service = this->Cluster.Options.Service;
-    this->Core.onTaskEnded(Task, End, this->Cluster.World.now());
-  }
-
   void onConfirmed(TimePoint) override {}
   void onCatalog(Instant Now) override {
     this->Core.setCatalog(*this->Catalog.view(), Now);
@@ -333,6 +338,14 @@
   }
 }
 
+void VirtualCluster::announceLost(const std::string &Agent) {
+  peer::Member Member = this->memberFor(Agent, peer::ROLE_AGENT);
+  Member.set_incarnation(this->Agents.at(Agent)->Life);
+  Member.set_state(peer::MEMBER_LOST);
+  for (auto &[Name, Entry] : this->Entries)
+    Entry->Service.onMember(Member, this->World.now().Steady);
+}
+
 void VirtualCluster::startEntry(const std::string &Name) {
   this->Entries[Name] =
       std::make_unique<EntryNode>(*this, Name, this->nextLife());
@@ -415,6 +428,7 @@
                                    const JobRequest &Request) {
   std::size_t Number = this->Answers.size();
   this->Answers.push_back({Entry, Request.key()});
+  this->Answers.back().SubmittedAt = this->World.now().Steady;
   if (this->World.isUp(Entry))
     this->Entries[Entry]->Service.submit(Request, Number, this->World.now());
   return Number;
@@ -433,6 +447,7 @@
                                  const peer::JobOutcome *Outcome) {
   Answer &Target = this->Answers[Number];
   Target.Done = true;
+  Target.At = this->World.now().Steady;
   if (++Target.Count > 1)
     this->Violation = "answered twice: " + Target.JobKey;
   if (Outcome == nullptr) {
--- a/tests/support/virtual_cluster.h
+++ b/emulator/virtual_cluster.h
@@ -1,4 +1,4 @@
-//===- tests/support/virtual_cluster.h - Entries and agents -----*- C++ -*-===//
+//===- emulator/virtual_cluster.h - Entries and agents -----*- C++ -*-===//
 ///
 /// \file
 /// Entries, agents and, where wanted, control replicas in one virtual world,
@@ -6,8 +6,8 @@
 /// event what must always hold.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_TESTS_SUPPORT_VIRTUAL_CLUSTER_H
-#define YARDWHEEL_TESTS_SUPPORT_VIRTUAL_CLUSTER_H
+#ifndef YARDWHEEL_EMULATOR_VIRTUAL_CLUSTER_H
+#define YARDWHEEL_EMULATOR_VIRTUAL_CLUSTER_H
 
 #include "agent/agent_core.h"
 #include "control/control_service.h"
@@ -23,6 +23,12 @@
 
 namespace yardwheel {
 
+/// How a minion treats one task.
+struct TaskBehaviour {
+  Duration Service = std::chrono::milliseconds(100);
+  bool Fails = false;
+};
+
 struct ClusterOptions {
   std::uint64_t Seed = 1;
   std::size_t Entries = 2;
@@ -31,7 +37,10 @@
   std::size_t Controls = 0;
   std::uint32_t Slots = 4;
   std::string Policy = "slot_borrow";
-  Duration Service = std::chrono::milliseconds(100);
+  /// A minion's answer is its task's payload up to the first space.
+  std::function<TaskBehaviour(const std::string &Agent,
+                              const std::string &Payload)>
+      Behaviour;
   Duration Tick = std::chrono::milliseconds(10);
   std::uint32_t QueueLimit = 1000;
   /// How long a ledger holder must be lost before it is replaced.
@@ -53,6 +62,8 @@
   bool Pending = false;
   std::uint32_t Count = 0;
   peer::JobOutcome Outcome;
+  TimePoint SubmittedAt;
+  TimePoint At;
 };
 
 class VirtualCluster {
@@ -76,6 +87,8 @@
   }
 
   void kill(const std::string &Node);
+  /// Without control, tells every entry that an agent is lost.
+  void announceLost(const std::string &Agent);
   void restart(const std::string &Node);
   /// Starts a replica that never was a member, as a replacement.
   void startReplica(const std::string &Name);
--- a/tests/control/configuration_test.cpp
+++ b/tests/control/configuration_test.cpp
@@ -1,6 +1,6 @@
 //===- The configuration under failures of control and of nodes -----------===//
 
-#include "tests/support/virtual_cluster.h"
+#include "emulator/virtual_cluster.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
--- a/tests/control/holder_replacement_test.cpp
+++ b/tests/control/holder_replacement_test.cpp
@@ -1,6 +1,6 @@
 //===- Ledger holders replaced while jobs come ----------------------------===//
 
-#include "tests/support/virtual_cluster.h"
+#include "emulator/virtual_cluster.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
--- a/tests/ledger/at_most_once_fuzz_test.cpp
+++ b/tests/ledger/at_most_once_fuzz_test.cpp
@@ -6,7 +6,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#include "tests/support/virtual_cluster.h"
+#include "emulator/virtual_cluster.h"
 
 #include <CppUTest/TestHarness.h>
 #include <cstdlib>
--- a/tests/membership/leaving_test.cpp
+++ b/tests/membership/leaving_test.cpp
@@ -1,6 +1,6 @@
 //===- No new work to a minion that leaves, whichever way it leaves -------===//
 
-#include "tests/support/virtual_cluster.h"
+#include "emulator/virtual_cluster.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
