Route by share, then free slots, then one ahead; order jobs by arrival and size

Within a workspace large jobs held up small ones. A caller's retry cost about seven messages.

Change: the word of a free slot goes (an entry with nothing out asks instead), one task may wait ahead at an agent, jobs rank by arrival plus 64 times their spread work. A likely resubmission asks one holder first; only grants are given back; an owner no longer says 'pending' to who waits.

--- a/agent/agent_core.cpp
+++ b/agent/agent_core.cpp
@@ -76,14 +76,6 @@
 
 void AgentCore::onDispatch(const PeerRef &From, const peer::Dispatch &Dispatch,
                            Instant Now) {
-  if (Dispatch.more_waiting()) {
-    auto IsSender = [&](const PeerRef &Entry) {
-      return Entry.Node == From.Node;
-    };
-    if (std::none_of(this->WaitingEntries.begin(), this->WaitingEntries.end(),
-                     IsSender))
-      this->WaitingEntries.push_back(From);
-  }
   for (const peer::TaskOrder &Order : Dispatch.tasks())
     this->onOrder(From, Dispatch, Order, Now);
 }
@@ -196,21 +188,6 @@
     this->Settled.push_back(Task);
     this->sendUpdate(Owner, Last, Now);
   }
-  if (this->Running < this->Options.Slots)
-    this->tellWaitingEntry(Owner.Node, Now);
-}
-
-void AgentCore::tellWaitingEntry(const std::string &Except, Instant Now) {
-  if (this->WaitingEntries.empty() || this->Draining)
-    return;
-  PeerRef Entry = this->WaitingEntries.front();
-  this->WaitingEntries.pop_front();
-  // The entry whose task ended learns of the free slot by its update.
-  if (Entry.Node == Except)
-    return;
-  peer::Message Message;
-  *Message.mutable_agent_load() = this->load(Now);
-  this->Sink.send(Entry, std::move(Message));
 }
 
 // ---- Questions and withdrawals ----
--- a/agent/agent_core.h
+++ b/agent/agent_core.h
@@ -93,7 +93,6 @@
   void start(const TaskKey &Key, Record &Task, Instant Now);
   void startQueued(Instant Now);
   void giveBackQueue(const char *Reason, Instant Now);
-  void tellWaitingEntry(const std::string &Except, Instant Now);
   void say(const TaskKey &Key, const PeerRef &To, std::uint32_t Attempt,
            peer::TaskEvent Event, const std::string &Reason, Instant Now);
   void sendUpdate(const PeerRef &To, peer::TaskUpdate Update, Instant Now);
@@ -109,8 +108,6 @@
   std::deque<TaskKey> Queue;
   /// Keys whose record may be forgotten, oldest first.
   std::deque<TaskKey> Settled;
-  /// Entries that said more tasks wait for a slot, oldest first.
-  std::deque<PeerRef> WaitingEntries;
   std::uint32_t Running = 0;
   bool Draining = false;
   TimePoint LastSeen = TimePoint::min();
--- a/bench/decision_benchmark.cpp
+++ b/bench/decision_benchmark.cpp
@@ -59,7 +59,7 @@
     std::string Name = fmt::format("w{}", I);
     Queue.configure(Name, 100, 1000000);
     for (JobNumber Job = 0; Job < 10; ++Job)
-      Queue.push(Name, Job, 0);
+      Queue.push(Name, 0, Job, 0);
   }
   JobNumber Number = 100;
   for (auto Unused : State) {
@@ -67,7 +67,7 @@
     std::optional<WaitingTask> Next = Queue.front();
     Queue.pop();
     Queue.onSettled(Next->Workspace);
-    Queue.push(Next->Workspace, ++Number, 0);
+    Queue.push(Next->Workspace, 0, ++Number, 0);
   }
 }
 
--- a/dispatch/fair_queue.cpp
+++ b/dispatch/fair_queue.cpp
@@ -11,20 +11,21 @@
   Target.Capacity = std::max(Capacity, 1U);
 }
 
-void FairQueue::push(const std::string &Workspace, JobNumber Job,
+void FairQueue::push(const std::string &Workspace, JobRank Rank, JobNumber Job,
                      std::uint32_t Index) {
   Line &Target = this->Lines[Workspace];
   // A workspace that was idle has saved nothing up.
   if (Target.Waiting == 0)
     Target.VirtualStart = std::max(Target.VirtualStart, this->VirtualTime);
-  Target.Jobs[Job].push_back(Index);
+  Target.Jobs[{Rank, Job}].push_back(Index);
   ++Target.Waiting;
   ++this->Total;
 }
 
-void FairQueue::removeJob(const std::string &Workspace, JobNumber Job) {
+void FairQueue::removeJob(const std::string &Workspace, JobRank Rank,
+                          JobNumber Job) {
   Line &Target = this->Lines[Workspace];
-  auto Found = Target.Jobs.find(Job);
+  auto Found = Target.Jobs.find({Rank, Job});
   if (Found == Target.Jobs.end())
     return;
   Target.Waiting -= Found->second.size();
@@ -49,7 +50,7 @@
   if (Next == nullptr)
     return std::nullopt;
   const auto &[Job, Tasks] = *Next->second.Jobs.begin();
-  return WaitingTask{Next->first, Job, Tasks.front()};
+  return WaitingTask{Next->first, Job.first, Job.second, Tasks.front()};
 }
 
 void FairQueue::pop() {
@@ -64,14 +65,17 @@
   --Target.Waiting;
   --this->Total;
   ++Target.Out;
+  ++this->TotalOut;
   this->VirtualTime = std::max(this->VirtualTime, Target.VirtualStart);
   Target.VirtualStart += 1.0 / Target.Weight;
 }
 
 void FairQueue::onSettled(const std::string &Workspace) {
   Line &Target = this->Lines[Workspace];
-  if (Target.Out > 0)
-    --Target.Out;
+  if (Target.Out == 0)
+    return;
+  --Target.Out;
+  --this->TotalOut;
 }
 
 std::size_t FairQueue::waiting(const std::string &Workspace) const {
--- a/dispatch/fair_queue.h
+++ b/dispatch/fair_queue.h
@@ -2,9 +2,8 @@
 ///
 /// \file
 /// Tasks that wait at an entry for a minion of one pool. Between workspaces,
-/// start-time fair queueing by weight; within a workspace, jobs in the order
-/// of their arrival, so that a job's last task does not wait behind a later
-/// job's first.
+/// start-time fair queueing by weight; within a workspace, jobs by a rank that
+/// their owner gives them, so that a job's tasks stay together.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_DISPATCH_FAIR_QUEUE_H
@@ -22,8 +21,12 @@
 /// A job's number within one entry's life; grows with its arrival.
 using JobNumber = std::uint64_t;
 
+/// Where a job stands within its workspace: the lower goes first.
+using JobRank = std::int64_t;
+
 struct WaitingTask {
   std::string Workspace;
+  JobRank Rank = 0;
   JobNumber Job = 0;
   std::uint32_t Index = 0;
 };
@@ -34,9 +37,11 @@
   void configure(const std::string &Workspace, std::uint32_t Weight,
                  std::uint32_t Capacity);
 
-  void push(const std::string &Workspace, JobNumber Job, std::uint32_t Index);
+  /// A job's tasks must all be pushed with one rank.
+  void push(const std::string &Workspace, JobRank Rank, JobNumber Job,
+            std::uint32_t Index);
   /// Drops everything that waits of a job.
-  void removeJob(const std::string &Workspace, JobNumber Job);
+  void removeJob(const std::string &Workspace, JobRank Rank, JobNumber Job);
 
   /// The task that goes next; it stays queued until pop(). Nothing if no
   /// workspace both waits and is under its capacity.
@@ -48,6 +53,8 @@
 
   std::size_t waiting(const std::string &Workspace) const;
   std::size_t waiting() const { return this->Total; }
+  /// Tasks that are out, over all workspaces.
+  std::size_t out() const { return this->TotalOut; }
 
 private:
   struct Line {
@@ -56,7 +63,7 @@
     std::uint32_t Out = 0;
     std::size_t Waiting = 0;
     double VirtualStart = 0;
-    std::map<JobNumber, std::deque<std::uint32_t>> Jobs;
+    std::map<std::pair<JobRank, JobNumber>, std::deque<std::uint32_t>> Jobs;
   };
 
   const std::pair<const std::string, Line> *next() const;
@@ -64,6 +71,7 @@
   std::map<std::string, Line> Lines;
   double VirtualTime = 0;
   std::size_t Total = 0;
+  std::size_t TotalOut = 0;
 };
 
 } // namespace yardwheel
--- a/dispatch/slot_borrow_policy.cpp
+++ b/dispatch/slot_borrow_policy.cpp
@@ -2,12 +2,28 @@
 
 namespace yardwheel {
 
+namespace {
+
+/// Tasks that may wait at an agent beyond its slots, as far as is known, so
+/// that a slot that falls free there is taken without a message's delay.
+/// More of them start later than at the minion that falls free first.
+constexpr std::uint32_t QueueAhead = 1;
+
+} // namespace
+
 std::optional<MinionIndex> SlotBorrowPolicy::choose(const MinionTable &Table,
                                                     std::mt19937_64 &Random) {
-  std::optional<MinionIndex> Own = Table.byOwnFree().pickBest(Random);
-  if (Own)
+  if (std::optional<MinionIndex> Own = Table.byOwnFree().pickBest(Random))
     return Own;
-  return Table.byTotalFree().pickBest(Random);
+  if (std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random))
+    return Free;
+  std::optional<MinionIndex> Shortest = Table.byQueueRoom().pickBest(Random);
+  if (!Shortest)
+    return std::nullopt;
+  const Minion &Target = Table.at(*Shortest);
+  if (Target.load() >= Target.Slots + QueueAhead)
+    return std::nullopt;
+  return Shortest;
 }
 
 } // namespace yardwheel
--- a/entry/attach_desk.cpp
+++ b/entry/attach_desk.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds AskEvery{500};
+/// The links tell of questions that did not arrive, so this is a last resort.
+constexpr std::chrono::milliseconds AskEvery{2000};
 constexpr std::uint32_t MaxUnanswered = 4;
 
 } // namespace
@@ -45,6 +46,14 @@
   return true;
 }
 
+void AttachDesk::onSendFailed(const std::string &Entry, TimePoint Now) {
+  for (auto &[Number, Target] : this->Requests)
+    if (Target.Owner.entry() == Entry && Target.Unanswered < MaxUnanswered)
+      this->send(Target, Now);
+    else if (Target.Owner.entry() == Entry)
+      Target.NextSend = Now;
+}
+
 std::vector<Ticket> AttachDesk::tick(TimePoint Now) {
   std::vector<Ticket> Silent;
   for (auto &[Number, Target] : this->Requests) {
--- a/entry/attach_desk.h
+++ b/entry/attach_desk.h
@@ -37,6 +37,9 @@
   /// they are closed.
   std::vector<Ticket> tick(TimePoint Now);
 
+  /// A message to an owner may not have arrived: asks again.
+  void onSendFailed(const std::string &Entry, TimePoint Now);
+
   const peer::Owner &ownerOf(Ticket Request) const {
     return this->Requests.at(Request).Owner;
   }
--- a/entry/job.h
+++ b/entry/job.h
@@ -70,6 +70,7 @@
 
 struct Job {
   JobNumber Number = 0;
+  JobRank Rank = 0;
   JobRequest Request;
   peer::Parameters Limits;
   std::string PoolName;
--- a/entry/job_runner.cpp
+++ b/entry/job_runner.cpp
@@ -10,6 +10,21 @@
 namespace {
 
 constexpr std::chrono::milliseconds ShortestRetryAfter{50};
+/// A job lets those pass that come within this many times the least time that
+/// its own work takes when spread over the pool. Found by measurement: less
+/// makes small jobs wait behind large ones, more changes little and would let
+/// a large job wait longer under overload.
+constexpr std::int64_t Patience = 64;
+/// Between two questions of an entry that waits and hears from nobody.
+constexpr std::chrono::milliseconds AskWhenDeaf{50};
+
+/// Jobs go by their arrival, put off by their size.
+JobRank rankOf(const Job &Target, const Pool &Place, TimePoint Now) {
+  auto Tasks = static_cast<std::int64_t>(Target.Request.Tasks.size());
+  std::int64_t Slots = std::max(Place.Minions.aliveSlots(), 1U);
+  std::int64_t Spread = Place.typicalService().count() * Tasks / Slots;
+  return Now.time_since_epoch().count() + Patience * Spread;
+}
 
 bool needsAnything(const peer::Resources &Needs) {
   return Needs.cpus() != 0 || Needs.memory_mb() != 0 ||
@@ -79,17 +94,18 @@
   Target.States.assign(Target.Request.Tasks.size(), {});
   Target.Results.assign(Target.Request.Tasks.size(), {});
   Pool &Place = this->Pools[Target.PoolName];
+  Target.Rank = rankOf(Target, Place, Now);
   const std::string &Workspace = Target.Request.Workspace;
   Place.Queue.configure(Workspace, Target.Limits.weight(),
                         Target.Limits.capacity());
   for (std::uint32_t I = 0; I < Target.States.size(); ++I)
-    Place.Queue.push(Workspace, Target.Number, I);
+    Place.Queue.push(Workspace, Target.Rank, Target.Number, I);
   this->schedule(Place, Now);
 }
 
 void JobRunner::stop(Job &Target, TimePoint Now) {
   Pool &Place = this->Pools[Target.PoolName];
-  Place.Queue.removeJob(Target.Request.Workspace, Target.Number);
+  Place.Queue.removeJob(Target.Request.Workspace, Target.Rank, Target.Number);
   std::map<MinionIndex, std::vector<std::uint32_t>> Out;
   for (std::uint32_t I = 0; I < Target.States.size(); ++I) {
     const TaskState &Task = Target.States[I];
@@ -159,7 +175,7 @@
     return false;
   Job *Owner = this->find(Next->Job);
   if (Owner == nullptr) {
-    Target.Queue.removeJob(Next->Workspace, Next->Job);
+    Target.Queue.removeJob(Next->Workspace, Next->Rank, Next->Job);
     return true;
   }
   std::optional<MinionIndex> Minion = this->route(Target, *Owner, Next->Index);
@@ -231,9 +247,7 @@
 
 void JobRunner::flush(Pool &Target,
                       std::map<DispatchKey, peer::Dispatch> &Batch) {
-  bool MoreWaiting = Target.Queue.waiting() > 0;
   for (auto &[Key, Dispatch] : Batch) {
-    Dispatch.set_more_waiting(MoreWaiting);
     peer::Message Message;
     *Message.mutable_dispatch() = std::move(Dispatch);
     this->Sink.send(Target.Minions.at(Key.Minion).Agent, std::move(Message));
@@ -368,7 +382,7 @@
     return;
   // News that was merely old costs no retry: the answer brought newer.
   if (Update.reason() == StaleNews)
-    Place.Queue.push(Owner.Request.Workspace, Owner.Number, Index);
+    Place.Queue.push(Owner.Request.Workspace, Owner.Rank, Owner.Number, Index);
   else
     this->resend(Owner, Index, Update.reason(), Now);
 }
@@ -387,7 +401,7 @@
     this->fail(Owner, Failure, Now);
     return;
   }
-  Place.Queue.push(Owner.Request.Workspace, Owner.Number, Index);
+  Place.Queue.push(Owner.Request.Workspace, Owner.Rank, Owner.Number, Index);
 }
 
 void JobRunner::onEnded(Job &Owner, std::uint32_t Index,
@@ -475,14 +489,28 @@
 void JobRunner::refreshIdle(Pool &Target, TimePoint Now) {
   for (MinionIndex Index : Target.Minions.eligible()) {
     const Minion &Idle = Target.Minions.at(Index);
-    if (Now - Idle.LastHeard < this->Options.RefreshAfter)
-      continue;
-    peer::Message Message;
-    Message.mutable_withdraw()->set_probe(true);
-    this->Sink.send(Idle.Agent, std::move(Message));
+    if (Now - Idle.LastHeard >= this->Options.RefreshAfter)
+      this->askForLoad(Idle);
   }
 }
 
+void JobRunner::askWhenDeaf(Pool &Target, TimePoint Now) {
+  // With no task out, no result will tell of slots that fall free.
+  const std::vector<MinionIndex> &Eligible = Target.Minions.eligible();
+  if (Target.Queue.waiting() == 0 || Target.Queue.out() > 0 ||
+      Eligible.empty() || Now < this->NextDeafQuestion)
+    return;
+  this->NextDeafQuestion = Now + AskWhenDeaf;
+  MinionIndex Any = Eligible[this->Random() % Eligible.size()];
+  this->askForLoad(Target.Minions.at(Any));
+}
+
+void JobRunner::askForLoad(const Minion &Asked) {
+  peer::Message Message;
+  Message.mutable_withdraw()->set_probe(true);
+  this->Sink.send(Asked.Agent, std::move(Message));
+}
+
 void JobRunner::tick(TimePoint Now) {
   this->probeDue(Now);
   if (Now >= this->NextRefresh) {
@@ -493,6 +521,7 @@
   for (auto &[Name, Target] : this->Pools) {
     Target.Minions.tick(Now);
     this->schedule(Target, Now);
+    this->askWhenDeaf(Target, Now);
   }
 }
 
--- a/entry/job_runner.h
+++ b/entry/job_runner.h
@@ -110,6 +110,8 @@
               TimePoint Now);
   void loseTasks(Pool &Target, MinionIndex Minion, const std::string &Reason,
                  TimePoint Now);
+  void askWhenDeaf(Pool &Target, TimePoint Now);
+  void askForLoad(const Minion &Asked);
   void refreshIdle(Pool &Target, TimePoint Now);
   void probeDue(TimePoint Now);
   void probe(Job &Owner, std::uint32_t Index, TimePoint Now);
@@ -137,6 +139,7 @@
   std::unordered_map<std::string, JobNumber> NumberOfKey;
   std::multimap<TimePoint, DueProbe> Probes;
   TimePoint NextRefresh = TimePoint::min();
+  TimePoint NextDeafQuestion = TimePoint::min();
   std::uint32_t Position = 0;
   std::uint32_t Entries = 1;
 };
--- a/entry/job_service.cpp
+++ b/entry/job_service.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::chrono::milliseconds EpochRetry{50};
 constexpr std::chrono::milliseconds SoonAgain{1000};
+constexpr std::chrono::milliseconds LikelyResubmitted{500};
 
 peer::Ran freshRan(const JobRequest &Request) {
   return Request.IdMadeHere ? peer::RAN_NOT_RUN : peer::RAN_UNKNOWN;
@@ -258,8 +259,11 @@
   ClaimTimes Times = this->Options.Claims;
   Times.Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
       Claim.GiveUp - Now.Steady);
-  Claim.Claim.emplace(std::move(Request), std::move(Holders), Times,
-                      Now.Steady);
+  // An id that is older than a submission takes has been here before.
+  WallTime Stamp = fromUnixMillis(StampMs);
+  bool LikelyHeld = Claim.Asked || Now.Wall - Stamp > LikelyResubmitted;
+  Claim.Claim.emplace(std::move(Request), std::move(Holders), Times, Now.Steady,
+                      LikelyHeld);
   return true;
 }
 
--- a/entry/job_service.h
+++ b/entry/job_service.h
@@ -78,6 +78,7 @@
   /// A message to a peer may not have arrived.
   void onSendFailed(const std::string &Peer, Instant Now) {
     this->Runner.onSendFailed(Peer, Now.Steady);
+    this->Desk.onSendFailed(Peer, Now.Steady);
   }
   void tick(Instant Now);
 
--- a/entry/job_service_peers.cpp
+++ b/entry/job_service_peers.cpp
@@ -14,7 +14,8 @@
     auto Found = this->Claims.find(Reply.attempt());
     if (Found == this->Claims.end())
       return;
-    std::optional<ClaimDecision> Decision = Found->second.Claim->onReply(Reply);
+    std::optional<ClaimDecision> Decision =
+        Found->second.Claim->onReply(Reply, this->Sink);
     if (Decision)
       this->onDecision(Reply.attempt(), *Decision, Now);
     return;
@@ -115,8 +116,12 @@
   };
   bool Listed = std::any_of(Known->RemoteWaiters.begin(),
                             Known->RemoteWaiters.end(), IsSame);
-  if (!Request.peek() && !Listed)
+  // Who waits hears of the end; only who looks, or asks again, is told that
+  // there is none yet.
+  if (!Request.peek() && !Listed) {
     Known->RemoteWaiters.push_back(Asker);
+    return;
+  }
   this->replyAttach(Asker, peer::ATTACH_PENDING, nullptr);
 }
 
--- a/ledger/claimant.cpp
+++ b/ledger/claimant.cpp
@@ -29,9 +29,9 @@
 }
 
 Claimant::Claimant(peer::ClaimRequest Request, std::vector<PeerRef> Holders,
-                   ClaimTimes Times, TimePoint Now)
+                   ClaimTimes Times, TimePoint Now, bool LikelyHeld)
     : Request(std::move(Request)), Holders(std::move(Holders)),
-      Replies(this->Holders.size()), Times(Times),
+      Replies(this->Holders.size()), AskedOne(LikelyHeld), Times(Times),
       Deadline(Now + Times.Timeout), NextSend(Now + Times.Resend) {}
 
 void Claimant::ask(PeerSink &Sink) {
@@ -39,6 +39,8 @@
     const std::optional<peer::ClaimReply> &Known = this->Replies[I];
     if (Known && Known->verdict() == peer::CLAIM_GRANTED)
       continue;
+    if (this->AskedOne && I > 0)
+      return;
     peer::Message Message;
     *Message.mutable_claim_request() = this->Request;
     Sink.send(this->Holders[I], std::move(Message));
@@ -46,7 +48,13 @@
 }
 
 void Claimant::release(PeerSink &Sink) const {
-  for (const PeerRef &Holder : this->Holders) {
+  for (std::size_t I = 0; I < this->Holders.size(); ++I) {
+    const std::optional<peer::ClaimReply> &Known = this->Replies[I];
+    bool Nothing = (Known && Known->verdict() != peer::CLAIM_GRANTED) ||
+                   (this->AskedOne && I > 0) || this->Request.read_only();
+    if (Nothing)
+      continue;
+    const PeerRef &Holder = this->Holders[I];
     peer::Message Message;
     peer::ClaimRelease *Release = Message.mutable_claim_release();
     Release->set_job_key(this->Request.job_key());
@@ -57,7 +65,8 @@
   }
 }
 
-std::optional<ClaimDecision> Claimant::onReply(const peer::ClaimReply &Reply) {
+std::optional<ClaimDecision> Claimant::onReply(const peer::ClaimReply &Reply,
+                                               PeerSink &Sink) {
   // Attempts count anew in each life of an entry.
   bool Mine = Reply.attempt() == this->Request.attempt() &&
               Reply.job_key() == this->Request.job_key() &&
@@ -72,6 +81,10 @@
     if (!Known || Known->verdict() != peer::CLAIM_GRANTED)
       Known = Reply;
   }
+  if (this->AskedOne && Reply.verdict() != peer::CLAIM_HELD) {
+    this->AskedOne = false;
+    this->ask(Sink);
+  }
   return this->decide();
 }
 
@@ -80,6 +93,7 @@
     return this->decideLate();
   if (Now >= this->NextSend) {
     this->NextSend = Now + this->Times.Resend;
+    this->AskedOne = false;
     this->ask(Sink);
   }
   return std::nullopt;
@@ -113,7 +127,7 @@
       continue;
     bool Decided = this->countHeldBy(Reply->owner()) >= HolderMajority;
     bool Yields = this->Request.owner().entry() > Reply->owner().entry();
-    if (Decided || Yields || this->Request.read_only())
+    if (Decided || Yields || this->AskedOne || this->Request.read_only())
       return heldBy(*Reply);
   }
   return std::nullopt;
--- a/ledger/claimant.h
+++ b/ledger/claimant.h
@@ -59,15 +59,18 @@
 class Claimant {
 public:
   /// \param Holders The group's holders whose addresses are known.
+  /// \param LikelyHeld The id was probably claimed before: one holder is asked
+  /// first, and its word of an owner is enough to ask that owner.
   Claimant(peer::ClaimRequest Request, std::vector<PeerRef> Holders,
-           ClaimTimes Times, TimePoint Now);
+           ClaimTimes Times, TimePoint Now, bool LikelyHeld);
 
   /// Sends the request to every holder that has not granted it.
   void ask(PeerSink &Sink);
-  /// Gives every grant back.
+  /// Gives every grant back, also those that may be under way.
   void release(PeerSink &Sink) const;
 
-  std::optional<ClaimDecision> onReply(const peer::ClaimReply &Reply);
+  std::optional<ClaimDecision> onReply(const peer::ClaimReply &Reply,
+                                       PeerSink &Sink);
   /// Resends and, after the timeout, decides on what is known.
   std::optional<ClaimDecision> onTick(TimePoint Now, PeerSink &Sink);
 
@@ -85,6 +88,8 @@
   std::vector<PeerRef> Holders;
   /// The newest reply of each holder, in the order of Holders.
   std::vector<std::optional<peer::ClaimReply>> Replies;
+  /// Only the first holder has been asked.
+  bool AskedOne;
   ClaimTimes Times;
   TimePoint Deadline;
   TimePoint NextSend;
