--- a/dispatch/fair_queue.h
+++ b/dispatch/fair_queue.h
@@ -13,7 +13,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace yardwheel {
@@ -33,6 +35,11 @@
 
 class FairQueue {
 public:
+  FairQueue() = default;
+  // The order of the ready lines points into this object.
+  FairQueue(const FairQueue &) = delete;
+  FairQueue &operator=(const FairQueue &) = delete;
+
   /// Sets a workspace's weight and how many of its tasks may be out at once.
   void configure(const std::string &Workspace, std::uint32_t Weight,
                  std::uint32_t Capacity);
@@ -66,9 +73,23 @@
     std::map<std::pair<JobRank, JobNumber>, std::deque<std::uint32_t>> Jobs;
   };
 
-  const std::pair<const std::string, Line> *next() const;
+  using Lines = std::map<std::string, Line>;
+  struct ReadyOrder {
+    bool operator()(const Lines::value_type *A,
+                    const Lines::value_type *B) const {
+      return std::tie(A->second.VirtualStart, A->first) <
+             std::tie(B->second.VirtualStart, B->first);
+    }
+  };
+
+  /// Changes a line; its place among the ready ones follows.
+  template <typename Edit> void edit(const std::string &Workspace, Edit Change);
+  static bool isReady(const Line &Target);
 
-  std::map<std::string, Line> Lines;
+  Lines All;
+  /// Lines that wait and are under their capacity, the next one first, so
+  /// that the choice does not look at every workspace.
+  std::set<const Lines::value_type *, ReadyOrder> Ready;
   double VirtualTime = 0;
   std::size_t Total = 0;
   std::size_t TotalOut = 0;
--- a/tests/control/configuration_test.cpp
+++ b/tests/control/configuration_test.cpp
@@ -259,3 +259,35 @@
   CHECK_TRUE(After.State == ProposalState::Applied);
   LONGS_EQUAL(77, weightAt(Cluster, "e1"));
 }
+
+TEST(ConfigurationTest, SwappingPoliciesOnLiveLoadLosesAndDoublesNothing) {
+  VirtualCluster Cluster(withControl(49));
+  Cluster.settle();
+  const char *Policies[] = {"random", "late_binding", "slot_share",
+                            "two_choices", "slot_borrow"};
+  std::vector<std::size_t> Numbers;
+  for (int I = 0; I < 200; ++I) {
+    Numbers.push_back(
+        Cluster.submit(I % 2 == 0 ? "e1" : "e2",
+                       Cluster.makeJob(fmt::format("job{}", I), 1 + I % 7)));
+    Cluster.run(30ms);
+    if (I % 20 != 0)
+      continue;
+    peer::Change Swap;
+    Swap.set_id(fmt::format("swap{}", I));
+    peer::SetExperiment *Body = Swap.mutable_set_experiment();
+    Body->set_name("bids");
+    for (int Arm : {0, 1}) {
+      peer::PolicyShare *Share = Body->add_shares();
+      Share->set_policy(Policies[(I / 20 + Arm) % 5]);
+      Share->set_share(50);
+    }
+    ProposalOutcome Outcome = change(Cluster, Cluster.leader(), Swap, 50ms);
+    LONGS_EQUAL(peer::CHANGE_DONE, Outcome.Result.verdict());
+  }
+  Cluster.run(20s);
+  for (std::size_t Number : Numbers)
+    CHECK_TRUE(Cluster.answer(Number).Outcome.complete());
+  LONGS_EQUAL(0, Cluster.doubleStarts());
+  STRCMP_EQUAL("", Cluster.violation().c_str());
+}
--- /dev/null
+++ b/tests/dispatch/minion_table_test.cpp
@@ -0,0 +1,142 @@
+#include "dispatch/minion_table.h"
+#include "dispatch/retry_budget.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+constexpr std::uint32_t Threshold = 3;
+
+peer::Member member(const std::string &Name, std::uint64_t Life) {
+  peer::Member Member;
+  Member.set_name(Name);
+  Member.set_incarnation(Life);
+  Member.set_slots(8);
+  Member.set_state(peer::MEMBER_ALIVE);
+  Member.mutable_resources()->set_cpus(16);
+  return Member;
+}
+
+} // namespace
+
+TEST_GROUP(MinionTableTest) {
+  MinionTable Table;
+
+  void setup() override {
+    for (int I = 0; I < 4; ++I)
+      add(fmt::format("a{}", I), 1);
+  }
+  MinionIndex add(const std::string &Name, std::uint64_t Life) {
+    bool Replaced = false;
+    return Table.update(member(Name, Life), Replaced);
+  }
+};
+
+TEST(MinionTableTest, SharesOfAllEntriesAddUpToTheSlots) {
+  for (std::uint32_t Entries = 1; Entries <= 9; ++Entries) {
+    for (MinionIndex I = 0; I < Table.size(); ++I) {
+      std::uint32_t Total = 0;
+      for (std::uint32_t Position = 0; Position < Entries; ++Position) {
+        Table.setShares(Position, Entries);
+        Total += Table.at(I).Share;
+      }
+      LONGS_EQUAL(8, Total);
+    }
+  }
+}
+
+TEST(MinionTableTest, AFailingMinionIsEjectedAndTriedAgainOneByOne) {
+  for (std::uint32_t I = 0; I < Threshold; ++I) {
+    LONGS_EQUAL(4, Table.eligible().size());
+    Table.onFailure(0, Threshold, Start);
+  }
+  LONGS_EQUAL(3, Table.eligible().size());
+  Table.tick(Start + 999ms);
+  LONGS_EQUAL(3, Table.eligible().size());
+  Table.tick(Start + 1000ms);
+  LONGS_EQUAL(4, Table.eligible().size());
+  Table.onSent(0);
+  LONGS_EQUAL(3, Table.eligible().size());
+  // One failure on probation is enough, and the pause doubles.
+  Table.onSettled(0);
+  Table.onFailure(0, Threshold, Start + 2s);
+  Table.tick(Start + 3999ms);
+  LONGS_EQUAL(3, Table.eligible().size());
+  Table.tick(Start + 4s);
+  Table.onSent(0);
+  Table.onSettled(0);
+  Table.onSuccess(0);
+  Table.onSent(0);
+  LONGS_EQUAL(4, Table.eligible().size());
+}
+
+TEST(MinionTableTest, NeverMoreThanHalfIsEjected) {
+  for (MinionIndex Index = 0; Index < 4; ++Index)
+    for (std::uint32_t I = 0; I < Threshold; ++I)
+      Table.onFailure(Index, Threshold, Start);
+  LONGS_EQUAL(2, Table.eligible().size());
+}
+
+TEST(MinionTableTest, ANewLifeForgetsTheOldOnesLoadAndFailures) {
+  for (std::uint32_t I = 0; I < Threshold; ++I)
+    Table.onFailure(0, Threshold, Start);
+  Table.onSent(0);
+  add("a0", 2);
+  LONGS_EQUAL(4, Table.eligible().size());
+  LONGS_EQUAL(0, Table.at(0).Own);
+  peer::AgentLoad Late;
+  Late.set_incarnation(1);
+  Late.set_leaving(true);
+  Table.hear(0, Late, Start);
+  LONGS_EQUAL(4, Table.eligible().size());
+}
+
+TEST(MinionTableTest, OlderWordsDoNotReplaceNewerOnes) {
+  peer::AgentLoad Load;
+  Load.set_incarnation(1);
+  Load.set_freshness(10);
+  Load.set_running(6);
+  Table.hear(0, Load, Start);
+  LONGS_EQUAL(6, Table.at(0).Others);
+  Load.set_freshness(9);
+  Load.set_running(1);
+  Table.hear(0, Load, Start);
+  LONGS_EQUAL(6, Table.at(0).Others);
+}
+
+TEST(MinionTableTest, KnowsWhatFitsNowhere) {
+  struct Row {
+    std::uint32_t Cpus;
+    std::uint32_t Accelerators;
+    bool Fits;
+  };
+  const Row Rows[] = {
+      {0, 0, true}, {16, 0, true}, {17, 0, false}, {1, 1, false}};
+  for (const Row &Case : Rows) {
+    peer::Resources Needs;
+    Needs.set_cpus(Case.Cpus);
+    Needs.set_accelerators(Case.Accelerators);
+    CHECK_EQUAL(Case.Fits, Table.fitsSomewhere(Needs));
+  }
+}
+
+TEST_GROUP(RetryBudgetTest){};
+
+TEST(RetryBudgetTest, RetriesAreBoundedByAShareOfSends) {
+  RetryBudget Budget;
+  int Reserve = 0;
+  while (Budget.spend())
+    ++Reserve;
+  CHECK_TRUE(Reserve > 0);
+  for (int I = 0; I < 1000; ++I)
+    Budget.onFirstSend(20);
+  int Retries = 0;
+  while (Budget.spend())
+    ++Retries;
+  CHECK_TRUE(Retries >= 199 && Retries <= 200);
+}
