--- a/emulator/virtual_cluster.cpp
+++ b/emulator/virtual_cluster.cpp
@@ -290,6 +290,8 @@
   *Workspace.mutable_parameters() = defaultParameters();
   Workspace.mutable_parameters()->set_policy(this->Options.Policy);
   Workspace.mutable_parameters()->set_queue_limit(this->Options.QueueLimit);
+  constexpr std::uint32_t AnswersKeptMs = 5000;
+  Workspace.mutable_parameters()->set_answer_retention_ms(AnswersKeptMs);
   peer::HolderGroup &Group = View->Groups[0];
   Group.set_epoch(1);
   Group.set_group_count(1);
--- a/entry/job.cpp
+++ b/entry/job.cpp
@@ -28,4 +28,22 @@
   return Outcome;
 }
 
+FailureSpec idConflict() {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_CONFLICT;
+  Failure.Ran = peer::RAN_NOT_RUN;
+  Failure.Step = "claim";
+  Failure.Reason = "the id was submitted before with other content";
+  return Failure;
+}
+
+FailureSpec answerGone() {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_EXPIRED;
+  Failure.Ran = peer::RAN_SOMETHING;
+  Failure.Step = "answer";
+  Failure.Reason = "the job has ended and its answer is no longer kept";
+  return Failure;
+}
+
 } // namespace yardwheel
--- a/entry/job.h
+++ b/entry/job.h
@@ -44,6 +44,12 @@
 
   /// The id within its workspace, as the ledger knows it.
   std::string key() const { return this->Workspace + "/" + this->Id; }
+
+  /// What may be said of a request that has got no further than its claim: an
+  /// id that came from outside may have been submitted elsewhere.
+  peer::Ran freshRan() const {
+    return this->IdMadeHere ? peer::RAN_NOT_RUN : peer::RAN_UNKNOWN;
+  }
 };
 
 enum class TaskPhase : std::uint8_t { Waiting, Sent, Started, Done };
@@ -115,6 +121,11 @@
 
 peer::JobOutcome failureOutcome(const FailureSpec &Spec);
 
+/// The id was submitted before with other content.
+FailureSpec idConflict();
+/// The job has ended and its answer is no longer kept.
+FailureSpec answerGone();
+
 } // namespace yardwheel
 
 #endif
--- /dev/null
+++ b/entry/job_runner_watch.cpp
@@ -0,0 +1,161 @@
+//===- The part of JobRunner that deals with silence and loss -------------===//
+
+#include "entry/job_runner.h"
+
+namespace yardwheel {
+
+namespace {
+
+/// Between two questions of an entry that waits and hears from nobody.
+constexpr std::chrono::milliseconds AskWhenDeaf{50};
+
+} // namespace
+
+void JobRunner::loseTasks(Pool &Target, MinionIndex Minion,
+                          const std::string &Reason, TimePoint Now) {
+  std::vector<TaskRef> Lost = Target.tasksAt(Minion);
+  for (const TaskRef &Ref : Lost) {
+    Job *Owner = this->find(Ref.Job);
+    if (Owner == nullptr) {
+      Target.removeTask(Minion, Ref);
+      continue;
+    }
+    this->settle(*Owner, Ref.Index);
+    Owner->States[Ref.Index].Phase = TaskPhase::Done;
+    if (Owner->Phase == JobPhase::Finished)
+      continue;
+    if (!this->Options.ResendOnlyOnProof) {
+      Owner->States[Ref.Index].Phase = TaskPhase::Waiting;
+      this->resend(*Owner, Ref.Index, Reason, Now);
+      continue;
+    }
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_PEER_LOST;
+    Failure.Ran = peer::RAN_UNKNOWN;
+    Failure.Step = "execute";
+    Failure.Peer = Target.Minions.at(Minion).Name;
+    Failure.Reason = Reason;
+    Failure.Task = static_cast<int>(Ref.Index);
+    this->fail(*Owner, Failure, Now);
+  }
+}
+
+void JobRunner::forget(const Job &Target) {
+  this->Jobs.erase(Target.Number);
+  auto Named = this->NumberOfKey.find(Target.Request.key());
+  if (Named != this->NumberOfKey.end() && Named->second == Target.Number)
+    this->NumberOfKey.erase(Named);
+}
+
+void JobRunner::refreshIdle(Pool &Target, TimePoint Now) {
+  for (MinionIndex Index : Target.Minions.eligible()) {
+    const Minion &Idle = Target.Minions.at(Index);
+    if (Now - Idle.LastHeard >= this->Options.RefreshAfter)
+      this->askForLoad(Idle);
+  }
+}
+
+void JobRunner::askWhenDeaf(Pool &Target, TimePoint Now) {
+  // With no task out, no result will tell of slots that fall free.
+  const std::vector<MinionIndex> &Eligible = Target.Minions.eligible();
+  if (Target.Queue.waiting() == 0 || Target.Queue.out() > 0 ||
+      Eligible.empty() || Now < this->NextDeafQuestion)
+    return;
+  this->NextDeafQuestion = Now + AskWhenDeaf;
+  MinionIndex Any = Eligible[this->Random() % Eligible.size()];
+  this->askForLoad(Target.Minions.at(Any));
+}
+
+void JobRunner::askForLoad(const Minion &Asked) {
+  peer::Message Message;
+  Message.mutable_withdraw()->set_probe(true);
+  this->Sink.send(Asked.Agent, std::move(Message));
+}
+
+void JobRunner::tick(TimePoint Now) {
+  this->probeDue(Now);
+  if (Now >= this->NextRefresh) {
+    this->NextRefresh = Now + this->Options.RefreshAfter / 4;
+    for (auto &[Name, Target] : this->Pools)
+      this->refreshIdle(Target, Now);
+  }
+  for (auto &[Name, Target] : this->Pools) {
+    Target.Minions.tick(Now);
+    this->schedule(Target, Now);
+    this->askWhenDeaf(Target, Now);
+  }
+}
+
+void JobRunner::probeDue(TimePoint Now) {
+  while (!this->Probes.empty() && this->Probes.begin()->first <= Now) {
+    DueProbe Due = this->Probes.begin()->second;
+    this->Probes.erase(this->Probes.begin());
+    Job *Owner = this->find(Due.Task.Job);
+    if (Owner == nullptr)
+      continue;
+    const TaskState &Task = Owner->States[Due.Task.Index];
+    bool Out =
+        Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started;
+    if (!Out || Task.Attempt != Due.Attempt)
+      continue;
+    if (Due.FollowsUp && Task.UnansweredProbes == 0)
+      this->Probes.emplace(Now + this->Options.ProbeAfter,
+                           DueProbe{Due.Task, Due.Attempt});
+    else
+      this->probe(*Owner, Due.Task.Index, Now);
+  }
+}
+
+void JobRunner::onSendFailed(const std::string &Agent, TimePoint Now) {
+  Pool *Place = this->poolOf(Agent);
+  std::optional<MinionIndex> Minion;
+  if (Place != nullptr)
+    Minion = Place->Minions.find(Agent);
+  if (!Minion)
+    return;
+  std::vector<TaskRef> Doubtful = Place->tasksAt(*Minion);
+  for (const TaskRef &Ref : Doubtful) {
+    Job *Owner = this->find(Ref.Job);
+    // One that is being asked about has its next question set already.
+    if (Owner != nullptr && Owner->States[Ref.Index].UnansweredProbes == 0)
+      this->probe(*Owner, Ref.Index, Now);
+  }
+}
+
+void JobRunner::probe(Job &Owner, std::uint32_t Index, TimePoint Now) {
+  TaskState &Task = Owner.States[Index];
+  Pool &Place = this->Pools[Owner.PoolName];
+  if (Task.UnansweredProbes >= this->Options.MaxUnanswered) {
+    Place.Minions.setSilent(Task.Minion, true);
+    this->loseTasks(Place, Task.Minion, "the agent does not answer", Now);
+    return;
+  }
+  ++Task.UnansweredProbes;
+  bool Finished = Owner.Phase == JobPhase::Finished;
+  this->sendWithdraw(Owner, Task.Minion, {Index}, /*Probe=*/!Finished);
+  DueProbe Next{{Owner.Number, Index}, Task.Attempt, /*FollowsUp=*/true};
+  this->Probes.emplace(Now + this->Options.ProbeEvery, Next);
+}
+
+void JobRunner::sendWithdraw(Job &Owner, MinionIndex Minion,
+                             const std::vector<std::uint32_t> &Tasks,
+                             bool Probe) {
+  Pool &Place = this->Pools[Owner.PoolName];
+  peer::Message Message;
+  peer::Withdraw *Withdraw = Message.mutable_withdraw();
+  Withdraw->set_job_key(Owner.Request.key());
+  Withdraw->set_agent_incarnation(Place.Minions.at(Minion).Incarnation);
+  Withdraw->set_probe(Probe);
+  Withdraw->set_stop_running(Owner.Phase == JobPhase::Finished);
+  for (std::uint32_t Index : Tasks) {
+    peer::TaskAttempt *Task = Withdraw->add_tasks();
+    Task->set_index(Index);
+    Task->set_attempt(Owner.States[Index].Attempt);
+    Task->set_freshness(Owner.States[Index].Freshness);
+  }
+  // The question and its answer.
+  Owner.WastedMessages += 2;
+  this->Sink.send(Place.Minions.at(Minion).Agent, std::move(Message));
+}
+
+} // namespace yardwheel
--- a/entry/job_service.cpp
+++ b/entry/job_service.cpp
@@ -12,10 +12,6 @@
 constexpr std::chrono::milliseconds SoonAgain{1000};
 constexpr std::chrono::milliseconds LikelyResubmitted{500};
 
-peer::Ran freshRan(const JobRequest &Request) {
-  return Request.IdMadeHere ? peer::RAN_NOT_RUN : peer::RAN_UNKNOWN;
-}
-
 FailureSpec unavailable(const std::string &Step, const std::string &Reason,
                         peer::Ran Ran) {
   FailureSpec Failure;
@@ -27,24 +23,6 @@
   return Failure;
 }
 
-FailureSpec conflict() {
-  FailureSpec Failure;
-  Failure.Kind = peer::FAILURE_CONFLICT;
-  Failure.Ran = peer::RAN_NOT_RUN;
-  Failure.Step = "claim";
-  Failure.Reason = "the id was submitted before with other content";
-  return Failure;
-}
-
-FailureSpec answerGone() {
-  FailureSpec Failure;
-  Failure.Kind = peer::FAILURE_EXPIRED;
-  Failure.Ran = peer::RAN_SOMETHING;
-  Failure.Step = "answer";
-  Failure.Reason = "the job has ended and its answer is no longer kept";
-  return Failure;
-}
-
 /// Whether a policy's share of an experiment covers this job.
 std::string policyFor(const peer::Workspace &Place, const std::string &Key) {
   if (Place.experiment_size() == 0)
@@ -116,7 +94,9 @@
     this->joinExisting(*Known, Request, Waiter);
     return;
   }
-  std::optional<FailureSpec> Refusal = this->checkForm(Request, Now);
+  std::optional<FailureSpec> Refusal = this->checkEnded(Request);
+  if (!Refusal)
+    Refusal = this->checkForm(Request, Now);
   if (!Refusal)
     Refusal = this->checkReadiness(Request, Now);
   if (Refusal) {
@@ -148,7 +128,7 @@
 void JobService::joinExisting(Job &Known, const JobRequest &Request,
                               Ticket Waiter) {
   if (Known.Request.Fingerprint != Request.Fingerprint) {
-    peer::JobOutcome Outcome = failureOutcome(conflict());
+    peer::JobOutcome Outcome = failureOutcome(idConflict());
     this->Outcomes.onOutcome(Waiter, &Outcome);
   } else if (Known.Outcome) {
     this->Outcomes.onOutcome(Waiter, &*Known.Outcome);
@@ -157,6 +137,14 @@
   }
 }
 
+std::optional<FailureSpec>
+JobService::checkEnded(const JobRequest &Request) const {
+  std::optional<std::uint64_t> Ended = this->Ended.find(Request.key());
+  if (!Ended)
+    return std::nullopt;
+  return *Ended == Request.Fingerprint ? answerGone() : idConflict();
+}
+
 std::optional<FailureSpec> JobService::checkForm(const JobRequest &Request,
                                                  Instant Now) const {
   FailureSpec Failure;
@@ -188,7 +176,7 @@
 
 std::optional<FailureSpec> JobService::checkReadiness(const JobRequest &Request,
                                                       Instant Now) const {
-  peer::Ran Ran = freshRan(Request);
+  peer::Ran Ran = Request.freshRan();
   if (this->Draining)
     return unavailable("admit", "the entry is stopping; use another", Ran);
   if (!this->isConfirmed(Now.Steady))
@@ -322,7 +310,7 @@
     return;
   }
   FailureSpec Failure = unavailable("claim", "too few ledger holders answered",
-                                    freshRan(Target.Request));
+                                    Target.Request.freshRan());
   if (Decision.Result == ClaimResult::Unknown) {
     Failure.Reason = "the ledger's holders have restarted since the id's "
                      "first submission and cannot know whether it ran";
@@ -353,7 +341,7 @@
 void JobService::onHeld(Job &Target, PendingClaim &,
                         const ClaimDecision &Decision, Instant Now) {
   if (Decision.Fingerprint != Target.Request.Fingerprint) {
-    this->dismiss(Target, conflict(), Now.Steady);
+    this->dismiss(Target, idConflict(), Now.Steady);
     return;
   }
   Target.Phase = JobPhase::Attached;
@@ -363,129 +351,4 @@
   this->Attaches[Request] = {Target.Request.key(), std::nullopt};
 }
 
-// ---- Answer ----
-
-void JobService::onComplete(Job &Target, TimePoint Now) {
-  peer::JobOutcome Outcome;
-  Outcome.set_complete(true);
-  for (std::string &Result : Target.Results)
-    Outcome.add_results(std::move(Result));
-  this->finish(Target, std::move(Outcome), Now);
-}
-
-void JobService::onFailed(Job &Target, const FailureSpec &Failure,
-                          TimePoint Now) {
-  if (Target.Phase != JobPhase::Finished)
-    this->finish(Target, failureOutcome(Failure), Now);
-}
-
-void JobService::finish(Job &Target, peer::JobOutcome Outcome, TimePoint Now) {
-  bool WasRunning = Target.Phase == JobPhase::Running;
-  Target.Phase = JobPhase::Finished;
-  Target.Outcome = std::move(Outcome);
-  --this->Active;
-  if (WasRunning) {
-    this->Runner.stop(Target, Now);
-    const auto &Pools = this->Runner.pools();
-    auto Place = Pools.find(Target.PoolName);
-    this->Observer.onJobEnded(
-        Target, Place == Pools.end() ? 0 : Place->second.Minions.aliveSlots(),
-        Now);
-  }
-  for (Ticket Waiter : Target.Waiters)
-    this->Outcomes.onOutcome(Waiter, &*Target.Outcome);
-  for (const RemoteWaiter &Waiter : Target.RemoteWaiters)
-    this->replyAttach(Waiter, peer::ATTACH_ANSWERED, &*Target.Outcome);
-  Target.Waiters.clear();
-  Target.RemoteWaiters.clear();
-  Target.Request.Tasks.clear();
-  Target.Request.Tasks.shrink_to_fit();
-  std::chrono::milliseconds Keep(Target.Limits.answer_retention_ms());
-  Target.KeepUntil = Now + Keep;
-  this->Expiries.emplace(Target.KeepUntil, Target.Request.key());
-}
-
-void JobService::dismiss(Job &Target, const FailureSpec &Failure,
-                         TimePoint Now) {
-  Target.Released = true;
-  this->finish(Target, failureOutcome(Failure), Now);
-}
-
-void JobService::cancel(Job &Target, Instant Now) {
-  FailureSpec Failure;
-  Failure.Kind = peer::FAILURE_CANCELLED;
-  Failure.Step = "cancel";
-  Failure.Reason = "cancelled by the caller";
-  Failure.Ran = Target.Phase == JobPhase::Running ? Target.ran()
-                                                  : freshRan(Target.Request);
-  this->finish(Target, failureOutcome(Failure), Now.Steady);
-}
-
-void JobService::tick(Instant Now) {
-  this->tickClaims(Now);
-  this->Runner.tick(Now.Steady);
-  this->tickDeadlines(Now.Steady);
-  this->tickExpiries(Now.Steady);
-  for (Ticket Silent : this->Desk.tick(Now.Steady)) {
-    FailureSpec Failure;
-    Failure.Kind = peer::FAILURE_PEER_LOST;
-    Failure.Ran = peer::RAN_UNKNOWN;
-    Failure.Step = "attach";
-    Failure.Peer = this->Desk.ownerOf(Silent).entry();
-    Failure.Reason = "the entry that owns the job does not answer";
-    peer::JobOutcome Outcome = failureOutcome(Failure);
-    this->closeAttach(Silent, &Outcome, Now.Steady);
-  }
-}
-
-void JobService::tickDeadlines(TimePoint Now) {
-  while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now) {
-    Job *Target = this->find(this->Deadlines.begin()->second);
-    this->Deadlines.erase(this->Deadlines.begin());
-    if (Target == nullptr || Target->Phase == JobPhase::Finished ||
-        Now < Target->Deadline)
-      continue;
-    FailureSpec Failure;
-    Failure.Kind = peer::FAILURE_DEADLINE;
-    Failure.Step = Target->Phase == JobPhase::Running ? "execute" : "claim";
-    Failure.Reason = "the deadline has passed";
-    Failure.Ran = Target->Phase == JobPhase::Running
-                      ? Target->ran()
-                      : freshRan(Target->Request);
-    this->finish(*Target, failureOutcome(Failure), Now);
-  }
-}
-
-void JobService::tickExpiries(TimePoint Now) {
-  while (!this->Expiries.empty() && this->Expiries.begin()->first <= Now) {
-    std::string Key = this->Expiries.begin()->second;
-    this->Expiries.erase(this->Expiries.begin());
-    this->expire(Key, Now);
-  }
-}
-
-void JobService::expire(const std::string &Key, TimePoint Now) {
-  Job *Target = this->find(Key);
-  if (Target == nullptr || Target->Phase != JobPhase::Finished ||
-      Now < Target->KeepUntil)
-    return;
-  TimePoint Forget = Target->Submitted + this->Options.LedgerRetention +
-                     2 * this->Options.ClockAllowance;
-  bool Done = Target->OutCount == 0 && (Target->Released || Now >= Forget);
-  if (Done) {
-    this->Runner.forget(*Target);
-    this->Jobs.erase(Key);
-    return;
-  }
-  // The id stays known as used for as long as the ledger knows it.
-  if (!Target->Released)
-    Target->Outcome = failureOutcome(answerGone());
-  if (Target->OutCount == 0) {
-    this->Runner.forget(*Target);
-    Target->States.clear();
-    Target->Results.clear();
-  }
-  this->Expiries.emplace(std::max(Forget, Now + SoonAgain), Key);
-}
-
 } // namespace yardwheel
--- a/entry/job_service.h
+++ b/entry/job_service.h
@@ -13,6 +13,7 @@
 
 #include "catalog/node_catalog.h"
 #include "entry/attach_desk.h"
+#include "entry/ended_jobs.h"
 #include "entry/job.h"
 #include "entry/job_runner.h"
 #include "ledger/claimant.h"
@@ -109,6 +110,7 @@
     std::optional<Query> Asked;
   };
 
+  std::optional<FailureSpec> checkEnded(const JobRequest &Request) const;
   std::optional<FailureSpec> checkForm(const JobRequest &Request,
                                        Instant Now) const;
   std::optional<FailureSpec> checkReadiness(const JobRequest &Request,
@@ -161,6 +163,7 @@
   std::set<std::string> LiveEntries;
 
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  EndedJobs Ended;
   std::map<std::uint64_t, PendingClaim> Claims;
   std::map<Ticket, OpenAttach> Attaches;
   std::multimap<TimePoint, std::string> Deadlines;
--- /dev/null
+++ b/entry/job_service_answers.cpp
@@ -0,0 +1,134 @@
+//===- The part of JobService that ends jobs and keeps answers ------------===//
+
+#include "entry/job_service.h"
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds SoonAgain{1000};
+
+} // namespace
+
+// ---- Answer ----
+
+void JobService::onComplete(Job &Target, TimePoint Now) {
+  peer::JobOutcome Outcome;
+  Outcome.set_complete(true);
+  for (std::string &Result : Target.Results)
+    Outcome.add_results(std::move(Result));
+  this->finish(Target, std::move(Outcome), Now);
+}
+
+void JobService::onFailed(Job &Target, const FailureSpec &Failure,
+                          TimePoint Now) {
+  if (Target.Phase != JobPhase::Finished)
+    this->finish(Target, failureOutcome(Failure), Now);
+}
+
+void JobService::finish(Job &Target, peer::JobOutcome Outcome, TimePoint Now) {
+  bool WasRunning = Target.Phase == JobPhase::Running;
+  Target.Phase = JobPhase::Finished;
+  Target.Outcome = std::move(Outcome);
+  --this->Active;
+  if (WasRunning) {
+    this->Runner.stop(Target, Now);
+    const auto &Pools = this->Runner.pools();
+    auto Place = Pools.find(Target.PoolName);
+    this->Observer.onJobEnded(
+        Target, Place == Pools.end() ? 0 : Place->second.Minions.aliveSlots(),
+        Now);
+  }
+  for (Ticket Waiter : Target.Waiters)
+    this->Outcomes.onOutcome(Waiter, &*Target.Outcome);
+  for (const RemoteWaiter &Waiter : Target.RemoteWaiters)
+    this->replyAttach(Waiter, peer::ATTACH_ANSWERED, &*Target.Outcome);
+  Target.Waiters.clear();
+  Target.RemoteWaiters.clear();
+  Target.Request.Tasks.clear();
+  Target.Request.Tasks.shrink_to_fit();
+  std::chrono::milliseconds Keep(Target.Limits.answer_retention_ms());
+  Target.KeepUntil = Now + Keep;
+  this->Expiries.emplace(Target.KeepUntil, Target.Request.key());
+}
+
+void JobService::dismiss(Job &Target, const FailureSpec &Failure,
+                         TimePoint Now) {
+  Target.Released = true;
+  this->finish(Target, failureOutcome(Failure), Now);
+}
+
+void JobService::cancel(Job &Target, Instant Now) {
+  FailureSpec Failure;
+  Failure.Kind = peer::FAILURE_CANCELLED;
+  Failure.Step = "cancel";
+  Failure.Reason = "cancelled by the caller";
+  Failure.Ran = Target.Phase == JobPhase::Running ? Target.ran()
+                                                  : Target.Request.freshRan();
+  this->finish(Target, failureOutcome(Failure), Now.Steady);
+}
+
+void JobService::tick(Instant Now) {
+  this->tickClaims(Now);
+  this->Runner.tick(Now.Steady);
+  this->tickDeadlines(Now.Steady);
+  this->tickExpiries(Now.Steady);
+  for (Ticket Silent : this->Desk.tick(Now.Steady)) {
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_PEER_LOST;
+    Failure.Ran = peer::RAN_UNKNOWN;
+    Failure.Step = "attach";
+    Failure.Peer = this->Desk.ownerOf(Silent).entry();
+    Failure.Reason = "the entry that owns the job does not answer";
+    peer::JobOutcome Outcome = failureOutcome(Failure);
+    this->closeAttach(Silent, &Outcome, Now.Steady);
+  }
+}
+
+void JobService::tickDeadlines(TimePoint Now) {
+  while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now) {
+    Job *Target = this->find(this->Deadlines.begin()->second);
+    this->Deadlines.erase(this->Deadlines.begin());
+    if (Target == nullptr || Target->Phase == JobPhase::Finished ||
+        Now < Target->Deadline)
+      continue;
+    FailureSpec Failure;
+    Failure.Kind = peer::FAILURE_DEADLINE;
+    Failure.Step = Target->Phase == JobPhase::Running ? "execute" : "claim";
+    Failure.Reason = "the deadline has passed";
+    Failure.Ran = Target->Phase == JobPhase::Running
+                      ? Target->ran()
+                      : Target->Request.freshRan();
+    this->finish(*Target, failureOutcome(Failure), Now);
+  }
+}
+
+void JobService::tickExpiries(TimePoint Now) {
+  this->Ended.expire(Now);
+  while (!this->Expiries.empty() && this->Expiries.begin()->first <= Now) {
+    std::string Key = this->Expiries.begin()->second;
+    this->Expiries.erase(this->Expiries.begin());
+    this->expire(Key, Now);
+  }
+}
+
+void JobService::expire(const std::string &Key, TimePoint Now) {
+  Job *Target = this->find(Key);
+  if (Target == nullptr || Target->Phase != JobPhase::Finished ||
+      Now < Target->KeepUntil)
+    return;
+  // Tasks that are still out must find their job.
+  if (Target->OutCount > 0) {
+    this->Expiries.emplace(Now + SoonAgain, Key);
+    return;
+  }
+  TimePoint Forget = Target->Submitted + this->Options.LedgerRetention +
+                     2 * this->Options.ClockAllowance;
+  // The id stays known as used for as long as the ledger knows it.
+  if (!Target->Released)
+    this->Ended.add(Key, Target->Request.Fingerprint, Forget);
+  this->Runner.forget(*Target);
+  this->Jobs.erase(Key);
+}
+
+} // namespace yardwheel
--- a/entry/job_service_peers.cpp
+++ b/entry/job_service_peers.cpp
@@ -51,6 +51,11 @@
                              Known->Outcome ? &*Known->Outcome : nullptr);
     return;
   }
+  if (this->Ended.find(Key)) {
+    peer::JobOutcome Gone = failureOutcome(answerGone());
+    this->Outcomes.onOutcome(Waiter, &Gone);
+    return;
+  }
   PendingClaim Claim;
   Claim.Asked = Query{Key, Kind, Waiter};
   Claim.GiveUp = Now.Steady + this->Options.Claims.Timeout;
@@ -93,6 +98,13 @@
       Request.owner_incarnation() == this->Options.Self.incarnation();
   bool Mine = Known != nullptr && Known->Phase != JobPhase::Attached &&
               !Known->Released && ThisLife;
+  std::optional<std::uint64_t> EndedHash = this->Ended.find(Request.job_key());
+  if (!Mine && ThisLife && EndedHash) {
+    bool Same = *EndedHash == Request.fingerprint();
+    peer::JobOutcome Gone = failureOutcome(Same ? answerGone() : idConflict());
+    this->replyAttach(Asker, peer::ATTACH_ANSWERED, &Gone);
+    return;
+  }
   if (!Mine) {
     if (ThisLife)
       this->disown(Request.job_key());
--- a/tests/ledger/at_most_once_test.cpp
+++ b/tests/ledger/at_most_once_test.cpp
@@ -301,3 +301,33 @@
   CHECK_TRUE(Cluster.answer(Number).Outcome.complete());
   STRCMP_EQUAL("other#0", Cluster.answer(Number).Outcome.results(0).c_str());
 }
+
+TEST(AtMostOnceTest, AJobWhoseAnswerIsGoneIsSaidSoAndNeverRunsAgain) {
+  VirtualCluster Cluster(ClusterOptions{});
+  Cluster.settle();
+  JobRequest Job = Cluster.makeJob("job", 2);
+  JobRequest Other = Job;
+  Other.Fingerprint += 1;
+  Cluster.submit("e1", Job);
+  // Answers are kept for 5 s there, ids for a minute.
+  Cluster.run(8s);
+  for (const char *Entry : {"e1", "e2"}) {
+    std::size_t Again = Cluster.submit(Entry, Job);
+    std::size_t Clash = Cluster.submit(Entry, Other);
+    Cluster.run(1s);
+    std::size_t Look = Cluster.query(Entry, Job, QueryKind::Look);
+    Cluster.run(1s);
+    for (std::size_t Number : {Again, Look}) {
+      const peer::JobFailure &Gone = Cluster.answer(Number).Outcome.failure();
+      LONGS_EQUAL_TEXT(
+          peer::FAILURE_EXPIRED, Gone.kind(),
+          fmt::format("{} {}: {}", Entry, Number,
+                      Cluster.answer(Number).Outcome.ShortDebugString())
+              .c_str());
+      LONGS_EQUAL(peer::RAN_SOMETHING, Gone.ran());
+    }
+    LONGS_EQUAL(peer::FAILURE_CONFLICT,
+                Cluster.answer(Clash).Outcome.failure().kind());
+  }
+  LONGS_EQUAL(2, Cluster.starts(Job));
+}
