Bound kept answers in bytes; learn of newer revisions from peers

Cause: kept answers were bounded in time only, and the revision in each envelope was read by nobody.

Change: entry.max_answers_mb, the oldest go first and their ids stay known; a node that sees a newer revision asks control at once, at most four times a heartbeat.

--- a/emulator/virtual_cluster.cpp
+++ b/emulator/virtual_cluster.cpp
@@ -32,7 +32,8 @@
 public:
   EntryNode(VirtualCluster &Cluster, const std::string &Name,
             std::uint64_t Life)
-      : Cluster(Cluster), Name(Name), Sink(Cluster.World.sinkOf(Name)),
+      : Cluster(Cluster), Name(Name), Life(Life),
+        Sink(Cluster.World.sinkOf(Name)),
         Service(serviceOptions(Cluster, Name, Life), Sink, *this, *this) {
     if (Cluster.Options.Controls == 0)
       return;
@@ -83,6 +84,7 @@
     Options.Claims.Timeout = std::chrono::milliseconds(1000);
     Options.MaxUnconfirmed = MaxUnconfirmed;
     Options.MaxJobs = 1000;
+    Options.MaxAnswerBytes = Cluster.Options.MaxAnswerBytes;
     Options.ClaimsFirst = Cluster.Options.ClaimsFirst;
     Options.Runner.Seed = Cluster.Options.Seed + Life;
     Options.Runner.ResendOnlyOnProof = Cluster.Options.ResendOnlyOnProof;
@@ -91,6 +93,7 @@
 
   VirtualCluster &Cluster;
   std::string Name;
+  std::uint64_t Life;
   PeerSink &Sink;
   NodeCatalog Catalog;
   JobService Service;
@@ -431,6 +434,8 @@
   std::size_t Number = this->Answers.size();
   this->Answers.push_back({Entry, Request.key()});
   this->Answers.back().SubmittedAt = this->World.now().Steady;
+  if (this->World.isUp(Entry))
+    this->Answers.back().EntryLife = this->Entries[Entry]->Life;
   if (this->World.isUp(Entry))
     this->Entries[Entry]->Service.submit(Request, Number, this->World.now());
   return Number;
@@ -477,6 +482,16 @@
   this->LastStart[Agent] = this->World.now().Steady;
 }
 
+std::size_t VirtualCluster::unanswered() const {
+  std::size_t Total = 0;
+  for (const Answer &Heard : this->Answers) {
+    bool SameLife = Heard.EntryLife != 0 && this->World.isUp(Heard.Entry) &&
+                    this->Entries.at(Heard.Entry)->Life == Heard.EntryLife;
+    Total += SameLife && !Heard.Done ? 1 : 0;
+  }
+  return Total;
+}
+
 std::uint32_t VirtualCluster::starts(const JobRequest &Request,
                                      std::uint32_t Task) const {
   auto Found = this->Starts.find({Request.key(), Task});
--- a/emulator/virtual_cluster.h
+++ b/emulator/virtual_cluster.h
@@ -43,6 +43,7 @@
       Behaviour;
   Duration Tick = std::chrono::milliseconds(10);
   std::uint32_t QueueLimit = 1000;
+  std::size_t MaxAnswerBytes = SIZE_MAX;
   /// How long a ledger holder must be lost before it is replaced.
   std::chrono::milliseconds ReplaceAfter{1500};
   // Mechanisms that a test may turn off.
@@ -63,6 +64,8 @@
   std::uint32_t Count = 0;
   peer::JobOutcome Outcome;
   TimePoint SubmittedAt;
+  /// The life of the entry that was asked; 0 if it was down.
+  std::uint64_t EntryLife = 0;
   TimePoint At;
 };
 
@@ -93,6 +96,8 @@
   /// Starts a replica that never was a member, as a replacement.
   void startReplica(const std::string &Name);
 
+  /// Submissions without an answer although their entry has lived on.
+  std::size_t unanswered() const;
   std::uint32_t starts(const JobRequest &Request, std::uint32_t Task) const;
   std::uint32_t starts(const JobRequest &Request) const;
   /// Tasks that were started more than once, over the whole run.
--- a/entry/job.h
+++ b/entry/job.h
@@ -99,6 +99,8 @@
   bool Released = false;
   /// The outcome is kept until then.
   TimePoint KeepUntil;
+  /// Size of the kept outcome.
+  std::size_t AnswerBytes = 0;
 
   std::chrono::microseconds LongestService{};
   std::chrono::microseconds TotalService{};
--- a/entry/job_service.cpp
+++ b/entry/job_service.cpp
@@ -204,6 +204,9 @@
   this->Deadlines.emplace(New->Deadline, Key);
   ++this->Active;
   std::unique_ptr<Job> &Slot = this->Jobs[Key];
+  // A job that was given back leaves its place to the new submission.
+  if (Slot)
+    this->KeptBytes -= Slot->AnswerBytes;
   Slot = std::move(New);
   return *Slot;
 }
--- a/entry/job_service.h
+++ b/entry/job_service.h
@@ -18,6 +18,7 @@
 #include "entry/job_runner.h"
 #include "ledger/claimant.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -50,6 +51,8 @@
   ClaimTimes Claims;
   std::chrono::milliseconds MaxUnconfirmed{};
   std::uint32_t MaxJobs = 0;
+  /// Answers kept, in bytes; beyond it the oldest are given up early.
+  std::size_t MaxAnswerBytes = SIZE_MAX;
   RunnerOptions Runner;
   /// Off only in tests that show what the ledger is for.
   bool ClaimsFirst = true;
@@ -146,6 +149,8 @@
   void finish(Job &Target, peer::JobOutcome Outcome, TimePoint Now);
   /// Finishes a job that starts nothing and whose record is of no more use.
   void dismiss(Job &Target, const FailureSpec &Failure, TimePoint Now);
+  void keepAnswer(Job &Target, TimePoint Now);
+  void dropOldestAnswers(TimePoint Now);
   void tickDeadlines(TimePoint Now);
   void tickExpiries(TimePoint Now);
   void expire(const std::string &Key, TimePoint Now);
@@ -164,6 +169,9 @@
 
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   EndedJobs Ended;
+  /// Kept answers in the order in which their jobs ended, and their bytes.
+  std::deque<std::string> KeptAnswers;
+  std::size_t KeptBytes = 0;
   std::map<std::uint64_t, PendingClaim> Claims;
   std::map<Ticket, OpenAttach> Attaches;
   std::multimap<TimePoint, std::string> Deadlines;
--- a/entry/job_service_answers.cpp
+++ b/entry/job_service_answers.cpp
@@ -47,11 +47,31 @@
   Target.RemoteWaiters.clear();
   Target.Request.Tasks.clear();
   Target.Request.Tasks.shrink_to_fit();
+  this->keepAnswer(Target, Now);
+}
+
+void JobService::keepAnswer(Job &Target, TimePoint Now) {
   std::chrono::milliseconds Keep(Target.Limits.answer_retention_ms());
   Target.KeepUntil = Now + Keep;
+  Target.AnswerBytes = Target.Outcome->ByteSizeLong();
+  this->KeptBytes += Target.AnswerBytes;
+  this->KeptAnswers.push_back(Target.Request.key());
   this->Expiries.emplace(Target.KeepUntil, Target.Request.key());
 }
 
+void JobService::dropOldestAnswers(TimePoint Now) {
+  while (this->KeptBytes > this->Options.MaxAnswerBytes &&
+         !this->KeptAnswers.empty()) {
+    std::string Key = std::move(this->KeptAnswers.front());
+    this->KeptAnswers.pop_front();
+    Job *Oldest = this->find(Key);
+    if (Oldest == nullptr || Oldest->Phase != JobPhase::Finished)
+      continue;
+    Oldest->KeepUntil = Now;
+    this->expire(Key, Now);
+  }
+}
+
 void JobService::dismiss(Job &Target, const FailureSpec &Failure,
                          TimePoint Now) {
   Target.Released = true;
@@ -110,6 +130,11 @@
     this->Expiries.erase(this->Expiries.begin());
     this->expire(Key, Now);
   }
+  this->dropOldestAnswers(Now);
+  // Keys of jobs that expired in time are of no more use.
+  while (!this->KeptAnswers.empty() &&
+         this->find(this->KeptAnswers.front()) == nullptr)
+    this->KeptAnswers.pop_front();
 }
 
 void JobService::expire(const std::string &Key, TimePoint Now) {
@@ -128,6 +153,7 @@
   if (!Target->Released)
     this->Ended.add(Key, Target->Request.Fingerprint, Forget);
   this->Runner.forget(*Target);
+  this->KeptBytes -= Target->AnswerBytes;
   this->Jobs.erase(Key);
 }
 
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -100,6 +100,7 @@
 void AgentProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
   this->Loop.post([this, Envelope](Instant Now) {
     PeerRef From{Envelope->sender(), Envelope->sender_address()};
+    this->Announce.noteRevision(Envelope->revision(), Now);
     for (const peer::Message &Message : Envelope->messages()) {
       if (Message.has_heartbeat_reply())
         this->Announce.onReply(Message.heartbeat_reply(), Now);
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -81,6 +81,8 @@
   Options.Claims.Timeout = this->Values.Entry.ClaimTimeout;
   Options.MaxUnconfirmed = this->Values.Entry.MaxUnconfirmed;
   Options.MaxJobs = this->Values.Entry.MaxJobs;
+  constexpr std::size_t BytesPerMb = 1048576;
+  Options.MaxAnswerBytes = this->Values.Entry.MaxAnswersMb * BytesPerMb;
   Options.Runner.Seed = this->Incarnation;
   return Options;
 }
@@ -101,6 +103,7 @@
 void EntryProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
   this->Loop.post([this, Envelope](Instant Now) {
     PeerRef From{Envelope->sender(), Envelope->sender_address()};
+    this->Announce.noteRevision(Envelope->revision(), Now);
     for (const peer::Message &Message : Envelope->messages()) {
       if (Message.has_heartbeat_reply())
         this->Announce.onReply(Message.heartbeat_reply(), Now);
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -32,7 +32,16 @@
   this->beat(Now);
 }
 
+void Announcer::noteRevision(std::uint64_t Revision, Instant Now) {
+  bool Behind = Revision > this->Catalog.revision();
+  bool Lately = this->LastBeat != TimePoint::min() &&
+                Now.Steady - this->LastBeat < this->Options.Interval / 4;
+  if (Behind && !Lately)
+    this->beat(Now);
+}
+
 void Announcer::beat(Instant Now) {
+  this->LastBeat = Now.Steady;
   this->NextBeat = Now.Steady + this->Options.Interval;
   peer::Message Message;
   peer::Heartbeat *Beat = Message.mutable_heartbeat();
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -43,6 +43,9 @@
             PeerSink &Sink, AnnouncerEvents &Events);
 
   void tick(Instant Now);
+  /// A peer has a newer revision in force: asks control at once, but not for
+  /// every message of every peer.
+  void noteRevision(std::uint64_t Revision, Instant Now);
   void onReply(const peer::HeartbeatReply &Reply, Instant Now);
   /// Announces the state that \p Change has made at once.
   void update(const std::function<void(peer::Member &)> &Change, Instant Now);
@@ -69,6 +72,7 @@
   /// When the heartbeats that may still be answered were sent.
   std::map<std::uint64_t, TimePoint> SentAt;
   TimePoint NextBeat = TimePoint::min();
+  TimePoint LastBeat = TimePoint::min();
 };
 
 } // namespace yardwheel
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -34,6 +34,7 @@
   std::uint32_t HttpThreads = 0;
   std::uint32_t MaxBodyBytes = 0;
   std::uint32_t MaxJobs = 0;
+  std::uint32_t MaxAnswersMb = 0;
   std::chrono::milliseconds HeaderTimeout{};
   std::chrono::milliseconds WaitTimeout{};
   std::chrono::milliseconds ClaimTimeout{};
--- a/settings/settings_rules.cpp
+++ b/settings/settings_rules.cpp
@@ -170,6 +170,10 @@
           "entry.max_jobs", "20000", "jobs", 1, 1000000,
           "Jobs in flight at this entry, over all workspaces.",
           [](Settings & S) -> auto & { return S.Entry.MaxJobs; }),
+      number(
+          "entry.max_answers_mb", "128", "MB", 1, 65536,
+          "Answers kept for those who ask again; the oldest go first.",
+          [](Settings & S) -> auto & { return S.Entry.MaxAnswersMb; }),
       time(
           "entry.wait_timeout", "20000", 100, Minute,
           "A submission still running then is answered as pending.",
--- a/tests/ledger/at_most_once_fuzz_test.cpp
+++ b/tests/ledger/at_most_once_fuzz_test.cpp
@@ -71,6 +71,7 @@
 struct Run {
   std::uint32_t Doubles = 0;
   std::uint32_t Complete = 0;
+  std::size_t Unanswered = 0;
   std::string Violation;
 };
 
@@ -114,6 +115,7 @@
   Run Result;
   Result.Doubles = Cluster.doubleStarts();
   Result.Violation = Cluster.violation();
+  Result.Unanswered = Cluster.unanswered();
   for (std::size_t Number : Numbers) {
     const Answer &Heard = Cluster.answer(Number);
     Result.Complete += Heard.Outcome.complete() ? 1 : 0;
@@ -133,6 +135,7 @@
     std::string Name = fmt::format("seed {}", Seed);
     LONGS_EQUAL_TEXT(0, Result.Doubles, Name.c_str());
     STRCMP_EQUAL_TEXT("", Result.Violation.c_str(), Name.c_str());
+    LONGS_EQUAL_TEXT(0, Result.Unanswered, Name.c_str());
     Complete += Result.Complete;
   }
   // A cluster that refused everything would prove nothing.
--- a/tests/ledger/at_most_once_test.cpp
+++ b/tests/ledger/at_most_once_test.cpp
@@ -331,3 +331,24 @@
   }
   LONGS_EQUAL(2, Cluster.starts(Job));
 }
+
+TEST(AtMostOnceTest, TheOldestAnswersGoFirstWhenTheyTakeTooMuchMemory) {
+  ClusterOptions Options;
+  Options.MaxAnswerBytes = 600;
+  VirtualCluster Cluster(Options);
+  Cluster.settle();
+  std::vector<JobRequest> Jobs;
+  for (int I = 0; I < 10; ++I) {
+    Jobs.push_back(Cluster.makeJob(fmt::format("job{}", I), 10));
+    Cluster.submit("e1", Jobs.back());
+    Cluster.run(300ms);
+  }
+  std::size_t Oldest = Cluster.submit("e1", Jobs.front());
+  std::size_t Newest = Cluster.submit("e1", Jobs.back());
+  Cluster.run(500ms);
+  LONGS_EQUAL(peer::FAILURE_EXPIRED,
+              Cluster.answer(Oldest).Outcome.failure().kind());
+  CHECK_TRUE(Cluster.answer(Newest).Outcome.complete());
+  for (const JobRequest &Job : Jobs)
+    LONGS_EQUAL(10, Cluster.starts(Job));
+}
--- /dev/null
+++ b/tests/membership/announcer_test.cpp
@@ -0,0 +1,123 @@
+#include "membership/announcer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+class CountingSink final : public PeerSink {
+public:
+  void send(const PeerRef &To, peer::Message) override {
+    ++this->Sent;
+    this->LastTo = To.Node;
+  }
+  int Sent = 0;
+  std::string LastTo;
+};
+
+class CountingEvents final : public AnnouncerEvents {
+public:
+  void onConfirmed(TimePoint Asked) override { this->Confirmed = Asked; }
+  void onCatalog(Instant) override { ++this->Catalogs; }
+  void onMember(const peer::Member &Member, Instant) override {
+    this->Last = Member;
+  }
+  TimePoint Confirmed = TimePoint::min();
+  int Catalogs = 0;
+  peer::Member Last;
+};
+
+} // namespace
+
+TEST_GROUP(AnnouncerTest) {
+  CountingSink Sink;
+  CountingEvents Events;
+  NodeCatalog Catalog;
+  AnnouncerOptions Options{{{"c1", "c1"}, {"c2", "c2"}}, 1000ms};
+  peer::Member Self;
+  Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
+
+  void setup() override { Self.set_incarnation(7); }
+
+  peer::HeartbeatReply reply(std::uint64_t Sequence, std::uint64_t Revision) {
+    peer::HeartbeatReply Reply;
+    Reply.set_accepted(true);
+    Reply.set_sequence(Sequence);
+    Reply.set_incarnation(7);
+    Reply.mutable_catalog()->set_revision(Revision);
+    return Reply;
+  }
+  void pass(std::chrono::milliseconds Time) { Now.Steady += Time; }
+};
+
+TEST(AnnouncerTest, ConfirmationCountsFromTheQuestion) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  TimePoint Asked = Now.Steady;
+  pass(700ms);
+  Announce.onReply(reply(1, 5), Now);
+  CHECK_TRUE(Events.Confirmed == Asked);
+}
+
+TEST(AnnouncerTest, ALifeBeginsOnlyWithAnAnswerToItsOwnQuestion) {
+  struct Row {
+    const char *Name;
+    std::uint64_t Sequence;
+    std::uint64_t Incarnation;
+    std::uint64_t Expected;
+  };
+  const Row Rows[] = {{"an unasked push", 0, 7, 0},
+                      {"an answer to an earlier life", 1, 6, 0},
+                      {"an answer not asked for yet", 9, 7, 0},
+                      {"its own answer", 1, 7, 5}};
+  for (const Row &Case : Rows) {
+    NodeCatalog Fresh;
+    Announcer Announce(Options, Self, Fresh, Sink, Events);
+    Announce.tick(Now);
+    peer::HeartbeatReply Reply = reply(Case.Sequence, 5);
+    Reply.set_incarnation(Case.Incarnation);
+    Announce.onReply(Reply, Now);
+    LONGS_EQUAL_TEXT(Case.Expected, Fresh.revision(), Case.Name);
+  }
+}
+
+TEST(AnnouncerTest, ANewerRevisionOfAPeerIsAskedForAtOnceButNotEachTime) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  Announce.onReply(reply(1, 5), Now);
+  pass(300ms);
+  Announce.noteRevision(5, Now);
+  LONGS_EQUAL(1, Sink.Sent);
+  Announce.noteRevision(6, Now);
+  Announce.noteRevision(6, Now);
+  LONGS_EQUAL(2, Sink.Sent);
+}
+
+TEST(AnnouncerTest, ASilentReplicaIsLeftForTheNext) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  for (const char *Expected : {"c1", "c1", "c2"}) {
+    Announce.tick(Now);
+    STRCMP_EQUAL(Expected, Sink.LastTo.c_str());
+    pass(1000ms);
+  }
+}
+
+TEST(AnnouncerTest, AFullTableDropsWhoIsMissing) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  peer::HeartbeatReply Reply = reply(1, 5);
+  Reply.mutable_members()->set_term(1);
+  Reply.mutable_members()->set_full(true);
+  Reply.mutable_members()->add_members()->set_name("a1");
+  Announce.onReply(Reply, Now);
+  pass(1000ms);
+  Announce.tick(Now);
+  Reply = reply(2, 6);
+  Reply.mutable_members()->set_term(2);
+  Reply.mutable_members()->set_full(true);
+  Announce.onReply(Reply, Now);
+  STRCMP_EQUAL("a1", Events.Last.name().c_str());
+  LONGS_EQUAL(peer::MEMBER_LOST, Events.Last.state());
+}
