--- a/tests/ledger/at_most_once_test.cpp
+++ b/tests/ledger/at_most_once_test.cpp
@@ -352,3 +352,25 @@
   for (const JobRequest &Job : Jobs)
     LONGS_EQUAL(10, Cluster.starts(Job));
 }
+
+TEST(AtMostOnceTest, ARefusalBeforeTheClaimWouldLieAndTheCheckerSeesIt) {
+  // An id from outside is claimed before a limit may say "not run". Passing
+  // it off as made here skips the claim, which is the naive order.
+  for (bool Naive : {true, false}) {
+    ClusterOptions Options;
+    Options.QueueLimit = 20;
+    VirtualCluster Cluster(Options);
+    Cluster.settle();
+    JobRequest Job = Cluster.makeJob("job", 15);
+    Cluster.submit("e1", Job);
+    Cluster.run(2s);
+    for (int I = 0; I < 4; ++I)
+      Cluster.submit("e2", Cluster.makeJob(fmt::format("fill{}", I), 10));
+    Cluster.run(30ms);
+    Job.IdMadeHere = Naive;
+    std::size_t Again = Cluster.submit("e2", Job);
+    Cluster.run(1s);
+    CHECK_EQUAL(Naive, !Cluster.violation().empty());
+    CHECK_EQUAL(!Naive, Cluster.answer(Again).Outcome.complete());
+  }
+}
