--- a/catalog/catalog.cpp
+++ b/catalog/catalog.cpp
@@ -131,29 +131,35 @@
   return this->touch(Target);
 }
 
-peer::ChangeResult Catalog::setWorkspace(const peer::SetWorkspace &Body) {
-  auto Found = this->Workspaces.find(Body.name());
+template <typename Edit>
+peer::ChangeResult Catalog::editWorkspace(const std::string &Name,
+                                          std::uint64_t BaseVersion,
+                                          Edit Change) {
+  auto Found = this->Workspaces.find(Name);
   if (Found == this->Workspaces.end())
-    return invalid(fmt::format("workspace '{}': not found", Body.name()));
+    return invalid(fmt::format("workspace '{}': not found", Name));
   peer::Workspace &Target = Found->second;
-  if (!isBasedOn(Target, Body.base_version()))
-    return conflict(Target.version(), Body.base_version());
-  overlayParameters(*Target.mutable_parameters(), Body.parameters());
+  if (!isBasedOn(Target, BaseVersion))
+    return conflict(Target.version(), BaseVersion);
+  Change(Target);
   return this->touch(Target);
 }
 
+peer::ChangeResult Catalog::setWorkspace(const peer::SetWorkspace &Body) {
+  return this->editWorkspace(
+      Body.name(), Body.base_version(), [&](peer::Workspace &Target) {
+        overlayParameters(*Target.mutable_parameters(), Body.parameters());
+      });
+}
+
 peer::ChangeResult Catalog::setExperiment(const peer::SetExperiment &Body) {
-  auto Found = this->Workspaces.find(Body.name());
-  if (Found == this->Workspaces.end())
-    return invalid(fmt::format("workspace '{}': not found", Body.name()));
-  peer::Workspace &Target = Found->second;
-  if (!isBasedOn(Target, Body.base_version()))
-    return conflict(Target.version(), Body.base_version());
   std::string Wrong = checkArms(Body);
   if (!Wrong.empty())
     return invalid(Wrong);
-  *Target.mutable_experiment() = Body.shares();
-  return this->touch(Target);
+  return this->editWorkspace(Body.name(), Body.base_version(),
+                             [&](peer::Workspace &Target) {
+                               *Target.mutable_experiment() = Body.shares();
+                             });
 }
 
 peer::ChangeResult Catalog::setGroup(const peer::SetGroup &Body) {
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -58,6 +58,10 @@
   peer::ChangeResult createWorkspace(const peer::CreateWorkspace &Body);
   peer::ChangeResult setWorkspace(const peer::SetWorkspace &Body);
   peer::ChangeResult setExperiment(const peer::SetExperiment &Body);
+  /// Changes a workspace that is still at the version named.
+  template <typename Edit>
+  peer::ChangeResult editWorkspace(const std::string &Name,
+                                   std::uint64_t BaseVersion, Edit Change);
   peer::ChangeResult setGroup(const peer::SetGroup &Body);
   peer::ChangeResult touch(peer::Workspace &Target);
   peer::ChangeResult done(std::uint64_t Version) const;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -15,44 +15,41 @@
 
 void ControlService::propose(const peer::Change &Change, Instant Now,
                              const ChangeHandler &Done) {
-  this->Latest = Now;
-  std::optional<std::uint64_t> Index;
-  // A single replica commits at once: the handler must be there before.
-  std::uint64_t Expected = this->Raft->log().lastIndex() + 1;
-  if (this->Raft->leads())
-    this->track(Expected, Now, Done);
-  try {
-    Index = this->Raft->propose(Change.SerializeAsString(), Now.Steady);
-  } catch (const Error &Problem) {
-    this->Proposals.erase(Expected);
-    Done({ProposalState::StorageFailed, {}, Problem.what()});
-    return;
-  }
-  if (!Index)
-    Done({ProposalState::NotLeader, {}, "this replica does not lead"});
+  this->append(
+      [&] {
+        return this->Raft->propose(Change.SerializeAsString(), Now.Steady);
+      },
+      Now, Done);
 }
 
 void ControlService::proposeReplicas(const peer::ReplicaSet &Set, Instant Now,
                                      const ChangeHandler &Done) {
+  this->append([&] { return this->Raft->proposeReplicas(Set, Now.Steady); },
+               Now, Done);
+}
+
+void ControlService::append(const AppendFunction &Append, Instant Now,
+                            const ChangeHandler &Done) {
   this->Latest = Now;
-  std::optional<std::uint64_t> Index;
+  if (!this->Raft->leads()) {
+    Done({ProposalState::NotLeader, {}, "this replica does not lead"});
+    return;
+  }
+  // A single replica commits at once: the handler must be there before.
   std::uint64_t Expected = this->Raft->log().lastIndex() + 1;
-  if (this->Raft->leads())
-    this->track(Expected, Now, Done);
+  this->track(Expected, Now, Done);
   try {
-    Index = this->Raft->proposeReplicas(Set, Now.Steady);
+    if (Append())
+      return;
   } catch (const Error &Problem) {
     this->Proposals.erase(Expected);
     Done({ProposalState::StorageFailed, {}, Problem.what()});
     return;
   }
-  if (Index)
-    return;
-  bool Leads = this->Proposals.erase(Expected) > 0;
-  Done({Leads ? ProposalState::Unknown : ProposalState::NotLeader,
+  this->Proposals.erase(Expected);
+  Done({ProposalState::Unknown,
         {},
-        Leads ? "an earlier change of the replicas is not committed yet"
-              : "this replica does not lead"});
+        "an earlier change of the replicas is not committed yet"});
 }
 
 void ControlService::track(std::uint64_t Index, Instant Now,
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -100,6 +100,10 @@
     ReadHandler Done;
   };
 
+  /// Appends to the log. \returns nothing if the log does not take it now.
+  using AppendFunction = std::function<std::optional<std::uint64_t>()>;
+  void append(const AppendFunction &Append, Instant Now,
+              const ChangeHandler &Done);
   void track(std::uint64_t Index, Instant Now, ChangeHandler Done);
   void answerBeats();
   void refuseBeat(const WaitingBeat &Waiting);
--- a/dispatch/late_binding_policy.cpp
+++ b/dispatch/late_binding_policy.cpp
@@ -15,13 +15,7 @@
   std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random);
   if (Free)
     return Free;
-  std::optional<MinionIndex> Shortest = Table.byQueueRoom().pickBest(Random);
-  if (!Shortest)
-    return std::nullopt;
-  const Minion &Target = Table.at(*Shortest);
-  if (Target.load() >= Target.Slots + QueueAhead)
-    return std::nullopt;
-  return Shortest;
+  return Table.shortestQueue(QueueAhead, Random);
 }
 
 } // namespace yardwheel
--- a/dispatch/minion_table.cpp
+++ b/dispatch/minion_table.cpp
@@ -171,6 +171,17 @@
       [&](const Minion &M) { return holds(M.Resources, Needs); });
 }
 
+std::optional<MinionIndex>
+MinionTable::shortestQueue(std::uint32_t Ahead, std::mt19937_64 &Random) const {
+  std::optional<MinionIndex> Shortest = this->ByQueueRoom.pickBest(Random);
+  if (!Shortest)
+    return std::nullopt;
+  const Minion &Target = this->at(*Shortest);
+  if (Target.load() >= Target.Slots + Ahead)
+    return std::nullopt;
+  return Shortest;
+}
+
 bool MinionTable::mayGetWork(const Minion &Target) const {
   if (!Target.Alive || Target.Silent || Target.Ejected)
     return false;
--- a/dispatch/minion_table.h
+++ b/dispatch/minion_table.h
@@ -96,8 +96,10 @@
   const BucketIndex &byOwnFree() const { return this->ByOwnFree; }
   /// Eligible minions by the slots believed free of anybody's tasks.
   const BucketIndex &byTotalFree() const { return this->ByTotalFree; }
-  /// Eligible minions by the room left in their agents' queues.
-  const BucketIndex &byQueueRoom() const { return this->ByQueueRoom; }
+  /// The eligible minion with the shortest queue, if fewer than \p Ahead tasks
+  /// are believed to wait there beyond its slots.
+  std::optional<MinionIndex> shortestQueue(std::uint32_t Ahead,
+                                           std::mt19937_64 &Random) const;
 
 private:
   bool mayGetWork(const Minion &Target) const;
--- a/dispatch/slot_borrow_policy.cpp
+++ b/dispatch/slot_borrow_policy.cpp
@@ -17,13 +17,7 @@
     return Own;
   if (std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random))
     return Free;
-  std::optional<MinionIndex> Shortest = Table.byQueueRoom().pickBest(Random);
-  if (!Shortest)
-    return std::nullopt;
-  const Minion &Target = Table.at(*Shortest);
-  if (Target.load() >= Target.Slots + QueueAhead)
-    return std::nullopt;
-  return Shortest;
+  return Table.shortestQueue(QueueAhead, Random);
 }
 
 } // namespace yardwheel
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -80,33 +80,20 @@
 }
 
 peer::Member AgentProcess::selfAsMember() const {
-  peer::Member Self;
-  Self.set_name(this->Values.Node);
-  Self.set_role(peer::ROLE_AGENT);
-  Self.set_incarnation(this->Incarnation);
-  Self.set_address(this->Values.Listen);
-  Self.set_data_centre(this->Values.DataCentre);
-  Self.set_rack(this->Values.Rack);
+  peer::Member Self =
+      memberOf(this->Values, peer::ROLE_AGENT, this->Incarnation);
   Self.set_pool(this->Values.Agent.Pool);
   Self.set_slots(this->Values.Agent.Slots);
   Self.mutable_resources()->set_cpus(this->Values.Agent.Cpus);
   Self.mutable_resources()->set_memory_mb(this->Values.Agent.MemoryMb);
   Self.mutable_resources()->set_accelerators(this->Values.Agent.Accelerators);
-  Self.set_state(peer::MEMBER_ALIVE);
   Self.set_freshness(this->Core.load(this->Source.now()).freshness());
   return Self;
 }
 
 void AgentProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
   this->Loop.post([this, Envelope](Instant Now) {
-    PeerRef From{Envelope->sender(), Envelope->sender_address()};
-    this->Announce.noteRevision(Envelope->revision(), Now);
-    for (const peer::Message &Message : Envelope->messages()) {
-      if (Message.has_heartbeat_reply())
-        this->Announce.onReply(Message.heartbeat_reply(), Now);
-      else
-        this->Core.onMessage(From, Message, Now);
-    }
+    deliver(*Envelope, this->Announce, this->Core, Now);
   });
 }
 
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -88,28 +88,15 @@
 }
 
 peer::Member EntryProcess::selfAsMember() const {
-  peer::Member Self;
-  Self.set_name(this->Values.Node);
-  Self.set_role(peer::ROLE_ENTRY);
-  Self.set_incarnation(this->Incarnation);
-  Self.set_address(this->Values.Listen);
+  peer::Member Self =
+      memberOf(this->Values, peer::ROLE_ENTRY, this->Incarnation);
   Self.set_http_address(this->Values.Entry.HttpListen);
-  Self.set_data_centre(this->Values.DataCentre);
-  Self.set_rack(this->Values.Rack);
-  Self.set_state(peer::MEMBER_ALIVE);
   return Self;
 }
 
 void EntryProcess::receive(const std::shared_ptr<peer::Envelope> &Envelope) {
   this->Loop.post([this, Envelope](Instant Now) {
-    PeerRef From{Envelope->sender(), Envelope->sender_address()};
-    this->Announce.noteRevision(Envelope->revision(), Now);
-    for (const peer::Message &Message : Envelope->messages()) {
-      if (Message.has_heartbeat_reply())
-        this->Announce.onReply(Message.heartbeat_reply(), Now);
-      else
-        this->Service.onMessage(From, Message, Now);
-    }
+    deliver(*Envelope, this->Announce, this->Service, Now);
   });
 }
 
--- a/main/wiring.h
+++ b/main/wiring.h
@@ -37,6 +37,34 @@
   return Options;
 }
 
+/// What every member says of itself.
+inline peer::Member memberOf(const Settings &Values, peer::Role Role,
+                             std::uint64_t Incarnation) {
+  peer::Member Self;
+  Self.set_name(Values.Node);
+  Self.set_role(Role);
+  Self.set_incarnation(Incarnation);
+  Self.set_address(Values.Listen);
+  Self.set_data_centre(Values.DataCentre);
+  Self.set_rack(Values.Rack);
+  Self.set_state(peer::MEMBER_ALIVE);
+  return Self;
+}
+
+/// Hands an envelope's messages to the announcer or to the role's core.
+template <typename Core>
+void deliver(const peer::Envelope &Envelope, Announcer &Announce, Core &Target,
+             Instant Now) {
+  PeerRef From{Envelope.sender(), Envelope.sender_address()};
+  Announce.noteRevision(Envelope.revision(), Now);
+  for (const peer::Message &Message : Envelope.messages()) {
+    if (Message.has_heartbeat_reply())
+      Announce.onReply(Message.heartbeat_reply(), Now);
+    else
+      Target.onMessage(From, Message, Now);
+  }
+}
+
 /// Waits until \p Done says so, for at most \p Limit.
 inline bool waitUntil(std::chrono::milliseconds Limit,
                       const std::function<bool()> &Done) {
--- a/tests/consensus/raft_fuzz_test.cpp
+++ b/tests/consensus/raft_fuzz_test.cpp
@@ -8,9 +8,10 @@
 
 #include "tests/consensus/raft_cluster.h"
 
+#include "tests/support/seeds.h"
+
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
-#include <cstdlib>
 #include <fmt/format.h>
 
 using namespace yardwheel;
@@ -20,18 +21,6 @@
 
 constexpr std::uint64_t DefaultSeeds = 1000;
 
-std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
-  const char *Given = std::getenv(Variable);
-  return Given == nullptr ? Default : std::stoull(Given);
-}
-
-/// More seeds, outside CI: YARDWHEEL_SEEDS=5000. A failing one is replayed
-/// alone by YARDWHEEL_FIRST_SEED=N YARDWHEEL_SEEDS=N.
-std::uint64_t seedCount() {
-  return numberFrom("YARDWHEEL_SEEDS", DefaultSeeds);
-}
-std::uint64_t firstSeed() { return numberFrom("YARDWHEEL_FIRST_SEED", 1); }
-
 void causeFault(RaftCluster &Cluster, std::mt19937_64 &Random) {
   std::vector<std::string> Names = Cluster.names();
   const std::string &One = Names[Random() % Names.size()];
@@ -123,14 +112,14 @@
 
 TEST(RaftFuzzTest, NoSeedLosesOrReordersAnAcknowledgedChange) {
   std::size_t Acknowledged = 0;
-  const std::uint64_t Seeds = seedCount();
-  for (std::uint64_t Seed = firstSeed(); Seed <= Seeds; ++Seed) {
+  const SeedRange Seeds = seedRange(DefaultSeeds);
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
     Outcome Result = runSeed(Seed, true);
     std::string Name = fmt::format("seed {}", Seed);
     STRCMP_EQUAL_TEXT("", Result.Problem.c_str(), Name.c_str());
     Acknowledged += Result.Acknowledged;
   }
-  CHECK_TRUE(Acknowledged > (Seeds - firstSeed()) * 10);
+  CHECK_TRUE(Acknowledged > (Seeds.Last - Seeds.First) * 10);
 }
 
 TEST(RaftFuzzTest, TheCheckerCatchesAReplyBeforeTheSync) {
--- a/tests/ledger/at_most_once_fuzz_test.cpp
+++ b/tests/ledger/at_most_once_fuzz_test.cpp
@@ -8,8 +8,9 @@
 
 #include "emulator/virtual_cluster.h"
 
+#include "tests/support/seeds.h"
+
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 #include <fmt/format.h>
 
 using namespace yardwheel;
@@ -19,18 +20,6 @@
 
 constexpr std::uint64_t DefaultSeeds = 2000;
 
-std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
-  const char *Given = std::getenv(Variable);
-  return Given == nullptr ? Default : std::stoull(Given);
-}
-
-/// More seeds, outside CI: YARDWHEEL_SEEDS=5000. A failing one is replayed
-/// alone by YARDWHEEL_FIRST_SEED=N YARDWHEEL_SEEDS=N.
-std::uint64_t seedCount() {
-  return numberFrom("YARDWHEEL_SEEDS", DefaultSeeds);
-}
-std::uint64_t firstSeed() { return numberFrom("YARDWHEEL_FIRST_SEED", 1); }
-
 std::string randomNode(std::mt19937_64 &Random) {
   bool Entry = Random() % 3 == 0;
   return VirtualCluster::nodeName(Entry ? 'e' : 'a',
@@ -129,8 +118,8 @@
 
 TEST(AtMostOnceFuzzTest, NoSeedStartsATaskTwice) {
   std::uint64_t Complete = 0;
-  const std::uint64_t Seeds = seedCount();
-  for (std::uint64_t Seed = firstSeed(); Seed <= Seeds; ++Seed) {
+  const SeedRange Seeds = seedRange(DefaultSeeds);
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
     Run Result = runSeed(Seed, true);
     std::string Name = fmt::format("seed {}", Seed);
     LONGS_EQUAL_TEXT(0, Result.Doubles, Name.c_str());
@@ -139,7 +128,7 @@
     Complete += Result.Complete;
   }
   // A cluster that refused everything would prove nothing.
-  CHECK_TRUE(Complete > (Seeds - firstSeed()) * 3);
+  CHECK_TRUE(Complete > (Seeds.Last - Seeds.First) * 3);
 }
 
 TEST(AtMostOnceFuzzTest, TheCheckerCatchesAPlantedFault) {
