--- a/entry/entry_http.cpp
+++ b/entry/entry_http.cpp
@@ -39,10 +39,10 @@
 } // namespace
 
 EntryHttp::EntryHttp(const Clock &Source, const NodeCatalog &Catalog,
-                     const JobMetrics &Metrics, std::string Node,
-                     std::chrono::milliseconds WaitTimeout)
-    : Source(Source), Catalog(Catalog), Metrics(Metrics), Node(std::move(Node)),
-      WaitTimeout(WaitTimeout) {}
+                     const JobMetrics &Metrics, const LinkCounters &Links,
+                     std::string Node, std::chrono::milliseconds WaitTimeout)
+    : Source(Source), Catalog(Catalog), Metrics(Metrics), Links(Links),
+      Node(std::move(Node)), WaitTimeout(WaitTimeout) {}
 
 void EntryHttp::connect(EventLoop &NewLoop, JobService &NewService) {
   this->Loop = &NewLoop;
@@ -86,7 +86,7 @@
     Answer.Status = Up ? HttpStatus::Ok : HttpStatus::Unavailable;
     Answer.Body = Up ? "ready\n" : "not ready\n";
   } else if (Name == "metrics") {
-    Answer.Body = this->Metrics.text();
+    Answer.Body = this->Metrics.text() + describeCounters(this->Links);
   } else {
     sendRouteError(Reply, Request, HttpStatus::NotFound, "no such resource");
     return;
--- a/entry/entry_http.h
+++ b/entry/entry_http.h
@@ -15,6 +15,7 @@
 #include "entry/job_service.h"
 #include "http/http_server.h"
 #include "transport/event_loop.h"
+#include "transport/link_pool.h"
 
 #include <atomic>
 #include <deque>
@@ -27,8 +28,8 @@
 class EntryHttp final : public HttpHandler, public OutcomeSink {
 public:
   EntryHttp(const Clock &Source, const NodeCatalog &Catalog,
-            const JobMetrics &Metrics, std::string Node,
-            std::chrono::milliseconds WaitTimeout);
+            const JobMetrics &Metrics, const LinkCounters &Links,
+            std::string Node, std::chrono::milliseconds WaitTimeout);
 
   /// Must be called before the first request comes.
   void connect(EventLoop &NewLoop, JobService &NewService);
@@ -64,6 +65,7 @@
   const Clock &Source;
   const NodeCatalog &Catalog;
   const JobMetrics &Metrics;
+  const LinkCounters &Links;
   std::string Node;
   std::chrono::milliseconds WaitTimeout;
   EventLoop *Loop = nullptr;
--- a/tests/system/tool_test.cpp
+++ b/tests/system/tool_test.cpp
@@ -75,6 +75,26 @@
   }
 }
 
+TEST(ToolTest, MetricsHaveHistogramsForEachWorkspaceAndClass) {
+  SystemCluster Cluster({.Controls = 1, .Entries = 1});
+  Cluster.start();
+  Cluster.submit("e1", R"({"tasks":[{"payload":"a"},{"payload":"b"}]})");
+  Cluster.submit("e1", R"({"tasks":[{"payload":"fail"}]})");
+  std::string Text =
+      Cluster.call("GET", "http://" + Cluster.httpOf("e1") + "/metrics").Body;
+  for (const char *Expected :
+       {"yardwheel_response_ms_bucket{workspace=\"bids\",class=\"single\"",
+        "yardwheel_slowdown_bucket{workspace=\"bids\",class=\"small\"",
+        "yardwheel_failures_total{workspace=\"bids\",class=\"single\"",
+        "kind=\"task_failed\"} 1", "yardwheel_link_bytes_sent_total"})
+    CHECK_TRUE_TEXT(Text.find(Expected) != std::string::npos, Expected);
+  std::string Control = "http://" + Cluster.httpOf("c1");
+  CHECK_TRUE(Cluster.call("GET", Control + "/metrics")
+                 .Body.find("yardwheel_control_leads 1") != std::string::npos);
+  LONGS_EQUAL(200, Cluster.call("GET", Control + "/healthz").Status);
+  LONGS_EQUAL(200, Cluster.call("GET", Control + "/readyz").Status);
+}
+
 TEST(ToolTest, ALostReplicaIsReplacedWithTheTool) {
   SystemCluster Cluster(SystemOptions{});
   Cluster.start();
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -1,5 +1,6 @@
 #include "transport/link_pool.h"
 
+#include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
 #include <thread>
 
@@ -42,6 +43,24 @@
       Counters(std::make_shared<LinkCounters>()),
       Failures(std::make_shared<LinkFailures>()) {}
 
+std::string describeCounters(const LinkCounters &Counters) {
+  struct Row {
+    const char *Name;
+    const std::atomic<std::uint64_t> &Count;
+  };
+  const Row Rows[] = {
+      {"yardwheel_link_envelopes_sent_total", Counters.EnvelopesSent},
+      {"yardwheel_link_messages_sent_total", Counters.MessagesSent},
+      {"yardwheel_link_bytes_sent_total", Counters.BytesSent},
+      {"yardwheel_link_envelopes_failed_total", Counters.Failed},
+      {"yardwheel_link_messages_dropped_total", Counters.Dropped},
+  };
+  std::string Text;
+  for (const Row &Counter : Rows)
+    Text += fmt::format("{} {}\n", Counter.Name, Counter.Count.load());
+  return Text;
+}
+
 void LinkFailures::open(Handler NewHandler) {
   std::lock_guard Lock(this->Mutex);
   this->Current = std::move(NewHandler);
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -43,6 +43,9 @@
   std::atomic<std::uint64_t> Dropped{0};
 };
 
+/// The counters in Prometheus' text format.
+std::string describeCounters(const LinkCounters &Counters);
+
 /// Hears, on gRPC's threads, that an envelope may not have arrived. It can be
 /// closed while calls are under way.
 class LinkFailures {
