--- a/entry/job_runner.cpp
+++ b/entry/job_runner.cpp
@@ -162,8 +162,8 @@
   while (this->sendNext(Target, Now, Batch)) {
   }
   this->flush(Target, Batch);
-  if (Target.Queue.waiting() == 0)
-    this->moveWaiting(Target, Now);
+  if (Target.Queue.waiting() == 0 && Target.movesWaiting())
+    this->moveWaiting(Target);
 }
 
 bool JobRunner::sendNext(Pool &Target, TimePoint Now,
@@ -252,7 +252,7 @@
   }
 }
 
-void JobRunner::moveWaiting(Pool &Target, TimePoint Now) {
+void JobRunner::moveWaiting(Pool &Target) {
   std::optional<MinionIndex> Free =
       Target.Minions.byTotalFree().pickBest(this->Random);
   if (!Free || Target.Minions.eligible().empty())
--- a/entry/job_runner.h
+++ b/entry/job_runner.h
@@ -97,7 +97,7 @@
                   MinionIndex Minion,
                   std::map<DispatchKey, peer::Dispatch> &Batch);
   void flush(Pool &Target, std::map<DispatchKey, peer::Dispatch> &Batch);
-  void moveWaiting(Pool &Target, TimePoint Now);
+  void moveWaiting(Pool &Target);
   void takeBackLast(Pool &Target, MinionIndex Minion);
 
   void apply(Job &Owner, const peer::TaskUpdate &Update, TimePoint Now);
--- a/entry/pool.cpp
+++ b/entry/pool.cpp
@@ -11,6 +11,12 @@
   return *Known;
 }
 
+bool Pool::movesWaiting() const {
+  return std::any_of(
+      this->Policies.begin(), this->Policies.end(),
+      [](const auto &Item) { return Item.second->movesWaiting(); });
+}
+
 RetryBudget &Pool::budget(const std::string &Workspace) {
   return this->Budgets[Workspace];
 }
--- a/entry/pool.h
+++ b/entry/pool.h
@@ -34,6 +34,8 @@
 
   /// The policy of that name, made when first asked for.
   RoutePolicy &policy(const std::string &Name);
+  /// Whether any policy in use moves tasks that wait at agents.
+  bool movesWaiting() const;
   RetryBudget &budget(const std::string &Workspace);
 
   /// Tasks of this entry at a minion, in the order they were sent.
