--- a/control/control_http.cpp
+++ b/control/control_http.cpp
@@ -5,6 +5,7 @@
 #include "core/text.h"
 #include "http/json.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace yardwheel {
@@ -39,6 +40,46 @@
          Request.Path[1] == Kind;
 }
 
+/// What is wrong with a change of the replicas, or nothing.
+std::string checkReplicaChange(const api::ReplicaChange &Document) {
+  const std::string &Action = Document.action();
+  if (Action != "add" && Action != "promote" && Action != "remove")
+    return "action: expected add, promote or remove";
+  if (!isPlainKey(Document.replica().name()))
+    return "replica.name: expected 1 to 128 letters, digits or -_.:";
+  return {};
+}
+
+bool hasReplica(const peer::ReplicaSet &Set, const std::string &Name) {
+  return std::any_of(
+      Set.replicas().begin(), Set.replicas().end(),
+      [&](const peer::Replica &Known) { return Known.name() == Name; });
+}
+
+/// The set after a change; the same if it asks for what is there already.
+peer::ReplicaSet editReplicas(const peer::ReplicaSet &Old,
+                              const api::ReplicaChange &Document) {
+  const api::ReplicaDocument &Given = Document.replica();
+  peer::ReplicaSet New;
+  for (const peer::Replica &Known : Old.replicas()) {
+    bool Meant = Known.name() == Given.name();
+    if (Meant && Document.action() == "remove")
+      continue;
+    peer::Replica *Kept = New.add_replicas();
+    *Kept = Known;
+    if (Meant && Document.action() == "promote")
+      Kept->set_learner(false);
+  }
+  if (Document.action() != "add" || hasReplica(Old, Given.name()))
+    return New;
+  peer::Replica *Added = New.add_replicas();
+  Added->set_name(Given.name());
+  Added->set_address(Given.address());
+  Added->set_http_address(Given.http_address());
+  Added->set_learner(true);
+  return New;
+}
+
 HttpStatus statusFor(const ProposalOutcome &Outcome) {
   switch (Outcome.State) {
   case ProposalState::Applied:
@@ -334,50 +375,30 @@
                                  const Answer &Reply, Instant Now) {
   api::ReplicaChange Document;
   std::string Wrong = fromJson(Request.Body, Document);
-  const std::string &Action = Document.action();
-  bool Known = Action == "add" || Action == "promote" || Action == "remove";
-  if (Wrong.empty() && !Known)
-    Wrong = "action: expected add, promote or remove";
-  if (Wrong.empty() && Document.replica().name().empty())
-    Wrong = "replica.name: is missing";
+  if (Wrong.empty())
+    Wrong = checkReplicaChange(Document);
   if (!Wrong.empty()) {
     sendError(Reply, HttpStatus::BadRequest, "validate", Wrong);
     return;
   }
-  peer::ReplicaSet Set;
-  bool Found = false;
-  for (const peer::Replica &Old :
-       this->Service.raft().log().replicas().replicas()) {
-    bool Same = Old.name() == Document.replica().name();
-    Found = Found || Same;
-    if (Same && Action == "remove")
-      continue;
-    peer::Replica *Kept = Set.add_replicas();
-    *Kept = Old;
-    if (Same && Action == "promote")
-      Kept->set_learner(false);
-  }
-  if (Action == "add" && !Found) {
-    peer::Replica *Added = Set.add_replicas();
-    Added->set_name(Document.replica().name());
-    Added->set_address(Document.replica().address());
-    Added->set_http_address(Document.replica().http_address());
-    Added->set_learner(true);
-  } else if (Action != "add" && !Found) {
-    sendError(
-        Reply, HttpStatus::NotFound, "validate",
-        fmt::format("replica '{}': not found", Document.replica().name()));
+  const RaftNode &Raft = this->Service.raft();
+  const std::string &Name = Document.replica().name();
+  bool Add = Document.action() == "add";
+  if (!Add && !hasReplica(Raft.log().replicas(), Name)) {
+    sendError(Reply, HttpStatus::NotFound, "validate",
+              fmt::format("replica '{}': not found", printable(Name)));
     return;
   }
   // A voter that has to catch up first would hold up every commit.
-  if (Action == "promote" && this->Service.raft().leads() &&
-      !this->Service.raft().isCaughtUp(Document.replica().name())) {
+  if (Document.action() == "promote" && Raft.leads() &&
+      !Raft.isCaughtUp(Name)) {
     sendError(Reply, HttpStatus::Conflict, "promote",
               "the learner has not caught up yet; try again");
     return;
   }
   this->Service.proposeReplicas(
-      Set, Now, [this, Request, Reply](const ProposalOutcome &Outcome) {
+      editReplicas(Raft.log().replicas(), Document), Now,
+      [this, Request, Reply](const ProposalOutcome &Outcome) {
         this->answerChange(Outcome, "", Request, Reply);
       });
 }
