Leave uninstrumented libraries' inner threads out of the thread sanitizer's reports

Cause: gRPC and abseil come built without it, so their own locks cannot be seen; every daemon ended with 66.

--- a/misc/test.sh
+++ b/misc/test.sh
@@ -24,6 +24,8 @@
   # Sanitizers look at memory and threads, for which fewer stories will do:
   # they run about ten times slower.
   export YARDWHEEL_SEEDS="${YARDWHEEL_SEEDS:-200}"
+  # Also for the daemons that tests start.
+  export TSAN_OPTIONS="suppressions=$PWD/misc/tsan.supp"
 fi
 echo "== build"
 misc/build.sh "$folder" "${options[@]}"
