--- a/dispatch/minion_table.cpp
+++ b/dispatch/minion_table.cpp
@@ -13,13 +13,13 @@
 /// The deepest agent queue that the queue-room index tells apart.
 constexpr int QueueRoomRange = 256;
 
-bool holds(const peer::Resources &Has, const peer::Resources &Needs) {
+} // namespace
+
+bool fits(const peer::Resources &Has, const peer::Resources &Needs) {
   return Has.cpus() >= Needs.cpus() && Has.memory_mb() >= Needs.memory_mb() &&
          Has.accelerators() >= Needs.accelerators();
 }
 
-} // namespace
-
 MinionIndex MinionTable::update(const peer::Member &Member, bool &Replaced) {
   auto [Found, New] = this->ByName.try_emplace(
       Member.name(), static_cast<MinionIndex>(this->Minions.size()));
@@ -166,9 +166,8 @@
 }
 
 bool MinionTable::fitsSomewhere(const peer::Resources &Needs) const {
-  return std::any_of(
-      this->Minions.begin(), this->Minions.end(),
-      [&](const Minion &M) { return holds(M.Resources, Needs); });
+  return std::any_of(this->Minions.begin(), this->Minions.end(),
+                     [&](const Minion &M) { return fits(M.Resources, Needs); });
 }
 
 std::optional<MinionIndex>
--- a/dispatch/minion_table.h
+++ b/dispatch/minion_table.h
@@ -58,6 +58,9 @@
   std::uint32_t load() const { return this->Own + this->Others; }
 };
 
+/// Whether a worker, when empty, has what a task needs.
+bool fits(const peer::Resources &Has, const peer::Resources &Needs);
+
 class MinionTable {
 public:
   explicit MinionTable(EjectionRules Rules = {}) : Rules(Rules) {}
--- a/entry/job_runner.cpp
+++ b/entry/job_runner.cpp
@@ -29,11 +29,6 @@
          Needs.accelerators() != 0;
 }
 
-bool fits(const peer::Resources &Has, const peer::Resources &Needs) {
-  return Has.cpus() >= Needs.cpus() && Has.memory_mb() >= Needs.memory_mb() &&
-         Has.accelerators() >= Needs.accelerators();
-}
-
 /// How long until what waits now will have been taken in.
 std::chrono::milliseconds expectedWait(const Pool &Target) {
   std::uint32_t Slots = std::max(Target.Minions.aliveSlots(), 1U);
