A new leader tells entries at once of the members it has heard

Change: until the table is settled, replies carry the members heard so far; they are added, none is dropped. Test: MembersOfAnUnsettledTableAreTakenButDropNobody.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -248,6 +248,8 @@
     *Reply->mutable_catalog() = this->State.updateSince(Beat.revision());
   if (this->Members.isSettled(this->Latest.Steady))
     *Reply->mutable_members() = this->Members.updateFor(Beat);
+  else
+    *Reply->mutable_members() = this->Members.partialFor(Beat);
   this->Sink.send(To, std::move(Message));
 }
 
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -16,6 +16,11 @@
 /// the grace goes by while new jobs are refused.
 constexpr std::chrono::milliseconds LongestJob{1700};
 
+/// The HTTP library takes a connection whose answer is pending for one that is
+/// slow to send a request, and answers it by itself. So this is longer than
+/// any deadline of a job seen (three times its objective, some 17 s).
+constexpr std::chrono::milliseconds CallerTimeout{120000};
+
 class LeaseEntryProcess final : public Process, AnnouncerEvents {
 public:
   explicit LeaseEntryProcess(const NodePlan &Plan);
@@ -70,6 +75,7 @@
                HttpServerOptions{.Listen = Plan.CallerListen,
                                  .Threads = 1,
                                  .MaxBodyBytes = MaxBodyBytes,
+                                 .HeaderTimeout = CallerTimeout,
                                  .Headers = platform::EntryGate::headers()}),
               this->Gate),
       Balancer({.Listen = Plan.HealthListen, .Threads = 1}, this->Health) {
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -130,15 +130,8 @@
 }
 
 void Announcer::takeMembers(const peer::MemberUpdate &Update, Instant Now) {
-  bool SameTable = Update.term() == this->TableTerm;
-  bool Older = Update.term() < this->TableTerm ||
-               (SameTable && Update.version() < this->TableVersion);
-  if (Older || (!SameTable && !Update.full()))
+  if (!Update.partial() && !this->takeTable(Update, Now))
     return;
-  this->TableTerm = Update.term();
-  this->TableVersion = Update.version();
-  if (Update.full())
-    this->dropMissing(Update, Now);
   for (const peer::Member &Member : Update.members()) {
     peer::Member &Known = this->Table[Member.name()];
     // Late words of an older life change nothing.
@@ -154,6 +147,19 @@
   }
 }
 
+bool Announcer::takeTable(const peer::MemberUpdate &Update, Instant Now) {
+  bool SameTable = Update.term() == this->TableTerm;
+  bool Older = Update.term() < this->TableTerm ||
+               (SameTable && Update.version() < this->TableVersion);
+  if (Older || (!SameTable && !Update.full()))
+    return false;
+  this->TableTerm = Update.term();
+  this->TableVersion = Update.version();
+  if (Update.full())
+    this->dropMissing(Update, Now);
+  return true;
+}
+
 void Announcer::dropMissing(const peer::MemberUpdate &Update, Instant Now) {
   std::set<std::string> Present;
   for (const peer::Member &Member : Update.members())
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -58,6 +58,8 @@
   void follow(const std::string &LeaderAddress);
   void confirm(std::uint64_t Sequence);
   void dropMissing(const peer::MemberUpdate &Update, Instant Now);
+  /// \returns whether the update belongs to a table at least as new.
+  bool takeTable(const peer::MemberUpdate &Update, Instant Now);
   void takeMembers(const peer::MemberUpdate &Update, Instant Now);
 
   AnnouncerOptions Options;
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -66,6 +66,17 @@
   return Update;
 }
 
+peer::MemberUpdate
+MemberRegistry::partialFor(const peer::Heartbeat &Beat) const {
+  peer::MemberUpdate Update;
+  Update.set_partial(true);
+  if (Beat.member().role() == peer::ROLE_AGENT)
+    return Update;
+  for (const auto &[Name, Target] : this->Entries)
+    *Update.add_members() = Target.Member;
+  return Update;
+}
+
 const MemberRegistry::Entry *
 MemberRegistry::find(const std::string &Name) const {
   auto Found = this->Entries.find(Name);
--- a/membership/member_registry.h
+++ b/membership/member_registry.h
@@ -36,6 +36,8 @@
   /// What a node that holds the given table must be told. Agents are told
   /// nothing: they answer whoever asks them. Call it on a settled table only.
   peer::MemberUpdate updateFor(const peer::Heartbeat &Beat) const;
+  /// What a node may be told of a table that is not settled yet.
+  peer::MemberUpdate partialFor(const peer::Heartbeat &Beat) const;
 
   struct Entry {
     peer::Member Member;
--- a/tests/membership/announcer_test.cpp
+++ b/tests/membership/announcer_test.cpp
@@ -121,3 +121,24 @@
   STRCMP_EQUAL("a1", Events.Last.name().c_str());
   LONGS_EQUAL(peer::MEMBER_LOST, Events.Last.state());
 }
+
+TEST(AnnouncerTest, MembersOfAnUnsettledTableAreTakenButDropNobody) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  peer::HeartbeatReply Whole = reply(1, 5);
+  Whole.mutable_members()->set_term(1);
+  Whole.mutable_members()->set_version(4);
+  Whole.mutable_members()->set_full(true);
+  Whole.mutable_members()->add_members()->set_name("kept");
+  Announce.onReply(Whole, Now);
+  pass(1000ms);
+  Announce.tick(Now);
+  peer::HeartbeatReply Partial = reply(2, 5);
+  Partial.mutable_members()->set_partial(true);
+  peer::Member *Heard = Partial.mutable_members()->add_members();
+  Heard->set_name("heard");
+  Heard->set_state(peer::MEMBER_ALIVE);
+  Announce.onReply(Partial, Now);
+  STRCMP_EQUAL("heard", Events.Last.name().c_str());
+  CHECK(Events.Last.state() == peer::MEMBER_ALIVE);
+}
