Shed jobs at once under overload, the routes with most work first

Ruled out: lost messages and stalled agents, as every waiting task was told of. Change: an entry refuses a job while the room taken, running or waiting, passes its route's limit; equal weight a route makes the route with most work the least worth a core-second, so its limit is lowest.

--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -35,6 +35,7 @@
   Target.Pool = Member.pool();
   Target.Labels = {Member.labels().begin(), Member.labels().end()};
   Target.Room = Member.room();
+  Target.State = Member.state();
   Target.Alive = Member.state() == peer::MEMBER_ALIVE;
   if (Target.Alive)
     Target.Silent = false;
@@ -135,6 +136,18 @@
   return !Worker.Ejected || Worker.OwnTasks == 0;
 }
 
+double LeaseBoard::pressure(const LeasedJobRequest &Job, TimePoint Now) const {
+  double Taken = 0;
+  double Room = 0;
+  for (const auto &[Name, Worker] : this->Workers) {
+    if (!this->mayTake(Worker, Job, Now))
+      continue;
+    Taken += Worker.OthersCpu + Worker.OwnCpu;
+    Room += Worker.Room.cpu_milli();
+  }
+  return Room > 0 ? Taken / Room : 0;
+}
+
 double LeaseBoard::cost(const LeasedWorker &Worker,
                         const LeasedJobRequest &Job) {
   double Taken = Worker.OthersCpu + Worker.OwnCpu + Job.Needs.cpu_milli();
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -39,6 +39,8 @@
   std::string Pool;
   std::set<std::string> Labels;
   peer::TaskNeeds Room;
+  /// As control last told.
+  peer::MemberState State = peer::MEMBER_UNSPECIFIED;
   bool Alive = false;
   /// Reported lost by a link; nothing is sent until it is heard again.
   bool Silent = false;
@@ -76,6 +78,10 @@
   /// \returns whether the worker has been ejected by it.
   bool onFailure(const std::string &Agent, TimePoint Now);
 
+  /// Taken room over all room of the workers that may take the job, in
+  /// processor time; 0 where none may.
+  double pressure(const LeasedJobRequest &Job, TimePoint Now) const;
+
   LeasedWorker *find(const std::string &Agent);
   const std::map<std::string, LeasedWorker> &workers() const {
     return this->Workers;
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -30,7 +30,7 @@
 LeaseCoordinator::LeaseCoordinator(CoordinatorOptions Options, PeerSink &Sink,
                                    LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
-      Board(Options.Board, Options.Seed) {}
+      Board(Options.Board, Options.Seed), Shedder(Options.Shedder) {}
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -63,6 +63,8 @@
                                   this->Options.RetryAfter});
     return;
   }
+  if (this->shed(Request, Waiter, Now))
+    return;
   auto New = std::make_unique<Job>();
   New->Tasks.resize(Request.TaskCount);
   New->Taken = Now.Steady;
@@ -77,6 +79,32 @@
   this->forgetIfSettled(Id);
 }
 
+bool LeaseCoordinator::shed(const LeasedJobRequest &Request,
+                            LeaseTicket Waiter, Instant Now) {
+  double CoreMillis = static_cast<double>(Request.Needs.cpu_milli()) *
+                      Request.TaskCount *
+                      static_cast<double>(Request.Estimate.count()) / 1000;
+  this->Shedder.onOffered(Request.Route, CoreMillis, Now.Steady);
+  double Pressure = this->Board.pressure(Request, Now.Steady);
+  double Limit = this->Shedder.limitFor(Request.Route, Now.Steady);
+  if (Pressure < Limit)
+    return false;
+  ++this->Counters.JobsShed;
+  ++this->Counters.NotRun;
+  constexpr int Percent = 100;
+  this->Log.decision(
+      "job_shed",
+      {{"job", Request.Id},
+       {"route", Request.Route},
+       {"taken_percent", static_cast<int>(Pressure * Percent)},
+       {"limit_percent", static_cast<int>(Limit * Percent)},
+       {"tasks", Request.TaskCount}});
+  this->Answers.onLeasedAnswer(Waiter, {LeasedEnd::NotRun, "admit", "",
+                                        "minions are short of room",
+                                        this->Options.RetryAfter});
+  return true;
+}
+
 void LeaseCoordinator::cancel(const std::string &Id, const std::string &Reason,
                               Instant Now) {
   Job *Known = this->find(Id);
@@ -166,7 +194,12 @@
   if (Member.role() != peer::ROLE_AGENT)
     return;
   bool Lost = Member.state() == peer::MEMBER_LOST;
+  const LeasedWorker *Known = this->Board.find(Member.name());
+  bool Same = Known != nullptr && Known->Incarnation == Member.incarnation() &&
+              Known->State == Member.state();
   bool Replaced = this->Board.update(Member);
+  if (Same)
+    return;
   this->Log.decision("member", {{"agent", Member.name()},
                                 {"incarnation", Member.incarnation()},
                                 {"state", peer::MemberState_Name(Member.state())},
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -15,6 +15,7 @@
 #include "core/peer_sink.h"
 #include "entry/lease_board.h"
 #include "entry/leased_job.h"
+#include "entry/load_shedder.h"
 
 #include <map>
 #include <memory>
@@ -44,6 +45,7 @@
   /// time in which a full worker has emptied.
   std::chrono::milliseconds RetryAfter{1000};
   LeaseBoardOptions Board;
+  ShedderOptions Shedder;
   std::uint64_t Seed = 1;
 };
 
@@ -64,6 +66,7 @@
   std::uint64_t TasksRefused = 0;
   std::uint64_t AgentsLost = 0;
   std::uint64_t Ejections = 0;
+  std::uint64_t JobsShed = 0;
 };
 
 class LeaseCoordinator {
@@ -119,6 +122,8 @@
     TimePoint AskedAt = TimePoint::min();
   };
 
+  /// Whether the job was refused because too much is waiting already.
+  bool shed(const LeasedJobRequest &Request, LeaseTicket Waiter, Instant Now);
   void place(Job &Target, Instant Now);
   bool placeOne(Job &Target, std::uint32_t Index, Instant Now,
                 std::map<std::string, peer::LeasedDispatch> &Batch);
@@ -149,6 +154,7 @@
   PeerSink &Sink;
   LeasedAnswerSink &Answers;
   LeaseBoard Board;
+  LoadShedder Shedder;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   std::map<std::string, Contact> Contacts;
   CoordinatorCounters Counters;
