A lost start ends only once its stop has taken effect; silent workers lapse

And runs of a crashed worker were told lost only when its next life announced itself, 4 s later. Ruled out: the fencing of late starts, as no run began after its stop. Change: a stopped run that nobody has seen counts as ended when a stop must have taken effect; a worker that leaves a call without a reply gets no lease and no tasks until it replies, and its runs end when the last lease has lapsed.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -92,7 +92,7 @@
     return peer::REFUSAL_STALE;
   if (this->Leaving)
     return peer::REFUSAL_LEAVING;
-  if (!this->Session.hasWorker())
+  if (!this->Session.isReady())
     return peer::REFUSAL_NO_WORKER;
   if (this->Tasks.contains(Id))
     return peer::REFUSAL_OTHER_OWNER;
@@ -316,14 +316,23 @@
 
 void LeaseKeeper::onWorkerReady(Instant Now) { this->startFitting(Now); }
 
+void LeaseKeeper::onWorkerSilent(Instant Now) {
+  this->giveBackQueue(peer::REFUSAL_WORKER, "the worker is silent", Now);
+}
+
 void LeaseKeeper::leave(const std::string &Reason, Instant Now) {
   this->Leaving = true;
   this->Log.decision("leaving", {{"reason", Reason},
                                  {"queued", this->Queue.size()},
                                  {"tasks", this->Tasks.size()}});
+  this->giveBackQueue(peer::REFUSAL_LEAVING, Reason, Now);
+}
+
+void LeaseKeeper::giveBackQueue(peer::LeasedRefusal Why,
+                                const std::string &Reason, Instant Now) {
   std::vector<TaskId> Waiting = this->Queue;
   for (const TaskId &Id : Waiting)
-    this->dropTask(Id, peer::REFUSAL_LEAVING, Reason, Now);
+    this->dropTask(Id, Why, Reason, Now);
 }
 
 void LeaseKeeper::shutDown(Instant Now) {
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -77,6 +77,7 @@
   void onRunRefused(const RunKey &Run, WorkerRefusal Why, Instant Now) override;
   void onRunEnded(const RunKey &Run, RunEnd How, Instant Now) override;
   void onWorkerReady(Instant Now) override;
+  void onWorkerSilent(Instant Now) override;
 
 private:
   struct TaskId {
@@ -116,6 +117,8 @@
                const peer::LeasedTask &Order, bool Fresh, Instant Now);
   peer::LeasedRefusal refusalFor(const TaskId &Id, bool Fresh) const;
   void onStop(const PeerRef &From, const peer::LeasedStop &Stop, Instant Now);
+  void giveBackQueue(peer::LeasedRefusal Why, const std::string &Reason,
+                     Instant Now);
   void dropTask(const TaskId &Id, peer::LeasedRefusal Why,
                 const std::string &Reason, Instant Now);
 
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -67,6 +67,7 @@
   this->ClockReadAt = Now.Steady;
   this->Acknowledged = 0;
   this->Ready = false;
+  this->Answering = true;
   this->HoldOut = false;
   this->Strangers.clear();
   // The time of day is higher than in any earlier life of this agent, unless
@@ -80,11 +81,15 @@
                                          {"fencing_token", this->Token},
                                          {"runs_lost", this->Runs.size()}});
   this->Port.attach(New);
+  this->lapseAll(Now);
+  this->callHold(Now);
+}
+
+void WorkerSession::lapseAll(Instant Now) {
   std::map<RunKey, Run> Lost;
   std::swap(Lost, this->Runs);
   for (const auto &[Key, Known] : Lost)
     this->Events.onRunEnded(Key, RunEnd::Lapsed, Now);
-  this->callHold(Now);
 }
 
 bool WorkerSession::isCurrent(const std::string &Life) const {
@@ -98,7 +103,8 @@
   this->ClockReadAt = Now.Steady;
 }
 
-WorkerTime WorkerSession::leaseUntil(Instant Now) const {
+WorkerTime WorkerSession::extendLease(Instant Now) {
+  this->LeaseEnds = Now.Steady + this->Options.Lease;
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       Now.Steady - this->ClockReadAt);
   return this->ClockRead + Since + this->Options.Lease;
@@ -119,7 +125,7 @@
 void WorkerSession::start(const RunKey &Key, const std::string &Spec,
                           Instant Now) {
   this->Runs[Key] = Run();
-  this->Port.start({Key, Spec, this->leaseUntil(Now), this->Token});
+  this->Port.start({Key, Spec, this->extendLease(Now), this->Token});
 }
 
 void WorkerSession::stop(const RunKey &Key, Instant Now) {
@@ -179,10 +185,11 @@
   if (Found == this->Runs.end())
     return;
   // A run that did begin is listed as ended before its room is free.
-  if (Found->second.StartUnknown)
-    this->end(Key, RunEnd::Stopped, Now);
-  else
-    Found->second.NextStop = Now.Steady + this->Options.ConfirmedStopRetry;
+  Run &Known = Found->second;
+  Known.NextStop = Now.Steady + this->Options.ConfirmedStopRetry;
+  // One that never began is not listed as ended.
+  if (Known.StartUnknown && Known.StoppedAt == TimePoint::max())
+    Known.StoppedAt = Now.Steady + this->Options.StopTakes;
 }
 
 void WorkerSession::refuse(const RunKey &Key, WorkerRefusal Why, Instant Now) {
@@ -202,8 +209,10 @@
   HoldCall Call;
   Call.FencingToken = this->Token;
   Call.AcknowledgedEnd = this->Acknowledged;
-  if (this->Ready && !this->Runs.empty())
-    Call.LeaseUntil = this->leaseUntil(Now);
+  // A worker that may not hear us is given no lease, so that its last one can
+  // be told to have lapsed.
+  if (this->Ready && this->Answering && !this->Runs.empty())
+    Call.LeaseUntil = this->extendLease(Now);
   if (!this->Ready)
     Call.Wait = this->Options.FirstHoldWait;
   else
@@ -219,16 +228,10 @@
   this->HoldOut = false;
   this->noteClock(Reply, Now);
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None) {
-    if (Reply.Refusal == WorkerRefusal::Fenced)
-      this->raiseToken(Now);
-    this->NextHold = Now.Steady + this->Options.HoldRetry;
-    this->Log.decision("hold_failed",
-                       {{"worker", Life},
-                        {"refusal", refusalName(Reply.Refusal)},
-                        {"problem", Reply.Problem},
-                        {"runs", this->Runs.size()}});
+    this->onHoldFailed(Reply, Now);
     return;
   }
+  this->Answering = true;
   for (const EndedRun &Ended : Reply.Ended) {
     this->Acknowledged = std::max(this->Acknowledged, Ended.Number);
     this->Strangers.erase(Ended.Run);
@@ -240,6 +243,23 @@
   this->callHold(Now);
 }
 
+void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
+  this->NextHold = Now.Steady + this->Options.HoldRetry;
+  if (Reply.Refusal == WorkerRefusal::Fenced) {
+    this->raiseToken(Now);
+    return;
+  }
+  if (!this->Answering)
+    return;
+  this->Answering = false;
+  this->Log.decision("worker_silent",
+                     {{"worker", this->Profile->Id},
+                      {"refusal", refusalName(Reply.Refusal)},
+                      {"problem", Reply.Problem},
+                      {"runs", this->Runs.size()}});
+  this->Events.onWorkerSilent(Now);
+}
+
 void WorkerSession::adoptStrangers(const WorkerReply &Reply, Instant Now) {
   this->Strangers.clear();
   for (const RunKey &Key : Reply.Running)
@@ -257,9 +277,23 @@
     return;
   if (!this->HoldOut && Now.Steady >= this->NextHold)
     this->callHold(Now);
-  for (auto &[Key, Known] : this->Runs)
-    if (Known.State == Phase::Stopping && Now.Steady >= Known.NextStop)
+  bool Lapsed = !this->Answering &&
+                Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
+  if (Lapsed)
+    this->lapseAll(Now);
+  this->tickRuns(Now);
+}
+
+void WorkerSession::tickRuns(Instant Now) {
+  std::vector<RunKey> Stopped;
+  for (auto &[Key, Known] : this->Runs) {
+    if (Now.Steady >= Known.StoppedAt)
+      Stopped.push_back(Key);
+    else if (Known.State == Phase::Stopping && Now.Steady >= Known.NextStop)
       this->callStop(Key, Known, Now);
+  }
+  for (const RunKey &Key : Stopped)
+    this->end(Key, RunEnd::Stopped, Now);
 }
 
 } // namespace yardwheel
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -37,6 +37,11 @@
   std::chrono::milliseconds FirstHoldWait{20};
   /// Before a stop without a reply is sent again.
   std::chrono::milliseconds StopRetry{100};
+  /// A confirmed stop has ended its run within this.
+  std::chrono::milliseconds StopTakes{100};
+  /// Added to a lease before it is taken to have lapsed at a worker whose
+  /// clock may be some percent slow, and that ends its runs a little later.
+  std::chrono::milliseconds LapseSlack{100};
   /// Before a confirmed stop, whose end has not been told, is sent again.
   std::chrono::milliseconds ConfirmedStopRetry{1000};
   /// Before a failed call for ends is made again.
@@ -53,6 +58,8 @@
   virtual void onRunEnded(const RunKey &Run, RunEnd How, Instant Now) = 0;
   /// The worker's present life may be given runs.
   virtual void onWorkerReady(Instant Now) = 0;
+  /// The worker has left a call for ends without a reply.
+  virtual void onWorkerSilent(Instant Now) = 0;
 };
 
 class WorkerSession {
@@ -64,8 +71,9 @@
   /// of the last one.
   void onProfile(const WorkerProfile &New, Instant Now);
   bool hasWorker() const { return this->Profile.has_value(); }
-  /// Whether the worker's runs of an earlier agent have been stopped.
-  bool isReady() const { return this->Ready; }
+  /// Whether the worker replies, and its runs of an earlier agent have been
+  /// stopped.
+  bool isReady() const { return this->Ready && this->Answering; }
   const WorkerProfile &profile() const { return *this->Profile; }
 
   void start(const RunKey &Run, const std::string &Spec, Instant Now);
@@ -88,14 +96,20 @@
     /// The stop follows a start without a reply.
     bool StartUnknown = false;
     TimePoint NextStop = TimePoint::min();
+    /// When a confirmed stop of such a run has taken effect.
+    TimePoint StoppedAt = TimePoint::max();
   };
 
   void noteClock(const WorkerReply &Reply, Instant Now);
-  WorkerTime leaseUntil(Instant Now) const;
+  /// The end of a lease that begins now, on the worker's clock.
+  WorkerTime extendLease(Instant Now);
   bool isCurrent(const std::string &Life) const;
   void raiseToken(Instant Now);
   void callHold(Instant Now);
   void callStop(const RunKey &Key, Run &Known, Instant Now);
+  void onHoldFailed(const WorkerReply &Reply, Instant Now);
+  void tickRuns(Instant Now);
+  void lapseAll(Instant Now);
   void adoptStrangers(const WorkerReply &Reply, Instant Now);
   void end(const RunKey &Key, RunEnd How, Instant Now);
   void refuse(const RunKey &Key, WorkerRefusal Why, Instant Now);
@@ -111,6 +125,9 @@
   TimePoint ClockReadAt;
   std::uint64_t Acknowledged = 0;
   bool Ready = false;
+  bool Answering = true;
+  /// When the newest lease that the worker may have been given ends.
+  TimePoint LeaseEnds = TimePoint::min();
   bool HoldOut = false;
   TimePoint NextHold = TimePoint::min();
   std::map<RunKey, Run> Runs;
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -285,7 +285,9 @@
                  Now);
     return;
   }
-  if (Update.refusal() == peer::REFUSAL_WORKER &&
+  bool WorkerAtFault = Update.refusal() == peer::REFUSAL_WORKER ||
+                       Update.refusal() == peer::REFUSAL_NO_WORKER;
+  if (WorkerAtFault &&
       this->Board.onFailure(Agent, Now.Steady))
     ++this->Counters.Ejections;
   // A stale stamp says nothing against the agent: it has just sent a new one.
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -102,6 +102,7 @@
   Options.EntryLease =
       std::max(Times.ResubmitAfter - Times.WorkerStop - ResubmitMargin,
                2 * CoordinatorRenewal);
+  Options.Session.StopTakes = 2 * Times.WorkerStop;
   Options.Session.Lease = Times.MaxWorkerLease * WorkerLeasePercent / Percent;
   return Options;
 }
