--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -110,8 +110,7 @@
   New.Spec = Dispatch.spec();
   New.Needs = Dispatch.needs();
   New.Arrived = Now.Steady;
-  New.StartBy =
-      Now.Steady + std::chrono::milliseconds(Dispatch.start_by_ms());
+  New.StartBy = Now.Steady + std::chrono::milliseconds(Dispatch.start_by_ms());
   New.GiveUp = Now.Steady + std::chrono::milliseconds(Dispatch.give_up_ms());
   auto Known = this->Tasks.find(Id);
   // The link delivers a message again only if it was doubled on its way.
@@ -299,15 +298,14 @@
     ++this->Counters.Failed;
   else
     ++this->Counters.EndedEarly;
-  this->Log.decision(
-      "run_ended",
-      {{"job", Run.Job},
-       {"task", Run.Index},
-       {"run", Run.Run},
-       {"entry", Which->Owner.Node},
-       {"end", runEndName(How)},
-       {"waited_ms", msBetween(Which->Arrived, Which->Started)},
-       {"ran_ms", msBetween(Which->Started, Now.Steady)}});
+  this->Log.decision("run_ended",
+                     {{"job", Run.Job},
+                      {"task", Run.Index},
+                      {"run", Run.Run},
+                      {"entry", Which->Owner.Node},
+                      {"end", runEndName(How)},
+                      {"waited_ms", msBetween(Which->Arrived, Which->Started)},
+                      {"ran_ms", msBetween(Which->Started, Now.Steady)}});
   this->say(Id, *Which, Event, peer::REFUSAL_NONE, runEndName(How), Now);
   this->Tasks.erase(Id);
   this->NoRoomUntil = TimePoint::min();
@@ -394,10 +392,10 @@
     if (Concerned.empty())
       continue;
     ++this->Counters.LeasesLapsed;
-    this->Log.decision("lease_lapsed", {{"entry", Entry},
-                                        {"lease_ms",
-                                         this->Options.EntryLease.count()},
-                                        {"tasks", Concerned.size()}});
+    this->Log.decision("lease_lapsed",
+                       {{"entry", Entry},
+                        {"lease_ms", this->Options.EntryLease.count()},
+                        {"tasks", Concerned.size()}});
     for (const TaskId &Id : Concerned)
       this->dropTask(Id, peer::REFUSAL_STALE, "its entry's lease lapsed", Now);
   }
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -132,8 +132,7 @@
   void giveRoomBack(const peer::TaskNeeds &Needs);
 
   void say(const TaskId &Id, const Task &Which, peer::LeasedEvent Event,
-           peer::LeasedRefusal Refusal, const std::string &Reason,
-           Instant Now);
+           peer::LeasedRefusal Refusal, const std::string &Reason, Instant Now);
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now) const;
   Task *taskOf(const RunKey &Run);
   void tickLeases(Instant Now);
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -252,11 +252,10 @@
   if (!this->Answering)
     return;
   this->Answering = false;
-  this->Log.decision("worker_silent",
-                     {{"worker", this->Profile->Id},
-                      {"refusal", refusalName(Reply.Refusal)},
-                      {"problem", Reply.Problem},
-                      {"runs", this->Runs.size()}});
+  this->Log.decision("worker_silent", {{"worker", this->Profile->Id},
+                                       {"refusal", refusalName(Reply.Refusal)},
+                                       {"problem", Reply.Problem},
+                                       {"runs", this->Runs.size()}});
   this->Events.onWorkerSilent(Now);
 }
 
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -2,8 +2,8 @@
 ///
 /// \file
 /// The state machine behind the consensus log: templates, workspaces,
-/// experiments, ledger groups and the route table. It applies committed changes in order and
-/// is deterministic, so that all replicas hold the same state.
+/// experiments, ledger groups and the route table. It applies committed changes
+/// in order and is deterministic, so that all replicas hold the same state.
 ///
 /// A revision is the log index of a change. Objects carry the revision that
 /// changed them last, so the difference since any revision is a filter and
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -10,9 +10,8 @@
                                PeerSink &Sink, Instant Now)
     : Options(std::move(Options)), Sink(Sink), Members(this->Options.Lease),
       Groups(this->Options.Groups), Replicas(this->Options.Replicas),
-      Latest(Now),
-      Raft(std::make_unique<RaftNode>(this->Options.Raft, Storage, *this,
-                                      Now.Steady)) {}
+      Latest(Now), Raft(std::make_unique<RaftNode>(this->Options.Raft, Storage,
+                                                   *this, Now.Steady)) {}
 
 // ---- Changes ----
 
@@ -341,11 +340,11 @@
     return;
   this->NextJoin = Now.Steady + this->Options.JoinEvery;
   const peer::ReplicaSet &Present = this->Raft->log().replicas();
-  bool Member = std::any_of(Present.replicas().begin(),
-                            Present.replicas().end(),
-                            [&](const peer::Replica &Known) {
-                              return Known.name() == this->Options.Self.name();
-                            });
+  bool Member =
+      std::any_of(Present.replicas().begin(), Present.replicas().end(),
+                  [&](const peer::Replica &Known) {
+                    return Known.name() == this->Options.Self.name();
+                  });
   TimePoint Heard = this->Raft->leaderHeard();
   bool Silent = Heard != TimePoint::min() &&
                 Now.Steady - Heard > this->Options.JoinAfterSilence;
@@ -367,8 +366,8 @@
 void ControlService::tickReplicas(Instant Now) {
   if (this->ReplicaChangeOpen)
     return;
-  std::optional<peer::ReplicaSet> Next = this->Replicas.next(
-      *this->Raft, this->Options.Raft.Name, Now.Steady);
+  std::optional<peer::ReplicaSet> Next =
+      this->Replicas.next(*this->Raft, this->Options.Raft.Name, Now.Steady);
   if (!Next)
     return;
   std::string Names;
@@ -378,9 +377,9 @@
   this->proposeReplicas(*Next, Now, [this, Names](const ProposalOutcome &Done) {
     this->ReplicaChangeOpen = false;
     if (Done.State == ProposalState::Applied)
-      this->Log.decision("replicas_changed",
-                         {{"replicas", Names},
-                          {"revision", Done.Result.revision()}});
+      this->Log.decision(
+          "replicas_changed",
+          {{"replicas", Names}, {"revision", Done.Result.revision()}});
   });
 }
 
--- a/control/replica_manager.cpp
+++ b/control/replica_manager.cpp
@@ -32,11 +32,9 @@
 }
 
 std::uint32_t voterCount(const peer::ReplicaSet &Set) {
-  return static_cast<std::uint32_t>(
-      std::count_if(Set.replicas().begin(), Set.replicas().end(),
-                    [](const peer::Replica &Known) {
-                      return !Known.learner();
-                    }));
+  return static_cast<std::uint32_t>(std::count_if(
+      Set.replicas().begin(), Set.replicas().end(),
+      [](const peer::Replica &Known) { return !Known.learner(); }));
 }
 
 } // namespace
@@ -69,8 +67,7 @@
     return std::nullopt;
   if (voterCount(Present) < this->Options.Voters)
     return promoted(Present, Successor->name());
-  const peer::Replica *Outgoing =
-      this->findOutgoing(Present, Raft, Self, Now);
+  const peer::Replica *Outgoing = this->findOutgoing(Present, Raft, Self, Now);
   if (Outgoing == nullptr)
     return std::nullopt;
   return without(Present, Outgoing->name());
@@ -124,8 +121,8 @@
 ReplicaManager::findDeadLearner(const peer::ReplicaSet &Present,
                                 const RaftNode &Raft, TimePoint Now) const {
   for (const peer::Replica &Known : Present.replicas())
-    if (Known.learner() && isSilent(Raft, Known.name(),
-                                    this->Options.DropLearnerAfter, Now))
+    if (Known.learner() &&
+        isSilent(Raft, Known.name(), this->Options.DropLearnerAfter, Now))
       return &Known;
   return nullptr;
 }
--- a/control/replica_manager.h
+++ b/control/replica_manager.h
@@ -48,8 +48,7 @@
   std::optional<peer::ReplicaSet> addJoiner(const peer::ReplicaSet &Present,
                                             TimePoint Now);
   const peer::Replica *findSuccessor(const peer::ReplicaSet &Present,
-                                     const RaftNode &Raft,
-                                     TimePoint Now) const;
+                                     const RaftNode &Raft, TimePoint Now) const;
   const peer::Replica *findOutgoing(const peer::ReplicaSet &Present,
                                     const RaftNode &Raft,
                                     const std::string &Self,
--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -98,10 +98,10 @@
     return false;
   Target->Ejected = true;
   Target->OnTrial = false;
-  Target->Backoff = Target->Backoff.count() == 0
-                        ? this->Options.FirstBackoff
-                        : std::min(2 * Target->Backoff,
-                                   this->Options.MaxBackoff);
+  Target->Backoff =
+      Target->Backoff.count() == 0
+          ? this->Options.FirstBackoff
+          : std::min(2 * Target->Backoff, this->Options.MaxBackoff);
   Target->EjectedUntil = Now + Target->Backoff;
   return true;
 }
@@ -159,11 +159,9 @@
   return OffRack ? Share * this->Options.OffRackFactor : Share;
 }
 
-LeasedWorker *
-LeaseBoard::choose(const LeasedJobRequest &Job,
-                   const std::set<std::string> &Avoid,
-                   const std::map<std::string, std::uint32_t> &Placed,
-                   TimePoint Now) {
+LeasedWorker *LeaseBoard::choose(
+    const LeasedJobRequest &Job, const std::set<std::string> &Avoid,
+    const std::map<std::string, std::uint32_t> &Placed, TimePoint Now) {
   LeasedWorker *Best = nullptr;
   double Least = 0;
   for (auto &[Name, Worker] : this->Workers) {
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -79,8 +79,8 @@
   this->forgetIfSettled(Id);
 }
 
-bool LeaseCoordinator::shed(const LeasedJobRequest &Request,
-                            LeaseTicket Waiter, Instant Now) {
+bool LeaseCoordinator::shed(const LeasedJobRequest &Request, LeaseTicket Waiter,
+                            Instant Now) {
   double CoreMillis = static_cast<double>(Request.Needs.cpu_milli()) *
                       Request.TaskCount *
                       static_cast<double>(Request.Estimate.count()) / 1000;
@@ -92,13 +92,12 @@
   ++this->Counters.JobsShed;
   ++this->Counters.NotRun;
   constexpr int Percent = 100;
-  this->Log.decision(
-      "job_shed",
-      {{"job", Request.Id},
-       {"route", Request.Route},
-       {"taken_percent", static_cast<int>(Pressure * Percent)},
-       {"limit_percent", static_cast<int>(Limit * Percent)},
-       {"tasks", Request.TaskCount}});
+  this->Log.decision("job_shed",
+                     {{"job", Request.Id},
+                      {"route", Request.Route},
+                      {"taken_percent", static_cast<int>(Pressure * Percent)},
+                      {"limit_percent", static_cast<int>(Limit * Percent)},
+                      {"tasks", Request.TaskCount}});
   this->Answers.onLeasedAnswer(Waiter, {LeasedEnd::NotRun, "admit", "",
                                         "minions are short of room",
                                         this->Options.RetryAfter});
@@ -200,10 +199,11 @@
   bool Replaced = this->Board.update(Member);
   if (Same)
     return;
-  this->Log.decision("member", {{"agent", Member.name()},
-                                {"incarnation", Member.incarnation()},
-                                {"state", peer::MemberState_Name(Member.state())},
-                                {"table_version", Member.version()}});
+  this->Log.decision("member",
+                     {{"agent", Member.name()},
+                      {"incarnation", Member.incarnation()},
+                      {"state", peer::MemberState_Name(Member.state())},
+                      {"table_version", Member.version()}});
   if (Lost || Replaced)
     this->loseAgent(Member.name(),
                     Lost ? "control lost it" : "it has restarted", Now);
@@ -268,14 +268,13 @@
                                     Instant Now) {
   ++this->Counters.TasksRefused;
   this->settle(Target, Which, TaskPhase::Unplaced);
-  this->Log.decision(
-      "task_not_started",
-      {{"job", Target.Request.Id},
-       {"task", Update.index()},
-       {"agent", Agent},
-       {"attempt", Update.attempt()},
-       {"refusal", peer::LeasedRefusal_Name(Update.refusal())},
-       {"reason", Update.reason()}});
+  this->Log.decision("task_not_started",
+                     {{"job", Target.Request.Id},
+                      {"task", Update.index()},
+                      {"agent", Agent},
+                      {"attempt", Update.attempt()},
+                      {"refusal", peer::LeasedRefusal_Name(Update.refusal())},
+                      {"reason", Update.reason()}});
   if (Target.Phase != JobPhase::Running)
     return;
   if (Update.refusal() == peer::REFUSAL_TOO_LATE) {
@@ -287,8 +286,7 @@
   }
   bool WorkerAtFault = Update.refusal() == peer::REFUSAL_WORKER ||
                        Update.refusal() == peer::REFUSAL_NO_WORKER;
-  if (WorkerAtFault &&
-      this->Board.onFailure(Agent, Now.Steady))
+  if (WorkerAtFault && this->Board.onFailure(Agent, Now.Steady))
     ++this->Counters.Ejections;
   // A stale stamp says nothing against the agent: it has just sent a new one.
   if (Update.refusal() != peer::REFUSAL_STALE)
@@ -354,9 +352,9 @@
         Concerned.push_back(Id);
         break;
       }
-  this->Log.decision("agent_lost", {{"agent", Agent},
-                                    {"reason", Reason},
-                                    {"jobs", Concerned.size()}});
+  this->Log.decision(
+      "agent_lost",
+      {{"agent", Agent}, {"reason", Reason}, {"jobs", Concerned.size()}});
   for (const std::string &Id : Concerned) {
     Job &Target = *this->Jobs[Id];
     Target.MayHaveRun = true;
@@ -431,19 +429,18 @@
     ++this->Counters.Unknown;
     break;
   }
-  this->Log.decision(
-      "job_ended",
-      {{"job", Target.Request.Id},
-       {"route", Target.Request.Route},
-       {"end", endName(Answer.End)},
-       {"step", Answer.Step},
-       {"peer", Answer.Peer},
-       {"reason", Answer.Reason},
-       {"took_ms", sinceMs(Target.Taken, Now.Steady).count()},
-       {"objective_ms", Target.Request.Objective.count()},
-       {"estimate_ms", Target.Request.Estimate.count()},
-       {"tasks", Target.Tasks.size()},
-       {"done", Target.DoneCount}});
+  this->Log.decision("job_ended",
+                     {{"job", Target.Request.Id},
+                      {"route", Target.Request.Route},
+                      {"end", endName(Answer.End)},
+                      {"step", Answer.Step},
+                      {"peer", Answer.Peer},
+                      {"reason", Answer.Reason},
+                      {"took_ms", sinceMs(Target.Taken, Now.Steady).count()},
+                      {"objective_ms", Target.Request.Objective.count()},
+                      {"estimate_ms", Target.Request.Estimate.count()},
+                      {"tasks", Target.Tasks.size()},
+                      {"done", Target.DoneCount}});
   std::vector<LeaseTicket> Waiters = std::move(Target.Waiters);
   this->Waiting -= Waiters.size();
   for (LeaseTicket Waiter : Waiters)
@@ -511,8 +508,11 @@
     Job &Target = *this->Jobs[Id];
     if (Target.Phase == JobPhase::Running)
       this->giveUp(Target,
-                   {LeasedEnd::Unknown, "deadline", "",
-                    "the caller's deadline has passed", {}},
+                   {LeasedEnd::Unknown,
+                    "deadline",
+                    "",
+                    "the caller's deadline has passed",
+                    {}},
                    Now);
     else
       this->finishIfProven(Target, Now);
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -85,7 +85,9 @@
   void tick(Instant Now);
 
   /// Whether a job with this id is under way here.
-  bool isRunning(const std::string &Id) const { return this->Jobs.contains(Id); }
+  bool isRunning(const std::string &Id) const {
+    return this->Jobs.contains(Id);
+  }
   /// Jobs of a route that have not begun, as far as is known here.
   std::uint32_t pending(const std::string &Route) const;
   /// Jobs whose callers wait.
@@ -127,8 +129,7 @@
   void place(Job &Target, Instant Now);
   bool placeOne(Job &Target, std::uint32_t Index, Instant Now,
                 std::map<std::string, peer::LeasedDispatch> &Batch);
-  void dispatch(Job &Target,
-                std::map<std::string, peer::LeasedDispatch> &Batch,
+  void dispatch(Job &Target, std::map<std::string, peer::LeasedDispatch> &Batch,
                 Instant Now);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -174,8 +174,8 @@
                          std::make_shared<PistacheReply>(std::move(Writer)));
   }
 
-  void onDisconnection(
-      const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+  void
+  onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
     this->Target->onDisconnect(Peer->getID());
   }
 
@@ -207,8 +207,7 @@
                             Pistache::Tcp::Options::ReuseAddr));
     this->Inner->Endpoint.init(Settings);
     this->Inner->Endpoint.setHandler(
-        std::make_shared<PistacheHandler>(
-        std::move(Handler), Options.Headers));
+        std::make_shared<PistacheHandler>(std::move(Handler), Options.Headers));
     this->Inner->Endpoint.serveThreaded();
     this->Inner->Running = true;
   } catch (const std::exception &Problem) {
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -73,7 +73,8 @@
 };
 
 LeaseAgentProcess::LeaseAgentProcess(const NodePlan &Plan)
-    : Plan(Plan), Links(planIdentity(Plan, peer::ROLE_AGENT, this->Incarnation)),
+    : Plan(Plan),
+      Links(planIdentity(Plan, peer::ROLE_AGENT, this->Incarnation)),
       Loop(
           this->Source, LeaseTick, [this](Instant Now) { this->tick(Now); },
           [this] { this->Links.flush(); }),
@@ -125,15 +126,13 @@
 // ---- The worker ----
 
 void LeaseAgentProcess::onAnnounced(const WorkerProfile &Profile) {
-  this->Loop.post([this, Profile](Instant Now) {
-    this->takeProfile(Profile, Now);
-  });
+  this->Loop.post(
+      [this, Profile](Instant Now) { this->takeProfile(Profile, Now); });
 }
 
 void LeaseAgentProcess::takeProfile(const WorkerProfile &Profile, Instant Now) {
   WorkerSession &Session = this->Keeper.session();
-  bool NewLife =
-      !Session.hasWorker() || Session.profile().Id != Profile.Id;
+  bool NewLife = !Session.hasWorker() || Session.profile().Id != Profile.Id;
   bool WasLeaving = this->Keeper.isLeaving();
   // Entries know each life of the worker as a life of its agent.
   if (NewLife && Session.hasWorker())
@@ -196,9 +195,8 @@
 void LeaseAgentProcess::reload() {
   try {
     NodePlan New = platform::readNodeSettings();
-    this->Loop.post([this, New](Instant) {
-      this->Announce.addControls(seedPeers(New));
-    });
+    this->Loop.post(
+        [this, New](Instant) { this->Announce.addControls(seedPeers(New)); });
     this->Log.decision("reloaded", {{"seeds", New.Seeds.size()}});
   } catch (const std::exception &Problem) {
     this->Log.warning("The settings were not taken over: {}.", Problem.what());
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -57,7 +57,8 @@
 };
 
 LeaseEntryProcess::LeaseEntryProcess(const NodePlan &Plan)
-    : Plan(Plan), Links(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation)),
+    : Plan(Plan),
+      Links(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation)),
       Gate(std::make_shared<platform::EntryGate>(this->Catalog)),
       Health(std::make_shared<platform::HealthGate>()),
       Coordinator(this->coordinatorOptions(), this->Links, *this->Gate),
@@ -127,9 +128,8 @@
 void LeaseEntryProcess::reload() {
   try {
     NodePlan New = platform::readNodeSettings();
-    this->Loop.post([this, New](Instant) {
-      this->Announce.addControls(seedPeers(New));
-    });
+    this->Loop.post(
+        [this, New](Instant) { this->Announce.addControls(seedPeers(New)); });
     this->Log.decision("reloaded", {{"seeds", New.Seeds.size()}});
   } catch (const std::exception &Problem) {
     this->Log.warning("The settings were not taken over: {}.", Problem.what());
@@ -146,8 +146,8 @@
   bool Done =
       waitUntil(LongestJob, [this] { return this->InFlight.load() == 0; });
   if (!Done)
-    this->Log.warning("Entry {} stops with {} jobs in flight.",
-                      this->Plan.Node, this->InFlight.load());
+    this->Log.warning("Entry {} stops with {} jobs in flight.", this->Plan.Node,
+                      this->InFlight.load());
   // Answers handed to the server still have to reach their sockets.
   std::this_thread::sleep_for(FlushTime / 2);
   this->stop();
