--- /dev/null
+++ b/tests/agent/lease_keeper_test.cpp
@@ -0,0 +1,251 @@
+#include "agent/lease_keeper.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A worker that starts what it is told to and ends it when a test says so.
+class ObedientPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &) override {}
+  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
+  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
+  void hold(const HoldCall &) override {}
+  std::vector<StartCall> Starts;
+  std::vector<StopCall> Stops;
+};
+
+class CollectingSink final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message Message) override {
+    if (Message.has_leased_update())
+      this->Updates.push_back(Message.leased_update());
+    else if (Message.has_worker_load())
+      this->Load = Message.worker_load();
+  }
+  std::vector<peer::LeasedUpdate> Updates;
+  peer::WorkerLoad Load;
+};
+
+constexpr std::uint64_t Life = 7;
+const PeerRef EntryA{"entry-a", "10.0.0.1:1"};
+const PeerRef EntryB{"entry-b", "10.0.0.2:1"};
+
+KeeperOptions optionsWith(bool CountFromEcho) {
+  KeeperOptions Options;
+  Options.Incarnation = Life;
+  Options.LeasesCountFromEcho = CountFromEcho;
+  return Options;
+}
+
+} // namespace
+
+TEST_GROUP(LeaseKeeperTest) {
+  ObedientPort Port;
+  CollectingSink Sink;
+  Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
+
+  void attach(LeaseKeeper & Keeper, std::uint32_t CpuMilli = 4000) {
+    WorkerProfile Profile;
+    Profile.Id = "w";
+    Profile.Pool = "pool";
+    Profile.Room.set_cpu_milli(CpuMilli);
+    Profile.Room.set_memory_mb(1000);
+    Keeper.onProfile(Profile, Now);
+    WorkerReply Reply;
+    Reply.Answered = true;
+    Keeper.session().onHoldReply("w", Reply, Now);
+  }
+  peer::Message dispatch(const std::string &Job, std::uint64_t Stamp,
+                         std::uint32_t CpuMilli = 1000,
+                         std::int32_t StartByMs = 100,
+                         std::uint32_t Tasks = 1) {
+    peer::Message Message;
+    peer::LeasedDispatch *Order = Message.mutable_leased_dispatch();
+    Order->set_job(Job);
+    Order->set_agent_incarnation(Life);
+    Order->set_stamp(Stamp);
+    Order->set_start_by_ms(StartByMs);
+    Order->set_give_up_ms(2000);
+    Order->mutable_needs()->set_cpu_milli(CpuMilli);
+    for (std::uint32_t I = 0; I < Tasks; ++I) {
+      Order->add_tasks()->set_index(I);
+      Order->mutable_tasks(static_cast<int>(I))->set_attempt(1);
+    }
+    return Message;
+  }
+  peer::Message renewal(std::uint64_t Stamp) {
+    peer::Message Message;
+    Message.mutable_lease_renewal()->set_agent_incarnation(Life);
+    Message.mutable_lease_renewal()->set_stamp(Stamp);
+    return Message;
+  }
+  std::uint64_t stamp() { return LeaseKeeper::stampAt(Now); }
+  void pass(LeaseKeeper & Keeper, std::chrono::milliseconds Time) {
+    for (std::chrono::milliseconds Step = 0ms; Step < Time; Step += 20ms) {
+      Now.Steady += 20ms;
+      Keeper.tick(Now);
+    }
+  }
+  void end(LeaseKeeper & Keeper, std::size_t Start, RunEnd How) {
+    WorkerReply Reply;
+    Reply.Answered = true;
+    Reply.Ended.push_back({++this->Ends, this->Port.Starts[Start].Run, How});
+    Keeper.session().onHoldReply("w", Reply, Now);
+  }
+  std::uint64_t Ends = 0;
+};
+
+TEST(LeaseKeeperTest, RunsStopWhenTheirEntryFallsSilent) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+  pass(Keeper, 780ms);
+  LONGS_EQUAL(0, Port.Stops.size());
+  pass(Keeper, 40ms);
+  LONGS_EQUAL(1, Port.Stops.size());
+}
+
+TEST(LeaseKeeperTest, ARenewalKeepsRunsAndTellsTheNewStamp) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  for (int I = 0; I < 10; ++I) {
+    pass(Keeper, 200ms);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    LONGS_EQUAL(stamp(), Sink.Load.stamp());
+  }
+  LONGS_EQUAL(0, Port.Stops.size());
+}
+
+// A renewal that was held up on its way was sent by an entry that may be gone
+// since: counted from its arrival it would keep runs alive past the time at
+// which the caller may have them started elsewhere.
+TEST(LeaseKeeperTest, AHeldUpRenewalExtendsNoLease) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::uint64_t Sent = stamp();
+  Keeper.onMessage(EntryA, dispatch("j", Sent), Now);
+  pass(Keeper, 700ms);
+  Keeper.onMessage(EntryA, renewal(Sent), Now);
+  pass(Keeper, 120ms);
+  LONGS_EQUAL(1, Port.Stops.size());
+}
+
+TEST(LeaseKeeperTest, CountedFromArrivalAHeldUpRenewalWouldExtendIt) {
+  LeaseKeeper Keeper(optionsWith(false), Sink, Port);
+  attach(Keeper);
+  std::uint64_t Sent = stamp();
+  Keeper.onMessage(EntryA, dispatch("j", Sent), Now);
+  pass(Keeper, 700ms);
+  Keeper.onMessage(EntryA, renewal(Sent), Now);
+  pass(Keeper, 120ms);
+  LONGS_EQUAL(0, Port.Stops.size());
+}
+
+TEST(LeaseKeeperTest, ADispatchOnOldNewsStartsNothingAndSaysSo) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::uint64_t Sent = stamp();
+  pass(Keeper, 2000ms);
+  Keeper.onMessage(EntryA, dispatch("j", Sent), Now);
+  LONGS_EQUAL(0, Port.Starts.size());
+  LONGS_EQUAL(1, Sink.Updates.size());
+  CHECK(Sink.Updates[0].event() == peer::LEASED_NOT_STARTED);
+  CHECK(Sink.Updates[0].refusal() == peer::REFUSAL_STALE);
+  // With the stamp that came back, the next one is taken.
+  Keeper.onMessage(EntryA, dispatch("j", Sink.Updates[0].load().stamp()), Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+}
+
+TEST(LeaseKeeperTest, ATaskThatRunsForOneEntryStartsForNoOther) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  Keeper.onMessage(EntryB, dispatch("j", stamp()), Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+  CHECK(Sink.Updates.back().refusal() == peer::REFUSAL_OTHER_OWNER);
+}
+
+TEST(LeaseKeeperTest, ADoubledDispatchStartsOnce) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  peer::Message Order = dispatch("j", stamp());
+  Keeper.onMessage(EntryA, Order, Now);
+  Keeper.onMessage(EntryA, Order, Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+  LONGS_EQUAL(0, Sink.Updates.size());
+}
+
+TEST(LeaseKeeperTest, RoomBoundsWhatRunsAndUrgentTasksGoFirst) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 2000);
+  Keeper.onMessage(EntryA, dispatch("full", stamp(), 1000, 500, 2), Now);
+  Keeper.onMessage(EntryA, dispatch("calm", stamp(), 1000, 500), Now);
+  Keeper.onMessage(EntryA, dispatch("late", stamp(), 1000, -50), Now);
+  Keeper.onMessage(EntryA, dispatch("urgent", stamp(), 1000, 50), Now);
+  LONGS_EQUAL(2, Port.Starts.size());
+  const char *Expected[] = {"urgent", "calm", "late"};
+  for (std::size_t I = 0; I < 3; ++I) {
+    end(Keeper, I, RunEnd::Done);
+    LONGS_EQUAL(3 + I, Port.Starts.size());
+    STRCMP_EQUAL(Expected[I], Port.Starts.back().Run.Job.c_str());
+  }
+}
+
+TEST(LeaseKeeperTest, EveryEndIsToldOnce) {
+  struct Row {
+    RunEnd How;
+    peer::LeasedEvent Expected;
+  };
+  const Row Rows[] = {{RunEnd::Done, peer::LEASED_DONE},
+                      {RunEnd::Failed, peer::LEASED_FAILED},
+                      {RunEnd::Stopped, peer::LEASED_ENDED_EARLY},
+                      {RunEnd::Lapsed, peer::LEASED_ENDED_EARLY},
+                      {RunEnd::Other, peer::LEASED_ENDED_EARLY}};
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::size_t Start = 0;
+  for (const Row &Row : Rows) {
+    Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+    end(Keeper, Start++, Row.How);
+    LONGS_EQUAL(Start, Sink.Updates.size());
+    CHECK(Sink.Updates.back().event() == Row.Expected);
+    // A later run of the same task has a higher number.
+    LONGS_EQUAL(Start, Port.Starts.back().Run.Run);
+  }
+}
+
+TEST(LeaseKeeperTest, ALeavingWorkerGetsNothingAndGivesBackWhatWaits) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 1000);
+  Keeper.onMessage(EntryA, dispatch("runs", stamp()), Now);
+  Keeper.onMessage(EntryA, dispatch("waits", stamp()), Now);
+  WorkerProfile Draining;
+  Draining.Id = "w";
+  Draining.Draining = true;
+  Keeper.onProfile(Draining, Now);
+  LONGS_EQUAL(1, Sink.Updates.size());
+  CHECK(Sink.Updates[0].refusal() == peer::REFUSAL_LEAVING);
+  end(Keeper, 0, RunEnd::Done);
+  Keeper.onMessage(EntryA, dispatch("new", stamp()), Now);
+  CHECK(Sink.Updates.back().refusal() == peer::REFUSAL_LEAVING);
+  LONGS_EQUAL(1, Port.Starts.size());
+}
+
+TEST(LeaseKeeperTest, AStopProvesThatWhatWaitsHasNotStarted) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 1000);
+  Keeper.onMessage(EntryA, dispatch("j", stamp(), 1000, 100, 2), Now);
+  peer::Message Stop;
+  Stop.mutable_leased_stop()->set_job("j");
+  Keeper.onMessage(EntryA, Stop, Now);
+  LONGS_EQUAL(1, Port.Stops.size());
+  LONGS_EQUAL(1, Sink.Updates.size());
+  CHECK(Sink.Updates[0].event() == peer::LEASED_NOT_STARTED);
+  LONGS_EQUAL(1, Sink.Updates[0].index());
+}
--- /dev/null
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -0,0 +1,273 @@
+#include "entry/lease_coordinator.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+class CollectingSink final : public PeerSink {
+public:
+  void send(const PeerRef &To, peer::Message Message) override {
+    if (Message.has_leased_dispatch())
+      this->Dispatches.push_back({To.Node, Message.leased_dispatch()});
+    else if (Message.has_leased_stop())
+      this->Stops.push_back(To.Node);
+    else if (Message.has_lease_renewal())
+      ++this->Renewals[To.Node];
+  }
+  std::vector<std::pair<std::string, peer::LeasedDispatch>> Dispatches;
+  std::vector<std::string> Stops;
+  std::map<std::string, int> Renewals;
+};
+
+class CollectingAnswers final : public LeasedAnswerSink {
+public:
+  void onLeasedAnswer(LeaseTicket Ticket, const LeasedAnswer &Answer) override {
+    this->Answers.push_back({Ticket, Answer});
+  }
+  std::vector<std::pair<LeaseTicket, LeasedAnswer>> Answers;
+};
+
+constexpr std::uint64_t Life = 9;
+
+} // namespace
+
+TEST_GROUP(LeaseCoordinatorTest) {
+  CollectingSink Sink;
+  CollectingAnswers Answers;
+  LeaseCoordinator Coordinator{CoordinatorOptions(), Sink, Answers};
+  Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
+
+  void addAgent(const std::string &Name, std::uint32_t CpuMilli = 4000) {
+    peer::Member Member;
+    Member.set_name(Name);
+    Member.set_role(peer::ROLE_AGENT);
+    Member.set_state(peer::MEMBER_ALIVE);
+    Member.set_incarnation(Life);
+    Member.set_address("10.0.0.1:1");
+    Member.set_pool("pool");
+    Member.mutable_room()->set_cpu_milli(CpuMilli);
+    Member.mutable_room()->set_memory_mb(1000);
+    Coordinator.onMember(Member, Now);
+  }
+  void setState(const std::string &Name, peer::MemberState State) {
+    peer::Member Member;
+    Member.set_name(Name);
+    Member.set_role(peer::ROLE_AGENT);
+    Member.set_state(State);
+    Member.set_incarnation(Life);
+    Coordinator.onMember(Member, Now);
+  }
+  LeasedJobRequest request(std::uint32_t Tasks, const char *Id = "j") {
+    LeasedJobRequest Request;
+    Request.Id = Id;
+    Request.Route = "r";
+    Request.Pool = "pool";
+    Request.TaskCount = Tasks;
+    Request.Needs.set_cpu_milli(1000);
+    Request.Estimate = 100ms;
+    Request.MaxAttempts = 2;
+    Request.Objective = 220ms;
+    Request.Deadline = 1500ms;
+    return Request;
+  }
+  /// Answers the dispatch with this number, for all of its tasks.
+  void answer(std::size_t Which, peer::LeasedEvent Event,
+              peer::LeasedRefusal Refusal = peer::REFUSAL_NONE) {
+    auto [Agent, Dispatch] = Sink.Dispatches.at(Which);
+    for (const peer::LeasedTask &Task : Dispatch.tasks()) {
+      peer::Message Message;
+      peer::LeasedUpdate *Update = Message.mutable_leased_update();
+      Update->set_job(Dispatch.job());
+      Update->set_index(Task.index());
+      Update->set_attempt(Task.attempt());
+      Update->set_event(Event);
+      Update->set_refusal(Refusal);
+      Update->mutable_load()->set_incarnation(Life);
+      Update->mutable_load()->set_stamp(++this->Stamp);
+      Coordinator.onMessage({Agent, "10.0.0.1:1"}, Message, Now);
+    }
+  }
+  void pass(std::chrono::milliseconds Time) {
+    for (std::chrono::milliseconds Step = 0ms; Step < Time; Step += 20ms) {
+      Now.Steady += 20ms;
+      Coordinator.tick(Now);
+    }
+  }
+  const LeasedAnswer &onlyAnswer() {
+    LONGS_EQUAL(1, Answers.Answers.size());
+    return Answers.Answers.at(0).second;
+  }
+  std::uint64_t Stamp = 0;
+};
+
+TEST(LeaseCoordinatorTest, AJobIsCompleteWhenEveryTaskIsDone) {
+  addAgent("a");
+  addAgent("b");
+  Coordinator.submit(request(4), 1, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  answer(0, peer::LEASED_DONE);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  answer(1, peer::LEASED_DONE);
+  CHECK(onlyAnswer().End == LeasedEnd::Completed);
+  LONGS_EQUAL(0, Coordinator.inFlight());
+}
+
+TEST(LeaseCoordinatorTest, AStaleRefusalIsAnsweredWithTheNewStampThere) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  answer(0, peer::LEASED_NOT_STARTED, peer::REFUSAL_STALE);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  LONGS_EQUAL(Stamp, Sink.Dispatches[1].second.stamp());
+  LONGS_EQUAL(2, Sink.Dispatches[1].second.tasks(0).attempt());
+}
+
+TEST(LeaseCoordinatorTest, WithoutAWorkerAJobIsRefusedAtOnceAsNotRun) {
+  Coordinator.submit(request(1), 1, Now);
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+  CHECK(onlyAnswer().RetryAfter > 0ms);
+}
+
+TEST(LeaseCoordinatorTest, NotRunIsSaidOnlyWhereEveryTaskIsProvedUnstarted) {
+  struct Row {
+    peer::LeasedEvent First;
+    LeasedEnd Expected;
+  };
+  const Row Rows[] = {{peer::LEASED_NOT_STARTED, LeasedEnd::NotRun},
+                      {peer::LEASED_DONE, LeasedEnd::Unknown},
+                      {peer::LEASED_ENDED_EARLY, LeasedEnd::Unknown}};
+  addAgent("a");
+  addAgent("b");
+  std::size_t Sent = 0;
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    Coordinator.submit(request(2), 1, Now);
+    LONGS_EQUAL(Sent + 2, Sink.Dispatches.size());
+    Coordinator.cancel("j", "test", Now);
+    answer(Sent, Row.First, peer::REFUSAL_STOPPED);
+    answer(Sent + 1, peer::LEASED_NOT_STARTED, peer::REFUSAL_STOPPED);
+    CHECK(onlyAnswer().End == Row.Expected);
+    Sent += 2;
+  }
+}
+
+TEST(LeaseCoordinatorTest, AGivenUpJobDoesNotWaitLongForProof) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  Coordinator.cancel("j", "test", Now);
+  LONGS_EQUAL(1, Sink.Stops.size());
+  LONGS_EQUAL(0, Answers.Answers.size());
+  pass(60ms);
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+  // Until its run is proved ended, the same job may not begin again here.
+  Coordinator.submit(request(1), 2, Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  CHECK(Answers.Answers.back().second.End == LeasedEnd::NotRun);
+}
+
+TEST(LeaseCoordinatorTest, AFailedTaskIsRunElsewhereAsOftenAsItMay) {
+  addAgent("a");
+  addAgent("b");
+  Coordinator.submit(request(1), 1, Now);
+  answer(0, peer::LEASED_FAILED);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(Sink.Dispatches[0].first != Sink.Dispatches[1].first);
+  answer(1, peer::LEASED_FAILED);
+  CHECK(onlyAnswer().End == LeasedEnd::Failed);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+}
+
+TEST(LeaseCoordinatorTest, AnAgentThatIsGoneLeavesItsJobsUnknown) {
+  struct Row {
+    const char *Name;
+    std::function<void()> Lose;
+  };
+  const Row Rows[] = {
+      {"lost", [&] { setState("a", peer::MEMBER_LOST); }},
+      {"unreachable", [&] { Coordinator.onSendFailed("a", Now); }},
+      {"silent", [&] { pass(1000ms); }},
+  };
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    addAgent("a");
+    Coordinator.submit(request(1), 1, Now);
+    Row.Lose();
+    LONGS_EQUAL_TEXT(1, Answers.Answers.size(), Row.Name);
+    CHECK_TEXT(Answers.Answers[0].second.End == LeasedEnd::Unknown, Row.Name);
+  }
+}
+
+TEST(LeaseCoordinatorTest, LeasesAreRenewedOnlyOftenWhileTasksRun) {
+  addAgent("a");
+  pass(1000ms);
+  int Idle = Sink.Renewals["a"];
+  Coordinator.submit(request(1), 1, Now);
+  for (int I = 0; I < 5; ++I) {
+    pass(200ms);
+    peer::Message Load;
+    Load.mutable_worker_load()->set_incarnation(Life);
+    Load.mutable_worker_load()->set_stamp(++Stamp);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  }
+  CHECK(Idle <= 2);
+  CHECK(Sink.Renewals["a"] - Idle >= 4);
+  LONGS_EQUAL(0, Answers.Answers.size());
+}
+
+TEST(LeaseCoordinatorTest, ASecondHandInOfARunningJobGetsTheSameAnswer) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  Coordinator.submit(request(1), 2, Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  answer(0, peer::LEASED_DONE);
+  LONGS_EQUAL(2, Answers.Answers.size());
+}
+
+TEST(LeaseCoordinatorTest, ALeavingAgentGetsNoTasks) {
+  addAgent("a");
+  addAgent("b");
+  setState("a", peer::MEMBER_LEAVING);
+  Coordinator.submit(request(4), 1, Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  STRCMP_EQUAL("b", Sink.Dispatches[0].first.c_str());
+}
+
+TEST(LeaseCoordinatorTest, AWorkerThatFailsInARowGetsNothingForAWhile) {
+  addAgent("a");
+  addAgent("b");
+  for (int I = 0; I < 3; ++I) {
+    std::string Id = "j" + std::to_string(I);
+    LeasedJobRequest Request = request(1, Id.c_str());
+    Request.MaxAttempts = 1;
+    Coordinator.submit(Request, 1, Now);
+    while (Sink.Dispatches.back().first != "a") {
+      answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED,
+             peer::REFUSAL_OTHER_OWNER);
+    }
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_FAILED);
+  }
+  LONGS_EQUAL(1, Coordinator.counters().Ejections);
+  Coordinator.submit(request(4, "k"), 1, Now);
+  STRCMP_EQUAL("b", Sink.Dispatches.back().first.c_str());
+  LONGS_EQUAL(4, Sink.Dispatches.back().second.tasks_size());
+}
+
+TEST(LeaseCoordinatorTest, UnderOverloadTheRouteWithMostWorkIsShedFirst) {
+  addAgent("a", 10000);
+  LeasedJobRequest Heavy = request(13, "h1");
+  Heavy.Route = "heavy";
+  Coordinator.submit(Heavy, 1, Now);
+  LeasedJobRequest Light = request(1, "l1");
+  Light.Route = "light";
+  Coordinator.submit(Light, 2, Now);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  Heavy.Id = "h2";
+  Coordinator.submit(Heavy, 3, Now);
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+  STRCMP_EQUAL("admit", onlyAnswer().Step.c_str());
+  Light.Id = "l2";
+  Coordinator.submit(Light, 4, Now);
+  LONGS_EQUAL(1, Answers.Answers.size());
+}
