A replaced replica that restarts asks to join again

Cause: found by AReplicaThatWasReplacedComesBackAsALearner, before any bench: a replica removed while it was down believes its old log, hears no leader in its new life, and never asked, as its silence was counted from a leader's last word. Change: silence counts from the start.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -10,8 +10,9 @@
                                PeerSink &Sink, Instant Now)
     : Options(std::move(Options)), Sink(Sink), Members(this->Options.Lease),
       Groups(this->Options.Groups), Replicas(this->Options.Replicas),
-      Latest(Now), Raft(std::make_unique<RaftNode>(this->Options.Raft, Storage,
-                                                   *this, Now.Steady)) {}
+      Started(Now.Steady), Latest(Now),
+      Raft(std::make_unique<RaftNode>(this->Options.Raft, Storage, *this,
+                                      Now.Steady)) {}
 
 // ---- Changes ----
 
@@ -345,9 +346,8 @@
                   [&](const peer::Replica &Known) {
                     return Known.name() == this->Options.Self.name();
                   });
-  TimePoint Heard = this->Raft->leaderHeard();
-  bool Silent = Heard != TimePoint::min() &&
-                Now.Steady - Heard > this->Options.JoinAfterSilence;
+  TimePoint Heard = std::max(this->Raft->leaderHeard(), this->Started);
+  bool Silent = Now.Steady - Heard > this->Options.JoinAfterSilence;
   if (Member && !Silent)
     return;
   std::map<std::string, PeerRef> Targets;
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -134,6 +134,7 @@
   MemberRegistry Members;
   HolderGroupManager Groups;
   ReplicaManager Replicas;
+  TimePoint Started;
   TimePoint NextJoin = TimePoint::min();
   bool ReplicaChangeOpen = false;
   Logger Log{"control"};
