--- /dev/null
+++ b/core/log_histogram.h
@@ -0,0 +1,48 @@
+//===- core/log_histogram.h - Values on a logarithmic axis ------*- C++ -*-===//
+///
+/// \file
+/// A histogram with bins of equal width on a logarithmic axis, and its text in
+/// Prometheus' format. Not for use by two threads at once.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_CORE_LOG_HISTOGRAM_H
+#define YARDWHEEL_CORE_LOG_HISTOGRAM_H
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+class LogHistogram {
+public:
+  struct Cell {
+    double Upper = 0;
+    std::uint32_t Count = 0;
+  };
+
+  /// \param Low Smaller values count as this.
+  LogHistogram(int Bins, double Low, double High);
+
+  void add(double Value);
+  LogHistogram &operator+=(const LogHistogram &Other);
+
+  /// The cells that are not empty, without those beyond the axis.
+  std::vector<Cell> cells() const;
+  /// Buckets, sum and count. \param Labels Such as `route="r"`.
+  std::string text(const std::string &Name, const std::string &Labels) const;
+
+private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram = decltype(boost::histogram::make_histogram(Axis(1, 1, 2)));
+
+  double Low;
+  Histogram Inner;
+};
+
+} // namespace yardwheel
+
+#endif
--- a/entry/job_metrics.cpp
+++ b/entry/job_metrics.cpp
@@ -54,9 +54,8 @@
 }
 
 JobMetrics::Series JobMetrics::makeSeries() {
-  namespace bh = boost::histogram;
-  return {bh::make_histogram(Axis(ResponseBins, ResponseLowMs, ResponseHighMs)),
-          bh::make_histogram(Axis(SlowdownBins, SlowdownLow, SlowdownHigh)),
+  return {LogHistogram(ResponseBins, ResponseLowMs, ResponseHighMs),
+          LogHistogram(SlowdownBins, SlowdownLow, SlowdownHigh),
           0,
           0,
           0,
@@ -82,29 +81,8 @@
       static_cast<double>(Ended.TotalService.count()) / std::max(PoolSlots, 1U);
   double Ideal = std::max(
       {static_cast<double>(Ended.LongestService.count()), Spread, 1.0});
-  Target.Response(Response / MicrosPerMilli);
-  // The first bin begins at 1, which rounding must not undercut.
-  Target.Slowdown(std::max(Response / Ideal, SlowdownLow));
-}
-
-void JobMetrics::writeHistogram(std::string &Text, const std::string &Name,
-                                const Key &Labels, const Histogram &Source) {
-  std::string Common =
-      fmt::format("workspace=\"{}\",class=\"{}\",policy=\"{}\"",
-                  Labels.Workspace, Labels.Class, Labels.Policy);
-  double Total = 0;
-  double Sum = 0;
-  for (auto &&Cell :
-       boost::histogram::indexed(Source, boost::histogram::coverage::all)) {
-    Total += *Cell;
-    Sum += *Cell * Cell.bin().lower();
-    if (*Cell != 0 && Cell.index() < Source.axis(0).size())
-      Text += fmt::format("{}_bucket{{{},le=\"{:.4g}\"}} {}\n", Name, Common,
-                          Cell.bin().upper(), Total);
-  }
-  Text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", Name, Common, Total);
-  Text += fmt::format("{}_sum{{{}}} {:.6g}\n", Name, Common, Sum);
-  Text += fmt::format("{}_count{{{}}} {}\n", Name, Common, Total);
+  Target.Response.add(Response / MicrosPerMilli);
+  Target.Slowdown.add(Response / Ideal);
 }
 
 std::string JobMetrics::text() const {
@@ -112,11 +90,11 @@
   std::string Text = "# TYPE yardwheel_response_ms histogram\n"
                      "# TYPE yardwheel_slowdown histogram\n";
   for (const auto &[Labels, Source] : this->All) {
-    writeHistogram(Text, "yardwheel_response_ms", Labels, Source.Response);
-    writeHistogram(Text, "yardwheel_slowdown", Labels, Source.Slowdown);
     std::string Common =
         fmt::format("workspace=\"{}\",class=\"{}\",policy=\"{}\"",
                     Labels.Workspace, Labels.Class, Labels.Policy);
+    Text += Source.Response.text("yardwheel_response_ms", Common);
+    Text += Source.Slowdown.text("yardwheel_slowdown", Common);
     Text += fmt::format("yardwheel_jobs_total{{{}}} {}\n", Common, Source.Jobs);
     Text +=
         fmt::format("yardwheel_tasks_total{{{}}} {}\n", Common, Source.Tasks);
@@ -133,7 +111,7 @@
                                         const std::string &Entry) const {
   struct Arm {
     api::ArmReport Report;
-    Histogram Slowdown;
+    LogHistogram Slowdown;
     std::map<std::string, std::uint64_t> Failures;
   };
   std::lock_guard Lock(this->Mutex);
@@ -165,12 +143,10 @@
       Failure->set_kind(Kind);
       Failure->set_count(static_cast<std::uint32_t>(Count));
     }
-    for (auto &&Cell : boost::histogram::indexed(Source.Slowdown)) {
-      if (*Cell == 0)
-        continue;
+    for (const LogHistogram::Cell &Cell : Source.Slowdown.cells()) {
       api::Bucket *Bucket = Added->add_slowdown();
-      Bucket->set_upper(Cell.bin().upper());
-      Bucket->set_count(static_cast<std::uint32_t>(*Cell));
+      Bucket->set_upper(Cell.Upper);
+      Bucket->set_count(Cell.Count);
     }
   }
   return Result;
--- a/entry/job_metrics.h
+++ b/entry/job_metrics.h
@@ -12,10 +12,10 @@
 #ifndef YARDWHEEL_ENTRY_JOB_METRICS_H
 #define YARDWHEEL_ENTRY_JOB_METRICS_H
 
+#include "core/log_histogram.h"
 #include "entry/job_service.h"
 #include "protocol/api.pb.h"
 
-#include <boost/histogram.hpp>
 #include <map>
 #include <mutex>
 #include <string>
@@ -41,11 +41,6 @@
                               const std::string &Entry) const;
 
 private:
-  using Axis =
-      boost::histogram::axis::regular<double,
-                                      boost::histogram::axis::transform::log>;
-  using Histogram = decltype(boost::histogram::make_histogram(Axis(1, 1, 2)));
-
   struct Key {
     std::string Workspace;
     std::string Class;
@@ -56,8 +51,8 @@
     }
   };
   struct Series {
-    Histogram Response;
-    Histogram Slowdown;
+    LogHistogram Response;
+    LogHistogram Slowdown;
     std::uint64_t Jobs = 0;
     std::uint64_t Tasks = 0;
     std::uint64_t Wasted = 0;
@@ -65,8 +60,6 @@
   };
 
   static Series makeSeries();
-  static void writeHistogram(std::string &Text, const std::string &Name,
-                             const Key &Labels, const Histogram &Source);
 
   mutable std::mutex Mutex;
   std::map<Key, Series> All;
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -13,20 +13,6 @@
 
 } // namespace
 
-const char *endName(LeasedEnd End) {
-  switch (End) {
-  case LeasedEnd::Completed:
-    return "completed";
-  case LeasedEnd::Failed:
-    return "failed";
-  case LeasedEnd::NotRun:
-    return "not_run";
-  case LeasedEnd::Unknown:
-    return "unknown";
-  }
-  return "unknown";
-}
-
 LeaseCoordinator::LeaseCoordinator(CoordinatorOptions Options, PeerSink &Sink,
                                    LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
@@ -441,6 +427,8 @@
                       {"estimate_ms", Target.Request.Estimate.count()},
                       {"tasks", Target.Tasks.size()},
                       {"done", Target.DoneCount}});
+  this->Metrics.onEnded(Target.Request.Route, Answer.End,
+                        Now.Steady - Target.Taken, Target.Request.Objective);
   std::vector<LeaseTicket> Waiters = std::move(Target.Waiters);
   this->Waiting -= Waiters.size();
   for (LeaseTicket Waiter : Waiters)
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -14,6 +14,7 @@
 #include "core/logger.h"
 #include "core/peer_sink.h"
 #include "entry/lease_board.h"
+#include "entry/lease_metrics.h"
 #include "entry/leased_job.h"
 #include "entry/load_shedder.h"
 
@@ -94,6 +95,7 @@
   std::size_t inFlight() const { return this->Waiting; }
   const LeaseBoard &board() const { return this->Board; }
   const CoordinatorCounters &counters() const { return this->Counters; }
+  const LeaseMetrics &metrics() const { return this->Metrics; }
 
 private:
   enum class TaskPhase { Unplaced, Sent, Done, Over };
@@ -159,12 +161,10 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   std::map<std::string, Contact> Contacts;
   CoordinatorCounters Counters;
+  LeaseMetrics Metrics;
   std::size_t Waiting = 0;
 };
 
-/// A leased end's name in logs and answers.
-const char *endName(LeasedEnd End);
-
 } // namespace yardwheel
 
 #endif
--- /dev/null
+++ b/entry/lease_metrics.h
@@ -0,0 +1,43 @@
+//===- entry/lease_metrics.h - Metrics of best-effort jobs ------*- C++ -*-===//
+///
+/// \file
+/// Response times and slowdowns of best-effort jobs by route, and how they
+/// ended. For the loop's thread; the text is handed to other threads.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_LEASE_METRICS_H
+#define YARDWHEEL_ENTRY_LEASE_METRICS_H
+
+#include "core/log_histogram.h"
+#include "entry/leased_job.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace yardwheel {
+
+class LeaseMetrics {
+public:
+  void onEnded(const std::string &Route, LeasedEnd End,
+               std::chrono::microseconds Response,
+               std::chrono::milliseconds Objective);
+
+  /// Everything in Prometheus' text format.
+  std::string text() const;
+
+private:
+  struct Series {
+    Series();
+    LogHistogram Response;
+    /// Response time over the job's objective; above 1 it was late.
+    LogHistogram OverObjective;
+    std::map<std::string, std::uint64_t> Ends;
+  };
+
+  std::map<std::string, Series> Routes;
+};
+
+} // namespace yardwheel
+
+#endif
--- a/entry/leased_job.h
+++ b/entry/leased_job.h
@@ -57,6 +57,9 @@
   Unknown,
 };
 
+/// An end's name in logs and metrics.
+const char *endName(LeasedEnd End);
+
 struct LeasedAnswer {
   LeasedEnd End = LeasedEnd::Unknown;
   /// The step at which the job ended, for logs and error bodies.
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -1,6 +1,7 @@
 //===- An agent whose worker runs tasks under leases ----------------------===//
 
 #include "agent/lease_keeper.h"
+#include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
 #include "platform/agent_gate.h"
@@ -55,9 +56,12 @@
   void announce(Instant Now);
   void receive(const std::shared_ptr<peer::Envelope> &Envelope);
   void tick(Instant Now);
+  void publishMetrics(Instant Now);
   void stop();
 
   NodePlan Plan;
+  std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
+  TimePoint NextMetrics = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
   Logger Log{"agent"};
   SystemClock Source;
@@ -70,6 +74,7 @@
   Announcer Announce;
   LinkServer Server;
   HttpServer Worker;
+  HttpServer MetricsServer;
 };
 
 LeaseAgentProcess::LeaseAgentProcess(const NodePlan &Plan)
@@ -89,7 +94,9 @@
              }),
       Worker({.Listen = Plan.ControlListen, .Threads = 1},
              std::shared_ptr<HttpHandler>(
-                 std::make_shared<platform::AgentGate>(*this))) {
+                 std::make_shared<platform::AgentGate>(*this))),
+      MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
+                    this->Metrics) {
   this->Loop.start();
   this->Log.decision("agent_started", {{"node", Plan.Node},
                                        {"worker", Plan.ControlListen},
@@ -116,6 +123,7 @@
 }
 
 void LeaseAgentProcess::tick(Instant Now) {
+  this->publishMetrics(Now);
   // Nothing is announced before there is a worker to announce.
   if (this->Keeper.session().hasWorker())
     this->Announce.tick(Now);
@@ -218,8 +226,30 @@
   this->stop();
 }
 
+void LeaseAgentProcess::publishMetrics(Instant Now) {
+  if (Now.Steady < this->NextMetrics)
+    return;
+  this->NextMetrics = Now.Steady + MetricsEvery;
+  const KeeperCounters &Counts = this->Keeper.counters();
+  std::string Text;
+  Text += metricLine("yardwheel_runs_started_total", Counts.Started);
+  Text += metricLine("yardwheel_runs_done_total", Counts.Done);
+  Text += metricLine("yardwheel_runs_failed_total", Counts.Failed);
+  Text += metricLine("yardwheel_runs_ended_early_total", Counts.EndedEarly);
+  Text += metricLine("yardwheel_tasks_refused_total", Counts.Refused);
+  Text +=
+      metricLine("yardwheel_entry_leases_lapsed_total", Counts.LeasesLapsed);
+  Text += metricLine("yardwheel_tasks_queued", this->Keeper.queued());
+  Text += metricLine("yardwheel_worker_ready",
+                     this->Keeper.session().isReady() ? 1 : 0);
+  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
+  Text += describeCounters(this->Links.counters());
+  this->Metrics->publish(std::move(Text));
+}
+
 void LeaseAgentProcess::stop() {
   this->Worker.stop();
+  this->MetricsServer.stop();
   this->Server.stop();
   this->Loop.stop();
 }
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -1,5 +1,6 @@
 //===- An entry that coordinates best-effort jobs under leases ------------===//
 
+#include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
 #include "platform/entry_gate.h"
@@ -36,9 +37,12 @@
   CoordinatorOptions coordinatorOptions() const;
   void receive(const std::shared_ptr<peer::Envelope> &Envelope);
   void tick(Instant Now);
+  void publishMetrics(Instant Now);
   void stop();
 
   NodePlan Plan;
+  std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
+  TimePoint NextMetrics = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
   Logger Log{"entry"};
   SystemClock Source;
@@ -54,6 +58,7 @@
   LinkServer Server;
   HttpServer Callers;
   HttpServer Balancer;
+  HttpServer MetricsServer;
 };
 
 LeaseEntryProcess::LeaseEntryProcess(const NodePlan &Plan)
@@ -79,7 +84,9 @@
                                  .HeaderTimeout = CallerTimeout,
                                  .Headers = platform::EntryGate::headers()}),
               this->Gate),
-      Balancer({.Listen = Plan.HealthListen, .Threads = 1}, this->Health) {
+      Balancer({.Listen = Plan.HealthListen, .Threads = 1}, this->Health),
+      MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
+                    this->Metrics) {
   this->Links.failures().open([this](const PeerRef &To) {
     this->Loop.post([this, To](Instant Now) {
       this->Coordinator.onSendFailed(To.Node, Now);
@@ -106,6 +113,7 @@
 }
 
 void LeaseEntryProcess::tick(Instant Now) {
+  this->publishMetrics(Now);
   this->Announce.tick(Now);
   this->Coordinator.tick(Now);
   bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
@@ -153,10 +161,34 @@
   this->stop();
 }
 
+void LeaseEntryProcess::publishMetrics(Instant Now) {
+  if (Now.Steady < this->NextMetrics)
+    return;
+  this->NextMetrics = Now.Steady + MetricsEvery;
+  const CoordinatorCounters &Counts = this->Coordinator.counters();
+  std::string Text = this->Coordinator.metrics().text();
+  Text += metricLine("yardwheel_jobs_completed_total", Counts.Completed);
+  Text += metricLine("yardwheel_jobs_failed_total", Counts.Failed);
+  Text += metricLine("yardwheel_jobs_not_run_total", Counts.NotRun);
+  Text += metricLine("yardwheel_jobs_unknown_total", Counts.Unknown);
+  Text += metricLine("yardwheel_jobs_shed_total", Counts.JobsShed);
+  Text += metricLine("yardwheel_tasks_sent_total", Counts.TasksSent);
+  Text += metricLine("yardwheel_tasks_refused_total", Counts.TasksRefused);
+  Text += metricLine("yardwheel_agents_lost_total", Counts.AgentsLost);
+  Text += metricLine("yardwheel_ejections_total", Counts.Ejections);
+  Text += metricLine("yardwheel_jobs_in_flight", this->Coordinator.inFlight());
+  Text += metricLine("yardwheel_route_table_version",
+                     this->Catalog.view()->Routes.version());
+  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
+  Text += describeCounters(this->Links.counters());
+  this->Metrics->publish(std::move(Text));
+}
+
 void LeaseEntryProcess::stop() {
   this->Links.failures().close();
   this->Callers.stop();
   this->Balancer.stop();
+  this->MetricsServer.stop();
   this->Server.stop();
   this->Loop.stop();
 }
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -24,6 +24,10 @@
 /// agents' lease, so that one lost message ends none.
 constexpr std::chrono::milliseconds CoordinatorRenewal{200};
 
+/// Between two texts of a process's metrics; the platform reads them less
+/// often.
+constexpr std::chrono::milliseconds MetricsEvery{2000};
+
 /// Large enough for any configuration or job on the wire.
 constexpr std::size_t MaxBodyBytes = 1048576;
 
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/file_log_storage.h"
 #include "core/hash.h"
+#include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
 #include "platform/control_gate.h"
@@ -78,9 +79,12 @@
   LinkIdentity identity() const;
   void receive(const std::shared_ptr<peer::Envelope> &Envelope);
   void tick(Instant Now);
+  void publishMetrics(Instant Now);
   void stop();
 
   NodePlan Plan;
+  std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
+  TimePoint NextMetrics = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
   std::string Replica;
   Logger Log{"control"};
@@ -93,6 +97,7 @@
   std::string LastLeader;
   LinkServer Server;
   HttpServer Operators;
+  HttpServer MetricsServer;
 };
 
 SeededControlProcess::SeededControlProcess(const NodePlan &Plan)
@@ -111,7 +116,9 @@
                  .Threads = 1,
                  .MaxBodyBytes = MaxBodyBytes},
                 std::make_shared<platform::ControlGate>(
-                    this->Loop, this->Service, this->Replica)) {
+                    this->Loop, this->Service, this->Replica)),
+      MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
+                    this->Metrics) {
   this->Loop.start();
   this->Log.decision("control_started",
                      {{"replica", this->Replica},
@@ -154,6 +161,7 @@
 }
 
 void SeededControlProcess::tick(Instant Now) {
+  this->publishMetrics(Now);
   this->Service.tick(Now);
   this->Links.setRevision(this->Service.catalog().revision());
   this->Open.store(this->Service.openProposals());
@@ -174,8 +182,29 @@
   this->stop();
 }
 
+void SeededControlProcess::publishMetrics(Instant Now) {
+  if (Now.Steady < this->NextMetrics)
+    return;
+  this->NextMetrics = Now.Steady + MetricsEvery;
+  const RaftNode &Raft = this->Service.raft();
+  std::string Text;
+  Text += metricLine("yardwheel_control_leads", Raft.leads() ? 1 : 0);
+  Text += metricLine("yardwheel_control_term", Raft.term());
+  Text += metricLine("yardwheel_control_commit_index", Raft.commitIndex());
+  Text += metricLine("yardwheel_control_replicas",
+                     Raft.log().replicas().replicas_size());
+  Text +=
+      metricLine("yardwheel_members", this->Service.members().entries().size());
+  Text += metricLine("yardwheel_route_table_version",
+                     this->Service.catalog().routes().version());
+  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
+  Text += describeCounters(this->Links.counters());
+  this->Metrics->publish(std::move(Text));
+}
+
 void SeededControlProcess::stop() {
   this->Operators.stop();
+  this->MetricsServer.stop();
   this->Server.stop();
   this->Loop.stop();
 }
