Runs keep their lease while a call for ends waits; links connect anew

Cause: three findings of the stand-in with real processes. A run that began while an idle call for ends waited (2 s, no lease) lapsed after 900 ms: on the bench other ends wake the call. A dispatch on a stamp 700 ms old was taken with 100 ms of lease left, too short for a renewal to bring a newer stamp. And after an agent restarted, calls failed for up to 500 ms, as the link library waited. Change: a lease is renewed beside a waiting call once half of it is over; an agent wants half of an entry's lease left; a link that failed connects anew. Tests seen failing: ARunThatBeginsWhileACallForEndsWaitsKeepsItsLease, ADispatchThatLeavesNoTimeForARenewalIsRefused.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -58,19 +58,18 @@
   }
 }
 
-bool LeaseKeeper::takeStamp(const PeerRef &From, std::uint64_t Stamp,
-                            Instant Now) {
+std::chrono::milliseconds
+LeaseKeeper::takeStamp(const PeerRef &From, std::uint64_t Stamp, Instant Now) {
   std::uint64_t Present = stampAt(Now);
   if (!this->Options.LeasesCountFromEcho)
     Stamp = Present;
   auto Length = static_cast<std::uint64_t>(this->Options.EntryLease.count());
   if (Stamp > Present || Present - Stamp >= Length)
-    return false;
+    return {};
+  std::chrono::milliseconds Left(Length - (Present - Stamp));
   Lease &Held = this->Leases[From.Node];
-  TimePoint Until =
-      Now.Steady + std::chrono::milliseconds(Length - (Present - Stamp));
-  Held.Until = std::max(Held.Until, Until);
-  return true;
+  Held.Until = std::max(Held.Until, Now.Steady + Left);
+  return Left;
 }
 
 // ---- Tasks come in ----
@@ -80,7 +79,9 @@
                              Instant Now) {
   // Meant for an earlier life: this one has not started it and will not.
   bool Mine = Dispatch.agent_incarnation() == this->Options.Incarnation;
-  bool Fresh = Mine && this->takeStamp(From, Dispatch.stamp(), Now);
+  // Enough must be left for renewals, whose answers bring a newer stamp.
+  bool Fresh = Mine && this->takeStamp(From, Dispatch.stamp(), Now) >=
+                           this->Options.EntryLease / 2;
   for (const peer::LeasedTask &Order : Dispatch.tasks())
     this->onOrder(From, Dispatch, Order, Fresh, Now);
   this->startFitting(Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -110,7 +110,10 @@
     TimePoint Used;
   };
 
-  bool takeStamp(const PeerRef &From, std::uint64_t Stamp, Instant Now);
+  /// Extends an entry's lease. \returns how much of it is left; 0 for a stamp
+  /// that is too old.
+  std::chrono::milliseconds takeStamp(const PeerRef &From, std::uint64_t Stamp,
+                                      Instant Now);
   void onDispatch(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
                   Instant Now);
   void onOrder(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -68,7 +68,7 @@
   this->Acknowledged = 0;
   this->Ready = false;
   this->Answering = true;
-  this->HoldOut = false;
+  this->HoldsOut = 0;
   this->Strangers.clear();
   // The time of day is higher than in any earlier life of this agent, unless
   // the clock was set back; then the worker refuses it and it is raised.
@@ -82,7 +82,7 @@
                                          {"runs_lost", this->Runs.size()}});
   this->Port.attach(New);
   this->lapseAll(Now);
-  this->callHold(Now);
+  this->callHold(this->holdWait(), Now);
 }
 
 void WorkerSession::lapseAll(Instant Now) {
@@ -204,28 +204,38 @@
 
 // ---- The lease and the ends ----
 
-void WorkerSession::callHold(Instant Now) {
-  this->HoldOut = true;
+std::chrono::milliseconds WorkerSession::holdWait() const {
+  if (!this->Ready)
+    return this->Options.FirstHoldWait;
+  return this->Runs.empty() ? this->Options.IdleHoldWait
+                            : this->Options.HoldWait;
+}
+
+void WorkerSession::callHold(std::chrono::milliseconds Wait, Instant Now) {
+  ++this->HoldsOut;
   HoldCall Call;
   Call.FencingToken = this->Token;
   Call.AcknowledgedEnd = this->Acknowledged;
+  Call.Wait = Wait;
   // A worker that may not hear us is given no lease, so that its last one can
   // be told to have lapsed.
   if (this->Ready && this->Answering && !this->Runs.empty())
     Call.LeaseUntil = this->extendLease(Now);
-  if (!this->Ready)
-    Call.Wait = this->Options.FirstHoldWait;
-  else
-    Call.Wait = this->Runs.empty() ? this->Options.IdleHoldWait
-                                   : this->Options.HoldWait;
   this->Port.hold(Call);
 }
 
+void WorkerSession::renewIfDue(Instant Now) {
+  bool Due = !this->Runs.empty() && this->Ready && this->Answering &&
+             this->LeaseEnds - Now.Steady < this->Options.Lease / 2;
+  if (Due)
+    this->callHold({}, Now);
+}
+
 void WorkerSession::onHoldReply(const std::string &Life,
                                 const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
-  this->HoldOut = false;
+  this->HoldsOut = std::max(this->HoldsOut - 1, 0);
   this->noteClock(Reply, Now);
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None) {
     this->onHoldFailed(Reply, Now);
@@ -240,7 +250,8 @@
   }
   if (!this->Ready)
     this->adoptStrangers(Reply, Now);
-  this->callHold(Now);
+  if (this->HoldsOut == 0)
+    this->callHold(this->holdWait(), Now);
 }
 
 void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
@@ -274,8 +285,9 @@
 void WorkerSession::tick(Instant Now) {
   if (!this->Profile)
     return;
-  if (!this->HoldOut && Now.Steady >= this->NextHold)
-    this->callHold(Now);
+  if (this->HoldsOut == 0 && Now.Steady >= this->NextHold)
+    this->callHold(this->holdWait(), Now);
+  this->renewIfDue(Now);
   bool Lapsed = !this->Answering &&
                 Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
   if (Lapsed)
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -105,7 +105,10 @@
   WorkerTime extendLease(Instant Now);
   bool isCurrent(const std::string &Life) const;
   void raiseToken(Instant Now);
-  void callHold(Instant Now);
+  void callHold(std::chrono::milliseconds Wait, Instant Now);
+  std::chrono::milliseconds holdWait() const;
+  /// Renews the lease while a call for ends that cannot waits at the worker.
+  void renewIfDue(Instant Now);
   void callStop(const RunKey &Key, Run &Known, Instant Now);
   void onHoldFailed(const WorkerReply &Reply, Instant Now);
   void tickRuns(Instant Now);
@@ -128,7 +131,8 @@
   bool Answering = true;
   /// When the newest lease that the worker may have been given ends.
   TimePoint LeaseEnds = TimePoint::min();
-  bool HoldOut = false;
+  /// Calls for ends that have not come back.
+  int HoldsOut = 0;
   TimePoint NextHold = TimePoint::min();
   std::map<RunKey, Run> Runs;
   /// Runs of an earlier agent that have to end first.
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -162,6 +162,18 @@
   LONGS_EQUAL(1, Port.Starts.size());
 }
 
+// A renewal takes a round trip to bring a new stamp: what is taken on a stamp
+// that is nearly too old would lapse before.
+TEST(LeaseKeeperTest, ADispatchThatLeavesNoTimeForARenewalIsRefused) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::uint64_t Sent = stamp();
+  pass(Keeper, 600ms);
+  Keeper.onMessage(EntryA, dispatch("j", Sent), Now);
+  LONGS_EQUAL(0, Port.Starts.size());
+  CHECK(Sink.Updates.back().refusal() == peer::REFUSAL_STALE);
+}
+
 TEST(LeaseKeeperTest, ATaskThatRunsForOneEntryStartsForNoOther) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper);
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -151,6 +151,24 @@
               Port.Starts[0].LeaseUntil.count());
 }
 
+TEST(WorkerSessionTest, ARunThatBeginsWhileACallForEndsWaitsKeepsItsLease) {
+  attach();
+  // The worker may take this call's whole time; it was made with no lease.
+  CHECK_FALSE(Port.Holds.back().LeaseUntil.has_value());
+  Session.start(Run, "spec", Now);
+  Session.onStartReply("life-1", Run, answered(), Now);
+  std::size_t Before = Port.Holds.size();
+  for (int I = 0; I < 25; ++I)
+    pass(20ms);
+  LONGS_EQUAL(Before + 1, Port.Holds.size());
+  CHECK(Port.Holds.back().LeaseUntil.has_value());
+  // Two calls have come back, and one is made again.
+  Session.onHoldReply("life-1", answered(), Now);
+  LONGS_EQUAL(Before + 1, Port.Holds.size());
+  Session.onHoldReply("life-1", answered(), Now);
+  LONGS_EQUAL(Before + 2, Port.Holds.size());
+}
+
 TEST(WorkerSessionTest, RunsOfASilentWorkerEndWhenItsLeaseMustHaveLapsed) {
   attach();
   Session.start(Run, "spec", Now);
--- /dev/null
+++ b/tests/system/platform_test.cpp
@@ -0,0 +1,402 @@
+//===- The real processes with settings in the platform's format ----------===//
+
+#include "tests/system/platform_worker.h"
+#include "tests/system/system_cluster.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr int Port = 18100;
+const std::string Daemon =
+    std::string(YARDWHEEL_BUILD_FOLDER) + "/main/yardwheeld";
+
+/// Nodes on loopback addresses of their own, with the same ports, as on the
+/// users' machines.
+class PlatformCluster {
+public:
+  PlatformCluster() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "ywplatXXXXXX").string();
+    this->Folder = ::mkdtemp(Pattern.data());
+    int Process = ::getpid();
+    static int Clusters = 0;
+    // Tests of one run and runs beside each other use other addresses.
+    this->Net = fmt::format("127.{}.{}", 100 + Process % 100,
+                            10 + (Process / 100 + 37 * ++Clusters) % 200);
+  }
+  ~PlatformCluster() {
+    for (const auto &[Name, Process] : this->Running) {
+      ::kill(Process, SIGCONT);
+      ::kill(Process, SIGKILL);
+      ::waitpid(Process, nullptr, 0);
+    }
+    if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(this->Folder);
+  }
+
+  std::string ip(int Host) const {
+    return fmt::format("{}.{}", this->Net, Host);
+  }
+  std::string at(int Host, int Offset) const {
+    return fmt::format("{}:{}", this->ip(Host), Port + Offset);
+  }
+  json settings(const std::string &Name, int Host, const char *Serves) {
+    json Body = {{"nodeId", Name},
+                 {"serves", {Serves}},
+                 {"ip", this->ip(Host)},
+                 {"zone", "a"},
+                 {"listen",
+                  {{"front", this->at(Host, 1)},
+                   {"ready", this->at(Host, 2)},
+                   {"control", this->at(Host, 3)}}},
+                 {"portRange", {Port + 10, Port + 20}},
+                 {"seeds", {this->at(21, 3), this->at(22, 3), this->at(23, 3)}},
+                 {"bootstrap", !this->Started},
+                 {"dataDir", fmt::format("{}/data-{}", this->Folder, Name)},
+                 {"faultTolerance", {{"machines", 1}}}};
+    return Body;
+  }
+  void start(const std::string &Name, int Host, const char *Serves) {
+    json Body = this->settings(Name, Host, Serves);
+    std::filesystem::create_directories(Body["dataDir"].get<std::string>());
+    this->launch(Name, Body.dump());
+  }
+  pid_t launch(const std::string &Name, const std::string &Settings) {
+    std::string Path = fmt::format("{}/{}.json", this->Folder, Name);
+    std::ofstream(Path) << Settings;
+    std::string Log = fmt::format("{}/{}.log", this->Folder, Name);
+    pid_t Child = ::fork();
+    if (Child == 0) {
+      int File = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      ::dup2(File, STDOUT_FILENO);
+      ::dup2(File, STDERR_FILENO);
+      ::setenv("YARDWHEEL_SETTINGS", Path.c_str(), 1);
+      ::execl(Daemon.c_str(), Daemon.c_str(), "--platform", nullptr);
+      ::_exit(127);
+    }
+    this->Running[Name] = Child;
+    return Child;
+  }
+  void startAll() {
+    for (int I = 1; I <= 3; ++I)
+      this->start(fmt::format("core{}", I), 20 + I, "control");
+    for (int I = 1; I <= 2; ++I)
+      this->start(fmt::format("front{}", I), I, "front");
+    for (int I = 1; I <= 2; ++I)
+      this->start(fmt::format("side{}", I), 10 + I, "side");
+    for (int I = 1; I <= 2; ++I)
+      this->addWorker(I);
+    this->Started = true;
+    CHECK(waitFor([&] { return this->replace(1) == 200; }));
+    for (int I = 1; I <= 2; ++I)
+      CHECK(waitFor([&] {
+        return this->submit(I, fmt::format("{:016x}", 0xf000 + I), 1, 5)
+                   .Status == 200;
+      }));
+  }
+  void addWorker(int Side) {
+    PlatformWorkerOptions Options;
+    Options.Id = fmt::format("i-{}", Side);
+    Options.Listen = this->at(10 + Side, 5);
+    Options.Agent = this->at(10 + Side, 3);
+    this->Workers[Side] =
+        std::make_unique<PlatformWorker>(Options, this->Recorder);
+  }
+  json config(std::uint64_t Version) const {
+    json Routes = json::array();
+    for (int I = 1; I <= 2; ++I)
+      Routes.push_back({{"name", fmt::format("r{}", I)},
+                        {"host", this->ip(I)},
+                        {"pathPrefix", "/q/"},
+                        {"timeoutMs", 3000},
+                        {"sloMs", 60},
+                        {"priority", 0},
+                        {"service", "pool"},
+                        {"maxAttempts", 2},
+                        {"stretch", 1.6}});
+    return {{"version", Version},
+            {"routes", Routes},
+            {"services", {{{"name", "pool"}}}}};
+  }
+  long replace(std::uint64_t Version) {
+    return this
+        ->operatorCall(21, "POST", "/config/replace",
+                       this->config(Version).dump())
+        .Status;
+  }
+  HttpResult operatorCall(int Host, const char *Method, const char *Path,
+                          const std::string &Body = "") const {
+    HttpClient Client(3s);
+    return Client.call(
+        Method, fmt::format("http://{}{}", this->at(Host, 3), Path), Body);
+  }
+  HttpResult submit(int Front, const std::string &Id, int Tasks,
+                    int Millis) const {
+    json Body = {
+        {"spec", std::to_string(Millis)},
+        {"bestEffort", true},
+        {"phases", {{{"count", Tasks}, {"cpu", 500}, {"estMs", Millis}}}}};
+    return this->post(Front, Id, Body);
+  }
+  HttpResult post(int Front, const std::string &Id, const json &Body) const {
+    HttpClient Client(8s);
+    return Client.call("POST",
+                       fmt::format("http://{}/q/{}", this->at(Front, 1), Id),
+                       Body.dump());
+  }
+  void kill(const std::string &Name) {
+    ::kill(this->Running.at(Name), SIGKILL);
+    this->wait(Name);
+  }
+  void signal(const std::string &Name, int Number) {
+    ::kill(this->Running.at(Name), Number);
+  }
+  int wait(const std::string &Name) {
+    int Status = 0;
+    ::waitpid(this->Running.at(Name), &Status, 0);
+    this->Running.erase(Name);
+    return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128;
+  }
+  std::string log(const std::string &Name) const {
+    std::ifstream File(fmt::format("{}/{}.log", this->Folder, Name));
+    std::ostringstream Text;
+    Text << File.rdbuf();
+    return Text.str();
+  }
+  const std::string &folder() const { return this->Folder; }
+
+  RunRecorder Recorder;
+  std::map<int, std::unique_ptr<PlatformWorker>> Workers;
+
+private:
+  std::string Folder;
+  std::string Net;
+  bool Started = false;
+  std::map<std::string, pid_t> Running;
+};
+
+} // namespace
+
+TEST_GROUP(PlatformTest){};
+
+TEST(PlatformTest, TheWholePathServesAndRefusesAsItSays) {
+  PlatformCluster Cluster;
+  Cluster.start("front1", 1, "front");
+  // Without a configuration a queue is not unknown, but not known yet.
+  CHECK(waitFor([&] {
+    return Cluster.submit(1, "00000000000000a1", 1, 5).Status == 503;
+  }));
+  Cluster.kill("front1");
+  Cluster.startAll();
+  HttpResult Done = Cluster.submit(1, "00000000000000a2", 6, 30);
+  LONGS_EQUAL(200, Done.Status);
+  STRCMP_EQUAL("completed",
+               json::parse(Done.Body)["state"].get<std::string>().c_str());
+  int Before = Cluster.Recorder.starts();
+  struct Row {
+    const char *Id;
+    json Body;
+    long Expected;
+    const char *Named;
+  };
+  json Phase = {{"count", 1}, {"cpu", 500}, {"estMs", 5}};
+  json Stored = {{"spec", "5"}, {"phases", {Phase}}};
+  json Huge = {{"spec", "5"},
+               {"bestEffort", true},
+               {"phases", {{{"count", 1}, {"cpu", 900000}}}}};
+  const Row Rows[] = {
+      {"00000000000000b1", Stored, 503, "stored jobs"},
+      {"00000000000000b2", json{{"spec", 5}}, 400, "spec"},
+      {"00000000000000b3", json::array(), 400, "object"},
+      {"00000000000000b4", Huge, 503, "no worker"},
+      {"nonsense", Stored, 400, "job id"},
+  };
+  for (const Row &Row : Rows) {
+    HttpResult Result = Cluster.post(1, Row.Id, Row.Body);
+    LONGS_EQUAL_TEXT(Row.Expected, Result.Status, Row.Id);
+    STRCMP_CONTAINS(Row.Named, Result.Body.c_str());
+  }
+  LONGS_EQUAL(Before, Cluster.Recorder.starts());
+  HttpClient Client(2s);
+  LONGS_EQUAL(
+      404,
+      Client.call("GET", fmt::format("http://{}/x/", Cluster.at(1, 1))).Status);
+  LONGS_EQUAL(
+      200,
+      Client.call("GET", fmt::format("http://{}/readiness", Cluster.at(1, 2)))
+          .Status);
+  STRCMP_CONTAINS(
+      "yardwheel_jobs_completed_total",
+      Client.call("GET", fmt::format("http://{}:9464/metrics", Cluster.ip(1)))
+          .Body.c_str());
+}
+
+TEST(PlatformTest, ConfigurationIsReplacedAtAnyReplicaAndReadBack) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  for (int Host : {21, 22, 23}) {
+    std::uint64_t Version = 10 + static_cast<std::uint64_t>(Host);
+    std::string Body = Cluster.config(Version).dump();
+    LONGS_EQUAL(
+        200,
+        Cluster.operatorCall(Host, "POST", "/config/replace", Body).Status);
+    // Again after a lost answer, then an older one, then another of the same.
+    LONGS_EQUAL(
+        200,
+        Cluster.operatorCall(Host, "POST", "/config/replace", Body).Status);
+    json Other = Cluster.config(Version);
+    Other["routes"][0]["sloMs"] = 99;
+    LONGS_EQUAL(
+        409, Cluster.operatorCall(Host, "POST", "/config/replace", Other.dump())
+                 .Status);
+    json Invalid = Cluster.config(Version + 50);
+    Invalid["routes"][0]["timeoutMs"] = 0;
+    LONGS_EQUAL(
+        400,
+        Cluster.operatorCall(Host, "POST", "/config/replace", Invalid.dump())
+            .Status);
+    HttpResult Read = Cluster.operatorCall(Host, "GET", "/config/read");
+    LONGS_EQUAL(200, Read.Status);
+    CHECK(json::parse(Read.Body) == Cluster.config(Version));
+  }
+}
+
+// The caller hands a job in again at another entry 1,300 ms after its entry
+// was killed: by then no run of the first may be alive.
+TEST(PlatformTest, RunsOfAKilledEntryEndBeforeTheJobMayBeginAgain) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto First = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "00000000000000c1", 4, 2500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 4; }));
+  Cluster.kill("front1");
+  LONGS_EQUAL(0, First.get());
+  std::this_thread::sleep_for(1300ms);
+  LONGS_EQUAL(0, Cluster.Recorder.alive());
+  LONGS_EQUAL(200, Cluster.submit(2, "00000000000000c1", 4, 50).Status);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+TEST(PlatformTest, RunsOfAKilledAgentLapseAndItsSuccessorFencesThem) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto First = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "00000000000000d1", 8, 2500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 8; }));
+  std::uint64_t Token = Cluster.Workers[1]->highestToken();
+  Cluster.kill("side1");
+  // The entry can no longer answer for its runs there and says so at once.
+  LONGS_EQUAL(504, First.get());
+  std::this_thread::sleep_for(1300ms);
+  LONGS_EQUAL(0, Cluster.Recorder.alive());
+  Cluster.start("side1", 11, "side");
+  CHECK(waitFor([&] { return Cluster.Workers[1]->highestToken() > Token; }));
+  LONGS_EQUAL(200, Cluster.submit(1, "00000000000000d1", 8, 50).Status);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+TEST(PlatformTest, StartsThatAreCarriedOutLateStartNothingTwice) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  Cluster.Workers[1]->delayStarts(600ms);
+  int Served = 0;
+  for (int I = 0; I < 4; ++I) {
+    std::string Id = fmt::format("{:016x}", 0xe00 + I);
+    if (Cluster.submit(1, Id, 4, 300).Status == 200)
+      ++Served;
+  }
+  std::this_thread::sleep_for(1s);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+  LONGS_EQUAL(4, Served);
+}
+
+TEST(PlatformTest, AnEntryThatIsToldToEndAnswersWhatItHasTaken) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  std::vector<std::future<long>> Calls;
+  for (int I = 0; I < 6; ++I)
+    Calls.push_back(std::async(std::launch::async, [&Cluster, I] {
+      return Cluster.submit(1, fmt::format("{:016x}", 0xab0 + I), 1, 1200)
+          .Status;
+    }));
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 6; }));
+  Cluster.signal("front1", SIGTERM);
+  // Callers use the entry on while the balancer still sends them there.
+  LONGS_EQUAL(200, Cluster.submit(1, "00000000000000ac", 1, 20).Status);
+  for (std::future<long> &Call : Calls)
+    LONGS_EQUAL(200, Call.get());
+  LONGS_EQUAL(0, Cluster.wait("front1"));
+  STRCMP_CONTAINS("\"decision\":\"stopped\"", Cluster.log("front1").c_str());
+}
+
+TEST(PlatformTest, AReplicaThatLostItsDiskIsReplacedWithoutACommand) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  std::uint64_t Version = 100;
+  for (int Replica : {1, 2, 3}) {
+    std::string Name = fmt::format("core{}", Replica);
+    CHECK(waitFor([&] { return Cluster.replace(++Version) == 200; }));
+    Cluster.kill(Name);
+    std::filesystem::remove_all(
+        fmt::format("{}/data-{}", Cluster.folder(), Name));
+    Cluster.start(Name, 20 + Replica, "control");
+    // It holds the configuration once it has become a voter.
+    CHECK(waitFor([&] {
+      HttpClient Client(2s);
+      std::string Text = Client
+                             .call("GET", fmt::format("http://{}:9464/metrics",
+                                                      Cluster.ip(20 + Replica)))
+                             .Body;
+      return Text.find(fmt::format("yardwheel_route_table_version {}",
+                                   Version)) != std::string::npos &&
+             Text.find("yardwheel_control_replicas 3") != std::string::npos;
+    }));
+  }
+  HttpResult Read;
+  CHECK(waitFor([&] {
+    Read = Cluster.operatorCall(22, "GET", "/config/read");
+    return Read.Status == 200;
+  }));
+  LONGS_EQUAL(Version, json::parse(Read.Body)["version"].get<std::uint64_t>());
+}
+
+TEST(PlatformTest, AWrongSettingsFileIsNamedInOneLine) {
+  PlatformCluster Cluster;
+  json Good = Cluster.settings("x", 30, "front");
+  struct Row {
+    const char *Field;
+    json Value;
+  };
+  const Row Rows[] = {{"nodeId", 7},
+                      {"serves", json::array()},
+                      {"seeds", "x"},
+                      {"portRange", {1}}};
+  for (const Row &Row : Rows) {
+    json Bad = Good;
+    Bad[Row.Field] = Row.Value;
+    std::string Name = std::string("bad-") + Row.Field;
+    Cluster.launch(Name, Bad.dump());
+    LONGS_EQUAL(2, Cluster.wait(Name));
+    std::string Output = Cluster.log(Name);
+    STRCMP_CONTAINS(Row.Field, Output.c_str());
+    STRCMP_CONTAINS("expected", Output.c_str());
+    LONGS_EQUAL(1, std::count(Output.begin(), Output.end(), '\n'));
+  }
+}
--- /dev/null
+++ b/tests/system/platform_worker.cpp
@@ -0,0 +1,225 @@
+#include "tests/system/platform_worker.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace yardwheel {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickEvery{5};
+constexpr std::chrono::milliseconds CallTimeout{1000};
+
+} // namespace
+
+void RunRecorder::onStart(const std::string &Task) {
+  std::lock_guard Lock(this->Mutex);
+  ++this->Starts;
+  if (++this->Alive[Task] > 1)
+    ++this->Overlaps;
+}
+
+void RunRecorder::onEnd(const std::string &Task) {
+  std::lock_guard Lock(this->Mutex);
+  --this->Alive[Task];
+}
+
+int RunRecorder::alive() const {
+  std::lock_guard Lock(this->Mutex);
+  int Count = 0;
+  for (const auto &[Task, Runs] : this->Alive)
+    Count += Runs;
+  return Count;
+}
+
+PlatformWorker::PlatformWorker(PlatformWorkerOptions Given,
+                               RunRecorder &Recorder)
+    : Options(std::move(Given)), Recorder(Recorder) {
+  HttpServerOptions Serving;
+  Serving.Listen = this->Options.Listen;
+  Serving.Threads = 1;
+  // The handler lives as long as the server, which this object owns.
+  std::shared_ptr<HttpHandler> Handler(this, [](HttpHandler *) {});
+  this->Server = std::make_unique<HttpServer>(Serving, Handler);
+  this->Ticker = std::thread([this] {
+    while (!this->Stopping.load()) {
+      this->tick();
+      std::this_thread::sleep_for(TickEvery);
+    }
+  });
+  this->Announcer = std::thread([this] {
+    while (!this->Stopping.load()) {
+      this->announce();
+      std::this_thread::sleep_for(this->Options.HeartbeatEvery);
+    }
+  });
+}
+
+PlatformWorker::~PlatformWorker() {
+  this->Stopping.store(true);
+  this->Ticker.join();
+  this->Announcer.join();
+  this->Server->stop();
+}
+
+std::int64_t PlatformWorker::clockMs() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               this->Begun)
+      .count();
+}
+
+void PlatformWorker::announce() {
+  json Body = {
+      {"service", this->Options.Pool},
+      {"address", this->Options.Listen},
+      {"zone", "a"},
+      {"state", this->Draining.load() ? "draining" : "ready"},
+      {"capacity",
+       {{"cpu", this->Options.CpuMilli}, {"memMb", 1000}, {"gpus", 0}}},
+      {"labels", {"a", "r1"}},
+      {"clockMs", this->clockMs()}};
+  HttpClient Client(CallTimeout);
+  Client.call("POST",
+              fmt::format("http://{}/instances/{}/heartbeat",
+                          this->Options.Agent, this->Options.Id),
+              Body.dump());
+}
+
+bool PlatformWorker::checkToken(const json &Body) {
+  std::uint64_t Given = Body.value("fencingToken", std::uint64_t{0});
+  if (Given < this->Token)
+    return false;
+  this->Token = Given;
+  return true;
+}
+
+void PlatformWorker::extendLease(const json &Body) {
+  std::int64_t Longest = this->clockMs() + this->Options.MaxLease.count();
+  std::int64_t Asked = Body.value("deadlineMs", std::int64_t{0});
+  this->LeaseUntil = std::max(this->LeaseUntil, std::min(Asked, Longest));
+}
+
+std::string PlatformWorker::start(const json &Body) {
+  if (!this->checkToken(Body))
+    return "fence";
+  std::string Task = Body.at("task");
+  std::uint64_t Number = Body.at("run");
+  auto Known = this->Runs.find(Task);
+  if (Known != this->Runs.end() && Known->second.Number == Number)
+    return "";
+  if (Body.at("deadlineMs").get<std::int64_t>() <= this->clockMs())
+    return "late";
+  this->extendLease(Body);
+  if (Number <= this->LastRuns[Task])
+    return "old";
+  this->LastRuns[Task] = Number;
+  auto Length =
+      std::chrono::milliseconds(std::stoi(Body.at("spec").get<std::string>()));
+  this->Runs[Task] = {Number, Clock::now() + Length, 0};
+  this->Recorder.onStart(Task);
+  return "";
+}
+
+std::string PlatformWorker::stop(const json &Body) {
+  if (!this->checkToken(Body))
+    return "fence";
+  std::string Task = Body.at("task");
+  std::uint64_t Number = Body.at("run");
+  this->LastRuns[Task] = std::max(this->LastRuns[Task], Number);
+  auto Known = this->Runs.find(Task);
+  if (Known != this->Runs.end() && Known->second.Number == Number)
+    this->end(Task, "stopped");
+  return "";
+}
+
+void PlatformWorker::end(const std::string &Task, const char *How) {
+  std::uint64_t Number = this->Runs.at(Task).Number;
+  this->Ends.push_back(json::array({++this->LastEnd, Task, Number, How, ""}));
+  this->Runs.erase(Task);
+  this->Recorder.onEnd(Task);
+  std::deque<Waiting> Woken;
+  std::swap(Woken, this->Holds);
+  for (const Waiting &Open : Woken)
+    this->answerHold(Open.Reply);
+}
+
+void PlatformWorker::reply(const std::shared_ptr<HttpReply> &Reply,
+                           const std::string &Refusal) const {
+  json Body = {{"clockMs", this->clockMs()}};
+  HttpAnswer Answer;
+  if (!Refusal.empty()) {
+    Body["reason"] = Refusal;
+    Answer.Status = HttpStatus::Conflict;
+  }
+  Answer.Body = Body.dump();
+  Reply->send(Answer);
+}
+
+void PlatformWorker::answerHold(const std::shared_ptr<HttpReply> &Reply) const {
+  json Running = json::array();
+  for (const auto &[Task, Known] : this->Runs)
+    Running.push_back(json::array({Task, Known.Number, "", 0}));
+  json Body = {{"clockMs", this->clockMs()},
+               {"running", Running},
+               {"ended", this->Ends}};
+  HttpAnswer Answer;
+  Answer.Body = Body.dump();
+  Reply->send(Answer);
+}
+
+void PlatformWorker::handle(const HttpRequest &Request,
+                            std::shared_ptr<HttpReply> Reply) {
+  json Body = json::parse(Request.Body);
+  std::lock_guard Lock(this->Mutex);
+  if (Request.Resource == "/run-start") {
+    if (this->Delay.count() > 0)
+      this->LateStarts.push_back({Body, Clock::now() + this->Delay});
+    else
+      this->reply(Reply, this->start(Body));
+  } else if (Request.Resource == "/run-stop") {
+    this->reply(Reply, this->stop(Body));
+  } else if (!this->checkToken(Body)) {
+    this->reply(Reply, "fence");
+  } else {
+    this->extendLease(Body);
+    std::uint64_t Seen = Body.value("ackSeq", std::uint64_t{0});
+    std::erase_if(this->Ends, [&](const json &Row) { return Row[0] <= Seen; });
+    auto Wait =
+        std::chrono::milliseconds(Body.value("waitMs", std::int64_t{0}));
+    if (this->Ends.empty() && Wait.count() > 0)
+      this->Holds.push_back({Reply, Clock::now() + Wait});
+    else
+      this->answerHold(Reply);
+  }
+}
+
+void PlatformWorker::tick() {
+  std::lock_guard Lock(this->Mutex);
+  auto Now = Clock::now();
+  while (!this->LateStarts.empty() && Now >= this->LateStarts.front().At) {
+    json Body = this->LateStarts.front().Body;
+    this->LateStarts.pop_front();
+    this->start(Body);
+  }
+  std::vector<std::string> Done;
+  for (const auto &[Task, Known] : this->Runs)
+    if (Now >= Known.EndsAt)
+      Done.push_back(Task);
+  for (const std::string &Task : Done)
+    this->end(Task, "done");
+  while (this->clockMs() >= this->LeaseUntil && !this->Runs.empty())
+    this->end(std::string(this->Runs.begin()->first), "lapsed");
+  while (!this->Holds.empty() && Now >= this->Holds.front().Until) {
+    this->answerHold(this->Holds.front().Reply);
+    this->Holds.pop_front();
+  }
+}
+
+std::size_t PlatformWorker::running() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Runs.size();
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/tests/system/platform_worker.h
@@ -0,0 +1,124 @@
+//===- tests/system/platform_worker.h - A stand-in worker -------*- C++ -*-===//
+///
+/// \file
+/// A worker of the users' machines, written from their pages for the tests: it
+/// announces itself, starts and stops runs, gives leases by its own clock,
+/// keeps the highest fencing token, tells ends in order until they are
+/// acknowledged, and can leave orders unanswered and carry them out late.
+///
+/// A task's spec says how long it runs, in milliseconds.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_SYSTEM_PLATFORM_WORKER_H
+#define YARDWHEEL_TESTS_SYSTEM_PLATFORM_WORKER_H
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace yardwheel {
+
+/// Sees the runs of all workers.
+class RunRecorder {
+public:
+  void onStart(const std::string &Task);
+  void onEnd(const std::string &Task);
+  /// Starts of a task while another run of it was alive.
+  int overlaps() const { return this->Overlaps.load(); }
+  int starts() const { return this->Starts.load(); }
+  int alive() const;
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, int> Alive;
+  std::atomic<int> Overlaps{0};
+  std::atomic<int> Starts{0};
+};
+
+struct PlatformWorkerOptions {
+  std::string Id;
+  std::string Listen;
+  /// Where its agent takes announcements.
+  std::string Agent;
+  std::string Pool = "pool";
+  int CpuMilli = 4000;
+  std::chrono::milliseconds HeartbeatEvery{300};
+  std::chrono::milliseconds MaxLease{1000};
+};
+
+class PlatformWorker final : public HttpHandler {
+public:
+  PlatformWorker(PlatformWorkerOptions Options, RunRecorder &Recorder);
+  ~PlatformWorker() override;
+
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpReply> Reply) override;
+
+  /// Every start from now on is left without a reply, and carried out after
+  /// this.
+  void delayStarts(std::chrono::milliseconds Delay) { this->Delay = Delay; }
+  void setDraining() { this->Draining.store(true); }
+  std::uint64_t highestToken() const { return this->Token; }
+  std::size_t running() const;
+
+private:
+  using Clock = std::chrono::steady_clock;
+  struct Run {
+    std::uint64_t Number = 0;
+    Clock::time_point EndsAt;
+    int CpuMilli = 0;
+  };
+  struct Waiting {
+    std::shared_ptr<HttpReply> Reply;
+    Clock::time_point Until;
+  };
+  struct Late {
+    nlohmann::json Body;
+    Clock::time_point At;
+  };
+
+  /// \returns why a call was refused, or nothing.
+  std::string start(const nlohmann::json &Body);
+  std::string stop(const nlohmann::json &Body);
+  bool checkToken(const nlohmann::json &Body);
+  void extendLease(const nlohmann::json &Body);
+  void end(const std::string &Task, const char *How);
+  void reply(const std::shared_ptr<HttpReply> &Reply,
+             const std::string &Refusal) const;
+  void answerHold(const std::shared_ptr<HttpReply> &Reply) const;
+  std::int64_t clockMs() const;
+  void tick();
+  void announce();
+
+  PlatformWorkerOptions Options;
+  RunRecorder &Recorder;
+  Clock::time_point Begun = Clock::now() - std::chrono::seconds(100);
+  mutable std::mutex Mutex;
+  std::map<std::string, Run> Runs;
+  std::map<std::string, std::uint64_t> LastRuns;
+  std::vector<nlohmann::json> Ends;
+  std::uint64_t LastEnd = 0;
+  std::int64_t LeaseUntil = 0;
+  std::uint64_t Token = 0;
+  std::deque<Waiting> Holds;
+  std::deque<Late> LateStarts;
+  std::chrono::milliseconds Delay{0};
+  std::atomic<bool> Draining{false};
+  std::atomic<bool> Stopping{false};
+  std::thread Ticker;
+  std::thread Announcer;
+  std::unique_ptr<HttpServer> Server;
+};
+
+} // namespace yardwheel
+
+#endif
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -28,6 +28,8 @@
   Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectMin.count());
   Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectMin.count());
   Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectMax.count());
+  // A new channel must not inherit an old one's wait before it connects.
+  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   // What the library would do about retries and proxies is our own work.
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
@@ -82,16 +84,22 @@
   auto [Found, New] = this->Links.try_emplace(To.Address);
   Link &Target = Found->second;
   if (New) {
-    auto Channel = grpc::CreateCustomChannel(
-        To.Address, grpc::InsecureChannelCredentials(), channelArguments());
-    Target.Stub = peer::Link::NewStub(Channel);
     Target.InFlight = std::make_shared<std::atomic<std::uint32_t>>(0);
+    Target.Broken = std::make_shared<std::atomic<bool>>(false);
   }
+  if (New || Target.Broken->exchange(false))
+    connect(Target, To.Address);
   Target.Queued.set_recipient(To.Node);
   Target.Peer = To;
   return Target;
 }
 
+void LinkPool::connect(Link &Target, const std::string &Address) {
+  auto Channel = grpc::CreateCustomChannel(
+      Address, grpc::InsecureChannelCredentials(), channelArguments());
+  Target.Stub = peer::Link::NewStub(Channel);
+}
+
 void LinkPool::send(const PeerRef &To, peer::Message Message) {
   if (To.Address.empty())
     return;
@@ -129,9 +137,9 @@
   ++*Target.InFlight;
   ++*this->UnderWay;
   // The callback owns what it needs: the pool may be gone when it runs.
-  auto Done = [Open, InFlight = Target.InFlight, Total = this->UnderWay,
-               Counters = this->Counters, Failures = this->Failures,
-               Peer = Target.Peer,
+  auto Done = [Open, InFlight = Target.InFlight, Broken = Target.Broken,
+               Total = this->UnderWay, Counters = this->Counters,
+               Failures = this->Failures, Peer = Target.Peer,
                Log = this->Log](const grpc::Status &Status) {
     if (!Status.ok()) {
       ++Counters->Failed;
@@ -142,8 +150,10 @@
       Log.warning("{} refused an envelope: {}.", Open->Envelope.recipient(),
                   Open->Receipt.refusal());
     }
-    if (!Status.ok())
+    if (!Status.ok()) {
+      Broken->store(true);
       Failures->report(Peer);
+    }
     --*InFlight;
     --*Total;
   };
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -83,12 +83,16 @@
   struct Link {
     std::unique_ptr<peer::Link::Stub> Stub;
     std::shared_ptr<std::atomic<std::uint32_t>> InFlight;
+    /// Set by a failed call. The next one connects anew instead of failing
+    /// for as long as the library waits before it tries again.
+    std::shared_ptr<std::atomic<bool>> Broken;
     PeerRef Peer;
     peer::Envelope Queued;
     std::size_t QueuedBytes = 0;
   };
 
   Link &linkTo(const PeerRef &To);
+  static void connect(Link &Target, const std::string &Address);
   void transmit(Link &Target);
 
   LinkIdentity Self;
