An agent that has restarted is known by its own words

Cause: an entry that had not yet been told of an agent's new life sent it tasks for the old one, was refused as stale eight times over in 7 ms, and gave the job up, as the load in each refusal was dropped for its unknown life. Change: a higher incarnation in an agent's load is a new life; what its earlier lives had and does not refuse within 60 ms is lost. Tests seen failing: ARestartedAgentIsKnownByItsOwnWords.

--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -42,19 +42,26 @@
   return Replaced;
 }
 
-void LeaseBoard::hear(const std::string &Agent, const peer::WorkerLoad &Load,
+bool LeaseBoard::hear(const std::string &Agent, const peer::WorkerLoad &Load,
                       TimePoint Now) {
   LeasedWorker *Target = this->find(Agent);
-  if (Target == nullptr || Load.incarnation() != Target->Incarnation)
-    return;
+  if (Target == nullptr || Load.incarnation() < Target->Incarnation)
+    return false;
+  bool NewLife = Load.incarnation() > Target->Incarnation;
+  if (NewLife) {
+    Target->Incarnation = Load.incarnation();
+    Target->Stamp = 0;
+    Target->Alive = true;
+  }
   Target->Silent = false;
   Target->Heard = Now;
   if (Load.stamp() < Target->Stamp)
-    return;
+    return NewLife;
   Target->Stamp = Load.stamp();
   Target->OthersCpu = Load.others_cpu_milli();
   if (Load.leaving())
     Target->Alive = false;
+  return NewLife;
 }
 
 void LeaseBoard::setSilent(const std::string &Agent) {
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -67,8 +67,9 @@
 
   /// Takes an announcement. \returns whether an older life has ended.
   bool update(const peer::Member &Member);
-  /// Takes what an agent says of its load; words of another life are dropped.
-  void hear(const std::string &Agent, const peer::WorkerLoad &Load,
+  /// Takes what an agent says of its load; words of an older life are dropped.
+  /// \returns whether they are those of a life not known of yet.
+  bool hear(const std::string &Agent, const peer::WorkerLoad &Load,
             TimePoint Now);
   void setSilent(const std::string &Agent);
 
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -137,6 +137,7 @@
     return false;
   Which.Phase = TaskPhase::Sent;
   Which.Agent = Chosen->Agent.Node;
+  Which.Incarnation = Chosen->Incarnation;
   ++Which.Attempt;
   ++Target.OutCount;
   this->Board.onSent(Which.Agent, Target.Request.Needs);
@@ -190,23 +191,34 @@
                       {"incarnation", Member.incarnation()},
                       {"state", peer::MemberState_Name(Member.state())},
                       {"table_version", Member.version()}});
-  if (Lost || Replaced)
-    this->loseAgent(Member.name(),
-                    Lost ? "control lost it" : "it has restarted", Now);
+  if (Lost)
+    this->loseTasks(Member.name(), /*OnlyEarlierLives=*/false,
+                    "control lost it", Now);
+  else if (Replaced)
+    this->onRestarted(Member.name(), Now);
 }
 
 void LeaseCoordinator::onMessage(const PeerRef &From,
                                  const peer::Message &Message, Instant Now) {
   if (Message.has_worker_load()) {
-    this->Board.hear(From.Node, Message.worker_load(), Now.Steady);
-    this->Contacts[From.Node].AskedAt = TimePoint::min();
+    this->onLoad(From.Node, Message.worker_load(), Now);
   } else if (Message.has_leased_update()) {
-    this->Board.hear(From.Node, Message.leased_update().load(), Now.Steady);
-    this->Contacts[From.Node].AskedAt = TimePoint::min();
+    this->onLoad(From.Node, Message.leased_update().load(), Now);
     this->onUpdate(From.Node, Message.leased_update(), Now);
   }
 }
 
+void LeaseCoordinator::onLoad(const std::string &Agent,
+                              const peer::WorkerLoad &Load, Instant Now) {
+  this->Contacts[Agent].AskedAt = TimePoint::min();
+  if (this->Board.hear(Agent, Load, Now.Steady))
+    this->onRestarted(Agent, Now);
+}
+
+void LeaseCoordinator::onRestarted(const std::string &Agent, Instant Now) {
+  this->Contacts[Agent].LoseOldAt = Now.Steady + this->Options.RestartGrace;
+}
+
 void LeaseCoordinator::onUpdate(const std::string &Agent,
                                 const peer::LeasedUpdate &Update, Instant Now) {
   Job *Target = this->find(Update.job());
@@ -324,20 +336,24 @@
   if (Worker == nullptr || Worker->Silent)
     return;
   this->Board.setSilent(Agent);
-  this->loseAgent(Agent, "a message to it did not arrive", Now);
+  this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
+                  "a message to it did not arrive", Now);
 }
 
-void LeaseCoordinator::loseAgent(const std::string &Agent,
+void LeaseCoordinator::loseTasks(const std::string &Agent,
+                                 bool OnlyEarlierLives,
                                  const std::string &Reason, Instant Now) {
   ++this->Counters.AgentsLost;
-  this->Contacts.erase(Agent);
+  const LeasedWorker *Worker = this->Board.find(Agent);
+  auto IsLost = [&](const Task &Which) {
+    bool Earlier = Worker == nullptr || Which.Incarnation < Worker->Incarnation;
+    return Which.Phase == TaskPhase::Sent && Which.Agent == Agent &&
+           (Earlier || !OnlyEarlierLives);
+  };
   std::vector<std::string> Concerned;
-  for (auto &[Id, Known] : this->Jobs)
-    for (const Task &Which : Known->Tasks)
-      if (Which.Phase == TaskPhase::Sent && Which.Agent == Agent) {
-        Concerned.push_back(Id);
-        break;
-      }
+  for (const auto &[Id, Known] : this->Jobs)
+    if (std::any_of(Known->Tasks.begin(), Known->Tasks.end(), IsLost))
+      Concerned.push_back(Id);
   this->Log.decision(
       "agent_lost",
       {{"agent", Agent}, {"reason", Reason}, {"jobs", Concerned.size()}});
@@ -346,7 +362,7 @@
     Target.MayHaveRun = true;
     // What became of its runs is not known; they lapse with our lease.
     for (Task &Which : Target.Tasks)
-      if (Which.Phase == TaskPhase::Sent && Which.Agent == Agent)
+      if (IsLost(Which))
         this->settle(Target, Which, TaskPhase::Over);
     if (Target.Phase == JobPhase::Running)
       this->giveUp(Target, {LeasedEnd::Unknown, "run", Agent, Reason, {}}, Now);
@@ -453,10 +469,15 @@
 
 void LeaseCoordinator::renew(Instant Now) {
   std::vector<std::string> Silent;
+  std::vector<std::string> Restarted;
   for (const auto &[Agent, Worker] : this->Board.workers()) {
     if (!Worker.Alive)
       continue;
     Contact &Line = this->Contacts[Agent];
+    if (Now.Steady >= Line.LoseOldAt) {
+      Line.LoseOldAt = TimePoint::max();
+      Restarted.push_back(Agent);
+    }
     bool Idle = Worker.OwnTasks == 0;
     bool Late = !Idle && Line.AskedAt != TimePoint::min() &&
                 Now.Steady - Line.AskedAt > this->Options.SilenceLimit;
@@ -465,9 +486,12 @@
     else if (Now.Steady >= Line.NextRenewal)
       this->renewOne(Worker, Line, Now);
   }
+  for (const std::string &Agent : Restarted)
+    this->loseTasks(Agent, /*OnlyEarlierLives=*/true, "it has restarted", Now);
   for (const std::string &Agent : Silent) {
     this->Board.setSilent(Agent);
-    this->loseAgent(Agent, "it left renewals unanswered", Now);
+    this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
+                    "it left renewals unanswered", Now);
   }
 }
 
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -37,6 +37,9 @@
   /// An agent that leaves a renewal without an answer for this long is taken
   /// for lost. Several renewals, and well below the agents' lease.
   std::chrono::milliseconds SilenceLimit{600};
+  /// After an agent has restarted, before what its last life had is lost: some
+  /// round trips between data centres.
+  std::chrono::milliseconds RestartGrace{60};
   /// Times that a task is placed before its job is given up.
   std::uint32_t MaxPlacements = 8;
   /// A job that is given up waits this long for proof that none of its tasks
@@ -102,6 +105,8 @@
   struct Task {
     TaskPhase Phase = TaskPhase::Unplaced;
     std::string Agent;
+    /// The agent's life that it was sent to.
+    std::uint64_t Incarnation = 0;
     std::uint32_t Attempt = 0;
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
@@ -124,6 +129,9 @@
     TimePoint NextRenewal = TimePoint::min();
     /// When the oldest renewal without an answer was sent.
     TimePoint AskedAt = TimePoint::min();
+    /// When tasks sent to an earlier life of the agent are taken for lost; it
+    /// may still be saying that it refuses some of them.
+    TimePoint LoseOldAt = TimePoint::max();
   };
 
   /// Whether the job was refused because too much is waiting already.
@@ -133,6 +141,8 @@
                 std::map<std::string, peer::LeasedDispatch> &Batch);
   void dispatch(Job &Target, std::map<std::string, peer::LeasedDispatch> &Batch,
                 Instant Now);
+  void onLoad(const std::string &Agent, const peer::WorkerLoad &Load,
+              Instant Now);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
@@ -140,8 +150,10 @@
   void onRunFailed(Job &Target, Task &Which, const std::string &Agent,
                    const peer::LeasedUpdate &Update, Instant Now);
   void settle(Job &Target, Task &Which, TaskPhase Next);
-  void loseAgent(const std::string &Agent, const std::string &Reason,
-                 Instant Now);
+  /// Gives up on the tasks sent to an agent, or only to earlier lives of it.
+  void loseTasks(const std::string &Agent, bool OnlyEarlierLives,
+                 const std::string &Reason, Instant Now);
+  void onRestarted(const std::string &Agent, Instant Now);
   void giveUp(Job &Target, LeasedAnswer Answer, Instant Now);
   void stopTasks(Job &Target);
   void finish(Job &Target, LeasedAnswer Answer, Instant Now);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -199,6 +199,43 @@
   }
 }
 
+// Control may tell of the new life later than the agent itself does.
+TEST(LeaseCoordinatorTest, ARestartedAgentIsKnownByItsOwnWords) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  peer::Message Load;
+  Load.mutable_worker_load()->set_incarnation(Life + 1);
+  Load.mutable_worker_load()->set_stamp(5);
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  pass(80ms);
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+  Coordinator.submit(request(1, "k"), 2, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  LONGS_EQUAL(Life + 1, Sink.Dispatches[1].second.agent_incarnation());
+  LONGS_EQUAL(5, Sink.Dispatches[1].second.stamp());
+}
+
+TEST(LeaseCoordinatorTest, WhatARestartedAgentRefusesIsSentAgain) {
+  addAgent("a");
+  Coordinator.submit(request(3), 1, Now);
+  peer::Message Message;
+  for (std::uint32_t I = 0; I < 3; ++I) {
+    peer::LeasedUpdate *Update = Message.mutable_leased_update();
+    Update->set_job("j");
+    Update->set_index(I);
+    Update->set_attempt(1);
+    Update->set_event(peer::LEASED_NOT_STARTED);
+    Update->set_refusal(peer::REFUSAL_STALE);
+    Update->mutable_load()->set_incarnation(Life + 1);
+    Update->mutable_load()->set_stamp(5);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+  }
+  pass(100ms);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  LONGS_EQUAL(4, Sink.Dispatches.size());
+  LONGS_EQUAL(Life + 1, Sink.Dispatches[3].second.agent_incarnation());
+}
+
 TEST(LeaseCoordinatorTest, LeasesAreRenewedOnlyOftenWhileTasksRun) {
   addAgent("a");
   pass(1000ms);
