One envelope has one recipient, also at one address

Ruled out: the replica manager, which proposes the right steps once the learner is heard. Change: a message for another recipient sends what is queued first; refusals are logged once.

--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -46,7 +46,8 @@
       ::kill(Process, SIGKILL);
       ::waitpid(Process, nullptr, 0);
     }
-    if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(this->Folder);
+    if (std::getenv("KEEP") == nullptr)
+      std::filesystem::remove_all(this->Folder);
   }
 
   std::string ip(int Host) const {
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -86,9 +86,15 @@
   if (New) {
     Target.InFlight = std::make_shared<std::atomic<std::uint32_t>>(0);
     Target.Broken = std::make_shared<std::atomic<bool>>(false);
+    Target.Refused = std::make_shared<std::atomic<bool>>(false);
   }
   if (New || Target.Broken->exchange(false))
     connect(Target, To.Address);
+  // An envelope has one recipient, and its receiver refuses it as a whole.
+  bool Other =
+      Target.Queued.messages_size() > 0 && Target.Queued.recipient() != To.Node;
+  if (Other)
+    this->transmit(Target);
   Target.Queued.set_recipient(To.Node);
   Target.Peer = To;
   return Target;
@@ -138,8 +144,9 @@
   ++*this->UnderWay;
   // The callback owns what it needs: the pool may be gone when it runs.
   auto Done = [Open, InFlight = Target.InFlight, Broken = Target.Broken,
-               Total = this->UnderWay, Counters = this->Counters,
-               Failures = this->Failures, Peer = Target.Peer,
+               Refused = Target.Refused, Total = this->UnderWay,
+               Counters = this->Counters, Failures = this->Failures,
+               Peer = Target.Peer,
                Log = this->Log](const grpc::Status &Status) {
     if (!Status.ok()) {
       ++Counters->Failed;
@@ -147,8 +154,11 @@
                 Status.error_message());
     } else if (!Open->Receipt.refusal().empty()) {
       ++Counters->Failed;
-      Log.warning("{} refused an envelope: {}.", Open->Envelope.recipient(),
-                  Open->Receipt.refusal());
+      if (!Refused->exchange(true))
+        Log.warning("{} refuses envelopes: {}.", Open->Envelope.recipient(),
+                    Open->Receipt.refusal());
+    } else {
+      Refused->store(false);
     }
     if (!Status.ok()) {
       Broken->store(true);
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -86,6 +86,8 @@
     /// Set by a failed call. The next one connects anew instead of failing
     /// for as long as the library waits before it tries again.
     std::shared_ptr<std::atomic<bool>> Broken;
+    /// The receiver refuses what is sent; told once, until it does not.
+    std::shared_ptr<std::atomic<bool>> Refused;
     PeerRef Peer;
     peer::Envelope Queued;
     std::size_t QueuedBytes = 0;
