--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -68,6 +68,8 @@
   this->Acknowledged = 0;
   this->Ready = false;
   this->Answering = true;
+  this->InDoubt = false;
+  this->LastAnswer = Now.Steady;
   this->HoldsOut = 0;
   this->Strangers.clear();
   // The time of day is higher than in any earlier life of this agent, unless
@@ -101,6 +103,7 @@
     return;
   this->ClockRead = *Reply.Clock;
   this->ClockReadAt = Now.Steady;
+  this->LastAnswer = Now.Steady;
 }
 
 WorkerTime WorkerSession::extendLease(Instant Now) {
@@ -207,6 +210,8 @@
 std::chrono::milliseconds WorkerSession::holdWait() const {
   if (!this->Ready)
     return this->Options.FirstHoldWait;
+  if (this->InDoubt)
+    return {};
   return this->Runs.empty() ? this->Options.IdleHoldWait
                             : this->Options.HoldWait;
 }
@@ -219,13 +224,13 @@
   Call.Wait = Wait;
   // A worker that may not hear us is given no lease, so that its last one can
   // be told to have lapsed.
-  if (this->Ready && this->Answering && !this->Runs.empty())
+  if (this->Ready && !this->InDoubt && !this->Runs.empty())
     Call.LeaseUntil = this->extendLease(Now);
   this->Port.hold(Call);
 }
 
 void WorkerSession::renewIfDue(Instant Now) {
-  bool Due = !this->Runs.empty() && this->Ready && this->Answering &&
+  bool Due = !this->Runs.empty() && this->Ready && !this->InDoubt &&
              this->LeaseEnds - Now.Steady < this->Options.Lease / 2;
   if (Due)
     this->callHold({}, Now);
@@ -242,6 +247,7 @@
     return;
   }
   this->Answering = true;
+  this->InDoubt = false;
   for (const EndedRun &Ended : Reply.Ended) {
     this->Acknowledged = std::max(this->Acknowledged, Ended.Number);
     this->Strangers.erase(Ended.Run);
@@ -260,7 +266,9 @@
     this->raiseToken(Now);
     return;
   }
-  if (!this->Answering)
+  this->InDoubt = true;
+  bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilentAfter;
+  if (!this->Answering || !Silent)
     return;
   this->Answering = false;
   this->Log.decision("worker_silent", {{"worker", this->Profile->Id},
@@ -288,7 +296,7 @@
   if (this->HoldsOut == 0 && Now.Steady >= this->NextHold)
     this->callHold(this->holdWait(), Now);
   this->renewIfDue(Now);
-  bool Lapsed = !this->Answering &&
+  bool Lapsed = this->InDoubt && !this->Runs.empty() &&
                 Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
   if (Lapsed)
     this->lapseAll(Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -29,7 +29,7 @@
   std::chrono::milliseconds Lease{900};
   /// How long a call for ends may wait while tasks run: each renews the
   /// lease, so a fraction of it.
-  std::chrono::milliseconds HoldWait{250};
+  std::chrono::milliseconds HoldWait{120};
   /// The same while nothing runs.
   std::chrono::milliseconds IdleHoldWait{2000};
   /// The same until the runs of an earlier agent have ended, which takes a
@@ -44,8 +44,11 @@
   std::chrono::milliseconds LapseSlack{100};
   /// Before a confirmed stop, whose end has not been told, is sent again.
   std::chrono::milliseconds ConfirmedStopRetry{1000};
+  /// A worker that has answered nothing for this long gets no tasks. Several
+  /// calls: single ones may stay without a reply at a worker that is sound.
+  std::chrono::milliseconds SilentAfter{600};
   /// Before a failed call for ends is made again.
-  std::chrono::milliseconds HoldRetry{50};
+  std::chrono::milliseconds HoldRetry{20};
 };
 
 /// Hears what becomes of runs. Each run that was started ends in one call.
@@ -129,6 +132,9 @@
   std::uint64_t Acknowledged = 0;
   bool Ready = false;
   bool Answering = true;
+  /// The last call for ends failed: whether the worker hears us is not known.
+  bool InDoubt = false;
+  TimePoint LastAnswer;
   /// When the newest lease that the worker may have been given ends.
   TimePoint LeaseEnds = TimePoint::min();
   /// Calls for ends that have not come back.
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -169,6 +169,31 @@
   LONGS_EQUAL(Before + 2, Port.Holds.size());
 }
 
+// Some calls may stay without a reply at a worker that is sound.
+TEST(WorkerSessionTest, OneCallWithoutReplyDoesNotMakeAWorkerSilent) {
+  attach();
+  Session.start(Run, "spec", Now);
+  WorkerReply Good = answered();
+  Good.Clock = WorkerTime(6000);
+  for (int I = 0; I < 6; ++I) {
+    Session.onHoldReply("life-1", WorkerReply(), Now);
+    CHECK(Session.isReady());
+    pass(60ms);
+    // The next tells whether the worker hears us, and waits for nothing.
+    LONGS_EQUAL(0, Port.Holds.back().Wait.count());
+    CHECK_FALSE(Port.Holds.back().LeaseUntil.has_value());
+    Session.onHoldReply("life-1", Good, Now);
+    CHECK(Port.Holds.back().LeaseUntil.has_value());
+  }
+  LONGS_EQUAL(0, Events.Silent);
+  for (int I = 0; I < 20; ++I) {
+    Session.onHoldReply("life-1", WorkerReply(), Now);
+    pass(60ms);
+  }
+  LONGS_EQUAL(1, Events.Silent);
+  CHECK_FALSE(Session.isReady());
+}
+
 TEST(WorkerSessionTest, RunsOfASilentWorkerEndWhenItsLeaseMustHaveLapsed) {
   attach();
   Session.start(Run, "spec", Now);
