--- a/entry/entry_http.cpp
+++ b/entry/entry_http.cpp
@@ -121,7 +121,12 @@
   std::string Id = Request.Path[4];
   if (std::optional<JobId> Uuid = parseUuidV7(Id))
     Id = Uuid->Key;
-  bool KnownPlace = this->Catalog.view()->findWorkspace(Workspace) != nullptr;
+  auto View = this->Catalog.view();
+  if (std::optional<Rejection> Early = rejectUnconfigured(*View)) {
+    Reply->send(answerFor(Workspace, *Early));
+    return;
+  }
+  bool KnownPlace = View->findWorkspace(Workspace) != nullptr;
   if (!KnownPlace || !isPlainKey(Id)) {
     Reply->send(answerFor(
         Workspace, {HttpStatus::NotFound, "validate",
--- a/entry/request_path.cpp
+++ b/entry/request_path.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::uint32_t MaxDeclared = 3600000;
+/// About the time in which an entry that starts is told of its configuration.
+constexpr std::chrono::milliseconds UnconfiguredRetry{1000};
 
 Rejection reject(std::string Reason) {
   return {HttpStatus::BadRequest, "validate", std::move(Reason)};
@@ -115,10 +117,20 @@
   return Rejection{HttpStatus::BadRequest, "decode", "body: " + Wrong};
 }
 
+std::optional<Rejection> rejectUnconfigured(const CatalogView &View) {
+  if (View.Revision > 0)
+    return std::nullopt;
+  return Rejection{HttpStatus::Unavailable, "validate",
+                   "this entry has not heard of its configuration yet",
+                   UnconfiguredRetry};
+}
+
 std::optional<Rejection>
 validateSubmission(const api::SubmitRequest &Document,
                    const std::string &Workspace, const CatalogView &View,
                    WallTime Now, std::mt19937_64 &Random, JobRequest &Request) {
+  if (std::optional<Rejection> Early = rejectUnconfigured(View))
+    return Early;
   const peer::Workspace *Place = View.findWorkspace(Workspace);
   if (Place == nullptr)
     return Rejection{
--- a/entry/request_path.h
+++ b/entry/request_path.h
@@ -37,12 +37,18 @@
   std::string Step;
   /// Names the field and the bound.
   std::string Reason;
+  /// When to come back; 0 where it would be rejected again.
+  std::chrono::milliseconds RetryAfter{};
 };
 
 /// Filter 1. \returns a rejection if \p Body is no submission.
 std::optional<Rejection> decodeSubmission(const std::string &Body,
                                           api::SubmitRequest &Document);
 
+/// Rejects whatever names a workspace until the configuration is known:
+/// a workspace that has not been heard of may well exist.
+std::optional<Rejection> rejectUnconfigured(const CatalogView &View);
+
 /// Filter 2. Fills \p Request, or returns a rejection.
 std::optional<Rejection>
 validateSubmission(const api::SubmitRequest &Document,
