--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -217,10 +217,6 @@
     this->onRestarted(Agent, Now);
 }
 
-void LeaseCoordinator::onRestarted(const std::string &Agent, Instant Now) {
-  this->Contacts[Agent].LoseOldAt = Now.Steady + this->Options.RestartGrace;
-}
-
 void LeaseCoordinator::onUpdate(const std::string &Agent,
                                 const peer::LeasedUpdate &Update, Instant Now) {
   Job *Target = this->find(Update.job());
@@ -340,49 +336,6 @@
   Which.Phase = Next;
 }
 
-// ---- Agents go ----
-
-void LeaseCoordinator::onSendFailed(const std::string &Agent, Instant Now) {
-  LeasedWorker *Worker = this->Board.find(Agent);
-  if (Worker == nullptr || Worker->Silent)
-    return;
-  this->Board.setSilent(Agent);
-  this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
-                  "a message to it did not arrive", Now);
-}
-
-void LeaseCoordinator::loseTasks(const std::string &Agent,
-                                 bool OnlyEarlierLives,
-                                 const std::string &Reason, Instant Now) {
-  ++this->Counters.AgentsLost;
-  const LeasedWorker *Worker = this->Board.find(Agent);
-  auto IsLost = [&](const Task &Which) {
-    bool Earlier = Worker == nullptr || Which.Incarnation < Worker->Incarnation;
-    return Which.Phase == TaskPhase::Sent && Which.Agent == Agent &&
-           (Earlier || !OnlyEarlierLives);
-  };
-  std::vector<std::string> Concerned;
-  for (const auto &[Id, Known] : this->Jobs)
-    if (std::any_of(Known->Tasks.begin(), Known->Tasks.end(), IsLost))
-      Concerned.push_back(Id);
-  this->Log.decision(
-      "agent_lost",
-      {{"agent", Agent}, {"reason", Reason}, {"jobs", Concerned.size()}});
-  for (const std::string &Id : Concerned) {
-    Job &Target = *this->Jobs[Id];
-    Target.MayHaveRun = true;
-    // What became of its runs is not known; they lapse with our lease.
-    for (Task &Which : Target.Tasks)
-      if (IsLost(Which))
-        this->settle(Target, Which, TaskPhase::Over);
-    if (Target.Phase == JobPhase::Running)
-      this->giveUp(Target, {LeasedEnd::Unknown, "run", Agent, Reason, {}}, Now);
-    else if (Target.Phase == JobPhase::GivingUp)
-      this->finishIfProven(Target, Now);
-    this->forgetIfSettled(Id);
-  }
-}
-
 // ---- Jobs end ----
 
 void LeaseCoordinator::giveUp(Job &Target, LeasedAnswer Answer, Instant Now) {
@@ -471,115 +424,4 @@
     this->Jobs.erase(Found);
 }
 
-// ---- Time ----
-
-void LeaseCoordinator::tick(Instant Now) {
-  this->renew(Now);
-  this->tickJobs(Now);
-}
-
-void LeaseCoordinator::renew(Instant Now) {
-  std::vector<std::string> Silent;
-  std::vector<std::string> Restarted;
-  for (const auto &[Agent, Worker] : this->Board.workers()) {
-    if (!Worker.Alive)
-      continue;
-    Contact &Line = this->Contacts[Agent];
-    if (Now.Steady >= Line.LoseOldAt) {
-      Line.LoseOldAt = TimePoint::max();
-      Restarted.push_back(Agent);
-    }
-    bool Idle = Worker.OwnTasks == 0;
-    bool Late = !Idle && Line.AskedAt != TimePoint::min() &&
-                Now.Steady - Line.AskedAt > this->Options.SilenceLimit;
-    if (Late)
-      Silent.push_back(Agent);
-    else if (Now.Steady >= Line.NextRenewal)
-      this->renewOne(Worker, Line, Now);
-  }
-  for (const std::string &Agent : Restarted)
-    this->loseTasks(Agent, /*OnlyEarlierLives=*/true, "it has restarted", Now);
-  for (const std::string &Agent : Silent) {
-    this->Board.setSilent(Agent);
-    this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
-                    "it left renewals unanswered", Now);
-  }
-}
-
-void LeaseCoordinator::renewOne(const LeasedWorker &Worker, Contact &Line,
-                                Instant Now) {
-  bool Idle = Worker.OwnTasks == 0;
-  Line.NextRenewal = Now.Steady + (Idle ? this->Options.RefreshEvery
-                                        : this->Options.RenewEvery);
-  // Only an agent that holds our tasks can lose any by its silence.
-  if (Idle)
-    Line.AskedAt = TimePoint::min();
-  else if (Line.AskedAt == TimePoint::min())
-    Line.AskedAt = Now.Steady;
-  peer::Message Message;
-  Message.mutable_lease_renewal()->set_agent_incarnation(Worker.Incarnation);
-  Message.mutable_lease_renewal()->set_stamp(Worker.Stamp);
-  this->Sink.send(Worker.Agent, std::move(Message));
-}
-
-std::chrono::milliseconds
-LeaseCoordinator::stallLimit(const Job &Target) const {
-  bool Known = Target.LongestDone.count() > 0;
-  auto Base = static_cast<double>(
-      (Known ? Target.LongestDone : Target.Request.Estimate).count());
-  double Factor =
-      Known ? this->Options.StallFactor : this->Options.StallEstimateFactor;
-  return std::chrono::milliseconds(static_cast<std::int64_t>(Base * Factor)) +
-         this->Options.StallSlack;
-}
-
-void LeaseCoordinator::stopStalled(Job &Target, Instant Now) {
-  std::chrono::milliseconds Limit = this->stallLimit(Target);
-  bool OneDone = Target.LongestDone.count() > 0;
-  for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
-    Task &Which = Target.Tasks[I];
-    if (Which.Phase != TaskPhase::Sent)
-      continue;
-    // A sibling that is done tells more than what was declared.
-    if (OneDone && !Which.Stalled)
-      Which.AskStalledAt = std::min(Which.AskStalledAt, Now.Steady + Limit);
-    LeasedWorker *Worker = this->Board.find(Which.Agent);
-    if (Now.Steady < Which.AskStalledAt || Worker == nullptr)
-      continue;
-    Which.Stalled = true;
-    Which.AskStalledAt = Now.Steady + this->Options.StallRetry;
-    peer::Message Message;
-    peer::LeasedStop *Stop = Message.mutable_leased_stop();
-    Stop->set_job(Target.Request.Id);
-    Stop->set_agent_incarnation(Worker->Incarnation);
-    Stop->set_index(I);
-    Stop->set_longer_than_ms(static_cast<std::uint32_t>(Limit.count()));
-    this->Sink.send(Worker->Agent, std::move(Message));
-  }
-}
-
-void LeaseCoordinator::tickJobs(Instant Now) {
-  std::vector<std::string> Due;
-  for (const auto &[Id, Known] : this->Jobs)
-    if (Known->Phase == JobPhase::Running)
-      this->stopStalled(*Known, Now);
-  for (const auto &[Id, Known] : this->Jobs)
-    if (Now.Steady >= Known->GiveUpAt && Known->Phase != JobPhase::Answered)
-      Due.push_back(Id);
-  for (const std::string &Id : Due) {
-    Job &Target = *this->Jobs[Id];
-    if (Target.Phase == JobPhase::Running)
-      this->giveUp(Target,
-                   {LeasedEnd::Unknown,
-                    "deadline",
-                    "",
-                    "the caller's deadline has passed",
-                    {}},
-                   Now);
-    else
-      this->finishIfProven(Target, Now);
-    this->forgetIfSettled(Id);
-  }
-}
-
 } // namespace yardwheel
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -5,7 +5,6 @@
 #include "main/lease_wiring.h"
 #include "main/process.h"
 #include "platform/agent_gate.h"
-#include "platform/node_settings.h"
 #include "platform/worker_client.h"
 #include "transport/event_loop.h"
 #include "transport/link_server.h"
@@ -201,14 +200,7 @@
 // ---- The process ----
 
 void LeaseAgentProcess::reload() {
-  try {
-    NodePlan New = platform::readNodeSettings();
-    this->Loop.post(
-        [this, New](Instant) { this->Announce.addControls(seedPeers(New)); });
-    this->Log.decision("reloaded", {{"seeds", New.Seeds.size()}});
-  } catch (const std::exception &Problem) {
-    this->Log.warning("The settings were not taken over: {}.", Problem.what());
-  }
+  takeOverSeeds(this->Announce, this->Loop, this->Log);
 }
 
 void LeaseAgentProcess::drain() {
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -4,7 +4,6 @@
 #include "main/lease_wiring.h"
 #include "main/process.h"
 #include "platform/entry_gate.h"
-#include "platform/node_settings.h"
 #include "transport/link_server.h"
 
 namespace yardwheel {
@@ -136,14 +135,7 @@
 }
 
 void LeaseEntryProcess::reload() {
-  try {
-    NodePlan New = platform::readNodeSettings();
-    this->Loop.post(
-        [this, New](Instant) { this->Announce.addControls(seedPeers(New)); });
-    this->Log.decision("reloaded", {{"seeds", New.Seeds.size()}});
-  } catch (const std::exception &Problem) {
-    this->Log.warning("The settings were not taken over: {}.", Problem.what());
-  }
+  takeOverSeeds(this->Announce, this->Loop, this->Log);
 }
 
 void LeaseEntryProcess::drain() {
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -4,6 +4,7 @@
 
 #include "main/wiring.h"
 #include "settings/node_plan.h"
+#include "transport/event_loop.h"
 
 namespace yardwheel {
 
@@ -44,6 +45,9 @@
   return Peers;
 }
 
+/// Reads the settings again and adds the control replicas that they name.
+void takeOverSeeds(Announcer &Announce, EventLoop &Loop, const Logger &Log);
+
 inline AnnouncerOptions planAnnouncer(const NodePlan &Plan) {
   return {seedPeers(Plan), ControlHeartbeat};
 }
