--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -46,8 +46,7 @@
       ::kill(Process, SIGKILL);
       ::waitpid(Process, nullptr, 0);
     }
-    if (std::getenv("KEEP") == nullptr)
-      std::filesystem::remove_all(this->Folder);
+    std::filesystem::remove_all(this->Folder);
   }
 
   std::string ip(int Host) const {
@@ -331,13 +330,15 @@
 TEST(PlatformTest, AnEntryThatIsToldToEndAnswersWhatItHasTaken) {
   PlatformCluster Cluster;
   Cluster.startAll();
+  constexpr int CallCount = 6;
   std::vector<std::future<long>> Calls;
-  for (int I = 0; I < 6; ++I)
+  Calls.reserve(CallCount);
+  for (int I = 0; I < CallCount; ++I)
     Calls.push_back(std::async(std::launch::async, [&Cluster, I] {
       return Cluster.submit(1, fmt::format("{:016x}", 0xab0 + I), 1, 1200)
           .Status;
     }));
-  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 6; }));
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == CallCount; }));
   Cluster.signal("front1", SIGTERM);
   // Callers use the entry on while the balancer still sends them there.
   LONGS_EQUAL(200, Cluster.submit(1, "00000000000000ac", 1, 20).Status);
@@ -354,8 +355,10 @@
   std::atomic<int> Cut{0};
   std::atomic<int> Answered{0};
   std::atomic<bool> Over{false};
+  constexpr int CallerCount = 4;
   std::vector<std::future<void>> Callers;
-  for (int Caller = 0; Caller < 4; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.push_back(std::async(std::launch::async, [&, Caller] {
       for (int I = 0; !Over.load(); ++I) {
         std::string Id = fmt::format("{:016x}", 0x10000 * (Caller + 1) + I);
