Send a lost start again under its number; believe a new life only once the last has ended

And an announcement that was held up since before the worker restarted made the agent turn back to the dead life: it took the living one's runs for ended and had them placed again.

Ruled out: a second run elsewhere without a stop, which could double a task.

After a lost start no refusal proves anything. A run that ends so counts against its worker and avoids it. A life that is announced while the last one replies is attached only when a call to the last one fails. Calls for ends wait 40 ms instead of 120 ms for 2 s after a loss.

Two tests of the session lost starts once and now lose all of them; what they check is as before.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -33,13 +33,20 @@
 
 void LeaseKeeper::onProfile(const WorkerProfile &Profile, Instant Now) {
   this->Session.onProfile(Profile, Now);
-  if (Profile.Draining && !this->Leaving)
+  this->leaveIfDraining(Now);
+}
+
+void LeaseKeeper::leaveIfDraining(Instant Now) {
+  if (this->Session.profile().Draining && !this->Leaving)
     this->leave("the worker drains", Now);
 }
 
-void LeaseKeeper::beginLife(std::uint64_t Incarnation) {
-  this->Options.Incarnation = Incarnation;
+void LeaseKeeper::onWorkerAttached(Instant Now) {
+  if (this->HadWorker)
+    ++this->Options.Incarnation;
+  this->HadWorker = true;
   this->Leaving = this->ShuttingDown;
+  this->leaveIfDraining(Now);
 }
 
 void LeaseKeeper::onMessage(const PeerRef &From, const peer::Message &Message,
@@ -323,7 +330,9 @@
                       {"end", runEndName(How)},
                       {"waited_ms", msBetween(Which->Arrived, Which->Started)},
                       {"ran_ms", msBetween(Which->Started, Now.Steady)}});
-  this->say(Id, *Which, Event, peer::REFUSAL_NONE, runEndName(How), Now);
+  peer::LeasedRefusal Blame =
+      How == RunEnd::Unanswered ? peer::REFUSAL_WORKER : peer::REFUSAL_NONE;
+  this->say(Id, *Which, Event, Blame, runEndName(How), Now);
   this->Tasks.erase(Id);
   this->NoRoomUntil = TimePoint::min();
   this->startFitting(Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -54,9 +54,9 @@
   LeaseKeeper(KeeperOptions Options, PeerSink &Sink, WorkerPort &Port);
 
   void onProfile(const WorkerProfile &Profile, Instant Now);
-  /// A new life of the worker is about to be announced, under a number of its
-  /// own, so that entries do not take it for the last.
-  void beginLife(std::uint64_t Incarnation);
+  /// Names this agent and its worker's life together: each life of the worker
+  /// has a number of its own, so that entries do not take it for the last.
+  std::uint64_t incarnation() const { return this->Options.Incarnation; }
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
   void tick(Instant Now);
@@ -76,6 +76,7 @@
 
   void onRunRefused(const RunKey &Run, WorkerRefusal Why, Instant Now) override;
   void onRunEnded(const RunKey &Run, RunEnd How, Instant Now) override;
+  void onWorkerAttached(Instant Now) override;
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
 
@@ -122,6 +123,7 @@
   void onStop(const PeerRef &From, const peer::LeasedStop &Stop, Instant Now);
   void stopStalled(const PeerRef &From, const peer::LeasedStop &Stop,
                    Instant Now);
+  void leaveIfDraining(Instant Now);
   void giveBackQueue(peer::LeasedRefusal Why, const std::string &Reason,
                      Instant Now);
   void dropTask(const TaskId &Id, peer::LeasedRefusal Why,
@@ -156,6 +158,8 @@
   TimePoint NextSweep = TimePoint::min();
   bool Leaving = false;
   bool ShuttingDown = false;
+  /// Whether the worker has been attached in an earlier life.
+  bool HadWorker = false;
   KeeperCounters Counters;
 };
 
--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -89,7 +89,15 @@
   Malformed,
 };
 
-enum class RunEnd { Done, Failed, Stopped, Lapsed, Other };
+enum class RunEnd {
+  Done,
+  Failed,
+  Stopped,
+  Lapsed,
+  /// The worker left its starts without a reply, and it was stopped.
+  Unanswered,
+  Other,
+};
 
 struct EndedRun {
   /// Counts a worker life's ends from 1.
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -44,6 +44,8 @@
     return "stopped";
   case RunEnd::Lapsed:
     return "lapsed";
+  case RunEnd::Unanswered:
+    return "unanswered";
   case RunEnd::Other:
     return "other";
   }
@@ -62,6 +64,31 @@
     this->Profile->Draining |= New.Draining;
     return;
   }
+  bool MayLive = this->Profile && this->Ready && !this->InDoubt;
+  if (!MayLive) {
+    this->attach(New, Now);
+    return;
+  }
+  this->Candidate = New;
+  this->callHold({}, Now);
+}
+
+void WorkerSession::judgeCandidate(const WorkerReply &Reply, Instant Now) {
+  WorkerProfile New = *this->Candidate;
+  this->Candidate.reset();
+  bool Lives = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
+  if (!Lives) {
+    this->attach(New, Now);
+    return;
+  }
+  this->Log.decision("announcement_ignored",
+                     {{"worker", New.Id},
+                      {"alive", this->Profile->Id},
+                      {"reason", "the present life of the worker replies"}});
+}
+
+void WorkerSession::attach(const WorkerProfile &New, Instant Now) {
+  this->Candidate.reset();
   this->Profile = New;
   this->ClockRead = New.Clock;
   this->ClockReadAt = Now.Steady;
@@ -83,8 +110,9 @@
                                          {"fencing_token", this->Token},
                                          {"runs_lost", this->Runs.size()}});
   this->Port.attach(New);
+  this->Events.onWorkerAttached(Now);
   this->lapseAll(Now);
-  this->callHold(this->holdWait(), Now);
+  this->callHold(this->holdWait(Now), Now);
 }
 
 void WorkerSession::lapseAll(Instant Now) {
@@ -127,8 +155,15 @@
 
 void WorkerSession::start(const RunKey &Key, const std::string &Spec,
                           Instant Now) {
-  this->Runs[Key] = Run();
-  this->Port.start({Key, Spec, this->extendLease(Now), this->Token});
+  Run &New = this->Runs[Key];
+  New = Run();
+  New.Spec = Spec;
+  this->callStart(Key, New, Now);
+}
+
+void WorkerSession::callStart(const RunKey &Key, const Run &Known,
+                              Instant Now) {
+  this->Port.start({Key, Known.Spec, this->extendLease(Now), this->Token});
 }
 
 void WorkerSession::stop(const RunKey &Key, Instant Now) {
@@ -153,14 +188,7 @@
     return;
   Run &Known = Found->second;
   if (!Reply.Answered) {
-    this->Log.decision("start_unanswered", {{"job", Key.Job},
-                                            {"task", Key.Index},
-                                            {"run", Key.Run},
-                                            {"worker", Life},
-                                            {"problem", Reply.Problem}});
-    Known.StartUnknown = true;
-    if (Known.State == Phase::Starting)
-      this->callStop(Key, Known, Now);
+    this->onStartLost(Key, Known, Reply, Now);
     return;
   }
   if (Reply.Refusal == WorkerRefusal::None) {
@@ -170,7 +198,29 @@
   }
   if (Reply.Refusal == WorkerRefusal::Fenced)
     this->raiseToken(Now);
-  this->refuse(Key, Reply.Refusal, Now);
+  if (Known.StartsLost == 0)
+    this->refuse(Key, Reply.Refusal, Now);
+  // An earlier start may have begun it, or may still do so.
+  else if (Known.State == Phase::Starting)
+    this->callStop(Key, Known, Now);
+}
+
+void WorkerSession::onStartLost(const RunKey &Key, Run &Known,
+                                const WorkerReply &Reply, Instant Now) {
+  ++Known.StartsLost;
+  this->LastLoss = Now.Steady;
+  this->Log.decision("start_unanswered", {{"job", Key.Job},
+                                          {"task", Key.Index},
+                                          {"run", Key.Run},
+                                          {"worker", this->Profile->Id},
+                                          {"starts_lost", Known.StartsLost},
+                                          {"problem", Reply.Problem}});
+  if (Known.State != Phase::Starting)
+    return;
+  if (Known.StartsLost < this->Options.StartTries)
+    this->callStart(Key, Known, Now);
+  else
+    this->callStop(Key, Known, Now);
 }
 
 void WorkerSession::onStopReply(const std::string &Life, const RunKey &Key,
@@ -191,7 +241,7 @@
   Run &Known = Found->second;
   Known.NextStop = Now.Steady + this->Options.ConfirmedStopRetry;
   // One that never began is not listed as ended.
-  if (Known.StartUnknown && Known.StoppedAt == TimePoint::max())
+  if (Known.StartsLost > 0 && Known.StoppedAt == TimePoint::max())
     Known.StoppedAt = Now.Steady + this->Options.StopTakes;
 }
 
@@ -207,13 +257,16 @@
 
 // ---- The lease and the ends ----
 
-std::chrono::milliseconds WorkerSession::holdWait() const {
+std::chrono::milliseconds WorkerSession::holdWait(Instant Now) const {
   if (!this->Ready)
     return this->Options.FirstHoldWait;
   if (this->InDoubt)
     return {};
-  return this->Runs.empty() ? this->Options.IdleHoldWait
-                            : this->Options.HoldWait;
+  if (this->Runs.empty())
+    return this->Options.IdleHoldWait;
+  bool Lossy = this->LastLoss != TimePoint::min() &&
+               Now.Steady - this->LastLoss < this->Options.LossMemory;
+  return Lossy ? this->Options.HoldWaitAfterLoss : this->Options.HoldWait;
 }
 
 void WorkerSession::callHold(std::chrono::milliseconds Wait, Instant Now) {
@@ -242,6 +295,11 @@
     return;
   this->HoldsOut = std::max(this->HoldsOut - 1, 0);
   this->noteClock(Reply, Now);
+  if (this->Candidate) {
+    this->judgeCandidate(Reply, Now);
+    if (!this->isCurrent(Life))
+      return;
+  }
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None) {
     this->onHoldFailed(Reply, Now);
     return;
@@ -257,7 +315,7 @@
   if (!this->Ready)
     this->adoptStrangers(Reply, Now);
   if (this->HoldsOut == 0)
-    this->callHold(this->holdWait(), Now);
+    this->callHold(this->holdWait(Now), Now);
 }
 
 void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
@@ -267,6 +325,8 @@
     return;
   }
   this->InDoubt = true;
+  if (!Reply.Answered)
+    this->LastLoss = Now.Steady;
   bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilentAfter;
   if (!this->Answering || !Silent)
     return;
@@ -294,7 +354,7 @@
   if (!this->Profile)
     return;
   if (this->HoldsOut == 0 && Now.Steady >= this->NextHold)
-    this->callHold(this->holdWait(), Now);
+    this->callHold(this->holdWait(Now), Now);
   this->renewIfDue(Now);
   bool Lapsed = this->InDoubt && !this->Runs.empty() &&
                 Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
@@ -312,7 +372,7 @@
       this->callStop(Key, Known, Now);
   }
   for (const RunKey &Key : Stopped)
-    this->end(Key, RunEnd::Stopped, Now);
+    this->end(Key, RunEnd::Unanswered, Now);
 }
 
 } // namespace yardwheel
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -2,9 +2,11 @@
 ///
 /// \file
 /// Drives one worker: starts and stops runs, renews the lease that keeps them
-/// alive, and learns of their ends. A start without a reply is stopped, and
-/// counts as not started only once the worker has confirmed the stop: from
-/// then on it refuses that run, however late the start arrives.
+/// alive, and learns of their ends. A start without a reply is sent again under
+/// the same run number, which the worker carries out at most once. If that
+/// fails as well the run is stopped, and counts as ended only once the worker
+/// has confirmed the stop: from then on it refuses that run, however late the
+/// start arrives.
 ///
 /// Single-threaded, without sockets or clocks.
 ///
@@ -35,6 +37,14 @@
   /// The same until the runs of an earlier agent have ended, which takes a
   /// worker some tens of milliseconds.
   std::chrono::milliseconds FirstHoldWait{20};
+  /// How often a start is sent before its run is stopped. Where half of the
+  /// calls are lost, three leave one in eight without a reply.
+  std::uint32_t StartTries = 3;
+  /// How long a call for ends may wait after a call stayed without a reply: a
+  /// lost reply then hides an end for a shorter time.
+  std::chrono::milliseconds HoldWaitAfterLoss{40};
+  /// For how long after a lost call that holds; calls are lost for seconds.
+  std::chrono::milliseconds LossMemory{2000};
   /// Before a stop without a reply is sent again.
   std::chrono::milliseconds StopRetry{100};
   /// A confirmed stop has ended its run within this.
@@ -59,6 +69,9 @@
   virtual void onRunRefused(const RunKey &Run, WorkerRefusal Why,
                             Instant Now) = 0;
   virtual void onRunEnded(const RunKey &Run, RunEnd How, Instant Now) = 0;
+  /// The agent now speaks to another life of the worker; what ran in the last
+  /// one is told as ended next.
+  virtual void onWorkerAttached(Instant Now) = 0;
   /// The worker's present life may be given runs.
   virtual void onWorkerReady(Instant Now) = 0;
   /// The worker has left a call for ends without a reply.
@@ -71,7 +84,9 @@
                 SessionEvents &Events);
 
   /// Takes what the worker has announced of itself. A new life ends all runs
-  /// of the last one.
+  /// of the last one. While the last one replies it is asked first whether it
+  /// has ended: an announcement may have been held up on its way since before
+  /// the worker restarted.
   void onProfile(const WorkerProfile &New, Instant Now);
   bool hasWorker() const { return this->Profile.has_value(); }
   /// Whether the worker replies, and its runs of an earlier agent have been
@@ -96,20 +111,29 @@
   enum class Phase { Starting, Running, Stopping };
   struct Run {
     Phase State = Phase::Starting;
-    /// The stop follows a start without a reply.
-    bool StartUnknown = false;
+    /// Sent again with a start that stayed without a reply.
+    std::string Spec;
+    /// Starts that stayed without a reply. If there are any, no refusal proves
+    /// that the run has not begun.
+    std::uint32_t StartsLost = 0;
     TimePoint NextStop = TimePoint::min();
     /// When a confirmed stop of such a run has taken effect.
     TimePoint StoppedAt = TimePoint::max();
   };
 
+  void attach(const WorkerProfile &New, Instant Now);
+  /// Decides on a life that was announced beside one that may be alive.
+  void judgeCandidate(const WorkerReply &Reply, Instant Now);
+  void callStart(const RunKey &Key, const Run &Known, Instant Now);
+  void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
+                   Instant Now);
   void noteClock(const WorkerReply &Reply, Instant Now);
   /// The end of a lease that begins now, on the worker's clock.
   WorkerTime extendLease(Instant Now);
   bool isCurrent(const std::string &Life) const;
   void raiseToken(Instant Now);
   void callHold(std::chrono::milliseconds Wait, Instant Now);
-  std::chrono::milliseconds holdWait() const;
+  std::chrono::milliseconds holdWait(Instant Now) const;
   /// Renews the lease while a call for ends that cannot waits at the worker.
   void renewIfDue(Instant Now);
   void callStop(const RunKey &Key, Run &Known, Instant Now);
@@ -125,6 +149,8 @@
   WorkerPort &Port;
   SessionEvents &Events;
   std::optional<WorkerProfile> Profile;
+  /// A life that was announced while the present one seemed alive.
+  std::optional<WorkerProfile> Candidate;
   std::uint64_t Token = 0;
   /// A reading of the worker's clock, and ours when it came.
   WorkerTime ClockRead{};
@@ -135,6 +161,7 @@
   /// The last call for ends failed: whether the worker hears us is not known.
   bool InDoubt = false;
   TimePoint LastAnswer;
+  TimePoint LastLoss = TimePoint::min();
   /// When the newest lease that the worker may have been given ends.
   TimePoint LeaseEnds = TimePoint::min();
   /// Calls for ends that have not come back.
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -246,15 +246,7 @@
     this->onRunFailed(*Target, Which, Agent, Update, Now);
     break;
   case peer::LEASED_ENDED_EARLY:
-    Target->MayHaveRun = true;
-    this->settle(*Target, Which, TaskPhase::Unplaced);
-    if (Which.Stalled) {
-      Which.Avoid.insert(Agent);
-      if (this->Board.onFailure(Agent, Now.Steady))
-        ++this->Counters.Ejections;
-    }
-    if (Target->Phase == JobPhase::Running)
-      this->place(*Target, Now);
+    this->onEndedEarly(*Target, Which, Agent, Update, Now);
     break;
   default:
     return;
@@ -299,6 +291,30 @@
   this->place(Target, Now);
 }
 
+void LeaseCoordinator::onEndedEarly(Job &Target, Task &Which,
+                                    const std::string &Agent,
+                                    const peer::LeasedUpdate &Update,
+                                    Instant Now) {
+  Target.MayHaveRun = true;
+  this->settle(Target, Which, TaskPhase::Unplaced);
+  // It looks the emptiest, so without this the task would go there again.
+  bool WorkerAtFault =
+      Which.Stalled || Update.refusal() == peer::REFUSAL_WORKER;
+  if (WorkerAtFault) {
+    Which.Avoid.insert(Agent);
+    if (this->Board.onFailure(Agent, Now.Steady))
+      ++this->Counters.Ejections;
+  }
+  this->Log.decision("task_ended_early", {{"job", Target.Request.Id},
+                                          {"task", Update.index()},
+                                          {"agent", Agent},
+                                          {"attempt", Update.attempt()},
+                                          {"reason", Update.reason()},
+                                          {"worker_at_fault", WorkerAtFault}});
+  if (Target.Phase == JobPhase::Running)
+    this->place(Target, Now);
+}
+
 void LeaseCoordinator::onRunFailed(Job &Target, Task &Which,
                                    const std::string &Agent,
                                    const peer::LeasedUpdate &Update,
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -163,6 +163,8 @@
                 Instant Now);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
                     const peer::LeasedUpdate &Update, Instant Now);
+  void onEndedEarly(Job &Target, Task &Which, const std::string &Agent,
+                    const peer::LeasedUpdate &Update, Instant Now);
   void onRunFailed(Job &Target, Task &Which, const std::string &Agent,
                    const peer::LeasedUpdate &Update, Instant Now);
   void settle(Job &Target, Task &Which, TaskPhase Next);
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -52,13 +52,21 @@
 private:
   KeeperOptions keeperOptions() const;
   void takeProfile(const WorkerProfile &Profile, Instant Now);
-  void announce(Instant Now);
+  /// Tells control of another life of the worker, or that it leaves.
+  void announceChanges(Instant Now);
   void receive(const std::shared_ptr<peer::Envelope> &Envelope);
   void tick(Instant Now);
   void publishMetrics(Instant Now);
   void stop();
 
+  struct Announced {
+    std::uint64_t Incarnation = 0;
+    bool Leaving = false;
+    bool operator==(const Announced &) const = default;
+  };
+
   NodePlan Plan;
+  Announced LastAnnounced;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
@@ -138,24 +146,23 @@
 }
 
 void LeaseAgentProcess::takeProfile(const WorkerProfile &Profile, Instant Now) {
-  WorkerSession &Session = this->Keeper.session();
-  bool NewLife = !Session.hasWorker() || Session.profile().Id != Profile.Id;
-  bool WasLeaving = this->Keeper.isLeaving();
-  // Entries know each life of the worker as a life of its agent.
-  if (NewLife && Session.hasWorker())
-    this->Keeper.beginLife(++this->Incarnation);
   this->Keeper.onProfile(Profile, Now);
-  if (NewLife || WasLeaving != this->Keeper.isLeaving())
-    this->announce(Now);
+  this->announceChanges(Now);
 }
 
-void LeaseAgentProcess::announce(Instant Now) {
+void LeaseAgentProcess::announceChanges(Instant Now) {
+  if (!this->Keeper.session().hasWorker())
+    return;
+  Announced Present{this->Keeper.incarnation(), this->Keeper.isLeaving()};
+  if (Present == this->LastAnnounced)
+    return;
+  this->LastAnnounced = Present;
   const WorkerProfile &Profile = this->Keeper.session().profile();
-  bool Leaving = this->Keeper.isLeaving();
   this->Announce.update(
       [&](peer::Member &Self) {
-        Self.set_incarnation(this->Incarnation);
-        Self.set_state(Leaving ? peer::MEMBER_LEAVING : peer::MEMBER_ALIVE);
+        Self.set_incarnation(Present.Incarnation);
+        Self.set_state(Present.Leaving ? peer::MEMBER_LEAVING
+                                       : peer::MEMBER_ALIVE);
         Self.set_pool(Profile.Pool);
         *Self.mutable_room() = Profile.Room;
         Self.clear_labels();
@@ -173,7 +180,7 @@
     if (!Present)
       return;
     this->Keeper.leave("the worker has left", Now);
-    this->announce(Now);
+    this->announceChanges(Now);
   });
 }
 
@@ -194,6 +201,8 @@
 void LeaseAgentProcess::onHold(const std::string &Life, WorkerReply Reply) {
   this->Loop.post([this, Life, Reply](Instant Now) {
     this->Keeper.session().onHoldReply(Life, Reply, Now);
+    // The reply may settle which life of the worker is the present one.
+    this->announceChanges(Now);
   });
 }
 
@@ -206,8 +215,7 @@
 void LeaseAgentProcess::drain() {
   this->Loop.post([this](Instant Now) {
     this->Keeper.shutDown(Now);
-    if (this->Keeper.session().hasWorker())
-      this->announce(Now);
+    this->announceChanges(Now);
   });
   bool Done = waitUntil(this->Plan.Times.ShutdownGrace - 2 * FlushTime,
                         [this] { return this->Idle.load(); });
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -209,16 +209,37 @@
   }
 }
 
+// Entries must not take what they hear of one life for news of another.
+TEST(LeaseKeeperTest, EachLifeOfTheWorkerHasANumberOfItsOwn) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  LONGS_EQUAL(Life, Keeper.incarnation());
+  Keeper.leave("test", Now);
+  WorkerProfile Next;
+  Next.Id = "w2";
+  Keeper.onProfile(Next, Now);
+  LONGS_EQUAL(Life, Keeper.incarnation());
+  WorkerReply Gone;
+  Gone.Answered = true;
+  Gone.Refusal = WorkerRefusal::OtherLife;
+  Keeper.session().onHoldReply("w", Gone, Now);
+  LONGS_EQUAL(Life + 1, Keeper.incarnation());
+  CHECK_FALSE(Keeper.isLeaving());
+}
+
 TEST(LeaseKeeperTest, EveryEndIsToldOnce) {
   struct Row {
     RunEnd How;
     peer::LeasedEvent Expected;
+    peer::LeasedRefusal Blame = peer::REFUSAL_NONE;
   };
-  const Row Rows[] = {{RunEnd::Done, peer::LEASED_DONE},
-                      {RunEnd::Failed, peer::LEASED_FAILED},
-                      {RunEnd::Stopped, peer::LEASED_ENDED_EARLY},
-                      {RunEnd::Lapsed, peer::LEASED_ENDED_EARLY},
-                      {RunEnd::Other, peer::LEASED_ENDED_EARLY}};
+  const Row Rows[] = {
+      {RunEnd::Done, peer::LEASED_DONE},
+      {RunEnd::Failed, peer::LEASED_FAILED},
+      {RunEnd::Stopped, peer::LEASED_ENDED_EARLY},
+      {RunEnd::Lapsed, peer::LEASED_ENDED_EARLY},
+      {RunEnd::Unanswered, peer::LEASED_ENDED_EARLY, peer::REFUSAL_WORKER},
+      {RunEnd::Other, peer::LEASED_ENDED_EARLY}};
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper);
   std::size_t Start = 0;
@@ -227,6 +248,7 @@
     end(Keeper, Start++, Row.How);
     LONGS_EQUAL(Start, Sink.Updates.size());
     CHECK(Sink.Updates.back().event() == Row.Expected);
+    CHECK(Sink.Updates.back().refusal() == Row.Blame);
     // A later run of the same task has a higher number.
     LONGS_EQUAL(Start, Port.Starts.back().Run.Run);
   }
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -30,11 +30,13 @@
   void onRunEnded(const RunKey &, RunEnd How, Instant) override {
     this->Ends.push_back(How);
   }
+  void onWorkerAttached(Instant) override { ++this->Attached; }
   void onWorkerReady(Instant) override { ++this->Ready; }
   void onWorkerSilent(Instant) override { ++this->Silent; }
 
   std::vector<WorkerRefusal> Refusals;
   std::vector<RunEnd> Ends;
+  int Attached = 0;
   int Ready = 0;
   int Silent = 0;
 };
@@ -71,13 +73,122 @@
     Session.onProfile(Profile, Now);
     Session.onHoldReply("life-1", answered(), Now);
   }
+  /// Leaves as many starts without a reply as the session makes.
+  void loseStarts() {
+    for (std::uint32_t I = 0; I < Options.StartTries; ++I)
+      Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  }
 };
 
+// Carried out once, however often it is sent: the run's number is the same.
+TEST(WorkerSessionTest, AStartWithoutReplyIsSentAgainAsTheSameRun) {
+  attach();
+  Session.start(Run, "spec", Now);
+  pass(50ms);
+  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  LONGS_EQUAL(0, Port.Stops.size());
+  LONGS_EQUAL(2, Port.Starts.size());
+  CHECK(Port.Starts[0].Run == Port.Starts[1].Run);
+  STRCMP_EQUAL("spec", Port.Starts[1].Spec.c_str());
+  CHECK(Port.Starts[1].LeaseUntil > Port.Starts[0].LeaseUntil);
+  Session.onStartReply("life-1", Run, answered(), Now);
+  pass(200ms);
+  LONGS_EQUAL(0, Port.Stops.size());
+  LONGS_EQUAL(0, Events.Ends.size());
+}
+
+// Its first start may have begun it, whatever is said of the second.
+TEST(WorkerSessionTest, ARefusalAfterALostStartProvesNothing) {
+  const WorkerRefusal Rows[] = {WorkerRefusal::OldRun, WorkerRefusal::NoRoom,
+                                WorkerRefusal::Fenced, WorkerRefusal::Unwell};
+  attach();
+  std::size_t Stops = 0;
+  for (WorkerRefusal Why : Rows) {
+    ++Run.Run;
+    Session.start(Run, "spec", Now);
+    Session.onStartReply("life-1", Run, WorkerReply(), Now);
+    Session.onStartReply("life-1", Run, answered(Why), Now);
+    LONGS_EQUAL(0, Events.Refusals.size());
+    LONGS_EQUAL(++Stops, Port.Stops.size());
+    Session.onStopReply("life-1", Run, answered(), Now);
+  }
+  // One of them had begun and is done.
+  WorkerReply Held = answered();
+  Held.Ended.push_back({1, Run, RunEnd::Done});
+  Session.onHoldReply("life-1", Held, Now);
+  LONGS_EQUAL(1, Events.Ends.size());
+  CHECK(Events.Ends[0] == RunEnd::Done);
+  pass(150ms);
+  LONGS_EQUAL(4, Events.Ends.size());
+}
+
+TEST(WorkerSessionTest, AStopEndsTheRepetitionOfALostStart) {
+  attach();
+  Session.start(Run, "spec", Now);
+  Session.stop(Run, Now);
+  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+}
+
+// An announcement of a life that has ended may have been held up on its way.
+TEST(WorkerSessionTest, AnnouncementsAreBelievedOnlyOnceTheLastLifeHasEnded) {
+  struct Row {
+    const char *Name;
+    WorkerReply FromPresentLife;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"it replies", answered(), "life-1"},
+      {"another is there", answered(WorkerRefusal::OtherLife), "life-2"},
+      {"nobody is there", answered(WorkerRefusal::Unwell), "life-3"},
+      {"silence", WorkerReply(), "life-4"},
+  };
+  attach();
+  int Attached = 1;
+  for (const Row &Row : Rows) {
+    Session.start(Run, "spec", Now);
+    Session.onStartReply(Port.Life, Run, answered(), Now);
+    std::string Present = Port.Life;
+    std::size_t Ends = Events.Ends.size();
+    std::size_t Alive = Session.runs();
+    bool Moves = Row.Expected != Present;
+    Profile.Id = Moves ? Row.Expected : "life-0";
+    Session.onProfile(Profile, Now);
+    LONGS_EQUAL_TEXT(0, Port.Holds.back().Wait.count(), Row.Name);
+    STRCMP_EQUAL_TEXT(Present.c_str(), Port.Life.c_str(), Row.Name);
+    Session.onHoldReply(Present, Row.FromPresentLife, Now);
+    STRCMP_EQUAL_TEXT(Row.Expected, Port.Life.c_str(), Row.Name);
+    LONGS_EQUAL_TEXT(Ends + (Moves ? Alive : 0), Events.Ends.size(), Row.Name);
+    LONGS_EQUAL_TEXT(Attached += Moves ? 1 : 0, Events.Attached, Row.Name);
+    Session.onHoldReply(Port.Life, answered(), Now);
+    CHECK_TEXT(Session.isReady(), Row.Name);
+    ++Run.Run;
+  }
+}
+
+TEST(WorkerSessionTest, CallsForEndsWaitLessAfterALostCall) {
+  attach();
+  Session.start(Run, "spec", Now);
+  Session.onStartReply("life-1", Run, answered(), Now);
+  Session.onHoldReply("life-1", answered(), Now);
+  CHECK(Port.Holds.back().Wait == Options.HoldWait);
+  Session.onHoldReply("life-1", WorkerReply(), Now);
+  pass(Options.HoldRetry);
+  Session.onHoldReply("life-1", answered(), Now);
+  CHECK(Port.Holds.back().Wait == Options.HoldWaitAfterLoss);
+  pass(Options.LossMemory);
+  // One call that waited, and one that renewed the lease meanwhile.
+  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply("life-1", answered(), Now);
+  CHECK(Port.Holds.back().Wait == Options.HoldWait);
+}
+
 TEST(WorkerSessionTest, ALostStartEndsOnlyWhenItsStopMustHaveTakenEffect) {
   attach();
   Session.start(Run, "spec", Now);
   pass(250ms);
-  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  loseStarts();
+  LONGS_EQUAL(Options.StartTries, Port.Starts.size());
   LONGS_EQUAL(1, Port.Stops.size());
   Session.onStopReply("life-1", Run, answered(), Now);
   pass(40ms);
@@ -85,13 +196,13 @@
   LONGS_EQUAL(0, Events.Ends.size());
   pass(100ms);
   LONGS_EQUAL(1, Events.Ends.size());
-  CHECK(Events.Ends[0] == RunEnd::Stopped);
+  CHECK(Events.Ends[0] == RunEnd::Unanswered);
 }
 
 TEST(WorkerSessionTest, AStopWithoutReplyIsRepeatedAndProvesNothing) {
   attach();
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  loseStarts();
   for (int I = 0; I < 3; ++I) {
     Session.onStopReply("life-1", Run, WorkerReply(), Now);
     pass(100ms);
@@ -103,7 +214,7 @@
 TEST(WorkerSessionTest, ALateEndOfAStoppedRunIsTakenAsItWas) {
   attach();
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  loseStarts();
   WorkerReply Held = answered();
   Held.Ended.push_back({1, Run, RunEnd::Done});
   Session.onHoldReply("life-1", Held, Now);
@@ -136,6 +247,8 @@
   Session.start(Run, "spec", Now);
   Profile.Id = "life-2";
   Session.onProfile(Profile, Now);
+  // The last one no longer replies, or another replies in its place.
+  Session.onHoldReply("life-1", answered(WorkerRefusal::OtherLife), Now);
   LONGS_EQUAL(1, Events.Ends.size());
   CHECK(Events.Ends[0] == RunEnd::Lapsed);
   // Replies of the last life change nothing.
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -290,6 +290,30 @@
     CHECK(Sink.Dispatches[I].first != Sink.Dispatches[2].first);
 }
 
+// Such a worker holds nothing and so looks emptier than all others.
+TEST(LeaseCoordinatorTest, AWorkerThatLeavesStartsUnansweredIsAvoided) {
+  addAgent("a");
+  addAgent("b");
+  for (int I = 0; I < 4; ++I) {
+    Coordinator.submit(request(1, ("j" + std::to_string(I)).c_str()), 1, Now);
+    std::string First = Sink.Dispatches.back().first;
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_ENDED_EARLY,
+           peer::REFUSAL_WORKER);
+    CHECK(Sink.Dispatches.back().first != First);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+  }
+  LONGS_EQUAL(4, Answers.Answers.size());
+}
+
+TEST(LeaseCoordinatorTest, AWorkerIsEjectedForStartsItLeavesUnanswered) {
+  addAgent("a", 100000);
+  addAgent("b", 2000);
+  Coordinator.submit(request(8), 1, Now);
+  std::size_t ToA = Sink.Dispatches[0].first == "a" ? 0 : 1;
+  answer(ToA, peer::LEASED_ENDED_EARLY, peer::REFUSAL_WORKER);
+  LONGS_EQUAL(1, Coordinator.counters().Ejections);
+}
+
 TEST(LeaseCoordinatorTest, ALeavingAgentGetsNoTasks) {
   addAgent("a");
   addAgent("b");
