Use agents that control has lost as long as an entry hears them itself

Ruled out: too little room: three of eleven workers stood idle meanwhile.

Change: what control says of a lost agent counts only once the entry has not heard the agent for 2 s either, or a renewal of its own stays unanswered.

Its test fails on the code before.

--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-bool LeaseBoard::update(const peer::Member &Member) {
+bool LeaseBoard::update(const peer::Member &Member, TimePoint Now) {
   LeasedWorker &Target = this->Workers[Member.name()];
   // Late words of an older life change nothing.
   if (Member.incarnation() < Target.Incarnation)
@@ -31,17 +31,38 @@
     Target.Incarnation = Member.incarnation();
     Target.Stamp = Member.freshness();
   }
+  Target.State = Member.state();
+  if (Member.state() == peer::MEMBER_LOST) {
+    Target.OnlyHeardHere = Target.Alive;
+    if (this->isLost(Target, Now))
+      this->setLost(Member.name());
+    return Replaced;
+  }
+  Target.OnlyHeardHere = false;
   Target.Agent = {Member.name(), Member.address()};
   Target.Pool = Member.pool();
   Target.Labels = {Member.labels().begin(), Member.labels().end()};
   Target.Room = Member.room();
-  Target.State = Member.state();
   Target.Alive = Member.state() == peer::MEMBER_ALIVE;
   if (Target.Alive)
     Target.Silent = false;
   return Replaced;
 }
 
+bool LeaseBoard::isLost(const LeasedWorker &Worker, TimePoint Now) const {
+  if (Worker.State != peer::MEMBER_LOST)
+    return false;
+  return !Worker.OnlyHeardHere || Worker.Silent ||
+         Worker.Heard + this->Options.DirectContact < Now;
+}
+
+void LeaseBoard::setLost(const std::string &Agent) {
+  if (LeasedWorker *Target = this->find(Agent)) {
+    Target->Alive = false;
+    Target->OnlyHeardHere = false;
+  }
+}
+
 bool LeaseBoard::hear(const std::string &Agent, const peer::WorkerLoad &Load,
                       TimePoint Now) {
   LeasedWorker *Target = this->find(Agent);
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -26,6 +26,9 @@
   /// Doubles with each failed trial.
   std::chrono::milliseconds FirstBackoff{500};
   std::chrono::milliseconds MaxBackoff{8000};
+  /// An agent that control has lost is used on while it was heard from within
+  /// this; twice the time between two questions to an idle agent.
+  std::chrono::milliseconds DirectContact{2000};
   /// At most this share of a pool's workers is out at once, in percent.
   std::uint32_t MaxEjectedShare = 50;
   /// A run off the preferred rack is taken to last this many times as long.
@@ -42,6 +45,8 @@
   /// As control last told.
   peer::MemberState State = peer::MEMBER_UNSPECIFIED;
   bool Alive = false;
+  /// Control no longer hears it, but this entry does.
+  bool OnlyHeardHere = false;
   /// Reported lost by a link; nothing is sent until it is heard again.
   bool Silent = false;
   /// Newest stamp of the agent's clock, and when it came, by ours.
@@ -65,8 +70,13 @@
   LeaseBoard(LeaseBoardOptions Options, std::uint64_t Seed)
       : Options(Options), Random(Seed) {}
 
-  /// Takes an announcement. \returns whether an older life has ended.
-  bool update(const peer::Member &Member);
+  /// Takes an announcement. An agent that control has lost may be cut off from
+  /// control alone, so it stays in use while this entry hears it.
+  /// \returns whether an older life has ended.
+  bool update(const peer::Member &Member, TimePoint Now);
+  /// Whether an agent that control has lost is no longer heard here either.
+  bool isLost(const LeasedWorker &Worker, TimePoint Now) const;
+  void setLost(const std::string &Agent);
   /// Takes what an agent says of its load; words of an older life are dropped.
   /// \returns whether they are those of a life not known of yet.
   bool hear(const std::string &Agent, const peer::WorkerLoad &Load,
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -185,15 +185,17 @@
   const LeasedWorker *Known = this->Board.find(Member.name());
   bool Same = Known != nullptr && Known->Incarnation == Member.incarnation() &&
               Known->State == Member.state();
-  bool Replaced = this->Board.update(Member);
+  bool Replaced = this->Board.update(Member, Now.Steady);
   if (Same)
     return;
   this->Log.decision("member",
                      {{"agent", Member.name()},
                       {"incarnation", Member.incarnation()},
                       {"state", peer::MemberState_Name(Member.state())},
+                      {"used", this->Board.find(Member.name())->Alive},
                       {"table_version", Member.version()}});
-  if (Lost)
+  bool Gone = Lost && !this->Board.find(Member.name())->Alive;
+  if (Gone)
     this->loseTasks(Member.name(), /*OnlyEarlierLives=*/false,
                     "control lost it", Now);
   else if (Replaced)
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -63,9 +63,14 @@
 void LeaseCoordinator::renew(Instant Now) {
   std::vector<std::string> Silent;
   std::vector<std::string> Restarted;
+  std::vector<std::string> Lost;
   for (const auto &[Agent, Worker] : this->Board.workers()) {
     if (!Worker.Alive)
       continue;
+    if (this->Board.isLost(Worker, Now.Steady)) {
+      Lost.push_back(Agent);
+      continue;
+    }
     Contact &Line = this->Contacts[Agent];
     if (Now.Steady >= Line.LoseOldAt) {
       Line.LoseOldAt = TimePoint::max();
@@ -81,6 +86,11 @@
   }
   for (const std::string &Agent : Restarted)
     this->loseTasks(Agent, /*OnlyEarlierLives=*/true, "it has restarted", Now);
+  for (const std::string &Agent : Lost) {
+    this->Board.setLost(Agent);
+    this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
+                    "control lost it and it is silent here", Now);
+  }
   for (const std::string &Agent : Silent) {
     this->Board.setSilent(Agent);
     this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -204,6 +204,41 @@
   }
 }
 
+// It may be cut off from control only, and its worker has room.
+TEST(LeaseCoordinatorTest, AnAgentThatControlLostIsUsedWhileItIsHeardHere) {
+  auto Hear = [&] {
+    peer::Message Load;
+    Load.mutable_worker_load()->set_incarnation(Life);
+    Load.mutable_worker_load()->set_stamp(++Stamp);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  };
+  addAgent("a");
+  Hear();
+  LeasedJobRequest Long = request(1);
+  Long.Deadline = 10s;
+  Coordinator.submit(Long, 1, Now);
+  setState("a", peer::MEMBER_LOST);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  for (int I = 0; I < 10; ++I) {
+    pass(400ms);
+    Hear();
+  }
+  answer(0, peer::LEASED_DONE);
+  CHECK(onlyAnswer().End == LeasedEnd::Completed);
+  Coordinator.submit(request(1, "k"), 2, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  answer(1, peer::LEASED_DONE);
+  // Idle and no longer heard: neither control nor this entry knows of it.
+  pass(3000ms);
+  Coordinator.submit(request(1, "l"), 3, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(Answers.Answers.back().second.End == LeasedEnd::NotRun);
+  // Control hears it again.
+  addAgent("a");
+  Coordinator.submit(request(1, "m"), 4, Now);
+  LONGS_EQUAL(3, Sink.Dispatches.size());
+}
+
 // Control may tell of the new life later than the agent itself does.
 TEST(LeaseCoordinatorTest, ARestartedAgentIsKnownByItsOwnWords) {
   addAgent("a");
