--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -1,5 +1,6 @@
 //===- An entry that coordinates best-effort jobs under leases ------------===//
 
+#include "entry/drain_watch.h"
 #include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
@@ -142,8 +143,15 @@
   this->Draining.store(true);
   this->Health->setReady(false);
   auto Serve = this->Plan.Times.ShutdownGrace - LongestJob - FlushTime;
-  // Callers use open connections on, so jobs are taken for a while.
-  std::this_thread::sleep_for(Serve);
+  // Callers use open connections on, so jobs are taken for a while. Where all
+  // have gone elsewhere, the sooner this process is back the better.
+  DrainOptions Options;
+  Options.Longest = Serve;
+  DrainWatch Watch(Options, this->Source.now().Steady);
+  waitUntil(Serve, [&] {
+    return Watch.isOver(this->Gate->submissions(), this->InFlight.load(),
+                        this->Source.now().Steady);
+  });
   this->Gate->refuseNew();
   // A request read just before may still be on its way to the loop, so one
   // look at an idle loop is no proof.
