Send undelivered dispatches and updates again; replace silent connections

Cause: messages under way on a connection that broke were lost for good. The entry took the agent for lost with all of its tasks at the first one, and an end that its agent could not deliver left the caller waiting until the deadline. Besides, an update named its placement by job and attempt only, so that one of an earlier submission of the same job could be taken for the present one's.

Ruled out: sending dispatches again as they were: an agent that had ended such a task meanwhile would have started it once more.

Change: each placement has a number of its own in its entry, which updates name. Agents remember the numbers of ended placements for 5 s and start none again.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -115,17 +115,18 @@
   Task New;
   New.Owner = From;
   New.Attempt = Order.attempt();
+  New.Order = Order.order();
   New.Spec = Dispatch.spec();
   New.Needs = Dispatch.needs();
   New.Arrived = Now.Steady;
   New.StartBy = Now.Steady + std::chrono::milliseconds(Dispatch.start_by_ms());
   New.GiveUp = Now.Steady + std::chrono::milliseconds(Dispatch.give_up_ms());
   auto Known = this->Tasks.find(Id);
-  // The link delivers a message again only if it was doubled on its way.
-  bool Doubled = Known != this->Tasks.end() &&
-                 Known->second.Owner.Node == From.Node &&
-                 Known->second.Attempt == Order.attempt();
-  if (Doubled)
+  // Entries send a dispatch again when they miss its receipt.
+  bool Held = Known != this->Tasks.end() &&
+              Known->second.Owner.Node == From.Node &&
+              Known->second.Order == Order.order();
+  if (Held || this->Ended.contains({From.Node, Order.order()}))
     return;
   peer::LeasedRefusal Refusal = this->refusalFor(Id, Fresh);
   if (Refusal != peer::REFUSAL_NONE) {
@@ -372,15 +373,35 @@
   Update->set_job(Id.Job);
   Update->set_index(Id.Index);
   Update->set_attempt(Which.Attempt);
+  Update->set_order(Which.Order);
   Update->set_event(Event);
   Update->set_refusal(Refusal);
   Update->set_reason(Reason);
   if (Which.State != Phase::Queued)
     Update->set_service_us(usBetween(Which.Started, Now.Steady).count());
   *Update->mutable_load() = this->loadFor(Which.Owner.Node, Now);
+  this->Ended[{Which.Owner.Node, Which.Order}] = Now.Steady;
   this->Sink.send(Which.Owner, std::move(Message));
 }
 
+void LeaseKeeper::onUndelivered(const Undelivered &Lost, Instant Now) {
+  // An entry that is gone renews nothing, and then nobody waits.
+  if (!this->Leases.contains(Lost.To.Node))
+    return;
+  int Updates = 0;
+  for (const peer::Message &Message : Lost.Envelope->messages()) {
+    if (!Message.has_leased_update())
+      continue;
+    ++Updates;
+    this->Sink.send(Lost.To, Message);
+  }
+  if (Updates > 0)
+    this->Log.decision("updates_repeated",
+                       {{"entry", Lost.To.Node},
+                        {"updates", Updates},
+                        {"age_ms", msBetween(Lost.SentAt, Now.Steady)}});
+}
+
 peer::WorkerLoad LeaseKeeper::loadFor(const std::string &Entry,
                                       Instant Now) const {
   peer::WorkerLoad Load;
@@ -435,6 +456,16 @@
   for (const TaskId &Id : Late)
     this->dropTask(Id, peer::REFUSAL_TOO_LATE, "it could not start in time",
                    Now);
+  this->sweep(Now);
+}
+
+void LeaseKeeper::sweep(Instant Now) {
+  if (Now.Steady >= this->NextOrderSweep) {
+    this->NextOrderSweep = Now.Steady + this->Options.OrderMemory;
+    std::erase_if(this->Ended, [&](const auto &Item) {
+      return Now.Steady - Item.second > this->Options.OrderMemory;
+    });
+  }
   if (Now.Steady < this->NextSweep)
     return;
   this->NextSweep = Now.Steady + this->Options.RunMemory;
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -35,6 +35,9 @@
   std::chrono::milliseconds RoomRetry{20};
   /// How long the number of a task's last run is remembered.
   std::chrono::milliseconds RunMemory{60000};
+  /// How long the placement of a task that has ended is remembered: longer
+  /// than an entry may send a dispatch again.
+  std::chrono::milliseconds OrderMemory{5000};
   SessionOptions Session;
   /// Off only in tests that show what the rule is for.
   bool LeasesCountFromEcho = true;
@@ -60,6 +63,8 @@
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
   void tick(Instant Now);
+  /// Tells an entry again what it may not have heard, while its lease lasts.
+  void onUndelivered(const Undelivered &Lost, Instant Now);
   /// Gives back what waits and takes nothing more; what runs goes on.
   void leave(const std::string &Reason, Instant Now);
 
@@ -95,6 +100,7 @@
     PeerRef Owner;
     std::uint64_t OwnerIncarnation = 0;
     std::uint32_t Attempt = 0;
+    std::uint64_t Order = 0;
     std::uint64_t Run = 0;
     std::string Spec;
     peer::TaskNeeds Needs;
@@ -106,6 +112,15 @@
   struct Lease {
     TimePoint Until = TimePoint::min();
   };
+  /// A placement, by its entry and its number there.
+  struct Placement {
+    std::string Entry;
+    std::uint64_t Order = 0;
+    bool operator<(const Placement &Other) const {
+      return std::tie(this->Entry, this->Order) <
+             std::tie(Other.Entry, Other.Order);
+    }
+  };
   struct LastRun {
     std::uint64_t Run = 0;
     TimePoint Used;
@@ -144,6 +159,7 @@
   Task *taskOf(const RunKey &Run);
   void tickLeases(Instant Now);
   void tickQueue(Instant Now);
+  void sweep(Instant Now);
 
   KeeperOptions Options;
   Logger Log{"keeper"};
@@ -153,9 +169,12 @@
   std::map<TaskId, Task> Tasks;
   std::vector<TaskId> Queue;
   std::map<TaskId, LastRun> LastRuns;
+  /// Placements that have ended here, and when.
+  std::map<Placement, TimePoint> Ended;
   peer::TaskNeeds Used;
   TimePoint NoRoomUntil = TimePoint::min();
   TimePoint NextSweep = TimePoint::min();
+  TimePoint NextOrderSweep = TimePoint::min();
   bool Leaving = false;
   bool ShuttingDown = false;
   /// Whether the worker has been attached in an earlier life.
--- a/core/peer_sink.h
+++ b/core/peer_sink.h
@@ -8,11 +8,15 @@
 #ifndef YARDWHEEL_CORE_PEER_SINK_H
 #define YARDWHEEL_CORE_PEER_SINK_H
 
+#include "core/clock.h"
+
+#include <memory>
 #include <string>
 
 namespace yardwheel {
 
 namespace peer {
+class Envelope;
 class Message;
 } // namespace peer
 
@@ -22,6 +26,13 @@
   std::string Address;
 };
 
+/// Messages of which it is not known whether they have arrived.
+struct Undelivered {
+  PeerRef To;
+  TimePoint SentAt;
+  std::shared_ptr<const peer::Envelope> Envelope;
+};
+
 class PeerSink {
 public:
   virtual ~PeerSink() = default;
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -16,7 +16,8 @@
 LeaseCoordinator::LeaseCoordinator(CoordinatorOptions Options, PeerSink &Sink,
                                    LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
-      Board(Options.Board, Options.Seed), Shedder(Options.Shedder) {}
+      Board(Options.Board, Options.Seed), Shedder(Options.Shedder),
+      LastOrder(Options.FirstOrder) {}
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -141,11 +142,13 @@
   Which.Stalled = false;
   Which.AskStalledAt = Now.Steady + this->stallLimit(Target);
   ++Which.Attempt;
+  Which.Order = ++this->LastOrder;
   ++Target.OutCount;
   this->Board.onSent(Which.Agent, Target.Request.Needs);
   peer::LeasedTask *Order = Batch[Which.Agent].add_tasks();
   Order->set_index(Index);
   Order->set_attempt(Which.Attempt);
+  Order->set_order(Which.Order);
   return true;
 }
 
@@ -226,7 +229,7 @@
     return;
   Task &Which = Target->Tasks[Update.index()];
   bool Current = Which.Phase == TaskPhase::Sent && Which.Agent == Agent &&
-                 Which.Attempt == Update.attempt();
+                 Which.Order == Update.order();
   if (!Current)
     return;
   switch (Update.event()) {
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -61,6 +61,9 @@
   LeaseBoardOptions Board;
   ShedderOptions Shedder;
   std::uint64_t Seed = 1;
+  /// The placements of this life of the entry have numbers above this one,
+  /// and above those of its earlier lives.
+  std::uint64_t FirstOrder = 0;
 };
 
 /// Hears how jobs end.
@@ -94,8 +97,9 @@
   void onMember(const peer::Member &Member, Instant Now);
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
-  /// A message to an agent did not arrive.
-  void onSendFailed(const std::string &Agent, Instant Now);
+  /// Sends again what may not have arrived, once; an agent that is not heard
+  /// in between is taken for lost when that fails too.
+  void onUndelivered(const Undelivered &Lost, Instant Now);
   void tick(Instant Now);
 
   /// Whether a job with this id is under way here.
@@ -122,6 +126,8 @@
     /// Its agent has been asked to stop it as stalled.
     bool Stalled = false;
     std::uint32_t Attempt = 0;
+    /// Names the present placement.
+    std::uint64_t Order = 0;
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
   };
@@ -148,6 +154,8 @@
     /// When tasks sent to an earlier life of the agent are taken for lost; it
     /// may still be saying that it refuses some of them.
     TimePoint LoseOldAt = TimePoint::max();
+    /// When messages to it were last sent again.
+    TimePoint RepeatedAt = TimePoint::min();
   };
 
   /// Whether the job was refused because too much is waiting already.
@@ -172,6 +180,10 @@
   void loseTasks(const std::string &Agent, bool OnlyEarlierLives,
                  const std::string &Reason, Instant Now);
   void onRestarted(const std::string &Agent, Instant Now);
+  void repeat(const LeasedWorker &Worker, const Undelivered &Lost, Instant Now);
+  void repeatDispatch(const LeasedWorker &Worker,
+                      const peer::LeasedDispatch &Lost,
+                      std::chrono::milliseconds Age);
   void giveUp(Job &Target, LeasedAnswer Answer, Instant Now);
   void stopTasks(Job &Target);
   void finish(Job &Target, LeasedAnswer Answer, Instant Now);
@@ -195,6 +207,7 @@
   CoordinatorCounters Counters;
   LeaseMetrics Metrics;
   std::size_t Waiting = 0;
+  std::uint64_t LastOrder;
 };
 
 } // namespace yardwheel
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -12,13 +12,68 @@
   this->Contacts[Agent].LoseOldAt = Now.Steady + this->Options.RestartGrace;
 }
 
-void LeaseCoordinator::onSendFailed(const std::string &Agent, Instant Now) {
-  LeasedWorker *Worker = this->Board.find(Agent);
+void LeaseCoordinator::onUndelivered(const Undelivered &Lost, Instant Now) {
+  LeasedWorker *Worker = this->Board.find(Lost.To.Node);
   if (Worker == nullptr || Worker->Silent)
     return;
-  this->Board.setSilent(Agent);
-  this->loseTasks(Agent, /*OnlyEarlierLives=*/false,
-                  "a message to it did not arrive", Now);
+  Contact &Line = this->Contacts[Lost.To.Node];
+  // Whatever was under way when a connection broke fails together.
+  bool SameBreak = Lost.SentAt < Line.RepeatedAt;
+  bool HeardSince = Worker->Heard >= Line.RepeatedAt;
+  if (SameBreak || HeardSince) {
+    if (!SameBreak)
+      Line.RepeatedAt = Now.Steady;
+    this->repeat(*Worker, Lost, Now);
+    return;
+  }
+  this->Board.setSilent(Lost.To.Node);
+  this->loseTasks(Lost.To.Node, /*OnlyEarlierLives=*/false,
+                  "messages to it did not arrive, twice", Now);
+}
+
+void LeaseCoordinator::repeat(const LeasedWorker &Worker,
+                              const Undelivered &Lost, Instant Now) {
+  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now.Steady -
+                                                                   Lost.SentAt);
+  for (const peer::Message &Message : Lost.Envelope->messages()) {
+    if (Message.has_leased_dispatch()) {
+      this->repeatDispatch(Worker, Message.leased_dispatch(), Age);
+    } else if (Message.has_leased_stop()) {
+      const Job *Target = this->find(Message.leased_stop().job());
+      // Stops of single tasks are sent again in their own time.
+      if (Target != nullptr && Target->Phase != JobPhase::Running)
+        this->Sink.send(Worker.Agent, Message);
+    }
+  }
+  this->renewOne(Worker, this->Contacts[Worker.Agent.Node], Now);
+}
+
+void LeaseCoordinator::repeatDispatch(const LeasedWorker &Worker,
+                                      const peer::LeasedDispatch &Lost,
+                                      std::chrono::milliseconds Age) {
+  const Job *Target = this->find(Lost.job());
+  if (Target == nullptr || Target->Phase != JobPhase::Running)
+    return;
+  peer::Message Message;
+  peer::LeasedDispatch *Again = Message.mutable_leased_dispatch();
+  *Again = Lost;
+  Again->clear_tasks();
+  for (const peer::LeasedTask &Order : Lost.tasks()) {
+    const Task &Which = Target->Tasks[Order.index()];
+    if (Which.Phase == TaskPhase::Sent && Which.Order == Order.order())
+      *Again->add_tasks() = Order;
+  }
+  if (Again->tasks_size() == 0)
+    return;
+  Again->set_stamp(Worker.Stamp);
+  auto Passed = static_cast<std::int32_t>(Age.count());
+  Again->set_start_by_ms(Lost.start_by_ms() - Passed);
+  Again->set_give_up_ms(Lost.give_up_ms() - Passed);
+  this->Log.decision("dispatch_repeated", {{"job", Lost.job()},
+                                           {"agent", Worker.Agent.Node},
+                                           {"tasks", Again->tasks_size()},
+                                           {"age_ms", Age.count()}});
+  this->Sink.send(Worker.Agent, std::move(Message));
 }
 
 void LeaseCoordinator::loseTasks(const std::string &Agent,
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -59,9 +59,10 @@
              [this](const std::shared_ptr<peer::Envelope> &Envelope) {
                this->receive(Envelope);
              }) {
-  this->Links.failures().open([this](const PeerRef &To) {
-    this->Loop.post(
-        [this, To](Instant Now) { this->Core.onSendFailed(To.Node, Now); });
+  this->Links.failures().open([this](const Undelivered &Lost) {
+    this->Loop.post([this, To = Lost.To](Instant Now) {
+      this->Core.onSendFailed(To.Node, Now);
+    });
   });
   this->Loop.start();
   this->Log.info("Agent {} serves {} with {} slots.", Values.Node,
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -62,9 +62,10 @@
                                  .MaxBodyBytes = Values.Entry.MaxBodyBytes,
                                  .HeaderTimeout = Values.Entry.HeaderTimeout}),
               this->Http) {
-  this->Links.failures().open([this](const PeerRef &To) {
-    this->Loop.post(
-        [this, To](Instant Now) { this->Service.onSendFailed(To.Node, Now); });
+  this->Links.failures().open([this](const Undelivered &Lost) {
+    this->Loop.post([this, To = Lost.To](Instant Now) {
+      this->Service.onSendFailed(To.Node, Now);
+    });
   });
   this->Loop.start();
   this->Log.info("Entry {} takes callers at {}.", Values.Node,
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -85,8 +85,8 @@
 };
 
 LeaseAgentProcess::LeaseAgentProcess(const NodePlan &Plan)
-    : Plan(Plan),
-      Links(planIdentity(Plan, peer::ROLE_AGENT, this->Incarnation)),
+    : Plan(Plan), Links(planIdentity(Plan, peer::ROLE_AGENT, this->Incarnation),
+                        planLinks()),
       Loop(
           this->Source, LeaseTick, [this](Instant Now) { this->tick(Now); },
           [this] { this->Links.flush(); }),
@@ -104,6 +104,10 @@
                  std::make_shared<platform::AgentGate>(*this))),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
+  this->Links.failures().open([this](const Undelivered &Lost) {
+    this->Loop.post(
+        [this, Lost](Instant Now) { this->Keeper.onUndelivered(Lost, Now); });
+  });
   this->Loop.start();
   this->Log.decision("agent_started", {{"node", Plan.Node},
                                        {"worker", Plan.ControlListen},
@@ -248,6 +252,7 @@
 }
 
 void LeaseAgentProcess::stop() {
+  this->Links.failures().close();
   this->Worker.stop();
   this->MetricsServer.stop();
   this->Server.stop();
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -24,6 +24,10 @@
 /// any deadline of a job seen (three times its objective, some 17 s).
 constexpr std::chrono::milliseconds CallerTimeout{120000};
 
+/// Far above the placements that an entry makes in a millisecond, so that the
+/// numbers of a later life, which begin with its start, are all higher.
+constexpr std::uint64_t MaxOrdersPerMs = 1000;
+
 class LeaseEntryProcess final : public Process, AnnouncerEvents {
 public:
   explicit LeaseEntryProcess(const NodePlan &Plan);
@@ -64,8 +68,8 @@
 };
 
 LeaseEntryProcess::LeaseEntryProcess(const NodePlan &Plan)
-    : Plan(Plan),
-      Links(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation)),
+    : Plan(Plan), Links(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation),
+                        planLinks()),
       Gate(std::make_shared<platform::EntryGate>(this->Catalog)),
       Health(std::make_shared<platform::HealthGate>()),
       Coordinator(this->coordinatorOptions(), this->Links, *this->Gate),
@@ -89,9 +93,9 @@
       Balancer({.Listen = Plan.HealthListen, .Threads = 1}, this->Health),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
-  this->Links.failures().open([this](const PeerRef &To) {
-    this->Loop.post([this, To](Instant Now) {
-      this->Coordinator.onSendFailed(To.Node, Now);
+  this->Links.failures().open([this](const Undelivered &Lost) {
+    this->Loop.post([this, Lost](Instant Now) {
+      this->Coordinator.onUndelivered(Lost, Now);
     });
   });
   this->Loop.start();
@@ -103,6 +107,7 @@
 CoordinatorOptions LeaseEntryProcess::coordinatorOptions() const {
   CoordinatorOptions Options;
   Options.Seed = this->Incarnation;
+  Options.FirstOrder = this->Incarnation * MaxOrdersPerMs;
   Options.RenewEvery = CoordinatorRenewal;
   return Options;
 }
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -103,8 +103,9 @@
 SeededControlProcess::SeededControlProcess(const NodePlan &Plan)
     : Plan(Plan), Replica(settleIdentity(Plan, this->Incarnation)),
       Storage(Plan.DataDir, DeployedCluster, this->Replica),
-      Links(this->identity()), Service(this->controlOptions(), this->Storage,
-                                       this->Links, this->Source.now()),
+      Links(this->identity(), planLinks()),
+      Service(this->controlOptions(), this->Storage, this->Links,
+              this->Source.now()),
       Loop(
           this->Source, LeaseTick, [this](Instant Now) { this->tick(Now); },
           [this] { this->Links.flush(); }),
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -46,6 +46,7 @@
 TEST_GROUP(LeaseKeeperTest) {
   ObedientPort Port;
   CollectingSink Sink;
+  std::uint64_t LastOrder = 0;
   Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
 
   void attach(LeaseKeeper & Keeper, std::uint32_t CpuMilli = 4000) {
@@ -72,8 +73,10 @@
     Order->set_give_up_ms(2000);
     Order->mutable_needs()->set_cpu_milli(CpuMilli);
     for (std::uint32_t I = 0; I < Tasks; ++I) {
-      Order->add_tasks()->set_index(I);
-      Order->mutable_tasks(static_cast<int>(I))->set_attempt(1);
+      peer::LeasedTask *Task = Order->add_tasks();
+      Task->set_index(I);
+      Task->set_attempt(1);
+      Task->set_order(++this->LastOrder);
     }
     return Message;
   }
@@ -209,6 +212,54 @@
   }
 }
 
+// An entry that misses a receipt cannot know whether its dispatch arrived.
+TEST(LeaseKeeperTest, ADispatchThatIsSentAgainStartsNothingAgain) {
+  struct Row {
+    const char *Name;
+    RunEnd How;
+    bool Ends;
+    bool Leaves;
+  };
+  const Row Rows[] = {{"it runs", RunEnd::Done, false, false},
+                      {"it is done", RunEnd::Done, true, false},
+                      {"it has failed", RunEnd::Failed, true, false},
+                      {"it was not started", RunEnd::Done, false, true}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper);
+    if (Row.Leaves)
+      Keeper.leave("test", Now);
+    peer::Message Order = dispatch("j", stamp());
+    Keeper.onMessage(EntryA, Order, Now);
+    std::size_t Starts = Row.Leaves ? 0 : 1;
+    if (Row.Ends)
+      end(Keeper, 0, Row.How);
+    std::size_t Told = Sink.Updates.size();
+    Keeper.onMessage(EntryA, Order, Now);
+    LONGS_EQUAL_TEXT(Starts, Port.Starts.size(), Row.Name);
+    LONGS_EQUAL_TEXT(Told, Sink.Updates.size(), Row.Name);
+  }
+}
+
+TEST(LeaseKeeperTest, UpdatesAreToldAgainWhileTheirEntryRenewsItsLease) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  end(Keeper, 0, RunEnd::Done);
+  auto Sent = std::make_shared<peer::Envelope>();
+  *Sent->add_messages()->mutable_leased_update() = Sink.Updates.back();
+  Sent->add_messages()->mutable_worker_load();
+  Keeper.onUndelivered({EntryA, Now.Steady, Sent}, Now);
+  LONGS_EQUAL(2, Sink.Updates.size());
+  CHECK(Sink.Updates.back().event() == peer::LEASED_DONE);
+  CHECK(Sink.Updates.back().order() == LastOrder);
+  Now.Steady += 2s;
+  Keeper.tick(Now);
+  Keeper.onUndelivered({EntryA, Now.Steady, Sent}, Now);
+  LONGS_EQUAL(2, Sink.Updates.size());
+}
+
 // Entries must not take what they hear of one life for news of another.
 TEST(LeaseKeeperTest, EachLifeOfTheWorkerHasANumberOfItsOwn) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -77,6 +77,17 @@
     Request.Deadline = 1500ms;
     return Request;
   }
+  /// Reports that a message of this kind did not reach the agent.
+  void loseMessage(const std::string &Agent, const peer::Message &Message) {
+    auto Sent = std::make_shared<peer::Envelope>();
+    *Sent->add_messages() = Message;
+    Coordinator.onUndelivered({{Agent, "10.0.0.1:1"}, Now.Steady, Sent}, Now);
+  }
+  void loseDispatch(std::size_t Which) {
+    peer::Message Message;
+    *Message.mutable_leased_dispatch() = Sink.Dispatches.at(Which).second;
+    this->loseMessage(Sink.Dispatches.at(Which).first, Message);
+  }
   /// Answers the dispatch with this number, for all of its tasks.
   void answer(std::size_t Which, peer::LeasedEvent Event,
               peer::LeasedRefusal Refusal = peer::REFUSAL_NONE) {
@@ -87,6 +98,7 @@
       Update->set_job(Dispatch.job());
       Update->set_index(Task.index());
       Update->set_attempt(Task.attempt());
+      Update->set_order(Task.order());
       Update->set_event(Event);
       Update->set_refusal(Refusal);
       Update->set_service_us(100000);
@@ -191,7 +203,13 @@
   };
   const Row Rows[] = {
       {"lost", [&] { setState("a", peer::MEMBER_LOST); }},
-      {"unreachable", [&] { Coordinator.onSendFailed("a", Now); }},
+      {"unreachable",
+       [&] {
+         loseDispatch(Sink.Dispatches.size() - 1);
+         LONGS_EQUAL(0, Answers.Answers.size());
+         Now.Steady += 20ms;
+         loseDispatch(Sink.Dispatches.size() - 1);
+       }},
       {"silent", [&] { pass(1000ms); }},
   };
   for (const Row &Row : Rows) {
@@ -204,6 +222,51 @@
   }
 }
 
+// Its connection may have broken or gone silent while new ones work.
+TEST(LeaseCoordinatorTest, ADispatchWithoutReceiptIsSentAgain) {
+  addAgent("a");
+  Coordinator.submit(request(3), 1, Now);
+  std::uint64_t First = Sink.Dispatches[0].second.tasks(0).order();
+  Now.Steady += 300ms;
+  auto Sent = std::make_shared<peer::Envelope>();
+  *Sent->add_messages()->mutable_leased_dispatch() = Sink.Dispatches[0].second;
+  Coordinator.onUndelivered({{"a", "10.0.0.1:1"}, Now.Steady - 300ms, Sent},
+                            Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  const peer::LeasedDispatch &Again = Sink.Dispatches[1].second;
+  LONGS_EQUAL(3, Again.tasks_size());
+  LONGS_EQUAL(First, Again.tasks(0).order());
+  LONGS_EQUAL(Sink.Dispatches[0].second.start_by_ms() - 300,
+              Again.start_by_ms());
+  LONGS_EQUAL(1, Sink.Renewals["a"]);
+  // All that was under way on the broken connection fails with it.
+  Coordinator.onUndelivered({{"a", "10.0.0.1:1"}, Now.Steady - 200ms, Sent},
+                            Now);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  // Only what still waits for an end is sent again.
+  answer(0, peer::LEASED_DONE);
+  CHECK(onlyAnswer().End == LeasedEnd::Completed);
+  std::size_t Before = Sink.Dispatches.size();
+  Now.Steady += 300ms;
+  loseDispatch(0);
+  LONGS_EQUAL(Before, Sink.Dispatches.size());
+}
+
+// The same job may have been handed in, given up and handed in again.
+TEST(LeaseCoordinatorTest, AnUpdateOfAnEarlierSubmissionChangesNothing) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  setState("a", peer::MEMBER_LOST);
+  LONGS_EQUAL(1, Answers.Answers.size());
+  addAgent("a");
+  Coordinator.submit(request(1), 2, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  answer(0, peer::LEASED_DONE);
+  LONGS_EQUAL(1, Answers.Answers.size());
+  answer(1, peer::LEASED_DONE);
+  CHECK(Answers.Answers.back().second.End == LeasedEnd::Completed);
+}
+
 // It may be cut off from control only, and its worker has room.
 TEST(LeaseCoordinatorTest, AnAgentThatControlLostIsUsedWhileItIsHeardHere) {
   auto Hear = [&] {
@@ -264,6 +327,8 @@
     Update->set_job("j");
     Update->set_index(I);
     Update->set_attempt(1);
+    Update->set_order(
+        Sink.Dispatches[0].second.tasks(static_cast<int>(I)).order());
     Update->set_event(peer::LEASED_NOT_STARTED);
     Update->set_refusal(peer::REFUSAL_STALE);
     Update->mutable_load()->set_incarnation(Life + 1);
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -1,5 +1,6 @@
 //===- The real processes with settings in the platform's format ----------===//
 
+#include "tests/support/silent_proxy.h"
 #include "tests/system/platform_worker.h"
 #include "tests/system/system_cluster.h"
 
@@ -114,6 +115,11 @@
     Options.Id = fmt::format("i-{}", Side);
     Options.Listen = this->at(10 + Side, 5);
     Options.Agent = this->at(10 + Side, 3);
+    if (this->ProxyWorkers) {
+      Options.Announced = this->at(10 + Side, 6);
+      this->Proxies[Side] =
+          std::make_unique<SilentProxy>(Options.Announced, Options.Listen);
+    }
     this->Workers[Side] =
         std::make_unique<PlatformWorker>(Options, this->Recorder);
   }
@@ -159,6 +165,22 @@
                        fmt::format("http://{}/q/{}", this->at(Front, 1), Id),
                        Body.dump());
   }
+  /// Announces an earlier life of a worker to its agent.
+  long announceDead(int Side) const {
+    json Body = {{"service", "pool"},
+                 {"address", this->at(10 + Side, 5)},
+                 {"zone", "a"},
+                 {"state", "ready"},
+                 {"capacity", {{"cpu", 4000}, {"memMb", 1000}, {"gpus", 0}}},
+                 {"clockMs", 1000}};
+    HttpClient Client(2s);
+    return Client
+        .call("POST",
+              fmt::format("http://{}/instances/i-dead-{}/heartbeat",
+                          this->at(10 + Side, 3), Side),
+              Body.dump())
+        .Status;
+  }
   void kill(const std::string &Name) {
     ::kill(this->Running.at(Name), SIGKILL);
     this->wait(Name);
@@ -180,8 +202,11 @@
   }
   const std::string &folder() const { return this->Folder; }
 
+  /// Whether calls to workers pass a proxy; set before they are added.
+  bool ProxyWorkers = false;
   RunRecorder Recorder;
   std::map<int, std::unique_ptr<PlatformWorker>> Workers;
+  std::map<int, std::unique_ptr<SilentProxy>> Proxies;
 
 private:
   std::string Folder;
@@ -327,6 +352,45 @@
   LONGS_EQUAL(4, Served);
 }
 
+// Connections may go silent without a reset while new ones work.
+TEST(PlatformTest, SilentConnectionsToWorkersAreReplaced) {
+  PlatformCluster Cluster;
+  Cluster.ProxyWorkers = true;
+  Cluster.startAll();
+  for (int Round = 0; Round < 3; ++Round) {
+    LONGS_EQUAL(200,
+                Cluster.submit(1, fmt::format("{:016x}", 0x500 + Round), 12, 50)
+                    .Status);
+    for (auto &[Side, Proxy] : Cluster.Proxies)
+      Proxy->silence();
+  }
+  // Also runs under way live on, by a lease on another connection.
+  auto Long = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "0000000000000600", 8, 1500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 8; }));
+  for (auto &[Side, Proxy] : Cluster.Proxies)
+    Proxy->silence();
+  LONGS_EQUAL(200, Long.get());
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+// An announcement may be held up until after its sender has restarted.
+TEST(PlatformTest, ALateAnnouncementOfADeadWorkerChangesNothing) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto Running = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "0000000000000700", 8, 1000).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 8; }));
+  int Starts = Cluster.Recorder.starts();
+  for (int Side : {1, 2})
+    LONGS_EQUAL(200, Cluster.announceDead(Side));
+  LONGS_EQUAL(200, Running.get());
+  LONGS_EQUAL(Starts, Cluster.Recorder.starts());
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
 TEST(PlatformTest, AnEntryThatIsToldToEndAnswersWhatItHasTaken) {
   PlatformCluster Cluster;
   Cluster.startAll();
--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -73,7 +73,8 @@
 void PlatformWorker::announce() {
   json Body = {
       {"service", this->Options.Pool},
-      {"address", this->Options.Listen},
+      {"address", this->Options.Announced.empty() ? this->Options.Listen
+                                                  : this->Options.Announced},
       {"zone", "a"},
       {"state", this->Draining.load() ? "draining" : "ready"},
       {"capacity",
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -47,6 +47,8 @@
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Listen;
+  /// Where calls to it are to go, if not to where it listens.
+  std::string Announced;
   /// Where its agent takes announcements.
   std::string Agent;
   std::string Pool = "pool";
--- a/tests/transport/link_pool_test.cpp
+++ b/tests/transport/link_pool_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/silent_proxy.h"
 #include "tests/system/system_cluster.h"
 #include "transport/link_server.h"
 
@@ -29,3 +30,38 @@
   CHECK(waitFor([&] { return Pool.isIdle(); }));
   LONGS_EQUAL(1, Received.load());
 }
+
+// A connection may go silent for good, without a reset, while new ones work.
+TEST(LinkPoolTest, ASilentConnectionIsReportedAndReplaced) {
+  using namespace std::chrono_literals;
+  std::string Address = fmt::format("127.0.0.1:{}", freePort());
+  std::string Front = fmt::format("127.0.0.1:{}", freePort());
+  std::atomic<int> Received{0};
+  LinkServer Server(
+      {"test", peer::ROLE_AGENT, "a", Address, 2},
+      [&](const std::shared_ptr<peer::Envelope> &) { ++Received; });
+  SilentProxy Proxy(Front, Address);
+  LinkOptions Options;
+  Options.CallTimeout = 300ms;
+  LinkPool Pool({"test", peer::ROLE_ENTRY, "e", "127.0.0.1:1", 1}, Options);
+  std::atomic<int> Lost{0};
+  Pool.failures().open([&](const Undelivered &Failed) {
+    Lost += Failed.Envelope->messages_size();
+  });
+  auto Send = [&] {
+    peer::Message Message;
+    Message.mutable_lease_renewal()->set_stamp(1);
+    Pool.send({"a", Front}, std::move(Message));
+    Pool.flush();
+  };
+  Send();
+  CHECK(waitFor([&] { return Received.load() == 1; }));
+  CHECK(waitFor([&] { return Pool.isIdle(); }));
+  Proxy.silence();
+  Send();
+  CHECK(waitFor([&] { return Lost.load() == 1; }));
+  Send();
+  CHECK(waitFor([&] { return Received.load() == 2; }));
+  LONGS_EQUAL(2, Proxy.accepted());
+  Pool.failures().close();
+}
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -10,7 +10,6 @@
 
 /// A peer that does not answer must not hold memory without bound.
 constexpr std::uint32_t MaxInFlight = 2000;
-constexpr std::chrono::seconds CallTimeout{1};
 constexpr std::chrono::milliseconds ReconnectMin{100};
 constexpr std::chrono::milliseconds ReconnectMax{500};
 /// An envelope that grows beyond this is sent before the flush.
@@ -23,6 +22,11 @@
   peer::Receipt Receipt;
 };
 
+TimePoint steadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
 grpc::ChannelArguments channelArguments() {
   grpc::ChannelArguments Arguments;
   Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectMin.count());
@@ -39,8 +43,8 @@
 
 } // namespace
 
-LinkPool::LinkPool(LinkIdentity Self)
-    : Self(std::move(Self)),
+LinkPool::LinkPool(LinkIdentity Self, LinkOptions Options)
+    : Self(std::move(Self)), Options(Options),
       UnderWay(std::make_shared<std::atomic<std::uint64_t>>(0)),
       Counters(std::make_shared<LinkCounters>()),
       Failures(std::make_shared<LinkFailures>()) {}
@@ -68,10 +72,10 @@
   this->Current = std::move(NewHandler);
 }
 
-void LinkFailures::report(const PeerRef &To) {
+void LinkFailures::report(const Undelivered &Lost) {
   std::lock_guard Lock(this->Mutex);
   if (this->Current)
-    this->Current(To);
+    this->Current(Lost);
 }
 
 LinkPool::~LinkPool() {
@@ -88,8 +92,10 @@
     Target.Broken = std::make_shared<std::atomic<bool>>(false);
     Target.Refused = std::make_shared<std::atomic<bool>>(false);
   }
-  if (New || Target.Broken->exchange(false))
+  if (New || this->mayReconnect(Target)) {
+    Target.Broken->store(false);
     connect(Target, To.Address);
+  }
   // An envelope has one recipient, and its receiver refuses it as a whole.
   bool Other =
       Target.Queued.messages_size() > 0 && Target.Queued.recipient() != To.Node;
@@ -100,7 +106,13 @@
   return Target;
 }
 
+bool LinkPool::mayReconnect(const Link &Target) const {
+  return Target.Broken->load() &&
+         steadyNow() - Target.ConnectedAt >= this->Options.ReconnectEvery;
+}
+
 void LinkPool::connect(Link &Target, const std::string &Address) {
+  Target.ConnectedAt = steadyNow();
   auto Channel = grpc::CreateCustomChannel(
       Address, grpc::InsecureChannelCredentials(), channelArguments());
   Target.Stub = peer::Link::NewStub(Channel);
@@ -136,7 +148,8 @@
   Open->Envelope.set_sender_address(this->Self.Address);
   Open->Envelope.set_sender_incarnation(this->Self.Incarnation);
   Open->Envelope.set_revision(this->Revision);
-  Open->Context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
+  Open->Context.set_deadline(std::chrono::system_clock::now() +
+                             this->Options.CallTimeout);
   ++this->Counters->EnvelopesSent;
   this->Counters->MessagesSent += Open->Envelope.messages_size();
   this->Counters->BytesSent += Open->Envelope.ByteSizeLong();
@@ -146,7 +159,7 @@
   auto Done = [Open, InFlight = Target.InFlight, Broken = Target.Broken,
                Refused = Target.Refused, Total = this->UnderWay,
                Counters = this->Counters, Failures = this->Failures,
-               Peer = Target.Peer,
+               Peer = Target.Peer, SentAt = steadyNow(),
                Log = this->Log](const grpc::Status &Status) {
     if (!Status.ok()) {
       ++Counters->Failed;
@@ -162,7 +175,8 @@
     }
     if (!Status.ok()) {
       Broken->store(true);
-      Failures->report(Peer);
+      // The call outlives the report and keeps the envelope.
+      Failures->report({Peer, SentAt, {Open, &Open->Envelope}});
     }
     --*InFlight;
     --*Total;
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -15,6 +15,7 @@
 #include "protocol/peer.grpc.pb.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,21 +51,30 @@
 /// closed while calls are under way.
 class LinkFailures {
 public:
-  using Handler = std::function<void(const PeerRef &To)>;
+  using Handler = std::function<void(const Undelivered &Lost)>;
 
   void open(Handler NewHandler);
   void close() { this->open(nullptr); }
-  void report(const PeerRef &To);
+  void report(const Undelivered &Lost);
 
 private:
   std::mutex Mutex;
   Handler Current;
 };
 
+struct LinkOptions {
+  /// An envelope whose receipt has not come by then may not have arrived, and
+  /// its connection may have gone silent. Many times a round trip.
+  std::chrono::milliseconds CallTimeout{1000};
+  /// Between two attempts to connect anew to a peer that leaves envelopes
+  /// without a receipt: it may be slow, and a connection costs it time.
+  std::chrono::milliseconds ReconnectEvery{250};
+};
+
 /// Used by the loop's thread only, but for the counters.
 class LinkPool final : public PeerSink {
 public:
-  explicit LinkPool(LinkIdentity Self);
+  explicit LinkPool(LinkIdentity Self, LinkOptions Options = {});
   /// Waits for the calls under way.
   ~LinkPool() override;
 
@@ -91,13 +101,17 @@
     PeerRef Peer;
     peer::Envelope Queued;
     std::size_t QueuedBytes = 0;
+    TimePoint ConnectedAt;
   };
 
   Link &linkTo(const PeerRef &To);
   static void connect(Link &Target, const std::string &Address);
+  /// Whether the connection has failed and may be made anew now.
+  bool mayReconnect(const Link &Target) const;
   void transmit(Link &Target);
 
   LinkIdentity Self;
+  LinkOptions Options;
   Logger Log{"link"};
   std::uint64_t Revision = 0;
   std::map<std::string, Link> Links;
