Connect anew at once to a peer that refused or reset a connection

Change: the pause holds only for peers that leave envelopes without a receipt. The proxy of the tests now waits until its silence holds; the test of silent connections had counted an envelope that went through before.

The new APeerThatIsBackIsReachedAtOnce fails with the pause and passes without it.

--- a/tests/support/silent_proxy.cpp
+++ b/tests/support/silent_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -55,6 +56,12 @@
   ::close(this->Listener);
 }
 
+void SilentProxy::silence() {
+  this->SilenceAsked.store(true);
+  while (this->SilenceAsked.load())
+    std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+}
+
 void SilentProxy::close(const Pair &Open) {
   ::close(Open.Client);
   ::close(Open.Server);
@@ -88,9 +95,11 @@
 
 void SilentProxy::run() {
   while (!this->Stopping.load()) {
-    if (this->SilenceAsked.exchange(false))
+    if (this->SilenceAsked.load()) {
       for (Pair &Open : this->Pairs)
         Open.Silent = true;
+      this->SilenceAsked.store(false);
+    }
     std::vector<pollfd> Sockets = {{this->Listener, POLLIN, 0}};
     for (const Pair &Open : this->Pairs) {
       Sockets.push_back({Open.Client, POLLIN, 0});
--- a/tests/support/silent_proxy.h
+++ b/tests/support/silent_proxy.h
@@ -24,8 +24,8 @@
   SilentProxy(const SilentProxy &) = delete;
   SilentProxy &operator=(const SilentProxy &) = delete;
 
-  /// The connections open now carry nothing from now on.
-  void silence() { this->SilenceAsked.store(true); }
+  /// The connections open now carry nothing once this returns.
+  void silence();
   /// Connections accepted so far.
   int accepted() const { return this->Accepted.load(); }
 
--- a/tests/transport/link_pool_test.cpp
+++ b/tests/transport/link_pool_test.cpp
@@ -65,3 +65,30 @@
   LONGS_EQUAL(2, Proxy.accepted());
   Pool.failures().close();
 }
+
+// One that has just restarted must be reached by the next envelope.
+TEST(LinkPoolTest, APeerThatIsBackIsReachedAtOnce) {
+  using namespace std::chrono_literals;
+  std::string Address = fmt::format("127.0.0.1:{}", freePort());
+  LinkPool Pool({"test", peer::ROLE_ENTRY, "e", "127.0.0.1:1", 1});
+  std::atomic<int> Lost{0};
+  Pool.failures().open([&](const Undelivered &) { ++Lost; });
+  auto Send = [&] {
+    peer::Message Message;
+    Message.mutable_lease_renewal()->set_stamp(1);
+    Pool.send({"a", Address}, std::move(Message));
+    Pool.flush();
+    CHECK(waitFor([&] { return Pool.isIdle(); }));
+  };
+  Send();
+  Send();
+  LONGS_EQUAL(2, Lost.load());
+  std::atomic<int> Received{0};
+  LinkServer Server(
+      {"test", peer::ROLE_AGENT, "a", Address, 2},
+      [&](const std::shared_ptr<peer::Envelope> &) { ++Received; });
+  Send();
+  LONGS_EQUAL(2, Lost.load());
+  LONGS_EQUAL(1, Received.load());
+  Pool.failures().close();
+}
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -89,11 +89,11 @@
   Link &Target = Found->second;
   if (New) {
     Target.InFlight = std::make_shared<std::atomic<std::uint32_t>>(0);
-    Target.Broken = std::make_shared<std::atomic<bool>>(false);
+    Target.State = std::make_shared<std::atomic<LinkState>>(LinkState::Sound);
     Target.Refused = std::make_shared<std::atomic<bool>>(false);
   }
   if (New || this->mayReconnect(Target)) {
-    Target.Broken->store(false);
+    Target.State->store(LinkState::Sound);
     connect(Target, To.Address);
   }
   // An envelope has one recipient, and its receiver refuses it as a whole.
@@ -107,8 +107,11 @@
 }
 
 bool LinkPool::mayReconnect(const Link &Target) const {
-  return Target.Broken->load() &&
-         steadyNow() - Target.ConnectedAt >= this->Options.ReconnectEvery;
+  LinkState Present = Target.State->load();
+  bool Rested =
+      steadyNow() - Target.ConnectedAt >= this->Options.ReconnectEvery;
+  return Present == LinkState::Broken ||
+         (Present == LinkState::Silent && Rested);
 }
 
 void LinkPool::connect(Link &Target, const std::string &Address) {
@@ -156,7 +159,7 @@
   ++*Target.InFlight;
   ++*this->UnderWay;
   // The callback owns what it needs: the pool may be gone when it runs.
-  auto Done = [Open, InFlight = Target.InFlight, Broken = Target.Broken,
+  auto Done = [Open, InFlight = Target.InFlight, State = Target.State,
                Refused = Target.Refused, Total = this->UnderWay,
                Counters = this->Counters, Failures = this->Failures,
                Peer = Target.Peer, SentAt = steadyNow(),
@@ -174,7 +177,8 @@
       Refused->store(false);
     }
     if (!Status.ok()) {
-      Broken->store(true);
+      bool TimedOut = Status.error_code() == grpc::DEADLINE_EXCEEDED;
+      State->store(TimedOut ? LinkState::Silent : LinkState::Broken);
       // The call outlives the report and keeps the envelope.
       Failures->report({Peer, SentAt, {Open, &Open->Envelope}});
     }
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -66,8 +66,8 @@
   /// An envelope whose receipt has not come by then may not have arrived, and
   /// its connection may have gone silent. Many times a round trip.
   std::chrono::milliseconds CallTimeout{1000};
-  /// Between two attempts to connect anew to a peer that leaves envelopes
-  /// without a receipt: it may be slow, and a connection costs it time.
+  /// Between two connections to a peer that leaves envelopes without a
+  /// receipt: it may be slow, and a connection costs it time.
   std::chrono::milliseconds ReconnectEvery{250};
 };
 
@@ -90,12 +90,19 @@
   const LinkCounters &counters() const { return *this->Counters; }
 
 private:
+  enum class LinkState {
+    Sound,
+    /// The peer refused or reset the connection.
+    Broken,
+    /// The peer left an envelope without a receipt.
+    Silent
+  };
   struct Link {
     std::unique_ptr<peer::Link::Stub> Stub;
     std::shared_ptr<std::atomic<std::uint32_t>> InFlight;
     /// Set by a failed call. The next one connects anew instead of failing
     /// for as long as the library waits before it tries again.
-    std::shared_ptr<std::atomic<bool>> Broken;
+    std::shared_ptr<std::atomic<LinkState>> State;
     /// The receiver refuses what is sent; told once, until it does not.
     std::shared_ptr<std::atomic<bool>> Refused;
     PeerRef Peer;
