Entries without reachable workers are not ready; settings watched; incarnations raised

Change: readiness asks for one worker that can be reached. The settings file is read each second and taken over when its content is another. Control tells a node the highest incarnation it knows under the node's name, and the node announces itself with a higher one.

The new tests check what did not exist before.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -36,6 +36,14 @@
   this->leaveIfDraining(Now);
 }
 
+void LeaseKeeper::outrank(std::uint64_t Known) {
+  if (Known < this->Options.Incarnation)
+    return;
+  this->Log.decision("incarnation_raised",
+                     {{"was", this->Options.Incarnation}, {"known", Known}});
+  this->Options.Incarnation = Known + 1;
+}
+
 void LeaseKeeper::leaveIfDraining(Instant Now) {
   if (this->Session.profile().Draining && !this->Leaving)
     this->leave("the worker drains", Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -60,6 +60,8 @@
   /// Names this agent and its worker's life together: each life of the worker
   /// has a number of its own, so that entries do not take it for the last.
   std::uint64_t incarnation() const { return this->Options.Incarnation; }
+  /// Takes an incarnation above one that others know of an earlier life.
+  void outrank(std::uint64_t Known);
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
   void tick(Instant Now);
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -243,6 +243,9 @@
   Reply->set_accepted(true);
   Reply->set_sequence(Sequence);
   Reply->set_incarnation(Beat.member().incarnation());
+  if (const MemberRegistry::Entry *Known =
+          this->Members.find(Beat.member().name()))
+    Reply->set_known_incarnation(Known->Member.incarnation());
   *Reply->mutable_replicas() = this->Raft->log().replicas().replicas();
   if (Beat.revision() < this->State.revision())
     *Reply->mutable_catalog() = this->State.updateSince(Beat.revision());
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -78,6 +78,10 @@
   void read(Instant Now, ReadHandler Done);
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
+  /// The settings name other replicas to ask for admission.
+  void setSeeds(const std::vector<PeerRef> &Seeds) {
+    this->Options.Seeds = Seeds;
+  }
   void tick(Instant Now);
   /// Gives up leadership before the process ends.
   void drain(Instant Now);
--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -164,6 +164,13 @@
   return !Worker.Ejected || Worker.OwnTasks == 0;
 }
 
+bool LeaseBoard::hasReachable() const {
+  return std::any_of(this->Workers.begin(), this->Workers.end(),
+                     [](const auto &Item) {
+                       return Item.second.Alive && !Item.second.Silent;
+                     });
+}
+
 double LeaseBoard::pressure(const LeasedJobRequest &Job, TimePoint Now) const {
   double Taken = 0;
   double Room = 0;
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -89,6 +89,9 @@
   /// \returns whether the worker has been ejected by it.
   bool onFailure(const std::string &Agent, TimePoint Now);
 
+  /// Whether any agent is there and has not gone silent.
+  bool hasReachable() const;
+
   /// Taken room over all room of the workers that may take the job, in
   /// processor time; 0 where none may.
   double pressure(const LeasedJobRequest &Job, TimePoint Now) const;
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -110,6 +110,8 @@
   std::uint32_t pending(const std::string &Route) const;
   /// Jobs whose callers wait.
   std::size_t inFlight() const { return this->Waiting; }
+  /// Whether any worker can be reached; without one every job is refused.
+  bool hasWorkers() const { return this->Board.hasReachable(); }
   const LeaseBoard &board() const { return this->Board; }
   const CoordinatorCounters &counters() const { return this->Counters; }
   const LeaseMetrics &metrics() const { return this->Metrics; }
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -39,6 +39,7 @@
   void onConfirmed(TimePoint) override {}
   void onCatalog(Instant) override {}
   void onMember(const peer::Member &, Instant) override {}
+  void onOutranked(std::uint64_t Known, Instant Now) override;
 
   void onStart(const std::string &Life, const RunKey &Run,
                WorkerReply Reply) override;
@@ -177,6 +178,11 @@
       Now);
 }
 
+void LeaseAgentProcess::onOutranked(std::uint64_t Known, Instant Now) {
+  this->Keeper.outrank(Known);
+  this->announceChanges(Now);
+}
+
 void LeaseAgentProcess::onLeft(const std::string &Id) {
   this->Loop.post([this, Id](Instant Now) {
     bool Present = this->Keeper.session().hasWorker() &&
@@ -213,7 +219,9 @@
 // ---- The process ----
 
 void LeaseAgentProcess::reload() {
-  takeOverSeeds(this->Announce, this->Loop, this->Log);
+  takeOverSeeds(this->Loop, this->Log, [this](const auto &Seeds) {
+    this->Announce.addControls(Seeds);
+  });
 }
 
 void LeaseAgentProcess::drain() {
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -24,9 +24,9 @@
 /// any deadline of a job seen (three times its objective, some 17 s).
 constexpr std::chrono::milliseconds CallerTimeout{120000};
 
-/// Far above the placements that an entry makes in a millisecond, so that the
-/// numbers of a later life, which begin with its start, are all higher.
-constexpr std::uint64_t MaxOrdersPerMs = 1000;
+/// Far above the placements that an entry makes in a microsecond, the unit of
+/// incarnations, so that no two lives give one number twice.
+constexpr std::uint64_t MaxOrdersPerMicrosecond = 1000;
 
 class LeaseEntryProcess final : public Process, AnnouncerEvents {
 public:
@@ -38,6 +38,7 @@
   void onConfirmed(TimePoint) override {}
   void onCatalog(Instant Now) override;
   void onMember(const peer::Member &Member, Instant Now) override;
+  void onOutranked(std::uint64_t Known, Instant Now) override;
 
 private:
   CoordinatorOptions coordinatorOptions() const;
@@ -107,7 +108,7 @@
 CoordinatorOptions LeaseEntryProcess::coordinatorOptions() const {
   CoordinatorOptions Options;
   Options.Seed = this->Incarnation;
-  Options.FirstOrder = this->Incarnation * MaxOrdersPerMs;
+  Options.FirstOrder = this->Incarnation * MaxOrdersPerMicrosecond;
   Options.RenewEvery = CoordinatorRenewal;
   return Options;
 }
@@ -124,7 +125,10 @@
   this->Announce.tick(Now);
   this->Coordinator.tick(Now);
   bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
-  this->Health->setReady(HasRoutes && !this->Draining.load());
+  // Cut off from all workers, this entry is of no use: the balancer sends
+  // callers to one that has some.
+  this->Health->setReady(HasRoutes && this->Coordinator.hasWorkers() &&
+                         !this->Draining.load());
   this->InFlight.store(this->Coordinator.inFlight());
 }
 
@@ -140,8 +144,16 @@
   this->Coordinator.onMember(Member, Now);
 }
 
+void LeaseEntryProcess::onOutranked(std::uint64_t Known, Instant Now) {
+  this->Log.decision("incarnation_raised", {{"known", Known}});
+  this->Announce.update(
+      [Known](peer::Member &Self) { Self.set_incarnation(Known + 1); }, Now);
+}
+
 void LeaseEntryProcess::reload() {
-  takeOverSeeds(this->Announce, this->Loop, this->Log);
+  takeOverSeeds(this->Loop, this->Log, [this](const auto &Seeds) {
+    this->Announce.addControls(Seeds);
+  });
 }
 
 void LeaseEntryProcess::drain() {
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -4,11 +4,12 @@
 
 namespace yardwheel {
 
-void takeOverSeeds(Announcer &Announce, EventLoop &Loop, const Logger &Log) {
+void takeOverSeeds(
+    EventLoop &Loop, const Logger &Log,
+    const std::function<void(const std::vector<PeerRef> &Seeds)> &Take) {
   try {
     NodePlan New = platform::readNodeSettings();
-    Loop.post(
-        [&Announce, New](Instant) { Announce.addControls(seedPeers(New)); });
+    Loop.post([Take, New](Instant) { Take(seedPeers(New)); });
     Log.decision("reloaded", {{"seeds", New.Seeds.size()}});
   } catch (const std::exception &Problem) {
     Log.warning("The settings were not taken over: {}.", Problem.what());
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -52,8 +52,11 @@
   return Peers;
 }
 
-/// Reads the settings again and adds the control replicas that they name.
-void takeOverSeeds(Announcer &Announce, EventLoop &Loop, const Logger &Log);
+/// Reads the settings again and hands \p Take, on the loop, the control
+/// replicas that they name.
+void takeOverSeeds(
+    EventLoop &Loop, const Logger &Log,
+    const std::function<void(const std::vector<PeerRef> &Seeds)> &Take);
 
 inline AnnouncerOptions planAnnouncer(const NodePlan &Plan) {
   return {seedPeers(Plan), ControlHeartbeat};
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -73,6 +73,7 @@
   explicit SeededControlProcess(const NodePlan &Plan);
   ~SeededControlProcess() override { this->stop(); }
   void drain() override;
+  void reload() override;
 
 private:
   ControlOptions controlOptions() const;
@@ -175,6 +176,11 @@
   this->LastLeader = Leader;
 }
 
+void SeededControlProcess::reload() {
+  takeOverSeeds(this->Loop, this->Log,
+                [this](const auto &Seeds) { this->Service.setSeeds(Seeds); });
+}
+
 void SeededControlProcess::drain() {
   waitUntil(ProposalTimeout, [this] { return this->Open.load() == 0; });
   this->Loop.post([this](Instant Now) { this->Service.drain(Now); });
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -5,8 +5,10 @@
 #include "core/logger.h"
 #include "main/process.h"
 #include "platform/node_settings.h"
+#include "settings/file_watch.h"
 #include "settings/settings_parser.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <functional>
@@ -83,19 +85,32 @@
   return Signals;
 }
 
-/// Runs a role until a signal asks for its end.
-int runUntilSignalled(const std::function<std::unique_ptr<Process>()> &Start) {
+/// Between two looks at the settings file, which may change without a signal.
+constexpr timespec SettingsLook{1, 0};
+
+/// Waits for a signal, for at most a while. \returns its number, or 0.
+int waitForSignal(const sigset_t &Signals) {
+  int Signal = sigtimedwait(&Signals, nullptr, &SettingsLook);
+  return std::max(Signal, 0);
+}
+
+/// Runs a role until a signal asks for its end. \param Settings Watched for
+/// changes without a signal, if there is one.
+int runUntilSignalled(const std::function<std::unique_ptr<Process>()> &Start,
+                      FileWatch *Settings) {
   Logger Log("daemon");
   sigset_t Signals = blockSignals();
   std::unique_ptr<Process> Role = Start();
   Log.decision("started", {{"pid", getpid()}});
   while (true) {
-    int Signal = 0;
-    sigwait(&Signals, &Signal);
-    Log.decision("signal", {{"number", Signal}});
-    if (Signal != SIGHUP)
+    int Signal = waitForSignal(Signals);
+    if (Signal != 0)
+      Log.decision("signal", {{"number", Signal}});
+    if (Signal != 0 && Signal != SIGHUP)
       break;
-    Role->reload();
+    bool Changed = Settings != nullptr && Settings->hasChanged();
+    if (Changed || Signal == SIGHUP)
+      Role->reload();
   }
   Role->drain();
   Log.decision("stopped", {{"lines_dropped", Logger::dropped()}});
@@ -112,12 +127,13 @@
     prepareFolder(Values);
     return ExitOk;
   }
-  return runUntilSignalled([&] { return startRole(Values); });
+  return runUntilSignalled([&] { return startRole(Values); }, nullptr);
 }
 
 int runPlanned() {
+  FileWatch Settings(platform::settingsPath());
   NodePlan Plan = platform::readNodeSettings();
-  return runUntilSignalled([&] { return startPlanned(Plan); });
+  return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
 
 } // namespace
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -97,6 +97,8 @@
   // Meant for an earlier life of this node.
   if (Reply.incarnation() != this->Self.incarnation())
     return;
+  if (Reply.known_incarnation() > this->Self.incarnation())
+    this->Events.onOutranked(Reply.known_incarnation(), Now);
   // A replica's name changes when its host loses its disk; its address says
   // enough.
   std::vector<PeerRef> Told;
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -30,6 +30,10 @@
   virtual void onConfirmed(TimePoint Asked) = 0;
   virtual void onCatalog(Instant Now) = 0;
   virtual void onMember(const peer::Member &Member, Instant Now) = 0;
+  /// Control knows a higher incarnation of this node: the host's clock was set
+  /// back before this life began. Peers take its words for those of an ended
+  /// life until it announces itself with a higher one.
+  virtual void onOutranked(std::uint64_t Known, Instant Now) {}
 };
 
 struct AnnouncerOptions {
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -278,6 +278,17 @@
   CHECK_FALSE(Keeper.isLeaving());
 }
 
+TEST(LeaseKeeperTest, AnOutrankedAgentTakesAHigherIncarnation) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.outrank(Life - 1);
+  LONGS_EQUAL(Life, Keeper.incarnation());
+  Keeper.outrank(Life + 5);
+  LONGS_EQUAL(Life + 6, Keeper.incarnation());
+  Keeper.outrank(Life + 5);
+  LONGS_EQUAL(Life + 6, Keeper.incarnation());
+}
+
 TEST(LeaseKeeperTest, EveryEndIsToldOnce) {
   struct Row {
     RunEnd How;
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -414,6 +414,26 @@
   LONGS_EQUAL(1, Coordinator.counters().Ejections);
 }
 
+// The balancer then sends callers to an entry that has some.
+TEST(LeaseCoordinatorTest, AnEntryWithoutReachableWorkersSaysSo) {
+  CHECK_FALSE(Coordinator.hasWorkers());
+  addAgent("a");
+  CHECK(Coordinator.hasWorkers());
+  peer::Message Renewal;
+  Renewal.mutable_lease_renewal();
+  loseMessage("a", Renewal);
+  CHECK(Coordinator.hasWorkers());
+  Now.Steady += 300ms;
+  loseMessage("a", Renewal);
+  CHECK_FALSE(Coordinator.hasWorkers());
+  peer::Message Load;
+  Load.mutable_worker_load()->set_incarnation(Life);
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  CHECK(Coordinator.hasWorkers());
+  setState("a", peer::MEMBER_LEAVING);
+  CHECK_FALSE(Coordinator.hasWorkers());
+}
+
 TEST(LeaseCoordinatorTest, ALeavingAgentGetsNoTasks) {
   addAgent("a");
   addAgent("b");
--- a/tests/membership/announcer_test.cpp
+++ b/tests/membership/announcer_test.cpp
@@ -24,6 +24,10 @@
   void onMember(const peer::Member &Member, Instant) override {
     this->Last = Member;
   }
+  void onOutranked(std::uint64_t Known, Instant) override {
+    this->Outranked = Known;
+  }
+  std::uint64_t Outranked = 0;
   TimePoint Confirmed = TimePoint::min();
   int Catalogs = 0;
   peer::Member Last;
@@ -61,6 +65,24 @@
   CHECK_TRUE(Events.Confirmed == Asked);
 }
 
+// The host's clock may have been set back before this life began.
+TEST(AnnouncerTest, ANodeHearsOfAHigherIncarnationUnderItsName) {
+  struct Row {
+    std::uint64_t Known;
+    std::uint64_t Expected;
+  };
+  const Row Rows[] = {{0, 0}, {6, 0}, {7, 0}, {8, 8}};
+  for (const Row &Row : Rows) {
+    Events.Outranked = 0;
+    Announcer Announce(Options, Self, Catalog, Sink, Events);
+    Announce.tick(Now);
+    peer::HeartbeatReply Reply = reply(1, 5);
+    Reply.set_known_incarnation(Row.Known);
+    Announce.onReply(Reply, Now);
+    LONGS_EQUAL(Row.Expected, Events.Outranked);
+  }
+}
+
 TEST(AnnouncerTest, ALifeBeginsOnlyWithAnAnswerToItsOwnQuestion) {
   struct Row {
     const char *Name;
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -77,9 +77,18 @@
     std::filesystem::create_directories(Body["dataDir"].get<std::string>());
     this->launch(Name, Body.dump());
   }
+  void rewrite(const std::string &Name, const std::string &Settings) const {
+    std::ofstream(fmt::format("{}/{}.json", this->Folder, Name)) << Settings;
+  }
+  /// The log from its first line on settings that were taken over.
+  std::string reloads(const std::string &Name) const {
+    std::string Text = this->log(Name);
+    std::size_t At = Text.find("\"reloaded\"");
+    return At == std::string::npos ? "" : Text.substr(At);
+  }
   pid_t launch(const std::string &Name, const std::string &Settings) {
     std::string Path = fmt::format("{}/{}.json", this->Folder, Name);
-    std::ofstream(Path) << Settings;
+    this->rewrite(Name, Settings);
     std::string Log = fmt::format("{}/{}.log", this->Folder, Name);
     pid_t Child = ::fork();
     if (Child == 0) {
@@ -476,6 +485,36 @@
   LONGS_EQUAL(Version, json::parse(Read.Body)["version"].get<std::uint64_t>());
 }
 
+// The file may change with and without a signal.
+TEST(PlatformTest, ChangedSettingsAreTakenOverByEveryRole) {
+  struct Row {
+    const char *Name;
+    int Host;
+    const char *Serves;
+  };
+  const Row Rows[] = {
+      {"core1", 21, "control"}, {"front1", 1, "front"}, {"side1", 11, "side"}};
+  PlatformCluster Cluster;
+  for (const Row &Row : Rows) {
+    Cluster.start(Row.Name, Row.Host, Row.Serves);
+    CHECK(waitFor([&] {
+      return Cluster.log(Row.Name).find("\"started\"") != std::string::npos;
+    }));
+    STRCMP_EQUAL("", Cluster.reloads(Row.Name).c_str());
+    json Body = Cluster.settings(Row.Name, Row.Host, Row.Serves);
+    Body["seeds"] = {Cluster.at(24, 3)};
+    Cluster.rewrite(Row.Name, Body.dump());
+    CHECK(waitFor([&] { return !Cluster.reloads(Row.Name).empty(); }));
+    // One that cannot be read leaves all as it is.
+    Cluster.rewrite(Row.Name, "{");
+    CHECK(waitFor([&] {
+      return Cluster.log(Row.Name).find("not taken over") != std::string::npos;
+    }));
+    Cluster.signal(Row.Name, SIGTERM);
+    LONGS_EQUAL(0, Cluster.wait(Row.Name));
+  }
+}
+
 TEST(PlatformTest, AWrongSettingsFileIsNamedInOneLine) {
   PlatformCluster Cluster;
   json Good = Cluster.settings("x", 30, "front");
