Renew leases at leaving agents while tasks run there

A drained worker is given 2 s and more for just that.

Ruled out: the worker: it ran on until the agent's stop.

Change: an agent is asked and renewed as long as it holds tasks of ours.

The new test failed before the change.

--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -120,7 +120,8 @@
   std::vector<std::string> Restarted;
   std::vector<std::string> Lost;
   for (const auto &[Agent, Worker] : this->Board.workers()) {
-    if (!Worker.Alive)
+    // One that leaves lets its runs end, under leases that are renewed.
+    if (!Worker.Alive && Worker.OwnTasks == 0)
       continue;
     if (this->Board.isLost(Worker, Now.Steady)) {
       Lost.push_back(Agent);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -414,6 +414,28 @@
   LONGS_EQUAL(1, Coordinator.counters().Ejections);
 }
 
+// It lets its runs end, which takes longer than a lease lasts.
+TEST(LeaseCoordinatorTest, LeasesAtALeavingAgentAreRenewedWhileTasksRunThere) {
+  addAgent("a");
+  Coordinator.submit(request(1), 1, Now);
+  setState("a", peer::MEMBER_LEAVING);
+  int Before = Sink.Renewals["a"];
+  for (int I = 0; I < 4; ++I) {
+    pass(200ms);
+    peer::Message Load;
+    Load.mutable_worker_load()->set_incarnation(Life);
+    Load.mutable_worker_load()->set_stamp(++Stamp);
+    Load.mutable_worker_load()->set_leaving(true);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  }
+  CHECK(Sink.Renewals["a"] - Before >= 3);
+  answer(0, peer::LEASED_DONE);
+  CHECK(onlyAnswer().End == LeasedEnd::Completed);
+  int After = Sink.Renewals["a"];
+  pass(2000ms);
+  LONGS_EQUAL(After, Sink.Renewals["a"]);
+}
+
 // The balancer then sends callers to an entry that has some.
 TEST(LeaseCoordinatorTest, AnEntryWithoutReachableWorkersSaysSo) {
   CHECK_FALSE(Coordinator.hasWorkers());
