--- a/agent/agent_core.cpp
+++ b/agent/agent_core.cpp
@@ -172,7 +172,7 @@
   this->startQueued(Now);
   PeerRef Owner = Known.Owner;
   if (End.Kind == TaskEndKind::NeverStarted) {
-    this->refuse(Task, Owner, Known.Attempt, MinionUnreachable, Now);
+    this->refuse(Task, Owner, Known.Attempt, UpstreamUnreachable, Now);
   } else {
     Known.Phase = State::Ended;
     Known.Changed = Now.Steady;
--- a/agent/agent_core.h
+++ b/agent/agent_core.h
@@ -1,7 +1,7 @@
 //===- agent/agent_core.h - The decisions of an agent -----------*- C++ -*-===//
 ///
 /// \file
-/// Holds the slots of one minion and a vote in the job ledger. It starts each
+/// Holds the slots of one upstream and a vote in the job ledger. It starts each
 /// task at most once: it remembers what it has taken and what it has refused
 /// for longer than any dispatch may be under way, and a dispatch that rests
 /// on older news of it is refused.
--- a/agent/refusals.h
+++ b/agent/refusals.h
@@ -12,9 +12,9 @@
 
 constexpr const char *StaleNews = "the dispatch rests on old news";
 constexpr const char *SlotsFull = "slots and queue are full";
-constexpr const char *Leaving = "the minion is leaving";
+constexpr const char *Leaving = "the upstream is leaving";
 constexpr const char *Withdrawn = "withdrawn before its start";
-constexpr const char *MinionUnreachable = "the minion refuses connections";
+constexpr const char *UpstreamUnreachable = "the upstream refuses connections";
 constexpr const char *WasFrozen = "the agent was stopped while it waited";
 
 } // namespace yardwheel
--- a/agent/task_runner.h
+++ b/agent/task_runner.h
@@ -1,7 +1,8 @@
-//===- agent/task_runner.h - What runs a task at the minion -----*- C++ -*-===//
+//===- agent/task_runner.h - What runs a task at the upstream -----*- C++
+//-*-===//
 ///
 /// \file
-/// The agent's interface to its minion, and so to the platform's worker. The
+/// The agent's interface to its upstream, and so to the platform's worker. The
 /// daemon speaks HTTP behind it; tests and the bench have small fakes.
 ///
 //===----------------------------------------------------------------------===//
@@ -27,7 +28,7 @@
 enum class TaskEndKind {
   Succeeded,
   Failed,
-  /// Proof that the minion never saw the task.
+  /// Proof that the upstream never saw the task.
   NeverStarted,
 };
 
--- a/agent/minion_client.cpp
+++ b/agent/upstream_client.cpp
@@ -1,4 +1,4 @@
-#include "agent/minion_client.h"
+#include "agent/upstream_client.h"
 
 #include "core/error.h"
 #include "core/text.h"
@@ -13,21 +13,22 @@
 constexpr long HttpMultiple = 300;
 constexpr int PollMs = 1000;
 
-/// Whether the error proves that the minion has not seen the request.
+/// Whether the error proves that the upstream has not seen the request.
 bool neverConnected(CURLcode Code) { return Code == CURLE_COULDNT_CONNECT; }
 
 } // namespace
 
-MinionClient::MinionClient(std::string Url, std::chrono::milliseconds Timeout,
-                           EndHandler OnEnd)
+UpstreamClient::UpstreamClient(std::string Url,
+                               std::chrono::milliseconds Timeout,
+                               EndHandler OnEnd)
     : Url(std::move(Url)), Timeout(Timeout), OnEnd(std::move(OnEnd)),
       Multi(curl_multi_init()) {
   if (this->Multi == nullptr)
-    throw Error("minion client", this->Url, "libcurl cannot be set up");
+    throw Error("upstream client", this->Url, "libcurl cannot be set up");
   this->Thread = std::thread([this] { this->run(); });
 }
 
-MinionClient::~MinionClient() {
+UpstreamClient::~UpstreamClient() {
   {
     std::lock_guard Lock(this->Mutex);
     this->Stopping = true;
@@ -42,8 +43,8 @@
   curl_multi_cleanup(this->Multi);
 }
 
-void MinionClient::start(const TaskKey &Task, const std::string &Workspace,
-                         const std::string &Payload) {
+void UpstreamClient::start(const TaskKey &Task, const std::string &Workspace,
+                           const std::string &Payload) {
   {
     std::lock_guard Lock(this->Mutex);
     this->Orders.push_back({Task, Workspace, Payload, false});
@@ -51,7 +52,7 @@
   curl_multi_wakeup(this->Multi);
 }
 
-void MinionClient::stop(const TaskKey &Task) {
+void UpstreamClient::stop(const TaskKey &Task) {
   {
     std::lock_guard Lock(this->Mutex);
     this->Orders.push_back({Task, "", "", true});
@@ -59,7 +60,7 @@
   curl_multi_wakeup(this->Multi);
 }
 
-void MinionClient::run() {
+void UpstreamClient::run() {
   while (this->takeOrders()) {
     int Running = 0;
     curl_multi_perform(this->Multi, &Running);
@@ -68,7 +69,7 @@
   }
 }
 
-bool MinionClient::takeOrders() {
+bool UpstreamClient::takeOrders() {
   std::deque<Order> Taken;
   {
     std::lock_guard Lock(this->Mutex);
@@ -85,7 +86,7 @@
   return true;
 }
 
-void MinionClient::begin(Order Next) {
+void UpstreamClient::begin(Order Next) {
   CURL *Handle = curl_easy_init();
   if (Handle == nullptr) {
     this->OnEnd(Next.Task, {TaskEndKind::NeverStarted, "", "no handle", {}});
@@ -110,7 +111,7 @@
   curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, New->Payload.data());
   curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE,
                    static_cast<long>(New->Payload.size()));
-  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &MinionClient::receive);
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &UpstreamClient::receive);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, New.get());
   curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(this->Timeout.count()));
@@ -123,7 +124,7 @@
   this->Transfers[Handle] = std::move(New);
 }
 
-void MinionClient::abort(const TaskKey &Task) {
+void UpstreamClient::abort(const TaskKey &Task) {
   for (auto &[Handle, Open] : this->Transfers) {
     if (Open->Task == Task) {
       this->finish(Handle, CURLE_ABORTED_BY_CALLBACK);
@@ -132,14 +133,14 @@
   }
 }
 
-void MinionClient::collect() {
+void UpstreamClient::collect() {
   int Left = 0;
   while (CURLMsg *Message = curl_multi_info_read(this->Multi, &Left))
     if (Message->msg == CURLMSG_DONE)
       this->finish(Message->easy_handle, Message->data.result);
 }
 
-void MinionClient::finish(CURL *Handle, CURLcode Code) {
+void UpstreamClient::finish(CURL *Handle, CURLcode Code) {
   auto Found = this->Transfers.find(Handle);
   std::unique_ptr<Transfer> Ended = std::move(Found->second);
   this->Transfers.erase(Found);
@@ -158,8 +159,8 @@
   this->OnEnd(Ended->Task, End);
 }
 
-TaskEnd MinionClient::describe(CURL *Handle, CURLcode Code,
-                               Transfer &Ended) const {
+TaskEnd UpstreamClient::describe(CURL *Handle, CURLcode Code,
+                                 Transfer &Ended) const {
   TaskEnd End;
   End.Service = std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now() - Ended.Started);
@@ -178,11 +179,11 @@
   long Status = 0;
   curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
   if (Status < HttpOk || Status >= HttpMultiple) {
-    End.Reason = fmt::format("the minion answered {}", Status);
+    End.Reason = fmt::format("the upstream answered {}", Status);
     return End;
   }
   if (!isUtf8(Ended.Answer)) {
-    End.Reason = "the minion's answer is not UTF-8 text";
+    End.Reason = "the upstream's answer is not UTF-8 text";
     return End;
   }
   End.Kind = TaskEndKind::Succeeded;
@@ -190,8 +191,8 @@
   return End;
 }
 
-std::size_t MinionClient::receive(char *Data, std::size_t Size,
-                                  std::size_t Count, void *Target) {
+std::size_t UpstreamClient::receive(char *Data, std::size_t Size,
+                                    std::size_t Count, void *Target) {
   auto *Open = static_cast<Transfer *>(Target);
   std::size_t Bytes = Size * Count;
   // A short count makes libcurl fail the transfer.
--- a/agent/minion_client.h
+++ b/agent/upstream_client.h
@@ -1,13 +1,14 @@
-//===- agent/minion_client.h - Runs tasks at a minion by HTTP ---*- C++ -*-===//
+//===- agent/upstream_client.h - Runs tasks at an upstream by HTTP ---*- C++
+//-*-===//
 ///
 /// \file
-/// Posts each task to the minion with libcurl. One thread serves all tasks of
+/// Posts each task to the upstream with libcurl. One thread serves all tasks of
 /// the agent. No request is ever made twice: libcurl is told not to retry,
 /// and only a connection that was never made counts as "never started".
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_AGENT_MINION_CLIENT_H
-#define YARDWHEEL_AGENT_MINION_CLIENT_H
+#ifndef YARDWHEEL_AGENT_UPSTREAM_CLIENT_H
+#define YARDWHEEL_AGENT_UPSTREAM_CLIENT_H
 
 #include "agent/task_runner.h"
 #include "core/logger.h"
@@ -26,15 +27,15 @@
 /// Largest answer of a task that is read, in bytes.
 constexpr std::size_t MaxResultBytes = 1048576;
 
-class MinionClient final : public TaskRunner {
+class UpstreamClient final : public TaskRunner {
 public:
   using EndHandler = std::function<void(const TaskKey &, const TaskEnd &)>;
 
   /// \param OnEnd Called on the client's own thread.
   /// \throws Error if libcurl cannot be set up.
-  MinionClient(std::string Url, std::chrono::milliseconds Timeout,
-               EndHandler OnEnd);
-  ~MinionClient() override;
+  UpstreamClient(std::string Url, std::chrono::milliseconds Timeout,
+                 EndHandler OnEnd);
+  ~UpstreamClient() override;
 
   void start(const TaskKey &Task, const std::string &Workspace,
              const std::string &Payload) override;
@@ -65,7 +66,7 @@
   static std::size_t receive(char *Data, std::size_t Size, std::size_t Count,
                              void *Target);
 
-  Logger Log{"minion"};
+  Logger Log{"upstream"};
   std::string Url;
   std::chrono::milliseconds Timeout;
   EndHandler OnEnd;
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -37,10 +37,11 @@
 /// \returns whether nothing happened that must never happen.
 bool runDeployment(const Deployment &Place) {
   Duration Length = std::chrono::seconds(FLAGS_seconds);
-  fmt::print("\n{}: {} entries, {} minions of {} slots, {} data centres, seed "
-             "{}, {} s\n",
-             Place.Name, Place.Entries, Place.Minions, Place.Slots,
-             Place.DataCentres, FLAGS_seed, FLAGS_seconds);
+  fmt::print(
+      "\n{}: {} entries, {} upstreams of {} slots, {} data centres, seed "
+      "{}, {} s\n",
+      Place.Name, Place.Entries, Place.Upstreams, Place.Slots,
+      Place.DataCentres, FLAGS_seed, FLAGS_seconds);
   fmt::print("{:<13} {:<15} {:>6} {:>7} {:>7} {:>7} {:>8} {:>7} {:>6} {:>7}\n",
              "policy", "load", "p50", "p99", "p99.9", "/ideal", "wasted",
              "refused", "failed", "doubled");
--- a/bench/decision_benchmark.cpp
+++ b/bench/decision_benchmark.cpp
@@ -2,8 +2,8 @@
 
 #include "catalog/policy_names.h"
 #include "dispatch/fair_queue.h"
-#include "dispatch/minion_table.h"
 #include "dispatch/route_policy.h"
+#include "dispatch/upstream_table.h"
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
@@ -14,9 +14,9 @@
 
 constexpr std::uint32_t Slots = 8;
 
-MinionTable makeTable(std::int64_t Minions) {
-  MinionTable Table;
-  for (std::int64_t I = 0; I < Minions; ++I) {
+UpstreamTable makeTable(std::int64_t Upstreams) {
+  UpstreamTable Table;
+  for (std::int64_t I = 0; I < Upstreams; ++I) {
     peer::Member Member;
     Member.set_name(fmt::format("a{}", I));
     Member.set_incarnation(1);
@@ -29,22 +29,22 @@
   return Table;
 }
 
-/// Chooses a minion, notes the send, and settles the oldest of the tasks out,
-/// so that about half of the slots stay taken.
+/// Chooses an upstream, notes the send, and settles the oldest of the tasks
+/// out, so that about half of the slots stay taken.
 void decide(benchmark::State &State, std::string_view Name) {
-  MinionTable Table = makeTable(State.range(0));
+  UpstreamTable Table = makeTable(State.range(0));
   std::unique_ptr<RoutePolicy> Policy = makePolicy(Name);
   std::mt19937_64 Random(1);
-  std::vector<MinionIndex> Out(static_cast<std::size_t>(State.range(0)) *
-                               Slots / 4);
+  std::vector<UpstreamIndex> Out(static_cast<std::size_t>(State.range(0)) *
+                                 Slots / 4);
   for (std::size_t I = 0; I < Out.size(); ++I) {
-    Out[I] = static_cast<MinionIndex>(I % Table.size());
+    Out[I] = static_cast<UpstreamIndex>(I % Table.size());
     Table.onSent(Out[I]);
   }
   std::size_t Next = 0;
   for (auto Unused : State) {
     (void)Unused;
-    std::optional<MinionIndex> Chosen = Policy->choose(Table, Random);
+    std::optional<UpstreamIndex> Chosen = Policy->choose(Table, Random);
     Table.onSettled(Out[Next]);
     Out[Next] = Chosen.value_or(0);
     Table.onSent(Out[Next]);
--- a/bench/ideal_queue.cpp
+++ b/bench/ideal_queue.cpp
@@ -12,8 +12,8 @@
 using FreeTimes =
     std::priority_queue<Duration, std::vector<Duration>, std::greater<>>;
 
-/// Takes a minion's slots away; those that fall free first.
-void loseMinion(FreeTimes &Slots, std::uint32_t Count) {
+/// Takes an upstream's slots away; those that fall free first.
+void loseUpstream(FreeTimes &Slots, std::uint32_t Count) {
   for (std::uint32_t I = 0; I < Count; ++I)
     Slots.pop();
 }
@@ -43,14 +43,14 @@
   FreeTimes Slots;
   for (std::uint32_t I = 0; I < Place.totalSlots(); ++I)
     Slots.push(Duration(0));
-  if (Load.FailingMinion)
-    loseMinion(Slots, Place.Slots);
-  bool Whole = Load.LostMinion;
+  if (Load.FailingUpstream)
+    loseUpstream(Slots, Place.Slots);
+  bool Whole = Load.LostUpstream;
   std::vector<std::optional<Duration>> Responses;
   Responses.reserve(Jobs.size());
   for (const JobPlan &Job : Jobs) {
     if (Whole && Job.At >= Length / 2) {
-      loseMinion(Slots, Place.Slots);
+      loseUpstream(Slots, Place.Slots);
       Whole = false;
     }
     Duration End = runJob(Job, Slots);
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -96,9 +96,9 @@
     this->Submissions.resize(this->Jobs.size());
     for (std::size_t I = 0; I < this->Jobs.size(); ++I)
       this->schedule(I);
-    if (this->Load.LostMinion)
+    if (this->Load.LostUpstream)
       this->Cluster.World.after(this->Length / 2,
-                                [this] { this->loseMinion(); });
+                                [this] { this->loseUpstream(); });
     this->Cluster.run(this->Length + Ending);
     this->collect();
     return this->Result;
@@ -112,13 +112,13 @@
     ClusterOptions Options;
     Options.Seed = Seed;
     Options.Entries = Place.Entries;
-    Options.Agents = Place.Minions;
+    Options.Agents = Place.Upstreams;
     Options.Slots = Place.Slots;
     Options.Policy = Policy;
     Options.QueueLimit = 20000;
     Options.Behaviour = [Fails =
-                             Load.FailingMinion](const std::string &Agent,
-                                                 const std::string &Payload) {
+                             Load.FailingUpstream](const std::string &Agent,
+                                                   const std::string &Payload) {
       if (Fails && Agent == FailingAgent)
         return TaskBehaviour{FailureTime, true};
       std::string Micros = Payload.substr(Payload.find(' ') + 1);
@@ -190,7 +190,7 @@
     return First;
   }
 
-  void loseMinion() {
+  void loseUpstream() {
     this->Cluster.kill(LostAgent);
     // Control finds out after a lease.
     constexpr Duration Lease{3000000};
--- a/bench/slopes_main.cpp
+++ b/bench/slopes_main.cpp
@@ -167,8 +167,9 @@
   return Request;
 }
 
-/// Every task runs at one of many minions and succeeds.
-void entryTasks(std::size_t Minions, std::size_t Jobs, std::size_t TasksEach) {
+/// Every task runs at one of many upstreams and succeeds.
+void entryTasks(std::size_t Upstreams, std::size_t Jobs,
+                std::size_t TasksEach) {
   CountingSink Sink;
   NoOutcomes Hears;
   JobService Service(serviceOptions(), Sink, Hears, Hears);
@@ -180,7 +181,7 @@
   Limits.set_answer_retention_ms(120000);
   Service.setCatalog(View);
   Service.confirm(Now.Steady);
-  for (std::size_t I = 0; I < Minions; ++I)
+  for (std::size_t I = 0; I < Upstreams; ++I)
     Service.onMember(agentMember(I), Now.Steady);
   Meter Cost;
   for (std::size_t I = 0; I < Jobs; ++I) {
@@ -195,13 +196,13 @@
       Update->set_result(std::string(100, 'r'));
       Update->mutable_load()->set_incarnation(1);
       // The entry drops what comes from another agent than it sent to.
-      for (std::size_t A = 0; A < Minions && Minions <= 1; ++A)
+      for (std::size_t A = 0; A < Upstreams && Upstreams <= 1; ++A)
         Service.onMessage({fmt::format("a{}", A), ""}, Message, Now);
     }
   }
-  Cost.print(
-      fmt::format("entry: tasks of jobs of {}, {} minions", TasksEach, Minions),
-      Jobs * TasksEach);
+  Cost.print(fmt::format("entry: tasks of jobs of {}, {} upstreams", TasksEach,
+                         Upstreams),
+             Jobs * TasksEach);
 }
 
 void controlHeartbeats(std::size_t Members) {
@@ -277,8 +278,8 @@
     entryTasks(1, Jobs, 1);
   for (std::size_t Jobs : {300U, 1000U, 3000U})
     entryTasks(1, Jobs, 8);
-  for (std::size_t Minions : {11U, 110U, 1100U})
-    entryTasks(Minions, 1000, 1);
+  for (std::size_t Upstreams : {11U, 110U, 1100U})
+    entryTasks(Upstreams, 1000, 1);
   for (std::size_t Members : {100U, 300U, 1100U})
     controlHeartbeats(Members);
   for (std::size_t Workspaces : {17U, 57U, 170U})
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -142,11 +142,11 @@
       {.Name = "calm 95", .Percent = 95},
       {.Name = "bursts", .Percent = 60, .Bursts = true},
       {.Name = "stragglers", .Percent = 70, .Stragglers = true},
-      {.Name = "failing minion", .Percent = 70, .FailingMinion = true},
+      {.Name = "failing upstream", .Percent = 70, .FailingUpstream = true},
       {.Name = "wrong sizes", .Percent = 80, .WrongSizes = true},
       {.Name = "cancel wave", .Percent = 95, .CancelWave = true},
       {.Name = "callers retry", .Percent = 90, .Retries = true},
-      {.Name = "minion lost", .Percent = 70, .LostMinion = true},
+      {.Name = "upstream lost", .Percent = 70, .LostUpstream = true},
   };
   return Loads;
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -21,7 +21,7 @@
 struct Deployment {
   std::string Name;
   std::size_t Entries = 3;
-  std::size_t Minions = 11;
+  std::size_t Upstreams = 11;
   std::uint32_t Slots = 8;
   std::size_t DataCentres = 3;
   /// One way, between two data centres.
@@ -32,7 +32,7 @@
   double MeanTasks = 4;
 
   std::uint32_t totalSlots() const {
-    return static_cast<std::uint32_t>(this->Minions) * this->Slots;
+    return static_cast<std::uint32_t>(this->Upstreams) * this->Slots;
   }
 };
 
@@ -46,16 +46,16 @@
   std::uint32_t Percent = 80;
   bool Bursts = false;
   bool Stragglers = false;
-  /// One minion fails all it starts, at once.
-  bool FailingMinion = false;
+  /// One upstream fails all it starts, at once.
+  bool FailingUpstream = false;
   /// Declared sizes are off by up to ten times either way.
   bool WrongSizes = false;
   /// A third of all jobs is cancelled in one moment.
   bool CancelWave = false;
   /// Callers that wait for a second submit again elsewhere.
   bool Retries = false;
-  /// One minion is lost in the middle.
-  bool LostMinion = false;
+  /// One upstream is lost in the middle.
+  bool LostUpstream = false;
 };
 
 const std::vector<LoadSpec> &allLoads();
--- a/catalog/parameters.cpp
+++ b/catalog/parameters.cpp
@@ -28,7 +28,8 @@
   using P = peer::Parameters;
   static const std::vector<ParameterRule> Rules = {
       {"capacity", 64, "tasks", 1, 1000000,
-       "Tasks of the workspace that may be at minions at once, for each entry.",
+       "Tasks of the workspace that may be at upstreams at once, for each "
+       "entry.",
        &P::capacity, &P::set_capacity},
       {"queue_limit", 10000, "tasks", 1, 1000000,
        "Tasks that may wait at one entry; more are refused at once.",
@@ -51,7 +52,7 @@
        "Tasks that may wait at one agent, where the policy lets them.",
        &P::agent_queue, &P::set_agent_queue},
       {"eject_failures", 3, "tasks", 1, 1000,
-       "Failures in a row after which a minion gets no tasks for a while.",
+       "Failures in a row after which an upstream gets no tasks for a while.",
        &P::eject_failures, &P::set_eject_failures},
   };
   return Rules;
@@ -130,10 +131,11 @@
     Table +=
         fmt::format("| `{}` | {} | {} | {} to {} | {} |\n", Rule.Key,
                     Rule.Default, Rule.Unit, Rule.Low, Rule.High, Rule.Meaning);
-  Table += fmt::format("| `policy` | {} |  | {} | How tasks find minions. |\n",
-                       DefaultPolicy, policyNameList());
+  Table +=
+      fmt::format("| `policy` | {} |  | {} | How tasks find upstreams. |\n",
+                  DefaultPolicy, policyNameList());
   Table += "| `pool` | the workspace's name |  | a pool's name | The pool of "
-           "minions that serves it; several workspaces may share one. |\n";
+           "upstreams that serves it; several workspaces may share one. |\n";
   return Table;
 }
 
--- a/dispatch/bucket_index.cpp
+++ b/dispatch/bucket_index.cpp
@@ -4,26 +4,26 @@
 
 namespace yardwheel {
 
-void BucketIndex::put(MinionIndex Minion, int Key) {
+void BucketIndex::put(UpstreamIndex Upstream, int Key) {
   auto Bucket = static_cast<std::size_t>(std::max(Key, 0));
-  if (Minion < this->Places.size() && this->Places[Minion].Bucket == Bucket)
+  if (Upstream < this->Places.size() && this->Places[Upstream].Bucket == Bucket)
     return;
-  this->remove(Minion);
-  if (Minion >= this->Places.size())
-    this->Places.resize(Minion + 1);
+  this->remove(Upstream);
+  if (Upstream >= this->Places.size())
+    this->Places.resize(Upstream + 1);
   if (Bucket >= this->Buckets.size())
     this->Buckets.resize(Bucket + 1);
-  this->Places[Minion] = {Bucket, this->Buckets[Bucket].size()};
-  this->Buckets[Bucket].push_back(Minion);
+  this->Places[Upstream] = {Bucket, this->Buckets[Bucket].size()};
+  this->Buckets[Bucket].push_back(Upstream);
   this->Top = std::max(this->Top, Bucket);
 }
 
-void BucketIndex::remove(MinionIndex Minion) {
-  if (!this->contains(Minion))
+void BucketIndex::remove(UpstreamIndex Upstream) {
+  if (!this->contains(Upstream))
     return;
-  Place &Old = this->Places[Minion];
-  std::vector<MinionIndex> &Bucket = this->Buckets[Old.Bucket];
-  MinionIndex Last = Bucket.back();
+  Place &Old = this->Places[Upstream];
+  std::vector<UpstreamIndex> &Bucket = this->Buckets[Old.Bucket];
+  UpstreamIndex Last = Bucket.back();
   Bucket[Old.Position] = Last;
   this->Places[Last].Position = Old.Position;
   Bucket.pop_back();
@@ -32,16 +32,17 @@
     --this->Top;
 }
 
-std::optional<MinionIndex>
+std::optional<UpstreamIndex>
 BucketIndex::pickBest(std::mt19937_64 &Random) const {
   if (this->Top == 0)
     return std::nullopt;
-  const std::vector<MinionIndex> &Best = this->Buckets[this->Top];
+  const std::vector<UpstreamIndex> &Best = this->Buckets[this->Top];
   return Best[Random() % Best.size()];
 }
 
-bool BucketIndex::contains(MinionIndex Minion) const {
-  return Minion < this->Places.size() && this->Places[Minion].Bucket != Absent;
+bool BucketIndex::contains(UpstreamIndex Upstream) const {
+  return Upstream < this->Places.size() &&
+         this->Places[Upstream].Bucket != Absent;
 }
 
 } // namespace yardwheel
--- a/dispatch/bucket_index.h
+++ b/dispatch/bucket_index.h
@@ -1,8 +1,8 @@
 //===- dispatch/bucket_index.h - Best of many in constant time --*- C++ -*-===//
 ///
 /// \file
-/// Keeps minions by a small whole number, so that one of the best is found,
-/// and a minion moved, without looking at the others.
+/// Keeps upstreams by a small whole number, so that one of the best is found,
+/// and an upstream moved, without looking at the others.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_DISPATCH_BUCKET_INDEX_H
@@ -16,20 +16,20 @@
 
 namespace yardwheel {
 
-/// Position of a minion in its table; stays the same while it is known.
-using MinionIndex = std::uint32_t;
+/// Position of an upstream in its table; stays the same while it is known.
+using UpstreamIndex = std::uint32_t;
 
 class BucketIndex {
 public:
-  /// Puts \p Minion under \p Key, or moves it there. Keys below 0 count as 0.
-  void put(MinionIndex Minion, int Key);
-  void remove(MinionIndex Minion);
+  /// Puts \p Upstream under \p Key, or moves it there. Keys below 0 count as 0.
+  void put(UpstreamIndex Upstream, int Key);
+  void remove(UpstreamIndex Upstream);
 
-  /// One of the minions with the greatest key, picked at random; nothing if
+  /// One of the upstreams with the greatest key, picked at random; nothing if
   /// none has a key above 0.
-  std::optional<MinionIndex> pickBest(std::mt19937_64 &Random) const;
+  std::optional<UpstreamIndex> pickBest(std::mt19937_64 &Random) const;
 
-  bool contains(MinionIndex Minion) const;
+  bool contains(UpstreamIndex Upstream) const;
 
 private:
   static constexpr std::size_t Absent = SIZE_MAX;
@@ -39,7 +39,7 @@
     std::size_t Position = 0;
   };
 
-  std::vector<std::vector<MinionIndex>> Buckets;
+  std::vector<std::vector<UpstreamIndex>> Buckets;
   std::vector<Place> Places;
   /// No bucket above this one holds anything.
   std::size_t Top = 0;
--- a/dispatch/fair_queue.h
+++ b/dispatch/fair_queue.h
@@ -1,7 +1,7 @@
 //===- dispatch/fair_queue.h - Whose task goes next -------------*- C++ -*-===//
 ///
 /// \file
-/// Tasks that wait at an entry for a minion of one pool. Between workspaces,
+/// Tasks that wait at an entry for an upstream of one pool. Between workspaces,
 /// start-time fair queueing by weight; within a workspace, jobs by a rank that
 /// their owner gives them, so that a job's tasks stay together.
 ///
--- a/dispatch/late_binding_policy.cpp
+++ b/dispatch/late_binding_policy.cpp
@@ -10,9 +10,9 @@
 
 } // namespace
 
-std::optional<MinionIndex> LateBindingPolicy::choose(const MinionTable &Table,
-                                                     std::mt19937_64 &Random) {
-  std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random);
+std::optional<UpstreamIndex>
+LateBindingPolicy::choose(const UpstreamTable &Table, std::mt19937_64 &Random) {
+  std::optional<UpstreamIndex> Free = Table.byTotalFree().pickBest(Random);
   if (Free)
     return Free;
   return Table.shortestQueue(QueueAhead, Random);
--- a/dispatch/late_binding_policy.h
+++ b/dispatch/late_binding_policy.h
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// Sends to free slots first, then lets a few tasks wait at agents, and takes
-/// them back when another minion has a free slot.
+/// them back when another upstream has a free slot.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_DISPATCH_LATE_BINDING_POLICY_H
@@ -14,8 +14,8 @@
 
 class LateBindingPolicy final : public RoutePolicy {
 public:
-  std::optional<MinionIndex> choose(const MinionTable &Table,
-                                    std::mt19937_64 &Random) override;
+  std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                      std::mt19937_64 &Random) override;
   bool queuesAtAgent() const override { return true; }
   bool movesWaiting() const override { return true; }
 };
--- a/dispatch/random_policy.cpp
+++ b/dispatch/random_policy.cpp
@@ -2,9 +2,9 @@
 
 namespace yardwheel {
 
-std::optional<MinionIndex> RandomPolicy::choose(const MinionTable &Table,
-                                                std::mt19937_64 &Random) {
-  const std::vector<MinionIndex> &Eligible = Table.eligible();
+std::optional<UpstreamIndex> RandomPolicy::choose(const UpstreamTable &Table,
+                                                  std::mt19937_64 &Random) {
+  const std::vector<UpstreamIndex> &Eligible = Table.eligible();
   if (Eligible.empty())
     return std::nullopt;
   return Eligible[Random() % Eligible.size()];
--- a/dispatch/random_policy.h
+++ b/dispatch/random_policy.h
@@ -1,7 +1,7 @@
 //===- dispatch/random_policy.h --- *- C++ -*-===//
 ///
 /// \file
-/// Naive baseline: any minion that may get work, at random, however busy.
+/// Naive baseline: any upstream that may get work, at random, however busy.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_DISPATCH_RANDOM_POLICY_H
@@ -13,8 +13,8 @@
 
 class RandomPolicy final : public RoutePolicy {
 public:
-  std::optional<MinionIndex> choose(const MinionTable &Table,
-                                    std::mt19937_64 &Random) override;
+  std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                      std::mt19937_64 &Random) override;
   bool queuesAtAgent() const override { return true; }
 };
 
--- a/dispatch/round_robin_policy.cpp
+++ b/dispatch/round_robin_policy.cpp
@@ -2,9 +2,9 @@
 
 namespace yardwheel {
 
-std::optional<MinionIndex> RoundRobinPolicy::choose(const MinionTable &Table,
-                                                    std::mt19937_64 &) {
-  const std::vector<MinionIndex> &Eligible = Table.eligible();
+std::optional<UpstreamIndex>
+RoundRobinPolicy::choose(const UpstreamTable &Table, std::mt19937_64 &) {
+  const std::vector<UpstreamIndex> &Eligible = Table.eligible();
   if (Eligible.empty())
     return std::nullopt;
   this->Next = (this->Next + 1) % Eligible.size();
--- a/dispatch/round_robin_policy.h
+++ b/dispatch/round_robin_policy.h
@@ -1,7 +1,7 @@
 //===- dispatch/round_robin_policy.h --- *- C++ -*-===//
 ///
 /// \file
-/// Naive baseline: one minion after the other, however busy.
+/// Naive baseline: one upstream after the other, however busy.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_DISPATCH_ROUND_ROBIN_POLICY_H
@@ -13,8 +13,8 @@
 
 class RoundRobinPolicy final : public RoutePolicy {
 public:
-  std::optional<MinionIndex> choose(const MinionTable &Table,
-                                    std::mt19937_64 &Random) override;
+  std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                      std::mt19937_64 &Random) override;
   bool queuesAtAgent() const override { return true; }
 
 private:
--- a/dispatch/route_policy.h
+++ b/dispatch/route_policy.h
@@ -1,4 +1,5 @@
-//===- dispatch/route_policy.h - How a task finds its minion ----*- C++ -*-===//
+//===- dispatch/route_policy.h - How a task finds its upstream ----*- C++
+//-*-===//
 ///
 /// \file
 /// The interface of dispatch policies and their registry. A new policy is
@@ -9,7 +10,7 @@
 #ifndef YARDWHEEL_DISPATCH_ROUTE_POLICY_H
 #define YARDWHEEL_DISPATCH_ROUTE_POLICY_H
 
-#include "dispatch/minion_table.h"
+#include "dispatch/upstream_table.h"
 
 #include <memory>
 #include <optional>
@@ -22,16 +23,16 @@
 public:
   virtual ~RoutePolicy() = default;
 
-  /// Picks a minion for the next task, or none if it should wait here.
-  virtual std::optional<MinionIndex> choose(const MinionTable &Table,
-                                            std::mt19937_64 &Random) = 0;
+  /// Picks an upstream for the next task, or none if it should wait here.
+  virtual std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                              std::mt19937_64 &Random) = 0;
 
   /// Whether a task may wait at the agent when its slots are full; else the
   /// agent refuses it.
   virtual bool queuesAtAgent() const = 0;
 
   /// Whether tasks that wait at an agent are taken back and moved when
-  /// another minion has a free slot.
+  /// another upstream has a free slot.
   virtual bool movesWaiting() const { return false; }
 };
 
--- a/dispatch/slot_borrow_policy.cpp
+++ b/dispatch/slot_borrow_policy.cpp
@@ -6,16 +6,16 @@
 
 /// Tasks that may wait at an agent beyond its slots, as far as is known, so
 /// that a slot that falls free there is taken without a message's delay.
-/// More of them start later than at the minion that falls free first.
+/// More of them start later than at the upstream that falls free first.
 constexpr std::uint32_t QueueAhead = 1;
 
 } // namespace
 
-std::optional<MinionIndex> SlotBorrowPolicy::choose(const MinionTable &Table,
-                                                    std::mt19937_64 &Random) {
-  if (std::optional<MinionIndex> Own = Table.byOwnFree().pickBest(Random))
+std::optional<UpstreamIndex>
+SlotBorrowPolicy::choose(const UpstreamTable &Table, std::mt19937_64 &Random) {
+  if (std::optional<UpstreamIndex> Own = Table.byOwnFree().pickBest(Random))
     return Own;
-  if (std::optional<MinionIndex> Free = Table.byTotalFree().pickBest(Random))
+  if (std::optional<UpstreamIndex> Free = Table.byTotalFree().pickBest(Random))
     return Free;
   return Table.shortestQueue(QueueAhead, Random);
 }
--- a/dispatch/slot_share_policy.cpp
+++ b/dispatch/slot_share_policy.cpp
@@ -2,8 +2,8 @@
 
 namespace yardwheel {
 
-std::optional<MinionIndex> SlotSharePolicy::choose(const MinionTable &Table,
-                                                   std::mt19937_64 &Random) {
+std::optional<UpstreamIndex> SlotSharePolicy::choose(const UpstreamTable &Table,
+                                                     std::mt19937_64 &Random) {
   return Table.byOwnFree().pickBest(Random);
 }
 
--- a/dispatch/slot_share_policy.h
+++ b/dispatch/slot_share_policy.h
@@ -14,8 +14,8 @@
 
 class SlotSharePolicy final : public RoutePolicy {
 public:
-  std::optional<MinionIndex> choose(const MinionTable &Table,
-                                    std::mt19937_64 &Random) override;
+  std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                      std::mt19937_64 &Random) override;
   bool queuesAtAgent() const override { return false; }
 };
 
--- a/dispatch/two_choices_policy.cpp
+++ b/dispatch/two_choices_policy.cpp
@@ -2,16 +2,16 @@
 
 namespace yardwheel {
 
-std::optional<MinionIndex> TwoChoicesPolicy::choose(const MinionTable &Table,
-                                                    std::mt19937_64 &Random) {
-  const std::vector<MinionIndex> &Eligible = Table.eligible();
+std::optional<UpstreamIndex>
+TwoChoicesPolicy::choose(const UpstreamTable &Table, std::mt19937_64 &Random) {
+  const std::vector<UpstreamIndex> &Eligible = Table.eligible();
   if (Eligible.empty())
     return std::nullopt;
-  MinionIndex First = Eligible[Random() % Eligible.size()];
-  MinionIndex Second = Eligible[Random() % Eligible.size()];
+  UpstreamIndex First = Eligible[Random() % Eligible.size()];
+  UpstreamIndex Second = Eligible[Random() % Eligible.size()];
   // Compares load per slot without a division.
-  const Minion &A = Table.at(First);
-  const Minion &B = Table.at(Second);
+  const Upstream &A = Table.at(First);
+  const Upstream &B = Table.at(Second);
   return A.load() * B.Slots <= B.load() * A.Slots ? First : Second;
 }
 
--- a/dispatch/two_choices_policy.h
+++ b/dispatch/two_choices_policy.h
@@ -1,7 +1,7 @@
 //===- dispatch/two_choices_policy.h --- *- C++ -*-===//
 ///
 /// \file
-/// The less loaded of two minions picked at random. Needs little knowledge,
+/// The less loaded of two upstreams picked at random. Needs little knowledge,
 /// but several entries that share it may pick the same one.
 ///
 //===----------------------------------------------------------------------===//
@@ -14,8 +14,8 @@
 
 class TwoChoicesPolicy final : public RoutePolicy {
 public:
-  std::optional<MinionIndex> choose(const MinionTable &Table,
-                                    std::mt19937_64 &Random) override;
+  std::optional<UpstreamIndex> choose(const UpstreamTable &Table,
+                                      std::mt19937_64 &Random) override;
   bool queuesAtAgent() const override { return true; }
 };
 
--- a/dispatch/minion_table.cpp
+++ b/dispatch/upstream_table.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/minion_table.h"
+#include "dispatch/upstream_table.h"
 
 #include "core/hash.h"
 
@@ -20,15 +20,16 @@
          Has.accelerators() >= Needs.accelerators();
 }
 
-MinionIndex MinionTable::update(const peer::Member &Member, bool &Replaced) {
+UpstreamIndex UpstreamTable::update(const peer::Member &Member,
+                                    bool &Replaced) {
   auto [Found, New] = this->ByName.try_emplace(
-      Member.name(), static_cast<MinionIndex>(this->Minions.size()));
-  MinionIndex Index = Found->second;
+      Member.name(), static_cast<UpstreamIndex>(this->Upstreams.size()));
+  UpstreamIndex Index = Found->second;
   if (New) {
-    this->Minions.emplace_back();
+    this->Upstreams.emplace_back();
     this->EligiblePlace.push_back(NoPlace);
   }
-  Minion &Target = this->Minions[Index];
+  Upstream &Target = this->Upstreams[Index];
   bool WasAlive = Target.Alive;
   bool NewLife = Target.Incarnation != Member.incarnation();
   Replaced = !New && NewLife;
@@ -36,7 +37,7 @@
     if (Target.Ejected)
       --this->EjectedCount;
     // What was known of the older life says nothing of this one.
-    Target = Minion();
+    Target = Upstream();
     Target.Incarnation = Member.incarnation();
     Target.Freshness = Member.freshness();
   }
@@ -52,28 +53,28 @@
   return Index;
 }
 
-void MinionTable::setShares(std::uint32_t NewPosition,
-                            std::uint32_t NewEntries) {
+void UpstreamTable::setShares(std::uint32_t NewPosition,
+                              std::uint32_t NewEntries) {
   this->Position = NewPosition;
   this->Entries = std::max(NewEntries, 1U);
-  for (MinionIndex I = 0; I < this->Minions.size(); ++I) {
-    this->assignShare(this->Minions[I]);
+  for (UpstreamIndex I = 0; I < this->Upstreams.size(); ++I) {
+    this->assignShare(this->Upstreams[I]);
     this->reindex(I);
   }
 }
 
-void MinionTable::assignShare(Minion &Target) const {
+void UpstreamTable::assignShare(Upstream &Target) const {
   std::uint32_t Base = Target.Slots / this->Entries;
   std::uint32_t Rest = Target.Slots % this->Entries;
-  // The odd slots go round by the minion's name, so that each entry gets
+  // The odd slots go round by the upstream's name, so that each entry gets
   // about as many over the whole pool.
   std::uint64_t Turn = (stableHash(Target.Name) + this->Position);
   Target.Share = Base + (Turn % this->Entries < Rest ? 1 : 0);
 }
 
-void MinionTable::hear(MinionIndex Index, const peer::AgentLoad &Load,
-                       TimePoint Now) {
-  Minion &Target = this->Minions[Index];
+void UpstreamTable::hear(UpstreamIndex Index, const peer::AgentLoad &Load,
+                         TimePoint Now) {
+  Upstream &Target = this->Upstreams[Index];
   if (Load.incarnation() != Target.Incarnation)
     return;
   if (Load.leaving())
@@ -89,20 +90,20 @@
   this->reindex(Index);
 }
 
-void MinionTable::onSent(MinionIndex Index) {
-  ++this->Minions[Index].Own;
+void UpstreamTable::onSent(UpstreamIndex Index) {
+  ++this->Upstreams[Index].Own;
   this->reindex(Index);
 }
 
-void MinionTable::onSettled(MinionIndex Index) {
-  Minion &Target = this->Minions[Index];
+void UpstreamTable::onSettled(UpstreamIndex Index) {
+  Upstream &Target = this->Upstreams[Index];
   if (Target.Own > 0)
     --Target.Own;
   this->reindex(Index);
 }
 
-void MinionTable::onSuccess(MinionIndex Index) {
-  Minion &Target = this->Minions[Index];
+void UpstreamTable::onSuccess(UpstreamIndex Index) {
+  Upstream &Target = this->Upstreams[Index];
   Target.FailuresInRow = 0;
   Target.OnProbation = false;
   if (!Target.Ejected)
@@ -110,9 +111,9 @@
   this->reindex(Index);
 }
 
-void MinionTable::onFailure(MinionIndex Index, std::uint32_t Threshold,
-                            TimePoint Now) {
-  Minion &Target = this->Minions[Index];
+void UpstreamTable::onFailure(UpstreamIndex Index, std::uint32_t Threshold,
+                              TimePoint Now) {
+  Upstream &Target = this->Upstreams[Index];
   ++Target.FailuresInRow;
   bool TooMany = Target.FailuresInRow >= Threshold || Target.OnProbation;
   if (TooMany && !Target.Ejected && this->mayEjectOneMore()) {
@@ -125,23 +126,23 @@
   this->reindex(Index);
 }
 
-bool MinionTable::mayEjectOneMore() const {
-  auto Alive = std::count_if(this->Minions.begin(), this->Minions.end(),
-                             [](const Minion &M) { return M.Alive; });
+bool UpstreamTable::mayEjectOneMore() const {
+  auto Alive = std::count_if(this->Upstreams.begin(), this->Upstreams.end(),
+                             [](const Upstream &M) { return M.Alive; });
   return (this->EjectedCount + 1) * WholePercent <=
          static_cast<std::uint32_t>(Alive) * this->Rules.MaxShare;
 }
 
-void MinionTable::setSilent(MinionIndex Index, bool Silent) {
-  this->Minions[Index].Silent = Silent;
+void UpstreamTable::setSilent(UpstreamIndex Index, bool Silent) {
+  this->Upstreams[Index].Silent = Silent;
   this->reindex(Index);
 }
 
-void MinionTable::tick(TimePoint Now) {
+void UpstreamTable::tick(TimePoint Now) {
   if (this->EjectedCount == 0)
     return;
-  for (MinionIndex I = 0; I < this->Minions.size(); ++I) {
-    Minion &Target = this->Minions[I];
+  for (UpstreamIndex I = 0; I < this->Upstreams.size(); ++I) {
+    Upstream &Target = this->Upstreams[I];
     if (!Target.Ejected || Now < Target.EjectedUntil)
       continue;
     Target.Ejected = false;
@@ -151,44 +152,47 @@
   }
 }
 
-std::optional<MinionIndex> MinionTable::find(const std::string &Name) const {
+std::optional<UpstreamIndex>
+UpstreamTable::find(const std::string &Name) const {
   auto Found = this->ByName.find(Name);
   if (Found == this->ByName.end())
     return std::nullopt;
   return Found->second;
 }
 
-std::uint32_t MinionTable::aliveSlots() const {
+std::uint32_t UpstreamTable::aliveSlots() const {
   std::uint32_t Total = 0;
-  for (const Minion &M : this->Minions)
+  for (const Upstream &M : this->Upstreams)
     Total += M.Alive ? M.Slots : 0;
   return Total;
 }
 
-bool MinionTable::fitsSomewhere(const peer::Resources &Needs) const {
-  return std::any_of(this->Minions.begin(), this->Minions.end(),
-                     [&](const Minion &M) { return fits(M.Resources, Needs); });
+bool UpstreamTable::fitsSomewhere(const peer::Resources &Needs) const {
+  return std::any_of(
+      this->Upstreams.begin(), this->Upstreams.end(),
+      [&](const Upstream &M) { return fits(M.Resources, Needs); });
 }
 
-std::optional<MinionIndex>
-MinionTable::shortestQueue(std::uint32_t Ahead, std::mt19937_64 &Random) const {
-  std::optional<MinionIndex> Shortest = this->ByQueueRoom.pickBest(Random);
+std::optional<UpstreamIndex>
+UpstreamTable::shortestQueue(std::uint32_t Ahead,
+                             std::mt19937_64 &Random) const {
+  std::optional<UpstreamIndex> Shortest = this->ByQueueRoom.pickBest(Random);
   if (!Shortest)
     return std::nullopt;
-  const Minion &Target = this->at(*Shortest);
+  const Upstream &Target = this->at(*Shortest);
   if (Target.load() >= Target.Slots + Ahead)
     return std::nullopt;
   return Shortest;
 }
 
-bool MinionTable::mayGetWork(const Minion &Target) const {
+bool UpstreamTable::mayGetWork(const Upstream &Target) const {
   if (!Target.Alive || Target.Silent || Target.Ejected)
     return false;
   return !Target.OnProbation || Target.Own == 0;
 }
 
-void MinionTable::reindex(MinionIndex Index) {
-  const Minion &Target = this->Minions[Index];
+void UpstreamTable::reindex(UpstreamIndex Index) {
+  const Upstream &Target = this->Upstreams[Index];
   bool May = this->mayGetWork(Target);
   this->setEligible(Index, May);
   if (!May) {
@@ -205,7 +209,7 @@
   this->ByQueueRoom.put(Index, QueueRoomRange + Slots - Load);
 }
 
-void MinionTable::setEligible(MinionIndex Index, bool May) {
+void UpstreamTable::setEligible(UpstreamIndex Index, bool May) {
   std::size_t &Place = this->EligiblePlace[Index];
   if (May == (Place != NoPlace))
     return;
@@ -214,7 +218,7 @@
     this->Eligible.push_back(Index);
     return;
   }
-  MinionIndex Last = this->Eligible.back();
+  UpstreamIndex Last = this->Eligible.back();
   this->Eligible[Place] = Last;
   this->EligiblePlace[Last] = Place;
   this->Eligible.pop_back();
--- a/dispatch/minion_table.h
+++ b/dispatch/upstream_table.h
@@ -1,14 +1,15 @@
-//===- dispatch/minion_table.h - An entry's view of its minions -*- C++ -*-===//
+//===- dispatch/upstream_table.h - An entry's view of its upstreams -*- C++
+//-*-===//
 ///
 /// \file
-/// What one entry knows of the minions of one pool: who may get work, how
+/// What one entry knows of the upstreams of one pool: who may get work, how
 /// many tasks each has of ours, what it last said of others' tasks, and how
 /// it has fared lately. Knowledge of others' tasks is as old as the last
 /// message, and no decision relies on it being fresh.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_DISPATCH_MINION_TABLE_H
-#define YARDWHEEL_DISPATCH_MINION_TABLE_H
+#ifndef YARDWHEEL_DISPATCH_UPSTREAM_TABLE_H
+#define YARDWHEEL_DISPATCH_UPSTREAM_TABLE_H
 
 #include "core/clock.h"
 #include "core/peer_sink.h"
@@ -21,15 +22,15 @@
 
 namespace yardwheel {
 
-/// How a minion that fails its tasks is taken out and tried again.
+/// How an upstream that fails its tasks is taken out and tried again.
 struct EjectionRules {
   std::chrono::milliseconds FirstBackoff{1000};
   std::chrono::milliseconds MaxBackoff{30000};
-  /// No more than this share of the minions is out at once, in percent.
+  /// No more than this share of the upstreams is out at once, in percent.
   std::uint32_t MaxShare = 50;
 };
 
-struct Minion {
+struct Upstream {
   std::string Name;
   PeerRef Agent;
   std::uint64_t Incarnation = 0;
@@ -61,61 +62,63 @@
 /// Whether a worker, when empty, has what a task needs.
 bool fits(const peer::Resources &Has, const peer::Resources &Needs);
 
-class MinionTable {
+class UpstreamTable {
 public:
-  explicit MinionTable(EjectionRules Rules = {}) : Rules(Rules) {}
+  explicit UpstreamTable(EjectionRules Rules = {}) : Rules(Rules) {}
 
   /// Takes a member's announcement. \returns its place, and sets
   /// \p Replaced if an older life of it has ended.
-  MinionIndex update(const peer::Member &Member, bool &Replaced);
+  UpstreamIndex update(const peer::Member &Member, bool &Replaced);
 
   /// Divides the slots between \p Entries entries, of which this is number
   /// \p Position from 0.
   void setShares(std::uint32_t Position, std::uint32_t Entries);
 
   /// Takes what an agent says of its load. Words of another life are dropped.
-  void hear(MinionIndex Index, const peer::AgentLoad &Load, TimePoint Now);
+  void hear(UpstreamIndex Index, const peer::AgentLoad &Load, TimePoint Now);
 
-  void onSent(MinionIndex Index);
+  void onSent(UpstreamIndex Index);
   /// A task ended or was proved not to have started.
-  void onSettled(MinionIndex Index);
-  void onSuccess(MinionIndex Index);
-  void onFailure(MinionIndex Index, std::uint32_t Threshold, TimePoint Now);
-  void setSilent(MinionIndex Index, bool Silent);
+  void onSettled(UpstreamIndex Index);
+  void onSuccess(UpstreamIndex Index);
+  void onFailure(UpstreamIndex Index, std::uint32_t Threshold, TimePoint Now);
+  void setSilent(UpstreamIndex Index, bool Silent);
 
-  /// Lets ejected minions back whose time is up.
+  /// Lets ejected upstreams back whose time is up.
   void tick(TimePoint Now);
 
-  std::size_t size() const { return this->Minions.size(); }
-  const Minion &at(MinionIndex Index) const { return this->Minions[Index]; }
-  std::optional<MinionIndex> find(const std::string &Name) const;
+  std::size_t size() const { return this->Upstreams.size(); }
+  const Upstream &at(UpstreamIndex Index) const {
+    return this->Upstreams[Index];
+  }
+  std::optional<UpstreamIndex> find(const std::string &Name) const;
   std::uint32_t aliveSlots() const;
-  /// Whether any minion, even when busy or out, could ever hold the task.
+  /// Whether any upstream, even when busy or out, could ever hold the task.
   bool fitsSomewhere(const peer::Resources &Needs) const;
 
-  /// The minions that may get work now, in no particular order.
-  const std::vector<MinionIndex> &eligible() const { return this->Eligible; }
-  /// Eligible minions by their free slots of this entry's share.
+  /// The upstreams that may get work now, in no particular order.
+  const std::vector<UpstreamIndex> &eligible() const { return this->Eligible; }
+  /// Eligible upstreams by their free slots of this entry's share.
   const BucketIndex &byOwnFree() const { return this->ByOwnFree; }
-  /// Eligible minions by the slots believed free of anybody's tasks.
+  /// Eligible upstreams by the slots believed free of anybody's tasks.
   const BucketIndex &byTotalFree() const { return this->ByTotalFree; }
-  /// The eligible minion with the shortest queue, if fewer than \p Ahead tasks
-  /// are believed to wait there beyond its slots.
-  std::optional<MinionIndex> shortestQueue(std::uint32_t Ahead,
-                                           std::mt19937_64 &Random) const;
+  /// The eligible upstream with the shortest queue, if fewer than \p Ahead
+  /// tasks are believed to wait there beyond its slots.
+  std::optional<UpstreamIndex> shortestQueue(std::uint32_t Ahead,
+                                             std::mt19937_64 &Random) const;
 
 private:
-  bool mayGetWork(const Minion &Target) const;
-  void reindex(MinionIndex Index);
-  void setEligible(MinionIndex Index, bool May);
+  bool mayGetWork(const Upstream &Target) const;
+  void reindex(UpstreamIndex Index);
+  void setEligible(UpstreamIndex Index, bool May);
   bool mayEjectOneMore() const;
-  void assignShare(Minion &Target) const;
+  void assignShare(Upstream &Target) const;
 
   EjectionRules Rules;
-  std::vector<Minion> Minions;
-  std::unordered_map<std::string, MinionIndex> ByName;
-  std::vector<MinionIndex> Eligible;
-  /// Place in Eligible, or absent, of each minion.
+  std::vector<Upstream> Upstreams;
+  std::unordered_map<std::string, UpstreamIndex> ByName;
+  std::vector<UpstreamIndex> Eligible;
+  /// Place in Eligible, or absent, of each upstream.
   std::vector<std::size_t> EligiblePlace;
   BucketIndex ByOwnFree;
   BucketIndex ByTotalFree;
--- a/emulator/fake_minion.cpp
+++ b/emulator/fake_upstream.cpp
@@ -1,4 +1,4 @@
-#include "emulator/fake_minion.h"
+#include "emulator/fake_upstream.h"
 
 #include "core/error.h"
 
@@ -15,17 +15,17 @@
 
 } // namespace
 
-FakeMinion::FakeMinion(FakeMinionOptions Options)
+FakeUpstream::FakeUpstream(FakeUpstreamOptions Options)
     : Options(std::move(Options)), Random(this->Options.Seed) {
   if (!this->Options.StartLog.empty()) {
     this->StartLog = std::fopen(this->Options.StartLog.c_str(), "a");
     if (this->StartLog == nullptr)
-      throw Error("fake minion", this->Options.StartLog, "cannot be opened");
+      throw Error("fake upstream", this->Options.StartLog, "cannot be opened");
   }
   this->Thread = std::thread([this] { this->run(); });
 }
 
-FakeMinion::~FakeMinion() {
+FakeUpstream::~FakeUpstream() {
   {
     std::lock_guard Lock(this->Mutex);
     this->Stopping = true;
@@ -36,7 +36,7 @@
     std::fclose(this->StartLog);
 }
 
-FakeMinion::Plan FakeMinion::planFor(const std::string &Payload) {
+FakeUpstream::Plan FakeUpstream::planFor(const std::string &Payload) {
   Plan Result;
   std::uniform_int_distribution<std::int64_t> Spread(
       this->Options.ShortestService.count(),
@@ -62,8 +62,8 @@
   return Result;
 }
 
-void FakeMinion::handle(const HttpRequest &Request,
-                        std::shared_ptr<HttpReply> Reply) {
+void FakeUpstream::handle(const HttpRequest &Request,
+                          std::shared_ptr<HttpReply> Reply) {
   std::lock_guard Lock(this->Mutex);
   if (this->StartLog != nullptr) {
     std::fprintf(this->StartLog, "%s %s %s\n", Request.Job.c_str(),
@@ -82,7 +82,7 @@
   this->Wake.notify_one();
 }
 
-void FakeMinion::run() {
+void FakeUpstream::run() {
   std::unique_lock Lock(this->Mutex);
   while (!this->Stopping) {
     if (this->Due.empty()) {
--- a/emulator/fake_minion.h
+++ b/emulator/fake_upstream.h
@@ -1,4 +1,5 @@
-//===- emulator/fake_minion.h - A stand-in for a back end -------*- C++ -*-===//
+//===- emulator/fake_upstream.h - A stand-in for a back end -------*- C++
+//-*-===//
 ///
 /// \file
 /// An HTTP server with set service times, stragglers and failures. It writes
@@ -9,8 +10,8 @@
 /// separated by spaces; the rest of the payload is the answer.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_EMULATOR_FAKE_MINION_H
-#define YARDWHEEL_EMULATOR_FAKE_MINION_H
+#ifndef YARDWHEEL_EMULATOR_FAKE_UPSTREAM_H
+#define YARDWHEEL_EMULATOR_FAKE_UPSTREAM_H
 
 #include "http/http_server.h"
 
@@ -26,7 +27,7 @@
 
 namespace yardwheel {
 
-struct FakeMinionOptions {
+struct FakeUpstreamOptions {
   std::string Name;
   std::string Listen;
   /// Tasks take a time between these, unless their payload says otherwise.
@@ -40,10 +41,10 @@
   std::uint64_t Seed = 1;
 };
 
-class FakeMinion final : public HttpHandler {
+class FakeUpstream final : public HttpHandler {
 public:
-  explicit FakeMinion(FakeMinionOptions Options);
-  ~FakeMinion() override;
+  explicit FakeUpstream(FakeUpstreamOptions Options);
+  ~FakeUpstream() override;
 
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpReply> Reply) override;
@@ -62,7 +63,7 @@
   Plan planFor(const std::string &Payload);
   void run();
 
-  FakeMinionOptions Options;
+  FakeUpstreamOptions Options;
   std::FILE *StartLog = nullptr;
   std::mutex Mutex;
   std::condition_variable Wake;
--- a/emulator/fake_minion_main.cpp
+++ b/emulator/fake_upstream_main.cpp
@@ -1,12 +1,13 @@
-//===- emulator/fake_minion_main.cpp - The fake minion as a process -------===//
+//===- emulator/fake_upstream_main.cpp - The fake upstream as a process
+//-------===//
 
 #include "core/logger.h"
-#include "emulator/fake_minion.h"
+#include "emulator/fake_upstream.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
 
-DEFINE_string(name, "minion", "The name written beside each start.");
+DEFINE_string(name, "upstream", "The name written beside each start.");
 DEFINE_string(listen, "127.0.0.1:7100", "IP number and port.");
 DEFINE_int32(shortest_ms, 50, "Shortest service time.");
 DEFINE_int32(longest_ms, 50, "Longest service time.");
@@ -18,16 +19,16 @@
 
 int main(int Count, char **Arguments) {
   using namespace yardwheel;
-  gflags::SetUsageMessage("A stand-in for a minion.");
+  gflags::SetUsageMessage("A stand-in for an upstream.");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  Logger Log("fake minion");
+  Logger Log("fake upstream");
   try {
-    FakeMinionOptions Options;
+    FakeUpstreamOptions Options;
     Options.Name = FLAGS_name;
     Options.Listen = FLAGS_listen;
     Options.ShortestService = std::chrono::milliseconds(FLAGS_shortest_ms);
@@ -43,7 +44,7 @@
     constexpr std::chrono::minutes Patience{60};
     HttpServer Server(
         {.Listen = FLAGS_listen, .Threads = 1, .HeaderTimeout = Patience},
-        std::make_shared<FakeMinion>(Options));
+        std::make_shared<FakeUpstream>(Options));
     Log.info("{} listens at {}.", FLAGS_name, FLAGS_listen);
     int Signal = 0;
     sigwait(&Signals, &Signal);
--- a/emulator/virtual_cluster.h
+++ b/emulator/virtual_cluster.h
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// Entries, agents and, where wanted, control replicas in one virtual world,
-/// with a count of the starts that the minions have seen. Checks after every
+/// with a count of the starts that the upstreams have seen. Checks after every
 /// event what must always hold.
 ///
 //===----------------------------------------------------------------------===//
@@ -23,7 +23,7 @@
 
 namespace yardwheel {
 
-/// How a minion treats one task.
+/// How an upstream treats one task.
 struct TaskBehaviour {
   Duration Service = std::chrono::milliseconds(100);
   bool Fails = false;
@@ -37,7 +37,7 @@
   std::size_t Controls = 0;
   std::uint32_t Slots = 4;
   std::string Policy = "slot_borrow";
-  /// A minion's answer is its task's payload up to the first space.
+  /// An upstream's answer is its task's payload up to the first space.
   std::function<TaskBehaviour(const std::string &Agent,
                               const std::string &Payload)>
       Behaviour;
@@ -104,7 +104,7 @@
   std::uint32_t doubleStarts() const;
   /// What else was seen to be wrong; empty if nothing was.
   const std::string &violation() const { return this->Violation; }
-  /// When the newest task was started at an agent's minion.
+  /// When the newest task was started at an agent's upstream.
   TimePoint lastStartAt(const std::string &Agent) const;
 
   ControlService *control(const std::string &Name);
--- a/emulator/virtual_nodes.h
+++ b/emulator/virtual_nodes.h
@@ -107,7 +107,7 @@
   std::optional<Announcer> Announce;
 };
 
-// ---- An agent and its minion ----
+// ---- An agent and its upstream ----
 
 class VirtualCluster::AgentNode final : public TaskRunner,
                                         public AnnouncerEvents {
@@ -144,7 +144,7 @@
   void start(const TaskKey &Task, const std::string &,
              const std::string &Payload) override {
     this->Cluster.noteStart(this->Name, Task);
-    // The minion goes on when its agent dies; its answer then goes nowhere.
+    // The upstream goes on when its agent dies; its answer then goes nowhere.
     VirtualCluster *Owner = &this->Cluster;
     TaskBehaviour Plan;
     if (Owner->Options.Behaviour)
@@ -163,7 +163,7 @@
     this->Core.onTaskEnded(Task, End, this->Cluster.World.now());
   }
 
-  /// A frozen agent reads the minion's answer when it wakes.
+  /// A frozen agent reads the upstream's answer when it wakes.
   void finishLater(const TaskKey &Task, const std::string &Payload,
                    const TaskBehaviour &Plan) {
     VirtualCluster *Owner = &this->Cluster;
--- a/entry/job.h
+++ b/entry/job.h
@@ -10,7 +10,7 @@
 #include "core/clock.h"
 #include "core/peer_sink.h"
 #include "dispatch/fair_queue.h"
-#include "dispatch/minion_table.h"
+#include "dispatch/upstream_table.h"
 #include "protocol/peer.pb.h"
 
 #include <cstdint>
@@ -56,7 +56,7 @@
 
 struct TaskState {
   TaskPhase Phase = TaskPhase::Waiting;
-  MinionIndex Minion = 0;
+  UpstreamIndex Upstream = 0;
   std::uint64_t Incarnation = 0;
   std::uint64_t Freshness = 0;
   std::uint32_t Attempt = 0;
--- a/entry/job_runner.cpp
+++ b/entry/job_runner.cpp
@@ -19,7 +19,7 @@
 /// Jobs go by their arrival, put off by their size.
 JobRank rankOf(const Job &Target, const Pool &Place, TimePoint Now) {
   auto Tasks = static_cast<std::int64_t>(Target.Request.Tasks.size());
-  std::int64_t Slots = std::max(Place.Minions.aliveSlots(), 1U);
+  std::int64_t Slots = std::max(Place.Upstreams.aliveSlots(), 1U);
   std::int64_t Spread = Place.typicalService().count() * Tasks / Slots;
   return Now.time_since_epoch().count() + Patience * Spread;
 }
@@ -31,7 +31,7 @@
 
 /// How long until what waits now will have been taken in.
 std::chrono::milliseconds expectedWait(const Pool &Target) {
-  std::uint32_t Slots = std::max(Target.Minions.aliveSlots(), 1U);
+  std::uint32_t Slots = std::max(Target.Upstreams.aliveSlots(), 1U);
   auto Wait = Target.typicalService() *
               static_cast<std::int64_t>(Target.Queue.waiting()) / Slots;
   return std::max(std::chrono::ceil<std::chrono::milliseconds>(Wait),
@@ -56,15 +56,15 @@
                                  Target.Limits.queue_limit());
     return Refusal;
   }
-  if (Found == this->Pools.end() || Found->second.Minions.size() == 0) {
+  if (Found == this->Pools.end() || Found->second.Upstreams.size() == 0) {
     Refusal.Kind = peer::FAILURE_UNAVAILABLE;
-    Refusal.Reason = "no minion has joined the pool";
+    Refusal.Reason = "no upstream has joined the pool";
     Refusal.RetryAfter = std::chrono::seconds(1);
     return Refusal;
   }
   Pool &Place = Found->second;
   for (std::size_t I = 0; I < Count; ++I) {
-    if (Place.Minions.fitsSomewhere(Target.Request.Tasks[I].Needs))
+    if (Place.Upstreams.fitsSomewhere(Target.Request.Tasks[I].Needs))
       continue;
     Refusal.Kind = peer::FAILURE_NEVER_FITS;
     Refusal.Reason = "no worker of the pool is large enough, even when empty";
@@ -99,24 +99,24 @@
 void JobRunner::stop(Job &Target, TimePoint Now) {
   Pool &Place = this->Pools[Target.PoolName];
   Place.Queue.removeJob(Target.Request.Workspace, Target.Rank, Target.Number);
-  std::map<MinionIndex, std::vector<std::uint32_t>> Out;
+  std::map<UpstreamIndex, std::vector<std::uint32_t>> Out;
   for (std::uint32_t I = 0; I < Target.States.size(); ++I) {
     const TaskState &Task = Target.States[I];
     if (Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started)
-      Out[Task.Minion].push_back(I);
+      Out[Task.Upstream].push_back(I);
   }
-  for (const auto &[Minion, Tasks] : Out)
-    this->sendWithdraw(Target, Minion, Tasks, /*Probe=*/false);
+  for (const auto &[Upstream, Tasks] : Out)
+    this->sendWithdraw(Target, Upstream, Tasks, /*Probe=*/false);
 }
 
 void JobRunner::onMember(const peer::Member &Member, TimePoint Now) {
   Pool &Target = this->Pools[Member.pool()];
   this->PoolOfAgent[Member.name()] = Member.pool();
   bool Replaced = false;
-  bool New = !Target.Minions.find(Member.name());
-  MinionIndex Index = Target.Minions.update(Member, Replaced);
+  bool New = !Target.Upstreams.find(Member.name());
+  UpstreamIndex Index = Target.Upstreams.update(Member, Replaced);
   if (New)
-    Target.Minions.setShares(this->Position, this->Entries);
+    Target.Upstreams.setShares(this->Position, this->Entries);
   if (Replaced)
     this->loseTasks(Target, Index, "the agent was lost", Now);
   this->schedule(Target, Now);
@@ -126,7 +126,7 @@
   this->Position = NewPosition;
   this->Entries = NewEntries;
   for (auto &[Name, Target] : this->Pools)
-    Target.Minions.setShares(NewPosition, NewEntries);
+    Target.Upstreams.setShares(NewPosition, NewEntries);
 }
 
 Pool *JobRunner::poolOf(const std::string &Agent) {
@@ -171,59 +171,60 @@
     Target.Queue.removeJob(Next->Workspace, Next->Rank, Next->Job);
     return true;
   }
-  std::optional<MinionIndex> Minion = this->route(Target, *Owner, Next->Index);
-  if (!Minion)
+  std::optional<UpstreamIndex> Upstream =
+      this->route(Target, *Owner, Next->Index);
+  if (!Upstream)
     return false;
   Target.Queue.pop();
-  this->addToBatch(Target, *Owner, Next->Index, *Minion, Batch);
+  this->addToBatch(Target, *Owner, Next->Index, *Upstream, Batch);
   std::uint32_t Attempt = Owner->States[Next->Index].Attempt;
   this->Probes.emplace(Now + this->Options.ProbeAfter,
                        DueProbe{{Owner->Number, Next->Index}, Attempt});
   return true;
 }
 
-std::optional<MinionIndex> JobRunner::route(Pool &Target, const Job &Owner,
-                                            std::uint32_t Index) {
+std::optional<UpstreamIndex> JobRunner::route(Pool &Target, const Job &Owner,
+                                              std::uint32_t Index) {
   RoutePolicy &Policy = Target.policy(Owner.Policy);
-  std::optional<MinionIndex> Chosen =
-      Policy.choose(Target.Minions, this->Random);
+  std::optional<UpstreamIndex> Chosen =
+      Policy.choose(Target.Upstreams, this->Random);
   const peer::Resources &Needs = Owner.Request.Tasks[Index].Needs;
   if (!Chosen || !needsAnything(Needs) ||
-      fits(Target.Minions.at(*Chosen).Resources, Needs))
+      fits(Target.Upstreams.at(*Chosen).Resources, Needs))
     return Chosen;
   // The policy's choice is too small: take the least loaded that is not.
-  std::optional<MinionIndex> Best;
-  for (MinionIndex I : Target.Minions.eligible()) {
-    const Minion &Candidate = Target.Minions.at(I);
+  std::optional<UpstreamIndex> Best;
+  for (UpstreamIndex I : Target.Upstreams.eligible()) {
+    const Upstream &Candidate = Target.Upstreams.at(I);
     bool Free = Candidate.load() < Candidate.Slots;
     if (!Free || !fits(Candidate.Resources, Needs))
       continue;
-    if (!Best || Candidate.load() < Target.Minions.at(*Best).load())
+    if (!Best || Candidate.load() < Target.Upstreams.at(*Best).load())
       Best = I;
   }
   return Best;
 }
 
 void JobRunner::addToBatch(Pool &Target, Job &Owner, std::uint32_t Index,
-                           MinionIndex Minion,
+                           UpstreamIndex Upstream,
                            std::map<DispatchKey, peer::Dispatch> &Batch) {
-  const yardwheel::Minion &Chosen = Target.Minions.at(Minion);
+  const yardwheel::Upstream &Chosen = Target.Upstreams.at(Upstream);
   TaskState &Task = Owner.States[Index];
   if (Task.Attempt == 0)
     Target.budget(Owner.Request.Workspace)
         .onFirstSend(Owner.Limits.retry_budget_percent());
   Task.Phase = TaskPhase::Sent;
-  Task.Minion = Minion;
+  Task.Upstream = Upstream;
   Task.Incarnation = Chosen.Incarnation;
   Task.Freshness = Chosen.Freshness;
   Task.UnansweredProbes = 0;
   Task.AskedBack = false;
   ++Task.Attempt;
   ++Owner.OutCount;
-  Target.Minions.onSent(Minion);
-  Target.addTask(Minion, {Owner.Number, Index});
+  Target.Upstreams.onSent(Upstream);
+  Target.addTask(Upstream, {Owner.Number, Index});
 
-  peer::Dispatch &Message = Batch[{Owner.Number, Minion}];
+  peer::Dispatch &Message = Batch[{Owner.Number, Upstream}];
   if (Message.tasks_size() == 0) {
     Message.set_job_key(Owner.Request.key());
     Message.set_workspace(Owner.Request.Workspace);
@@ -243,33 +244,34 @@
   for (auto &[Key, Dispatch] : Batch) {
     peer::Message Message;
     *Message.mutable_dispatch() = std::move(Dispatch);
-    this->Sink.send(Target.Minions.at(Key.Minion).Agent, std::move(Message));
+    this->Sink.send(Target.Upstreams.at(Key.Upstream).Agent,
+                    std::move(Message));
   }
 }
 
 void JobRunner::moveWaiting(Pool &Target) {
-  std::optional<MinionIndex> Free =
-      Target.Minions.byTotalFree().pickBest(this->Random);
-  if (!Free || Target.Minions.eligible().empty())
+  std::optional<UpstreamIndex> Free =
+      Target.Upstreams.byTotalFree().pickBest(this->Random);
+  if (!Free || Target.Upstreams.eligible().empty())
     return;
-  // A sample keeps the cost independent of the number of minions.
+  // A sample keeps the cost independent of the number of upstreams.
   constexpr int Sample = 8;
-  const std::vector<MinionIndex> &Eligible = Target.Minions.eligible();
-  std::optional<MinionIndex> Longest;
+  const std::vector<UpstreamIndex> &Eligible = Target.Upstreams.eligible();
+  std::optional<UpstreamIndex> Longest;
   for (int I = 0; I < Sample; ++I) {
-    MinionIndex Index = Eligible[this->Random() % Eligible.size()];
-    const Minion &Candidate = Target.Minions.at(Index);
+    UpstreamIndex Index = Eligible[this->Random() % Eligible.size()];
+    const Upstream &Candidate = Target.Upstreams.at(Index);
     if (Candidate.Own == 0 || Candidate.load() <= Candidate.Slots)
       continue;
-    if (!Longest || Candidate.load() > Target.Minions.at(*Longest).load())
+    if (!Longest || Candidate.load() > Target.Upstreams.at(*Longest).load())
       Longest = Index;
   }
   if (Longest)
     this->takeBackLast(Target, *Longest);
 }
 
-void JobRunner::takeBackLast(Pool &Target, MinionIndex Minion) {
-  const std::vector<TaskRef> &Tasks = Target.tasksAt(Minion);
+void JobRunner::takeBackLast(Pool &Target, UpstreamIndex Upstream) {
+  const std::vector<TaskRef> &Tasks = Target.tasksAt(Upstream);
   if (Tasks.empty())
     return;
   TaskRef Last = Tasks.back();
@@ -283,7 +285,7 @@
   if (Task.Phase != TaskPhase::Sent || Task.AskedBack)
     return;
   Task.AskedBack = true;
-  this->sendWithdraw(*Owner, Minion, {Last.Index}, /*Probe=*/false);
+  this->sendWithdraw(*Owner, Upstream, {Last.Index}, /*Probe=*/false);
 }
 
 // ---- Collect ----
@@ -293,20 +295,20 @@
   Pool *Target = this->poolOf(Agent);
   if (Target == nullptr)
     return;
-  std::optional<MinionIndex> Index = Target->Minions.find(Agent);
+  std::optional<UpstreamIndex> Index = Target->Upstreams.find(Agent);
   if (!Index)
     return;
-  Target->Minions.hear(*Index, Load, Now);
+  Target->Upstreams.hear(*Index, Load, Now);
   this->schedule(*Target, Now);
 }
 
 void JobRunner::onUpdate(const std::string &Agent,
                          const peer::TaskUpdate &Update, TimePoint Now) {
   Pool *Place = this->poolOf(Agent);
-  std::optional<MinionIndex> Minion;
+  std::optional<UpstreamIndex> Upstream;
   if (Place != nullptr)
-    Minion = Place->Minions.find(Agent);
-  if (!Minion)
+    Upstream = Place->Upstreams.find(Agent);
+  if (!Upstream)
     return;
   Job *Owner = this->findByKey(Update.job_key());
   if (Owner != nullptr && Update.index() < Owner->States.size()) {
@@ -315,7 +317,7 @@
         Task.Phase == TaskPhase::Sent || Task.Phase == TaskPhase::Started;
     // Words of an older send, of another life or of another agent are late.
     bool SameSend =
-        Out && Task.Minion == *Minion && Task.Attempt == Update.attempt();
+        Out && Task.Upstream == *Upstream && Task.Attempt == Update.attempt();
     std::uint64_t Life = Update.load().incarnation();
     // A later life can only say that it knows nothing of the task.
     bool LifeOver =
@@ -323,7 +325,7 @@
     if (SameSend && (Life == Task.Incarnation || LifeOver))
       this->apply(*Owner, Update, Now);
   }
-  Place->Minions.hear(*Minion, Update.load(), Now);
+  Place->Upstreams.hear(*Upstream, Update.load(), Now);
   this->schedule(*Place, Now);
 }
 
@@ -355,8 +357,8 @@
 void JobRunner::settle(Job &Owner, std::uint32_t Index) {
   Pool &Place = this->Pools[Owner.PoolName];
   TaskState &Task = Owner.States[Index];
-  Place.Minions.onSettled(Task.Minion);
-  Place.removeTask(Task.Minion, {Owner.Number, Index});
+  Place.Upstreams.onSettled(Task.Upstream);
+  Place.removeTask(Task.Upstream, {Owner.Number, Index});
   Place.Queue.onSettled(Owner.Request.Workspace);
   --Owner.OutCount;
 }
@@ -365,8 +367,9 @@
                              const peer::TaskUpdate &Update, TimePoint Now) {
   TaskState &Task = Owner.States[Index];
   Pool &Place = this->Pools[Owner.PoolName];
-  if (Update.reason() == MinionUnreachable)
-    Place.Minions.onFailure(Task.Minion, Owner.Limits.eject_failures(), Now);
+  if (Update.reason() == UpstreamUnreachable)
+    Place.Upstreams.onFailure(Task.Upstream, Owner.Limits.eject_failures(),
+                              Now);
   this->settle(Owner, Index);
   Task.Phase = TaskPhase::Waiting;
   // The task went out and came back: both messages were for nothing.
@@ -407,7 +410,7 @@
   Owner.AnythingRan = Owner.AnythingRan || Ran;
   if (Update.event() == peer::TASK_SUCCEEDED) {
     std::chrono::microseconds Service(Update.service_us());
-    Place.Minions.onSuccess(Task.Minion);
+    Place.Upstreams.onSuccess(Task.Upstream);
     Place.learnService(Service);
     Owner.LongestService = std::max(Owner.LongestService, Service);
     Owner.TotalService += Service;
@@ -422,11 +425,12 @@
     return;
   FailureSpec Failure;
   Failure.Step = "execute";
-  Failure.Peer = Place.Minions.at(Task.Minion).Name;
+  Failure.Peer = Place.Upstreams.at(Task.Upstream).Name;
   Failure.Task = static_cast<int>(Index);
   Failure.Reason = Update.reason();
   if (Ran) {
-    Place.Minions.onFailure(Task.Minion, Owner.Limits.eject_failures(), Now);
+    Place.Upstreams.onFailure(Task.Upstream, Owner.Limits.eject_failures(),
+                              Now);
     Failure.Kind = peer::FAILURE_TASK_FAILED;
   } else {
     Failure.Kind = peer::FAILURE_PEER_LOST;
--- a/entry/job_runner.h
+++ b/entry/job_runner.h
@@ -1,4 +1,5 @@
-//===- entry/job_runner.h - Tasks from an entry to its minions --*- C++ -*-===//
+//===- entry/job_runner.h - Tasks from an entry to its upstreams --*- C++
+//-*-===//
 ///
 /// \file
 /// The filters of the request's path between the claim and the answer: admit,
@@ -31,7 +32,7 @@
   std::chrono::milliseconds ProbeEvery{500};
   /// An agent that leaves this many probes unanswered gets nothing more.
   std::uint32_t MaxUnanswered = 3;
-  /// A minion that was silent for this long is asked for its load, so that
+  /// An upstream that was silent for this long is asked for its load, so that
   /// dispatches do not rest on news that its agent would refuse as old.
   std::chrono::milliseconds RefreshAfter{20000};
   EjectionRules Ejection;
@@ -81,24 +82,24 @@
 private:
   struct DispatchKey {
     JobNumber Job;
-    MinionIndex Minion;
+    UpstreamIndex Upstream;
     bool operator<(const DispatchKey &Other) const {
-      return std::tie(this->Job, this->Minion) <
-             std::tie(Other.Job, Other.Minion);
+      return std::tie(this->Job, this->Upstream) <
+             std::tie(Other.Job, Other.Upstream);
     }
   };
 
   void schedule(Pool &Target, TimePoint Now);
   bool sendNext(Pool &Target, TimePoint Now,
                 std::map<DispatchKey, peer::Dispatch> &Batch);
-  std::optional<MinionIndex> route(Pool &Target, const Job &Owner,
-                                   std::uint32_t Index);
+  std::optional<UpstreamIndex> route(Pool &Target, const Job &Owner,
+                                     std::uint32_t Index);
   void addToBatch(Pool &Target, Job &Owner, std::uint32_t Index,
-                  MinionIndex Minion,
+                  UpstreamIndex Upstream,
                   std::map<DispatchKey, peer::Dispatch> &Batch);
   void flush(Pool &Target, std::map<DispatchKey, peer::Dispatch> &Batch);
   void moveWaiting(Pool &Target);
-  void takeBackLast(Pool &Target, MinionIndex Minion);
+  void takeBackLast(Pool &Target, UpstreamIndex Upstream);
 
   void apply(Job &Owner, const peer::TaskUpdate &Update, TimePoint Now);
   void onNotStarted(Job &Owner, std::uint32_t Index,
@@ -108,14 +109,14 @@
   void settle(Job &Owner, std::uint32_t Index);
   void resend(Job &Owner, std::uint32_t Index, const std::string &Reason,
               TimePoint Now);
-  void loseTasks(Pool &Target, MinionIndex Minion, const std::string &Reason,
-                 TimePoint Now);
+  void loseTasks(Pool &Target, UpstreamIndex Upstream,
+                 const std::string &Reason, TimePoint Now);
   void askWhenDeaf(Pool &Target, TimePoint Now);
-  void askForLoad(const Minion &Asked);
+  void askForLoad(const Upstream &Asked);
   void refreshIdle(Pool &Target, TimePoint Now);
   void probeDue(TimePoint Now);
   void probe(Job &Owner, std::uint32_t Index, TimePoint Now);
-  void sendWithdraw(Job &Owner, MinionIndex Minion,
+  void sendWithdraw(Job &Owner, UpstreamIndex Upstream,
                     const std::vector<std::uint32_t> &Tasks, bool Probe);
   void fail(Job &Owner, FailureSpec Failure, TimePoint Now);
   Job *find(JobNumber Number);
--- a/entry/job_runner_watch.cpp
+++ b/entry/job_runner_watch.cpp
@@ -11,13 +11,13 @@
 
 } // namespace
 
-void JobRunner::loseTasks(Pool &Target, MinionIndex Minion,
+void JobRunner::loseTasks(Pool &Target, UpstreamIndex Upstream,
                           const std::string &Reason, TimePoint Now) {
-  std::vector<TaskRef> Lost = Target.tasksAt(Minion);
+  std::vector<TaskRef> Lost = Target.tasksAt(Upstream);
   for (const TaskRef &Ref : Lost) {
     Job *Owner = this->find(Ref.Job);
     if (Owner == nullptr) {
-      Target.removeTask(Minion, Ref);
+      Target.removeTask(Upstream, Ref);
       continue;
     }
     this->settle(*Owner, Ref.Index);
@@ -33,7 +33,7 @@
     Failure.Kind = peer::FAILURE_PEER_LOST;
     Failure.Ran = peer::RAN_UNKNOWN;
     Failure.Step = "execute";
-    Failure.Peer = Target.Minions.at(Minion).Name;
+    Failure.Peer = Target.Upstreams.at(Upstream).Name;
     Failure.Reason = Reason;
     Failure.Task = static_cast<int>(Ref.Index);
     this->fail(*Owner, Failure, Now);
@@ -48,8 +48,8 @@
 }
 
 void JobRunner::refreshIdle(Pool &Target, TimePoint Now) {
-  for (MinionIndex Index : Target.Minions.eligible()) {
-    const Minion &Idle = Target.Minions.at(Index);
+  for (UpstreamIndex Index : Target.Upstreams.eligible()) {
+    const Upstream &Idle = Target.Upstreams.at(Index);
     if (Now - Idle.LastHeard >= this->Options.RefreshAfter)
       this->askForLoad(Idle);
   }
@@ -57,16 +57,16 @@
 
 void JobRunner::askWhenDeaf(Pool &Target, TimePoint Now) {
   // With no task out, no result will tell of slots that fall free.
-  const std::vector<MinionIndex> &Eligible = Target.Minions.eligible();
+  const std::vector<UpstreamIndex> &Eligible = Target.Upstreams.eligible();
   if (Target.Queue.waiting() == 0 || Target.Queue.out() > 0 ||
       Eligible.empty() || Now < this->NextDeafQuestion)
     return;
   this->NextDeafQuestion = Now + AskWhenDeaf;
-  MinionIndex Any = Eligible[this->Random() % Eligible.size()];
-  this->askForLoad(Target.Minions.at(Any));
+  UpstreamIndex Any = Eligible[this->Random() % Eligible.size()];
+  this->askForLoad(Target.Upstreams.at(Any));
 }
 
-void JobRunner::askForLoad(const Minion &Asked) {
+void JobRunner::askForLoad(const Upstream &Asked) {
   peer::Message Message;
   Message.mutable_withdraw()->set_probe(true);
   this->Sink.send(Asked.Agent, std::move(Message));
@@ -80,7 +80,7 @@
       this->refreshIdle(Target, Now);
   }
   for (auto &[Name, Target] : this->Pools) {
-    Target.Minions.tick(Now);
+    Target.Upstreams.tick(Now);
     this->schedule(Target, Now);
     this->askWhenDeaf(Target, Now);
   }
@@ -108,12 +108,12 @@
 
 void JobRunner::onSendFailed(const std::string &Agent, TimePoint Now) {
   Pool *Place = this->poolOf(Agent);
-  std::optional<MinionIndex> Minion;
+  std::optional<UpstreamIndex> Upstream;
   if (Place != nullptr)
-    Minion = Place->Minions.find(Agent);
-  if (!Minion)
+    Upstream = Place->Upstreams.find(Agent);
+  if (!Upstream)
     return;
-  std::vector<TaskRef> Doubtful = Place->tasksAt(*Minion);
+  std::vector<TaskRef> Doubtful = Place->tasksAt(*Upstream);
   for (const TaskRef &Ref : Doubtful) {
     Job *Owner = this->find(Ref.Job);
     // One that is being asked about has its next question set already.
@@ -126,25 +126,25 @@
   TaskState &Task = Owner.States[Index];
   Pool &Place = this->Pools[Owner.PoolName];
   if (Task.UnansweredProbes >= this->Options.MaxUnanswered) {
-    Place.Minions.setSilent(Task.Minion, true);
-    this->loseTasks(Place, Task.Minion, "the agent does not answer", Now);
+    Place.Upstreams.setSilent(Task.Upstream, true);
+    this->loseTasks(Place, Task.Upstream, "the agent does not answer", Now);
     return;
   }
   ++Task.UnansweredProbes;
   bool Finished = Owner.Phase == JobPhase::Finished;
-  this->sendWithdraw(Owner, Task.Minion, {Index}, /*Probe=*/!Finished);
+  this->sendWithdraw(Owner, Task.Upstream, {Index}, /*Probe=*/!Finished);
   DueProbe Next{{Owner.Number, Index}, Task.Attempt, /*FollowsUp=*/true};
   this->Probes.emplace(Now + this->Options.ProbeEvery, Next);
 }
 
-void JobRunner::sendWithdraw(Job &Owner, MinionIndex Minion,
+void JobRunner::sendWithdraw(Job &Owner, UpstreamIndex Upstream,
                              const std::vector<std::uint32_t> &Tasks,
                              bool Probe) {
   Pool &Place = this->Pools[Owner.PoolName];
   peer::Message Message;
   peer::Withdraw *Withdraw = Message.mutable_withdraw();
   Withdraw->set_job_key(Owner.Request.key());
-  Withdraw->set_agent_incarnation(Place.Minions.at(Minion).Incarnation);
+  Withdraw->set_agent_incarnation(Place.Upstreams.at(Upstream).Incarnation);
   Withdraw->set_probe(Probe);
   Withdraw->set_stop_running(Owner.Phase == JobPhase::Finished);
   for (std::uint32_t Index : Tasks) {
@@ -155,7 +155,7 @@
   }
   // The question and its answer.
   Owner.WastedMessages += 2;
-  this->Sink.send(Place.Minions.at(Minion).Agent, std::move(Message));
+  this->Sink.send(Place.Upstreams.at(Upstream).Agent, std::move(Message));
 }
 
 } // namespace yardwheel
--- a/entry/job_service_answers.cpp
+++ b/entry/job_service_answers.cpp
@@ -36,7 +36,7 @@
     const auto &Pools = this->Runner.pools();
     auto Place = Pools.find(Target.PoolName);
     this->Observer.onJobEnded(
-        Target, Place == Pools.end() ? 0 : Place->second.Minions.aliveSlots(),
+        Target, Place == Pools.end() ? 0 : Place->second.Upstreams.aliveSlots(),
         Now);
   }
   for (Ticket Waiter : Target.Waiters)
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -86,7 +86,7 @@
                       {"limit_percent", static_cast<int>(Limit * Percent)},
                       {"tasks", Request.TaskCount}});
   this->Answers.onLeasedAnswer(Waiter, {LeasedEnd::NotRun, "admit", "",
-                                        "minions are short of room",
+                                        "upstreams are short of room",
                                         this->Options.RetryAfter});
   return true;
 }
--- a/entry/leased_job.h
+++ b/entry/leased_job.h
@@ -25,7 +25,7 @@
 struct LeasedJobRequest {
   std::string Id;
   std::string Route;
-  /// The pool of minions that may run it.
+  /// The pool of upstreams that may run it.
   std::string Pool;
   std::string Spec;
   std::uint32_t TaskCount = 0;
--- a/entry/load_shedder.h
+++ b/entry/load_shedder.h
@@ -1,9 +1,9 @@
 //===- entry/load_shedder.h - Which jobs to refuse under overload -*- C++ -*-=//
 ///
 /// \file
-/// While minions are short, every job that is taken delays others, and most of
-/// them then miss their objectives together. So jobs are refused at once, and
-/// truthfully, once the room that is taken passes a limit.
+/// While upstreams are short, every job that is taken delays others, and most
+/// of them then miss their objectives together. So jobs are refused at once,
+/// and truthfully, once the room that is taken passes a limit.
 ///
 /// All routes count the same to an operator who has set no weights. A route
 /// that offers more work therefore earns less for each core-second, and has a
--- a/entry/pool.cpp
+++ b/entry/pool.cpp
@@ -21,20 +21,20 @@
   return this->Budgets[Workspace];
 }
 
-const std::vector<TaskRef> &Pool::tasksAt(MinionIndex Minion) {
-  if (Minion >= this->Tasks.size())
-    this->Tasks.resize(Minion + 1);
-  return this->Tasks[Minion];
+const std::vector<TaskRef> &Pool::tasksAt(UpstreamIndex Upstream) {
+  if (Upstream >= this->Tasks.size())
+    this->Tasks.resize(Upstream + 1);
+  return this->Tasks[Upstream];
 }
 
-void Pool::addTask(MinionIndex Minion, TaskRef Task) {
-  this->tasksAt(Minion);
-  this->Tasks[Minion].push_back(Task);
+void Pool::addTask(UpstreamIndex Upstream, TaskRef Task) {
+  this->tasksAt(Upstream);
+  this->Tasks[Upstream].push_back(Task);
 }
 
-void Pool::removeTask(MinionIndex Minion, TaskRef Task) {
-  this->tasksAt(Minion);
-  std::vector<TaskRef> &List = this->Tasks[Minion];
+void Pool::removeTask(UpstreamIndex Upstream, TaskRef Task) {
+  this->tasksAt(Upstream);
+  std::vector<TaskRef> &List = this->Tasks[Upstream];
   auto Found = std::find(List.begin(), List.end(), Task);
   if (Found != List.end())
     List.erase(Found);
--- a/entry/pool.h
+++ b/entry/pool.h
@@ -1,7 +1,8 @@
-//===- entry/pool.h - The minions and the queue of one pool -----*- C++ -*-===//
+//===- entry/pool.h - The upstreams and the queue of one pool -----*- C++
+//-*-===//
 ///
 /// \file
-/// Everything an entry holds for one pool of minions: its view of them, the
+/// Everything an entry holds for one pool of upstreams: its view of them, the
 /// tasks that wait, the policies in use, and which of our tasks is where.
 ///
 //===----------------------------------------------------------------------===//
@@ -9,9 +10,9 @@
 #define YARDWHEEL_ENTRY_POOL_H
 
 #include "dispatch/fair_queue.h"
-#include "dispatch/minion_table.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/route_policy.h"
+#include "dispatch/upstream_table.h"
 
 #include <map>
 #include <memory>
@@ -29,7 +30,7 @@
 
 class Pool {
 public:
-  MinionTable Minions;
+  UpstreamTable Upstreams;
   FairQueue Queue;
 
   /// The policy of that name, made when first asked for.
@@ -38,10 +39,10 @@
   bool movesWaiting() const;
   RetryBudget &budget(const std::string &Workspace);
 
-  /// Tasks of this entry at a minion, in the order they were sent.
-  const std::vector<TaskRef> &tasksAt(MinionIndex Minion);
-  void addTask(MinionIndex Minion, TaskRef Task);
-  void removeTask(MinionIndex Minion, TaskRef Task);
+  /// Tasks of this entry at an upstream, in the order they were sent.
+  const std::vector<TaskRef> &tasksAt(UpstreamIndex Upstream);
+  void addTask(UpstreamIndex Upstream, TaskRef Task);
+  void removeTask(UpstreamIndex Upstream, TaskRef Task);
 
   /// Typical service time of a task here, learned from what ended.
   std::chrono::microseconds typicalService() const { return this->Service; }
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -44,7 +44,7 @@
   /// The path as it was sent.
   std::string Resource;
   std::string Body;
-  /// The headers by which an agent names a task to its minion; else empty.
+  /// The headers by which an agent names a task to its upstream; else empty.
   std::string Job;
   std::string Task;
   /// The headers that the server's options name, where the request has them.
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -1,5 +1,5 @@
 #include "agent/agent_core.h"
-#include "agent/minion_client.h"
+#include "agent/upstream_client.h"
 #include "main/process.h"
 #include "main/wiring.h"
 #include "transport/event_loop.h"
@@ -34,7 +34,7 @@
   std::atomic<bool> Idle{false};
   LinkPool Links;
   EventLoop Loop;
-  MinionClient Minion;
+  UpstreamClient Upstream;
   AgentCore Core;
   Announcer Announce;
   LinkServer Server;
@@ -46,13 +46,13 @@
       Loop(
           this->Source, TickInterval, [this](Instant Now) { this->tick(Now); },
           [this] { this->Links.flush(); }),
-      Minion(Values.Agent.MinionUrl, Values.Agent.TaskTimeout,
-             [this](const TaskKey &Task, const TaskEnd &End) {
-               this->Loop.post([this, Task, End](Instant Now) {
-                 this->Core.onTaskEnded(Task, End, Now);
-               });
-             }),
-      Core(this->agentOptions(), this->Links, this->Minion),
+      Upstream(Values.Agent.UpstreamUrl, Values.Agent.TaskTimeout,
+               [this](const TaskKey &Task, const TaskEnd &End) {
+                 this->Loop.post([this, Task, End](Instant Now) {
+                   this->Core.onTaskEnded(Task, End, Now);
+                 });
+               }),
+      Core(this->agentOptions(), this->Links, this->Upstream),
       Announce(announcerOptions(Values), this->selfAsMember(), this->Catalog,
                this->Links, *this),
       Server(identityOf(Values, peer::ROLE_AGENT, this->Incarnation),
@@ -66,7 +66,7 @@
   });
   this->Loop.start();
   this->Log.info("Agent {} serves {} with {} slots.", Values.Node,
-                 Values.Agent.MinionUrl, Values.Agent.Slots);
+                 Values.Agent.UpstreamUrl, Values.Agent.Slots);
 }
 
 AgentOptions AgentProcess::agentOptions() const {
--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds yardwheel and shows it at work: the trading unit in small, with three
-# control replicas, two entries and eleven agents beside fake minions.
+# control replicas, two entries and eleven agents beside fake upstreams.
 # Usage: misc/demo.sh [--stay]
 set -euo pipefail
 top="$(cd "$(dirname "$0")/.." && pwd)"
@@ -44,7 +44,7 @@
 ctl workspace create bids --template trading --set weight=200
 ctl workspace show bids
 
-echo "== waiting for the ledger's holders and the minions"
+echo "== waiting for the ledger's holders and the upstreams"
 for _ in $(seq 1 100); do
   code=0
   ctl job submit bids misc/examples/one-task.json >/dev/null 2>&1 || code=$?
--- a/misc/lib/cluster.sh
+++ b/misc/lib/cluster.sh
@@ -80,7 +80,7 @@
       printf 'agent:\n  minion_url: http://127.0.0.1:%s/run\n  pool: bids\n  slots: %s\n' \
         "$((base + 1))" "$slots"
     } >"$run/a$i.yaml"
-    launch "m$i" "$build/emulator/yardwheel-fake-minion" --name "m$i" \
+    launch "m$i" "$build/emulator/yardwheel-fake-upstream" --name "m$i" \
       --listen "127.0.0.1:$((base + 1))" --start_log "$run/starts.log" \
       --shortest_ms 20 --longest_ms 80 --seed "$i"
     launch "a$i" "$build/main/yardwheeld" --settings "$run/a$i.yaml"
@@ -114,7 +114,7 @@
 # Asks every started process to stop and checks that each ended well.
 stop_cluster() {
   local pid status=0 code
-  # Entries first, so that requests in flight still find their minions.
+  # Entries first, so that requests in flight still find their upstreams.
   for ((i = ${#started_pids[@]} - 1; i >= 0; i--)); do
     pid=${started_pids[$i]}
     kill -TERM "$pid" 2>/dev/null || true
--- a/misc/measure.sh
+++ b/misc/measure.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Measures, outside of CI, on real processes on loopback: a single-task job
-# straight to a minion against the same through yardwheel, resident memory of
+# straight to an upstream against the same through yardwheel, resident memory of
 # idle roles, and task starts a second of one entry with its processor time.
 set -euo pipefail
 top="$(cd "$(dirname "$0")/.." && pwd)"
@@ -30,10 +30,10 @@
 echo "control $(rss "$pid_c1"), entry $(rss "$pid_e1"), agent $(rss "$pid_a1")"
 
 echo "== a single-task job of 50 ms, side by side"
-minion=$(grep -o 'http://[^ ]*' "$run/a1.yaml")
+upstream=$(grep -o 'http://[^ ]*' "$run/a1.yaml")
 load="$build/emulator/yardwheel-load"
 for round in 1 2; do
-  "$load" --label "direct $round" --urls "$minion" --body "sleep=50 x" --callers 4 --requests 100
+  "$load" --label "direct $round" --urls "$upstream" --body "sleep=50 x" --callers 4 --requests 100
   "$load" --label "through yardwheel $round" --urls "http://${entry_http[0]}/v1/workspaces/bids/jobs" \
     --body '{"tasks":[{"payload":"sleep=50 x"}]}' --callers 4 --requests 100
 done
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -43,7 +43,7 @@
 };
 
 struct AgentSettings {
-  std::string MinionUrl;
+  std::string UpstreamUrl;
   std::string Pool;
   std::uint32_t Slots = 0;
   std::uint32_t Cpus = 0;
--- a/settings/settings_rules.cpp
+++ b/settings/settings_rules.cpp
@@ -201,14 +201,14 @@
 std::vector<SettingRule> agentRules() {
   return {
       text("agent.minion_url", "http://IP:port/path",
-           "Where the minion takes tasks.", "http://",
-           [](Settings &S) -> std::string & { return S.Agent.MinionUrl; }),
+           "Where the upstream takes tasks.", "http://",
+           [](Settings &S) -> std::string & { return S.Agent.UpstreamUrl; }),
       name("agent.pool", std::nullopt,
-           "The pool of minions it joins; a workspace names its pool.",
+           "The pool of upstreams it joins; a workspace names its pool.",
            [](Settings &S) -> std::string & { return S.Agent.Pool; }),
       number(
           "agent.slots", "8", "tasks", 1, 256,
-          "Tasks that the minion runs at once.",
+          "Tasks that the upstream runs at once.",
           [](Settings & S) -> auto & { return S.Agent.Slots; }),
       number(
           "agent.cpus", "16", "cores", 1, 4096, "The worker's cores.",
--- a/tests/bench/regression_test.cpp
+++ b/tests/bench/regression_test.cpp
@@ -92,7 +92,7 @@
 
 TEST(RegressionTest, TheIdealIsASingleQueue) {
   Deployment Place = tradingUnit();
-  Place.Minions = 1;
+  Place.Upstreams = 1;
   Place.Slots = 1;
   LoadSpec Load;
   std::vector<JobPlan> Jobs(2);
--- a/tests/dispatch/policy_test.cpp
+++ b/tests/dispatch/policy_test.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Three minions of 4 slots, and two entries of which this is the first.
-MinionTable makeTable() {
-  MinionTable Table;
+/// Three upstreams of 4 slots, and two entries of which this is the first.
+UpstreamTable makeTable() {
+  UpstreamTable Table;
   for (int I = 0; I < 3; ++I) {
     peer::Member Member;
     Member.set_name(fmt::format("a{}", I));
@@ -25,8 +25,8 @@
   return Table;
 }
 
-void occupy(MinionTable &Table, std::uint32_t Others) {
-  for (MinionIndex I = 0; I < 3; ++I) {
+void occupy(UpstreamTable &Table, std::uint32_t Others) {
+  for (UpstreamIndex I = 0; I < 3; ++I) {
     peer::AgentLoad Load;
     Load.set_incarnation(1);
     Load.set_freshness(Table.at(I).Freshness + 1);
@@ -36,11 +36,11 @@
 }
 
 /// How many tasks a policy sends before it waits, at most 100.
-int sendsUntilItWaits(RoutePolicy &Policy, MinionTable &Table) {
+int sendsUntilItWaits(RoutePolicy &Policy, UpstreamTable &Table) {
   std::mt19937_64 Random(3);
   constexpr int Most = 100;
   for (int I = 0; I < Most; ++I) {
-    std::optional<MinionIndex> Chosen = Policy.choose(Table, Random);
+    std::optional<UpstreamIndex> Chosen = Policy.choose(Table, Random);
     if (!Chosen)
       return I;
     Table.onSent(*Chosen);
@@ -55,7 +55,7 @@
 TEST(PolicyTest, EachSendsAsManyAsItMay) {
   struct Row {
     const char *Policy;
-    /// Slots that others' tasks take at each minion.
+    /// Slots that others' tasks take at each upstream.
     std::uint32_t Others;
     int Sends;
     bool QueuesAtAgent;
@@ -68,7 +68,7 @@
       {"late_binding", 4, 6, true},
   };
   for (const Row &Case : Rows) {
-    MinionTable Table = makeTable();
+    UpstreamTable Table = makeTable();
     occupy(Table, Case.Others);
     std::unique_ptr<RoutePolicy> Policy = makePolicy(Case.Policy);
     std::string What = fmt::format("{} {}", Case.Policy, Case.Others);
@@ -78,14 +78,14 @@
   }
 }
 
-TEST(PolicyTest, NoneSendsToAMinionThatMayGetNoWork) {
+TEST(PolicyTest, NoneSendsToAUpstreamThatMayGetNoWork) {
   for (std::string_view Name : PolicyNames) {
-    MinionTable Table = makeTable();
+    UpstreamTable Table = makeTable();
     Table.setSilent(1, true);
     std::unique_ptr<RoutePolicy> Policy = makePolicy(Name);
     std::mt19937_64 Random(5);
     for (int I = 0; I < 50; ++I) {
-      std::optional<MinionIndex> Chosen = Policy->choose(Table, Random);
+      std::optional<UpstreamIndex> Chosen = Policy->choose(Table, Random);
       CHECK_TRUE(!Chosen || *Chosen != 1);
       if (Chosen)
         Table.onSent(*Chosen);
--- a/tests/dispatch/minion_table_test.cpp
+++ b/tests/dispatch/upstream_table_test.cpp
@@ -1,5 +1,5 @@
-#include "dispatch/minion_table.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/upstream_table.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -24,22 +24,22 @@
 
 } // namespace
 
-TEST_GROUP(MinionTableTest) {
-  MinionTable Table;
+TEST_GROUP(UpstreamTableTest) {
+  UpstreamTable Table;
 
   void setup() override {
     for (int I = 0; I < 4; ++I)
       add(fmt::format("a{}", I), 1);
   }
-  MinionIndex add(const std::string &Name, std::uint64_t Life) {
+  UpstreamIndex add(const std::string &Name, std::uint64_t Life) {
     bool Replaced = false;
     return Table.update(member(Name, Life), Replaced);
   }
 };
 
-TEST(MinionTableTest, SharesOfAllEntriesAddUpToTheSlots) {
+TEST(UpstreamTableTest, SharesOfAllEntriesAddUpToTheSlots) {
   for (std::uint32_t Entries = 1; Entries <= 9; ++Entries) {
-    for (MinionIndex I = 0; I < Table.size(); ++I) {
+    for (UpstreamIndex I = 0; I < Table.size(); ++I) {
       std::uint32_t Total = 0;
       for (std::uint32_t Position = 0; Position < Entries; ++Position) {
         Table.setShares(Position, Entries);
@@ -50,7 +50,7 @@
   }
 }
 
-TEST(MinionTableTest, AFailingMinionIsEjectedAndTriedAgainOneByOne) {
+TEST(UpstreamTableTest, AFailingUpstreamIsEjectedAndTriedAgainOneByOne) {
   for (std::uint32_t I = 0; I < Threshold; ++I) {
     LONGS_EQUAL(4, Table.eligible().size());
     Table.onFailure(0, Threshold, Start);
@@ -75,14 +75,14 @@
   LONGS_EQUAL(4, Table.eligible().size());
 }
 
-TEST(MinionTableTest, NeverMoreThanHalfIsEjected) {
-  for (MinionIndex Index = 0; Index < 4; ++Index)
+TEST(UpstreamTableTest, NeverMoreThanHalfIsEjected) {
+  for (UpstreamIndex Index = 0; Index < 4; ++Index)
     for (std::uint32_t I = 0; I < Threshold; ++I)
       Table.onFailure(Index, Threshold, Start);
   LONGS_EQUAL(2, Table.eligible().size());
 }
 
-TEST(MinionTableTest, ANewLifeForgetsTheOldOnesLoadAndFailures) {
+TEST(UpstreamTableTest, ANewLifeForgetsTheOldOnesLoadAndFailures) {
   for (std::uint32_t I = 0; I < Threshold; ++I)
     Table.onFailure(0, Threshold, Start);
   Table.onSent(0);
@@ -96,7 +96,7 @@
   LONGS_EQUAL(4, Table.eligible().size());
 }
 
-TEST(MinionTableTest, OlderWordsDoNotReplaceNewerOnes) {
+TEST(UpstreamTableTest, OlderWordsDoNotReplaceNewerOnes) {
   peer::AgentLoad Load;
   Load.set_incarnation(1);
   Load.set_freshness(10);
@@ -109,7 +109,7 @@
   LONGS_EQUAL(6, Table.at(0).Others);
 }
 
-TEST(MinionTableTest, KnowsWhatFitsNowhere) {
+TEST(UpstreamTableTest, KnowsWhatFitsNowhere) {
   struct Row {
     std::uint32_t Cpus;
     std::uint32_t Accelerators;
--- a/tests/membership/leaving_test.cpp
+++ b/tests/membership/leaving_test.cpp
@@ -1,4 +1,5 @@
-//===- No new work to a minion that leaves, whichever way it leaves -------===//
+//===- No new work to an upstream that leaves, whichever way it leaves
+//-------===//
 
 #include "emulator/virtual_cluster.h"
 
--- a/tests/system/system_cluster.cpp
+++ b/tests/system/system_cluster.cpp
@@ -166,7 +166,7 @@
   for (int I = 1; I <= this->Options.Agents; ++I) {
     std::string Name = fmt::format("a{}", I);
     this->launch(fmt::format("m{}", I),
-                 {BuildFolder + "/emulator/yardwheel-fake-minion", "--name",
+                 {BuildFolder + "/emulator/yardwheel-fake-upstream", "--name",
                   Name, "--listen", this->Http.at(Name), "--start_log",
                   this->Folder + "/starts.log"});
     this->startNode(Name);
@@ -279,8 +279,8 @@
   std::ifstream File(this->Folder + "/starts.log");
   std::string Job;
   std::string Task;
-  std::string Minion;
-  while (File >> Job >> Task >> Minion)
+  std::string Upstream;
+  while (File >> Job >> Task >> Upstream)
     ++Result[fmt::format("{} {}", Job, Task)];
   return Result;
 }
--- a/tests/system/system_cluster.h
+++ b/tests/system/system_cluster.h
@@ -1,8 +1,8 @@
 //===- tests/system/system_cluster.h - Real processes on loopback -*- C++ -*-=//
 ///
 /// \file
-/// Starts the daemon in its roles and fake minions as processes of their own,
-/// signals them, and reads the minions' log of starts. Ends what it started.
+/// Starts the daemon in its roles and fake upstreams as processes of their own,
+/// signals them, and reads the upstreams' log of starts. Ends what it started.
 /// Waits poll for a condition, with limits far above any healthy time.
 ///
 //===----------------------------------------------------------------------===//
@@ -68,7 +68,7 @@
   /// Name of the control replica that leads; empty if none does.
   std::string leader();
 
-  /// Starts that the minions have logged, by "job task".
+  /// Starts that the upstreams have logged, by "job task".
   std::map<std::string, int> starts() const;
   /// Tasks that were started more than once.
   int doubleStarts() const;
--- a/tool/cluster_commands.cpp
+++ b/tool/cluster_commands.cpp
@@ -10,7 +10,7 @@
 
 namespace yardwheel {
 
-ExitCode listMinions(ApiClient &Client, const Arguments &Rest) {
+ExitCode listUpstreams(ApiClient &Client, const Arguments &Rest) {
   expectWords(Rest, 0, {}, "minions");
   api::MinionList List;
   ExitCode Code = Client.take(Client.control("GET", "/v1/members"), List);
--- a/tool/commands.h
+++ b/tool/commands.h
@@ -29,7 +29,7 @@
 ExitCode setWorkspace(ApiClient &Client, const Arguments &Rest);
 ExitCode showWorkspace(ApiClient &Client, const Arguments &Rest);
 ExitCode listWorkspaces(ApiClient &Client, const Arguments &Rest);
-ExitCode listMinions(ApiClient &Client, const Arguments &Rest);
+ExitCode listUpstreams(ApiClient &Client, const Arguments &Rest);
 ExitCode showStatus(ApiClient &Client, const Arguments &Rest);
 ExitCode changeReplica(ApiClient &Client, const Arguments &Rest);
 ExitCode submitJob(ApiClient &Client, const Arguments &Rest);
--- a/tool/yardwheelctl.cpp
+++ b/tool/yardwheelctl.cpp
@@ -46,7 +46,7 @@
        setWorkspace},
       {{"workspace", "show"}, "NAME", "Show a workspace.", showWorkspace},
       {{"workspace", "list"}, "", "List the workspaces.", listWorkspaces},
-      {{"minions"}, "", "List minions' agents and entries.", listMinions},
+      {{"minions"}, "", "List upstreams' agents and entries.", listUpstreams},
       {{"status"}, "", "Show every control replica.", showStatus},
       {{"replica"},
        "add|promote|remove NAME [--address A --http-address A]",
