End tasks that their agent no longer lists

Change: an agent's answer to a renewal lists the placements of the asking entry that it holds. One older than 1 s, so that no late dispatch can begin it any more, and missing for 500 ms has ended; it is placed anew or its job settled.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -68,7 +68,12 @@
     if (Renewal.agent_incarnation() == this->Options.Incarnation)
       this->takeStamp(From, Renewal.stamp(), Now);
     peer::Message Reply;
-    *Reply.mutable_worker_load() = this->loadFor(From.Node, Now);
+    peer::WorkerLoad *Load = Reply.mutable_worker_load();
+    *Load = this->loadFor(From.Node, Now);
+    Load->set_lists_held(true);
+    for (const auto &[Id, Known] : this->Tasks)
+      if (Known.Owner.Node == From.Node)
+        Load->add_held_orders(Known.Order);
     this->Sink.send(From, std::move(Reply));
   }
 }
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -143,6 +143,8 @@
   Which.AskStalledAt = Now.Steady + this->stallLimit(Target);
   ++Which.Attempt;
   Which.Order = ++this->LastOrder;
+  Which.PlacedAt = Now.Steady;
+  Which.MissingSince = TimePoint::max();
   ++Target.OutCount;
   this->Board.onSent(Which.Agent, Target.Request.Needs);
   peer::LeasedTask *Order = Batch[Which.Agent].add_tasks();
@@ -209,6 +211,8 @@
                                  const peer::Message &Message, Instant Now) {
   if (Message.has_worker_load()) {
     this->onLoad(From.Node, Message.worker_load(), Now);
+    if (Message.worker_load().lists_held())
+      this->onHeldOrders(From.Node, Message.worker_load(), Now);
   } else if (Message.has_leased_update()) {
     this->onLoad(From.Node, Message.leased_update().load(), Now);
     this->onUpdate(From.Node, Message.leased_update(), Now);
@@ -222,6 +226,45 @@
     this->onRestarted(Agent, Now);
 }
 
+void LeaseCoordinator::onHeldOrders(const std::string &Agent,
+                                    const peer::WorkerLoad &Load, Instant Now) {
+  const LeasedWorker *Worker = this->Board.find(Agent);
+  // A late answer, or one of another life, says nothing of what is held now.
+  if (Worker == nullptr || Load.incarnation() != Worker->Incarnation ||
+      Load.stamp() < Worker->Stamp)
+    return;
+  std::set<std::uint64_t> Held(Load.held_orders().begin(),
+                               Load.held_orders().end());
+  std::vector<peer::LeasedUpdate> Lost;
+  for (const auto &[Id, Known] : this->Jobs) {
+    for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
+      Task &Which = Known->Tasks[I];
+      if (Which.Phase != TaskPhase::Sent || Which.Agent != Agent)
+        continue;
+      bool MayBeOnItsWay =
+          Now.Steady - Which.PlacedAt <= this->Options.InTransit;
+      if (MayBeOnItsWay || Held.contains(Which.Order)) {
+        Which.MissingSince = TimePoint::max();
+        continue;
+      }
+      Which.MissingSince = std::min(Which.MissingSince, Now.Steady);
+      if (Now.Steady - Which.MissingSince < this->Options.MissingLimit)
+        continue;
+      // It has not stood still there: there is nothing of it.
+      Which.Stalled = false;
+      peer::LeasedUpdate &End = Lost.emplace_back();
+      End.set_job(Id);
+      End.set_index(I);
+      End.set_attempt(Which.Attempt);
+      End.set_order(Which.Order);
+      End.set_event(peer::LEASED_ENDED_EARLY);
+      End.set_reason("its agent no longer lists it");
+    }
+  }
+  for (const peer::LeasedUpdate &End : Lost)
+    this->onUpdate(Agent, End, Now);
+}
+
 void LeaseCoordinator::onUpdate(const std::string &Agent,
                                 const peer::LeasedUpdate &Update, Instant Now) {
   Job *Target = this->find(Update.job());
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -50,6 +50,12 @@
   /// After an agent has restarted, before what its last life had is lost: some
   /// round trips between data centres.
   std::chrono::milliseconds RestartGrace{60};
+  /// A placement younger than this may still be on its way to its agent, which
+  /// refuses it once its stamp is older than the agents' lease.
+  std::chrono::milliseconds InTransit{1000};
+  /// How long an agent must not have listed a placement before it is taken for
+  /// ended: the update that tells its end may be sent a second time.
+  std::chrono::milliseconds MissingLimit{500};
   /// Times that a task is placed before its job is given up.
   std::uint32_t MaxPlacements = 8;
   /// A job that is given up waits this long for proof that none of its tasks
@@ -130,6 +136,9 @@
     std::uint32_t Attempt = 0;
     /// Names the present placement.
     std::uint64_t Order = 0;
+    TimePoint PlacedAt;
+    /// Since when its agent does not list it, if it does not.
+    TimePoint MissingSince = TimePoint::max();
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
   };
@@ -169,6 +178,10 @@
                 Instant Now);
   void onLoad(const std::string &Agent, const peer::WorkerLoad &Load,
               Instant Now);
+  /// Ends the tasks of which an agent knows nothing: their updates were lost,
+  /// as while this entry stood still and its lease there lapsed.
+  void onHeldOrders(const std::string &Agent, const peer::WorkerLoad &Load,
+                    Instant Now);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -260,6 +260,21 @@
   LONGS_EQUAL(2, Sink.Updates.size());
 }
 
+TEST(LeaseKeeperTest, AnswersToRenewalsListWhatTheAskingEntryHasHere) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 1000);
+  Keeper.onMessage(EntryA, dispatch("runs", stamp()), Now);
+  Keeper.onMessage(EntryB, dispatch("other", stamp()), Now);
+  Keeper.onMessage(EntryA, dispatch("waits", stamp()), Now);
+  Keeper.onMessage(EntryA, renewal(stamp()), Now);
+  CHECK(Sink.Load.lists_held());
+  LONGS_EQUAL(2, Sink.Load.held_orders_size());
+  end(Keeper, 0, RunEnd::Done);
+  Keeper.onMessage(EntryA, renewal(stamp()), Now);
+  LONGS_EQUAL(1, Sink.Load.held_orders_size());
+  LONGS_EQUAL(LastOrder, Sink.Load.held_orders(0));
+}
+
 // Entries must not take what they hear of one life for news of another.
 TEST(LeaseKeeperTest, EachLifeOfTheWorkerHasANumberOfItsOwn) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -267,6 +267,49 @@
   CHECK(Answers.Answers.back().second.End == LeasedEnd::Completed);
 }
 
+// An entry that stood still misses the ends that were told meanwhile. What it
+// believes to be running must not keep it from taking jobs for ever.
+TEST(LeaseCoordinatorTest, TasksThatTheirAgentNoLongerListsHaveEnded) {
+  struct Row {
+    const char *Name;
+    bool Listed;
+    std::chrono::milliseconds After;
+    std::size_t Dispatches;
+  };
+  const Row Rows[] = {{"it lists it", true, 3000ms, 1},
+                      {"on its way", false, 800ms, 1},
+                      {"its update may come", false, 1200ms, 1},
+                      {"lost", false, 2000ms, 2}};
+  addAgent("a", 2000);
+  addAgent("b", 500);
+  for (const Row &Row : Rows) {
+    Sink.Dispatches.clear();
+    LeasedJobRequest Long = request(1, Row.Name);
+    Long.Deadline = 60s;
+    Coordinator.submit(Long, 1, Now);
+    for (auto Passed = 0ms; Passed < Row.After; Passed += 200ms) {
+      pass(200ms);
+      peer::Message Message;
+      peer::WorkerLoad *Load = Message.mutable_worker_load();
+      Load->set_incarnation(Life);
+      Load->set_stamp(++Stamp);
+      Load->set_lists_held(true);
+      if (Row.Listed)
+        Load->add_held_orders(Sink.Dispatches[0].second.tasks(0).order());
+      Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+      // What another agent lists says nothing of this one.
+      Load->clear_held_orders();
+      Coordinator.onMessage({"b", "10.0.0.1:1"}, Message, Now);
+    }
+    LONGS_EQUAL_TEXT(Row.Dispatches, Sink.Dispatches.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    CHECK_TEXT(Answers.Answers.back().second.End == LeasedEnd::Completed,
+               Row.Name);
+    LONGS_EQUAL_TEXT(0, Coordinator.board().workers().at("a").OwnTasks,
+                     Row.Name);
+  }
+}
+
 // It may be cut off from control only, and its worker has room.
 TEST(LeaseCoordinatorTest, AnAgentThatControlLostIsUsedWhileItIsHeardHere) {
   auto Hear = [&] {
