Count the failures that other entries met at a worker

Cause: each entry had to lose three tasks at a worker that fails, hangs or leaves starts unanswered before it left it out, and to try it again by itself.

Ruled out: health and heartbeats, which such workers answer well.

Change: an agent counts the runs that its worker failed since it last got one done, and tells the count with its load. Three leave the worker out at every entry, and a run that is done anywhere brings it back.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -53,6 +53,7 @@
   if (this->HadWorker)
     ++this->Options.Incarnation;
   this->HadWorker = true;
+  this->FailuresInRow = 0;
   this->Leaving = this->ShuttingDown;
   this->leaveIfDraining(Now);
 }
@@ -173,8 +174,10 @@
                Found->second.Owner.Node == From.Node &&
                Found->second.State == Phase::Running;
   if (Meant && msBetween(Found->second.Started, Now.Steady) >
-                   static_cast<std::int64_t>(Stop.longer_than_ms()))
+                   static_cast<std::int64_t>(Stop.longer_than_ms())) {
+    Found->second.Stalled = true;
     this->dropTask(Id, peer::REFUSAL_STOPPED, "stalled", Now);
+  }
 }
 
 void LeaseKeeper::dropTask(const TaskId &Id, peer::LeasedRefusal Why,
@@ -319,6 +322,22 @@
   this->startFitting(Now);
 }
 
+void LeaseKeeper::countEnd(const Task &Which, RunEnd How) {
+  if (How == RunEnd::Done) {
+    ++this->Counters.Done;
+    this->FailuresInRow = 0;
+    return;
+  }
+  if (How == RunEnd::Failed)
+    ++this->Counters.Failed;
+  else
+    ++this->Counters.EndedEarly;
+  bool WorkerAtFault =
+      How == RunEnd::Failed || How == RunEnd::Unanswered || Which.Stalled;
+  if (WorkerAtFault)
+    ++this->FailuresInRow;
+}
+
 void LeaseKeeper::onRunEnded(const RunKey &Run, RunEnd How, Instant Now) {
   Task *Which = this->taskOf(Run);
   if (Which == nullptr)
@@ -330,12 +349,7 @@
     Event = peer::LEASED_DONE;
   else if (How == RunEnd::Failed)
     Event = peer::LEASED_FAILED;
-  if (How == RunEnd::Done)
-    ++this->Counters.Done;
-  else if (How == RunEnd::Failed)
-    ++this->Counters.Failed;
-  else
-    ++this->Counters.EndedEarly;
+  this->countEnd(*Which, How);
   this->Log.decision("run_ended",
                      {{"job", Run.Job},
                       {"task", Run.Index},
@@ -426,6 +440,7 @@
       Others += Known.Needs.cpu_milli();
   Load.set_others_cpu_milli(Others);
   Load.set_leaving(this->Leaving);
+  Load.set_failures_in_row(this->FailuresInRow);
   return Load;
 }
 
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -110,6 +110,8 @@
     TimePoint GiveUp;
     TimePoint Arrived;
     TimePoint Started;
+    /// Its entry had it stopped because it stood still.
+    bool Stalled = false;
   };
   struct Lease {
     TimePoint Until = TimePoint::min();
@@ -153,6 +155,7 @@
   void startTask(const TaskId &Id, Task &Which, Instant Now);
   bool fits(const peer::TaskNeeds &Needs) const;
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
+  void countEnd(const Task &Which, RunEnd How);
   void giveRoomBack(const peer::TaskNeeds &Needs);
 
   void say(const TaskId &Id, const Task &Which, peer::LeasedEvent Event,
@@ -181,6 +184,8 @@
   bool ShuttingDown = false;
   /// Whether the worker has been attached in an earlier life.
   bool HadWorker = false;
+  /// Runs that the worker has failed since it last got one done.
+  std::uint32_t FailuresInRow = 0;
   KeeperCounters Counters;
 };
 
--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -82,6 +82,7 @@
   Target->OthersCpu = Load.others_cpu_milli();
   if (Load.leaving())
     Target->Alive = false;
+  this->takeShared(*Target, Load.failures_in_row(), Now);
   return NewLife;
 }
 
@@ -122,18 +123,35 @@
   ++Target->FailuresInRow;
   bool Due =
       Target->OnTrial || Target->FailuresInRow >= this->Options.EjectAfter;
-  if (!Due || !this->mayEjectOneMore(Target->Pool))
+  return Due && this->eject(*Target, Now);
+}
+
+bool LeaseBoard::eject(LeasedWorker &Target, TimePoint Now) {
+  if (!this->mayEjectOneMore(Target.Pool))
     return false;
-  Target->Ejected = true;
-  Target->OnTrial = false;
-  Target->Backoff =
-      Target->Backoff.count() == 0
-          ? this->Options.FirstBackoff
-          : std::min(2 * Target->Backoff, this->Options.MaxBackoff);
-  Target->EjectedUntil = Now + Target->Backoff;
+  Target.Ejected = true;
+  Target.OnTrial = false;
+  Target.Backoff = Target.Backoff.count() == 0
+                       ? this->Options.FirstBackoff
+                       : std::min(2 * Target.Backoff, this->Options.MaxBackoff);
+  Target.EjectedUntil = Now + Target.Backoff;
   return true;
 }
 
+void LeaseBoard::takeShared(LeasedWorker &Target, std::uint32_t FailuresInRow,
+                            TimePoint Now) {
+  // Another entry's trial has succeeded.
+  if (FailuresInRow == 0 && Target.Ejected) {
+    Target.Ejected = false;
+    Target.FailuresInRow = 0;
+    Target.Backoff = {};
+    return;
+  }
+  bool Failing = FailuresInRow >= this->Options.EjectAfter;
+  if (Failing && !Target.Ejected && !Target.OnTrial)
+    this->eject(Target, Now);
+}
+
 bool LeaseBoard::mayEjectOneMore(const std::string &Pool) const {
   std::uint32_t Total = 0;
   std::uint32_t Out = 1;
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -78,6 +78,7 @@
   bool isLost(const LeasedWorker &Worker, TimePoint Now) const;
   void setLost(const std::string &Agent);
   /// Takes what an agent says of its load; words of an older life are dropped.
+  /// Failures that other entries met there count as if met here.
   /// \returns whether they are those of a life not known of yet.
   bool hear(const std::string &Agent, const peer::WorkerLoad &Load,
             TimePoint Now);
@@ -114,6 +115,10 @@
                TimePoint Now) const;
   double cost(const LeasedWorker &Worker, const LeasedJobRequest &Job);
   bool mayEjectOneMore(const std::string &Pool) const;
+  /// \returns whether the worker may be and has been ejected.
+  bool eject(LeasedWorker &Target, TimePoint Now);
+  void takeShared(LeasedWorker &Target, std::uint32_t FailuresInRow,
+                  TimePoint Now);
 
   LeaseBoardOptions Options;
   std::mt19937_64 Random;
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -304,6 +304,24 @@
   LONGS_EQUAL(Life + 6, Keeper.incarnation());
 }
 
+TEST(LeaseKeeperTest, FailuresInARowAreCountedUntilARunIsDone) {
+  struct Row {
+    RunEnd How;
+    std::uint32_t Expected;
+  };
+  const Row Rows[] = {{RunEnd::Failed, 1},  {RunEnd::Unanswered, 2},
+                      {RunEnd::Stopped, 2}, {RunEnd::Lapsed, 2},
+                      {RunEnd::Done, 0},    {RunEnd::Failed, 1}};
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::size_t Start = 0;
+  for (const Row &Row : Rows) {
+    Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+    end(Keeper, Start++, Row.How);
+    LONGS_EQUAL(Row.Expected, Sink.Updates.back().load().failures_in_row());
+  }
+}
+
 TEST(LeaseKeeperTest, EveryEndIsToldOnce) {
   struct Row {
     RunEnd How;
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -104,6 +104,10 @@
       Update->set_service_us(100000);
       Update->mutable_load()->set_incarnation(Life);
       Update->mutable_load()->set_stamp(++this->Stamp);
+      // As an agent counts: at least the one that it tells of.
+      bool Failure =
+          Event == peer::LEASED_FAILED || Refusal == peer::REFUSAL_WORKER;
+      Update->mutable_load()->set_failures_in_row(Failure ? 1 : 0);
       Coordinator.onMessage({Agent, "10.0.0.1:1"}, Message, Now);
     }
   }
@@ -528,6 +532,44 @@
   LONGS_EQUAL(4, Sink.Dispatches.back().second.tasks_size());
 }
 
+// Each entry would else have to lose tasks there to find out.
+TEST(LeaseCoordinatorTest, FailuresThatOthersMetEjectAWorkerHereToo) {
+  auto Tell = [&](std::uint32_t Failures) {
+    peer::Message Message;
+    peer::WorkerLoad *Load = Message.mutable_worker_load();
+    Load->set_incarnation(Life);
+    Load->set_stamp(++Stamp);
+    Load->set_failures_in_row(Failures);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+  };
+  struct Row {
+    std::uint32_t Failures;
+    std::size_t Workers;
+  };
+  const Row Rows[] = {{2, 2}, {3, 1}, {4, 1}, {0, 2}};
+  addAgent("a");
+  addAgent("b");
+  int Number = 0;
+  for (const Row &Row : Rows) {
+    Tell(Row.Failures);
+    Sink.Dispatches.clear();
+    std::string Id = "j" + std::to_string(++Number);
+    Coordinator.submit(request(4, Id.c_str()), 1, Now);
+    LONGS_EQUAL(Row.Workers, Sink.Dispatches.size());
+    for (std::size_t I = 0; I < Sink.Dispatches.size(); ++I)
+      for (const peer::LeasedTask &Task : Sink.Dispatches[I].second.tasks()) {
+        peer::Message Message;
+        peer::LeasedUpdate *Update = Message.mutable_leased_update();
+        Update->set_job(Id);
+        Update->set_index(Task.index());
+        Update->set_order(Task.order());
+        Update->set_event(peer::LEASED_DONE);
+        Coordinator.onMessage({"x", ""}, Message, Now);
+        Coordinator.onMessage({Sink.Dispatches[I].first, ""}, Message, Now);
+      }
+  }
+}
+
 TEST(LeaseCoordinatorTest, UnderOverloadTheRouteWithMostWorkIsShedFirst) {
   addAgent("a", 10000);
   LeasedJobRequest Heavy = request(13, "h1");
