--- /dev/null
+++ b/agent/lease_keeper_ends.cpp
@@ -0,0 +1,182 @@
+//===- The part of LeaseKeeper that ends tasks and tells their entries ----===//
+
+#include "agent/lease_keeper.h"
+
+namespace yardwheel {
+
+namespace {
+
+/// Added to a run's number when the worker has seen a higher one, which an
+/// earlier agent of its gave.
+constexpr std::uint64_t RunStep = 16;
+
+} // namespace
+
+// ---- Tasks end ----
+
+LeaseKeeper::Task *LeaseKeeper::taskOf(const RunKey &Run) {
+  auto Found = this->Tasks.find({Run.Job, Run.Index});
+  bool Same = Found != this->Tasks.end() && Found->second.Run == Run.Run;
+  return Same ? &Found->second : nullptr;
+}
+
+void LeaseKeeper::onRunRefused(const RunKey &Run, WorkerRefusal Why,
+                               Instant Now) {
+  Task *Which = this->taskOf(Run);
+  if (Which == nullptr)
+    return;
+  TaskId Id{Run.Job, Run.Index};
+  this->giveRoomBack(Which->Needs);
+  this->Log.decision("run_refused", {{"job", Run.Job},
+                                     {"task", Run.Index},
+                                     {"run", Run.Run},
+                                     {"refusal", refusalName(Why)},
+                                     {"used_cpu_milli", this->Used.cpu_milli()},
+                                     {"queued", this->Queue.size()}});
+  if (Why == WorkerRefusal::OldRun)
+    this->LastRuns[Id].Run += RunStep;
+  bool Wanted = Which->State == Phase::Running;
+  bool MayWait = Why == WorkerRefusal::NoRoom || Why == WorkerRefusal::Fenced ||
+                 Why == WorkerRefusal::OldRun;
+  if (Wanted && MayWait && !this->Leaving) {
+    Which->State = Phase::Queued;
+    this->Queue.push_back(Id);
+    if (Why == WorkerRefusal::NoRoom)
+      this->NoRoomUntil = Now.Steady + this->Options.RoomRetry;
+    else
+      this->startFitting(Now);
+    return;
+  }
+  ++this->Counters.Refused;
+  this->say(Id, *Which, peer::LEASED_NOT_STARTED, peer::REFUSAL_WORKER,
+            refusalName(Why), Now);
+  this->Tasks.erase(Id);
+  this->startFitting(Now);
+}
+
+void LeaseKeeper::countEnd(const Task &Which, RunEnd How) {
+  if (How == RunEnd::Done) {
+    ++this->Counters.Done;
+    this->FailuresInRow = 0;
+    return;
+  }
+  if (How == RunEnd::Failed)
+    ++this->Counters.Failed;
+  else
+    ++this->Counters.EndedEarly;
+  bool WorkerAtFault =
+      How == RunEnd::Failed || How == RunEnd::Unanswered || Which.Stalled;
+  if (WorkerAtFault)
+    ++this->FailuresInRow;
+}
+
+void LeaseKeeper::onRunEnded(const RunKey &Run, RunEnd How, Instant Now) {
+  Task *Which = this->taskOf(Run);
+  if (Which == nullptr)
+    return;
+  TaskId Id{Run.Job, Run.Index};
+  this->giveRoomBack(Which->Needs);
+  peer::LeasedEvent Event = peer::LEASED_ENDED_EARLY;
+  if (How == RunEnd::Done)
+    Event = peer::LEASED_DONE;
+  else if (How == RunEnd::Failed)
+    Event = peer::LEASED_FAILED;
+  this->countEnd(*Which, How);
+  this->Log.decision(
+      "run_ended",
+      {{"job", Run.Job},
+       {"task", Run.Index},
+       {"run", Run.Run},
+       {"entry", Which->Owner.Node},
+       {"end", runEndName(How)},
+       {"waited_ms", millisBetween(Which->Arrived, Which->Started)},
+       {"ran_ms", millisBetween(Which->Started, Now.Steady)}});
+  peer::LeasedRefusal Blame =
+      How == RunEnd::Unanswered ? peer::REFUSAL_WORKER : peer::REFUSAL_NONE;
+  this->say(Id, *Which, Event, Blame, runEndName(How), Now);
+  this->Tasks.erase(Id);
+  this->NoRoomUntil = TimePoint::min();
+  this->startFitting(Now);
+}
+
+void LeaseKeeper::onWorkerReady(Instant Now) { this->startFitting(Now); }
+
+void LeaseKeeper::onWorkerSilent(Instant Now) {
+  this->giveBackQueue(peer::REFUSAL_WORKER, "the worker is silent", Now);
+}
+
+void LeaseKeeper::leave(const std::string &Reason, Instant Now) {
+  this->Leaving = true;
+  this->Log.decision("leaving", {{"reason", Reason},
+                                 {"queued", this->Queue.size()},
+                                 {"tasks", this->Tasks.size()}});
+  this->giveBackQueue(peer::REFUSAL_LEAVING, Reason, Now);
+}
+
+void LeaseKeeper::giveBackQueue(peer::LeasedRefusal Why,
+                                const std::string &Reason, Instant Now) {
+  std::vector<TaskId> Waiting = this->Queue;
+  for (const TaskId &Id : Waiting)
+    this->dropTask(Id, Why, Reason, Now);
+}
+
+void LeaseKeeper::shutDown(Instant Now) {
+  this->ShuttingDown = true;
+  this->leave("the agent shuts down", Now);
+}
+
+// ---- What entries are told ----
+
+void LeaseKeeper::say(const TaskId &Id, const Task &Which,
+                      peer::LeasedEvent Event, peer::LeasedRefusal Refusal,
+                      const std::string &Reason, Instant Now) {
+  peer::Message Message;
+  peer::LeasedUpdate *Update = Message.mutable_leased_update();
+  Update->set_job(Id.Job);
+  Update->set_index(Id.Index);
+  Update->set_attempt(Which.Attempt);
+  Update->set_order(Which.Order);
+  Update->set_event(Event);
+  Update->set_refusal(Refusal);
+  Update->set_reason(Reason);
+  if (Which.State != Phase::Queued)
+    Update->set_service_us((Now.Steady - Which.Started).count());
+  *Update->mutable_load() = this->loadFor(Which.Owner.Node, Now);
+  this->Ended[{Which.Owner.Node, Which.Order}] = Now.Steady;
+  this->Sink.send(Which.Owner, std::move(Message));
+}
+
+void LeaseKeeper::onUndelivered(const Undelivered &Lost, Instant Now) {
+  // An entry that is gone renews nothing, and then nobody waits.
+  if (!this->Leases.contains(Lost.To.Node))
+    return;
+  int Updates = 0;
+  for (const peer::Message &Message : Lost.Envelope->messages()) {
+    if (!Message.has_leased_update())
+      continue;
+    ++Updates;
+    this->Sink.send(Lost.To, Message);
+  }
+  if (Updates > 0)
+    this->Log.decision("updates_repeated",
+                       {{"entry", Lost.To.Node},
+                        {"updates", Updates},
+                        {"age_ms", millisBetween(Lost.SentAt, Now.Steady)}});
+}
+
+peer::WorkerLoad LeaseKeeper::loadFor(const std::string &Entry,
+                                      Instant Now) const {
+  peer::WorkerLoad Load;
+  Load.set_incarnation(this->Options.Incarnation);
+  Load.set_stamp(stampAt(Now));
+  std::uint32_t Others = 0;
+  for (const auto &[Id, Known] : this->Tasks)
+    if (Known.Owner.Node != Entry)
+      Others += Known.Needs.cpu_milli();
+  Load.set_others_cpu_milli(Others);
+  Load.set_leaving(this->Leaving);
+  Load.set_failures_in_row(this->FailuresInRow);
+  return Load;
+}
+
+} // namespace yardwheel
--- a/core/clock.h
+++ b/core/clock.h
@@ -24,6 +24,12 @@
   WallTime Wall;
 };
 
+/// Whole milliseconds from one point to a later one, for logs and messages.
+inline std::int64_t millisBetween(TimePoint From, TimePoint To) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(To - From)
+      .count();
+}
+
 /// Source of time for the daemon's shell.
 class Clock {
 public:
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -5,14 +5,6 @@
 
 namespace yardwheel {
 
-namespace {
-
-std::chrono::milliseconds sinceMs(TimePoint From, TimePoint To) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(To - From);
-}
-
-} // namespace
-
 LeaseCoordinator::LeaseCoordinator(CoordinatorOptions Options, PeerSink &Sink,
                                    LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
@@ -158,7 +150,7 @@
     Job &Target, std::map<std::string, peer::LeasedDispatch> &Batch,
     Instant Now) {
   const LeasedJobRequest &Request = Target.Request;
-  auto Used = sinceMs(Target.Taken, Now.Steady);
+  std::chrono::milliseconds Used(millisBetween(Target.Taken, Now.Steady));
   auto StartBy = Request.Objective - Used - Request.Estimate;
   auto GiveUp = Request.Deadline - Used;
   for (auto &[Agent, Order] : Batch) {
@@ -226,45 +218,6 @@
     this->onRestarted(Agent, Now);
 }
 
-void LeaseCoordinator::onHeldOrders(const std::string &Agent,
-                                    const peer::WorkerLoad &Load, Instant Now) {
-  const LeasedWorker *Worker = this->Board.find(Agent);
-  // A late answer, or one of another life, says nothing of what is held now.
-  if (Worker == nullptr || Load.incarnation() != Worker->Incarnation ||
-      Load.stamp() < Worker->Stamp)
-    return;
-  std::set<std::uint64_t> Held(Load.held_orders().begin(),
-                               Load.held_orders().end());
-  std::vector<peer::LeasedUpdate> Lost;
-  for (const auto &[Id, Known] : this->Jobs) {
-    for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
-      Task &Which = Known->Tasks[I];
-      if (Which.Phase != TaskPhase::Sent || Which.Agent != Agent)
-        continue;
-      bool MayBeOnItsWay =
-          Now.Steady - Which.PlacedAt <= this->Options.InTransit;
-      if (MayBeOnItsWay || Held.contains(Which.Order)) {
-        Which.MissingSince = TimePoint::max();
-        continue;
-      }
-      Which.MissingSince = std::min(Which.MissingSince, Now.Steady);
-      if (Now.Steady - Which.MissingSince < this->Options.MissingLimit)
-        continue;
-      // It has not stood still there: there is nothing of it.
-      Which.Stalled = false;
-      peer::LeasedUpdate &End = Lost.emplace_back();
-      End.set_job(Id);
-      End.set_index(I);
-      End.set_attempt(Which.Attempt);
-      End.set_order(Which.Order);
-      End.set_event(peer::LEASED_ENDED_EARLY);
-      End.set_reason("its agent no longer lists it");
-    }
-  }
-  for (const peer::LeasedUpdate &End : Lost)
-    this->onUpdate(Agent, End, Now);
-}
-
 void LeaseCoordinator::onUpdate(const std::string &Agent,
                                 const peer::LeasedUpdate &Update, Instant Now) {
   Job *Target = this->find(Update.job());
@@ -466,7 +419,7 @@
                       {"step", Answer.Step},
                       {"peer", Answer.Peer},
                       {"reason", Answer.Reason},
-                      {"took_ms", sinceMs(Target.Taken, Now.Steady).count()},
+                      {"took_ms", millisBetween(Target.Taken, Now.Steady)},
                       {"objective_ms", Target.Request.Objective.count()},
                       {"estimate_ms", Target.Request.Estimate.count()},
                       {"tasks", Target.Tasks.size()},
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -178,6 +178,8 @@
                 Instant Now);
   void onLoad(const std::string &Agent, const peer::WorkerLoad &Load,
               Instant Now);
+  /// Whether an agent has not listed a placement for so long that it has ended.
+  bool isMissing(Task &Which, bool Held, Instant Now) const;
   /// Ends the tasks of which an agent knows nothing: their updates were lost,
   /// as while this entry stood still and its lease there lapsed.
   void onHeldOrders(const std::string &Agent, const peer::WorkerLoad &Load,
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -108,6 +108,51 @@
   }
 }
 
+// ---- Agents tell what they hold ----
+
+bool LeaseCoordinator::isMissing(Task &Which, bool Held, Instant Now) const {
+  bool MayBeOnItsWay = Now.Steady - Which.PlacedAt <= this->Options.InTransit;
+  if (MayBeOnItsWay || Held) {
+    Which.MissingSince = TimePoint::max();
+    return false;
+  }
+  Which.MissingSince = std::min(Which.MissingSince, Now.Steady);
+  return Now.Steady - Which.MissingSince >= this->Options.MissingLimit;
+}
+
+void LeaseCoordinator::onHeldOrders(const std::string &Agent,
+                                    const peer::WorkerLoad &Load, Instant Now) {
+  const LeasedWorker *Worker = this->Board.find(Agent);
+  // A late answer, or one of another life, says nothing of what is held now.
+  bool Newest = Worker != nullptr &&
+                Load.incarnation() == Worker->Incarnation &&
+                Load.stamp() >= Worker->Stamp;
+  if (!Newest)
+    return;
+  std::set<std::uint64_t> Held(Load.held_orders().begin(),
+                               Load.held_orders().end());
+  std::vector<peer::LeasedUpdate> Lost;
+  for (const auto &[Id, Known] : this->Jobs) {
+    for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
+      Task &Which = Known->Tasks[I];
+      bool There = Which.Phase == TaskPhase::Sent && Which.Agent == Agent;
+      if (!There || !this->isMissing(Which, Held.contains(Which.Order), Now))
+        continue;
+      // It has not stood still there: there is nothing of it.
+      Which.Stalled = false;
+      peer::LeasedUpdate &End = Lost.emplace_back();
+      End.set_job(Id);
+      End.set_index(I);
+      End.set_attempt(Which.Attempt);
+      End.set_order(Which.Order);
+      End.set_event(peer::LEASED_ENDED_EARLY);
+      End.set_reason("its agent no longer lists it");
+    }
+  }
+  for (const peer::LeasedUpdate &End : Lost)
+    this->onUpdate(Agent, End, Now);
+}
+
 // ---- Time ----
 
 void LeaseCoordinator::tick(Instant Now) {
