Only proof that a worker's life has ended makes way for another

Cause, found by reading: a call that stayed without a reply, or a refused connection, was enough for an announcement to be believed, and any announcement was while the worker was in doubt or not ready yet. A late one of a dead life beside one lost call would have ended the living one's runs here, and begun them elsewhere while they went on.

Change: the present life is always asked. Only an answer of another life in its place, or the end of all its runs, lets the announced one be attached; silence ends runs when their lease must have lapsed, as before.

The rows of the test of announcements that took silence for proof now demand the contrary, and two were added.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -64,8 +64,7 @@
     this->Profile->Draining |= New.Draining;
     return;
   }
-  bool MayLive = this->Profile && this->Ready && !this->InDoubt;
-  if (!MayLive) {
+  if (!this->Profile) {
     this->attach(New, Now);
     return;
   }
@@ -74,17 +73,18 @@
 }
 
 void WorkerSession::judgeCandidate(const WorkerReply &Reply, Instant Now) {
-  WorkerProfile New = *this->Candidate;
-  this->Candidate.reset();
   bool Lives = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
-  if (!Lives) {
-    this->attach(New, Now);
-    return;
+  bool Replaced = Reply.Answered && Reply.Refusal == WorkerRefusal::OtherLife;
+  if (Lives) {
+    this->Log.decision("announcement_ignored",
+                       {{"worker", this->Candidate->Id},
+                        {"alive", this->Profile->Id},
+                        {"reason", "the present life of the worker replies"}});
+    this->Candidate.reset();
+  } else if (Replaced || this->Runs.empty()) {
+    this->attach(WorkerProfile(*this->Candidate), Now);
   }
-  this->Log.decision("announcement_ignored",
-                     {{"worker", New.Id},
-                      {"alive", this->Profile->Id},
-                      {"reason", "the present life of the worker replies"}});
+  // Otherwise its runs may go on until their lease has lapsed.
 }
 
 void WorkerSession::attach(const WorkerProfile &New, Instant Now) {
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -84,9 +84,9 @@
                 SessionEvents &Events);
 
   /// Takes what the worker has announced of itself. A new life ends all runs
-  /// of the last one. While the last one replies it is asked first whether it
-  /// has ended: an announcement may have been held up on its way since before
-  /// the worker restarted.
+  /// of the last one, which is asked first whether it is there: an announcement
+  /// may have been held up on its way since before the worker restarted. While
+  /// the last one may be there and has runs, it stays the present one.
   void onProfile(const WorkerProfile &New, Instant Now);
   bool hasWorker() const { return this->Profile.has_value(); }
   /// Whether the worker replies, and its runs of an earlier agent have been
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -134,23 +134,29 @@
 TEST(WorkerSessionTest, AnnouncementsAreBelievedOnlyOnceTheLastLifeHasEnded) {
   struct Row {
     const char *Name;
+    bool HasRuns;
     WorkerReply FromPresentLife;
     const char *Expected;
   };
   const Row Rows[] = {
-      {"it replies", answered(), "life-1"},
-      {"another is there", answered(WorkerRefusal::OtherLife), "life-2"},
-      {"nobody is there", answered(WorkerRefusal::Unwell), "life-3"},
-      {"silence", WorkerReply(), "life-4"},
+      {"it replies", true, answered(), "life-1"},
+      {"another is there", true, answered(WorkerRefusal::OtherLife), "life-2"},
+      {"silence", true, WorkerReply(), "life-2"},
+      {"nobody is there", true, answered(WorkerRefusal::Unwell), "life-2"},
+      {"nobody, and no runs", false, answered(WorkerRefusal::Unwell), "life-3"},
+      {"silence, and no runs", false, WorkerReply(), "life-4"},
   };
   attach();
-  int Attached = 1;
   for (const Row &Row : Rows) {
-    Session.start(Run, "spec", Now);
-    Session.onStartReply(Port.Life, Run, answered(), Now);
+    if (Row.HasRuns) {
+      ++Run.Run;
+      Session.start(Run, "spec", Now);
+      Session.onStartReply(Port.Life, Run, answered(), Now);
+    }
     std::string Present = Port.Life;
     std::size_t Ends = Events.Ends.size();
     std::size_t Alive = Session.runs();
+    int Attached = Events.Attached;
     bool Moves = Row.Expected != Present;
     Profile.Id = Moves ? Row.Expected : "life-0";
     Session.onProfile(Profile, Now);
@@ -159,11 +165,53 @@
     Session.onHoldReply(Present, Row.FromPresentLife, Now);
     STRCMP_EQUAL_TEXT(Row.Expected, Port.Life.c_str(), Row.Name);
     LONGS_EQUAL_TEXT(Ends + (Moves ? Alive : 0), Events.Ends.size(), Row.Name);
-    LONGS_EQUAL_TEXT(Attached += Moves ? 1 : 0, Events.Attached, Row.Name);
-    Session.onHoldReply(Port.Life, answered(), Now);
+    LONGS_EQUAL_TEXT(Attached + (Moves ? 1 : 0), Events.Attached, Row.Name);
+    // The present life replies, and ends what it has.
+    WorkerReply Held = answered();
+    if (Row.HasRuns && Session.runs() > 0)
+      Held.Ended.push_back({1, Run, RunEnd::Done});
+    Session.onHoldReply(Port.Life, Held, Now);
     CHECK_TEXT(Session.isReady(), Row.Name);
-    ++Run.Run;
+    LONGS_EQUAL_TEXT(0, Session.runs(), Row.Name);
+  }
+}
+
+// A call without a reply does not prove that the present life has ended: runs
+// that were told as ended then would be begun elsewhere while they go on.
+TEST(WorkerSessionTest, SilenceAloneEndsNoRunsForAnAnnouncement) {
+  attach();
+  Session.start(Run, "spec", Now);
+  Session.onStartReply("life-1", Run, answered(), Now);
+  Session.onHoldReply("life-1", WorkerReply(), Now);
+  Profile.Id = "life-0";
+  Session.onProfile(Profile, Now);
+  Session.onHoldReply("life-1", WorkerReply(), Now);
+  pass(Options.HoldRetry);
+  Session.onHoldReply("life-1", answered(WorkerRefusal::Unwell), Now);
+  STRCMP_EQUAL("life-1", Port.Life.c_str());
+  LONGS_EQUAL(0, Events.Ends.size());
+  // It has only been slow to reply.
+  pass(Options.HoldRetry);
+  Session.onHoldReply("life-1", answered(), Now);
+  STRCMP_EQUAL("life-1", Port.Life.c_str());
+  // Silent until its lease must have lapsed, it makes way for the other.
+  Session.onProfile(Profile, Now);
+  for (int I = 0; I < 24; ++I) {
+    Session.onHoldReply("life-1", WorkerReply(), Now);
+    pass(50ms);
   }
+  STRCMP_EQUAL("life-0", Port.Life.c_str());
+  LONGS_EQUAL(1, Events.Ends.size());
+}
+
+// The first call to a life is the one that tells whether it is there.
+TEST(WorkerSessionTest, ALifeThatIsNotReadyYetIsAskedToo) {
+  Session.onProfile(Profile, Now);
+  Profile.Id = "life-0";
+  Session.onProfile(Profile, Now);
+  Session.onHoldReply("life-1", answered(), Now);
+  STRCMP_EQUAL("life-1", Port.Life.c_str());
+  CHECK(Session.isReady());
 }
 
 TEST(WorkerSessionTest, CallsForEndsWaitLessAfterALostCall) {
