--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -114,10 +114,16 @@
     this->Started = true;
     CHECK(waitFor([&] { return this->replace(1) == 200; }));
     for (int I = 1; I <= 2; ++I)
-      CHECK(waitFor([&] {
-        return this->submit(I, fmt::format("{:016x}", 0xf000 + I), 1, 5)
-                   .Status == 200;
-      }));
+      CHECK(waitFor([&] { return this->usesBothWorkers(I); }));
+  }
+  /// Whether an entry has heard of both workers: a job of some tasks is spread.
+  bool usesBothWorkers(int Front) {
+    int Before1 = this->Workers[1]->starts();
+    int Before2 = this->Workers[2]->starts();
+    std::string Id = fmt::format("{:016x}", 0xf0000 + ++this->Probes);
+    bool Served = this->submit(Front, Id, 4, 5).Status == 200;
+    return Served && this->Workers[1]->starts() > Before1 &&
+           this->Workers[2]->starts() > Before2;
   }
   void addWorker(int Side) {
     PlatformWorkerOptions Options;
@@ -221,6 +227,7 @@
   std::string Folder;
   std::string Net;
   bool Started = false;
+  int Probes = 0;
   std::map<std::string, pid_t> Running;
 };
 
--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -120,6 +120,7 @@
       std::chrono::milliseconds(std::stoi(Body.at("spec").get<std::string>()));
   this->Runs[Task] = {Number, Clock::now() + Length, 0};
   this->Recorder.onStart(Task);
+  ++this->Starts;
   return "";
 }
 
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -70,6 +70,8 @@
   void delayStarts(std::chrono::milliseconds Delay) { this->Delay = Delay; }
   void setDraining() { this->Draining.store(true); }
   std::uint64_t highestToken() const { return this->Token; }
+  /// Runs that it has begun.
+  int starts() const { return this->Starts.load(); }
   std::size_t running() const;
 
 private:
@@ -111,6 +113,7 @@
   std::uint64_t LastEnd = 0;
   std::int64_t LeaseUntil = 0;
   std::uint64_t Token = 0;
+  std::atomic<int> Starts{0};
   std::deque<Waiting> Holds;
   std::deque<Late> LateStarts;
   std::chrono::milliseconds Delay{0};
