Count answers by status where they are written

Conclusion: what callers count beyond these counters was crossed or lost on its way, which tells an old route table from an answer meant for somebody else.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -119,8 +119,9 @@
 
 class PistacheReply final : public HttpReply {
 public:
-  explicit PistacheReply(Pistache::Http::ResponseWriter Writer)
-      : Writer(std::move(Writer)) {}
+  PistacheReply(Pistache::Http::ResponseWriter Writer,
+                std::shared_ptr<AnswerCounters> Counters)
+      : Writer(std::move(Writer)), Counters(std::move(Counters)) {}
 
   void send(const HttpAnswer &Answer) override {
     if (this->Sent.exchange(true))
@@ -142,8 +143,10 @@
     auto Code = static_cast<Pistache::Http::Code>(Answer.Status);
     try {
       this->Writer.send(Code, Answer.Body);
+      this->Counters->countAnswered(static_cast<int>(Answer.Status));
     } catch (const std::exception &) {
       // The client has gone; there is nobody to tell.
+      this->Counters->countWithoutCaller();
     }
   }
 
@@ -157,6 +160,7 @@
 
 private:
   Pistache::Http::ResponseWriter Writer;
+  std::shared_ptr<AnswerCounters> Counters;
   std::atomic<bool> Sent{false};
 };
 
@@ -165,8 +169,10 @@
   HTTP_PROTOTYPE(PistacheHandler)
 
   PistacheHandler(std::shared_ptr<HttpHandler> Target,
-                  std::vector<std::string> Headers)
-      : Target(std::move(Target)), Headers(std::move(Headers)) {}
+                  std::vector<std::string> Headers,
+                  std::shared_ptr<AnswerCounters> Counters)
+      : Target(std::move(Target)), Headers(std::move(Headers)),
+        Counters(std::move(Counters)) {}
 
   void onRequest(const Pistache::Http::Request &Request,
                  Pistache::Http::ResponseWriter Writer) override {
@@ -184,8 +190,8 @@
     }
     if (std::shared_ptr<Pistache::Tcp::Peer> Peer = Writer.getPeer())
       Plain.Connection = Peer->getID();
-    this->Target->handle(Plain,
-                         std::make_shared<PistacheReply>(std::move(Writer)));
+    this->Target->handle(Plain, std::make_shared<PistacheReply>(
+                                    std::move(Writer), this->Counters));
   }
 
   void
@@ -196,6 +202,7 @@
 private:
   std::shared_ptr<HttpHandler> Target;
   std::vector<std::string> Headers;
+  std::shared_ptr<AnswerCounters> Counters;
 };
 
 } // namespace
@@ -204,6 +211,7 @@
 public:
   explicit Implementation(const std::string &Listen)
       : Endpoint(Pistache::Address(Listen)) {}
+  std::shared_ptr<AnswerCounters> Counters = std::make_shared<AnswerCounters>();
   Pistache::Http::Endpoint Endpoint;
   bool Running = false;
 };
@@ -220,8 +228,8 @@
                         .flags(Pistache::Flags<Pistache::Tcp::Options>(
                             Pistache::Tcp::Options::ReuseAddr));
     this->Inner->Endpoint.init(Settings);
-    this->Inner->Endpoint.setHandler(
-        std::make_shared<PistacheHandler>(std::move(Handler), Options.Headers));
+    this->Inner->Endpoint.setHandler(std::make_shared<PistacheHandler>(
+        std::move(Handler), Options.Headers, this->Inner->Counters));
     this->Inner->Endpoint.serveThreaded();
     this->Inner->Running = true;
   } catch (const std::exception &Problem) {
@@ -231,6 +239,10 @@
 
 HttpServer::~HttpServer() { this->stop(); }
 
+const AnswerCounters &HttpServer::answers() const {
+  return *this->Inner->Counters;
+}
+
 void HttpServer::stop() {
   if (!this->Inner->Running)
     return;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -8,6 +8,8 @@
 #ifndef YARDWHEEL_HTTP_HTTP_SERVER_H
 #define YARDWHEEL_HTTP_HTTP_SERVER_H
 
+#include "http/answer_counters.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -105,6 +107,8 @@
   HttpServer &operator=(const HttpServer &) = delete;
 
   void stop();
+  /// The answers written so far; for any thread.
+  const AnswerCounters &answers() const;
 
 private:
   class Implementation;
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -214,6 +214,7 @@
   Text += metricLine("yardwheel_route_table_version",
                      this->Catalog.view()->Routes.version());
   Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
+  Text += this->Callers.answers().describe();
   Text += describeCounters(this->Node.links().counters());
   this->Metrics->publish(std::move(Text));
 }
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -198,6 +198,7 @@
   Text += metricLine("yardwheel_route_table_version",
                      this->Service.catalog().routes().version());
   Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
+  Text += this->Operators.answers().describe();
   Text += describeCounters(this->Node.links().counters());
   this->Metrics->publish(std::move(Text));
 }
