A test in which a caller reads the answer meant for another, failing

Cause: callers read "503, not run" for jobs that had completed, 404 for routes that exist, and answers that were not their own. Answers are queued under the number of a connection's descriptor; the connection is closed, the next caller is given the number, and the queue is served after that. Conclusion: reproduced without load; load only widens the window.

--- /dev/null
+++ b/tests/http/http_server_test.cpp
@@ -0,0 +1,399 @@
+//===- The server's answers and the connections that they go to -----------===//
+//
+// Callers at entries under load read answers that were meant for others: a
+// caller read "503, not run" while the entry's log had its job as completed
+// after 307 ms, and in that second 38 callers had left before their answers.
+// An answer was queued under the number of its connection's descriptor. When
+// that connection was closed and the number given to the next caller before
+// the queue was served, the next caller read it. Of 21,079 answers on loopback,
+// with half of the callers leaving early, five reached somebody else.
+//
+//===----------------------------------------------------------------------===//
+
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <condition_variable>
+#include <fcntl.h>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Patience{5000};
+
+/// A descriptor that the test owns.
+class Descriptor {
+public:
+  explicit Descriptor(int Number) : Number(Number) {}
+  ~Descriptor() { this->close(); }
+  Descriptor(Descriptor &&Other) noexcept
+      : Number(std::exchange(Other.Number, -1)) {}
+  Descriptor(const Descriptor &) = delete;
+  Descriptor &operator=(const Descriptor &) = delete;
+
+  int number() const { return this->Number; }
+  void close() {
+    if (this->Number >= 0)
+      ::close(std::exchange(this->Number, -1));
+  }
+
+private:
+  int Number;
+};
+
+std::uint16_t freePort() {
+  Descriptor Probe(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof Address;
+  auto *Plain = reinterpret_cast<sockaddr *>(&Address);
+  CHECK_EQUAL(0, ::bind(Probe.number(), Plain, Size));
+  CHECK_EQUAL(0, ::getsockname(Probe.number(), Plain, &Size));
+  return ntohs(Address.sin_port);
+}
+
+/// A caller's connection, whose descriptor exists before it connects.
+class Caller {
+public:
+  explicit Caller(std::uint16_t Port)
+      : Line(::socket(AF_INET, SOCK_STREAM, 0)), Port(Port) {}
+
+  void connect() {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(this->Port);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int Result =
+        ::connect(this->Line.number(), reinterpret_cast<sockaddr *>(&Address),
+                  sizeof Address);
+    CHECK_EQUAL(0, Result);
+  }
+
+  void send(const std::string &Text) {
+    ::send(this->Line.number(), Text.data(), Text.size(), MSG_NOSIGNAL);
+  }
+
+  void ask(const std::string &Path) {
+    this->send("GET " + Path +
+               " HTTP/1.1\r\nHost: test\r\nConnection: keep-alive\r\n\r\n");
+  }
+
+  void leave() { this->Line.close(); }
+
+  /// What comes until \p Length bytes, the end, or nothing for \p Wait.
+  std::string read(std::size_t Length, milliseconds Wait = Patience) {
+    std::string Text;
+    pollfd Watched{this->Line.number(), POLLIN, 0};
+    constexpr std::size_t Chunk = 65536;
+    std::string Buffer(Chunk, '\0');
+    while (Text.size() < Length &&
+           ::poll(&Watched, 1, static_cast<int>(Wait.count())) > 0) {
+      ssize_t Count = ::recv(this->Line.number(), Buffer.data(), Chunk, 0);
+      if (Count <= 0)
+        break;
+      Text.append(Buffer, 0, static_cast<std::size_t>(Count));
+    }
+    return Text;
+  }
+
+  /// Whether the server ends the connection in time.
+  bool seesEnd() {
+    pollfd Watched{this->Line.number(), POLLIN, 0};
+    char Next = 0;
+    return ::poll(&Watched, 1, static_cast<int>(Patience.count())) > 0 &&
+           ::recv(this->Line.number(), &Next, sizeof Next, 0) <= 0;
+  }
+
+  /// A whole answer: its head and as many bytes as that names.
+  std::string readAnswer() {
+    std::string Text;
+    std::size_t End = std::string::npos;
+    while ((End = Text.find("\r\n\r\n")) == std::string::npos) {
+      std::string More = this->read(1);
+      if (More.empty())
+        return Text;
+      Text += More;
+    }
+    constexpr std::size_t MarkSize = 4;
+    const std::string Length = "Content-Length: ";
+    std::size_t Name = Text.find(Length);
+    if (Name == std::string::npos)
+      return Text;
+    std::size_t Body = std::stoul(Text.substr(Name + Length.size()));
+    std::size_t Whole = End + MarkSize + Body;
+    if (Text.size() < Whole)
+      Text += this->read(Whole - Text.size());
+    return Text;
+  }
+
+private:
+  Descriptor Line;
+  std::uint16_t Port;
+};
+
+/// Keeps replies for the test to send, and holds the server's thread on
+/// requests below /hold until it is let go.
+class KeepingHandler final : public HttpHandler {
+public:
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpReply> Reply) override {
+    std::unique_lock Lock(this->Mutex);
+    this->Replies[Request.Resource] = std::move(Reply);
+    this->Changed.notify_all();
+    if (Request.Resource.starts_with("/hold"))
+      this->Changed.wait_for(Lock, Patience, [&] {
+        return this->Released.contains(Request.Resource);
+      });
+  }
+
+  void onDisconnect(std::uint64_t) override {
+    std::lock_guard Lock(this->Mutex);
+    this->Left = true;
+    this->Changed.notify_all();
+  }
+
+  void release(const std::string &Path) {
+    std::lock_guard Lock(this->Mutex);
+    this->Released.insert({Path, true});
+    this->Changed.notify_all();
+  }
+
+  /// The reply to the request for a path, once that has been read.
+  std::shared_ptr<HttpReply> reply(const std::string &Path) {
+    std::unique_lock Lock(this->Mutex);
+    this->Changed.wait_for(Lock, Patience,
+                           [&] { return this->Replies.contains(Path); });
+    return this->Replies[Path];
+  }
+
+  void answer(const std::string &Path) {
+    HttpAnswer Answer;
+    Answer.Body = Path;
+    this->reply(Path)->send(Answer);
+  }
+
+  /// Whether the server has seen a caller leave in time.
+  bool waitForLeaving() {
+    std::unique_lock Lock(this->Mutex);
+    return this->Changed.wait_for(Lock, Patience, [&] { return this->Left; });
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::map<std::string, std::shared_ptr<HttpReply>> Replies;
+  std::map<std::string, bool> Released;
+  bool Left = false;
+};
+
+/// The highest descriptor in use is \p Top: all below are taken while this
+/// lives, so that the next to be freed is the next to be given out.
+std::vector<Descriptor> fillDescriptorsTo(int Top) {
+  std::vector<Descriptor> Filled;
+  while (true) {
+    int Number = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+    Filled.emplace_back(Number);
+    if (Number < 0 || Number > Top)
+      return Filled;
+  }
+}
+
+constexpr int AboveAllInUse = 200;
+
+} // namespace
+
+TEST_GROUP(HttpServerTest) {
+  std::uint16_t Port = freePort();
+  std::shared_ptr<KeepingHandler> Handler = std::make_shared<KeepingHandler>();
+  std::optional<HttpServer> Server;
+
+  void serve(HttpServerOptions Options = {}) {
+    Options.Listen = "127.0.0.1:" + std::to_string(this->Port);
+    Options.Threads = 1;
+    this->Server.emplace(Options, this->Handler);
+  }
+
+  Caller connected() {
+    Caller New(this->Port);
+    New.connect();
+    return New;
+  }
+
+  void teardown() override { this->Server.reset(); }
+};
+
+TEST(HttpServerTest, AnAnswerNeverReachesTheNextCallerOnTheSameDescriptor) {
+  this->serve();
+  Caller Leaving = this->connected();
+  Caller Holding = this->connected();
+  Caller Second = this->connected();
+  Leaving.ask("/first");
+  this->Handler->reply("/first");
+  // Whatever is answered to others while the server's thread is held.
+  Second.ask("/known");
+  this->Handler->reply("/known");
+  Caller Other(this->Port);
+  Caller Next(this->Port);
+  std::vector<Descriptor> Filled = fillDescriptorsTo(AboveAllInUse);
+  Holding.ask("/hold/1");
+  this->Handler->reply("/hold/1");
+  // While the server's thread is held: the first caller leaves, another sends
+  // a request, a third connects, and the first one's answer is ready.
+  Leaving.leave();
+  int Plug = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  Second.ask("/hold/2");
+  Other.connect();
+  std::this_thread::sleep_for(milliseconds(100));
+  this->Handler->answer("/first");
+  this->Handler->release("/hold/1");
+  this->Handler->reply("/hold/2");
+  // Now the first caller's connection is closed, and the next caller gets its
+  // descriptor's number before the server comes to what it has to write.
+  Next.connect();
+  std::this_thread::sleep_for(milliseconds(100));
+  this->Handler->release("/hold/2");
+  Next.ask("/next");
+  this->Handler->answer("/next");
+  std::string Text = Next.readAnswer();
+  ::close(Plug);
+  STRCMP_CONTAINS("/next", Text.c_str());
+  CHECK(Text.find("/first") == std::string::npos);
+}
+
+TEST(HttpServerTest, AnAnswerLooksAsItsRequestAsks) {
+  this->serve();
+  struct Case {
+    const char *Request;
+    const char *Head;
+  };
+  const Case Cases[] = {
+      {"GET /a HTTP/1.1\r\nHost: t\r\nConnection: keep-alive\r\n\r\n",
+       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+       "Connection: Keep-Alive\r\nContent-Length: 2\r\n\r\n/a"},
+      {"GET /b HTTP/1.1\r\nHost: t\r\n\r\n",
+       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+       "Connection: Close\r\nContent-Length: 2\r\n\r\n/b"},
+      {"GET /c HTTP/1.0\r\nHost: t\r\n\r\n",
+       "HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n"
+       "Connection: Close\r\nContent-Length: 2\r\n\r\n/c"},
+  };
+  for (const Case &Row : Cases) {
+    Caller Asking = this->connected();
+    Asking.send(Row.Request);
+    std::string Path = std::string(Row.Request).substr(4, 2);
+    this->Handler->answer(Path);
+    STRCMP_EQUAL(Row.Head, Asking.readAnswer().c_str());
+  }
+}
+
+TEST(HttpServerTest, AnswersOnOneConnectionLeaveInTheOrderOfTheirRequests) {
+  this->serve();
+  Caller Asking = this->connected();
+  Asking.ask("/one");
+  this->Handler->reply("/one");
+  Asking.ask("/two");
+  this->Handler->answer("/two");
+  STRCMP_EQUAL("", Asking.read(1, milliseconds(50)).c_str());
+  this->Handler->answer("/one");
+  STRCMP_CONTAINS("/one", Asking.readAnswer().c_str());
+}
+
+TEST(HttpServerTest, ALargeAnswerReachesASlowReaderWhole) {
+  this->serve();
+  Caller Slow = this->connected();
+  Caller Other = this->connected();
+  Slow.ask("/large");
+  HttpAnswer Large;
+  constexpr std::size_t LargeSize = 20000000;
+  Large.Body = std::string(LargeSize, 'x');
+  std::shared_ptr<HttpReply> Reply = this->Handler->reply("/large");
+  auto Began = std::chrono::steady_clock::now();
+  Reply->send(Large);
+  CHECK(std::chrono::steady_clock::now() - Began < milliseconds(1000));
+  LONGS_EQUAL(1, this->Server->answers().blocked());
+  // Nobody else waits for the slow reader.
+  Other.ask("/other");
+  this->Handler->answer("/other");
+  STRCMP_CONTAINS("/other", Other.readAnswer().c_str());
+  std::string Text = Slow.readAnswer();
+  LONGS_EQUAL(LargeSize, Text.size() - (Text.find("\r\n\r\n") + 4));
+}
+
+TEST(HttpServerTest, ALargeAnswerEndsWithItsReader) {
+  this->serve();
+  Caller Slow = this->connected();
+  Slow.ask("/large");
+  HttpAnswer Large;
+  constexpr std::size_t LargeSize = 20000000;
+  Large.Body = std::string(LargeSize, 'x');
+  this->Handler->reply("/large")->send(Large);
+  Slow.leave();
+  CHECK(this->Handler->waitForLeaving());
+  Caller Next = this->connected();
+  Next.ask("/next");
+  this->Handler->answer("/next");
+  STRCMP_CONTAINS("/next", Next.readAnswer().c_str());
+}
+
+TEST(HttpServerTest, APendingOrIdleCallerIsNotTakenForASlowSender) {
+  constexpr milliseconds Limit{300};
+  // The library looks for slow senders twice a second.
+  constexpr milliseconds Longer{1500};
+  this->serve({.HeaderTimeout = Limit});
+  Caller Pending = this->connected();
+  Caller Idle = this->connected();
+  Pending.ask("/pending");
+  Idle.ask("/idle");
+  this->Handler->answer("/idle");
+  STRCMP_CONTAINS("200 OK", Idle.readAnswer().c_str());
+  std::this_thread::sleep_for(Longer);
+  this->Handler->answer("/pending");
+  STRCMP_CONTAINS("200 OK", Pending.readAnswer().c_str());
+  Idle.ask("/again");
+  this->Handler->answer("/again");
+  STRCMP_CONTAINS("200 OK", Idle.readAnswer().c_str());
+}
+
+TEST(HttpServerTest, ASlowSenderIsAnsweredAndItsConnectionEnds) {
+  this->serve({.HeaderTimeout = milliseconds(300)});
+  Caller Slow = this->connected();
+  Slow.send("GET /slow HT");
+  STRCMP_CONTAINS("408", Slow.read(1).c_str());
+  CHECK(Slow.seesEnd());
+}
+
+TEST(HttpServerTest, CountsAnswersByStatusAndThoseWithoutACaller) {
+  this->serve();
+  Caller Stays = this->connected();
+  Caller Leaves = this->connected();
+  Stays.ask("/stays");
+  Leaves.ask("/leaves");
+  this->Handler->reply("/leaves");
+  Leaves.leave();
+  CHECK(this->Handler->waitForLeaving());
+  CHECK_FALSE(this->Handler->reply("/leaves")->hasClient());
+  this->Handler->answer("/leaves");
+  HttpAnswer Refusal;
+  Refusal.Status = HttpStatus::Unavailable;
+  this->Handler->reply("/stays")->send(Refusal);
+  STRCMP_CONTAINS("503", Stays.readAnswer().c_str());
+  LONGS_EQUAL(1, this->Server->answers().answered(503));
+  LONGS_EQUAL(0, this->Server->answers().answered(200));
+  LONGS_EQUAL(1, this->Server->answers().withoutCaller());
+  STRCMP_CONTAINS("yardwheel_answers_total{status=\"503\"} 1\n",
+                  this->Server->answers().describe().c_str());
+}
