Write answers by descriptors that no other caller can be given

Cause: the HTTP library queues an answer that comes from another thread under the number of its connection's descriptor. Its own thread may close the connection first; the listener gives the number to the next caller; the queue then goes to that caller. One fault showed as many: a 404 or an answer by an old table meant for another, an answer that is not one's own, a 503 for a job that ran. Ruled out: the library's own later check, which looks for the number only; a lock around its calls, as the close happens on its thread after the callback. Change: each connection has a descriptor of ours (dup), which ends with the library's peer; an answer is written through it by the thread that has it. What does not fit is written on by a thread of the server. Answers on one connection leave in the order of their requests. A pending request is not taken for a slow sender any more, so it is not answered 408. Left: answers that the library makes by itself (400, 408, 413) still go by its queue. Conclusion: the class is an identity that is reused and taken for what it named.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
 #include "core/error.h"
+#include "http/answer_flusher.h"
+#include "http/http_connection.h"
 
 #include <atomic>
 #include <fmt/format.h>
@@ -9,6 +11,7 @@
 #include <pistache/peer.h>
 #include <sstream>
 #include <sys/socket.h>
+#include <system_error>
 
 namespace yardwheel {
 
@@ -117,50 +120,121 @@
   static constexpr const char *Text = "Content-Type";
 };
 
+constexpr const char *LineEnd = "\r\n";
+
+/// What the replies of one server share; they may outlive it.
+struct AnswerPath {
+  AnswerCounters Counters;
+  AnswerFlusher Flusher;
+};
+
+/// Kept with the library's peer, so that both end together.
+constexpr const char *ConnectionKey = "connection";
+
+std::shared_ptr<HttpConnection>
+findConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  return std::static_pointer_cast<HttpConnection>(
+      Peer->tryGetData(ConnectionKey));
+}
+
+/// On the library's own thread, which closes the peer's descriptor.
+std::shared_ptr<HttpConnection>
+connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  std::shared_ptr<HttpConnection> Known = findConnection(Peer);
+  if (Known)
+    return Known;
+  auto New = std::make_shared<HttpConnection>(Peer->fd());
+  // Without a descriptor there is no answer; the caller learns it at once.
+  if (New->descriptor() < 0)
+    ::shutdown(Peer->fd(), SHUT_RDWR);
+  Peer->putData(ConnectionKey, New);
+  return New;
+}
+
 class PistacheReply final : public HttpReply {
 public:
-  PistacheReply(Pistache::Http::ResponseWriter Writer,
-                std::shared_ptr<AnswerCounters> Counters)
-      : Writer(std::move(Writer)), Counters(std::move(Counters)) {}
+  PistacheReply(const Pistache::Http::Request &Request,
+                Pistache::Http::Header::Collection Headers,
+                const std::shared_ptr<HttpConnection> &Connection,
+                std::shared_ptr<AnswerPath> Path)
+      : Version(Request.version()), Headers(std::move(Headers)),
+        Connection(Connection), Place(Connection->expectAnswer()),
+        Path(std::move(Path)) {}
 
   void send(const HttpAnswer &Answer) override {
     if (this->Sent.exchange(true))
       return;
-    auto &Headers = this->Writer.headers();
-    Headers.add<TextHeader<ContentTypeName>>(Answer.ContentType);
+    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
+    WriteState State = Open ? Open->answer(this->Place, this->describe(Answer))
+                            : WriteState::Gone;
+    if (State == WriteState::Gone) {
+      this->Path->Counters.countWithoutCaller();
+      return;
+    }
+    this->Path->Counters.countAnswered(static_cast<int>(Answer.Status));
+    if (State == WriteState::Blocked)
+      this->finishLater(Open);
+  }
+
+  bool hasClient() const override {
+    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
+    return Open && Open->hasCaller();
+  }
+
+private:
+  /// The answer's head and body, as they are sent.
+  std::string describe(const HttpAnswer &Answer) {
+    this->addHeaders(Answer);
+    std::ostringstream Text;
+    Text << Pistache::Http::versionString(this->Version) << ' '
+         << static_cast<int>(Answer.Status) << ' '
+         << Pistache::Http::codeString(
+                static_cast<Pistache::Http::Code>(Answer.Status))
+         << LineEnd;
+    for (const auto &Header : this->Headers.list()) {
+      Text << Header->name() << ": ";
+      Header->write(Text);
+      Text << LineEnd;
+    }
+    Text << "Content-Length: " << Answer.Body.size() << LineEnd << LineEnd
+         << Answer.Body;
+    return Text.str();
+  }
+
+  void addHeaders(const HttpAnswer &Answer) {
+    this->Headers.add<TextHeader<ContentTypeName>>(Answer.ContentType);
     if (Answer.RetryAfter.count() > 0) {
       // HTTP counts in whole seconds; the body has the milliseconds.
       auto Seconds = std::chrono::ceil<std::chrono::seconds>(Answer.RetryAfter);
-      Headers.add<TextHeader<RetryAfterName>>(fmt::to_string(Seconds.count()));
+      this->Headers.add<TextHeader<RetryAfterName>>(
+          fmt::to_string(Seconds.count()));
     }
     if (!Answer.Location.empty())
-      Headers.add<TextHeader<LocationName>>(Answer.Location);
-    if (Answer.Close) {
-      using Connection = Pistache::Http::Header::Connection;
-      Headers.remove<Connection>();
-      Headers.add<Connection>(Pistache::Http::ConnectionControl::Close);
-    }
-    auto Code = static_cast<Pistache::Http::Code>(Answer.Status);
-    try {
-      this->Writer.send(Code, Answer.Body);
-      this->Counters->countAnswered(static_cast<int>(Answer.Status));
-    } catch (const std::exception &) {
-      // The client has gone; there is nobody to tell.
-      this->Counters->countWithoutCaller();
-    }
+      this->Headers.add<TextHeader<LocationName>>(Answer.Location);
+    if (!Answer.Close)
+      return;
+    using ConnectionHeader = Pistache::Http::Header::Connection;
+    this->Headers.remove<ConnectionHeader>();
+    this->Headers.add<ConnectionHeader>(
+        Pistache::Http::ConnectionControl::Close);
   }
 
-  bool hasClient() const override {
-    std::shared_ptr<Pistache::Tcp::Peer> Peer = this->Writer.getPeer();
-    char Next = 0;
-    // A connection that was closed by the other end reads as empty.
-    return Peer &&
-           ::recv(Peer->fd(), &Next, sizeof Next, MSG_PEEK | MSG_DONTWAIT) != 0;
+  void finishLater(const std::shared_ptr<HttpConnection> &Open) {
+    this->Path->Counters.countBlocked();
+    try {
+      this->Path->Flusher.add(Open);
+    } catch (const std::system_error &) {
+      // Half an answer must end as a broken connection.
+      Open->close();
+    }
   }
 
-private:
-  Pistache::Http::ResponseWriter Writer;
-  std::shared_ptr<AnswerCounters> Counters;
+  Pistache::Http::Version Version;
+  Pistache::Http::Header::Collection Headers;
+  /// Ends with the library's peer.
+  std::weak_ptr<HttpConnection> Connection;
+  std::uint64_t Place;
+  std::shared_ptr<AnswerPath> Path;
   std::atomic<bool> Sent{false};
 };
 
@@ -170,9 +244,9 @@
 
   PistacheHandler(std::shared_ptr<HttpHandler> Target,
                   std::vector<std::string> Headers,
-                  std::shared_ptr<AnswerCounters> Counters)
+                  std::shared_ptr<AnswerPath> Path)
       : Target(std::move(Target)), Headers(std::move(Headers)),
-        Counters(std::move(Counters)) {}
+        Path(std::move(Path)) {}
 
   void onRequest(const Pistache::Http::Request &Request,
                  Pistache::Http::ResponseWriter Writer) override {
@@ -188,21 +262,30 @@
       if (!Value.empty())
         Plain.Headers[Name] = std::move(Value);
     }
-    if (std::shared_ptr<Pistache::Tcp::Peer> Peer = Writer.getPeer())
-      Plain.Connection = Peer->getID();
-    this->Target->handle(Plain, std::make_shared<PistacheReply>(
-                                    std::move(Writer), this->Counters));
+    std::shared_ptr<Pistache::Tcp::Peer> Peer = Writer.getPeer();
+    if (!Peer)
+      return;
+    Plain.Connection = Peer->getID();
+    // The request is whole, so its caller is not slow to send it: the library
+    // would answer 408 while our answer is pending, by a number of its own.
+    Peer->setIdle(true);
+    this->Target->handle(
+        Plain, std::make_shared<PistacheReply>(Request, Writer.headers(),
+                                               connectionOf(Peer), this->Path));
   }
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    // The last moment at which the descriptor's number is surely this one's.
+    if (std::shared_ptr<HttpConnection> Known = findConnection(Peer))
+      Known->close();
     this->Target->onDisconnect(Peer->getID());
   }
 
 private:
   std::shared_ptr<HttpHandler> Target;
   std::vector<std::string> Headers;
-  std::shared_ptr<AnswerCounters> Counters;
+  std::shared_ptr<AnswerPath> Path;
 };
 
 } // namespace
@@ -211,7 +294,7 @@
 public:
   explicit Implementation(const std::string &Listen)
       : Endpoint(Pistache::Address(Listen)) {}
-  std::shared_ptr<AnswerCounters> Counters = std::make_shared<AnswerCounters>();
+  std::shared_ptr<AnswerPath> Path = std::make_shared<AnswerPath>();
   Pistache::Http::Endpoint Endpoint;
   bool Running = false;
 };
@@ -229,7 +312,7 @@
                             Pistache::Tcp::Options::ReuseAddr));
     this->Inner->Endpoint.init(Settings);
     this->Inner->Endpoint.setHandler(std::make_shared<PistacheHandler>(
-        std::move(Handler), Options.Headers, this->Inner->Counters));
+        std::move(Handler), Options.Headers, this->Inner->Path));
     this->Inner->Endpoint.serveThreaded();
     this->Inner->Running = true;
   } catch (const std::exception &Problem) {
@@ -240,7 +323,7 @@
 HttpServer::~HttpServer() { this->stop(); }
 
 const AnswerCounters &HttpServer::answers() const {
-  return *this->Inner->Counters;
+  return this->Inner->Path->Counters;
 }
 
 void HttpServer::stop() {
