Let the library's own answers leave before their connection's number is free

Cause: a 400 that the library has queued for a caller who leaves is written after the number of his descriptor names the next caller's connection. Ruled out: doing without these answers; the library makes them before any handler is asked. Change: when a connection ends, and before it is closed, the server's queue is flushed on the thread that owns it. Conclusion: no answer goes by a number that may have been given away.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -9,6 +9,7 @@
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/peer.h>
+#include <pistache/transport.h>
 #include <sstream>
 #include <sys/socket.h>
 #include <system_error>
@@ -276,7 +277,10 @@
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
-    // The last moment at which the descriptor's number is surely this one's.
+    // The last moment at which the descriptor's number is surely this one's:
+    // what the library itself has queued by it (400, 413) leaves or is dropped
+    // now, or else reaches the next caller.
+    this->transport()->flush();
     if (std::shared_ptr<HttpConnection> Known = findConnection(Peer))
       Known->close();
     this->Target->onDisconnect(Peer->getID());
