--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -42,7 +42,7 @@
 json profileBody() {
   return json::parse(R"({"service":"s","address":"10.0.0.9:80","state":"ready",
     "capacity":{"cpu":16000,"memMb":32768,"gpus":0},"labels":["a","r1-3"],
-    "clockMs":482113})");
+    "clockMs":482113,"sequence":4})");
 }
 
 peer::Route routeOf() {
@@ -226,6 +226,24 @@
                 [](const std::string &Body) { decodeConfig(Body); });
 }
 
+// It is written again by recursion, which takes stack for each level.
+TEST(CodecTest, AConfigurationThatNestsTooDeepIsRefused) {
+  std::string Good = configBody().dump();
+  Good.pop_back();
+  auto Nested = [&](std::size_t Depth) {
+    return Good + R"(,"x":)" + std::string(Depth, '[') +
+           std::string(Depth, ']') + "}";
+  };
+  STRCMP_EQUAL("", complaint([&] { decodeConfig(Nested(8)); }).c_str());
+  STRCMP_CONTAINS("levels",
+                  complaint([&] { decodeConfig(Nested(100)); }).c_str());
+  STRCMP_CONTAINS("levels",
+                  complaint([&] { decodeConfig(Nested(500000)); }).c_str());
+  // What stands in a string is no level.
+  std::string Text = Good + R"(,"x":"\"[)" + std::string(100, '[') + "\"}";
+  STRCMP_EQUAL("", complaint([&] { decodeConfig(Text); }).c_str());
+}
+
 TEST(CodecTest, EqualConfigurationsHaveEqualDocuments) {
   json Other = json::parse(
       R"({"services":[],"routes":[],"limits":{"b":1,"a":2},"version":3})");
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -128,8 +128,9 @@
     return Served && this->Workers[1]->starts() > Before1 &&
            this->Workers[2]->starts() > Before2;
   }
-  void addWorker(int Side) {
+  void addWorker(int Side, const char *Pool = "pool") {
     PlatformWorkerOptions Options;
+    Options.Pool = Pool;
     Options.Id = fmt::format("i-{}", Side);
     Options.Listen = this->at(10 + Side, 5);
     Options.Agent = this->at(10 + Side, 3);
@@ -185,18 +186,28 @@
   }
   /// Announces an earlier life of a worker to its agent.
   long announceDead(int Side) const {
-    json Body = {{"service", "pool"},
-                 {"address", this->at(10 + Side, 5)},
-                 {"zone", "a"},
-                 {"state", "ready"},
-                 {"capacity", {{"cpu", 4000}, {"memMb", 1000}, {"gpus", 0}}},
-                 {"clockMs", 1000}};
+    return this->announce(Side, fmt::format("i-dead-{}", Side),
+                          this->announcement(Side).dump());
+  }
+  /// What a worker on this side host would say of itself.
+  json announcement(int Side) const {
+    return {{"service", "pool"},
+            {"address", this->at(10 + Side, 5)},
+            {"zone", "a"},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 4000}, {"memMb", 1000}, {"gpus", 0}}},
+            {"labels", {"a", "r1"}},
+            {"clockMs", 1000},
+            {"sequence", 1}};
+  }
+  long announce(int Side, const std::string &Id,
+                const std::string &Body) const {
     HttpClient Client(2s);
     return Client
         .call("POST",
-              fmt::format("http://{}/instances/i-dead-{}/heartbeat",
-                          this->at(10 + Side, 3), Side),
-              Body.dump())
+              fmt::format("http://{}/instances/{}/heartbeat",
+                          this->at(10 + Side, 3), Id),
+              Body)
         .Status;
   }
   void kill(const std::string &Name) {
@@ -218,6 +229,16 @@
     Text << File.rdbuf();
     return Text.str();
   }
+  /// How often a node has logged a decision.
+  int count(const std::string &Name, const std::string &Decision) const {
+    std::string Text = this->log(Name);
+    std::string Line = fmt::format("\"decision\":\"{}\"", Decision);
+    int Found = 0;
+    for (std::size_t At = Text.find(Line); At != std::string::npos;
+         At = Text.find(Line, At + 1))
+      ++Found;
+    return Found;
+  }
   const std::string &folder() const { return this->Folder; }
 
   /// Whether calls to workers pass a proxy; set before they are added.
@@ -413,6 +434,28 @@
   LONGS_EQUAL(0, Cluster.Recorder.overlaps());
 }
 
+TEST(PlatformTest, AWorkerOfAPoolThatNoRouteNamesIsLeftAlone) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  Cluster.start("side3", 13, "side");
+  Cluster.addWorker(3, "elsewhere");
+  CHECK(waitFor([&] { return Cluster.count("side3", "worker_ready") == 1; }));
+  for (int Front : {1, 2})
+    CHECK(waitFor([&] {
+      return Cluster.log(fmt::format("front{}", Front)).find("side3") !=
+             std::string::npos;
+    }));
+  unsigned Job = 0x900;
+  for (int Front : {1, 2}) {
+    LONGS_EQUAL(
+        200,
+        Cluster.submit(Front, fmt::format("{:016x}", ++Job), BothWorkers, 20)
+            .Status);
+  }
+  LONGS_EQUAL(0, Cluster.Workers[3]->starts());
+  LONGS_EQUAL(200, Cluster.replace(2));
+}
+
 TEST(PlatformTest, AnEntryThatIsToldToEndAnswersWhatItHasTaken) {
   PlatformCluster Cluster;
   Cluster.startAll();
--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -76,11 +76,15 @@
       {"address", this->Options.Announced.empty() ? this->Options.Listen
                                                   : this->Options.Announced},
       {"zone", "a"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"coldLeftMs", 0},
       {"state", this->Draining.load() ? "draining" : "ready"},
       {"capacity",
        {{"cpu", this->Options.CpuMilli}, {"memMb", 1000}, {"gpus", 0}}},
       {"labels", {"a", "r1"}},
-      {"clockMs", this->clockMs()}};
+      {"clockMs", this->clockMs()},
+      {"sequence", ++this->Sequence}};
   HttpClient Client(CallTimeout);
   Client.call("POST",
               fmt::format("http://{}/instances/{}/heartbeat",
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -118,6 +118,8 @@
   std::deque<Late> LateStarts;
   std::chrono::milliseconds Delay{0};
   std::atomic<bool> Draining{false};
+  /// Of the last announcement.
+  std::uint64_t Sequence = 0;
   std::atomic<bool> Stopping{false};
   std::thread Ticker;
   std::thread Announcer;
