An announcement counts whole or not at all

Cause: any state but 'draining' counted as ready, any text as an address or a pool, and a missing capacity as none. A life's first announcement stands for all of it, so one of those kept a sound worker unused, or named one that is not there, until the next life. An id with a line's end in it began a header of its own in each call to the worker. A document nested 500,000 levels deep ended the process.

Ruled out: to take the fields that can be read; what sent such a call may mean something else by them. Fields that decide nothing may be missing, but not of another type.

The sequence decides nothing: a later announcement of the same life only ever says that it drains, which is final.

--- a/settings/settings_rules.cpp
+++ b/settings/settings_rules.cpp
@@ -287,7 +287,8 @@
 
 bool isAddress(const std::string &Text) {
   std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
+  // What follows a nul byte would be passed over below.
+  if (Colon == std::string::npos || Text.find('\0') != std::string::npos)
     return false;
   std::int64_t Port = 0;
   if (!parseWithin(Text.substr(Colon + 1), 1, MaxPort, Port).empty())
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -434,6 +434,49 @@
   LONGS_EQUAL(0, Cluster.Recorder.overlaps());
 }
 
+// Of the present worker, of one that was never there, and before there is any.
+TEST(PlatformTest, AnnouncementsThatCannotBeReadNameNoWorker) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  json Warming = Cluster.announcement(1);
+  Warming["state"] = "warming";
+  json NoAddress = Cluster.announcement(1);
+  NoAddress["address"] = "nowhere";
+  json NoRoom = Cluster.announcement(1);
+  NoRoom.erase("capacity");
+  std::string Whole = Cluster.announcement(1).dump();
+  const std::pair<const char *, std::string> Rows[] = {
+      {"no JSON", "ready"},
+      {"truncated", Whole.substr(0, Whole.size() / 2)},
+      {"not UTF-8", "{\"service\":\"\xff\xfe\"}"},
+      {"an array", "[" + Whole + "]"},
+      {"deeply nested", std::string(200000, '[')},
+      {"an unknown state", Warming.dump()},
+      {"a name for an address", NoAddress.dump()},
+      {"no capacity", NoRoom.dump()},
+  };
+  Cluster.start("side3", 13, "side");
+  CHECK(waitFor([&] {
+    return Cluster.log("side3").find("\"started\"") != std::string::npos;
+  }));
+  unsigned Job = 0x800;
+  for (const auto &[Name, Body] : Rows) {
+    for (int Side : {1, 2, 3})
+      for (const std::string &Id :
+           {fmt::format("i-{}", Side), std::string("i-other")})
+        LONGS_EQUAL_TEXT(400, Cluster.announce(Side, Id, Body), Name);
+    LONGS_EQUAL_TEXT(
+        200,
+        Cluster.submit(1, fmt::format("{:016x}", ++Job), BothWorkers, 20)
+            .Status,
+        Name);
+  }
+  LONGS_EQUAL(0, Cluster.count("side3", "worker_attached"));
+  for (const char *Side : {"side1", "side2"})
+    LONGS_EQUAL(1, Cluster.count(Side, "worker_attached"));
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
 TEST(PlatformTest, AWorkerOfAPoolThatNoRouteNamesIsLeftAlone) {
   PlatformCluster Cluster;
   Cluster.startAll();
