One bad row of a worker's reply hides no others

Cause: a row that could not be read made the whole reply count as none. The worker tells the same rows again, so all of its ends stayed untold, leases were not renewed and its runs were taken to have lapsed.

Ruled out: to skip a bad end and acknowledge those after it. A worker forgets all ends up to the acknowledged one; the run whose end could not be read would hold its room for good. To never acknowledge it: a worker tells at most 500 ends at once, so later ones would be hidden in time. To take a run as ended because it is no longer listed: the reply may be older than its start.

Change: bad rows are skipped, counted and logged at most once a second. Ends are acknowledged up to the first bad one. After 3 s the runs that it may mean, those not listed any more, are stopped; the confirmed stop proves their end, and then the acknowledgement moves on. A bad row among what runs keeps a worker from being ready until that run must have lapsed.

--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -113,6 +113,11 @@
   std::optional<WorkerTime> Clock;
   std::vector<RunKey> Running;
   std::vector<EndedRun> Ended;
+  /// Rows of both lists, and of the first alone, that could not be read.
+  std::size_t BadRows = 0;
+  std::size_t BadRunning = 0;
+  /// Ends up to this number have all been read.
+  std::uint64_t ReadUpTo = UINT64_MAX;
   /// What went wrong, for logs.
   std::string Problem;
 };
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -93,6 +93,8 @@
   this->ClockRead = New.Clock;
   this->ClockReadAt = Now.Steady;
   this->Acknowledged = 0;
+  this->BadEndsSince.reset();
+  this->BadRunningSince.reset();
   this->Ready = false;
   this->Answering = true;
   this->InDoubt = false;
@@ -158,6 +160,7 @@
   Run &New = this->Runs[Key];
   New = Run();
   New.Spec = Spec;
+  New.CalledAt = Now.Steady;
   this->callStart(Key, New, Now);
 }
 
@@ -240,8 +243,10 @@
   // A run that did begin is listed as ended before its room is free.
   Run &Known = Found->second;
   Known.NextStop = Now.Steady + this->Options.ConfirmedStopRetry;
-  // One that never began is not listed as ended.
-  if (Known.StartsLost > 0 && Known.StoppedAt == TimePoint::max())
+  // One that never began is not listed as ended, nor legibly one whose end
+  // could not be read.
+  bool NotTold = Known.StartsLost > 0 || Known.EndUnread;
+  if (NotTold && Known.StoppedAt == TimePoint::max())
     Known.StoppedAt = Now.Steady + this->Options.StopTakes;
 }
 
@@ -306,16 +311,76 @@
   }
   this->Answering = true;
   this->InDoubt = false;
+  this->logBadRows(Reply, Now);
+  this->takeEnds(Reply, Now);
+  this->settleBadEnds(Reply, Now);
+  if (!this->Ready)
+    this->adoptStrangers(Reply, Now);
+  // The worker tells an end that is not acknowledged at once, in each reply.
+  if (this->BadEndsSince)
+    this->NextHold = Now.Steady + this->Options.HoldRetry;
+  else if (this->HoldsOut == 0)
+    this->callHold(this->holdWait(Now), Now);
+}
+
+void WorkerSession::takeEnds(const WorkerReply &Reply, Instant Now) {
   for (const EndedRun &Ended : Reply.Ended) {
-    this->Acknowledged = std::max(this->Acknowledged, Ended.Number);
+    // A worker forgets all ends up to an acknowledged one. One that could not
+    // be read would be lost, and its run would hold its room for good.
+    std::uint64_t Read = std::min(Ended.Number, Reply.ReadUpTo);
+    this->Acknowledged = std::max(this->Acknowledged, Read);
     this->Strangers.erase(Ended.Run);
     if (this->Runs.contains(Ended.Run))
       this->end(Ended.Run, Ended.How, Now);
   }
-  if (!this->Ready)
-    this->adoptStrangers(Reply, Now);
-  if (this->HoldsOut == 0)
-    this->callHold(this->holdWait(Now), Now);
+}
+
+void WorkerSession::settleBadEnds(const WorkerReply &Reply, Instant Now) {
+  if (Reply.ReadUpTo == UINT64_MAX) {
+    this->BadEndsSince.reset();
+    return;
+  }
+  if (!this->BadEndsSince) {
+    this->BadEndsSince = Now.Steady;
+    this->BadEndsUpTo = 0;
+    // Not by the bad ones: with a number far too high, later ends would be
+    // lost.
+    for (const EndedRun &Ended : Reply.Ended)
+      this->BadEndsUpTo = std::max(this->BadEndsUpTo, Ended.Number);
+  }
+  // Which run is meant cannot be told without all of the other list.
+  bool Old = Now.Steady - *this->BadEndsSince >= this->Options.BadEndsPatience;
+  if (!Old || Reply.BadRunning > 0 || this->stopUnlisted(Reply, Now))
+    return;
+  // Kept for longer, such ends would fill the list that a worker gives, and
+  // hide later ones.
+  this->Acknowledged = std::max(this->Acknowledged, this->BadEndsUpTo);
+  this->BadEndsSince.reset();
+}
+
+bool WorkerSession::stopUnlisted(const WorkerReply &Reply, Instant Now) {
+  bool Any = false;
+  for (auto &[Key, Known] : this->Runs) {
+    bool Listed = std::ranges::find(Reply.Running, Key) != Reply.Running.end();
+    if (Listed || Known.CalledAt > *this->BadEndsSince)
+      continue;
+    Any = true;
+    // The reply may be older than the run's start, so its word is not proof.
+    if (!Known.EndUnread && Known.State != Phase::Stopping)
+      this->callStop(Key, Known, Now);
+    Known.EndUnread = true;
+  }
+  return Any;
+}
+
+void WorkerSession::logBadRows(const WorkerReply &Reply, Instant Now) {
+  if (Reply.BadRows == 0 || Now.Steady < this->NextBadRowsLog)
+    return;
+  this->NextBadRowsLog = Now.Steady + this->Options.BadRowsLogEvery;
+  this->Log.decision("reply_rows_skipped", {{"worker", this->Profile->Id},
+                                            {"rows", Reply.BadRows},
+                                            {"running", Reply.BadRunning},
+                                            {"ends_read", Reply.Ended.size()}});
 }
 
 void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
@@ -342,7 +407,8 @@
   this->Strangers.clear();
   for (const RunKey &Key : Reply.Running)
     this->callStop(Key, this->Strangers[Key], Now);
-  if (!this->Strangers.empty())
+  bool Unknown = this->mayHaveUnknownRuns(Reply, Now);
+  if (Unknown || !this->Strangers.empty())
     return;
   this->Ready = true;
   this->Log.decision("worker_ready", {{"worker", this->Profile->Id},
@@ -350,6 +416,17 @@
   this->Events.onWorkerReady(Now);
 }
 
+bool WorkerSession::mayHaveUnknownRuns(const WorkerReply &Reply, Instant Now) {
+  if (Reply.BadRunning == 0)
+    return false;
+  if (!this->BadRunningSince)
+    this->BadRunningSince = Now.Steady;
+  // They cannot be stopped by name, and would go on under the leases that a
+  // ready worker is given. Without any, they lapse.
+  return Now.Steady - *this->BadRunningSince <
+         this->Options.Lease + this->Options.LapseSlack;
+}
+
 void WorkerSession::tick(Instant Now) {
   if (!this->Profile)
     return;
@@ -371,8 +448,10 @@
     else if (Known.State == Phase::Stopping && Now.Steady >= Known.NextStop)
       this->callStop(Key, Known, Now);
   }
-  for (const RunKey &Key : Stopped)
-    this->end(Key, RunEnd::Unanswered, Now);
+  for (const RunKey &Key : Stopped) {
+    bool Unread = this->Runs.at(Key).EndUnread;
+    this->end(Key, Unread ? RunEnd::Other : RunEnd::Unanswered, Now);
+  }
 }
 
 } // namespace yardwheel
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -57,8 +57,14 @@
   /// A worker that has answered nothing for this long gets no tasks. Several
   /// calls: single ones may stay without a reply at a worker that is sound.
   std::chrono::milliseconds SilentAfter{600};
-  /// Before a failed call for ends is made again.
+  /// Before a failed call for ends is made again, or one whose reply had an end
+  /// that could not be read.
   std::chrono::milliseconds HoldRetry{20};
+  /// How long ends that cannot be read are waited for: longer than the longest
+  /// call for ends takes, so that a later reply has told them again.
+  std::chrono::milliseconds BadEndsPatience{3000};
+  /// Rows that cannot be read are logged at most this often.
+  std::chrono::milliseconds BadRowsLogEvery{1000};
 };
 
 /// Hears what becomes of runs. Each run that was started ends in one call.
@@ -117,6 +123,10 @@
     /// that the run has not begun.
     std::uint32_t StartsLost = 0;
     TimePoint NextStop = TimePoint::min();
+    TimePoint CalledAt;
+    /// It was not listed beside ends that could not be read, and is stopped: a
+    /// confirmed stop proves that it has ended.
+    bool EndUnread = false;
     /// When a confirmed stop of such a run has taken effect.
     TimePoint StoppedAt = TimePoint::max();
   };
@@ -140,7 +150,16 @@
   void onHoldFailed(const WorkerReply &Reply, Instant Now);
   void tickRuns(Instant Now);
   void lapseAll(Instant Now);
+  void takeEnds(const WorkerReply &Reply, Instant Now);
+  /// Replaces ends that stay unreadable by what else is known of their runs.
+  void settleBadEnds(const WorkerReply &Reply, Instant Now);
+  /// Stops the runs that the worker does not list and that the bad ends may
+  /// mean. \returns whether there are any.
+  bool stopUnlisted(const WorkerReply &Reply, Instant Now);
+  void logBadRows(const WorkerReply &Reply, Instant Now);
   void adoptStrangers(const WorkerReply &Reply, Instant Now);
+  /// Whether runs that could not be read may still be alive.
+  bool mayHaveUnknownRuns(const WorkerReply &Reply, Instant Now);
   void end(const RunKey &Key, RunEnd How, Instant Now);
   void refuse(const RunKey &Key, WorkerRefusal Why, Instant Now);
 
@@ -156,6 +175,12 @@
   WorkerTime ClockRead{};
   TimePoint ClockReadAt;
   std::uint64_t Acknowledged = 0;
+  /// Since when ends have not been readable, and the last readable one then.
+  std::optional<TimePoint> BadEndsSince;
+  std::uint64_t BadEndsUpTo = 0;
+  /// Since when running rows have not been readable.
+  std::optional<TimePoint> BadRunningSince;
+  TimePoint NextBadRowsLog = TimePoint::min();
   bool Ready = false;
   bool Answering = true;
   /// The last call for ends failed: whether the worker hears us is not known.
--- a/tests/platform/reply_rows_test.cpp
+++ b/tests/platform/reply_rows_test.cpp
@@ -178,6 +178,15 @@
   CHECK(Port.Holds.back().LeaseUntil.has_value());
 }
 
+TEST(ReplyRowsTest, ABadEndsNumberAcknowledgesNothing) {
+  startRuns(1);
+  const char *Running = R"(["a.0.0.0",1,"",0])";
+  holdFor(4000ms, Running, R"([3,"b.0.0.0",1,"done",""],[900000,7])");
+  LONGS_EQUAL(3, Port.Holds.back().AcknowledgedEnd);
+  hold("", R"([4,"a.0.0.0",1,"done",""])");
+  CHECK(hasEnded(0, RunEnd::Done));
+}
+
 // It would go on under the leases that this agent gives.
 TEST(ReplyRowsTest, WhatRunsUnreadHasLapsedBeforeAWorkerIsReady) {
   const char *Rows[] = {R"([7,1,"",0])", R"(["b.0.0.0","1","",0])",
