--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -176,6 +176,41 @@
   }
 }
 
+// Held up since before the restart, it may arrive beside the new life's own
+// announcement, before the reply that proves the last one gone.
+TEST(WorkerSessionTest, ALateAnnouncementHidesNoNewLife) {
+  using Pair = std::pair<const char *, const char *>;
+  for (auto [First, Second] :
+       {Pair{"life-2", "life-0"}, Pair{"life-0", "life-2"}}) {
+    WorkerSession Restarted(Options, Port, Events);
+    for (const char *Id : {"life-1", First, Second}) {
+      Profile.Id = Id;
+      Restarted.onProfile(Profile, Now);
+    }
+    // Only the new life is there to reply.
+    for (const char *Asked : {"life-1", "life-0"})
+      if (Port.Life == Asked)
+        Restarted.onHoldReply(Asked, answered(WorkerRefusal::OtherLife), Now);
+    STRCMP_EQUAL("life-2", Port.Life.c_str());
+    Restarted.onHoldReply("life-2", answered(), Now);
+    CHECK(Restarted.isReady());
+    STRCMP_EQUAL("life-2", Port.Life.c_str());
+  }
+}
+
+// A life that drains does so to its end, and is what it first announced.
+TEST(WorkerSessionTest, ALateAnnouncementOfThePresentLifeChangesNothing) {
+  attach();
+  WorkerProfile Late = Profile;
+  Profile.Draining = true;
+  Session.onProfile(Profile, Now);
+  Late.Room.set_cpu_milli(1);
+  Session.onProfile(Late, Now);
+  CHECK(Session.profile().Draining);
+  LONGS_EQUAL(16000, Session.profile().Room.cpu_milli());
+  LONGS_EQUAL(1, Events.Attached);
+}
+
 // A call without a reply does not prove that the present life has ended: runs
 // that were told as ended then would be begun elsewhere while they go on.
 TEST(WorkerSessionTest, SilenceAloneEndsNoRunsForAnAnnouncement) {
