A late announcement displaces no new life that waits to be judged

Cause: of the lives announced beside one that may be alive only the last was kept. An announcement of an ended life that arrived between a new life's own and the reply that proved the present one gone took its place, and the agent was attached to a life that is not there until the new one announced itself again.

Ruled out: the announcement's sequence; it does not compare between lives.

Change: such lives wait in a row, eight at most. When the present one is gone the first is attached, and whether it replies judges the others.

Before: test_lease_agent 43 of 44. After: 44 of 44; test_system_platform 14 of 14. The time that a worker was without its agent was not measured.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -9,6 +9,9 @@
 /// Added to a fencing token that proved too low; doubles with each refusal.
 /// More than the processes' clocks of day are ever apart, in milliseconds.
 constexpr std::uint64_t TokenStep = 10000;
+/// Lives that wait to be judged. Cuts hold up announcements of one or two;
+/// more come from a writer that makes them up.
+constexpr std::size_t MaxCandidates = 8;
 
 } // namespace
 
@@ -68,27 +71,39 @@
     this->attach(New, Now);
     return;
   }
-  this->Candidate = New;
+  this->addCandidate(New);
   this->callHold({}, Now);
 }
 
-void WorkerSession::judgeCandidate(const WorkerReply &Reply, Instant Now) {
+void WorkerSession::addCandidate(const WorkerProfile &New) {
+  std::erase_if(this->Candidates,
+                [&](const WorkerProfile &Known) { return Known.Id == New.Id; });
+  if (this->Candidates.size() == MaxCandidates)
+    this->Candidates.pop_front();
+  this->Candidates.push_back(New);
+}
+
+void WorkerSession::judgeCandidates(const WorkerReply &Reply, Instant Now) {
   bool Lives = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
   bool Replaced = Reply.Answered && Reply.Refusal == WorkerRefusal::OtherLife;
   if (Lives) {
-    this->Log.decision("announcement_ignored",
-                       {{"worker", this->Candidate->Id},
-                        {"alive", this->Profile->Id},
-                        {"reason", "the present life of the worker replies"}});
-    this->Candidate.reset();
+    for (const WorkerProfile &Late : this->Candidates)
+      this->Log.decision(
+          "announcement_ignored",
+          {{"worker", Late.Id},
+           {"alive", this->Profile->Id},
+           {"reason", "the present life of the worker replies"}});
+    this->Candidates.clear();
   } else if (Replaced || this->Runs.empty()) {
-    this->attach(WorkerProfile(*this->Candidate), Now);
+    // The others are judged by whether this one is there.
+    WorkerProfile Next = this->Candidates.front();
+    this->Candidates.pop_front();
+    this->attach(Next, Now);
   }
   // Otherwise its runs may go on until their lease has lapsed.
 }
 
 void WorkerSession::attach(const WorkerProfile &New, Instant Now) {
-  this->Candidate.reset();
   this->Profile = New;
   this->ClockRead = New.Clock;
   this->ClockReadAt = Now.Steady;
@@ -300,8 +315,8 @@
     return;
   this->HoldsOut = std::max(this->HoldsOut - 1, 0);
   this->noteClock(Reply, Now);
-  if (this->Candidate) {
-    this->judgeCandidate(Reply, Now);
+  if (!this->Candidates.empty()) {
+    this->judgeCandidates(Reply, Now);
     if (!this->isCurrent(Life))
       return;
   }
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -132,8 +132,9 @@
   };
 
   void attach(const WorkerProfile &New, Instant Now);
-  /// Decides on a life that was announced beside one that may be alive.
-  void judgeCandidate(const WorkerReply &Reply, Instant Now);
+  void addCandidate(const WorkerProfile &New);
+  /// Decides on lives that were announced beside one that may be alive.
+  void judgeCandidates(const WorkerReply &Reply, Instant Now);
   void callStart(const RunKey &Key, const Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
@@ -168,8 +169,10 @@
   WorkerPort &Port;
   SessionEvents &Events;
   std::optional<WorkerProfile> Profile;
-  /// A life that was announced while the present one seemed alive.
-  std::optional<WorkerProfile> Candidate;
+  /// Lives that were announced while the present one seemed alive. With only
+  /// the last of them kept, a late announcement would displace the new life,
+  /// which is then without its agent until it announces itself again.
+  std::deque<WorkerProfile> Candidates;
   std::uint64_t Token = 0;
   /// A reading of the worker's clock, and ours when it came.
   WorkerTime ClockRead{};
