--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -57,8 +57,14 @@
   /// A worker that has answered nothing for this long gets no tasks. Several
   /// calls: single ones may stay without a reply at a worker that is sound.
   std::chrono::milliseconds SilentAfter{600};
-  /// Before a failed call for ends is made again.
+  /// Before a failed call for ends is made again, or one whose reply had an end
+  /// that could not be read.
   std::chrono::milliseconds HoldRetry{20};
+  /// How long ends that cannot be read are waited for: longer than the longest
+  /// call for ends takes, so that a later reply has told them again.
+  std::chrono::milliseconds BadEndsPatience{3000};
+  /// Rows that cannot be read are logged at most this often.
+  std::chrono::milliseconds BadRowsLogEvery{1000};
 };
 
 /// Hears what becomes of runs. Each run that was started ends in one call.
@@ -117,13 +123,18 @@
     /// that the run has not begun.
     std::uint32_t StartsLost = 0;
     TimePoint NextStop = TimePoint::min();
+    TimePoint CalledAt;
+    /// It was not listed beside ends that could not be read, and is stopped: a
+    /// confirmed stop proves that it has ended.
+    bool EndUnread = false;
     /// When a confirmed stop of such a run has taken effect.
     TimePoint StoppedAt = TimePoint::max();
   };
 
   void attach(const WorkerProfile &New, Instant Now);
-  /// Decides on a life that was announced beside one that may be alive.
-  void judgeCandidate(const WorkerReply &Reply, Instant Now);
+  void addCandidate(const WorkerProfile &New);
+  /// Decides on lives that were announced beside one that may be alive.
+  void judgeCandidates(const WorkerReply &Reply, Instant Now);
   void callStart(const RunKey &Key, const Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
@@ -140,7 +151,16 @@
   void onHoldFailed(const WorkerReply &Reply, Instant Now);
   void tickRuns(Instant Now);
   void lapseAll(Instant Now);
+  void takeEnds(const WorkerReply &Reply, Instant Now);
+  /// Replaces ends that stay unreadable by what else is known of their runs.
+  void settleBadEnds(const WorkerReply &Reply, Instant Now);
+  /// Stops the runs that the worker does not list and that the bad ends may
+  /// mean. \returns whether there are any.
+  bool stopUnlisted(const WorkerReply &Reply, Instant Now);
+  void logBadRows(const WorkerReply &Reply, Instant Now);
   void adoptStrangers(const WorkerReply &Reply, Instant Now);
+  /// Whether runs that could not be read may still be alive.
+  bool mayHaveUnknownRuns(const WorkerReply &Reply, Instant Now);
   void end(const RunKey &Key, RunEnd How, Instant Now);
   void refuse(const RunKey &Key, WorkerRefusal Why, Instant Now);
 
@@ -149,13 +169,21 @@
   WorkerPort &Port;
   SessionEvents &Events;
   std::optional<WorkerProfile> Profile;
-  /// A life that was announced while the present one seemed alive.
-  std::optional<WorkerProfile> Candidate;
+  /// Lives that were announced while the present one seemed alive. With only
+  /// the last of them kept, a late announcement would displace the new life,
+  /// which is then without its agent until it announces itself again.
+  std::deque<WorkerProfile> Candidates;
   std::uint64_t Token = 0;
   /// A reading of the worker's clock, and ours when it came.
   WorkerTime ClockRead{};
   TimePoint ClockReadAt;
   std::uint64_t Acknowledged = 0;
+  /// Since when ends have not been readable, and the last readable one then.
+  std::optional<TimePoint> BadEndsSince;
+  std::uint64_t BadEndsUpTo = 0;
+  /// Since when running rows have not been readable.
+  std::optional<TimePoint> BadRunningSince;
+  TimePoint NextBadRowsLog = TimePoint::min();
   bool Ready = false;
   bool Answering = true;
   /// The last call for ends failed: whether the worker hears us is not known.
