Entries know and show how old their route table may be

Cause: control answers a heartbeat only after a quorum has confirmed its leader, and the announcer tells when the answered heartbeat was sent, but the entry under leases threw that away. Nothing knew how old a table was, and no line said by which age a request had been refused or accepted.

Ruled out: the time of the last change or of the last message from control as the age. Both say nothing about a change that has not arrived.

Change: TableLease keeps when the table was last confirmed, the oldest question that control should have answered, and the newest revision that a peer has shown. From these it says that the table is current, that it may be old and news may lie here unread (unknown), or that control is silent (unreachable). The bound for a change to be in force is read from the settings. No decision rests on it yet.

--- /dev/null
+++ b/entry/table_lease.h
@@ -0,0 +1,87 @@
+//===- entry/table_lease.h - How old a route table may be -------*- C++ -*-===//
+///
+/// \file
+/// Tells how long ago the route table held here was known to be the newest,
+/// and whether requests may be decided by it.
+///
+/// A table proves nothing about its own age: while an entry does not read its
+/// input, or control does not answer, a newer one may be in force elsewhere.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_TABLE_LEASE_H
+#define YARDWHEEL_ENTRY_TABLE_LEASE_H
+
+#include "core/clock.h"
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+
+namespace yardwheel {
+
+enum class TableState {
+  /// Was the newest within the age allowed.
+  Current,
+  /// May be older, and news of a newer one may lie here unread or be missing.
+  Unknown,
+  /// May be older, but this process reads all that comes: control is silent.
+  Unreachable,
+};
+
+/// For logs.
+const char *tableStateName(TableState State);
+
+struct TableStanding {
+  TableState State = TableState::Unknown;
+  /// Since the table was last known to be the newest; nothing if it never was.
+  std::optional<std::chrono::milliseconds> Age;
+  /// A peer has a newer configuration in force than is held here.
+  bool NewerKnown = false;
+
+  /// For logs and metrics; -1 where there is no age.
+  std::int64_t ageMillis() const { return this->Age ? this->Age->count() : -1; }
+};
+
+struct TableLeaseOptions {
+  /// Up to this age a table is taken for the newest.
+  std::chrono::milliseconds MaxAge{1750};
+  /// Control that leaves a question unanswered for this long is silent. Two
+  /// heartbeats: enough for a lost one and for the next replica to be asked.
+  std::chrono::milliseconds AnswerWithin{1000};
+};
+
+/// The loop's thread writes; any thread reads.
+class TableLease {
+public:
+  explicit TableLease(TableLeaseOptions Options) : Options(Options) {}
+
+  /// A question has been sent to control.
+  /// \param LastBehind Until when this process did not keep up with its input.
+  void ask(TimePoint Sent, TimePoint LastBehind);
+  /// Control has answered a question: the table was the newest some time
+  /// after the question was sent.
+  void confirm(TimePoint Asked);
+  /// The configuration held here is of this revision.
+  void hold(std::uint64_t Revision) { this->Held.store(Revision); }
+  /// A peer has a revision in force.
+  void hear(std::uint64_t Revision);
+
+  /// To be read before the table: the table is then at least as new.
+  /// \param LastBehind Until when this process did not keep up with its input.
+  TableStanding standing(TimePoint Now, TimePoint LastBehind) const;
+
+private:
+  bool isControlSilent(TimePoint Now, TimePoint LastBehind) const;
+
+  TableLeaseOptions Options;
+  std::atomic<TimePoint> Confirmed{TimePoint::min()};
+  /// When the oldest question was sent whose answer this process, keeping up
+  /// ever since, should have read.
+  std::atomic<TimePoint> OpenSince{TimePoint::min()};
+  std::atomic<std::uint64_t> Held{0};
+  std::atomic<std::uint64_t> Heard{0};
+};
+
+} // namespace yardwheel
+
+#endif
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -35,7 +35,9 @@
   void drain() override;
   void reload() override;
 
-  void onConfirmed(TimePoint) override {}
+  void onConfirmed(TimePoint Asked) override;
+  void onAsked(TimePoint Sent) override;
+  void onNewerRevision(std::uint64_t Revision) override;
   void onCatalog(Instant Now) override;
   void onMember(const peer::Member &Member, Instant Now) override;
   void onOutranked(std::uint64_t Known, Instant Now) override;
@@ -44,6 +46,7 @@
   CoordinatorOptions coordinatorOptions() const;
   void receive(const peer::Envelope &Envelope, Instant Now);
   void tick(Instant Now);
+  void logTableState(Instant Now);
   void publishMetrics(Instant Now);
   void stop();
 
@@ -60,6 +63,9 @@
   std::atomic<std::size_t> InFlight{0};
   LinkNode Node;
   SelfLoad Load{SelfLoadOptions()};
+  TableLease Table;
+  /// As it was last logged; the loop's.
+  TableState LoggedTable = TableState::Unknown;
   std::shared_ptr<platform::EntryGate> Gate;
   std::shared_ptr<platform::HealthGate> Health;
   LeaseCoordinator Coordinator;
@@ -72,8 +78,9 @@
 LeaseEntryProcess::LeaseEntryProcess(const NodePlan &Plan)
     : Plan(Plan), Node(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation),
                        {}, this->Source, LeaseTick),
+      Table(planTableLease(Plan)),
       Gate(std::make_shared<platform::EntryGate>(this->Catalog, this->Source,
-                                                 this->Load)),
+                                                 this->Load, this->Table)),
       Health(std::make_shared<platform::HealthGate>(
           [this] { return this->Node.loop().lastIdle(); }, this->Source,
           this->Load)),
@@ -119,6 +126,7 @@
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
   this->Announce.tick(Now);
+  this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
   bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
   // Cut off from all workers, this entry is of no use: the balancer sends
@@ -140,7 +148,37 @@
   this->InFlight.store(this->Coordinator.inFlight());
 }
 
+void LeaseEntryProcess::onConfirmed(TimePoint Asked) {
+  this->Table.confirm(Asked);
+}
+
+void LeaseEntryProcess::onAsked(TimePoint Sent) {
+  this->Table.ask(Sent, this->Node.loop().lastBehind());
+}
+
+void LeaseEntryProcess::onNewerRevision(std::uint64_t Revision) {
+  this->Table.hear(Revision);
+}
+
+void LeaseEntryProcess::logTableState(Instant Now) {
+  TimePoint LastBehind = this->Node.loop().lastBehind();
+  TableStanding Standing = this->Table.standing(Now.Steady, LastBehind);
+  if (Standing.State == this->LoggedTable)
+    return;
+  this->LoggedTable = Standing.State;
+  bool NeverBehind = LastBehind == TimePoint::min();
+  this->Log.decision(
+      "route_table_state",
+      {{"state", tableStateName(Standing.State)},
+       {"table_age_ms", Standing.ageMillis()},
+       {"newer_known", Standing.NewerKnown},
+       {"behind_ms_ago",
+        NeverBehind ? -1 : millisBetween(LastBehind, Now.Steady)},
+       {"table_version", this->Catalog.view()->Routes.version()}});
+}
+
 void LeaseEntryProcess::onCatalog(Instant) {
+  this->Table.hold(this->Catalog.revision());
   this->Node.links().setRevision(this->Catalog.revision());
   this->Log.decision(
       "configuration_in_force",
@@ -213,6 +251,11 @@
   Text += metricLine("yardwheel_jobs_in_flight", this->Coordinator.inFlight());
   Text += metricLine("yardwheel_route_table_version",
                      this->Catalog.view()->Routes.version());
+  TableStanding Table =
+      this->Table.standing(Now.Steady, this->Node.loop().lastBehind());
+  if (Table.Age)
+    Text += metricLine("yardwheel_route_table_age_ms", Table.Age->count());
+  Text += this->Gate->describeRefusals();
   Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
   Text += describeCounters(this->Node.links().counters());
   this->Metrics->publish(std::move(Text));
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -2,6 +2,7 @@
 #ifndef YARDWHEEL_MAIN_LEASE_WIRING_H
 #define YARDWHEEL_MAIN_LEASE_WIRING_H
 
+#include "entry/table_lease.h"
 #include "main/wiring.h"
 #include "settings/node_plan.h"
 #include "transport/event_loop.h"
@@ -21,6 +22,21 @@
 /// of configuration has to be in force.
 constexpr std::chrono::milliseconds ControlHeartbeat{500};
 
+/// Kept of the time in which a change has to be in force, for what follows the
+/// look at the table's age until a request is taken (well below a millisecond,
+/// unless the thread is held up) and for the drift of clocks. The rest lasts
+/// for two lost heartbeats and an answer that takes 200 ms.
+constexpr std::chrono::milliseconds TableAgeMargin{250};
+
+/// The age up to which an entry takes its route table for the newest. Not below
+/// what heartbeats can keep up, else a healthy entry would refuse.
+inline TableLeaseOptions planTableLease(const NodePlan &Plan) {
+  TableLeaseOptions Options;
+  Options.MaxAge = std::max(Plan.Times.ChangeInForce - TableAgeMargin,
+                            ControlHeartbeat + TableAgeMargin);
+  return Options;
+}
+
 /// Between an entry's renewals of its lease at an agent. Less than half of the
 /// agents' lease, so that one lost message ends none.
 constexpr std::chrono::milliseconds CoordinatorRenewal{300};
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -40,6 +40,8 @@
 
 void Announcer::noteRevision(std::uint64_t Revision, Instant Now) {
   bool Behind = Revision > this->Catalog.revision();
+  if (Behind)
+    this->Events.onNewerRevision(Revision);
   bool Lately = this->LastBeat != TimePoint::min() &&
                 Now.Steady - this->LastBeat < this->Options.Interval / 4;
   if (Behind && !Lately)
@@ -63,6 +65,7 @@
   if (this->SentAt.size() > MaxRemembered)
     this->SentAt.erase(this->SentAt.begin());
   this->Sink.send(this->Options.Controls[this->Current], std::move(Message));
+  this->Events.onAsked(Now.Steady);
 }
 
 void Announcer::nextControl() {
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -28,6 +28,10 @@
   /// A quorum of control stood behind the configuration held here at some
   /// time after \p Asked.
   virtual void onConfirmed(TimePoint Asked) = 0;
+  /// A question to control whether that configuration is the newest goes out.
+  virtual void onAsked(TimePoint Sent) {}
+  /// A peer has a newer revision in force than is held here.
+  virtual void onNewerRevision(std::uint64_t Revision) {}
   virtual void onCatalog(Instant Now) = 0;
   virtual void onMember(const peer::Member &Member, Instant Now) = 0;
   /// Control knows a higher incarnation of this node: the host's clock was set
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -27,6 +27,8 @@
   std::chrono::milliseconds MaxWorkerLease{1000};
   /// A worker ends a stopped run within this.
   std::chrono::milliseconds WorkerStop{50};
+  /// A change of the configuration is in force everywhere within this.
+  std::chrono::milliseconds ChangeInForce{2000};
   /// From SIGTERM until the process is killed.
   std::chrono::milliseconds ShutdownGrace{6000};
 };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -28,7 +28,8 @@
     "control":"10.1.0.13:83"},"portRange":[7720,7735],
     "seeds":["10.1.0.17:8166"],"bootstrap":true,"dataDir":"/data",
     "faultTolerance":{"machines":2},
-    "bounds":{"retransmitMs":1300,"maxHoldMs":1000,"stopMs":50,"graceS":6}})");
+    "bounds":{"retransmitMs":1300,"maxHoldMs":1000,"stopMs":50,"graceS":6,
+    "configApplyMs":1900}})");
 }
 
 json configBody() {
@@ -186,6 +187,7 @@
                  {"/bootstrap", "yes", "bootstrap"},
                  {"/bounds/stopMs", -1, "bounds.stopMs"},
                  {"/bounds/graceS", "6", "bounds.graceS"},
+                 {"/bounds/configApplyMs", "x", "bounds.configApplyMs"},
                  {"/faultTolerance/machines", -1, "faultTolerance.machines"}},
                 [](const std::string &Body) { parseNodeSettings(Body); });
 }
@@ -201,6 +203,7 @@
   STRCMP_EQUAL("10.1.0.17:8166", Plan.Seeds[0].HttpAddress.c_str());
   LONGS_EQUAL(2, Plan.ToleratedLosses);
   LONGS_EQUAL(6000, Plan.Times.ShutdownGrace.count());
+  LONGS_EQUAL(1900, Plan.Times.ChangeInForce.count());
   Body.erase("dataDir");
   STRCMP_CONTAINS("dataDir",
                   complaint([&] { parseNodeSettings(Body.dump()); }).c_str());
