Tests: a node that was behind should ask control at once

Cause: after a spell in which it did not read its input, a node asks control only with its next heartbeat, up to 500 ms later, and an answer that comes after the next replica has been asked confirms nothing.

Seen failing on the code before: AnnouncerTest.AfterHavingBeenBehindANodeAsksAtOnce (0 questions instead of 1), QuestionsAfterLatenessDoNotHurryTheSearchForAnother (too few questions) and ALateAnswerStillConfirmsFromItsQuestion; the other announcer tests pass.

--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -22,7 +22,7 @@
     : Options(std::move(Options)), Self(std::move(Self)), Catalog(Catalog),
       Sink(Sink), Events(Events) {}
 
-void Announcer::tick(Instant Now) {
+void Announcer::tick(Instant Now, TimePoint) {
   if (Now.Steady < this->NextBeat)
     return;
   if (this->Sequence - this->Answered >= MaxUnanswered) {
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -50,7 +50,9 @@
   Announcer(AnnouncerOptions Options, peer::Member Self, NodeCatalog &Catalog,
             PeerSink &Sink, AnnouncerEvents &Events);
 
-  void tick(Instant Now);
+  /// \param LastBehind Until when this process did not keep up with its input.
+  void tick(Instant Now, TimePoint LastBehind);
+  void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
   /// A peer has a newer revision in force: asks control at once, but not for
   /// every message of every peer.
   void noteRevision(std::uint64_t Revision, Instant Now);
--- a/tests/membership/announcer_test.cpp
+++ b/tests/membership/announcer_test.cpp
@@ -131,6 +131,72 @@
   LONGS_EQUAL(2, Sink.Sent);
 }
 
+// What control has told a process that was behind may lie there unread, or be
+// old: it asks anew at once, but not with each tick while it stays behind.
+TEST(AnnouncerTest, AfterHavingBeenBehindANodeAsksAtOnce) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds SinceQuestion;
+    std::chrono::milliseconds BehindAgo;
+    int Questions;
+  };
+  const Row Rows[] = {{"behind until now", 300ms, 0ms, 1},
+                      {"behind after the question", 300ms, 20ms, 1},
+                      {"behind before the question", 300ms, 320ms, 0},
+                      {"asked a moment ago", 100ms, 0ms, 0}};
+  for (const Row &Row : Rows) {
+    NodeCatalog Fresh;
+    Announcer Announce(Options, Self, Fresh, Sink, Events);
+    Announce.tick(Now);
+    Announce.onReply(reply(1, 5), Now);
+    // The beat that was due before the first answer.
+    pass(1000ms);
+    Announce.tick(Now);
+    Announce.onReply(reply(2, 5), Now);
+    int Before = Sink.Sent;
+    pass(Row.SinceQuestion);
+    Announce.tick(Now, Now.Steady - Row.BehindAgo);
+    LONGS_EQUAL_TEXT(Row.Questions, Sink.Sent - Before, Row.Name);
+  }
+}
+
+// Questions that are sent early must not make a replica that is well look
+// silent.
+TEST(AnnouncerTest, QuestionsAfterLatenessDoNotHurryTheSearchForAnother) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  Announce.onReply(reply(1, 5), Now);
+  pass(1000ms);
+  for (int I = 0; I < 7; ++I) {
+    Announce.tick(Now, Now.Steady);
+    pass(260ms);
+  }
+  STRCMP_EQUAL("c1", Sink.LastTo.c_str());
+  STRCMP_EQUAL("", Sink.Reconnected.c_str());
+  CHECK(Sink.Sent >= 7);
+  pass(1000ms);
+  Announce.tick(Now, Now.Steady);
+  STRCMP_EQUAL("c2", Sink.LastTo.c_str());
+}
+
+// The next replica may already be asked when an answer comes that was long
+// under way: what it confirms counts all the same.
+TEST(AnnouncerTest, ALateAnswerStillConfirmsFromItsQuestion) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  Announce.onReply(reply(1, 5), Now);
+  pass(1000ms);
+  TimePoint Asked = Now.Steady;
+  for (int I = 0; I < 3; ++I) {
+    Announce.tick(Now);
+    pass(1000ms);
+  }
+  STRCMP_EQUAL("c2", Sink.LastTo.c_str());
+  Announce.onReply(reply(2, 6), Now);
+  CHECK(Events.Confirmed == Asked);
+  LONGS_EQUAL(6, Catalog.revision());
+}
+
 TEST(AnnouncerTest, ASilentReplicaIsLeftForTheNext) {
   Announcer Announce(Options, Self, Catalog, Sink, Events);
   for (const char *Expected : {"c1", "c1", "c2"}) {
