A node that was behind asks control at once, and late answers count

Cause: a node asked control only with each heartbeat, so after a spell without reading its input it could not tell for up to 500 ms whether its configuration was old. An answer that came after the next replica had been asked brought its configuration, but confirmed nothing.

Ruled out: counting early questions as heartbeats. Two unanswered ones would make a replica look silent after 125 ms; so silence is now two questions and two intervals. Forgiving questions that were open while behind: a node that is often behind would never leave a dead replica.

Change: the tick is told until when the process was behind and asks at once if that was after the last question, at most four times in an interval. An answer confirms what it was asked for, whichever replica is asked now.

Conclusion: the doubt after lateness ends with a round trip.

--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -125,7 +125,7 @@
 
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
-  this->Announce.tick(Now);
+  this->Announce.tick(Now, this->Node.loop().lastBehind());
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
   bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -13,6 +13,9 @@
 /// Heartbeats in one interval while a node has no configuration: it can do
 /// nothing before, and one message more is cheap.
 constexpr int BeatsBeforeBegun = 4;
+/// Questions before their time are at least this part of an interval apart:
+/// messages of many peers, or many late rounds, must not make one each.
+constexpr int EarlyPart = 4;
 
 } // namespace
 
@@ -22,16 +25,39 @@
     : Options(std::move(Options)), Self(std::move(Self)), Catalog(Catalog),
       Sink(Sink), Events(Events) {}
 
-void Announcer::tick(Instant Now, TimePoint) {
-  if (Now.Steady < this->NextBeat)
+void Announcer::tick(Instant Now, TimePoint LastBehind) {
+  // What was asked before may be answered here unread; a new question ends
+  // the doubt within a round trip.
+  bool WasBehind = LastBehind > this->LastBeat && this->mayAskEarly(Now.Steady);
+  if (Now.Steady < this->NextBeat && !WasBehind)
     return;
-  if (this->Sequence - this->Answered >= MaxUnanswered) {
+  if (this->isControlSilent(Now.Steady)) {
     this->Sink.reconnect(this->Options.Controls[this->Current]);
     this->nextControl();
   }
   this->beat(Now);
 }
 
+std::chrono::milliseconds Announcer::period() const {
+  bool Begun = this->Catalog.revision() > 0;
+  return Begun ? this->Options.Interval
+               : this->Options.Interval / BeatsBeforeBegun;
+}
+
+bool Announcer::mayAskEarly(TimePoint Now) const {
+  return this->LastBeat == TimePoint::min() ||
+         Now - this->LastBeat >= this->Options.Interval / EarlyPart;
+}
+
+bool Announcer::isControlSilent(TimePoint Now) const {
+  if (this->Sequence - this->Answered < MaxUnanswered)
+    return false;
+  // Early questions are many in a short time, and say nothing by their number.
+  auto Oldest = this->SentAt.upper_bound(this->Answered);
+  return Oldest == this->SentAt.end() ||
+         Now - Oldest->second >= MaxUnanswered * this->period();
+}
+
 void Announcer::update(const std::function<void(peer::Member &)> &Change,
                        Instant Now) {
   Change(this->Self);
@@ -42,18 +68,13 @@
   bool Behind = Revision > this->Catalog.revision();
   if (Behind)
     this->Events.onNewerRevision(Revision);
-  bool Lately = this->LastBeat != TimePoint::min() &&
-                Now.Steady - this->LastBeat < this->Options.Interval / 4;
-  if (Behind && !Lately)
+  if (Behind && this->mayAskEarly(Now.Steady))
     this->beat(Now);
 }
 
 void Announcer::beat(Instant Now) {
   this->LastBeat = Now.Steady;
-  bool Begun = this->Catalog.revision() > 0;
-  this->NextBeat =
-      Now.Steady + (Begun ? this->Options.Interval
-                          : this->Options.Interval / BeatsBeforeBegun);
+  this->NextBeat = Now.Steady + this->period();
   peer::Message Message;
   peer::Heartbeat *Beat = Message.mutable_heartbeat();
   *Beat->mutable_member() = this->Self;
@@ -127,10 +148,10 @@
     this->Events.onCatalog(Now);
   if (Reply.has_members())
     this->takeMembers(Reply.members(), Now);
-  if (Asked) {
+  if (Asked)
     this->Answered = Reply.sequence();
-    this->confirm(Reply.sequence());
-  }
+  // Also when another replica has been asked since: a quorum stood behind it.
+  this->confirm(Reply.sequence());
 }
 
 void Announcer::confirm(std::uint64_t Confirmed) {
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -64,6 +64,11 @@
 
 private:
   void beat(Instant Now);
+  /// Between two questions sent in the ordinary course.
+  std::chrono::milliseconds period() const;
+  /// Whether this process may ask before its time, as it asked not just now.
+  bool mayAskEarly(TimePoint Now) const;
+  bool isControlSilent(TimePoint Now) const;
   void nextControl();
   void follow(const std::string &LeaderAddress);
   void confirm(std::uint64_t Sequence);
