Tests: an old route table should neither serve nor deny

Cause: an entry asks whether it may have missed a change only before it says 404, and guesses the answer from its load.

Seen failing on the code before: EntryGateTest.AnOldTableNeitherServesNorDenies (a known route was served by a table confirmed 3 s ago, expected 503) and AnOldTableDoesNotDenyThatAJobHasRun (503 for a job taken before, expected 504). Each stops at its first failing row.

--- /dev/null
+++ b/tests/platform/entry_gate_test.cpp
@@ -0,0 +1,249 @@
+#include "platform/entry_gate.h"
+
+#include <mutex>
+#include <optional>
+#include <thread>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace yardwheel::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+class SetClock final : public Clock {
+public:
+  Instant now() const override {
+    return {this->Now.load(), fromUnixMillis(1800000000000)};
+  }
+  std::atomic<TimePoint> Now{TimePoint(1h)};
+};
+
+/// Lets the loop look for work all the time.
+class RestlessWaiter final : public LoopWaiter {
+public:
+  bool wait(std::chrono::steady_clock::time_point) override {
+    std::this_thread::sleep_for(1ms);
+    return true;
+  }
+  void wake() override {}
+};
+
+class DroppingSink final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message) override {}
+};
+
+class KeptReply final : public HttpReply {
+public:
+  void send(const HttpAnswer &NewAnswer) override {
+    std::lock_guard Lock(this->Mutex);
+    this->Answer = NewAnswer;
+  }
+  std::optional<HttpAnswer> answer() const {
+    std::lock_guard Lock(this->Mutex);
+    return this->Answer;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::optional<HttpAnswer> Answer;
+};
+
+/// No answer, as the request was taken.
+constexpr int NoAnswer = 0;
+constexpr std::uint64_t Life = 9;
+
+/// An entry's gate and what it rests on. Its loop had nothing left to do when
+/// this was made, and runs only where a test starts it.
+class GateBench {
+public:
+  GateBench() {
+    peer::CatalogUpdate Update;
+    Update.set_revision(5);
+    Update.mutable_routes()->set_version(5);
+    peer::Route *Route = Update.mutable_routes()->add_routes();
+    Route->set_name("r");
+    Route->set_host("h");
+    Route->set_path_prefix("/known/");
+    Route->set_pool("pool");
+    Route->set_timeout_ms(3000);
+    Route->set_max_attempts(1);
+    Route->set_stretch(1.6);
+    this->Catalog.merge(Update);
+    this->Table.hold(5);
+    this->Gate.connect(this->Loop, this->Coordinator);
+  }
+  ~GateBench() { this->Loop.stop(); }
+
+  TimePoint ago(std::chrono::milliseconds Time) const {
+    return this->Source.now().Steady - Time;
+  }
+  void makeCurrent() { this->Table.confirm(this->ago(100ms)); }
+  /// The answer to a question sent just now may lie unread.
+  void makeUnknown() {
+    this->Table.confirm(this->ago(3000ms));
+    this->Table.ask(this->ago(20ms), TimePoint::min());
+  }
+  void makeUnreachable() {
+    this->Table.confirm(this->ago(3000ms));
+    this->Table.ask(this->ago(2500ms), TimePoint::min());
+  }
+  /// Room for a job of one task, of an agent that has been heard.
+  void addAgent() {
+    peer::Member Member;
+    Member.set_name("a1");
+    Member.set_role(peer::ROLE_AGENT);
+    Member.set_state(peer::MEMBER_ALIVE);
+    Member.set_incarnation(Life);
+    Member.set_address("10.0.0.1:1");
+    Member.set_pool("pool");
+    Member.mutable_room()->set_cpu_milli(4000);
+    Member.mutable_room()->set_memory_mb(1000);
+    this->Coordinator.onMember(Member, this->Source.now());
+    peer::Message Heard;
+    Heard.mutable_worker_load()->set_incarnation(Life);
+    Heard.mutable_worker_load()->set_stamp(1);
+    this->Coordinator.onMessage({"a1", "10.0.0.1:1"}, Heard,
+                                this->Source.now());
+  }
+  std::shared_ptr<KeptReply> send(HttpMethod Method, const std::string &Path) {
+    HttpRequest Request;
+    Request.Method = Method;
+    Request.Resource = Path;
+    Request.Headers = {{"Host", "h"}};
+    Request.Connection = ++this->Connections;
+    Request.Body = R"({"spec":"5","bestEffort":true,
+      "phases":[{"count":1,"cpu":500,"estMs":5}]})";
+    auto Reply = std::make_shared<KeptReply>();
+    this->Gate.handle(Request, Reply);
+    return Reply;
+  }
+  /// Lets time go by for a loop that keeps up.
+  void pass(std::chrono::milliseconds Time) {
+    constexpr auto Step = 50ms;
+    for (auto Passed = 0ms; Passed < Time; Passed += Step) {
+      TimePoint Now = this->Source.Now.load() + Step;
+      this->Source.Now.store(Now);
+      while (this->Loop.lastIdle() != Now)
+        std::this_thread::sleep_for(1ms);
+    }
+  }
+  /// Waits until the loop has done what was posted before.
+  void settle() {
+    std::atomic<bool> Done{false};
+    this->Loop.post([&](Instant) { Done.store(true); });
+    while (!Done.load())
+      std::this_thread::sleep_for(1ms);
+  }
+
+  SetClock Source;
+  NodeCatalog Catalog;
+  TableLease Table{TableLeaseOptions{1750ms, 1000ms}};
+  RestlessWaiter Waiter;
+  EventLoop Loop{Source, Waiter, 20ms, [](Instant) {}, [] {}};
+
+private:
+  DroppingSink Sink;
+  SelfLoad Load{SelfLoadOptions()};
+  EntryGate Gate{Catalog, Source, Load, Table};
+  LeaseCoordinator Coordinator{{}, Sink, Gate};
+  std::uint64_t Connections = 0;
+};
+
+int statusOf(const std::optional<HttpAnswer> &Answer) {
+  return Answer ? static_cast<int>(Answer->Status) : NoAnswer;
+}
+
+} // namespace
+
+TEST_GROUP(EntryGateTest){};
+
+// An entry told a caller "404, no route" by a table 3.0 s old: version 6 had
+// been acknowledged at 2.042 s and the request was answered at 5.077 s. Others
+// took jobs as only an older version allows. News of the change had not been
+// read, or not come; the entry judged by its load alone whether it might have
+// missed news, and asked that only before a 404. So a request that the old
+// table served passed by, and so did a 404 while the loop was idle.
+TEST(EntryGateTest, AnOldTableNeitherServesNorDenies) {
+  struct Row {
+    const char *Name;
+    void (GateBench::*Prepare)();
+    HttpMethod Method;
+    const char *Path;
+    int Expected;
+    const char *Reason;
+  };
+  const char *Known = "/known/00000000000000a1";
+  const char *Other = "/other/00000000000000a1";
+  using Bench = GateBench;
+  const Row Rows[] = {
+      {"current, known", &Bench::makeCurrent, HttpMethod::Post, Known, NoAnswer,
+       ""},
+      {"current, unknown", &Bench::makeCurrent, HttpMethod::Post, Other, 404,
+       "no route"},
+      {"old, known", &Bench::makeUnknown, HttpMethod::Post, Known, 503,
+       "may be old"},
+      {"old, unknown", &Bench::makeUnknown, HttpMethod::Post, Other, 503,
+       "may be old"},
+      {"old, unknown, read", &Bench::makeUnknown, HttpMethod::Get, Other, 503,
+       "may be old"},
+      {"cut off, known", &Bench::makeUnreachable, HttpMethod::Post, Known,
+       NoAnswer, ""},
+      {"cut off, unknown", &Bench::makeUnreachable, HttpMethod::Post, Other,
+       503, "may be new"},
+  };
+  for (const Row &Row : Rows) {
+    GateBench Bench;
+    (Bench.*Row.Prepare)();
+    auto Answer = Bench.send(Row.Method, Row.Path)->answer();
+    LONGS_EQUAL_TEXT(Row.Expected, statusOf(Answer), Row.Name);
+    if (!Answer)
+      continue;
+    STRCMP_CONTAINS_TEXT(Row.Reason, Answer->Body.c_str(), Row.Name);
+    // The caller's next attempt should find another entry.
+    CHECK_TEXT(Answer->Close == (Row.Expected == 503), Row.Name);
+    CHECK_TEXT((Answer->RetryAfter > 0ms) == (Row.Expected == 503), Row.Name);
+  }
+}
+
+// 503 says that a job has not run and never will.
+TEST(EntryGateTest, AnOldTableDoesNotDenyThatAJobHasRun) {
+  struct Row {
+    const char *Name;
+    bool HasAgent;
+    void (GateBench::*Prepare)();
+    const char *Path;
+    int Expected;
+  };
+  const char *Known = "/known/00000000000000a1";
+  const char *Dropped = "/dropped/00000000000000a1";
+  using Bench = GateBench;
+  const Row Rows[] = {
+      {"ended", false, &Bench::makeUnknown, Known, 504},
+      {"in flight", true, &Bench::makeUnknown, Known, NoAnswer},
+      {"by another route, old", false, &Bench::makeUnknown, Dropped, 504},
+      {"by another route, cut off", false, &Bench::makeUnreachable, Dropped,
+       504},
+      {"by another route, current", false, &Bench::makeCurrent, Dropped, 404},
+  };
+  for (const Row &Row : Rows) {
+    GateBench Bench;
+    if (Row.HasAgent)
+      Bench.addAgent();
+    Bench.makeCurrent();
+    Bench.Loop.start();
+    auto First = Bench.send(HttpMethod::Post, Known);
+    Bench.settle();
+    // Without an agent the job ends at once.
+    LONGS_EQUAL_TEXT(Row.HasAgent ? NoAnswer : 503, statusOf(First->answer()),
+                     Row.Name);
+    Bench.pass(3050ms);
+    (Bench.*Row.Prepare)();
+    auto Second = Bench.send(HttpMethod::Post, Row.Path);
+    Bench.settle();
+    LONGS_EQUAL_TEXT(Row.Expected, statusOf(Second->answer()), Row.Name);
+  }
+}
