Tests: a job that is being stopped is not begun anew by an old table

Cause: a resubmission of a job whose last runs are being stopped waits for their end and then starts by the table it was read with.

--- a/tests/platform/entry_gate_test.cpp
+++ b/tests/platform/entry_gate_test.cpp
@@ -121,6 +121,9 @@
     this->Gate.handle(Request, Reply);
     return Reply;
   }
+  void closeConnection(std::uint64_t Connection) {
+    this->Gate.onDisconnect(Connection);
+  }
   /// Lets time go by for a loop that keeps up.
   void pass(std::chrono::milliseconds Time) {
     constexpr auto Step = 50ms;
@@ -214,6 +217,7 @@
   struct Row {
     const char *Name;
     bool HasAgent;
+    bool CallerGone;
     void (GateBench::*Prepare)();
     const char *Path;
     int Expected;
@@ -222,12 +226,15 @@
   const char *Dropped = "/dropped/00000000000000a1";
   using Bench = GateBench;
   const Row Rows[] = {
-      {"ended", false, &Bench::makeUnknown, Known, 504},
-      {"in flight", true, &Bench::makeUnknown, Known, NoAnswer},
-      {"by another route, old", false, &Bench::makeUnknown, Dropped, 504},
-      {"by another route, cut off", false, &Bench::makeUnreachable, Dropped,
+      {"ended", false, false, &Bench::makeUnknown, Known, 504},
+      {"in flight", true, false, &Bench::makeUnknown, Known, NoAnswer},
+      {"being stopped", true, true, &Bench::makeUnknown, Known, 504},
+      {"by another route, old", false, false, &Bench::makeUnknown, Dropped,
        504},
-      {"by another route, current", false, &Bench::makeCurrent, Dropped, 404},
+      {"by another route, cut off", false, false, &Bench::makeUnreachable,
+       Dropped, 504},
+      {"by another route, current", false, false, &Bench::makeCurrent, Dropped,
+       404},
   };
   for (const Row &Row : Rows) {
     GateBench Bench;
@@ -240,6 +247,8 @@
     // Without an agent the job ends at once.
     LONGS_EQUAL_TEXT(Row.HasAgent ? NoAnswer : 503, statusOf(First->answer()),
                      Row.Name);
+    if (Row.CallerGone)
+      Bench.closeConnection(1);
     Bench.pass(3050ms);
     (Bench.*Row.Prepare)();
     auto Second = Bench.send(HttpMethod::Post, Row.Path);
