--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -27,6 +27,11 @@
 
 // ---- Jobs come in ----
 
+bool LeaseCoordinator::mayJoin(const std::string &Id) const {
+  auto Found = this->Jobs.find(Id);
+  return Found != this->Jobs.end() && Found->second->Phase == JobPhase::Running;
+}
+
 void LeaseCoordinator::submit(LeasedJobRequest Request, LeaseTicket Waiter,
                               Instant Now) {
   if (Job *Known = this->find(Request.Id)) {
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -138,6 +138,9 @@
   bool isRunning(const std::string &Id) const {
     return this->Jobs.contains(Id);
   }
+  /// Whether a resubmission of this job would only wait for the runs under way,
+  /// and start nothing.
+  bool mayJoin(const std::string &Id) const;
   /// Jobs of a route that have not begun, as far as is known here.
   std::uint32_t pending(const std::string &Route) const;
   /// Jobs whose callers wait.
--- a/entry/self_load.h
+++ b/entry/self_load.h
@@ -30,10 +30,9 @@
   /// How long callers are sent elsewhere; doubles if it was too short.
   std::chrono::milliseconds FirstPause{2000};
   std::chrono::milliseconds MaxPause{8000};
-  /// After this process was behind, for how long it may have missed news: what
-  /// control has told it may wait unread, and requests may be read that have
-  /// waited for long.
-  std::chrono::milliseconds MissesNewsFor{3000};
+  /// After this process was behind, for how long requests may be read that
+  /// have waited until their callers went.
+  std::chrono::milliseconds ReadsLateFor{3000};
 };
 
 class SelfLoad {
@@ -52,12 +51,11 @@
     return this->Options.Enabled && Now - LastIdle > this->Options.LeaveAfter;
   }
 
-  /// Whether this process may not know what is in force since; for any thread.
-  /// It must not say then that something does not exist.
-  /// \param LastBehind Until when it did not keep up with its input.
-  bool mayHaveMissedNews(TimePoint Now, TimePoint LastBehind) const {
+  /// Whether a request read now may have waited here for long; for any thread.
+  /// \param LastBehind Until when this process did not keep up with its input.
+  bool mayReadLate(TimePoint Now, TimePoint LastBehind) const {
     return this->Options.Enabled && LastBehind != TimePoint::min() &&
-           Now - LastBehind < this->Options.MissesNewsFor;
+           Now - LastBehind < this->Options.ReadsLateFor;
   }
 
   /// On the loop's thread, at each tick. \returns whether callers should be
--- a/tests/entry/self_load_test.cpp
+++ b/tests/entry/self_load_test.cpp
@@ -49,18 +49,18 @@
   CHECK(Load.mayBeReady(Now + 2100ms, Now + 2100ms));
 }
 
-// A route that control told of may lie here unread.
-TEST(SelfLoadTest, ForSecondsAfterItWasBehindAnEntryMayHaveMissedNews) {
+// Their callers may have gone meanwhile.
+TEST(SelfLoadTest, ForSecondsAfterItWasBehindAnEntryMayReadLateRequests) {
   struct Row {
     TimePoint LastBehind;
-    bool MayHave;
+    bool MayRead;
   };
   const Row Rows[] = {{TimePoint::min(), false},
                       {Now, true},
                       {Now - 2900ms, true},
                       {Now - 3000ms, false}};
   for (const Row &Row : Rows)
-    CHECK(Load.mayHaveMissedNews(Now, Row.LastBehind) == Row.MayHave);
+    CHECK(Load.mayReadLate(Now, Row.LastBehind) == Row.MayRead);
 }
 
 TEST(SelfLoadTest, SwitchedOffItNeverRefuses) {
