--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -177,6 +177,20 @@
         {"phases", {{{"count", Tasks}, {"cpu", 500}, {"estMs", Millis}}}}};
     return this->post(Front, Id, Body);
   }
+  /// Asks for the count of a route that the usual configuration lacks.
+  HttpResult readUnknownRoute(int Front) const {
+    HttpClient Client(2s);
+    return Client.call("GET", fmt::format("http://{}/x/", this->at(Front, 1)));
+  }
+  /// The state of its route table that an entry has logged last.
+  std::string tableState(const std::string &Name) const {
+    std::string Text = this->log(Name);
+    std::size_t At = Text.rfind("\"route_table_state\",\"state\":\"");
+    if (At == std::string::npos)
+      return "";
+    std::size_t From = Text.find("\"state\":\"", At) + 9;
+    return Text.substr(From, Text.find('"', From) - From);
+  }
   HttpResult post(int Front, const std::string &Id, const json &Body) const {
     HttpClient Client(8s);
     return Client.call("POST",
@@ -320,6 +334,56 @@
   }
 }
 
+// While control is silent nothing newer can be told of: known routes are served
+// on, and a route that is not known may have been added.
+TEST(PlatformTest, AnEntryWithoutControlServesWhatItKnowsAndDeniesNothing) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  const std::vector<std::string> Controls = {"core1", "core2", "core3"};
+  LONGS_EQUAL(404, Cluster.readUnknownRoute(1).Status);
+  for (const std::string &Name : Controls)
+    Cluster.signal(Name, SIGSTOP);
+  CHECK(waitFor([&] { return Cluster.tableState("front1") == "unreachable"; }));
+  LONGS_EQUAL(200, Cluster.submit(1, "0000000000000701", 1, 5).Status);
+  HttpResult Refused = Cluster.readUnknownRoute(1);
+  LONGS_EQUAL(503, Refused.Status);
+  STRCMP_CONTAINS("may be new", Refused.Body.c_str());
+  for (const std::string &Name : Controls)
+    Cluster.signal(Name, SIGCONT);
+  CHECK(waitFor([&] { return Cluster.tableState("front1") == "current"; }));
+  CHECK(waitFor([&] { return Cluster.readUnknownRoute(1).Status == 404; }));
+}
+
+// A frozen entry wakes with its old table and reads requests before news of the
+// change: it may refuse them, but not handle them as the old table says.
+TEST(PlatformTest, AnEntryThatWakesHandlesNothingByItsOldTable) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  json Config = Cluster.config(2);
+  json Added = Config["routes"][0];
+  Added["name"] = "added";
+  Added["pathPrefix"] = "/x/";
+  // In place of the dropped route.
+  Config["routes"][0] = Added;
+  Cluster.signal("front1", SIGSTOP);
+  LONGS_EQUAL(200,
+              Cluster.operatorCall(21, "POST", "/config/replace", Config.dump())
+                  .Status);
+  std::this_thread::sleep_for(2500ms);
+  Cluster.signal("front1", SIGCONT);
+  bool Served = false;
+  for (int I = 0; I < 200 && !Served; ++I) {
+    long Dropped =
+        Cluster.submit(1, fmt::format("{:016x}", 0x800 + I), 1, 5).Status;
+    CHECK_TEXT(Dropped == 503 || Dropped == 404,
+               std::to_string(Dropped).c_str());
+    long New = Cluster.readUnknownRoute(1).Status;
+    CHECK_TEXT(New == 503 || New == 200, std::to_string(New).c_str());
+    Served = New == 200;
+  }
+  CHECK(Served);
+}
+
 // The caller hands a job in again at another entry 1,300 ms after its entry
 // was killed: by then no run of the first may be alive.
 TEST(PlatformTest, RunsOfAKilledEntryEndBeforeTheJobMayBeginAgain) {
