Tests: short spells of lateness should not hide that control is silent

Cause: each question after a spell of lateness starts the wait for an answer anew, so an entry that is late for moments never finds control silent and refuses all its callers while control is gone.

Seen failing on the code before: TableLeaseTest. ShortSpellsOfLatenessDoNotHideThatControlIsSilent (unknown instead of unreachable).

--- a/tests/entry/table_lease_test.cpp
+++ b/tests/entry/table_lease_test.cpp
@@ -103,3 +103,12 @@
   Lease.confirm(Now - 3s);
   checkState(TableState::Current, TimePoint::min(), "the newer answer counts");
 }
+
+// An entry under load is late for a moment again and again. Were it not to
+// notice that control is gone, it would refuse all its callers meanwhile.
+TEST(TableLeaseTest, ShortSpellsOfLatenessDoNotHideThatControlIsSilent) {
+  Lease.confirm(Now - 4s);
+  for (auto Ago = 3500ms; Ago > 0ms; Ago -= 250ms)
+    Lease.ask(Now - Ago, Now - Ago - 10ms);
+  checkState(TableState::Unreachable, Now - 10ms, "late for moments");
+}
