Short spells of lateness do not hide that control is silent

Cause: a question to control counted anew after each spell of more than 100 ms without an idle moment. An entry that is late for moments again and again would never have found control silent, and have refused all its callers while control was gone.

Ruled out: no reset at all. After a freeze the old question looks long unanswered before its answer has been read.

Change: what counts is whether the process has read all its input since the answer should have come (its last idle moment), and that no spell was longer than 500 ms; a process that wakes is known by not having been watched.

--- a/entry/table_lease.h
+++ b/entry/table_lease.h
@@ -48,6 +48,10 @@
   /// Control that leaves a question unanswered for this long is silent. Two
   /// heartbeats: enough for a lost one and for the next replica to be asked.
   std::chrono::milliseconds AnswerWithin{1000};
+  /// After this long without reading all of its input, answers may lie here
+  /// unread and control is asked anew. Below AnswerWithin, so that shorter
+  /// spells leave time to read an answer; a busy entry has many of those.
+  std::chrono::milliseconds LongSpell{500};
 };
 
 /// The loop's thread writes; any thread reads.
@@ -55,9 +59,11 @@
 public:
   explicit TableLease(TableLeaseOptions Options) : Options(Options) {}
 
+  /// To be called often, and before the questions of the same time.
+  /// \param LastIdle When this process last had read all of its input.
+  void watch(TimePoint Now, TimePoint LastIdle);
   /// A question has been sent to control.
-  /// \param LastBehind Until when this process did not keep up with its input.
-  void ask(TimePoint Sent, TimePoint LastBehind);
+  void ask(TimePoint Sent);
   /// Control has answered a question: the table was the newest some time
   /// after the question was sent.
   void confirm(TimePoint Asked);
@@ -67,17 +73,20 @@
   void hear(std::uint64_t Revision);
 
   /// To be read before the table: the table is then at least as new.
-  /// \param LastBehind Until when this process did not keep up with its input.
-  TableStanding standing(TimePoint Now, TimePoint LastBehind) const;
+  /// \param LastIdle When this process last had read all of its input.
+  TableStanding standing(TimePoint Now, TimePoint LastIdle) const;
 
 private:
-  bool isControlSilent(TimePoint Now, TimePoint LastBehind) const;
+  /// Whether this process reads its input now, and did when last watched.
+  bool keepsUp(TimePoint Now, TimePoint LastIdle) const;
+  bool isControlSilent(TimePoint Now, TimePoint LastIdle) const;
 
   TableLeaseOptions Options;
   std::atomic<TimePoint> Confirmed{TimePoint::min()};
-  /// When the oldest question was sent whose answer this process, keeping up
-  /// ever since, should have read.
+  /// When the oldest open question was sent since which this process has kept
+  /// up.
   std::atomic<TimePoint> OpenSince{TimePoint::min()};
+  std::atomic<TimePoint> Watched{TimePoint::min()};
   std::atomic<std::uint64_t> Held{0};
   std::atomic<std::uint64_t> Heard{0};
 };
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -125,6 +125,7 @@
 
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
+  this->Table.watch(Now.Steady, this->Node.loop().lastIdle());
   this->Announce.tick(Now, this->Node.loop().lastBehind());
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
@@ -152,28 +153,24 @@
   this->Table.confirm(Asked);
 }
 
-void LeaseEntryProcess::onAsked(TimePoint Sent) {
-  this->Table.ask(Sent, this->Node.loop().lastBehind());
-}
+void LeaseEntryProcess::onAsked(TimePoint Sent) { this->Table.ask(Sent); }
 
 void LeaseEntryProcess::onNewerRevision(std::uint64_t Revision) {
   this->Table.hear(Revision);
 }
 
 void LeaseEntryProcess::logTableState(Instant Now) {
-  TimePoint LastBehind = this->Node.loop().lastBehind();
-  TableStanding Standing = this->Table.standing(Now.Steady, LastBehind);
+  TimePoint LastIdle = this->Node.loop().lastIdle();
+  TableStanding Standing = this->Table.standing(Now.Steady, LastIdle);
   if (Standing.State == this->LoggedTable)
     return;
   this->LoggedTable = Standing.State;
-  bool NeverBehind = LastBehind == TimePoint::min();
   this->Log.decision(
       "route_table_state",
       {{"state", tableStateName(Standing.State)},
        {"table_age_ms", Standing.ageMillis()},
        {"newer_known", Standing.NewerKnown},
-       {"behind_ms_ago",
-        NeverBehind ? -1 : millisBetween(LastBehind, Now.Steady)},
+       {"idle_ms_ago", millisBetween(LastIdle, Now.Steady)},
        {"table_version", this->Catalog.view()->Routes.version()}});
 }
 
@@ -252,7 +249,7 @@
   Text += metricLine("yardwheel_route_table_version",
                      this->Catalog.view()->Routes.version());
   TableStanding Table =
-      this->Table.standing(Now.Steady, this->Node.loop().lastBehind());
+      this->Table.standing(Now.Steady, this->Node.loop().lastIdle());
   if (Table.Age)
     Text += metricLine("yardwheel_route_table_age_ms", Table.Age->count());
   Text += this->Gate->describeRefusals();
