--- /dev/null
+++ b/entry/table_lease.h
@@ -0,0 +1,96 @@
+//===- entry/table_lease.h - How old a route table may be -------*- C++ -*-===//
+///
+/// \file
+/// Tells how long ago the route table held here was known to be the newest,
+/// and whether requests may be decided by it.
+///
+/// A table proves nothing about its own age: while an entry does not read its
+/// input, or control does not answer, a newer one may be in force elsewhere.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_ENTRY_TABLE_LEASE_H
+#define YARDWHEEL_ENTRY_TABLE_LEASE_H
+
+#include "core/clock.h"
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+
+namespace yardwheel {
+
+enum class TableState {
+  /// Was the newest within the age allowed.
+  Current,
+  /// May be older, and news of a newer one may lie here unread or be missing.
+  Unknown,
+  /// May be older, but this process reads all that comes: control is silent.
+  Unreachable,
+};
+
+/// For logs.
+const char *tableStateName(TableState State);
+
+struct TableStanding {
+  TableState State = TableState::Unknown;
+  /// Since the table was last known to be the newest; nothing if it never was.
+  std::optional<std::chrono::milliseconds> Age;
+  /// A peer has a newer configuration in force than is held here.
+  bool NewerKnown = false;
+
+  /// For logs and metrics; -1 where there is no age.
+  std::int64_t ageMillis() const { return this->Age ? this->Age->count() : -1; }
+};
+
+struct TableLeaseOptions {
+  /// Up to this age a table is taken for the newest.
+  std::chrono::milliseconds MaxAge{1750};
+  /// Control that leaves a question unanswered for this long is silent. Two
+  /// heartbeats: enough for a lost one and for the next replica to be asked.
+  std::chrono::milliseconds AnswerWithin{1000};
+  /// After this long without reading all of its input, answers may lie here
+  /// unread and control is asked anew. Below AnswerWithin, so that shorter
+  /// spells leave time to read an answer; a busy entry has many of those.
+  std::chrono::milliseconds LongSpell{500};
+};
+
+/// The loop's thread writes; any thread reads.
+class TableLease {
+public:
+  explicit TableLease(TableLeaseOptions Options) : Options(Options) {}
+
+  /// To be called often, and before the questions of the same time.
+  /// \param LastIdle When this process last had read all of its input.
+  void watch(TimePoint Now, TimePoint LastIdle);
+  /// A question has been sent to control.
+  void ask(TimePoint Sent);
+  /// Control has answered a question: the table was the newest some time
+  /// after the question was sent.
+  void confirm(TimePoint Asked);
+  /// The configuration held here is of this revision.
+  void hold(std::uint64_t Revision) { this->Held.store(Revision); }
+  /// A peer has a revision in force.
+  void hear(std::uint64_t Revision);
+
+  /// To be read before the table: the table is then at least as new.
+  /// \param LastIdle When this process last had read all of its input.
+  TableStanding standing(TimePoint Now, TimePoint LastIdle) const;
+
+private:
+  /// Whether this process reads its input now, and did when last watched.
+  bool keepsUp(TimePoint Now, TimePoint LastIdle) const;
+  bool isControlSilent(TimePoint Now, TimePoint LastIdle) const;
+
+  TableLeaseOptions Options;
+  std::atomic<TimePoint> Confirmed{TimePoint::min()};
+  /// When the oldest open question was sent since which this process has kept
+  /// up.
+  std::atomic<TimePoint> OpenSince{TimePoint::min()};
+  std::atomic<TimePoint> Watched{TimePoint::min()};
+  std::atomic<std::uint64_t> Held{0};
+  std::atomic<std::uint64_t> Heard{0};
+};
+
+} // namespace yardwheel
+
+#endif
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -28,6 +28,10 @@
   /// A quorum of control stood behind the configuration held here at some
   /// time after \p Asked.
   virtual void onConfirmed(TimePoint Asked) = 0;
+  /// A question to control whether that configuration is the newest goes out.
+  virtual void onAsked(TimePoint Sent) {}
+  /// A peer has a newer revision in force than is held here.
+  virtual void onNewerRevision(std::uint64_t Revision) {}
   virtual void onCatalog(Instant Now) = 0;
   virtual void onMember(const peer::Member &Member, Instant Now) = 0;
   /// Control knows a higher incarnation of this node: the host's clock was set
@@ -46,7 +50,9 @@
   Announcer(AnnouncerOptions Options, peer::Member Self, NodeCatalog &Catalog,
             PeerSink &Sink, AnnouncerEvents &Events);
 
-  void tick(Instant Now);
+  /// \param LastBehind Until when this process did not keep up with its input.
+  void tick(Instant Now, TimePoint LastBehind);
+  void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
   /// A peer has a newer revision in force: asks control at once, but not for
   /// every message of every peer.
   void noteRevision(std::uint64_t Revision, Instant Now);
@@ -58,6 +64,11 @@
 
 private:
   void beat(Instant Now);
+  /// Between two questions sent in the ordinary course.
+  std::chrono::milliseconds period() const;
+  /// Whether this process may ask before its time, as it asked not just now.
+  bool mayAskEarly(TimePoint Now) const;
+  bool isControlSilent(TimePoint Now) const;
   void nextControl();
   void follow(const std::string &LeaderAddress);
   void confirm(std::uint64_t Sequence);
