A test in which a job that is under way is told that it has not run, failing

Cause: ids of taken jobs are remembered for 5 to 10 s, while deadlines reach 17 s. Ruled out: the coordinator, which knows the job and lets a resubmission join.

--- a/tests/platform/entry_gate_test.cpp
+++ b/tests/platform/entry_gate_test.cpp
@@ -267,3 +267,28 @@
     LONGS_EQUAL_TEXT(Row.Expected, statusOf(Second->answer()), Row.Name);
   }
 }
+
+// Deadlines of jobs reach some 17 s, while ids were remembered for 5 to 10 s.
+// A job still under way after that was told that it has not run.
+TEST(EntryGateTest, AJobIsRememberedAsLongAsItMayBeUnderWay) {
+  const char *Long = "/known/00000000000000a1";
+  GateBench Bench;
+  Bench.addAgent();
+  Bench.makeCurrent();
+  Bench.Loop.start();
+  auto First = Bench.send(HttpMethod::Post, Long);
+  Bench.settle();
+  LONGS_EQUAL(NoAnswer, statusOf(First->answer()));
+  // Other jobs come meanwhile.
+  for (const char *Other :
+       {"/known/00000000000000b1", "/known/00000000000000b2"}) {
+    Bench.pass(6000ms);
+    Bench.makeCurrent();
+    Bench.send(HttpMethod::Post, Other);
+  }
+  Bench.pass(3050ms);
+  Bench.makeUnknown();
+  auto Second = Bench.send(HttpMethod::Post, Long);
+  Bench.settle();
+  LONGS_EQUAL(NoAnswer, statusOf(Second->answer()));
+}
