KNOWN-RED: an agent keeps runs alive for jobs that were given up

Cause: an agent keeps what it holds for an entry while that entry renews its lease, by the entry's name and for all jobs together. A job that was given up when its agent fell silent is kept alive by the renewals for other jobs once the agent is heard again, while its caller may have it run elsewhere.

Measured: WhatAnAgentHoldsForNoJobHereIsStopped fails at the row 'given up when its agent fell silent': no stop is sent.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -133,6 +133,18 @@
     *Sent->add_messages() = Message;
     Coordinator.onUndelivered({{Agent, "10.0.0.1:1"}, Now.Steady, Sent}, Now);
   }
+  /// An agent lists the placements that it holds for this entry.
+  void list(const std::string &Agent,
+            const std::vector<std::uint64_t> &Orders) {
+    peer::Message Message;
+    peer::WorkerLoad *Load = Message.mutable_worker_load();
+    Load->set_incarnation(Life);
+    Load->set_stamp(++this->Stamp);
+    Load->set_lists_held(true);
+    for (std::uint64_t Order : Orders)
+      Load->add_held_orders(Order);
+    Coordinator.onMessage({Agent, "10.0.0.1:1"}, Message, Now);
+  }
   void loseDispatch(std::size_t Which) {
     peer::Message Message;
     *Message.mutable_leased_dispatch() = Sink.Dispatches.at(Which).second;
@@ -414,6 +426,54 @@
   }
 }
 
+// An agent keeps what it holds for this entry while its lease is renewed, for
+// whatever job that is. A caller who was told that his job's end is unknown may
+// have it run elsewhere by then.
+TEST(LeaseCoordinatorTest, WhatAnAgentHoldsForNoJobHereIsStopped) {
+  struct Row {
+    const char *Name;
+    std::function<std::uint64_t()> Hold;
+    std::size_t Stops;
+  };
+  auto Place = [&] {
+    Coordinator.submit(request(1), 1, Now);
+    return Sink.Dispatches.back().second.tasks(0).order();
+  };
+  const Row Rows[] = {
+      {"wanted", Place, 0},
+      {"given up when its agent fell silent",
+       [&] {
+         std::uint64_t Order = Place();
+         pass(1000ms);
+         LONGS_EQUAL(1, Answers.Answers.size());
+         return Order;
+       },
+       1},
+      {"its stop was lost",
+       [&] {
+         std::uint64_t Order = Place();
+         Coordinator.cancel("j", "test", Now);
+         return Order;
+       },
+       1},
+  };
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    addAgent("a");
+    std::uint64_t Order = Row.Hold();
+    Sink.Stops.clear();
+    list("a", {Order});
+    LONGS_EQUAL_TEXT(Row.Stops, Sink.Stops.size(), Row.Name);
+    // Its runs end before the next row.
+    Coordinator.cancel("j", "test", Now);
+    pass(2000ms);
+    list("a", {});
+    pass(600ms);
+    list("a", {});
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 // It may be cut off from control only, and its worker has room.
 TEST(LeaseCoordinatorTest, AnAgentThatControlLostIsUsedWhileItIsHeardHere) {
   auto Hear = [&] { this->hear("a"); };
