An entry stops what an agent still holds of jobs that were given up

Cause: an agent keeps all that it holds for an entry while that entry renews its lease. When an agent fell silent, its tasks were given up without a stop, to lapse with the lease; once it was heard again, renewals for other jobs kept them alive for as long as they ran, while their caller, told that the end is unknown, could have them run elsewhere at the same time.

Change: the entry remembers what it gave up at a lost agent, and stops it when the agent lists it. The same for jobs whose first stop was lost. A job that was handed in again and has a newer placement there is left alone, as a stop ends all that the agent holds of a job.

Before: WhatAnAgentHoldsForNoJobHereIsStopped sent no stop.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -458,14 +458,17 @@
   for (const Task &Which : Target.Tasks)
     if (Which.Phase == TaskPhase::Sent)
       Agents.insert(Which.Agent);
-  for (const std::string &Agent : Agents) {
-    LeasedWorker *Worker = this->Board.find(Agent);
-    peer::Message Message;
-    peer::LeasedStop *Stop = Message.mutable_leased_stop();
-    Stop->set_job(Target.Request.Id);
-    Stop->set_agent_incarnation(Worker->Incarnation);
-    this->Sink.send(Worker->Agent, std::move(Message));
-  }
+  for (const std::string &Agent : Agents)
+    this->sendStop(Target.Request.Id, *this->Board.find(Agent));
+}
+
+void LeaseCoordinator::sendStop(const std::string &Id,
+                                const LeasedWorker &Worker) {
+  peer::Message Message;
+  peer::LeasedStop *Stop = Message.mutable_leased_stop();
+  Stop->set_job(Id);
+  Stop->set_agent_incarnation(Worker.Incarnation);
+  this->Sink.send(Worker.Agent, std::move(Message));
 }
 
 void LeaseCoordinator::finishIfProven(Job &Target, Instant Now) {
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -216,6 +216,13 @@
     TimePoint LoseOldAt = TimePoint::max();
     /// When messages to it were last sent again.
     TimePoint RepeatedAt = TimePoint::min();
+    /// Placements that were given up when it was lost, by their numbers. It
+    /// may hold them all the same.
+    struct GivenUp {
+      std::string Job;
+      TimePoint PlacedAt;
+    };
+    std::map<std::uint64_t, GivenUp> Lost;
   };
 
   void begin(LeasedJobRequest Request, std::vector<LeaseTicket> Waiters,
@@ -258,6 +265,13 @@
   /// as while this entry stood still and its lease there lapsed.
   void onHeldOrders(const std::string &Agent, const peer::WorkerLoad &Load,
                     Instant Now);
+  /// Stops what an agent holds of jobs that were given up, here or when it
+  /// was lost.
+  void stopGivenUp(const LeasedWorker &Worker,
+                   const std::set<std::uint64_t> &Held, Instant Now);
+  /// Whether a job that still runs has tasks at an agent.
+  bool isWantedAt(const std::string &Id, const std::string &Agent);
+  void sendStop(const std::string &Id, const LeasedWorker &Worker);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -106,10 +106,14 @@
   for (const std::string &Id : Concerned) {
     Job &Target = *this->Jobs[Id];
     Target.MayHaveRun = true;
-    // What became of its runs is not known; they lapse with our lease.
-    for (Task &Which : Target.Tasks)
-      if (IsLost(Which))
-        this->settle(Target, Which, TaskPhase::Over);
+    // What became of its runs is not known. They lapse with our lease, and are
+    // stopped should the agent be heard before.
+    for (Task &Which : Target.Tasks) {
+      if (!IsLost(Which))
+        continue;
+      this->Contacts[Agent].Lost[Which.Order] = {Id, Which.PlacedAt};
+      this->settle(Target, Which, TaskPhase::Over);
+    }
     if (Target.Phase == JobPhase::Running)
       this->giveUp(Target, {LeasedEnd::Unknown, "run", Agent, Reason, {}}, Now);
     else if (Target.Phase == JobPhase::GivingUp)
@@ -141,6 +145,7 @@
     return;
   std::set<std::uint64_t> Held(Load.held_orders().begin(),
                                Load.held_orders().end());
+  this->stopGivenUp(*Worker, Held, Now);
   std::vector<peer::LeasedUpdate> Lost;
   for (const auto &[Id, Known] : this->Jobs) {
     for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
@@ -163,6 +168,41 @@
     this->onUpdate(Agent, End, Now);
 }
 
+bool LeaseCoordinator::isWantedAt(const std::string &Id,
+                                  const std::string &Agent) {
+  const Job *Known = this->find(Id);
+  return Known != nullptr && Known->Phase == JobPhase::Running &&
+         std::any_of(
+             Known->Tasks.begin(), Known->Tasks.end(), [&](const Task &Which) {
+               return Which.Phase == TaskPhase::Sent && Which.Agent == Agent;
+             });
+}
+
+void LeaseCoordinator::stopGivenUp(const LeasedWorker &Worker,
+                                   const std::set<std::uint64_t> &Held,
+                                   Instant Now) {
+  const std::string &Agent = Worker.Agent.Node;
+  std::set<std::string> GivenUp;
+  // Its stop may have been lost.
+  for (const auto &[Id, Known] : this->Jobs)
+    for (const Task &Which : Known->Tasks)
+      if (Known->Phase != JobPhase::Running && Which.Phase == TaskPhase::Sent &&
+          Which.Agent == Agent && Held.contains(Which.Order))
+        GivenUp.insert(Id);
+  std::erase_if(this->Contacts[Agent].Lost, [&](const auto &Item) {
+    const auto &[Order, Lost] = Item;
+    // A stop ends all that the agent holds of a job.
+    if (Held.contains(Order) && !this->isWantedAt(Lost.Job, Agent))
+      GivenUp.insert(Lost.Job);
+    bool MayArrive = Now.Steady - Lost.PlacedAt <= this->Options.InTransit;
+    return !Held.contains(Order) && !MayArrive;
+  });
+  for (const std::string &Id : GivenUp) {
+    this->Log.decision("given_up_stopped", {{"job", Id}, {"agent", Agent}});
+    this->sendStop(Id, Worker);
+  }
+}
+
 // ---- Time ----
 
 void LeaseCoordinator::tick(Instant Now, TimePoint NewLastBehind) {
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -449,6 +449,15 @@
          return Order;
        },
        1},
+      {"given up, and the job has a newer placement there",
+       [&] {
+         std::uint64_t Order = Place();
+         pass(1000ms);
+         hear("a");
+         Place();
+         return Order;
+       },
+       0},
       {"its stop was lost",
        [&] {
          std::uint64_t Order = Place();
