KNOWN-RED: a job that ran here is told that it has not run

Cause: whether a job may have run is kept for one hand-in. When its caller hands it in again, after an answer that left the end open or a broken connection, and this entry refuses that for overload or for want of workers, it says that the job has not run and never will, though it has seen it run.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -299,6 +299,57 @@
   }
 }
 
+// "Not run" is said of the job, not of a hand-in: its caller hands it in again
+// since nobody could tell him how the first one ended.
+TEST(LeaseCoordinatorTest,
+     AJobThatRanHereIsNotSaidNotToHaveRunWhenItComesAgain) {
+  struct Row {
+    const char *Name;
+    /// How the first hand-in's only task is answered.
+    peer::LeasedEvent First;
+    /// What has the second refused.
+    std::function<void()> Refuse;
+    /// Handed in while the first is still being stopped.
+    bool Early;
+    LeasedEnd Expected;
+  };
+  auto NoRoom = [&] { setState("a", peer::MEMBER_LEAVING); };
+  auto Overload = [&] {
+    for (int I = 0; I < 40; ++I)
+      Coordinator.submit(patientRequest(4, ("o" + std::to_string(I)).c_str()),
+                         100, Now);
+  };
+  const Row Rows[] = {
+      {"ran, no worker now", peer::LEASED_ENDED_EARLY, NoRoom, false,
+       LeasedEnd::Unknown},
+      {"ran, waits for its end", peer::LEASED_ENDED_EARLY, NoRoom, true,
+       LeasedEnd::Unknown},
+      {"ran, overload now", peer::LEASED_ENDED_EARLY, Overload, false,
+       LeasedEnd::Unknown},
+      {"never began, no worker now", peer::LEASED_NOT_STARTED, NoRoom, false,
+       LeasedEnd::NotRun},
+  };
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    Coordinator.submit(request(1, Row.Name), 1, Now);
+    std::size_t First = Sink.Dispatches.size() - 1;
+    Coordinator.cancel(Row.Name, "test", Now);
+    if (Row.Early) {
+      pass(60ms);
+      Coordinator.submit(request(1, Row.Name), 2, Now);
+      Row.Refuse();
+      answer(First, Row.First, peer::REFUSAL_STOPPED);
+    } else {
+      answer(First, Row.First, peer::REFUSAL_STOPPED);
+      Row.Refuse();
+      pass(1000ms);
+      Coordinator.submit(request(1, Row.Name), 2, Now);
+    }
+    LONGS_EQUAL_TEXT(2, Answers.Answers.back().first, Row.Name);
+    CHECK_TEXT(Answers.Answers.back().second.End == Row.Expected, Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, AFailedTaskIsRunElsewhereAsOftenAsItMay) {
   addAgent("a");
   addAgent("b");
