A job that ran here is not said not to have run when it comes again

Cause: whether a job may have run was kept for one hand-in. Handed in again after an open end or a broken connection, and refused here for overload or for want of workers, its caller was told that it has not run and never will, though this entry had seen it run. The same when a hand-in that had waited for the end of the one before was refused.

Ruled out: what another entry has run; an entry's refusal speaks for what it knows.

Change: the coordinator remembers for five seconds which jobs may have run, as long as the gate remembers what it has taken, and answers that the end is unknown in these cases.

Before: AJobThatRanHereIsNotSaidNotToHaveRunWhenItComesAgain failed. A trial without the change to shedding fails its row 'ran, overload now'.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -9,7 +9,8 @@
                                    PeerSink &Sink, LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
       Board(Options.Board, Options.Seed), Shedder(Options.Shedder),
-      Waits(Options.Waiting), LastOrder(Options.FirstOrder) {}
+      Waits(Options.Waiting), Ran(Options.RunMemory),
+      LastOrder(Options.FirstOrder) {}
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -52,6 +53,8 @@
   New->Tasks.resize(Request.TaskCount);
   New->Taken = Now.Steady;
   New->GiveUpAt = GiveUpAt;
+  // An earlier hand-in's runs are runs of the job.
+  New->MayHaveRun = this->Ran.contains(Request.Id);
   New->Request = std::move(Request);
   New->Waiters = std::move(Waiters);
   Job &Target = *New;
@@ -97,8 +100,9 @@
   double Limit = this->Shedder.limitFor(Request.Route, Now.Steady);
   if (Pressure < Limit)
     return false;
+  bool MayHaveRun = this->Ran.contains(Request.Id);
   ++this->Counters.JobsShed;
-  ++this->Counters.NotRun;
+  ++(MayHaveRun ? this->Counters.Unknown : this->Counters.NotRun);
   constexpr int Percent = 100;
   this->Log.decision("job_shed",
                      {{"job", Request.Id},
@@ -106,9 +110,10 @@
                       {"taken_percent", static_cast<int>(Pressure * Percent)},
                       {"limit_percent", static_cast<int>(Limit * Percent)},
                       {"tasks", Request.TaskCount}});
-  this->Answers.onLeasedAnswer(Waiter, {LeasedEnd::NotRun, "admit", "",
-                                        "upstreams are short of room",
-                                        this->Options.RetryAfter});
+  LeasedEnd End = MayHaveRun ? LeasedEnd::Unknown : LeasedEnd::NotRun;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {End, "admit", "", "upstreams are short of room",
+                                this->Options.RetryAfter});
   return true;
 }
 
@@ -529,6 +534,8 @@
   const Job &Known = *Found->second;
   if (Known.Phase != JobPhase::Answered || Known.OutCount > 0)
     return;
+  if (Known.MayHaveRun)
+    this->Ran.add(Id, Now.Steady);
   std::optional<Job::Resubmission> Next = std::move(Found->second->Next);
   this->Jobs.erase(Found);
   if (Next)
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -18,6 +18,7 @@
 #include "entry/lease_metrics.h"
 #include "entry/leased_job.h"
 #include "entry/load_shedder.h"
+#include "entry/recent_ids.h"
 
 #include <map>
 #include <memory>
@@ -80,6 +81,9 @@
   /// A job that is given up waits this long for proof that none of its tasks
   /// has started; some round trips between data centres.
   std::chrono::milliseconds ProofWait{40};
+  /// How long it is remembered that a job has run: longer than its caller takes
+  /// to hand it in again.
+  std::chrono::milliseconds RunMemory{5000};
   /// What a caller is told when a job was refused for want of room: about the
   /// time in which a full worker has emptied.
   std::chrono::milliseconds RetryAfter{1000};
@@ -176,7 +180,7 @@
     JobPhase Phase = JobPhase::Running;
     TimePoint Taken;
     TimePoint GiveUpAt;
-    /// Whether any task may have run.
+    /// Whether any task may have run, of this hand-in or of one before.
     bool MayHaveRun = false;
     std::uint32_t DoneCount = 0;
     /// The longest time that a task of it has taken.
@@ -316,6 +320,8 @@
   LoadShedder Shedder;
   WaitingRule Waits;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  /// Jobs that may have run and are no longer under way.
+  RecentIds Ran;
   /// Jobs with tasks to be placed again.
   std::set<std::string> ToPlace;
   std::map<std::string, Contact> Contacts;
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -341,8 +341,8 @@
       answer(First, Row.First, peer::REFUSAL_STOPPED);
     } else {
       answer(First, Row.First, peer::REFUSAL_STOPPED);
-      Row.Refuse();
       pass(1000ms);
+      Row.Refuse();
       Coordinator.submit(request(1, Row.Name), 2, Now);
     }
     LONGS_EQUAL_TEXT(2, Answers.Answers.back().first, Row.Name);
