KNOWN-RED: the end of one connection stops a job that another awaits

Cause: when a connection ends, the gate cancels the job that was handed in on it, by the job's id. A caller whose connection broke hands the job in again on another one and joins the job under way; if this end hears of the break only then, it stops the job that the caller has just asked for again.

Measured: AJobThatAnotherCallerAwaitsGoesOn and AJobEndsWithItsLastCaller fail: a stop is sent while a caller waits.

--- /dev/null
+++ b/tests/platform/entry_gate_callers_test.cpp
@@ -0,0 +1,186 @@
+#include "platform/entry_gate.h"
+
+#include <condition_variable>
+#include <future>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace yardwheel::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Life = 9;
+constexpr const char *JobA = "0123456789abcdef";
+
+/// Time stands still: nothing here may end by a time-out.
+class StandingClock final : public Clock {
+public:
+  Instant now() const override {
+    return {TimePoint(1h), fromUnixMillis(1800000000000)};
+  }
+};
+
+class PlainWaiter final : public LoopWaiter {
+public:
+  bool wait(std::chrono::steady_clock::time_point Until) override {
+    std::unique_lock Lock(this->Mutex);
+    bool Came =
+        this->Changed.wait_until(Lock, Until, [this] { return this->Woken; });
+    this->Woken = false;
+    return !Came;
+  }
+  void wake() override {
+    std::lock_guard Lock(this->Mutex);
+    this->Woken = true;
+    this->Changed.notify_one();
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Woken = false;
+};
+
+class CollectingSink final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message Message) override {
+    if (Message.has_leased_dispatch())
+      this->Dispatches.push_back(Message.leased_dispatch());
+    else if (Message.has_leased_stop())
+      this->Stopped.push_back(Message.leased_stop().job());
+  }
+  std::vector<peer::LeasedDispatch> Dispatches;
+  std::vector<std::string> Stopped;
+};
+
+class CollectingReply final : public HttpReply {
+public:
+  void send(const HttpAnswer &Answer) override {
+    this->Answers.push_back(Answer);
+  }
+  std::vector<HttpAnswer> Answers;
+};
+
+} // namespace
+
+TEST_GROUP(EntryGateCallersTest) {
+  StandingClock Source;
+  PlainWaiter Waiter;
+  EventLoop Loop{Source, Waiter, 20ms, [](Instant) {}, [] {}};
+  SelfLoad Load{SelfLoadOptions()};
+  NodeCatalog Catalog;
+  EntryGate Gate{Catalog, Source, Load};
+  CollectingSink Sink;
+  LeaseCoordinator Coordinator{CoordinatorOptions(), Sink, Gate};
+
+  void setup() override {
+    peer::CatalogUpdate Update;
+    Update.set_revision(1);
+    Update.mutable_routes()->set_version(1);
+    peer::Route *Route = Update.mutable_routes()->add_routes();
+    Route->set_name("r");
+    Route->set_host("h");
+    Route->set_path_prefix("/p/");
+    Route->set_pool("pool");
+    Route->set_timeout_ms(60000);
+    Route->set_aim_ms(60000);
+    Route->set_max_attempts(1);
+    CHECK(Catalog.merge(Update));
+    Gate.connect(Loop, Coordinator);
+    Loop.start();
+    this->onLoop([this](Instant Now) { this->addAgent(Now); });
+  }
+  void teardown() override { Loop.stop(); }
+
+  /// Does this on the loop, after all that was posted before, and waits.
+  void onLoop(const EventLoop::Work &Item) {
+    std::promise<void> Done;
+    Loop.post([&](Instant Now) {
+      Item(Now);
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  void addAgent(Instant Now) {
+    peer::Member Member;
+    Member.set_name("a");
+    Member.set_role(peer::ROLE_AGENT);
+    Member.set_state(peer::MEMBER_ALIVE);
+    Member.set_incarnation(Life);
+    Member.set_address("10.0.0.1:1");
+    Member.set_pool("pool");
+    Member.mutable_room()->set_cpu_milli(4000);
+    Member.mutable_room()->set_memory_mb(4000);
+    Coordinator.onMember(Member, Now);
+    peer::Message Told;
+    Told.mutable_worker_load()->set_incarnation(Life);
+    Told.mutable_worker_load()->set_stamp(1);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Told, Now);
+  }
+  std::shared_ptr<CollectingReply> submit(const char *Job,
+                                          std::uint64_t Connection) {
+    HttpRequest Request;
+    Request.Method = HttpMethod::Post;
+    Request.Resource = std::string("/p/") + Job;
+    Request.Headers["Host"] = "h";
+    Request.Connection = Connection;
+    Request.Body = R"({"spec":"text","bestEffort":true,
+      "phases":[{"count":1,"cpu":500,"memMb":256,"estMs":900}]})";
+    auto Reply = std::make_shared<CollectingReply>();
+    Gate.handle(Request, Reply);
+    this->onLoop([](Instant) {});
+    return Reply;
+  }
+  void leave(std::uint64_t Connection) {
+    Gate.onDisconnect(Connection);
+    this->onLoop([](Instant) {});
+  }
+  /// The job's task is done.
+  void finish(std::size_t Dispatch) {
+    this->onLoop([&](Instant Now) {
+      const peer::LeasedDispatch &Sent = Sink.Dispatches.at(Dispatch);
+      peer::Message Message;
+      peer::LeasedUpdate *Update = Message.mutable_leased_update();
+      Update->set_job(Sent.job());
+      Update->set_order(Sent.tasks(0).order());
+      Update->set_event(peer::LEASED_DONE);
+      Update->mutable_load()->set_incarnation(Life);
+      Update->mutable_load()->set_stamp(2);
+      Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+    });
+  }
+};
+
+TEST(EntryGateCallersTest, AJobWhoseOnlyCallerHasGoneIsStopped) {
+  submit(JobA, 1);
+  leave(2);
+  LONGS_EQUAL(0, Sink.Stopped.size());
+  leave(1);
+  LONGS_EQUAL(1, Sink.Stopped.size());
+}
+
+// A caller hands a job in again on another connection when the first one has
+// broken; that this end of the first is closed may be heard of only then.
+TEST(EntryGateCallersTest, AJobThatAnotherCallerAwaitsGoesOn) {
+  auto First = submit(JobA, 1);
+  auto Second = submit(JobA, 2);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  leave(1);
+  LONGS_EQUAL(0, Sink.Stopped.size());
+  finish(0);
+  LONGS_EQUAL(1, Second->Answers.size());
+  CHECK(Second->Answers[0].Status == HttpStatus::Ok);
+  LONGS_EQUAL(0, Coordinator.inFlight());
+}
+
+TEST(EntryGateCallersTest, AJobEndsWithItsLastCaller) {
+  submit(JobA, 1);
+  submit(JobA, 2);
+  leave(2);
+  LONGS_EQUAL(0, Sink.Stopped.size());
+  leave(1);
+  LONGS_EQUAL(1, Sink.Stopped.size());
+}
