The end of a connection ends only the wait of its own caller

Cause: when a connection ended, the gate cancelled the job that was handed in on it by the job's id. A caller whose connection broke hands the job in again and joins the job under way; if this end heard of the break only then, it stopped the job that had just been asked for again.

Ruled out: answers under way; a caller who was answered is no longer known by his connection.

Change: the gate withdraws one caller, by his ticket. The job is stopped when he was the last who waited for it. The same for callers who wait for an earlier hand-in to end.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -127,6 +127,37 @@
   this->forgetIfSettled(Id, Now);
 }
 
+bool LeaseCoordinator::leaveOthers(std::vector<LeaseTicket> &Waiters,
+                                   LeaseTicket Waiter,
+                                   const std::string &Reason) {
+  if (Waiters.size() == 1)
+    return false;
+  std::erase(Waiters, Waiter);
+  --this->Waiting;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {LeasedEnd::Unknown, "cancel", "", Reason, {}});
+  return true;
+}
+
+void LeaseCoordinator::withdraw(const std::string &Id, LeaseTicket Waiter,
+                                const std::string &Reason, Instant Now) {
+  Job *Known = this->find(Id);
+  if (Known == nullptr)
+    return;
+  auto IsAmong = [&](const std::vector<LeaseTicket> &Waiters) {
+    return std::find(Waiters.begin(), Waiters.end(), Waiter) != Waiters.end();
+  };
+  if (Known->Next && IsAmong(Known->Next->Waiters)) {
+    if (!this->leaveOthers(Known->Next->Waiters, Waiter, Reason))
+      this->dropResubmission(*Known, Reason);
+    return;
+  }
+  // A job that is being given up has no more to be stopped.
+  bool MayStop = Known->Phase == JobPhase::Running && IsAmong(Known->Waiters);
+  if (MayStop && !this->leaveOthers(Known->Waiters, Waiter, Reason))
+    this->cancel(Id, Reason, Now);
+}
+
 // ---- Tasks go out ----
 
 void LeaseCoordinator::place(Job &Target, Instant Now) {
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -122,7 +122,10 @@
                    LeasedAnswerSink &Answers);
 
   void submit(LeasedJobRequest Request, LeaseTicket Waiter, Instant Now);
-  /// The caller has gone or wants the job no longer.
+  /// A caller has gone. The job ends when nobody else waits for it.
+  void withdraw(const std::string &Id, LeaseTicket Waiter,
+                const std::string &Reason, Instant Now);
+  /// The job is wanted no longer, whoever waits for it.
   void cancel(const std::string &Id, const std::string &Reason, Instant Now);
   void onMember(const peer::Member &Member, Instant Now);
   void onMessage(const PeerRef &From, const peer::Message &Message,
@@ -236,6 +239,10 @@
                 Instant Now);
   /// Answers those who wait for an earlier submission to end.
   void dropResubmission(Job &Known, const std::string &Reason);
+  /// Answers one of several callers, who has gone. \returns false, and does
+  /// nothing, if he is the only one.
+  bool leaveOthers(std::vector<LeaseTicket> &Waiters, LeaseTicket Waiter,
+                   const std::string &Reason);
   /// Whether the job was refused because too much is waiting already.
   bool shed(const LeasedJobRequest &Request, LeaseTicket Waiter, Instant Now);
   void place(Job &Target, Instant Now);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -268,6 +268,41 @@
   LONGS_EQUAL(0, Coordinator.inFlight());
 }
 
+TEST(LeaseCoordinatorTest, ACallerWhoLeavesTakesNothingFromOthers) {
+  struct Row {
+    const char *Name;
+    LeaseTicket Leaves;
+    LeasedEnd Second;
+    LeasedEnd Third;
+  };
+  // The first has been answered; the others wait for the job to begin again.
+  const Row Rows[] = {
+      {"the first", 1, LeasedEnd::Completed, LeasedEnd::Completed},
+      {"the second", 2, LeasedEnd::Unknown, LeasedEnd::Completed},
+      {"the third", 3, LeasedEnd::Completed, LeasedEnd::Unknown},
+      {"a stranger", 4, LeasedEnd::Completed, LeasedEnd::Completed},
+  };
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    Answers.Answers.clear();
+    Coordinator.submit(request(1), 1, Now);
+    Coordinator.cancel("j", "test", Now);
+    pass(60ms);
+    Coordinator.submit(request(1), 2, Now);
+    Coordinator.submit(request(1), 3, Now);
+    Coordinator.withdraw("j", Row.Leaves, "test", Now);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_ENDED_EARLY);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    std::map<LeaseTicket, LeasedEnd> Ends;
+    for (const auto &[Ticket, Answer] : Answers.Answers)
+      Ends[Ticket] = Answer.End;
+    LONGS_EQUAL_TEXT(3, Answers.Answers.size(), Row.Name);
+    CHECK_TEXT(Ends[2] == Row.Second, Row.Name);
+    CHECK_TEXT(Ends[3] == Row.Third, Row.Name);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, WhoWaitsForAStoppedJobIsToldTheTruthInTime) {
   struct Row {
     const char *Name;
