KNOWN-RED: of two requests on one connection only the last is stopped

Cause: the gate keeps one ticket for each connection. A second request that comes before the first is answered replaces it, and when the connection ends the first job runs on for nobody, while its caller may have it run elsewhere.

Measured: AllJobsOfAConnectionThatEndsAreStopped fails: one stop, not two.

--- a/tests/platform/entry_gate_callers_test.cpp
+++ b/tests/platform/entry_gate_callers_test.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t Life = 9;
 constexpr const char *JobA = "0123456789abcdef";
+constexpr const char *JobB = "fedcba9876543210";
 
 /// Time stands still: nothing here may end by a time-out.
 class StandingClock final : public Clock {
@@ -184,3 +185,10 @@
   leave(1);
   LONGS_EQUAL(1, Sink.Stopped.size());
 }
+
+TEST(EntryGateCallersTest, AllJobsOfAConnectionThatEndsAreStopped) {
+  submit(JobA, 1);
+  submit(JobB, 1);
+  leave(1);
+  LONGS_EQUAL(2, Sink.Stopped.size());
+}
