KNOWN-RED: a job that runs for another entry is told that it has not run

Cause: an agent that holds a task for one entry refuses it to another. The second entry takes that for proof that nothing of the job has started, and when no other worker is left it says that the job has not run and never will.

Measured: AJobThatRunsForAnotherEntryIsNotSaidNotToHaveRun fails at its second row.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -237,6 +237,24 @@
   }
 }
 
+// The task has not started for this entry, but one of its job is there for
+// another, to which the caller handed it in before.
+TEST(LeaseCoordinatorTest, AJobThatRunsForAnotherEntryIsNotSaidNotToHaveRun) {
+  struct Row {
+    peer::LeasedRefusal Refusal;
+    LeasedEnd Expected;
+  };
+  const Row Rows[] = {{peer::REFUSAL_LEAVING, LeasedEnd::NotRun},
+                      {peer::REFUSAL_OTHER_OWNER, LeasedEnd::Unknown}};
+  addAgent("a");
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    Coordinator.submit(request(1), 1, Now);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED, Row.Refusal);
+    CHECK(onlyAnswer().End == Row.Expected);
+  }
+}
+
 TEST(LeaseCoordinatorTest, AGivenUpJobDoesNotWaitLongForProof) {
   addAgent("a");
   Coordinator.submit(request(1), 1, Now);
