A job that runs for another entry is not said not to have run

Cause: an agent that holds a task for one entry refuses it to another, and that entry took the refusal for proof that nothing of the job has started.

Change: that refusal means that the job may have run, so that its caller is told that the end is unknown.

Left: the refused task is still placed at another agent at once, beside the one that is held. AWorkerThatFailsInARowGetsNothingForAWhile rests on that.

Before: AJobThatRunsForAnotherEntryIsNotSaidNotToHaveRun failed. After: it passes with the other 54 tests of lease_entry.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -368,6 +368,9 @@
                                     const peer::LeasedUpdate &Update,
                                     Instant Now) {
   ++this->Counters.TasksRefused;
+  // The agent holds a task of an earlier hand-in, and that may run.
+  if (Update.refusal() == peer::REFUSAL_OTHER_OWNER)
+    Target.MayHaveRun = true;
   this->settle(Target, Which, TaskPhase::Unplaced);
   this->Log.decision("task_not_started",
                      {{"job", Target.Request.Id},
