KNOWN-RED: a restarted agent's refusal of a second copy is taken for proof

Cause: a dispatch whose receipt is missing is sent again under its numbers. When the agent restarts in between, its new life refuses the second copy, as it did not start the task. The entry takes that for proof that nobody did, though the first copy may have reached the life before; it places the task elsewhere at once, or says that the job has not run.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -753,6 +753,29 @@
   LONGS_EQUAL(Life + 1, Sink.Dispatches[1].second.agent_incarnation());
 }
 
+// Its present life refuses the second copy of a dispatch. The first may have
+// reached the life before, which may have begun the task.
+TEST(LeaseCoordinatorTest, ARestartedAgentsRefusalOfASecondCopyProvesNothing) {
+  addAgent("a");
+  Now.Steady += 20ms;
+  Coordinator.submit(request(1), 1, Now);
+  loseDispatch(0);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  peer::Message Message;
+  peer::LeasedUpdate *Update = Message.mutable_leased_update();
+  Update->set_job("j");
+  Update->set_attempt(1);
+  Update->set_order(Sink.Dispatches[0].second.tasks(0).order());
+  Update->set_event(peer::LEASED_NOT_STARTED);
+  Update->set_refusal(peer::REFUSAL_STALE);
+  Update->mutable_load()->set_incarnation(Life + 1);
+  Update->mutable_load()->set_stamp(5);
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+  pass(100ms);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
+
 TEST(LeaseCoordinatorTest, LeasesAreRenewedOnlyOftenWhileTasksRun) {
   addAgent("a");
   pass(1000ms);
