A restarted agent's refusal of a second copy proves nothing of the first

Cause: a dispatch whose receipt is missing is sent again under its numbers. When the agent restarted in between, its new life refused the second copy, and that was taken for proof that the task had not started, though the first copy may have reached the life before: the task could run twice at once, and its caller be told that it never runs.

Ruled out: a dispatch that was sent once. One life reads it, so a refusal by any life is proof, and the task is placed again as before.

Change: a refusal by another life than the one it was sent to counts only for a dispatch that was sent once.

Before: ARestartedAgentsRefusalOfASecondCopyProvesNothing failed. After: it passes with the other 55 tests of lease_entry.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -233,6 +233,7 @@
   Which.AskStalledAt = Now.Steady + this->stallLimit(Target);
   ++Which.Attempt;
   Which.Order = ++this->LastOrder;
+  Which.Repeated = false;
   Which.PlacedAt = Now.Steady;
   Which.MissingSince = TimePoint::max();
   ++Target.OutCount;
@@ -343,6 +344,9 @@
     ++Target->DoneCount;
     break;
   case peer::LEASED_NOT_STARTED:
+    // It is lost with the life that it was sent to.
+    if (!isProof(Which, Update))
+      return;
     this->onNotStarted(*Target, Which, Agent, Update, Now);
     break;
   case peer::LEASED_FAILED:
@@ -363,6 +367,12 @@
   this->forgetIfSettled(Update.job(), Now);
 }
 
+bool LeaseCoordinator::isProof(const Task &Which,
+                               const peer::LeasedUpdate &Update) {
+  bool SameLife = Update.load().incarnation() == Which.Incarnation;
+  return SameLife || !Which.Repeated;
+}
+
 void LeaseCoordinator::onNotStarted(Job &Target, Task &Which,
                                     const std::string &Agent,
                                     const peer::LeasedUpdate &Update,
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -169,6 +169,8 @@
     std::uint32_t Attempt = 0;
     /// Names the present placement.
     std::uint64_t Order = 0;
+    /// It was sent more than once, perhaps to several lives of its agent.
+    bool Repeated = false;
     TimePoint PlacedAt;
     /// Since when its agent does not list it, if it does not.
     TimePoint MissingSince = TimePoint::max();
@@ -285,6 +287,9 @@
   void sendStop(const std::string &Id, const LeasedWorker &Worker);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
+  /// Whether an agent's word that a task has not started holds for all copies
+  /// of its dispatch.
+  static bool isProof(const Task &Which, const peer::LeasedUpdate &Update);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
                     const peer::LeasedUpdate &Update, Instant Now);
   void onEndedEarly(Job &Target, Task &Which, const std::string &Agent,
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -58,7 +58,7 @@
                                       const peer::LeasedDispatch &Lost,
                                       std::chrono::milliseconds Age,
                                       Instant Now) {
-  const Job *Target = this->find(Lost.job());
+  Job *Target = this->find(Lost.job());
   if (Target == nullptr || Target->Phase != JobPhase::Running)
     return;
   peer::Message Message;
@@ -66,9 +66,11 @@
   *Again = Lost;
   Again->clear_tasks();
   for (const peer::LeasedTask &Order : Lost.tasks()) {
-    const Task &Which = Target->Tasks[Order.index()];
-    if (Which.Phase == TaskPhase::Sent && Which.Order == Order.order())
-      *Again->add_tasks() = Order;
+    Task &Which = Target->Tasks[Order.index()];
+    if (Which.Phase != TaskPhase::Sent || Which.Order != Order.order())
+      continue;
+    Which.Repeated = true;
+    *Again->add_tasks() = Order;
   }
   if (Again->tasks_size() == 0)
     return;
