--- a/core/peer_sink.h
+++ b/core/peer_sink.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,8 @@
 struct PeerRef {
   std::string Node;
   std::string Address;
+  /// The life that a message came from; 0 where that is not known.
+  std::uint64_t Incarnation = 0;
 };
 
 /// Messages of which it is not known whether they have arrived.
--- a/main/wiring.h
+++ b/main/wiring.h
@@ -55,7 +55,8 @@
 template <typename Core>
 void deliver(const peer::Envelope &Envelope, Announcer &Announce, Core &Target,
              Instant Now) {
-  PeerRef From{Envelope.sender(), Envelope.sender_address()};
+  PeerRef From{Envelope.sender(), Envelope.sender_address(),
+               Envelope.sender_incarnation()};
   Announce.noteRevision(Envelope.revision(), Now);
   for (const peer::Message &Message : Envelope.messages()) {
     if (Message.has_heartbeat_reply())
