KNOWN-RED: an entry's present life keeps the runs of its last one alive

Cause: an agent keeps an entry's leases and tasks by the entry's name. An entry that restarts within the lease renews it for the tasks of its earlier life too, of which it knows nothing. Their callers, whose connections broke, have the jobs run elsewhere at the same time.

Measured: ARestartedEntryKeepsNothingOfItsEarlierLife fails at 'a later life': no run is stopped.

--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -147,6 +147,35 @@
   LONGS_EQUAL(0, Port.Stops.size());
 }
 
+// A restarted entry knows nothing of what it sent before, and renews its lease
+// here for other jobs. The callers of the old ones have them run elsewhere.
+TEST(LeaseKeeperTest, ARestartedEntryKeepsNothingOfItsEarlierLife) {
+  struct Row {
+    const char *Name;
+    std::uint64_t Life;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {{"the same life", 5, 0},
+                      {"a later life", 6, 1},
+                      {"a later life after its clock was set back", 4, 1}};
+  for (const Row &Row : Rows) {
+    Port.Stops.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper);
+    const PeerRef Before{EntryA.Node, EntryA.Address, 5};
+    const PeerRef After{EntryA.Node, EntryA.Address, Row.Life};
+    Keeper.onMessage(Before, dispatch("j", stamp()), Now);
+    Keeper.onMessage(EntryB, dispatch("other", stamp()), Now);
+    pass(Keeper, 200ms);
+    Keeper.onMessage(After, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+    // What it sends now is its own.
+    Keeper.onMessage(After, dispatch("new", stamp()), Now);
+    Keeper.onMessage(After, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+  }
+}
+
 // A renewal that was held up on its way was sent by an entry that may be gone
 // since: counted from its arrival it would keep runs alive past the time at
 // which the caller may have them started elsewhere.
