An agent keeps nothing of an entry's earlier life

Cause: an agent kept an entry's leases and tasks by the entry's name. An entry that restarted within the lease renewed it for the tasks of its earlier life too, of which it knows nothing, while their callers could have the jobs run elsewhere at the same time.

Ruled out: to ignore messages of a lower incarnation. A late message of the earlier life ends the present life's tasks, which are then placed again; it cannot start any that last.

Change: the first message of another life ends the entry's lease and all tasks of other lives. Only messages that entries alone send are looked at.

Before: ARestartedEntryKeepsNothingOfItsEarlierLife failed. After: it passes with the other 42 tests of lease_agent, and lease_overload passes. Not run: a restart of a real entry.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -4,6 +4,17 @@
 
 namespace yardwheel {
 
+namespace {
+
+/// Whether only entries send such a message.
+bool isFromEntry(const peer::Message &Message) {
+  return Message.has_leased_dispatch() || Message.has_leased_stop() ||
+         Message.has_leased_interest() || Message.has_offer_reply() ||
+         Message.has_lease_renewal();
+}
+
+} // namespace
+
 LeaseKeeper::LeaseKeeper(KeeperOptions Options, PeerSink &Sink,
                          WorkerPort &Port)
     : Options(Options), Sink(Sink), Session(Options.Session, Port, *this),
@@ -44,6 +55,9 @@
 
 void LeaseKeeper::onMessage(const PeerRef &From, const peer::Message &Message,
                             Instant Now) {
+  // Another role may have the same name on a node, and lives of its own.
+  if (isFromEntry(Message))
+    this->noteLife(From, Now);
   if (Message.has_leased_dispatch()) {
     this->onDispatch(From, Message.leased_dispatch(), Now);
   } else if (Message.has_leased_stop()) {
@@ -69,6 +83,27 @@
   }
 }
 
+void LeaseKeeper::noteLife(const PeerRef &From, Instant Now) {
+  std::uint64_t &Life = this->EntryLives[From.Node];
+  bool Restarted = Life != 0 && Life != From.Incarnation;
+  Life = From.Incarnation;
+  if (!Restarted)
+    return;
+  this->Leases.erase(From.Node);
+  std::vector<TaskId> Orphaned;
+  for (const auto &[Id, Known] : this->Tasks)
+    if (Known.Owner.Node == From.Node &&
+        Known.Owner.Incarnation != From.Incarnation)
+      Orphaned.push_back(Id);
+  this->Log.decision("entry_restarted", {{"entry", From.Node},
+                                         {"incarnation", From.Incarnation},
+                                         {"tasks", Orphaned.size()}});
+  // The present life would renew their lease without knowing of them, while
+  // their callers have them run elsewhere.
+  for (const TaskId &Id : Orphaned)
+    this->dropTask(Id, peer::REFUSAL_STALE, "its entry has restarted", Now);
+}
+
 std::chrono::milliseconds
 LeaseKeeper::takeStamp(const PeerRef &From, std::uint64_t Stamp, Instant Now) {
   std::uint64_t Present = stampAt(Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -107,7 +107,6 @@
   struct Task {
     Phase State = Phase::Queued;
     PeerRef Owner;
-    std::uint64_t OwnerIncarnation = 0;
     std::uint32_t Attempt = 0;
     std::uint64_t Order = 0;
     std::uint64_t Run = 0;
@@ -137,6 +136,8 @@
     TimePoint Used;
   };
 
+  /// Ends what an entry had here if the message comes from another life of it.
+  void noteLife(const PeerRef &From, Instant Now);
   /// Extends an entry's lease. \returns how much of it is left; 0 for a stamp
   /// that is too old.
   std::chrono::milliseconds takeStamp(const PeerRef &From, std::uint64_t Stamp,
@@ -195,6 +196,8 @@
   PeerSink &Sink;
   WorkerSession Session;
   std::map<std::string, Lease> Leases;
+  /// The lives that entries were last heard of in.
+  std::map<std::string, std::uint64_t> EntryLives;
   std::map<TaskId, Task> Tasks;
   std::vector<TaskId> Queue;
   std::map<TaskId, LastRun> LastRuns;
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -167,6 +167,9 @@
     Keeper.onMessage(Before, dispatch("j", stamp()), Now);
     Keeper.onMessage(EntryB, dispatch("other", stamp()), Now);
     pass(Keeper, 200ms);
+    // Another role of the node, with a life of its own.
+    Keeper.onMessage({EntryA.Node, EntryA.Address, 99}, peer::Message(), Now);
+    LONGS_EQUAL_TEXT(0, Port.Stops.size(), Row.Name);
     Keeper.onMessage(After, renewal(stamp()), Now);
     LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
     // What it sends now is its own.
