KNOWN-RED: tasks of an agent's new life drop out of the count

Cause: when control tells of an agent's new life, the entry's count of its own tasks there begins at none, but the tasks of the life before are taken off it when they are given up a little later. Tasks sent to the new life meanwhile are no longer counted, so their lease is not renewed and lapses while they run.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -753,6 +753,46 @@
   LONGS_EQUAL(Life + 1, Sink.Dispatches[1].second.agent_incarnation());
 }
 
+// What an earlier life had is given up a little later than the new one is heard
+// of; the new one's own tasks must stay counted, or their lease is not renewed.
+TEST(LeaseCoordinatorTest,
+     TasksOfAnAgentsNewLifeStayCountedWhenOldOnesAreLost) {
+  struct Row {
+    const char *Name;
+    bool ByControl;
+  };
+  const Row Rows[] = {{"told by the agent", false}, {"told by control", true}};
+  std::uint64_t Newest = Life;
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    hear("a", Newest);
+    Coordinator.submit(request(2, "old"), 1, Now);
+    ++Newest;
+    if (Row.ByControl) {
+      peer::Member Member;
+      Member.set_name("a");
+      Member.set_role(peer::ROLE_AGENT);
+      Member.set_state(peer::MEMBER_ALIVE);
+      Member.set_incarnation(Newest);
+      Member.set_address("10.0.0.1:1");
+      Member.set_pool("pool");
+      Member.mutable_room()->set_cpu_milli(4000);
+      Member.mutable_room()->set_memory_mb(1000);
+      Coordinator.onMember(Member, Now);
+    }
+    hear("a", Newest);
+    Coordinator.submit(request(1, "new"), 2, Now);
+    pass(100ms);
+    LONGS_EQUAL_TEXT(1, Coordinator.board().workers().at("a").OwnTasks,
+                     Row.Name);
+    LONGS_EQUAL_TEXT(1000, Coordinator.board().workers().at("a").OwnCpu,
+                     Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    LONGS_EQUAL_TEXT(0, Coordinator.board().workers().at("a").OwnTasks,
+                     Row.Name);
+  }
+}
+
 // Its present life refuses the second copy of a dispatch. The first may have
 // reached the life before, which may have begun the task.
 TEST(LeaseCoordinatorTest, ARestartedAgentsRefusalOfASecondCopyProvesNothing) {
