Tasks of an agent's new life stay counted when old ones are given up

Cause: when control told of an agent's new life, the entry's count of its own tasks there began at none, while the tasks of the life before were taken off it when they were given up 60 ms later. Tasks sent to the new life meanwhile dropped out of the count, so their lease was not renewed and lapsed while they ran.

Ruled out: a new life told by the agent itself; the count was kept there.

Change: the count is kept until the old tasks are given up, one by one.

Before: TasksOfAnAgentsNewLifeStayCountedWhenOldOnesAreLost failed at 'told by control'. After: it passes with the other 56 tests of lease_entry, and lease_overload passes.

--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -41,7 +41,11 @@
   bool Replaced =
       Target.Incarnation != 0 && Member.incarnation() > Target.Incarnation;
   if (Member.incarnation() > Target.Incarnation) {
-    Target = LeasedWorker();
+    LeasedWorker New;
+    // What its earlier life had is counted until it is given up, one by one.
+    New.OwnCpu = Target.OwnCpu;
+    New.OwnTasks = Target.OwnTasks;
+    Target = New;
     Target.Incarnation = Member.incarnation();
     // It came by way of control and is older than it looks.
     Target.Stamp = Member.freshness();
