KNOWN-RED: a process whose clock was set back hears no receipts after a restart

Cause: a receipt names the newest envelope read from an address, by a stream's number and one within it. After a restart with the clock set back all numbers are lower than those of the life before, so its peers go on naming that one's last envelope. What it sends is never taken for read: streams are replaced again and again, and what had arrived is reported as lost and sent again.

--- a/tests/transport/link_pool_test.cpp
+++ b/tests/transport/link_pool_test.cpp
@@ -142,6 +142,31 @@
   LONGS_EQUAL(1, Client.Lost.load());
 }
 
+// The same for a process that restarts after its clock was set back: the
+// numbers of its streams, which come from the clock, are lower than before.
+TEST(LinkPoolTest, WhatIsReadOfALifeWithLowerNumbersIsNotReportedAsLost) {
+  auto Server =
+      std::make_unique<TestNode>("a", peer::ROLE_AGENT, freeAddress());
+  std::string Address = Server->Address;
+  std::string ClientAddress = freeAddress();
+  {
+    TestNode Before("e", peer::ROLE_ENTRY, ClientAddress, 1000);
+    Before.sendWhole("a", Address);
+    CHECK(waitFor([&] { return Server->Received.load() == 1; }));
+  }
+  TestNode Client("e", peer::ROLE_ENTRY, ClientAddress, 5);
+  for (int I = 0; I < 3; ++I)
+    Client.sendWhole("a", Address);
+  CHECK(waitFor([&] { return Server->Received.load() == 4; }));
+  Server->sendWhole("e", ClientAddress);
+  CHECK(waitFor([&] { return Client.Received.load() == 1; }));
+  Client.sendWhole("a", Address);
+  CHECK(waitFor([&] { return Server->Received.load() == 5; }));
+  Server.reset();
+  CHECK(waitFor([&] { return Client.Lost.load() > 0; }));
+  LONGS_EQUAL(1, Client.Lost.load());
+}
+
 // One that has just restarted must be reached by the next envelope.
 TEST(LinkPoolTest, APeerThatIsBackIsReachedAtOnce) {
   std::string Address = freeAddress();
