Receipts follow a peer into a life with lower numbers

After a restart with the clock set back its peers went on naming the last life's envelope, so nothing the process sent was taken for read: streams were replaced and messages reported as lost and sent again that had arrived.

Ruled out: numbers that rise over such a restart; they would have to be stored.

Change: envelope numbers are compared only within one life of the sender.

Before: WhatIsReadOfALifeWithLowerNumbersIsNotReportedAsLost counted four lost messages instead of one.

--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -159,10 +159,13 @@
     return;
   Link &From = this->linkTo(Envelope.sender_address());
   From.Peer.Address = Envelope.sender_address();
-  bool Newer = Envelope.stream() > From.HeardStream ||
+  // A later life has lower numbers after its clock was set back.
+  bool Newer = Envelope.sender_incarnation() != From.HeardLife ||
+               Envelope.stream() > From.HeardStream ||
                (Envelope.stream() == From.HeardStream &&
                 Envelope.number() > From.HeardNumber);
   if (Newer) {
+    From.HeardLife = Envelope.sender_incarnation();
     From.HeardStream = Envelope.stream();
     From.HeardNumber = Envelope.number();
   }
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -125,7 +125,9 @@
     std::deque<Sent> Unread;
     /// Of these, not yet handed to the connection.
     std::size_t Unwritten = 0;
-    /// The newest envelope read from the peer, and when.
+    /// The newest envelope read from the peer, and when. Its numbers can be
+    /// compared only with those of the same life of the peer.
+    std::uint64_t HeardLife = 0;
     std::uint64_t HeardStream = 0;
     std::uint64_t HeardNumber = 0;
     TimePoint HeardAt;
