KNOWN-RED: a job is given up though a later caller still waits

Cause: a caller whose connection broke hands the job in again and joins the job under way, but that still ends at the deadline of the first hand-in. He is told that the end is unknown while he would have waited on.

Measured: AJobIsNotGivenUpWhileALaterCallerStillWaits fails: both callers are answered at the first one's deadline.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -1034,6 +1034,30 @@
 }
 
 // A worker on which tasks stand still answers every call well.
+TEST(LeaseCoordinatorTest, AJobIsNotGivenUpWhileALaterCallerStillWaits) {
+  struct Row {
+    const char *Name;
+    bool Again;
+    std::size_t AnsweredInBetween;
+  };
+  const Row Rows[] = {{"handed in once", false, 1},
+                      {"handed in again", true, 0}};
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    addAgent("a");
+    Coordinator.submit(request(1, Row.Name), 1, Now);
+    for (auto Passed = 0ms; Passed < 2000ms; Passed += 100ms) {
+      pass(100ms);
+      hear("a");
+      if (Row.Again && Passed == 1000ms)
+        Coordinator.submit(request(1, Row.Name), 2, Now);
+    }
+    LONGS_EQUAL_TEXT(Row.AnsweredInBetween, Answers.Answers.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, ATaskFarBehindItsSiblingsIsStoppedAndMoved) {
   addAgent("a", 2000);
   addAgent("b", 2000);
