A job goes on until its last caller's deadline

Cause: a job that was handed in again while it ran ended at the deadline of its first hand-in, so the caller who had joined it was told that its end is unknown while he still waited.

Change: the job's deadline is the latest of its callers'.

Before: AJobIsNotGivenUpWhileALaterCallerStillWaits failed. After: it passes with the other 57 tests of lease_entry.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -37,6 +37,8 @@
     }
     Known->Waiters.push_back(Waiter);
     ++this->Waiting;
+    // The first caller may have gone; this one waits from now.
+    Known->GiveUpAt = std::max(Known->GiveUpAt, Now.Steady + Request.Deadline);
     return;
   }
   if (this->shed(Request, Waiter, Now))
