KNOWN-RED: an answer to an offer may give back room held for another entry

Cause: an agent numbers its offers anew in each of its lives, and takes an answer by the number alone; an entry's answer to an offer of the last life gives back the room that is held for another entry, whose tasks are then refused. An entry that no longer waits for room for a job ends another's wait for the same job.

Measured: AnEntryAnswersOnlyForItsOwnOffersAndJobs fails at 'another's': the held room is given away.

--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -560,6 +560,33 @@
   }
 }
 
+// Offers are numbered anew in each life of an agent, and two entries may have
+// the same job.
+TEST(LeaseKeeperTest, AnEntryAnswersOnlyForItsOwnOffersAndJobs) {
+  struct Row {
+    const char *Name;
+    PeerRef From;
+    std::size_t Starts;
+    std::size_t Offers;
+  };
+  const Row Rows[] = {{"its own", EntryB, 1, 1}, {"another's", EntryA, 0, 2}};
+  for (const Row &Row : Rows) {
+    Sink.Offers.clear();
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper, 1000);
+    Keeper.onMessage(EntryB, interest("urgent", 2, 500), Now);
+    LONGS_EQUAL_TEXT(1, Sink.Offers.size(), Row.Name);
+    Keeper.onMessage(EntryA, dispatch("queued", stamp(), 1000, 800, 1), Now);
+    Keeper.onMessage(Row.From, decline(Sink.Offers[0].offer()), Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    // Nor does it say that another's tasks wait no longer.
+    Keeper.onMessage(Row.From, interest("urgent", 0, 0), Now);
+    pass(Keeper, 40ms);
+    LONGS_EQUAL_TEXT(Row.Offers, Sink.Offers.size(), Row.Name);
+  }
+}
+
 TEST(LeaseKeeperTest, ALeavingAgentOffersNoRoom) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper, 1000);
