An entry answers only for offers made to it

Cause: an agent took an answer to an offer by its number alone, and numbers its offers anew in each of its lives: an answer to an offer of the last life gave back room that was held for another entry. An entry whose tasks of a job no longer waited ended another entry's wait for the same job.

Change: offers and interests are known by their entry too.

Before: AnEntryAnswersOnlyForItsOwnOffersAndJobs failed. After: it passes with the other 43 tests of lease_agent.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -65,7 +65,8 @@
   } else if (Message.has_leased_interest()) {
     this->onInterest(From, Message.leased_interest(), Now);
   } else if (Message.has_offer_reply()) {
-    this->giveRoomBack(this->Desk.release(Message.offer_reply().offer(), 0));
+    this->giveRoomBack(
+        this->Desk.release(From.Node, Message.offer_reply().offer(), 0));
     this->startFitting(Now);
   } else if (Message.has_lease_renewal()) {
     const peer::LeaseRenewal &Renewal = Message.lease_renewal();
@@ -131,16 +132,17 @@
   for (const peer::LeasedTask &Order : Dispatch.tasks())
     this->onOrder(From, Dispatch, Order, Fresh, Now);
   if (Dispatch.offer() > 0)
-    this->startOffered(Dispatch, Now);
+    this->startOffered(From, Dispatch, Now);
   this->startFitting(Now);
   if (Dispatch.start_or_refuse())
     this->refuseWaiting(From, Dispatch, Now);
 }
 
-void LeaseKeeper::startOffered(const peer::LeasedDispatch &Dispatch,
+void LeaseKeeper::startOffered(const PeerRef &From,
+                               const peer::LeasedDispatch &Dispatch,
                                Instant Now) {
   auto Sent = static_cast<std::uint32_t>(Dispatch.tasks_size());
-  this->giveRoomBack(this->Desk.release(Dispatch.offer(), Sent));
+  this->giveRoomBack(this->Desk.release(From.Node, Dispatch.offer(), Sent));
   if (!this->Session.isReady())
     return;
   for (const peer::LeasedTask &Order : Dispatch.tasks()) {
@@ -227,7 +229,7 @@
   if (!Mine || this->Leaving)
     return;
   if (Told.tasks() == 0) {
-    this->Desk.drop(Told.job());
+    this->Desk.drop(From.Node, Told.job());
     return;
   }
   this->Desk.add({From, Told.job(), Told.needs(), Told.tasks(),
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -147,7 +147,8 @@
   void onOrder(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
                const peer::LeasedTask &Order, bool Fresh, Instant Now);
   /// Starts the tasks of a dispatch in the room that was offered for them.
-  void startOffered(const peer::LeasedDispatch &Dispatch, Instant Now);
+  void startOffered(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
+                    Instant Now);
   void dequeue(const TaskId &Id);
   /// Gives back what of a dispatch does not start at once.
   void refuseWaiting(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
--- a/agent/offer_desk.cpp
+++ b/agent/offer_desk.cpp
@@ -21,9 +21,10 @@
   this->Interests.insert(Place, std::move(New));
 }
 
-void OfferDesk::drop(const std::string &Job) {
-  std::erase_if(this->Interests,
-                [&](const Interest &Known) { return Known.Job == Job; });
+void OfferDesk::drop(const std::string &Entry, const std::string &Job) {
+  std::erase_if(this->Interests, [&](const Interest &Known) {
+    return Known.Entry.Node == Entry && Known.Job == Job;
+  });
 }
 
 void OfferDesk::dropStale(TimePoint Now) {
@@ -35,19 +36,21 @@
 std::uint64_t OfferDesk::hold(Interest &For, std::uint32_t Tasks,
                               TimePoint Now) {
   For.Tasks -= Tasks;
-  this->Offers[++this->LastOffer] = {
-      For.Job, Tasks, timesNeeds(For.Needs, Tasks), Now + this->HoldFor};
+  this->Offers[++this->LastOffer] = {For.Entry.Node, For.Job, Tasks,
+                                     timesNeeds(For.Needs, Tasks),
+                                     Now + this->HoldFor};
   return this->LastOffer;
 }
 
-peer::TaskNeeds OfferDesk::release(std::uint64_t Offer, std::uint32_t Tasks) {
+peer::TaskNeeds OfferDesk::release(const std::string &Entry,
+                                   std::uint64_t Offer, std::uint32_t Tasks) {
   auto Found = this->Offers.find(Offer);
-  if (Found == this->Offers.end())
+  if (Found == this->Offers.end() || Found->second.Entry != Entry)
     return {};
   Held Answered = std::move(Found->second);
   this->Offers.erase(Found);
   if (Tasks < Answered.Tasks)
-    this->drop(Answered.Job);
+    this->drop(Entry, Answered.Job);
   return Answered.Room;
 }
 
--- a/agent/offer_desk.h
+++ b/agent/offer_desk.h
@@ -36,8 +36,8 @@
   explicit OfferDesk(std::chrono::milliseconds HoldFor) : HoldFor(HoldFor) {}
 
   void add(Interest New);
-  /// No more tasks of the job wait.
-  void drop(const std::string &Job);
+  /// No more tasks of the job wait at this entry.
+  void drop(const std::string &Entry, const std::string &Job);
   /// Those that wait, the most urgent first.
   std::vector<Interest> &interests() { return this->Interests; }
   /// Drops interests whose time is over or whose tasks have all been offered.
@@ -45,16 +45,19 @@
 
   /// Holds room for some tasks. \returns the number of the offer.
   std::uint64_t hold(Interest &For, std::uint32_t Tasks, TimePoint Now);
-  /// The offer has been answered, and this many tasks are sent for it; with
-  /// fewer than were offered, no more of the job wait. \returns the room that
-  /// it held, if it did.
-  peer::TaskNeeds release(std::uint64_t Offer, std::uint32_t Tasks);
+  /// The offer has been answered by this entry, and this many tasks are sent
+  /// for it; with fewer than were offered, no more of the job wait. \returns
+  /// the room that it held, if it did; numbers of offers begin anew with each
+  /// agent's life, so one made to another entry is not meant.
+  peer::TaskNeeds release(const std::string &Entry, std::uint64_t Offer,
+                          std::uint32_t Tasks);
   /// \returns the room of offers that have stayed without an answer.
   std::vector<peer::TaskNeeds> releaseExpired(TimePoint Now);
   void clearInterests() { this->Interests.clear(); }
 
 private:
   struct Held {
+    std::string Entry;
     std::string Job;
     std::uint32_t Tasks = 0;
     peer::TaskNeeds Room;
