KNOWN-RED: a task is placed again while its dispatch may still arrive

Cause: a task that its agent does not list is placed elsewhere 1.5 s after its placement, when its dispatch can no longer be taken. A dispatch that was sent again carries a stamp of its own and may be taken later than that, so the task may run twice at once.

--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -530,6 +530,36 @@
   }
 }
 
+// Its second copy carries a stamp of its own, and may start the task for as
+// long after it was sent as the first one.
+TEST(LeaseCoordinatorTest, ADispatchThatWasSentAgainMayBeOnItsWayAgain) {
+  struct Row {
+    const char *Name;
+    bool Repeated;
+    std::size_t Placed;
+  };
+  const Row Rows[] = {{"sent once", false, 2}, {"sent again", true, 1}};
+  addAgent("a");
+  for (const Row &Row : Rows) {
+    LeasedJobRequest Long = request(1, Row.Name);
+    Long.Deadline = 60s;
+    Coordinator.submit(Long, 1, Now);
+    std::size_t First = Sink.Dispatches.size() - 1;
+    for (auto Passed = 0ms; Passed < 1800ms; Passed += 200ms) {
+      pass(200ms);
+      if (Row.Repeated && Passed == 1200ms)
+        loseDispatch(First);
+      list("a", {});
+    }
+    Coordinator.placeDue(Now);
+    std::set<std::uint64_t> Orders;
+    for (std::size_t I = First; I < Sink.Dispatches.size(); ++I)
+      Orders.insert(Sink.Dispatches[I].second.tasks(0).order());
+    LONGS_EQUAL_TEXT(Row.Placed, Orders.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+  }
+}
+
 // An agent keeps what it holds for this entry while its lease is renewed, for
 // whatever job that is. A caller who was told that his job's end is unknown may
 // have it run elsewhere by then.
