A task waits for the second copy of its dispatch as for the first

Cause: a task that its agent did not list was placed elsewhere 1.5 s after its placement, when its dispatch could no longer be taken. A dispatch that was sent again carries a stamp of its own and could be taken later than that, so the task could run twice at once.

Change: the time counts from when the dispatch was last sent.

Before: ADispatchThatWasSentAgainMayBeOnItsWayAgain failed at 'sent again'. After: it passes with the other 58 tests of lease_entry, and lease_overload passes.

--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -171,6 +171,7 @@
     std::uint64_t Order = 0;
     /// It was sent more than once, perhaps to several lives of its agent.
     bool Repeated = false;
+    /// When its dispatch was last sent.
     TimePoint PlacedAt;
     /// Since when its agent does not list it, if it does not.
     TimePoint MissingSince = TimePoint::max();
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -70,6 +70,8 @@
     if (Which.Phase != TaskPhase::Sent || Which.Order != Order.order())
       continue;
     Which.Repeated = true;
+    // Its new stamp lets it be taken for as long again.
+    Which.PlacedAt = Now.Steady;
     *Again->add_tasks() = Order;
   }
   if (Again->tasks_size() == 0)
