--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -9,7 +9,8 @@
                                    PeerSink &Sink, LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
       Board(Options.Board, Options.Seed), Shedder(Options.Shedder),
-      Waits(Options.Waiting), LastOrder(Options.FirstOrder) {}
+      Waits(Options.Waiting), Ran(Options.RunMemory),
+      LastOrder(Options.FirstOrder) {}
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -41,6 +42,8 @@
     }
     Known->Waiters.push_back(Waiter);
     ++this->Waiting;
+    // The first caller may have gone; this one waits from now.
+    Known->GiveUpAt = std::max(Known->GiveUpAt, Now.Steady + Request.Deadline);
     return;
   }
   if (this->shed(Request, Waiter, Now))
@@ -57,6 +60,8 @@
   New->Tasks.resize(Request.TaskCount);
   New->Taken = Now.Steady;
   New->GiveUpAt = GiveUpAt;
+  // An earlier hand-in's runs are runs of the job.
+  New->MayHaveRun = this->Ran.contains(Request.Id);
   New->Request = std::move(Request);
   New->Waiters = std::move(Waiters);
   Job &Target = *New;
@@ -102,8 +107,9 @@
   double Limit = this->Shedder.limitFor(Request.Route, Now.Steady);
   if (Pressure < Limit)
     return false;
+  bool MayHaveRun = this->Ran.contains(Request.Id);
   ++this->Counters.JobsShed;
-  ++this->Counters.NotRun;
+  ++(MayHaveRun ? this->Counters.Unknown : this->Counters.NotRun);
   constexpr int Percent = 100;
   this->Log.decision("job_shed",
                      {{"job", Request.Id},
@@ -111,9 +117,10 @@
                       {"taken_percent", static_cast<int>(Pressure * Percent)},
                       {"limit_percent", static_cast<int>(Limit * Percent)},
                       {"tasks", Request.TaskCount}});
-  this->Answers.onLeasedAnswer(Waiter, {LeasedEnd::NotRun, "admit", "",
-                                        "upstreams are short of room",
-                                        this->Options.RetryAfter});
+  LeasedEnd End = MayHaveRun ? LeasedEnd::Unknown : LeasedEnd::NotRun;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {End, "admit", "", "upstreams are short of room",
+                                this->Options.RetryAfter});
   return true;
 }
 
@@ -127,6 +134,37 @@
   this->forgetIfSettled(Id, Now);
 }
 
+bool LeaseCoordinator::leaveOthers(std::vector<LeaseTicket> &Waiters,
+                                   LeaseTicket Waiter,
+                                   const std::string &Reason) {
+  if (Waiters.size() == 1)
+    return false;
+  std::erase(Waiters, Waiter);
+  --this->Waiting;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {LeasedEnd::Unknown, "cancel", "", Reason, {}});
+  return true;
+}
+
+void LeaseCoordinator::withdraw(const std::string &Id, LeaseTicket Waiter,
+                                const std::string &Reason, Instant Now) {
+  Job *Known = this->find(Id);
+  if (Known == nullptr)
+    return;
+  auto IsAmong = [&](const std::vector<LeaseTicket> &Waiters) {
+    return std::find(Waiters.begin(), Waiters.end(), Waiter) != Waiters.end();
+  };
+  if (Known->Next && IsAmong(Known->Next->Waiters)) {
+    if (!this->leaveOthers(Known->Next->Waiters, Waiter, Reason))
+      this->dropResubmission(*Known, Reason);
+    return;
+  }
+  // A job that is being given up has no more to be stopped.
+  bool MayStop = Known->Phase == JobPhase::Running && IsAmong(Known->Waiters);
+  if (MayStop && !this->leaveOthers(Known->Waiters, Waiter, Reason))
+    this->cancel(Id, Reason, Now);
+}
+
 // ---- Tasks go out ----
 
 void LeaseCoordinator::place(Job &Target, Instant Now) {
@@ -202,6 +240,7 @@
   Which.AskStalledAt = Now.Steady + this->stallLimit(Target);
   ++Which.Attempt;
   Which.Order = ++this->LastOrder;
+  Which.Repeated = false;
   Which.PlacedAt = Now.Steady;
   Which.MissingSince = TimePoint::max();
   ++Target.OutCount;
@@ -312,6 +351,9 @@
     ++Target->DoneCount;
     break;
   case peer::LEASED_NOT_STARTED:
+    // It is lost with the life that it was sent to.
+    if (!isProof(Which, Update))
+      return;
     this->onNotStarted(*Target, Which, Agent, Update, Now);
     break;
   case peer::LEASED_FAILED:
@@ -332,11 +374,20 @@
   this->forgetIfSettled(Update.job(), Now);
 }
 
+bool LeaseCoordinator::isProof(const Task &Which,
+                               const peer::LeasedUpdate &Update) {
+  bool SameLife = Update.load().incarnation() == Which.Incarnation;
+  return SameLife || !Which.Repeated;
+}
+
 void LeaseCoordinator::onNotStarted(Job &Target, Task &Which,
                                     const std::string &Agent,
                                     const peer::LeasedUpdate &Update,
                                     Instant Now) {
   ++this->Counters.TasksRefused;
+  // The agent holds a task of an earlier hand-in, and that may run.
+  if (Update.refusal() == peer::REFUSAL_OTHER_OWNER)
+    Target.MayHaveRun = true;
   this->settle(Target, Which, TaskPhase::Unplaced);
   this->Log.decision("task_not_started",
                      {{"job", Target.Request.Id},
@@ -463,14 +514,17 @@
   for (const Task &Which : Target.Tasks)
     if (Which.Phase == TaskPhase::Sent)
       Agents.insert(Which.Agent);
-  for (const std::string &Agent : Agents) {
-    LeasedWorker *Worker = this->Board.find(Agent);
-    peer::Message Message;
-    peer::LeasedStop *Stop = Message.mutable_leased_stop();
-    Stop->set_job(Target.Request.Id);
-    Stop->set_agent_incarnation(Worker->Incarnation);
-    this->Sink.send(Worker->Agent, std::move(Message));
-  }
+  for (const std::string &Agent : Agents)
+    this->sendStop(Target.Request.Id, *this->Board.find(Agent));
+}
+
+void LeaseCoordinator::sendStop(const std::string &Id,
+                                const LeasedWorker &Worker) {
+  peer::Message Message;
+  peer::LeasedStop *Stop = Message.mutable_leased_stop();
+  Stop->set_job(Id);
+  Stop->set_agent_incarnation(Worker.Incarnation);
+  this->Sink.send(Worker.Agent, std::move(Message));
 }
 
 void LeaseCoordinator::finishIfProven(Job &Target, Instant Now) {
@@ -531,6 +585,8 @@
   const Job &Known = *Found->second;
   if (Known.Phase != JobPhase::Answered || Known.OutCount > 0)
     return;
+  if (Known.MayHaveRun)
+    this->Ran.add(Id, Now.Steady);
   std::optional<Job::Resubmission> Next = std::move(Found->second->Next);
   this->Jobs.erase(Found);
   if (Next)
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -18,6 +18,7 @@
 #include "entry/lease_metrics.h"
 #include "entry/leased_job.h"
 #include "entry/load_shedder.h"
+#include "entry/recent_ids.h"
 
 #include <map>
 #include <memory>
@@ -80,6 +81,9 @@
   /// A job that is given up waits this long for proof that none of its tasks
   /// has started; some round trips between data centres.
   std::chrono::milliseconds ProofWait{40};
+  /// How long it is remembered that a job has run: longer than its caller takes
+  /// to hand it in again.
+  std::chrono::milliseconds RunMemory{5000};
   /// What a caller is told when a job was refused for want of room: about the
   /// time in which a full worker has emptied.
   std::chrono::milliseconds RetryAfter{1000};
@@ -118,7 +122,10 @@
                    LeasedAnswerSink &Answers);
 
   void submit(LeasedJobRequest Request, LeaseTicket Waiter, Instant Now);
-  /// The caller has gone or wants the job no longer.
+  /// A caller has gone. The job ends when nobody else waits for it.
+  void withdraw(const std::string &Id, LeaseTicket Waiter,
+                const std::string &Reason, Instant Now);
+  /// The job is wanted no longer, whoever waits for it.
   void cancel(const std::string &Id, const std::string &Reason, Instant Now);
   void onMember(const peer::Member &Member, Instant Now);
   void onMessage(const PeerRef &From, const peer::Message &Message,
@@ -165,6 +172,9 @@
     std::uint32_t Attempt = 0;
     /// Names the present placement.
     std::uint64_t Order = 0;
+    /// It was sent more than once, perhaps to several lives of its agent.
+    bool Repeated = false;
+    /// When its dispatch was last sent.
     TimePoint PlacedAt;
     /// Since when its agent does not list it, if it does not.
     TimePoint MissingSince = TimePoint::max();
@@ -179,7 +189,7 @@
     JobPhase Phase = JobPhase::Running;
     TimePoint Taken;
     TimePoint GiveUpAt;
-    /// Whether any task may have run.
+    /// Whether any task may have run, of this hand-in or of one before.
     bool MayHaveRun = false;
     std::uint32_t DoneCount = 0;
     /// The longest time that a task of it has taken.
@@ -219,6 +229,13 @@
     TimePoint LoseOldAt = TimePoint::max();
     /// When messages to it were last sent again.
     TimePoint RepeatedAt = TimePoint::min();
+    /// Placements that were given up when it was lost, by their numbers. It
+    /// may hold them all the same.
+    struct GivenUp {
+      std::string Job;
+      TimePoint PlacedAt;
+    };
+    std::map<std::uint64_t, GivenUp> Lost;
   };
 
   void begin(LeasedJobRequest Request, std::vector<LeaseTicket> Waiters,
@@ -228,6 +245,10 @@
                 Instant Now);
   /// Answers those who wait for an earlier submission to end.
   void dropResubmission(Job &Known, const std::string &Reason);
+  /// Answers one of several callers, who has gone. \returns false, and does
+  /// nothing, if he is the only one.
+  bool leaveOthers(std::vector<LeaseTicket> &Waiters, LeaseTicket Waiter,
+                   const std::string &Reason);
   /// Whether the job was refused because too much is waiting already.
   bool shed(const LeasedJobRequest &Request, LeaseTicket Waiter, Instant Now);
   void place(Job &Target, Instant Now);
@@ -261,8 +282,18 @@
   /// as while this entry stood still and its lease there lapsed.
   void onHeldOrders(const std::string &Agent, const peer::WorkerLoad &Load,
                     Instant Now);
+  /// Stops what an agent holds of jobs that were given up, here or when it
+  /// was lost.
+  void stopGivenUp(const LeasedWorker &Worker,
+                   const std::set<std::uint64_t> &Held, Instant Now);
+  /// Whether a job that still runs has tasks at an agent.
+  bool isWantedAt(const std::string &Id, const std::string &Agent);
+  void sendStop(const std::string &Id, const LeasedWorker &Worker);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
+  /// Whether an agent's word that a task has not started holds for all copies
+  /// of its dispatch.
+  static bool isProof(const Task &Which, const peer::LeasedUpdate &Update);
   void onNotStarted(Job &Target, Task &Which, const std::string &Agent,
                     const peer::LeasedUpdate &Update, Instant Now);
   void onEndedEarly(Job &Target, Task &Which, const std::string &Agent,
@@ -305,6 +336,8 @@
   LoadShedder Shedder;
   WaitingRule Waits;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  /// Jobs that may have run and are no longer under way.
+  RecentIds Ran;
   /// Jobs with tasks to be placed again.
   std::set<std::string> ToPlace;
   std::map<std::string, Contact> Contacts;
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -147,6 +147,38 @@
   LONGS_EQUAL(0, Port.Stops.size());
 }
 
+// A restarted entry knows nothing of what it sent before, and renews its lease
+// here for other jobs. The callers of the old ones have them run elsewhere.
+TEST(LeaseKeeperTest, ARestartedEntryKeepsNothingOfItsEarlierLife) {
+  struct Row {
+    const char *Name;
+    std::uint64_t Life;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {{"the same life", 5, 0},
+                      {"a later life", 6, 1},
+                      {"a later life after its clock was set back", 4, 1}};
+  for (const Row &Row : Rows) {
+    Port.Stops.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper);
+    const PeerRef Before{EntryA.Node, EntryA.Address, 5};
+    const PeerRef After{EntryA.Node, EntryA.Address, Row.Life};
+    Keeper.onMessage(Before, dispatch("j", stamp()), Now);
+    Keeper.onMessage(EntryB, dispatch("other", stamp()), Now);
+    pass(Keeper, 200ms);
+    // Another role of the node, with a life of its own.
+    Keeper.onMessage({EntryA.Node, EntryA.Address, 99}, peer::Message(), Now);
+    LONGS_EQUAL_TEXT(0, Port.Stops.size(), Row.Name);
+    Keeper.onMessage(After, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+    // What it sends now is its own.
+    Keeper.onMessage(After, dispatch("new", stamp()), Now);
+    Keeper.onMessage(After, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+  }
+}
+
 // A renewal that was held up on its way was sent by an entry that may be gone
 // since: counted from its arrival it would keep runs alive past the time at
 // which the caller may have them started elsewhere.
@@ -528,6 +560,33 @@
   }
 }
 
+// Offers are numbered anew in each life of an agent, and two entries may have
+// the same job.
+TEST(LeaseKeeperTest, AnEntryAnswersOnlyForItsOwnOffersAndJobs) {
+  struct Row {
+    const char *Name;
+    PeerRef From;
+    std::size_t Starts;
+    std::size_t Offers;
+  };
+  const Row Rows[] = {{"its own", EntryB, 1, 1}, {"another's", EntryA, 0, 2}};
+  for (const Row &Row : Rows) {
+    Sink.Offers.clear();
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper, 1000);
+    Keeper.onMessage(EntryB, interest("urgent", 2, 500), Now);
+    LONGS_EQUAL_TEXT(1, Sink.Offers.size(), Row.Name);
+    Keeper.onMessage(EntryA, dispatch("queued", stamp(), 1000, 800, 1), Now);
+    Keeper.onMessage(Row.From, decline(Sink.Offers[0].offer()), Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    // Nor does it say that another's tasks wait no longer.
+    Keeper.onMessage(Row.From, interest("urgent", 0, 0), Now);
+    pass(Keeper, 40ms);
+    LONGS_EQUAL_TEXT(Row.Offers, Sink.Offers.size(), Row.Name);
+  }
+}
+
 TEST(LeaseKeeperTest, ALeavingAgentOffersNoRoom) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper, 1000);
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -133,6 +133,18 @@
     *Sent->add_messages() = Message;
     Coordinator.onUndelivered({{Agent, "10.0.0.1:1"}, Now.Steady, Sent}, Now);
   }
+  /// An agent lists the placements that it holds for this entry.
+  void list(const std::string &Agent,
+            const std::vector<std::uint64_t> &Orders) {
+    peer::Message Message;
+    peer::WorkerLoad *Load = Message.mutable_worker_load();
+    Load->set_incarnation(Life);
+    Load->set_stamp(++this->Stamp);
+    Load->set_lists_held(true);
+    for (std::uint64_t Order : Orders)
+      Load->add_held_orders(Order);
+    Coordinator.onMessage({Agent, "10.0.0.1:1"}, Message, Now);
+  }
   void loseDispatch(std::size_t Which) {
     peer::Message Message;
     *Message.mutable_leased_dispatch() = Sink.Dispatches.at(Which).second;
@@ -225,6 +237,24 @@
   }
 }
 
+// The task has not started for this entry, but one of its job is there for
+// another, to which the caller handed it in before.
+TEST(LeaseCoordinatorTest, AJobThatRunsForAnotherEntryIsNotSaidNotToHaveRun) {
+  struct Row {
+    peer::LeasedRefusal Refusal;
+    LeasedEnd Expected;
+  };
+  const Row Rows[] = {{peer::REFUSAL_LEAVING, LeasedEnd::NotRun},
+                      {peer::REFUSAL_OTHER_OWNER, LeasedEnd::Unknown}};
+  addAgent("a");
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    Coordinator.submit(request(1), 1, Now);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED, Row.Refusal);
+    CHECK(onlyAnswer().End == Row.Expected);
+  }
+}
+
 TEST(LeaseCoordinatorTest, AGivenUpJobDoesNotWaitLongForProof) {
   addAgent("a");
   Coordinator.submit(request(1), 1, Now);
@@ -256,6 +286,41 @@
   LONGS_EQUAL(0, Coordinator.inFlight());
 }
 
+TEST(LeaseCoordinatorTest, ACallerWhoLeavesTakesNothingFromOthers) {
+  struct Row {
+    const char *Name;
+    LeaseTicket Leaves;
+    LeasedEnd Second;
+    LeasedEnd Third;
+  };
+  // The first has been answered; the others wait for the job to begin again.
+  const Row Rows[] = {
+      {"the first", 1, LeasedEnd::Completed, LeasedEnd::Completed},
+      {"the second", 2, LeasedEnd::Unknown, LeasedEnd::Completed},
+      {"the third", 3, LeasedEnd::Completed, LeasedEnd::Unknown},
+      {"a stranger", 4, LeasedEnd::Completed, LeasedEnd::Completed},
+  };
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    Answers.Answers.clear();
+    Coordinator.submit(request(1), 1, Now);
+    Coordinator.cancel("j", "test", Now);
+    pass(60ms);
+    Coordinator.submit(request(1), 2, Now);
+    Coordinator.submit(request(1), 3, Now);
+    Coordinator.withdraw("j", Row.Leaves, "test", Now);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_ENDED_EARLY);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    std::map<LeaseTicket, LeasedEnd> Ends;
+    for (const auto &[Ticket, Answer] : Answers.Answers)
+      Ends[Ticket] = Answer.End;
+    LONGS_EQUAL_TEXT(3, Answers.Answers.size(), Row.Name);
+    CHECK_TEXT(Ends[2] == Row.Second, Row.Name);
+    CHECK_TEXT(Ends[3] == Row.Third, Row.Name);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, WhoWaitsForAStoppedJobIsToldTheTruthInTime) {
   struct Row {
     const char *Name;
@@ -287,6 +352,57 @@
   }
 }
 
+// "Not run" is said of the job, not of a hand-in: its caller hands it in again
+// since nobody could tell him how the first one ended.
+TEST(LeaseCoordinatorTest,
+     AJobThatRanHereIsNotSaidNotToHaveRunWhenItComesAgain) {
+  struct Row {
+    const char *Name;
+    /// How the first hand-in's only task is answered.
+    peer::LeasedEvent First;
+    /// What has the second refused.
+    std::function<void()> Refuse;
+    /// Handed in while the first is still being stopped.
+    bool Early;
+    LeasedEnd Expected;
+  };
+  auto NoRoom = [&] { setState("a", peer::MEMBER_LEAVING); };
+  auto Overload = [&] {
+    for (int I = 0; I < 40; ++I)
+      Coordinator.submit(patientRequest(4, ("o" + std::to_string(I)).c_str()),
+                         100, Now);
+  };
+  const Row Rows[] = {
+      {"ran, no worker now", peer::LEASED_ENDED_EARLY, NoRoom, false,
+       LeasedEnd::Unknown},
+      {"ran, waits for its end", peer::LEASED_ENDED_EARLY, NoRoom, true,
+       LeasedEnd::Unknown},
+      {"ran, overload now", peer::LEASED_ENDED_EARLY, Overload, false,
+       LeasedEnd::Unknown},
+      {"never began, no worker now", peer::LEASED_NOT_STARTED, NoRoom, false,
+       LeasedEnd::NotRun},
+  };
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    Coordinator.submit(request(1, Row.Name), 1, Now);
+    std::size_t First = Sink.Dispatches.size() - 1;
+    Coordinator.cancel(Row.Name, "test", Now);
+    if (Row.Early) {
+      pass(60ms);
+      Coordinator.submit(request(1, Row.Name), 2, Now);
+      Row.Refuse();
+      answer(First, Row.First, peer::REFUSAL_STOPPED);
+    } else {
+      answer(First, Row.First, peer::REFUSAL_STOPPED);
+      pass(1000ms);
+      Row.Refuse();
+      Coordinator.submit(request(1, Row.Name), 2, Now);
+    }
+    LONGS_EQUAL_TEXT(2, Answers.Answers.back().first, Row.Name);
+    CHECK_TEXT(Answers.Answers.back().second.End == Row.Expected, Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, AFailedTaskIsRunElsewhereAsOftenAsItMay) {
   addAgent("a");
   addAgent("b");
@@ -414,6 +530,93 @@
   }
 }
 
+// Its second copy carries a stamp of its own, and may start the task for as
+// long after it was sent as the first one.
+TEST(LeaseCoordinatorTest, ADispatchThatWasSentAgainMayBeOnItsWayAgain) {
+  struct Row {
+    const char *Name;
+    bool Repeated;
+    std::size_t Placed;
+  };
+  const Row Rows[] = {{"sent once", false, 2}, {"sent again", true, 1}};
+  addAgent("a");
+  for (const Row &Row : Rows) {
+    LeasedJobRequest Long = request(1, Row.Name);
+    Long.Deadline = 60s;
+    Coordinator.submit(Long, 1, Now);
+    std::size_t First = Sink.Dispatches.size() - 1;
+    for (auto Passed = 0ms; Passed < 1800ms; Passed += 200ms) {
+      pass(200ms);
+      if (Row.Repeated && Passed == 1200ms)
+        loseDispatch(First);
+      list("a", {});
+    }
+    Coordinator.placeDue(Now);
+    std::set<std::uint64_t> Orders;
+    for (std::size_t I = First; I < Sink.Dispatches.size(); ++I)
+      Orders.insert(Sink.Dispatches[I].second.tasks(0).order());
+    LONGS_EQUAL_TEXT(Row.Placed, Orders.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+  }
+}
+
+// An agent keeps what it holds for this entry while its lease is renewed, for
+// whatever job that is. A caller who was told that his job's end is unknown may
+// have it run elsewhere by then.
+TEST(LeaseCoordinatorTest, WhatAnAgentHoldsForNoJobHereIsStopped) {
+  struct Row {
+    const char *Name;
+    std::function<std::uint64_t()> Hold;
+    std::size_t Stops;
+  };
+  auto Place = [&] {
+    Coordinator.submit(request(1), 1, Now);
+    return Sink.Dispatches.back().second.tasks(0).order();
+  };
+  const Row Rows[] = {
+      {"wanted", Place, 0},
+      {"given up when its agent fell silent",
+       [&] {
+         std::uint64_t Order = Place();
+         pass(1000ms);
+         LONGS_EQUAL(1, Answers.Answers.size());
+         return Order;
+       },
+       1},
+      {"given up, and the job has a newer placement there",
+       [&] {
+         std::uint64_t Order = Place();
+         pass(1000ms);
+         hear("a");
+         Place();
+         return Order;
+       },
+       0},
+      {"its stop was lost",
+       [&] {
+         std::uint64_t Order = Place();
+         Coordinator.cancel("j", "test", Now);
+         return Order;
+       },
+       1},
+  };
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    addAgent("a");
+    std::uint64_t Order = Row.Hold();
+    Sink.Stops.clear();
+    list("a", {Order});
+    LONGS_EQUAL_TEXT(Row.Stops, Sink.Stops.size(), Row.Name);
+    // Its runs end before the next row.
+    Coordinator.cancel("j", "test", Now);
+    pass(2000ms);
+    list("a", {});
+    pass(600ms);
+    list("a", {});
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 // It may be cut off from control only, and its worker has room.
 TEST(LeaseCoordinatorTest, AnAgentThatControlLostIsUsedWhileItIsHeardHere) {
   auto Hear = [&] { this->hear("a"); };
@@ -580,6 +783,69 @@
   LONGS_EQUAL(Life + 1, Sink.Dispatches[1].second.agent_incarnation());
 }
 
+// What an earlier life had is given up a little later than the new one is heard
+// of; the new one's own tasks must stay counted, or their lease is not renewed.
+TEST(LeaseCoordinatorTest,
+     TasksOfAnAgentsNewLifeStayCountedWhenOldOnesAreLost) {
+  struct Row {
+    const char *Name;
+    bool ByControl;
+  };
+  const Row Rows[] = {{"told by the agent", false}, {"told by control", true}};
+  std::uint64_t Newest = Life;
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    hear("a", Newest);
+    Coordinator.submit(request(2, "old"), 1, Now);
+    ++Newest;
+    if (Row.ByControl) {
+      peer::Member Member;
+      Member.set_name("a");
+      Member.set_role(peer::ROLE_AGENT);
+      Member.set_state(peer::MEMBER_ALIVE);
+      Member.set_incarnation(Newest);
+      Member.set_address("10.0.0.1:1");
+      Member.set_pool("pool");
+      Member.mutable_room()->set_cpu_milli(4000);
+      Member.mutable_room()->set_memory_mb(1000);
+      Coordinator.onMember(Member, Now);
+    }
+    hear("a", Newest);
+    Coordinator.submit(request(1, "new"), 2, Now);
+    pass(100ms);
+    LONGS_EQUAL_TEXT(1, Coordinator.board().workers().at("a").OwnTasks,
+                     Row.Name);
+    LONGS_EQUAL_TEXT(1000, Coordinator.board().workers().at("a").OwnCpu,
+                     Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    LONGS_EQUAL_TEXT(0, Coordinator.board().workers().at("a").OwnTasks,
+                     Row.Name);
+  }
+}
+
+// Its present life refuses the second copy of a dispatch. The first may have
+// reached the life before, which may have begun the task.
+TEST(LeaseCoordinatorTest, ARestartedAgentsRefusalOfASecondCopyProvesNothing) {
+  addAgent("a");
+  Now.Steady += 20ms;
+  Coordinator.submit(request(1), 1, Now);
+  loseDispatch(0);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  peer::Message Message;
+  peer::LeasedUpdate *Update = Message.mutable_leased_update();
+  Update->set_job("j");
+  Update->set_attempt(1);
+  Update->set_order(Sink.Dispatches[0].second.tasks(0).order());
+  Update->set_event(peer::LEASED_NOT_STARTED);
+  Update->set_refusal(peer::REFUSAL_STALE);
+  Update->mutable_load()->set_incarnation(Life + 1);
+  Update->mutable_load()->set_stamp(5);
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+  pass(100ms);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
+
 TEST(LeaseCoordinatorTest, LeasesAreRenewedOnlyOftenWhileTasksRun) {
   addAgent("a");
   pass(1000ms);
@@ -798,6 +1064,30 @@
 }
 
 // A worker on which tasks stand still answers every call well.
+TEST(LeaseCoordinatorTest, AJobIsNotGivenUpWhileALaterCallerStillWaits) {
+  struct Row {
+    const char *Name;
+    bool Again;
+    std::size_t AnsweredInBetween;
+  };
+  const Row Rows[] = {{"handed in once", false, 1},
+                      {"handed in again", true, 0}};
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    addAgent("a");
+    Coordinator.submit(request(1, Row.Name), 1, Now);
+    for (auto Passed = 0ms; Passed < 2000ms; Passed += 100ms) {
+      pass(100ms);
+      hear("a");
+      if (Row.Again && Passed == 1000ms)
+        Coordinator.submit(request(1, Row.Name), 2, Now);
+    }
+    LONGS_EQUAL_TEXT(Row.AnsweredInBetween, Answers.Answers.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 TEST(LeaseCoordinatorTest, ATaskFarBehindItsSiblingsIsStoppedAndMoved) {
   addAgent("a", 2000);
   addAgent("b", 2000);
