Tests: a caller that leaves should end no job that another awaits

Cause: a caller that hands its job in again on a new connection joins the job that runs. Where the end of its old connection is read after that, the job is stopped for both, and the new connection is told that its caller has gone.

Seen failing on the code before: EntryGateTest. ACallerThatLeavesEndsAJobOnlyIfNobodyElseAwaitsIt, row "the first leaves" (504 instead of a joined job).

--- a/tests/platform/entry_gate_test.cpp
+++ b/tests/platform/entry_gate_test.cpp
@@ -3,6 +3,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <vector>
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -223,6 +224,43 @@
   }
 }
 
+// A caller that hands its job in again on another connection joins the job
+// that runs. The end of the first connection, read only then, stopped the job,
+// so that the second connection was told that its caller had gone.
+TEST(EntryGateTest, ACallerThatLeavesEndsAJobOnlyIfNobodyElseAwaitsIt) {
+  struct Row {
+    const char *Name;
+    std::vector<std::uint64_t> Leaving;
+    bool IsStopped;
+  };
+  const Row Rows[] = {
+      {"nobody leaves", {}, false},
+      {"the first leaves", {1}, false},
+      {"the second leaves", {2}, false},
+      {"the first is said to leave twice", {1, 1}, false},
+      {"both leave", {1, 2}, true},
+      {"both leave, in the other order", {2, 1}, true},
+  };
+  const char *Known = "/known/00000000000000a1";
+  for (const Row &Row : Rows) {
+    GateBench Bench;
+    Bench.addAgent();
+    Bench.makeCurrent();
+    Bench.Loop.start();
+    Bench.send(HttpMethod::Post, Known);
+    Bench.send(HttpMethod::Post, Known);
+    for (std::uint64_t Connection : Row.Leaving)
+      Bench.closeConnection(Connection);
+    Bench.pass(3050ms);
+    // By a table that may be old, only a job that runs can be joined.
+    Bench.makeUnknown();
+    auto Third = Bench.send(HttpMethod::Post, Known);
+    Bench.settle();
+    LONGS_EQUAL_TEXT(Row.IsStopped ? 504 : NoAnswer, statusOf(Third->answer()),
+                     Row.Name);
+  }
+}
+
 // 503 says that a job has not run and never will.
 TEST(EntryGateTest, AnOldTableDoesNotDenyThatAJobHasRun) {
   struct Row {
