Tests: a connection whose answer cannot come should end

Cause: a server that cannot write an answer on closes only its own hold on the connection, so half an answer looks like one still to come. A reply that is dropped, or whose handler throws, keeps its place among the answers, so all later ones on that connection are held back for ever. A caller that has reset its connection counts as there: reading fails instead of giving zero.

--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -19,6 +19,8 @@
 #include <mutex>
 #include <optional>
 #include <poll.h>
+#include <stdexcept>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -94,6 +96,13 @@
 
   void leave() { this->Line.close(); }
 
+  void reset() {
+    linger Hard{1, 0};
+    ::setsockopt(this->Line.number(), SOL_SOCKET, SO_LINGER, &Hard,
+                 sizeof Hard);
+    this->Line.close();
+  }
+
   /// What comes until \p Length bytes, the end, or nothing for \p Wait.
   std::string read(std::size_t Length, milliseconds Wait = Patience) {
     std::string Text;
@@ -151,6 +160,8 @@
 public:
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpReply> Reply) override {
+    if (Request.Resource == "/throw")
+      throw std::runtime_error("on purpose");
     std::unique_lock Lock(this->Mutex);
     this->Replies[Request.Resource] = std::move(Reply);
     this->Changed.notify_all();
@@ -186,6 +197,12 @@
     this->reply(Path)->send(Answer);
   }
 
+  void drop(const std::string &Path) {
+    this->reply(Path);
+    std::lock_guard Lock(this->Mutex);
+    this->Replies.erase(Path);
+  }
+
   /// Whether the server has seen a caller leave in time.
   bool waitForLeaving() {
     std::unique_lock Lock(this->Mutex);
@@ -214,6 +231,22 @@
 
 constexpr int AboveAllInUse = 200;
 
+/// No descriptor can be had while this lives.
+class NoMoreDescriptors {
+public:
+  NoMoreDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &this->Before);
+    rlimit None{0, this->Before.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &None);
+  }
+  ~NoMoreDescriptors() { ::setrlimit(RLIMIT_NOFILE, &this->Before); }
+  NoMoreDescriptors(const NoMoreDescriptors &) = delete;
+  NoMoreDescriptors &operator=(const NoMoreDescriptors &) = delete;
+
+private:
+  rlimit Before{};
+};
+
 } // namespace
 
 TEST_GROUP(HttpServerTest) {
@@ -416,3 +449,56 @@
   STRCMP_CONTAINS("yardwheel_answers_total{status=\"503\"} 1\n",
                   this->Server->answers().describe().c_str());
 }
+
+// Half an answer must not look like one that is still to come. Without a
+// descriptor for the thread that writes on, the server closed only its own
+// hold on the connection, and the caller waited on.
+TEST(HttpServerTest, AnAnswerThatCannotBeWrittenOnEndsItsConnection) {
+  this->serve();
+  Caller Slow = this->connected();
+  Slow.ask("/large");
+  HttpAnswer Large;
+  constexpr std::size_t LargeSize = 20000000;
+  Large.Body = std::string(LargeSize, 'x');
+  std::shared_ptr<HttpReply> Reply = this->Handler->reply("/large");
+  {
+    NoMoreDescriptors Limited;
+    Reply->send(Large);
+  }
+  std::string Text = Slow.read(LargeSize, milliseconds(500));
+  CHECK(Text.size() < LargeSize);
+  CHECK(Slow.seesEnd());
+}
+
+TEST(HttpServerTest, ACallerThatHasResetItsConnectionIsGone) {
+  this->serve();
+  Caller Holding = this->connected();
+  Caller Leaving = this->connected();
+  Leaving.ask("/leaving");
+  std::shared_ptr<HttpReply> Reply = this->Handler->reply("/leaving");
+  CHECK(Reply->hasClient());
+  Holding.ask("/hold");
+  this->Handler->reply("/hold");
+  Leaving.reset();
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK_FALSE(Reply->hasClient());
+  this->Handler->release("/hold");
+}
+
+// Answers leave in the order of their requests, so one that never comes holds
+// back all later ones of its connection, unless that ends.
+TEST(HttpServerTest, AReplyThatIsDroppedEndsItsConnection) {
+  this->serve();
+  Caller Asking = this->connected();
+  Asking.ask("/dropped");
+  this->Handler->drop("/dropped");
+  CHECK(Asking.seesEnd());
+}
+
+TEST(HttpServerTest, AHandlerThatThrowsEndsItsConnectionToo) {
+  this->serve();
+  Caller Asking = this->connected();
+  Asking.ask("/throw");
+  Asking.read(1, milliseconds(300));
+  CHECK(Asking.seesEnd());
+}
