A connection whose answer cannot come ends

Cause: half an answer that could not be written on, a reply that was dropped and a handler that threw left the connection open: the server closed only its own descriptor of it, or nothing. The caller waited on, and later answers on that connection were held back behind the missing one.

Ruled out: an answer of the server's own for a dropped reply. Whether the handler has done anything is not known there, and callers may take an answer for more than that.

Change: where no answer can come the connection is shut down, which the HTTP library sees as a caller that leaves.

--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -47,7 +47,7 @@
       continue;
     if (errno == EAGAIN || errno == EWOULDBLOCK)
       return WriteState::Blocked;
-    this->closeLocked();
+    this->endLocked();
   }
   return this->Own < 0 ? WriteState::Gone : WriteState::Done;
 }
@@ -57,6 +57,18 @@
   this->closeLocked();
 }
 
+void HttpConnection::end() {
+  std::lock_guard Lock(this->Mutex);
+  this->endLocked();
+}
+
+void HttpConnection::endLocked() {
+  // The HTTP library holds the connection open by a descriptor of its own.
+  if (this->Own >= 0)
+    ::shutdown(this->Own, SHUT_RDWR);
+  this->closeLocked();
+}
+
 void HttpConnection::closeLocked() {
   if (this->Own >= 0)
     ::close(std::exchange(this->Own, -1));
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -46,6 +46,9 @@
   WriteState flush();
   /// Nothing is written after this returns.
   void close();
+  /// The same, and the caller sees the connection end: what it waits for
+  /// cannot come.
+  void end();
 
   /// Whether the caller has not closed its connection, as far as is known
   /// here; costs a system call.
@@ -56,6 +59,7 @@
 
 private:
   WriteState writeOut();
+  void endLocked();
   void closeLocked();
 
   mutable std::mutex Mutex;
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -162,6 +162,17 @@
         Connection(Connection), Place(Connection->expectAnswer()),
         Path(std::move(Path)) {}
 
+  /// A reply that is dropped would hold back all later answers on its
+  /// connection.
+  ~PistacheReply() override {
+    if (this->Sent.load())
+      return;
+    if (std::shared_ptr<HttpConnection> Open = this->Connection.lock())
+      Open->end();
+  }
+  PistacheReply(const PistacheReply &) = delete;
+  PistacheReply &operator=(const PistacheReply &) = delete;
+
   void send(const HttpAnswer &Answer) override {
     if (this->Sent.exchange(true))
       return;
@@ -226,7 +237,7 @@
       this->Path->Flusher.add(Open);
     } catch (const std::system_error &) {
       // Half an answer must end as a broken connection.
-      Open->close();
+      Open->end();
     }
   }
 
