Tests: a slow sender that leaves should not end the process

Cause: the server writes out what the HTTP library has queued when a caller leaves. If that is the 408 of this very caller, the library removes the caller when it is written, and then once more because it has left; the second time it throws on its own thread, and the process ends.

--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -512,3 +512,44 @@
   Asking.read(1, milliseconds(300));
   CHECK(Asking.seesEnd());
 }
+
+// A slow sender that left when the library had just queued its 408 was removed
+// twice, which ended the whole process.
+TEST(HttpServerTest, ASlowSenderThatLeavesIsClosedOnce) {
+  constexpr int Senders = 20;
+  constexpr int Opened = 400;
+  // The library looks for slow senders twice a second.
+  constexpr milliseconds PastALook{700};
+  this->serve({.HeaderTimeout = milliseconds(100)});
+  for (bool LeavesBefore : {true, false}) {
+    std::string Hold = LeavesBefore ? "/hold/before" : "/hold/after";
+    Caller Holding = this->connected();
+    std::vector<Caller> Slow;
+    for (int I = 0; I < Senders; ++I) {
+      Slow.push_back(this->connected());
+      Slow.back().send("GET /slow HT");
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    Holding.ask(Hold);
+    this->Handler->reply(Hold);
+    if (!LeavesBefore)
+      std::this_thread::sleep_for(PastALook);
+    Slow.clear();
+    if (LeavesBefore)
+      std::this_thread::sleep_for(PastALook);
+    this->Handler->release(Hold);
+    // A number that the server closes twice may by then be one of these.
+    std::vector<Descriptor> Others;
+    for (int I = 0; I < Opened; ++I) {
+      Others.emplace_back(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    for (const Descriptor &Other : Others)
+      CHECK(::fcntl(Other.number(), F_GETFD) >= 0);
+    Caller Next = this->connected();
+    std::string Path = "/next" + Hold;
+    Next.ask(Path);
+    this->Handler->answer(Path);
+    STRCMP_CONTAINS(Path.c_str(), Next.readAnswer().c_str());
+  }
+}
