A slow sender that leaves does not end the process

Cause: when a caller leaves, the HTTP library's queue is written out before its descriptor is closed. The library removes a slow sender once its 408 is written, so a sender that left with its 408 queued was removed within that and then again for having left, which the library takes for a fault of the program.

Ruled out: no writing out at all.

Change: the leaving caller's connection is shut down first, so that what is queued for it is dropped and not written. A caller that closes only its sending half may so miss the library's own refusal.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -289,8 +289,11 @@
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
     // The last moment at which the descriptor's number is surely this one's:
-    // what the library itself has queued by it (400, 413) leaves or is dropped
-    // now, or else reaches the next caller.
+    // what the library itself has queued by it (400, 408, 413) is dropped now,
+    // or else reaches the next caller. A 408 that could still be written would
+    // make the library remove this peer here and again afterwards, which ends
+    // the process.
+    ::shutdown(Peer->fd(), SHUT_RDWR);
     this->transport()->flush();
     if (std::shared_ptr<HttpConnection> Known = findConnection(Peer))
       Known->close();
