An entry that ends waits for each request that it has read

Cause: a shutdown took 200 ms without a job in flight for proof that all was answered. A request that waits for a loop held up for longer is in no job. Change: the server counts the requests that still need an answer, and the shutdown waits for none. Conclusion: knowledge in place of a guess by time.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -160,7 +160,9 @@
                 std::shared_ptr<AnswerPath> Path)
       : Version(Request.version()), Headers(std::move(Headers)),
         Connection(Connection), Place(Connection->expectAnswer()),
-        Path(std::move(Path)) {}
+        Path(std::move(Path)) {
+    this->Path->Counters.countRequest();
+  }
 
   /// A reply that is dropped would hold back all later answers on its
   /// connection.
@@ -169,6 +171,7 @@
       return;
     if (std::shared_ptr<HttpConnection> Open = this->Connection.lock())
       Open->end();
+    this->Path->Counters.countSettled();
   }
   PistacheReply(const PistacheReply &) = delete;
   PistacheReply &operator=(const PistacheReply &) = delete;
@@ -176,6 +179,17 @@
   void send(const HttpAnswer &Answer) override {
     if (this->Sent.exchange(true))
       return;
+    this->write(Answer);
+    this->Path->Counters.countSettled();
+  }
+
+  bool hasClient() const override {
+    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
+    return Open && Open->hasCaller();
+  }
+
+private:
+  void write(const HttpAnswer &Answer) {
     std::shared_ptr<HttpConnection> Open = this->Connection.lock();
     WriteState State = Open ? Open->answer(this->Place, this->describe(Answer))
                             : WriteState::Gone;
@@ -188,12 +202,6 @@
       this->finishLater(Open);
   }
 
-  bool hasClient() const override {
-    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
-    return Open && Open->hasCaller();
-  }
-
-private:
   /// The answer's head and body, as they are sent.
   std::string describe(const HttpAnswer &Answer) {
     this->addHeaders(Answer);
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -13,8 +13,6 @@
 
 /// Kept of the shutdown grace for the answers' way out.
 constexpr std::chrono::milliseconds FlushTime{300};
-/// How long no job must have been in flight before the process ends.
-constexpr std::chrono::milliseconds IdleProof{200};
 /// The longest that a job taken during shutdown may still need; the rest of
 /// the grace goes by while new jobs are refused.
 constexpr std::chrono::milliseconds LongestJob{1700};
@@ -213,15 +211,10 @@
                         this->Source.now().Steady);
   });
   this->Gate->refuseNew();
-  // A request read just before may still be on its way to the loop, so one
-  // look at an idle loop is no proof.
-  auto LastBusy = std::chrono::steady_clock::now();
-  bool Done = waitUntil(LongestJob, [&] {
-    auto Now = std::chrono::steady_clock::now();
-    if (this->InFlight.load() > 0)
-      LastBusy = Now;
-    return Now - LastBusy > IdleProof;
-  });
+  // A request read just before may still be on its way to a loop that is held
+  // up, so that no job in flight is no proof; each request read is counted.
+  bool Done = waitUntil(
+      LongestJob, [this] { return this->Callers.answers().unanswered() == 0; });
   if (!Done)
     this->Log.warning("Entry {} stops with {} jobs in flight.", this->Plan.Node,
                       this->InFlight.load());
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -553,3 +553,25 @@
     STRCMP_CONTAINS(Path.c_str(), Next.readAnswer().c_str());
   }
 }
+
+// An entry that was told to end took "no job in flight for 200 ms" for proof
+// that it had answered all. A request that waits for a loop which is held up
+// for longer is in no job yet, and was cut.
+TEST(HttpServerTest, KnowsOfEachRequestThatStillNeedsItsAnswer) {
+  this->serve();
+  Caller First = this->connected();
+  Caller Second = this->connected();
+  LONGS_EQUAL(0, this->Server->answers().unanswered());
+  First.ask("/first");
+  Second.ask("/second");
+  this->Handler->reply("/first");
+  this->Handler->reply("/second");
+  LONGS_EQUAL(2, this->Server->answers().unanswered());
+  this->Handler->answer("/first");
+  LONGS_EQUAL(1, this->Server->answers().unanswered());
+  // Its caller has gone, and nobody needs the answer any more once it is made.
+  Second.leave();
+  CHECK(this->Handler->waitForLeaving());
+  this->Handler->answer("/second");
+  LONGS_EQUAL(0, this->Server->answers().unanswered());
+}
