An answer flusher that got no thread keeps its descriptor for the next answer

Cause: each answer that did not fit while no thread could be had left a descriptor open. Found by review; not seen in a run. Change: the descriptor is made once and closed with the flusher.

--- a/http/answer_flusher.cpp
+++ b/http/answer_flusher.cpp
@@ -18,15 +18,16 @@
 } // namespace
 
 AnswerFlusher::~AnswerFlusher() {
-  if (!this->Thread.joinable())
-    return;
-  {
-    std::lock_guard Lock(this->Mutex);
-    this->Stopping = true;
+  if (this->Thread.joinable()) {
+    {
+      std::lock_guard Lock(this->Mutex);
+      this->Stopping = true;
+    }
+    ::eventfd_write(this->Wake, 1);
+    this->Thread.join();
   }
-  ::eventfd_write(this->Wake, 1);
-  this->Thread.join();
-  ::close(this->Wake);
+  if (this->Wake >= 0)
+    ::close(this->Wake);
 }
 
 void AnswerFlusher::add(const std::shared_ptr<HttpConnection> &Blocked) {
@@ -38,7 +39,9 @@
 }
 
 void AnswerFlusher::start() {
-  this->Wake = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  // It is there already if no thread could be had for an earlier answer.
+  if (this->Wake < 0)
+    this->Wake = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
   if (this->Wake < 0)
     throw std::system_error(errno, std::generic_category(), "eventfd");
   this->Thread = std::thread([this] { this->run(); });
