--- /dev/null
+++ b/entry/lease_coordinator_intake.cpp
@@ -0,0 +1,149 @@
+//===- The part of LeaseCoordinator that takes and withdraws jobs
+//----------===//
+
+#include "entry/lease_coordinator.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+// ---- Jobs come in ----
+
+bool LeaseCoordinator::mayJoin(const std::string &Id) const {
+  auto Found = this->Jobs.find(Id);
+  return Found != this->Jobs.end() && Found->second->Phase == JobPhase::Running;
+}
+
+void LeaseCoordinator::submit(LeasedJobRequest Request, LeaseTicket Waiter,
+                              Instant Now) {
+  if (Job *Known = this->find(Request.Id)) {
+    if (Known->Phase != JobPhase::Running) {
+      this->awaitEnd(*Known, std::move(Request), Waiter, Now);
+      return;
+    }
+    Known->Waiters.push_back(Waiter);
+    ++this->Waiting;
+    // The first caller may have gone; this one waits from now.
+    Known->GiveUpAt = std::max(Known->GiveUpAt, Now.Steady + Request.Deadline);
+    return;
+  }
+  if (this->shed(Request, Waiter, Now))
+    return;
+  ++this->Waiting;
+  TimePoint GiveUpAt = Now.Steady + Request.Deadline;
+  this->begin(std::move(Request), {Waiter}, GiveUpAt, Now);
+}
+
+void LeaseCoordinator::begin(LeasedJobRequest Request,
+                             std::vector<LeaseTicket> Waiters,
+                             TimePoint GiveUpAt, Instant Now) {
+  auto New = std::make_unique<Job>();
+  New->Tasks.resize(Request.TaskCount);
+  New->Taken = Now.Steady;
+  New->GiveUpAt = GiveUpAt;
+  // An earlier hand-in's runs are runs of the job.
+  New->MayHaveRun = this->Ran.contains(Request.Id);
+  New->Request = std::move(Request);
+  New->Waiters = std::move(Waiters);
+  Job &Target = *New;
+  this->Jobs[Target.Request.Id] = std::move(New);
+  std::string Id = Target.Request.Id;
+  this->place(Target, Now);
+  this->forgetIfSettled(Id, Now);
+}
+
+void LeaseCoordinator::awaitEnd(Job &Known, LeasedJobRequest Request,
+                                LeaseTicket Waiter, Instant Now) {
+  if (!Known.Next) {
+    TimePoint GiveUpAt = Now.Steady + Request.Deadline;
+    Known.Next = {std::move(Request), {}, GiveUpAt};
+  }
+  this->Log.decision("resubmission_waits",
+                     {{"job", Known.Request.Id}, {"out", Known.OutCount}});
+  Known.Next->Waiters.push_back(Waiter);
+  ++this->Waiting;
+}
+
+void LeaseCoordinator::dropResubmission(Job &Known, const std::string &Reason) {
+  // Runs of the earlier submission count as runs of the job.
+  LeasedEnd End = Known.MayHaveRun || Known.OutCount > 0 ? LeasedEnd::Unknown
+                                                         : LeasedEnd::NotRun;
+  std::vector<LeaseTicket> Waiters = std::move(Known.Next->Waiters);
+  Known.Next.reset();
+  this->Waiting -= Waiters.size();
+  for (LeaseTicket Waiter : Waiters)
+    this->Answers.onLeasedAnswer(
+        Waiter, {End, "submit", "", Reason, this->Options.RetryAfter});
+}
+
+bool LeaseCoordinator::shed(const LeasedJobRequest &Request, LeaseTicket Waiter,
+                            Instant Now) {
+  double CoreMillis = static_cast<double>(Request.Needs.cpu_milli()) *
+                      Request.TaskCount *
+                      static_cast<double>(Request.Estimate.count()) / 1000;
+  this->Shedder.onOffered(Request.Route, CoreMillis, Now.Steady);
+  double Pressure =
+      this->Board.pressure(Request, this->awaitingCpu(), Now.Steady);
+  this->Shedder.onPressure(Pressure, Now.Steady);
+  double Limit = this->Shedder.limitFor(Request.Route, Now.Steady);
+  if (Pressure < Limit)
+    return false;
+  bool MayHaveRun = this->Ran.contains(Request.Id);
+  ++this->Counters.JobsShed;
+  ++(MayHaveRun ? this->Counters.Unknown : this->Counters.NotRun);
+  constexpr int Percent = 100;
+  this->Log.decision("job_shed",
+                     {{"job", Request.Id},
+                      {"route", Request.Route},
+                      {"taken_percent", static_cast<int>(Pressure * Percent)},
+                      {"limit_percent", static_cast<int>(Limit * Percent)},
+                      {"tasks", Request.TaskCount}});
+  LeasedEnd End = MayHaveRun ? LeasedEnd::Unknown : LeasedEnd::NotRun;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {End, "admit", "", "upstreams are short of room",
+                                this->Options.RetryAfter});
+  return true;
+}
+
+void LeaseCoordinator::cancel(const std::string &Id, const std::string &Reason,
+                              Instant Now) {
+  Job *Known = this->find(Id);
+  if (Known != nullptr && Known->Next)
+    this->dropResubmission(*Known, Reason);
+  if (Known != nullptr && Known->Phase == JobPhase::Running)
+    this->giveUp(*Known, {LeasedEnd::Unknown, "cancel", "", Reason, {}}, Now);
+  this->forgetIfSettled(Id, Now);
+}
+
+bool LeaseCoordinator::leaveOthers(std::vector<LeaseTicket> &Waiters,
+                                   LeaseTicket Waiter,
+                                   const std::string &Reason) {
+  if (Waiters.size() == 1)
+    return false;
+  std::erase(Waiters, Waiter);
+  --this->Waiting;
+  this->Answers.onLeasedAnswer(Waiter,
+                               {LeasedEnd::Unknown, "cancel", "", Reason, {}});
+  return true;
+}
+
+void LeaseCoordinator::withdraw(const std::string &Id, LeaseTicket Waiter,
+                                const std::string &Reason, Instant Now) {
+  Job *Known = this->find(Id);
+  if (Known == nullptr)
+    return;
+  auto IsAmong = [&](const std::vector<LeaseTicket> &Waiters) {
+    return std::find(Waiters.begin(), Waiters.end(), Waiter) != Waiters.end();
+  };
+  if (Known->Next && IsAmong(Known->Next->Waiters)) {
+    if (!this->leaveOthers(Known->Next->Waiters, Waiter, Reason))
+      this->dropResubmission(*Known, Reason);
+    return;
+  }
+  // A job that is being given up has no more to be stopped.
+  bool MayStop = Known->Phase == JobPhase::Running && IsAmong(Known->Waiters);
+  if (MayStop && !this->leaveOthers(Known->Waiters, Waiter, Reason))
+    this->cancel(Id, Reason, Now);
+}
+
+} // namespace yardwheel
