--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -1,7 +1,6 @@
 #include "entry/lease_coordinator.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace yardwheel {
 
