--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/entry/lease_coordinator_test.cpp
@@ -1063,7 +1063,6 @@
   LONGS_EQUAL(2, Answers.Answers.size());
 }
 
-// A worker on which tasks stand still answers every call well.
 TEST(LeaseCoordinatorTest, AJobIsNotGivenUpWhileALaterCallerStillWaits) {
   struct Row {
     const char *Name;
@@ -1088,6 +1087,7 @@
   }
 }
 
+// A worker on which tasks stand still answers every call well.
 TEST(LeaseCoordinatorTest, ATaskFarBehindItsSiblingsIsStoppedAndMoved) {
   addAgent("a", 2000);
   addAgent("b", 2000);
