--- /dev/null
+++ b/tests/control/seeded_cluster.h
@@ -0,0 +1,166 @@
+//===- tests/control/seeded_cluster.h - A cluster from seeds ----*- C++ -*-===//
+///
+/// \file
+/// Control replicas in a virtual world that form a cluster from seeds and
+/// replace its members. A host's address outlives its disk; the name of its
+/// replica does not.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_CONTROL_SEEDED_CLUSTER_H
+#define YARDWHEEL_TESTS_CONTROL_SEEDED_CLUSTER_H
+
+#include "control/control_service.h"
+#include "emulator/memory_log_storage.h"
+#include "emulator/virtual_world.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace yardwheel {
+
+/// Sends by address, as a replica may be known by nothing else.
+class AddressSink final : public PeerSink {
+public:
+  explicit AddressSink(PeerSink &Inner) : Inner(Inner) {}
+  void send(const PeerRef &To, peer::Message Message) override {
+    this->Inner.send({To.Address, To.Address}, std::move(Message));
+  }
+
+private:
+  PeerSink &Inner;
+};
+
+class SeededCluster {
+public:
+  /// Hosts that all others are told of.
+  static constexpr std::size_t Seeds = 3;
+
+  explicit SeededCluster(std::uint64_t Seed, std::uint32_t Voters = 3)
+      : World(Seed), Voters(Voters) {}
+
+  /// Starts a host with an empty disk. \param First At the first start of all.
+  void startEmpty(std::size_t Host, bool First) {
+    bool Founder = First && Host < Seeds;
+    peer::ReplicaSet Bootstrap;
+    for (std::size_t I = 0; Founder && I < Seeds; ++I)
+      *Bootstrap.add_replicas() = replica(nameOf(I, 0), I);
+    Node &Target = this->Hosts[Host];
+    Target.Name = nameOf(Host, Founder ? 0 : ++this->Lives);
+    Target.Storage = std::make_unique<MemoryLogStorage>(Bootstrap);
+    this->start(Host);
+  }
+
+  /// Starts a host on the disk that it has.
+  void start(std::size_t Host) {
+    Node &Target = this->Hosts[Host];
+    std::string Address = addressOf(Host);
+    Target.Storage->crash();
+    this->World.start(Address, [this, Host](const PeerRef &From,
+                                            const peer::Message &Message) {
+      Node &Here = this->Hosts[Host];
+      // As links do: a message for another replica at this address is refused.
+      if (Message.has_raft() && Message.raft().to() != Here.Name)
+        return;
+      Here.Service->onMessage(this->peerAt(From.Node), Message,
+                              this->World.now());
+    });
+    Target.Sink = std::make_unique<AddressSink>(this->World.sinkOf(Address));
+    Target.Service = std::make_unique<ControlService>(
+        this->optionsFor(Host), *Target.Storage, *Target.Sink,
+        this->World.now());
+    this->World.every(Address, std::chrono::milliseconds(20), [this, Host] {
+      this->Hosts[Host].Service->tick(this->World.now());
+    });
+  }
+
+  static std::string addressOf(std::size_t Host) {
+    return fmt::format("host{}", Host);
+  }
+  void kill(std::size_t Host) { this->World.kill(addressOf(Host)); }
+  void run(Duration Time) { this->World.run(Time); }
+
+  ControlService *leader() {
+    for (auto &[Number, Host] : this->Hosts)
+      if (this->World.isUp(addressOf(Number)) && Host.Service->raft().leads())
+        return Host.Service.get();
+    return nullptr;
+  }
+  ControlService &service(std::size_t Host) {
+    return *this->Hosts[Host].Service;
+  }
+
+  /// Replaces the routes. \returns whether that was acknowledged.
+  bool replace(std::uint64_t Version) {
+    ControlService *Leader = this->leader();
+    if (Leader == nullptr)
+      return false;
+    peer::Change Change;
+    peer::RouteTable *Table = Change.mutable_replace_routes()->mutable_table();
+    Table->set_version(Version);
+    Table->set_document(fmt::format("{}", Version));
+    bool Done = false;
+    Leader->propose(Change, this->World.now(),
+                    [&Done](const ProposalOutcome &Outcome) {
+                      Done = Outcome.State == ProposalState::Applied;
+                    });
+    this->run(std::chrono::seconds(1));
+    return Done;
+  }
+
+  std::uint32_t voters() {
+    std::uint32_t Count = 0;
+    for (const peer::Replica &Known :
+         this->leader()->raft().log().replicas().replicas())
+      Count += Known.learner() ? 0 : 1;
+    return Count;
+  }
+
+  VirtualWorld World;
+
+private:
+  struct Node {
+    std::string Name;
+    std::unique_ptr<MemoryLogStorage> Storage;
+    std::unique_ptr<PeerSink> Sink;
+    std::unique_ptr<ControlService> Service;
+  };
+
+  static std::string nameOf(std::size_t Host, std::uint64_t Life) {
+    return fmt::format("{}.{}", addressOf(Host), Life);
+  }
+  static peer::Replica replica(const std::string &Name, std::size_t Host) {
+    peer::Replica Made;
+    Made.set_name(Name);
+    Made.set_address(addressOf(Host));
+    Made.set_http_address(addressOf(Host));
+    return Made;
+  }
+  PeerRef peerAt(const std::string &Address) {
+    for (auto &[Number, Host] : this->Hosts)
+      if (addressOf(Number) == Address)
+        return {Host.Name, Address};
+    return {Address, Address};
+  }
+  ControlOptions optionsFor(std::size_t Host) {
+    ControlOptions Options;
+    Options.Raft.Name = this->Hosts[Host].Name;
+    Options.Raft.Seed = Host + 1;
+    Options.Groups.Groups = 0;
+    Options.Replicas.Voters = this->Voters;
+    Options.Self = replica(this->Hosts[Host].Name, Host);
+    for (std::size_t I = 0; I < Seeds; ++I)
+      Options.Seeds.push_back({"", addressOf(I)});
+    return Options;
+  }
+
+  std::uint32_t Voters;
+  std::uint64_t Lives = 0;
+  std::map<std::size_t, Node> Hosts;
+};
+
+} // namespace yardwheel
+
+#endif
