--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -33,7 +33,8 @@
     return;
   if (this->isControlSilent(Now.Steady)) {
     this->Sink.reconnect(this->Options.Controls[this->Current]);
-    this->nextControl();
+    this->Answered = this->Sequence;
+    this->turnTo(this->Current + 1, "silent", "");
   }
   this->beat(Now);
 }
@@ -89,9 +90,18 @@
   this->Events.onAsked(Now.Steady);
 }
 
-void Announcer::nextControl() {
-  this->Answered = this->Sequence;
-  this->Current = (this->Current + 1) % this->Options.Controls.size();
+void Announcer::turnTo(std::size_t Control, const char *Reason,
+                       const std::string &NamedLeader) {
+  std::size_t Next = Control % this->Options.Controls.size();
+  if (Next != this->Current)
+    this->Log.decision(
+        "control_replica_left",
+        {{"replica", this->Options.Controls[this->Current].Address},
+         {"reason", Reason},
+         {"named_leader", NamedLeader},
+         {"asked_next", this->Options.Controls[Next].Address},
+         {"replicas_known", this->Options.Controls.size()}});
+  this->Current = Next;
 }
 
 void Announcer::addControls(const std::vector<PeerRef> &Added) {
@@ -113,10 +123,11 @@
     // Beat again at once, but never in a circle between two replicas.
     if (this->Current != I)
       this->NextBeat = TimePoint::min();
-    this->Current = I;
+    this->turnTo(I, "refused", LeaderAddress);
     return;
   }
-  this->nextControl();
+  this->Answered = this->Sequence;
+  this->turnTo(this->Current + 1, "refused", LeaderAddress);
 }
 
 void Announcer::onReply(const peer::HeartbeatReply &Reply, Instant Now) {
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -11,6 +11,7 @@
 
 #include "catalog/node_catalog.h"
 #include "core/clock.h"
+#include "core/logger.h"
 #include "core/peer_sink.h"
 #include "protocol/peer.pb.h"
 
@@ -69,7 +70,9 @@
   /// Whether this process may ask before its time, as it asked not just now.
   bool mayAskEarly(TimePoint Now) const;
   bool isControlSilent(TimePoint Now) const;
-  void nextControl();
+  /// Asks another replica from now on, and says why.
+  void turnTo(std::size_t Control, const char *Reason,
+              const std::string &NamedLeader);
   void follow(const std::string &LeaderAddress);
   void confirm(std::uint64_t Sequence);
   void dropMissing(const peer::MemberUpdate &Update, Instant Now);
@@ -77,6 +80,7 @@
   bool takeTable(const peer::MemberUpdate &Update, Instant Now);
   void takeMembers(const peer::MemberUpdate &Update, Instant Now);
 
+  Logger Log{"announcer"};
   AnnouncerOptions Options;
   peer::Member Self;
   NodeCatalog &Catalog;
