An entry asks all of control for a leader, and serves on only when it knows that none can be reached

Cause: two in one. An entry followed each replica's word on who leads, and a replica in reserve never forgot a leader, as it never campaigns; two replicas of the smaller half of a split could keep an entry between them. And TableLease took a second without a confirmation from one replica for the lack of a quorum.

A confirmation now counts only if its update has been taken over.

Change: ControlSearch (membership/) decides whom to ask: the least recently asked, every 60 ms at entries while none leads; a named leader only if it was not asked since. It tells since when all replicas were asked in vain, and only that makes a table unreachable; a push takes it back. Non-voters forget a silent leader, a leader that steps down refuses the questions it holds, agents show their revision.

With all of control gone for 8 s an entry refuses for at most 300 ms in five stories.

--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -38,6 +38,9 @@
     return;
   ++this->Campaigns;
   this->resetElection(Now);
+  // Also a replica that does not vote: it would send nodes to a leader of long
+  // ago (an old route table, 7 s too long).
+  this->Leader.clear();
   if (this->isVoter())
     this->campaign(this->Options.PreVote, Now);
 }
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -163,7 +163,13 @@
   std::swap(Ended, this->Reads);
   for (auto &[Number, Waiting] : Ended)
     Waiting.Done(false);
-  this->BeatsOfRead.clear();
+  // A node that hears nothing takes this replica for lost, and waits longer
+  // than one that is refused.
+  std::map<std::uint64_t, std::vector<WaitingBeat>> Asked;
+  std::swap(Asked, this->BeatsOfRead);
+  for (const auto &[Number, Waiting] : Asked)
+    for (const WaitingBeat &Beat : Waiting)
+      this->refuseBeat(Beat);
 }
 
 // ---- Messages ----
--- a/entry/table_lease.cpp
+++ b/entry/table_lease.cpp
@@ -24,34 +24,19 @@
          Now - LastIdle <= this->Options.LongSpell;
 }
 
-void TableLease::watch(TimePoint Now, TimePoint LastIdle) {
-  // The answers to questions sent before may lie here unread.
-  if (!this->keepsUp(Now, LastIdle))
-    this->OpenSince.store(TimePoint::min());
-  this->Watched.store(Now);
-}
-
-void TableLease::ask(TimePoint Sent) {
-  if (this->OpenSince.load() == TimePoint::min())
-    this->OpenSince.store(Sent);
-}
-
 void TableLease::confirm(TimePoint Asked) {
   this->Confirmed.store(std::max(this->Confirmed.load(), Asked));
-  this->OpenSince.store(TimePoint::min());
 }
 
-void TableLease::hear(std::uint64_t Revision) {
-  this->Heard.store(std::max(this->Heard.load(), Revision));
+bool TableLease::isSearched(TimePoint Now) const {
+  // That one replica refuses or is silent says nothing of the others: an old
+  // table was served for 7 s while the larger half of control took changes.
+  TimePoint Since = this->Searched.load();
+  return Since != TimePoint::min() && Now - Since <= this->Options.MaxAge;
 }
 
-bool TableLease::isControlSilent(TimePoint Now, TimePoint LastIdle) const {
-  if (!this->keepsUp(Now, LastIdle))
-    return false;
-  TimePoint Open = this->OpenSince.load();
-  // When last idle, this process had read all that had come until then.
-  return Open != TimePoint::min() &&
-         LastIdle - Open >= this->Options.AnswerWithin;
+void TableLease::hear(std::uint64_t Revision) {
+  this->Heard.store(std::max(this->Heard.load(), Revision));
 }
 
 TableStanding TableLease::standing(TimePoint Now, TimePoint LastIdle) const {
@@ -65,7 +50,8 @@
   // What a peer has newer came into force less than this age ago.
   if (Age <= this->Options.MaxAge)
     Result.State = TableState::Current;
-  else if (!Result.NewerKnown && this->isControlSilent(Now, LastIdle))
+  else if (!Result.NewerKnown && this->keepsUp(Now, LastIdle) &&
+           this->isSearched(Now))
     Result.State = TableState::Unreachable;
   return Result;
 }
--- a/entry/table_lease.h
+++ b/entry/table_lease.h
@@ -24,7 +24,8 @@
   Current,
   /// May be older, and news of a newer one may lie here unread or be missing.
   Unknown,
-  /// May be older, but this process reads all that comes: control is silent.
+  /// May be older, but this process reads all that comes, and each control
+  /// replica was asked of late: none leads that can be reached from here.
   Unreachable,
 };
 
@@ -45,12 +46,8 @@
 struct TableLeaseOptions {
   /// Up to this age a table is taken for the newest.
   std::chrono::milliseconds MaxAge{1750};
-  /// Control that leaves a question unanswered for this long is silent. Two
-  /// heartbeats: enough for a lost one and for the next replica to be asked.
-  std::chrono::milliseconds AnswerWithin{1000};
-  /// After this long without reading all of its input, answers may lie here
-  /// unread and control is asked anew. Below AnswerWithin, so that shorter
-  /// spells leave time to read an answer; a busy entry has many of those.
+  /// After this long without reading all of its input, news may lie here
+  /// unread. A busy entry has many shorter spells.
   std::chrono::milliseconds LongSpell{500};
 };
 
@@ -59,11 +56,12 @@
 public:
   explicit TableLease(TableLeaseOptions Options) : Options(Options) {}
 
-  /// To be called often, and before the questions of the same time.
-  /// \param LastIdle When this process last had read all of its input.
-  void watch(TimePoint Now, TimePoint LastIdle);
-  /// A question has been sent to control.
-  void ask(TimePoint Sent);
+  /// To be called often.
+  void watch(TimePoint Now) { this->Watched.store(Now); }
+  /// Each control replica was asked at \p Since or later whether this table is
+  /// the newest, and none answered as leader; the least time if that cannot be
+  /// said.
+  void search(TimePoint Since) { this->Searched.store(Since); }
   /// Control has answered a question: the table was the newest some time
   /// after the question was sent.
   void confirm(TimePoint Asked);
@@ -79,13 +77,12 @@
 private:
   /// Whether this process reads its input now, and did when last watched.
   bool keepsUp(TimePoint Now, TimePoint LastIdle) const;
-  bool isControlSilent(TimePoint Now, TimePoint LastIdle) const;
+  /// Whether all of control has been asked in vain of late.
+  bool isSearched(TimePoint Now) const;
 
   TableLeaseOptions Options;
   std::atomic<TimePoint> Confirmed{TimePoint::min()};
-  /// When the oldest open question was sent since which this process has kept
-  /// up.
-  std::atomic<TimePoint> OpenSince{TimePoint::min()};
+  std::atomic<TimePoint> Searched{TimePoint::min()};
   std::atomic<TimePoint> Watched{TimePoint::min()};
   std::atomic<std::uint64_t> Held{0};
   std::atomic<std::uint64_t> Heard{0};
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -36,7 +36,11 @@
   void reload() override;
 
   void onConfirmed(TimePoint) override {}
-  void onCatalog(Instant) override {}
+  /// An entry that cannot reach control learns from agents that there is a
+  /// newer configuration, and serves on by its own no longer.
+  void onCatalog(Instant) override {
+    this->Node.links().setRevision(this->Catalog.revision());
+  }
   void onMember(const peer::Member &, Instant) override {}
   void onOutranked(std::uint64_t Known, Instant Now) override;
 
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -34,7 +34,7 @@
   void reload() override;
 
   void onConfirmed(TimePoint Asked) override;
-  void onAsked(TimePoint Sent) override;
+  void onSearched(TimePoint Since) override;
   void onNewerRevision(std::uint64_t Revision) override;
   void onCatalog(Instant Now) override;
   void onMember(const peer::Member &Member, Instant Now) override;
@@ -83,7 +83,7 @@
           [this] { return this->Node.loop().lastIdle(); }, this->Source,
           this->Load)),
       Coordinator(this->coordinatorOptions(), this->Node.links(), *this->Gate),
-      Announce(planAnnouncer(Plan),
+      Announce(planEntryAnnouncer(Plan),
                planMember(Plan, peer::ROLE_ENTRY, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
       Callers((this->Gate->connect(this->Node.loop(), this->Coordinator),
@@ -123,8 +123,9 @@
 
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
-  this->Table.watch(Now.Steady, this->Node.loop().lastIdle());
-  this->Announce.tick(Now, this->Node.loop().lastBehind());
+  this->Table.watch(Now.Steady);
+  this->Announce.tick(
+      Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
   bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
@@ -151,7 +152,9 @@
   this->Table.confirm(Asked);
 }
 
-void LeaseEntryProcess::onAsked(TimePoint Sent) { this->Table.ask(Sent); }
+void LeaseEntryProcess::onSearched(TimePoint Since) {
+  this->Table.search(Since);
+}
 
 void LeaseEntryProcess::onNewerRevision(std::uint64_t Revision) {
   this->Table.hear(Revision);
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -71,6 +71,19 @@
   return {seedPeers(Plan), ControlHeartbeat};
 }
 
+/// An entry looks for another leader at once, as its callers wait for it: with
+/// six replicas it has asked all 0.6 s after a question that stays unanswered,
+/// and knows 0.6 s later that none can be reached, within its table's age.
+constexpr std::chrono::milliseconds EntryAsksOthersAfter{250};
+constexpr std::chrono::milliseconds EntrySearchEvery{60};
+
+inline AnnouncerOptions planEntryAnnouncer(const NodePlan &Plan) {
+  AnnouncerOptions Options = planAnnouncer(Plan);
+  Options.AskOthersAfter = EntryAsksOthersAfter;
+  Options.SearchEvery = EntrySearchEvery;
+  return Options;
+}
+
 inline peer::Member planMember(const NodePlan &Plan, peer::Role Role,
                                std::uint64_t Incarnation) {
   peer::Member Self;
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Heartbeats without a reply after which another replica is tried.
-constexpr std::uint64_t MaxUnanswered = 2;
-constexpr std::size_t MaxRemembered = 64;
+/// Intervals without an answer after which a replica is left and its
+/// connection replaced.
+constexpr int SilentIntervals = 2;
 /// Heartbeats in one interval while a node has no configuration: it can do
 /// nothing before, and one message more is cheap.
 constexpr int BeatsBeforeBegun = 4;
@@ -23,20 +23,32 @@
                      NodeCatalog &Catalog, PeerSink &Sink,
                      AnnouncerEvents &Events)
     : Options(std::move(Options)), Self(std::move(Self)), Catalog(Catalog),
-      Sink(Sink), Events(Events) {}
+      Sink(Sink), Events(Events), Search(this->Options.Controls) {}
 
-void Announcer::tick(Instant Now, TimePoint LastBehind) {
+void Announcer::tick(Instant Now, const InputProgress &Input) {
+  this->Search.watch(Now.Steady, Input);
   // What was asked before may be answered here unread; a new question ends
   // the doubt within a round trip.
-  bool WasBehind = LastBehind > this->LastBeat && this->mayAskEarly(Now.Steady);
-  if (Now.Steady < this->NextBeat && !WasBehind)
+  bool WasBehind =
+      Input.LastBehind > this->LastBeat && this->mayAskEarly(Now.Steady);
+  this->watchSilence(Now.Steady);
+  if (Now.Steady >= this->NextBeat || WasBehind)
+    this->beat(Now);
+  this->Events.onSearched(this->Search.searchedSince());
+}
+
+void Announcer::watchSilence(TimePoint Now) {
+  auto Patience = SilentIntervals * this->period();
+  if (!this->Search.isSearching())
+    this->Search.leaveSilent(Patience, Now);
+  bool Begun = this->Catalog.revision() > 0;
+  if (!this->Search.isSearching() && Begun)
+    this->Search.askOthersAfter(this->Options.AskOthersAfter, Now);
+  if (!this->Search.isSearching())
     return;
-  if (this->isControlSilent(Now.Steady)) {
-    this->Sink.reconnect(this->Options.Controls[this->Current]);
-    this->Answered = this->Sequence;
-    this->turnTo(this->Current + 1, "silent", "");
-  }
-  this->beat(Now);
+  this->NextBeat = std::min(this->NextBeat, this->LastBeat + this->pause());
+  for (const PeerRef &Silent : this->Search.takeSilent(Patience, Now))
+    this->Sink.reconnect(Silent);
 }
 
 std::chrono::milliseconds Announcer::period() const {
@@ -45,20 +57,17 @@
                : this->Options.Interval / BeatsBeforeBegun;
 }
 
+std::chrono::milliseconds Announcer::pause() const {
+  return this->Search.isSearching()
+             ? std::min(this->Options.SearchEvery, this->period())
+             : this->period();
+}
+
 bool Announcer::mayAskEarly(TimePoint Now) const {
   return this->LastBeat == TimePoint::min() ||
          Now - this->LastBeat >= this->Options.Interval / EarlyPart;
 }
 
-bool Announcer::isControlSilent(TimePoint Now) const {
-  if (this->Sequence - this->Answered < MaxUnanswered)
-    return false;
-  // Early questions are many in a short time, and say nothing by their number.
-  auto Oldest = this->SentAt.upper_bound(this->Answered);
-  return Oldest == this->SentAt.end() ||
-         Now - Oldest->second >= MaxUnanswered * this->period();
-}
-
 void Announcer::update(const std::function<void(peer::Member &)> &Change,
                        Instant Now) {
   Change(this->Self);
@@ -75,7 +84,7 @@
 
 void Announcer::beat(Instant Now) {
   this->LastBeat = Now.Steady;
-  this->NextBeat = Now.Steady + this->period();
+  this->NextBeat = Now.Steady + this->pause();
   peer::Message Message;
   peer::Heartbeat *Beat = Message.mutable_heartbeat();
   *Beat->mutable_member() = this->Self;
@@ -83,51 +92,22 @@
   Beat->set_table_term(this->TableTerm);
   Beat->set_table_version(this->TableVersion);
   Beat->set_sequence(++this->Sequence);
-  this->SentAt[this->Sequence] = Now.Steady;
-  if (this->SentAt.size() > MaxRemembered)
-    this->SentAt.erase(this->SentAt.begin());
-  this->Sink.send(this->Options.Controls[this->Current], std::move(Message));
-  this->Events.onAsked(Now.Steady);
-}
-
-void Announcer::turnTo(std::size_t Control, const char *Reason,
-                       const std::string &NamedLeader) {
-  std::size_t Next = Control % this->Options.Controls.size();
-  if (Next != this->Current)
-    this->Log.decision(
-        "control_replica_left",
-        {{"replica", this->Options.Controls[this->Current].Address},
-         {"reason", Reason},
-         {"named_leader", NamedLeader},
-         {"asked_next", this->Options.Controls[Next].Address},
-         {"replicas_known", this->Options.Controls.size()}});
-  this->Current = Next;
+  this->Sink.send(this->Search.whom(), std::move(Message));
+  this->Search.onAsked(this->Sequence, Now.Steady);
 }
 
 void Announcer::addControls(const std::vector<PeerRef> &Added) {
-  std::vector<PeerRef> &Known = this->Options.Controls;
-  for (const PeerRef &New : Added) {
-    bool Present =
-        std::any_of(Known.begin(), Known.end(), [&](const PeerRef &Control) {
-          return Control.Address == New.Address;
-        });
-    if (!Present)
-      Known.push_back(New);
-  }
+  this->Search.add(Added);
 }
 
-void Announcer::follow(const std::string &LeaderAddress) {
-  for (std::size_t I = 0; I < this->Options.Controls.size(); ++I) {
-    if (this->Options.Controls[I].Address != LeaderAddress)
-      continue;
-    // Beat again at once, but never in a circle between two replicas.
-    if (this->Current != I)
-      this->NextBeat = TimePoint::min();
-    this->turnTo(I, "refused", LeaderAddress);
-    return;
-  }
-  this->Answered = this->Sequence;
-  this->turnTo(this->Current + 1, "refused", LeaderAddress);
+void Announcer::onRefused(const peer::HeartbeatReply &Reply, Instant Now) {
+  bool Follow = this->Search.onRefused(Reply.sequence(), Reply.leader_address(),
+                                       Now.Steady);
+  if (Follow)
+    this->NextBeat = TimePoint::min();
+  else
+    this->NextBeat = std::min(this->NextBeat, this->LastBeat + this->pause());
+  this->Events.onSearched(this->Search.searchedSince());
 }
 
 void Announcer::onReply(const peer::HeartbeatReply &Reply, Instant Now) {
@@ -142,15 +122,11 @@
   for (const peer::Replica &Replica : Reply.replicas())
     Told.push_back({"", Replica.address()});
   this->addControls(Told);
-  bool Asked =
-      Reply.sequence() > this->Answered && Reply.sequence() <= this->Sequence;
   if (!Reply.accepted()) {
-    if (Asked) {
-      this->Answered = Reply.sequence();
-      this->follow(Reply.leader_address());
-    }
+    this->onRefused(Reply, Now);
     return;
   }
+  bool Asked = this->Search.isOpen(Reply.sequence());
   // A life begins with a whole state that a quorum has confirmed for it.
   bool Begun = this->Catalog.revision() > 0;
   if (!Asked && !Begun)
@@ -159,19 +135,18 @@
     this->Events.onCatalog(Now);
   if (Reply.has_members())
     this->takeMembers(Reply.members(), Now);
-  if (Asked)
-    this->Answered = Reply.sequence();
-  // Also when another replica has been asked since: a quorum stood behind it.
-  this->confirm(Reply.sequence());
-}
-
-void Announcer::confirm(std::uint64_t Confirmed) {
-  // Counted from the question: the answer may have been long under way.
-  auto Sent = this->SentAt.find(Confirmed);
-  if (Sent == this->SentAt.end())
+  if (!Asked) {
+    this->Search.onPushed(Now.Steady);
     return;
-  this->Events.onConfirmed(Sent->second);
-  this->SentAt.erase(this->SentAt.begin(), std::next(Sent));
+  }
+  // Counted from the question: the answer may have been long under way. Also
+  // when another replica has been asked since: a quorum stood behind it.
+  std::optional<TimePoint> Sent =
+      this->Search.onConfirmed(Reply.sequence(), Now.Steady);
+  // An update that does not fit what is held here has not been taken over.
+  bool Holds = Reply.catalog().revision() <= this->Catalog.revision();
+  if (Sent && Holds)
+    this->Events.onConfirmed(*Sent);
 }
 
 void Announcer::takeMembers(const peer::MemberUpdate &Update, Instant Now) {
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -2,8 +2,7 @@
 ///
 /// \file
 /// Announces an entry or an agent to control, renews its lease, and takes the
-/// configuration and the member table from the replies. Holds to the leader
-/// and tries the next replica when it falls silent.
+/// configuration and the member table from the replies.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_MEMBERSHIP_ANNOUNCER_H
@@ -11,8 +10,8 @@
 
 #include "catalog/node_catalog.h"
 #include "core/clock.h"
-#include "core/logger.h"
 #include "core/peer_sink.h"
+#include "membership/control_search.h"
 #include "protocol/peer.pb.h"
 
 #include <functional>
@@ -29,8 +28,10 @@
   /// A quorum of control stood behind the configuration held here at some
   /// time after \p Asked.
   virtual void onConfirmed(TimePoint Asked) = 0;
-  /// A question to control whether that configuration is the newest goes out.
-  virtual void onAsked(TimePoint Sent) {}
+  /// Each control replica known has been asked since \p Since whether that
+  /// configuration is the newest, and none has answered as leader; the least
+  /// time if that cannot be said.
+  virtual void onSearched(TimePoint Since) {}
   /// A peer has a newer revision in force than is held here.
   virtual void onNewerRevision(std::uint64_t Revision) {}
   virtual void onCatalog(Instant Now) = 0;
@@ -44,6 +45,11 @@
 struct AnnouncerOptions {
   std::vector<PeerRef> Controls;
   std::chrono::milliseconds Interval{1000};
+  /// A question that stays unanswered for so long is put to others as well, and
+  /// while none answers as leader the next goes out by the second of these.
+  /// Slow by default: hundreds of nodes ask when a leader has gone.
+  std::chrono::milliseconds AskOthersAfter{2000};
+  std::chrono::milliseconds SearchEvery{500};
 };
 
 class Announcer {
@@ -51,9 +57,9 @@
   Announcer(AnnouncerOptions Options, peer::Member Self, NodeCatalog &Catalog,
             PeerSink &Sink, AnnouncerEvents &Events);
 
-  /// \param LastBehind Until when this process did not keep up with its input.
-  void tick(Instant Now, TimePoint LastBehind);
-  void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
+  void tick(Instant Now, const InputProgress &Input);
+  /// For a process whose input is not watched.
+  void tick(Instant Now) { this->tick(Now, {Now.Steady}); }
   /// A peer has a newer revision in force: asks control at once, but not for
   /// every message of every peer.
   void noteRevision(std::uint64_t Revision, Instant Now);
@@ -67,20 +73,18 @@
   void beat(Instant Now);
   /// Between two questions sent in the ordinary course.
   std::chrono::milliseconds period() const;
+  /// Until the next question.
+  std::chrono::milliseconds pause() const;
   /// Whether this process may ask before its time, as it asked not just now.
   bool mayAskEarly(TimePoint Now) const;
-  bool isControlSilent(TimePoint Now) const;
-  /// Asks another replica from now on, and says why.
-  void turnTo(std::size_t Control, const char *Reason,
-              const std::string &NamedLeader);
-  void follow(const std::string &LeaderAddress);
-  void confirm(std::uint64_t Sequence);
+  /// Looks for replicas that are silent before the next question goes out.
+  void watchSilence(TimePoint Now);
+  void onRefused(const peer::HeartbeatReply &Reply, Instant Now);
   void dropMissing(const peer::MemberUpdate &Update, Instant Now);
   /// \returns whether the update belongs to a table at least as new.
   bool takeTable(const peer::MemberUpdate &Update, Instant Now);
   void takeMembers(const peer::MemberUpdate &Update, Instant Now);
 
-  Logger Log{"announcer"};
   AnnouncerOptions Options;
   peer::Member Self;
   NodeCatalog &Catalog;
@@ -89,11 +93,8 @@
   std::map<std::string, peer::Member> Table;
   std::uint64_t TableTerm = 0;
   std::uint64_t TableVersion = 0;
-  std::size_t Current = 0;
   std::uint64_t Sequence = 0;
-  std::uint64_t Answered = 0;
-  /// When the heartbeats that may still be answered were sent.
-  std::map<std::uint64_t, TimePoint> SentAt;
+  ControlSearch Search;
   TimePoint NextBeat = TimePoint::min();
   TimePoint LastBeat = TimePoint::min();
 };
--- a/tests/control/entry_table_test.cpp
+++ b/tests/control/entry_table_test.cpp
@@ -49,7 +49,7 @@
   }
 
   void onConfirmed(TimePoint Asked) override { this->Lease.confirm(Asked); }
-  void onAsked(TimePoint Sent) override { this->Lease.ask(Sent); }
+  void onSearched(TimePoint Since) override { this->Lease.search(Since); }
   void onNewerRevision(std::uint64_t Revision) override {
     this->Lease.hear(Revision);
   }
@@ -72,6 +72,8 @@
     for (std::size_t I = 0; I < SeededCluster::Seeds; ++I)
       Options.Controls.push_back({"", SeededCluster::addressOf(I)});
     Options.Interval = 500ms;
+    Options.AskOthersAfter = 250ms;
+    Options.SearchEvery = 60ms;
     return Options;
   }
   static peer::Member self() {
@@ -85,7 +87,7 @@
   }
   void tick() {
     Instant Now = this->Cluster.World.now();
-    this->Lease.watch(Now.Steady, Now.Steady);
+    this->Lease.watch(Now.Steady);
     this->Announce.tick(Now);
   }
 
@@ -144,6 +146,15 @@
                                 SeededCluster::addressOf(B));
   }
 
+  void killAll() {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      this->Cluster.kill(Host);
+  }
+  void startAll() {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      this->Cluster.start(Host);
+  }
+
   /// Sends a change every half second and looks at the entry meanwhile.
   void play(Duration Length) {
     TimePoint End = this->now() + Length;
@@ -179,6 +190,8 @@
   void change() {
     ControlService *Newest = nullptr;
     for (std::size_t Host = 0; Host < Hosts; ++Host) {
+      if (!this->Cluster.World.isUp(SeededCluster::addressOf(Host)))
+        continue;
       ControlService &Here = this->Cluster.service(Host);
       bool Newer =
           Newest == nullptr || Here.raft().term() > Newest->raft().term();
@@ -242,3 +255,23 @@
     }
   STRCMP_EQUAL("", Found.c_str());
 }
+
+// Nothing can change while all of control is gone, so that callers are served
+// on; the entry only has to know it.
+TEST(EntryTableTest,
+     WithoutAnyControlAnEntryServesOnAndReturnsToControlInTime) {
+  // Its table may get too old while the last replicas have time to answer.
+  constexpr Duration MayRefuse = 300ms;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    SplitStory Story(Seed);
+    Story.play(std::chrono::milliseconds(100 * Seed));
+    Story.killAll();
+    Story.play(8s);
+    std::string Found = fmt::format("seed {}: refused for {} ms", Seed,
+                                    Story.Refusing.count() / 1000);
+    CHECK_TEXT(Story.Refusing <= MayRefuse, Found.c_str());
+    Story.startAll();
+    Story.play(6s);
+    LONGS_EQUAL_TEXT(0, Story.Late.count(), Found.c_str());
+  }
+}
--- a/tests/membership/announcer_test.cpp
+++ b/tests/membership/announcer_test.cpp
@@ -155,7 +155,7 @@
     Announce.onReply(reply(2, 5), Now);
     int Before = Sink.Sent;
     pass(Row.SinceQuestion);
-    Announce.tick(Now, Now.Steady - Row.BehindAgo);
+    Announce.tick(Now, {Now.Steady, Now.Steady - Row.BehindAgo});
     LONGS_EQUAL_TEXT(Row.Questions, Sink.Sent - Before, Row.Name);
   }
 }
@@ -168,14 +168,14 @@
   Announce.onReply(reply(1, 5), Now);
   pass(1000ms);
   for (int I = 0; I < 7; ++I) {
-    Announce.tick(Now, Now.Steady);
+    Announce.tick(Now, {Now.Steady, Now.Steady});
     pass(260ms);
   }
   STRCMP_EQUAL("c1", Sink.LastTo.c_str());
   STRCMP_EQUAL("", Sink.Reconnected.c_str());
   CHECK(Sink.Sent >= 7);
   pass(1000ms);
-  Announce.tick(Now, Now.Steady);
+  Announce.tick(Now, {Now.Steady, Now.Steady});
   STRCMP_EQUAL("c2", Sink.LastTo.c_str());
 }
 
--- a/tests/platform/entry_gate_test.cpp
+++ b/tests/platform/entry_gate_test.cpp
@@ -83,21 +83,16 @@
     return this->Source.now().Steady - Time;
   }
   void makeCurrent() { this->Table.confirm(this->ago(100ms)); }
-  /// The process has kept up since it asked.
-  void askedAgo(std::chrono::milliseconds Time) {
-    this->Table.watch(this->ago(Time), this->ago(Time));
-    this->Table.ask(this->ago(Time));
-    for (auto Ago = Time; Ago >= 0ms; Ago -= 20ms)
-      this->Table.watch(this->ago(Ago), this->ago(Ago));
-  }
-  /// The answer to a question sent just now may lie unread.
+  /// News may lie unread, or be missing.
   void makeUnknown() {
     this->Table.confirm(this->ago(3000ms));
-    this->askedAgo(20ms);
+    this->Table.watch(this->ago(0ms));
   }
+  /// All of control has been asked in vain.
   void makeUnreachable() {
     this->Table.confirm(this->ago(3000ms));
-    this->askedAgo(2500ms);
+    this->Table.watch(this->ago(0ms));
+    this->Table.search(this->ago(1000ms));
   }
   /// Room for a job of one task, of an agent that has been heard.
   void addAgent() {
