A process that was behind does not take its peers' streams for silent

Cause: what says that a peer has read an envelope lies unread in a process that is behind, so that the lateness of the process looked like the silence of all its peers. Change: silence counts from when the process last was behind (LinkPool, ControlSearch, and the same class in control, whose disk may hold its loop up).

Also played as a guard: a loop with envelopes to read is not idle. It passed at once: that gRPC's looks find false idle moments could not be shown.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -193,7 +193,9 @@
 void ControlService::watchSilence(const PeerRef &Replica) {
   auto [Since, New] =
       this->UnheardSince.try_emplace(Replica.Node, this->Latest.Steady);
-  if (this->Latest.Steady - Since->second < this->Options.Raft.Election)
+  // What it answered may lie here unread, as after a disk that stood still.
+  TimePoint Unheard = std::max(Since->second, this->LastBehind);
+  if (this->Latest.Steady - Unheard < this->Options.Raft.Election)
     return;
   Since->second = this->Latest.Steady;
   this->Sink.reconnect(Replica);
@@ -309,8 +311,9 @@
   this->Beats.clear();
 }
 
-void ControlService::tick(Instant Now) {
+void ControlService::tick(Instant Now, TimePoint NewLastBehind) {
   this->Latest = Now;
+  this->LastBehind = NewLastBehind;
   this->Raft->tick(Now.Steady);
   this->tickProposals(Now.Steady);
   this->tickJoin(Now);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -82,7 +82,9 @@
   void setSeeds(const std::vector<PeerRef> &Seeds) {
     this->Options.Seeds = Seeds;
   }
-  void tick(Instant Now);
+  /// \param NewLastBehind Until when this process did not keep up with its
+  /// input.
+  void tick(Instant Now, TimePoint NewLastBehind = TimePoint::min());
   /// Gives up leadership before the process ends.
   void drain(Instant Now);
 
@@ -155,6 +157,7 @@
   std::map<std::uint64_t, WaitingRead> Reads;
   std::uint64_t LastReady = 0;
   Instant Latest{};
+  TimePoint LastBehind = TimePoint::min();
   bool PushDue = false;
   bool GroupChangeOpen = false;
   std::unique_ptr<RaftNode> Raft;
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -157,7 +157,7 @@
 
 void SeededControlProcess::tick(Instant Now) {
   this->publishMetrics(Now);
-  this->Service.tick(Now);
+  this->Service.tick(Now, this->Node.loop().lastBehind());
   this->Node.links().setRevision(this->Service.catalog().revision());
   this->Open.store(this->Service.openProposals());
   const std::string &Leader = this->Service.raft().leader();
--- a/membership/control_search.cpp
+++ b/membership/control_search.cpp
@@ -94,7 +94,9 @@
   std::vector<PeerRef> Silent;
   for (const auto &[Sequence, Asked] : this->Open) {
     Replica &Target = this->Replicas[Asked.Replica];
-    bool Late = Asked.Sent >= Target.Connected && Now - Asked.Sent >= Patience;
+    // Its answer may lie here unread.
+    TimePoint Since = std::max(Asked.Sent, this->LastBehind);
+    bool Late = Asked.Sent >= Target.Connected && Now - Since >= Patience;
     if (!Late)
       continue;
     Target.Connected = Now;
--- a/tests/transport/link_pool_test.cpp
+++ b/tests/transport/link_pool_test.cpp
@@ -25,6 +25,8 @@
     this->Node.start({[](Instant) {},
                       [this](const peer::Envelope &Envelope, Instant) {
                         this->Received += Envelope.messages_size();
+                        if (this->Work)
+                          this->Work(Envelope);
                       },
                       [this](const Undelivered &Lost, Instant) {
                         this->Lost += Lost.Envelope->messages_size();
@@ -48,6 +50,8 @@
   }
 
   std::string Address;
+  /// Done for each envelope; set before the first can come.
+  std::function<void(const peer::Envelope &)> Work;
   std::atomic<int> Received{0};
   std::atomic<int> Lost{0};
   std::atomic<int> Sent{0};
@@ -243,3 +247,39 @@
     return Node.Source.now().Steady - Node.Node.loop().lastIdle() < 50ms;
   }));
 }
+
+// Much of what a connection reads is no envelope: acknowledgements and windows
+// of what was sent. A look that finds only such must not pass for the end of
+// input.
+TEST(LinkPoolTest, ALoopWithEnvelopesToReadIsNotIdle) {
+  constexpr int Peers = 40;
+  constexpr int Rounds = 4;
+  TestNode Busy("e", peer::ROLE_ENTRY, freeAddress());
+  std::vector<std::unique_ptr<TestNode>> Senders;
+  for (int I = 0; I < Peers; ++I)
+    Senders.push_back(std::make_unique<TestNode>("a", peer::ROLE_AGENT,
+                                                 freeAddress(), I + 1));
+  // Each envelope takes a while and is answered.
+  Busy.Work = [&](const peer::Envelope &Envelope) {
+    std::this_thread::sleep_for(3ms);
+    peer::Message Answer;
+    Answer.mutable_lease_renewal()->set_stamp(1);
+    Busy.Node.links().send({"a", Envelope.sender_address()}, std::move(Answer));
+  };
+  for (int Round = 0; Round < Rounds; ++Round) {
+    for (auto &Sender : Senders)
+      Sender->send("e", Busy.Address);
+    int Before = Round * Peers;
+    // All have been sent long before a third has been read.
+    CHECK(waitFor([&] { return Busy.Received.load() >= Before + Peers / 3; }));
+    TimePoint From = Busy.Source.now().Steady;
+    TimePoint LastIdle = TimePoint::min();
+    while (Busy.Received.load() < Before + Peers * 4 / 5) {
+      LastIdle = std::max(LastIdle, Busy.Node.loop().lastIdle());
+      std::this_thread::sleep_for(1ms);
+    }
+    CHECK(LastIdle <= From);
+    CHECK(waitFor([&] { return Busy.Received.load() == Before + Peers; }));
+    std::this_thread::sleep_for(100ms);
+  }
+}
--- a/transport/link_node.cpp
+++ b/transport/link_node.cpp
@@ -9,7 +9,7 @@
       Loop(
           Source, this->Server.waiter(), TickEvery,
           [this](Instant Now) {
-            this->Links.tick(Now.Steady);
+            this->Links.tick(Now.Steady, this->Loop.lastBehind());
             this->Handlers.Tick(Now);
           },
           [this] { this->Links.flush(); }) {
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -1,5 +1,6 @@
 #include "transport/link_pool.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace yardwheel {
@@ -176,21 +177,24 @@
       From.Unread.pop_front();
 }
 
-bool LinkPool::isSilent(const Link &Target, TimePoint Now) const {
+bool LinkPool::isSilent(const Link &Target, TimePoint Now,
+                        TimePoint LastBehind) const {
   if (!Target.Stream || Target.Unread.empty())
     return false;
-  TimePoint Oldest = Target.Unread.front().At;
-  if (Now - Oldest < this->Options.SilentAfter)
+  // What says that the peer has read may have lain here unread until then: one
+  // busy entry replaced 22 sound streams in a second, and was later for it.
+  TimePoint Since = std::max(Target.Unread.front().At, LastBehind);
+  if (Now - Since < this->Options.SilentAfter)
     return false;
-  return Target.HeardAt >= Oldest + this->Options.SilentAfter;
+  return Target.HeardAt >= Since + this->Options.SilentAfter;
 }
 
-void LinkPool::tick(TimePoint Now) {
+void LinkPool::tick(TimePoint Now, TimePoint LastBehind) {
   if (Now < this->NextLook)
     return;
   this->NextLook = Now + LookEvery;
   for (auto &[Address, Target] : this->Links) {
-    if (this->isSilent(Target, Now))
+    if (this->isSilent(Target, Now, LastBehind))
       this->reconnect(Target.Peer);
     while (!Target.Unread.empty() && Target.Unwritten < Target.Unread.size() &&
            Now - Target.Unread.front().At > this->Options.KeepFor)
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -83,7 +83,8 @@
   /// Sends what has been queued since the last flush.
   void flush();
   /// Looks for streams that have gone silent.
-  void tick(TimePoint Now);
+  /// \param LastBehind Until when this process did not keep up with its input.
+  void tick(TimePoint Now, TimePoint LastBehind);
   /// Takes what an envelope of a peer says of those sent to it.
   void onRead(const peer::Envelope &Envelope, TimePoint Now);
   void setRevision(std::uint64_t NewRevision) { this->Revision = NewRevision; }
@@ -143,7 +144,7 @@
   void open(Link &Target);
   /// Lets go of the stream and reports what may not have arrived.
   void abandon(Link &Target);
-  bool isSilent(const Link &Target, TimePoint Now) const;
+  bool isSilent(const Link &Target, TimePoint Now, TimePoint LastBehind) const;
 
   LinkIdentity Self;
   grpc::CompletionQueue &Queue;
