Test: a host that was suspended should know that time has passed (red)

The clocks of a suspended host are played in the test's process: CLOCK_BOOTTIME and the time of day go on, CLOCK_MONOTONIC does not.

--- /dev/null
+++ b/tests/transport/suspension_test.cpp
@@ -0,0 +1,129 @@
+//===- A host that was suspended for a while ------------------------------===//
+//
+// The clock that says how old a lease, a route table or an answer is must go on
+// while the host is suspended, else a node takes what it held before for as
+// young as then, while others were given it meanwhile. With the clock that
+// stands still a table of 10 s of age was "current" here, and no loop knew that
+// it was late.
+//
+//===----------------------------------------------------------------------===//
+
+#include "agent/lease_keeper.h"
+#include "core/clock.h"
+#include "entry/table_lease.h"
+#include "tests/support/suspended_host.h"
+#include "tests/system/system_cluster.h"
+#include "transport/link_node.h"
+
+#include <fmt/format.h>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds Tick{10};
+
+/// Suspensions shorter than a lease, of a lease and of many.
+const std::chrono::milliseconds Lengths[] = {200ms, 800ms, 8000ms};
+
+class NullPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &) override {}
+  void start(const StartCall &) override { ++this->Starts; }
+  void stop(const StopCall &) override {}
+  void hold(const HoldCall &) override {}
+  int Starts = 0;
+};
+
+class KeptMessages final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message Message) override {
+    this->Messages.push_back(std::move(Message));
+  }
+  std::vector<peer::Message> Messages;
+};
+
+} // namespace
+
+TEST_GROUP(SuspensionTest) { SystemClock Source; };
+
+TEST(SuspensionTest, TheClockCountsTheTimeOfASuspension) {
+  for (std::chrono::milliseconds Length : Lengths) {
+    Instant Before = Source.now();
+    suspendHost(Length);
+    Instant After = Source.now();
+    CHECK(After.Steady - Before.Steady >= Length);
+    CHECK(After.Steady - Before.Steady < Length + 100ms);
+    CHECK(After.Wall - Before.Wall >= Length);
+  }
+}
+
+TEST(SuspensionTest, ARouteTableIsOlderByTheSuspension) {
+  for (std::chrono::milliseconds Length : Lengths) {
+    TableLeaseOptions Options;
+    TableLease Table(Options);
+    TimePoint Before = Source.now().Steady;
+    Table.watch(Before);
+    Table.confirm(Before);
+    suspendHost(Length);
+    TimePoint Now = Source.now().Steady;
+    TableState Expected =
+        Length < Options.MaxAge ? TableState::Current : TableState::Unknown;
+    STRCMP_EQUAL(tableStateName(Expected),
+                 tableStateName(Table.standing(Now, Now).State));
+  }
+}
+
+// What an entry sent before its agent's host was suspended starts nothing
+// after: its jobs may run elsewhere by then.
+TEST(SuspensionTest, AnAgentStartsNothingUnderALeaseThatLapsedMeanwhile) {
+  for (std::chrono::milliseconds Length : Lengths) {
+    KeeperOptions Options;
+    Options.Incarnation = 1;
+    KeptMessages Sink;
+    NullPort Port;
+    LeaseKeeper Keeper(Options, Sink, Port);
+    WorkerProfile Profile;
+    Profile.Id = "life";
+    Profile.Room.set_cpu_milli(1000);
+    Profile.Room.set_memory_mb(1000);
+    Instant Before = Source.now();
+    Keeper.onProfile(Profile, Before);
+    WorkerReply Ready;
+    Ready.Answered = true;
+    Keeper.session().onHoldReply("life", Ready, Before);
+    peer::Message Message;
+    peer::LeasedDispatch *Dispatch = Message.mutable_leased_dispatch();
+    Dispatch->set_job("job");
+    Dispatch->set_agent_incarnation(1);
+    Dispatch->set_stamp(LeaseKeeper::stampAt(Before));
+    Dispatch->set_start_by_ms(20000);
+    Dispatch->set_give_up_ms(20000);
+    Dispatch->mutable_needs()->set_cpu_milli(100);
+    Dispatch->add_tasks()->set_order(1);
+    suspendHost(Length);
+    Keeper.onMessage({"entry", "entry", 7}, Message, Source.now());
+    LONGS_EQUAL_TEXT(Length < Options.EntryLease / 2 ? 1 : 0, Port.Starts,
+                     fmt::format("{} ms", Length.count()).c_str());
+  }
+}
+
+// The same as after a freeze: what was sent may lie unread, and the lateness is
+// this process's own.
+TEST(SuspensionTest, ALoopKnowsThatItWasBehind) {
+  LinkNode Node({"test", peer::ROLE_ENTRY, "e",
+                 fmt::format("127.0.0.1:{}", freePort()), 1},
+                {}, Source, Tick);
+  Node.start({[](Instant) {}, [](const peer::Envelope &, Instant) {}, nullptr});
+  std::this_thread::sleep_for(100ms);
+  TimePoint Before = Source.now().Steady;
+  suspendHost(3000ms);
+  CHECK(waitFor([&] { return Node.loop().lastBehind() > Before; }));
+  CHECK(waitFor(
+      [&] { return Source.now().Steady - Node.loop().lastIdle() < 100ms; }));
+  Node.stop();
+}
