One clock that counts suspensions for all that is promised to other processes

Cause: every lease, age and time-out rested on std::chrono::steady_clock, which stands still while a host is suspended.

Change: TimePoint is a point on BootClock (CLOCK_BOOTTIME) now, a type of its own, so that no reading of another clock can be mixed with it; where the host has none, the start fails with its name. Waits stay on the steady clock and are given as lengths; after each the time is read on the boot clock. The loop compares both clocks, counts a suspension and logs its length; the rest is the way of any process that stood still. The worker's clock is carried on by ours for 4 s at most, as either host may have been suspended, and a lease counts as lapsed 150 ms instead of 100 after its end.

--- a/agent/upstream_client.cpp
+++ b/agent/upstream_client.cpp
@@ -95,7 +95,7 @@
   auto New = std::make_unique<Transfer>();
   New->Task = Next.Task;
   New->Payload = std::move(Next.Payload);
-  New->Started = std::chrono::steady_clock::now();
+  New->Started = BootClock::now();
   auto AddHeader = [&](const std::string &Line) {
     New->Headers = curl_slist_append(New->Headers, Line.c_str());
   };
@@ -163,7 +163,7 @@
                                  Transfer &Ended) const {
   TaskEnd End;
   End.Service = std::chrono::duration_cast<std::chrono::microseconds>(
-      std::chrono::steady_clock::now() - Ended.Started);
+      BootClock::now() - Ended.Started);
   if (neverConnected(Code)) {
     End.Kind = TaskEndKind::NeverStarted;
     return End;
--- a/agent/upstream_client.h
+++ b/agent/upstream_client.h
@@ -11,6 +11,7 @@
 #define YARDWHEEL_AGENT_UPSTREAM_CLIENT_H
 
 #include "agent/task_runner.h"
+#include "core/clock.h"
 #include "core/logger.h"
 
 #include <curl/curl.h>
@@ -47,7 +48,7 @@
     std::string Payload;
     std::string Answer;
     curl_slist *Headers = nullptr;
-    std::chrono::steady_clock::time_point Started;
+    BootClock::time_point Started;
   };
   struct Order {
     TaskKey Task;
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -155,6 +155,8 @@
   this->LeaseEnds = Now.Steady + this->Options.Lease;
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       Now.Steady - this->ClockReadAt);
+  if (Since > this->Options.ClockReadFor)
+    Since = {};
   return this->ClockRead + Since + this->Options.Lease;
 }
 
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -50,8 +50,15 @@
   /// A confirmed stop has ended its run within this.
   std::chrono::milliseconds StopTakes{100};
   /// Added to a lease before it is taken to have lapsed at a worker whose
-  /// clock may be some percent slow, and that ends its runs a little later.
-  std::chrono::milliseconds LapseSlack{100};
+  /// clock may be 2 % slow, that ends its runs a little later, and that may
+  /// have been asked for more than the longest lease it grants, 100 ms above
+  /// ours.
+  std::chrono::milliseconds LapseSlack{150};
+  /// How long a reading of the worker's clock is carried on by ours: longer
+  /// than a call for ends takes. Of the time in between the worker's host may
+  /// have been suspended, or ours, and a lease by a clock that ran ahead would
+  /// be the longest that the worker grants instead of the one asked for.
+  std::chrono::milliseconds ClockReadFor{4000};
   /// Before a confirmed stop, whose end has not been told, is sent again.
   std::chrono::milliseconds ConfirmedStopRetry{1000};
   /// A worker that has answered nothing for this long gets no tasks. Several
--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -1,13 +1,32 @@
 #include "core/clock.h"
 
+#include "core/error.h"
+
+#include <cerrno>
+#include <cstring>
+#include <ctime>
+
 namespace yardwheel {
 
+BootClock::time_point BootClock::now() {
+  timespec Time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &Time) != 0)
+    throw Error("clock", "CLOCK_BOOTTIME", std::strerror(errno));
+  return time_point(std::chrono::seconds(Time.tv_sec) +
+                    std::chrono::nanoseconds(Time.tv_nsec));
+}
+
 Instant SystemClock::now() const {
   using namespace std::chrono;
-  return {.Steady = time_point_cast<Duration>(steady_clock::now()),
+  return {.Steady = time_point_cast<Duration>(BootClock::now()),
           .Wall = time_point_cast<milliseconds>(system_clock::now())};
 }
 
+Duration SystemClock::runTime() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch());
+}
+
 std::int64_t toUnixMillis(WallTime Time) {
   return Time.time_since_epoch().count();
 }
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -247,9 +247,7 @@
   Text += metricLine("yardwheel_tasks_queued", this->Keeper.queued());
   Text += metricLine("yardwheel_worker_ready",
                      this->Keeper.session().isReady() ? 1 : 0);
-  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
-  Text += this->Worker.answers().describe();
-  Text += describeCounters(this->Node.links().counters());
+  Text += describeProcess(this->Node, this->Worker);
   this->Metrics->publish(std::move(Text));
 }
 
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -249,9 +249,7 @@
   if (Table.Age)
     Text += metricLine("yardwheel_route_table_age_ms", Table.Age->count());
   Text += this->Gate->describeRefusals();
-  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
-  Text += this->Callers.answers().describe();
-  Text += describeCounters(this->Node.links().counters());
+  Text += describeProcess(this->Node, this->Callers);
   this->Metrics->publish(std::move(Text));
 }
 
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -1,5 +1,7 @@
 #include "main/lease_wiring.h"
 
+#include "core/logger.h"
+#include "http/metrics_page.h"
 #include "platform/node_settings.h"
 
 namespace yardwheel {
@@ -16,4 +18,12 @@
   }
 }
 
+std::string describeProcess(LinkNode &Node, const HttpServer &Served) {
+  return metricLine("yardwheel_host_suspensions_total",
+                    Node.loop().suspensions()) +
+         metricLine("yardwheel_log_lines_dropped_total", Logger::dropped()) +
+         Served.answers().describe() +
+         describeCounters(Node.links().counters());
+}
+
 } // namespace yardwheel
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -3,9 +3,10 @@
 #define YARDWHEEL_MAIN_LEASE_WIRING_H
 
 #include "entry/table_lease.h"
+#include "http/http_server.h"
 #include "main/wiring.h"
 #include "settings/node_plan.h"
-#include "transport/event_loop.h"
+#include "transport/link_node.h"
 
 namespace yardwheel {
 
@@ -45,6 +46,9 @@
 /// often.
 constexpr std::chrono::milliseconds MetricsEvery{2000};
 
+/// What each role's metrics end with.
+std::string describeProcess(LinkNode &Node, const HttpServer &Served);
+
 /// Large enough for any configuration or job on the wire.
 constexpr std::size_t MaxBodyBytes = 1048576;
 
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -197,9 +197,7 @@
       metricLine("yardwheel_members", this->Service.members().entries().size());
   Text += metricLine("yardwheel_route_table_version",
                      this->Service.catalog().routes().version());
-  Text += metricLine("yardwheel_log_lines_dropped_total", Logger::dropped());
-  Text += this->Operators.answers().describe();
-  Text += describeCounters(this->Node.links().counters());
+  Text += describeProcess(this->Node, this->Operators);
   this->Metrics->publish(std::move(Text));
 }
 
--- a/main/wiring.h
+++ b/main/wiring.h
@@ -70,8 +70,8 @@
 inline bool waitUntil(std::chrono::milliseconds Limit,
                       const std::function<bool()> &Done) {
   constexpr std::chrono::milliseconds Pause{10};
-  auto End = std::chrono::steady_clock::now() + Limit;
-  while (std::chrono::steady_clock::now() < End) {
+  auto End = BootClock::now() + Limit;
+  while (BootClock::now() < End) {
     if (Done())
       return true;
     std::this_thread::sleep_for(Pause);
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -1,6 +1,7 @@
 //===- main/yardwheeld.cpp - The daemon -----------------------------------===//
 
 #include "consensus/file_log_storage.h"
+#include "core/clock.h"
 #include "core/error.h"
 #include "core/logger.h"
 #include "main/process.h"
@@ -147,6 +148,8 @@
                           "yardwheeld --platform");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   try {
+    // Without a clock that counts suspensions no lease here could be trusted.
+    BootClock::now();
     if (FLAGS_platform)
       return runPlanned();
     if (FLAGS_settings.empty()) {
--- a/tests/transport/suspension_test.cpp
+++ b/tests/transport/suspension_test.cpp
@@ -10,6 +10,7 @@
 
 #include "agent/lease_keeper.h"
 #include "core/clock.h"
+#include "core/error.h"
 #include "entry/table_lease.h"
 #include "tests/support/suspended_host.h"
 #include "tests/system/system_cluster.h"
--- a/transport/completion_waiter.cpp
+++ b/transport/completion_waiter.cpp
@@ -2,18 +2,6 @@
 
 namespace yardwheel {
 
-namespace {
-
-/// On the steady clock: the time of day may jump.
-gpr_timespec deadlineAt(std::chrono::steady_clock::time_point Until) {
-  auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
-      Until - std::chrono::steady_clock::now());
-  return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
-                      gpr_time_from_micros(Left.count(), GPR_TIMESPAN));
-}
-
-} // namespace
-
 CompletionWaiter::CompletionWaiter(std::unique_ptr<grpc::CompletionQueue> Queue)
     : Queue(std::move(Queue)) {}
 
@@ -29,10 +17,14 @@
     static_cast<CompletionTag *>(Tag)->onShutDown();
 }
 
-bool CompletionWaiter::wait(std::chrono::steady_clock::time_point Until) {
+bool CompletionWaiter::wait(Duration Longest) {
   void *Tag = nullptr;
   bool Ok = false;
-  auto Status = this->Queue->AsyncNext(&Tag, &Ok, deadlineAt(Until));
+  // On the steady clock: the time of day may jump.
+  gpr_timespec Deadline =
+      gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
+                   gpr_time_from_micros(Longest.count(), GPR_TIMESPAN));
+  auto Status = this->Queue->AsyncNext(&Tag, &Ok, Deadline);
   if (Status != grpc::CompletionQueue::GOT_EVENT)
     return true;
   static_cast<CompletionTag *>(Tag)->onCompletion(Ok);
--- a/transport/completion_waiter.h
+++ b/transport/completion_waiter.h
@@ -36,7 +36,7 @@
   CompletionWaiter(const CompletionWaiter &) = delete;
   CompletionWaiter &operator=(const CompletionWaiter &) = delete;
 
-  bool wait(std::chrono::steady_clock::time_point Until) override;
+  bool wait(Duration Longest) override;
   void wake() override;
   /// Ends all operations. No loop may wait any more, and what uses the queue
   /// must have been shut down or let go.
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "transport/event_loop.h"
 
+#include <algorithm>
+
 namespace yardwheel {
 
 namespace {
@@ -12,6 +14,10 @@
 /// spell seen in a process that keeps up.
 constexpr std::chrono::milliseconds BehindAfter{100};
 
+/// The two clocks are read one after the other, so that a thread that loses its
+/// turn between them sees them apart by some milliseconds.
+constexpr std::chrono::milliseconds SuspensionNoticed{100};
+
 } // namespace
 
 EventLoop::EventLoop(const Clock &Source, LoopWaiter &Waiter,
@@ -66,15 +72,33 @@
   return !this->Stopping;
 }
 
+void EventLoop::noteSuspension(TimePoint Now) {
+  Duration RunTime = this->Source.runTime();
+  Duration Suspended = (Now - this->LastRound) - (RunTime - this->LastRunTime);
+  Duration Passed = Now - this->LastRound;
+  this->LastRound = Now;
+  this->LastRunTime = RunTime;
+  if (Suspended < SuspensionNoticed)
+    return;
+  ++this->Suspensions;
+  this->Log.decision("host_suspended",
+                     {{"suspended_ms", Suspended.count() / 1000},
+                      {"since_last_round_ms", Passed.count() / 1000},
+                      {"run_time_ms", (Passed - Suspended).count() / 1000}});
+}
+
 void EventLoop::run() {
-  auto NextTick = std::chrono::steady_clock::now();
-  auto NextWait = NextTick;
+  TimePoint NextTick = this->Source.now().Steady;
+  Duration Longest{0};
   std::deque<Work> Round;
+  this->LastRound = NextTick;
+  this->LastRunTime = this->Source.runTime();
   while (true) {
-    bool Idle = this->Waiter.wait(NextWait);
+    bool Idle = this->Waiter.wait(Longest);
     if (!this->takeRound(Round))
       return;
     Instant Now = this->Source.now();
+    this->noteSuspension(Now.Steady);
     if (Idle && Round.empty())
       this->noteIdle(Now.Steady);
     for (Work &Item : Round)
@@ -82,11 +106,13 @@
     Round.clear();
     if (Now.Steady >= NextTick) {
       this->Tick(Now);
-      NextTick = std::chrono::steady_clock::now() + this->Interval;
+      NextTick = this->Source.now().Steady + this->Interval;
     }
     this->Flush();
     bool LooksIdle = Now.Steady - this->LastIdle.load() < IdleLookAfter;
-    NextWait = LooksIdle ? NextTick : std::chrono::steady_clock::time_point();
+    Longest = LooksIdle
+                  ? std::max(NextTick - this->Source.now().Steady, Duration{0})
+                  : Duration{0};
   }
 }
 
--- a/transport/event_loop.h
+++ b/transport/event_loop.h
@@ -10,6 +10,7 @@
 #define YARDWHEEL_TRANSPORT_EVENT_LOOP_H
 
 #include "core/clock.h"
+#include "core/logger.h"
 #include "transport/loop_waiter.h"
 
 #include <atomic>
@@ -45,6 +46,8 @@
   /// Until when the loop last was behind: without an idle moment for too long.
   /// Its own lateness must not be taken for that of others.
   TimePoint lastBehind() const;
+  /// How often the host was seen to have been suspended; for any thread.
+  std::uint64_t suspensions() const { return this->Suspensions.load(); }
 
 private:
   void run();
@@ -59,7 +62,14 @@
   std::deque<Work> Items;
   bool Stopping = false;
   void noteIdle(TimePoint Now);
+  /// A suspension takes the way of any other time in which this process stood
+  /// still; it is only told apart for whoever reads the log.
+  void noteSuspension(TimePoint Now);
 
+  Logger Log{"loop"};
+  TimePoint LastRound;
+  Duration LastRunTime{0};
+  std::atomic<std::uint64_t> Suspensions{0};
   std::atomic<TimePoint> LastIdle;
   std::atomic<TimePoint> LastBehind{TimePoint::min()};
   std::thread Thread;
--- a/transport/link_node.cpp
+++ b/transport/link_node.cpp
@@ -5,7 +5,7 @@
 LinkNode::LinkNode(const LinkIdentity &Self, const LinkOptions &Options,
                    const Clock &Source, std::chrono::milliseconds TickEvery)
     : Source(Source), Server(Self),
-      Links(Self, this->Server.waiter().queue(), Options),
+      Links(Self, this->Server.waiter().queue(), Source, Options),
       Loop(
           Source, this->Server.waiter(), TickEvery,
           [this](Instant Now) {
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -14,16 +14,11 @@
 /// Between two looks for silent streams.
 constexpr std::chrono::milliseconds LookEvery{100};
 
-TimePoint steadyNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 LinkPool::LinkPool(LinkIdentity Self, grpc::CompletionQueue &Queue,
-                   LinkOptions Options)
-    : Self(std::move(Self)), Queue(Queue), Options(Options),
+                   const Clock &Source, LinkOptions Options)
+    : Self(std::move(Self)), Queue(Queue), Source(Source), Options(Options),
       // Above those of earlier lives of this node.
       LastStreamId(this->Self.Incarnation) {}
 
@@ -107,7 +102,8 @@
   ++this->Counters.EnvelopesSent;
   this->Counters.MessagesSent += Envelope->messages_size();
   this->Counters.BytesSent += Envelope->ByteSizeLong();
-  Target.Unread.push_back({Target.LastNumber, steadyNow(), Envelope});
+  Target.Unread.push_back(
+      {Target.LastNumber, this->Source.now().Steady, Envelope});
   ++Target.Unwritten;
   ++this->Unwritten;
   Target.Stream->write(std::move(Envelope));
@@ -117,7 +113,7 @@
   ++this->Counters.StreamsOpened;
   Target.StreamId = ++this->LastStreamId;
   Target.LastNumber = 0;
-  Target.OpenedAt = steadyNow();
+  Target.OpenedAt = this->Source.now().Steady;
   Target.Refused = false;
   Target.Stream =
       std::make_shared<LinkStream>(Target.Peer.Address, this->Queue, Target);
@@ -146,7 +142,8 @@
   if (Found == this->Links.end() || !Found->second.Stream)
     return;
   Link &Target = Found->second;
-  if (steadyNow() - Target.OpenedAt < this->Options.ReconnectEvery)
+  if (this->Source.now().Steady - Target.OpenedAt <
+      this->Options.ReconnectEvery)
     return;
   this->Log.decision("stream_replaced", {{"peer", To.Node},
                                          {"address", To.Address},
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -74,7 +74,7 @@
 public:
   using FailureHandler = std::function<void(const Undelivered &Lost)>;
 
-  LinkPool(LinkIdentity Self, grpc::CompletionQueue &Queue,
+  LinkPool(LinkIdentity Self, grpc::CompletionQueue &Queue, const Clock &Source,
            LinkOptions Options = {});
   ~LinkPool() override;
 
@@ -148,6 +148,7 @@
 
   LinkIdentity Self;
   grpc::CompletionQueue &Queue;
+  const Clock &Source;
   LinkOptions Options;
   Logger Log{"link"};
   FailureHandler Failure;
--- a/transport/loop_waiter.h
+++ b/transport/loop_waiter.h
@@ -2,7 +2,7 @@
 #ifndef YARDWHEEL_TRANSPORT_LOOP_WAITER_H
 #define YARDWHEEL_TRANSPORT_LOOP_WAITER_H
 
-#include <chrono>
+#include "core/clock.h"
 
 namespace yardwheel {
 
@@ -10,9 +10,9 @@
 public:
   virtual ~LoopWaiter() = default;
 
-  /// Waits until a point in time or until woken, or handles one event of its
-  /// own. \returns whether nothing came until then.
-  virtual bool wait(std::chrono::steady_clock::time_point Until) = 0;
+  /// Waits for a while or until woken, or handles one event of its own. A host
+  /// that is suspended meanwhile waits longer. \returns whether nothing came.
+  virtual bool wait(Duration Longest) = 0;
 
   /// Ends the wait under way, or the next one; for any thread.
   virtual void wake() = 0;
