--- a/tests/transport/suspension_test.cpp
+++ b/tests/transport/suspension_test.cpp
@@ -34,10 +34,23 @@
 class NullPort final : public WorkerPort {
 public:
   void attach(const WorkerProfile &) override {}
-  void start(const StartCall &) override { ++this->Starts; }
+  void start(const StartCall &Call) override {
+    ++this->Starts;
+    this->LeaseUntil = Call.LeaseUntil;
+  }
   void stop(const StopCall &) override {}
   void hold(const HoldCall &) override {}
   int Starts = 0;
+  WorkerTime LeaseUntil{};
+};
+
+class NullEvents final : public SessionEvents {
+public:
+  void onRunRefused(const RunKey &, WorkerRefusal, Instant) override {}
+  void onRunEnded(const RunKey &, RunEnd, Instant) override {}
+  void onWorkerAttached(Instant) override {}
+  void onWorkerReady(Instant) override {}
+  void onWorkerSilent(Instant) override {}
 };
 
 class KeptMessages final : public PeerSink {
@@ -126,5 +139,44 @@
   CHECK(waitFor([&] { return Node.loop().lastBehind() > Before; }));
   CHECK(waitFor(
       [&] { return Source.now().Steady - Node.loop().lastIdle() < 100ms; }));
+  LONGS_EQUAL(1, Node.loop().suspensions());
+  // A process that merely stood still is not taken for a suspended host.
+  Node.loop().post([](Instant) { std::this_thread::sleep_for(300ms); });
+  std::this_thread::sleep_for(500ms);
+  LONGS_EQUAL(1, Node.loop().suspensions());
   Node.stop();
 }
+
+TEST(SuspensionTest, WithoutSuchAClockNothingTakesItsPlace) {
+  removeBootClock(true);
+  CHECK_THROWS(Error, BootClock::now());
+  CHECK_THROWS(Error, Source.now());
+  removeBootClock(false);
+  Source.now();
+}
+
+// The worker's clock may not have gone on while ours did, or the other way
+// round.
+TEST(SuspensionTest, AnOldReadingOfTheWorkersClockIsNotCarriedOn) {
+  struct Row {
+    std::chrono::milliseconds Since;
+    WorkerTime LeaseUntil;
+  };
+  const Row Rows[] = {{500ms, WorkerTime(100000 + 500 + 900)},
+                      {4000ms, WorkerTime(100000 + 4000 + 900)},
+                      {4001ms, WorkerTime(100000 + 900)},
+                      {60000ms, WorkerTime(100000 + 900)}};
+  for (const Row &Row : Rows) {
+    NullPort Port;
+    NullEvents Events;
+    WorkerSession Session(SessionOptions(), Port, Events);
+    Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
+    WorkerProfile Profile;
+    Profile.Id = "life";
+    Profile.Clock = WorkerTime(100000);
+    Session.onProfile(Profile, Now);
+    Now.Steady += Row.Since;
+    Session.start({"job", 0, 1}, "", Now);
+    LONGS_EQUAL(Row.LeaseUntil.count(), Port.LeaseUntil.count());
+  }
+}
