--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -45,6 +45,8 @@
   peer::TaskNeeds Room;
   std::set<std::string> Labels;
   bool Draining = false;
+  /// Increases with each announcement of the same life.
+  std::uint64_t Sequence = 0;
   WorkerTime Clock{};
 };
 
