--- /dev/null
+++ b/tests/agent/worker_room_test.cpp
@@ -0,0 +1,264 @@
+//===- A worker whose room shrinks and grows while it runs ----------------===//
+//
+// A worker's room may change within one life, and what it says of itself shows
+// it. An agent that holds to the room of the first announcement starts a task
+// too many: with 4 tasks of 1 core running, a worker that had shrunk from 4
+// cores to 2 was sent a fifth as soon as one of them ended.
+//
+//===----------------------------------------------------------------------===//
+
+#include "agent/lease_keeper.h"
+#include "entry/lease_board.h"
+
+#include <fmt/format.h>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Life = 7;
+constexpr std::uint32_t Core = 1000;
+const PeerRef Entry{"entry", "10.0.0.1:1"};
+
+class CountingPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &) override {}
+  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
+  void stop(const StopCall &) override { ++this->Stops; }
+  void hold(const HoldCall &) override {}
+  std::vector<StartCall> Starts;
+  int Stops = 0;
+};
+
+class KeptMessages final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message Message) override {
+    if (Message.has_leased_update())
+      this->Updates.push_back(Message.leased_update());
+    else if (Message.has_worker_load())
+      this->Load = Message.worker_load();
+    else if (Message.has_leased_offer())
+      this->Offers.push_back(Message.leased_offer());
+  }
+  std::vector<peer::LeasedUpdate> Updates;
+  std::vector<peer::LeasedOffer> Offers;
+  peer::WorkerLoad Load;
+};
+
+/// An agent and its worker.
+class RoomBench {
+public:
+  RoomBench() : Keeper(options(), this->Sink, this->Port) {
+    this->announce(1, 4);
+    WorkerReply Ready;
+    Ready.Answered = true;
+    this->Keeper.session().onHoldReply("w", Ready, this->Now);
+  }
+
+  void announce(std::uint64_t Sequence, std::uint32_t Cores,
+                std::uint32_t MemoryMb = 1000) {
+    WorkerProfile Profile;
+    Profile.Id = "w";
+    Profile.Pool = "pool";
+    Profile.Sequence = Sequence;
+    Profile.Room.set_cpu_milli(Cores * Core);
+    Profile.Room.set_memory_mb(MemoryMb);
+    this->Keeper.onProfile(Profile, this->Now);
+  }
+  /// Sends tasks of one core each.
+  void dispatch(const std::string &Job, std::uint32_t Tasks,
+                std::uint64_t Offer = 0, std::uint32_t Cores = 1) {
+    peer::Message Message;
+    peer::LeasedDispatch *Order = Message.mutable_leased_dispatch();
+    Order->set_job(Job);
+    Order->set_agent_incarnation(Life);
+    Order->set_stamp(LeaseKeeper::stampAt(this->Now));
+    Order->set_start_by_ms(500);
+    Order->set_give_up_ms(2000);
+    Order->set_offer(Offer);
+    Order->set_start_or_refuse(Offer > 0);
+    Order->mutable_needs()->set_cpu_milli(Cores * Core);
+    for (std::uint32_t I = 0; I < Tasks; ++I) {
+      peer::LeasedTask *Task = Order->add_tasks();
+      Task->set_index(I);
+      Task->set_attempt(1);
+      Task->set_order(++this->LastOrder);
+    }
+    this->Keeper.onMessage(Entry, Message, this->Now);
+  }
+  void askForOffer(const std::string &Job, std::uint32_t Tasks) {
+    peer::Message Message;
+    peer::LeasedInterest *Told = Message.mutable_leased_interest();
+    Told->set_job(Job);
+    Told->set_agent_incarnation(Life);
+    Told->mutable_needs()->set_cpu_milli(Core);
+    Told->set_tasks(Tasks);
+    Told->set_start_by_ms(500);
+    this->Keeper.onMessage(Entry, Message, this->Now);
+  }
+  void endFirst() {
+    WorkerReply Reply;
+    Reply.Answered = true;
+    Reply.Ended.push_back(
+        {++this->Ends, this->Port.Starts[this->Ends - 1].Run, RunEnd::Done});
+    this->Keeper.session().onHoldReply("w", Reply, this->Now);
+  }
+  peer::WorkerLoad load() {
+    peer::Message Message;
+    Message.mutable_lease_renewal()->set_agent_incarnation(Life);
+    Message.mutable_lease_renewal()->set_stamp(LeaseKeeper::stampAt(this->Now));
+    this->Keeper.onMessage(Entry, Message, this->Now);
+    return this->Sink.Load;
+  }
+  std::size_t running() const { return this->Port.Starts.size() - this->Ends; }
+  std::size_t refusedBusy() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->Sink.Updates.begin(), this->Sink.Updates.end(),
+                      [](const peer::LeasedUpdate &Update) {
+                        return Update.event() == peer::LEASED_NOT_STARTED &&
+                               Update.refusal() == peer::REFUSAL_BUSY;
+                      }));
+  }
+
+  CountingPort Port;
+  KeptMessages Sink;
+  Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
+  LeaseKeeper Keeper;
+
+private:
+  static KeeperOptions options() {
+    KeeperOptions Options;
+    Options.Incarnation = Life;
+    return Options;
+  }
+  std::uint64_t LastOrder = 0;
+  std::uint64_t Ends = 0;
+};
+
+} // namespace
+
+TEST_GROUP(WorkerRoomTest){};
+
+TEST(WorkerRoomTest, TheNewestWordOfALifeHolds) {
+  struct Word {
+    std::uint64_t Sequence;
+    std::uint32_t Cores;
+  };
+  struct Row {
+    const char *Name;
+    std::vector<Word> Words;
+    std::uint32_t Cores;
+  };
+  const Row Rows[] = {{"shrinks", {{2, 2}}, 2},
+                      {"shrinks and grows", {{2, 2}, {3, 8}}, 8},
+                      {"a late word after a newer one", {{3, 2}, {2, 8}}, 2},
+                      {"the same word twice", {{2, 2}, {2, 8}}, 2},
+                      {"to nothing", {{2, 0}}, 0},
+                      {"and back", {{2, 0}, {3, 4}}, 4}};
+  for (const Row &Row : Rows) {
+    RoomBench Bench;
+    for (const Word &Said : Row.Words)
+      Bench.announce(Said.Sequence, Said.Cores);
+    LONGS_EQUAL_TEXT(Row.Cores * Core, Bench.load().room().cpu_milli(),
+                     Row.Name);
+    Bench.dispatch("job", 10);
+    LONGS_EQUAL_TEXT(Row.Cores, Bench.running(), Row.Name);
+  }
+}
+
+TEST(WorkerRoomTest, WhatRunsGoesOnAndNothingStartsUntilItFits) {
+  RoomBench Bench;
+  Bench.dispatch("running", 4);
+  Bench.announce(2, 2);
+  LONGS_EQUAL(0, Bench.Port.Stops);
+  Bench.dispatch("next", 1);
+  Bench.endFirst();
+  Bench.endFirst();
+  LONGS_EQUAL(4, Bench.Port.Starts.size());
+  Bench.endFirst();
+  LONGS_EQUAL(5, Bench.Port.Starts.size());
+}
+
+TEST(WorkerRoomTest, WhatWaitedIsGivenBackAsNotStarted) {
+  RoomBench Bench;
+  Bench.dispatch("running", 4);
+  Bench.dispatch("waits", 3);
+  Bench.announce(2, 2);
+  LONGS_EQUAL(3, Bench.refusedBusy());
+  LONGS_EQUAL(4, Bench.Port.Starts.size());
+}
+
+// Else it would keep its turn for good, and others from theirs.
+TEST(WorkerRoomTest, ATaskLargerThanTheRoomIsRefusedAndHoldsUpNobody) {
+  RoomBench Bench;
+  Bench.dispatch("large", 1, 0, /*Cores=*/3);
+  Bench.dispatch("waits", 1, 0, /*Cores=*/3);
+  Bench.endFirst();
+  LONGS_EQUAL(2, Bench.Port.Starts.size());
+  Bench.dispatch("waits on", 1, 0, /*Cores=*/3);
+  Bench.announce(2, 3);
+  LONGS_EQUAL(0, Bench.refusedBusy());
+  Bench.announce(3, 2);
+  LONGS_EQUAL(1, Bench.refusedBusy());
+  Bench.endFirst();
+  Bench.dispatch("too large", 1, 0, /*Cores=*/3);
+  LONGS_EQUAL(2, Bench.refusedBusy());
+  Bench.dispatch("small", 2);
+  LONGS_EQUAL(4, Bench.Port.Starts.size());
+}
+
+TEST(WorkerRoomTest, OfferedRoomThatHasGoneStartsNothing) {
+  RoomBench Bench;
+  Bench.dispatch("running", 2);
+  Bench.askForOffer("offered", 2);
+  LONGS_EQUAL(1, Bench.Sink.Offers.size());
+  Bench.announce(2, 3);
+  Bench.dispatch("offered", 2, Bench.Sink.Offers.front().offer());
+  LONGS_EQUAL(3, Bench.Port.Starts.size());
+  LONGS_EQUAL(1, Bench.refusedBusy());
+}
+
+TEST(WorkerRoomTest, RoomThatGrowsIsUsedAtOnce) {
+  RoomBench Bench;
+  Bench.dispatch("running", 4);
+  Bench.dispatch("waits", 3);
+  Bench.announce(2, 6);
+  LONGS_EQUAL(6, Bench.Port.Starts.size());
+}
+
+// An entry hears of it with the next load, and neither an older load nor
+// control's word, which comes later, takes it back.
+TEST(WorkerRoomTest, AnEntryPlacesByTheRoomThatItsAgentTold) {
+  TimePoint Now(1h);
+  LeaseBoard Board(LeaseBoardOptions(), 1);
+  peer::Member Member;
+  Member.set_name("a");
+  Member.set_incarnation(Life);
+  Member.set_state(peer::MEMBER_ALIVE);
+  Member.set_pool("pool");
+  Member.mutable_room()->set_cpu_milli(4 * Core);
+  Board.update(Member, Now);
+  auto Hear = [&](std::uint64_t Stamp, std::uint32_t Cores) {
+    peer::WorkerLoad Load;
+    Load.set_incarnation(Life);
+    Load.set_stamp(Stamp);
+    Load.mutable_room()->set_cpu_milli(Cores * Core);
+    Board.hear("a", Load, Now);
+    return Board.find("a")->Room.cpu_milli();
+  };
+  LONGS_EQUAL(2 * Core, Hear(20, 2));
+  LONGS_EQUAL(2 * Core, Hear(10, 8));
+  Board.update(Member, Now);
+  LONGS_EQUAL(2 * Core, Board.find("a")->Room.cpu_milli());
+  LONGS_EQUAL(0, Hear(30, 0));
+  LeasedJobRequest Job;
+  Job.Pool = "pool";
+  Job.Needs.set_cpu_milli(Core);
+  CHECK_FALSE(Board.hasChoice(Job, {}, Now));
+  LONGS_EQUAL(6 * Core, Hear(40, 6));
+  CHECK(Board.hasChoice(Job, {}, Now));
+}
