An agent follows its worker's room as it shrinks and grows

Cause: the room was taken from a life's first announcement; later words of the same life were not heard.

Change: each later word counts, by its sequence, so that one held up on its way gives no room back. What runs goes on; while more is taken than there is, offers are withdrawn, what waits is given back as busy, and nothing starts until it fits. A task larger than the whole room is refused at once, as it would keep its turn for good. The room goes with each load, and to control; at an entry the agent's word stands before control's. Announcements that cannot be read are counted.

What holds for two lists of needs stands once now (protocol/task_needs.h).

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -1,5 +1,7 @@
 #include "agent/lease_keeper.h"
 
+#include "protocol/task_needs.h"
+
 #include <algorithm>
 
 namespace yardwheel {
@@ -214,6 +216,10 @@
   if (Held || this->Ended.contains({From.Node, Order.order()}))
     return;
   peer::LeasedRefusal Refusal = this->refusalFor(Id, Fresh);
+  // It would keep its turn for good, and others from theirs.
+  if (Refusal == peer::REFUSAL_NONE &&
+      !holdsNeeds(this->Session.profile().Room, New.Needs))
+    Refusal = peer::REFUSAL_BUSY;
   if (Refusal != peer::REFUSAL_NONE) {
     ++this->Counters.Refused;
     this->say(Id, New, peer::LEASED_NOT_STARTED, Refusal, "", Now);
@@ -316,6 +322,8 @@
              Room.accelerators();
 }
 
+bool LeaseKeeper::isOverfull() const { return !this->fits({}); }
+
 std::vector<LeaseKeeper::TaskId> LeaseKeeper::order(Instant Now) const {
   std::vector<TaskId> Sorted = this->Queue;
   auto Before = [&](const TaskId &Left, const TaskId &Right) {
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -91,6 +91,7 @@
   void onRunRefused(const RunKey &Run, WorkerRefusal Why, Instant Now) override;
   void onRunEnded(const RunKey &Run, RunEnd How, Instant Now) override;
   void onWorkerAttached(Instant Now) override;
+  void onRoomChanged(Instant Now) override;
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
 
@@ -165,6 +166,8 @@
   void leaveIfDraining(Instant Now);
   void giveBackQueue(peer::LeasedRefusal Why, const std::string &Reason,
                      Instant Now);
+  /// Gives back what waits and could not start in an empty worker.
+  void giveBackOversized(Instant Now);
   void dropTask(const TaskId &Id, peer::LeasedRefusal Why,
                 const std::string &Reason, Instant Now);
 
@@ -174,6 +177,8 @@
   std::vector<TaskId> order(Instant Now) const;
   void startTask(const TaskId &Id, Task &Which, Instant Now);
   bool fits(const peer::TaskNeeds &Needs) const;
+  /// Whether what is taken is more than there is, as after the room shrank.
+  bool isOverfull() const;
   void takeRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &Which, RunEnd How);
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -2,6 +2,8 @@
 
 #include "agent/lease_keeper.h"
 
+#include "protocol/task_needs.h"
+
 namespace yardwheel {
 
 namespace {
@@ -99,6 +101,21 @@
   this->startFitting(Now);
 }
 
+void LeaseKeeper::onRoomChanged(Instant Now) {
+  if (!this->isOverfull()) {
+    this->giveBackOversized(Now);
+    this->startFitting(Now);
+    return;
+  }
+  // Offers of room that has gone must not bring the worker over what is left;
+  // a task sent for one is judged by the room of its arrival.
+  for (const peer::TaskNeeds &Room : this->Desk.releaseAll())
+    this->giveRoomBack(Room);
+  // What runs goes on. What waits finds room elsewhere sooner.
+  this->giveBackQueue(peer::REFUSAL_BUSY, "the worker's room has shrunk", Now);
+  this->startFitting(Now);
+}
+
 void LeaseKeeper::onWorkerReady(Instant Now) { this->startFitting(Now); }
 
 void LeaseKeeper::onWorkerSilent(Instant Now) {
@@ -121,6 +138,14 @@
     this->dropTask(Id, Why, Reason, Now);
 }
 
+void LeaseKeeper::giveBackOversized(Instant Now) {
+  const peer::TaskNeeds &Room = this->Session.profile().Room;
+  std::vector<TaskId> Waiting = this->Queue;
+  for (const TaskId &Id : Waiting)
+    if (!holdsNeeds(Room, this->Tasks.at(Id).Needs))
+      this->dropTask(Id, peer::REFUSAL_BUSY, "it is larger than the room", Now);
+}
+
 void LeaseKeeper::shutDown(Instant Now) {
   this->ShuttingDown = true;
   this->leave("the agent shuts down", Now);
@@ -214,6 +239,8 @@
       Others += Known.Needs.cpu_milli();
   Load.set_others_cpu_milli(Others);
   Load.set_leaving(this->Leaving);
+  if (this->Session.hasWorker())
+    *Load.mutable_room() = this->Session.profile().Room;
   Load.set_failures_in_row(this->FailuresInRow);
   return Load;
 }
--- a/agent/offer_desk.cpp
+++ b/agent/offer_desk.cpp
@@ -54,6 +54,14 @@
   return Answered.Room;
 }
 
+std::vector<peer::TaskNeeds> OfferDesk::releaseAll() {
+  std::vector<peer::TaskNeeds> Rooms;
+  for (const auto &[Number, Offer] : this->Offers)
+    Rooms.push_back(Offer.Room);
+  this->Offers.clear();
+  return Rooms;
+}
+
 std::vector<peer::TaskNeeds> OfferDesk::releaseExpired(TimePoint Now) {
   std::vector<peer::TaskNeeds> Rooms;
   std::erase_if(this->Offers, [&](const auto &Item) {
--- a/agent/offer_desk.h
+++ b/agent/offer_desk.h
@@ -53,6 +53,8 @@
                           std::uint32_t Tasks);
   /// \returns the room of offers that have stayed without an answer.
   std::vector<peer::TaskNeeds> releaseExpired(TimePoint Now);
+  /// Withdraws all offers. \returns the room that they held.
+  std::vector<peer::TaskNeeds> releaseAll();
   void clearInterests() { this->Interests.clear(); }
 
 private:
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -1,5 +1,7 @@
 #include "agent/worker_session.h"
 
+#include "protocol/task_needs.h"
+
 #include <algorithm>
 
 namespace yardwheel {
@@ -64,7 +66,7 @@
 void WorkerSession::onProfile(const WorkerProfile &New, Instant Now) {
   bool SameLife = this->Profile && this->Profile->Id == New.Id;
   if (SameLife) {
-    this->Profile->Draining |= New.Draining;
+    this->refresh(New, Now);
     return;
   }
   if (!this->Profile) {
@@ -75,7 +77,31 @@
   this->callHold({}, Now);
 }
 
+void WorkerSession::refresh(const WorkerProfile &New, Instant Now) {
+  this->Profile->Draining |= New.Draining;
+  // One that was held up on its way must not give room back that has gone.
+  if (New.Sequence <= this->Profile->Sequence)
+    return;
+  this->Profile->Sequence = New.Sequence;
+  peer::TaskNeeds Was = this->Profile->Room;
+  if (isSameNeeds(Was, New.Room))
+    return;
+  this->Profile->Room = New.Room;
+  this->Log.decision("worker_room_changed",
+                     {{"worker", New.Id},
+                      {"sequence", New.Sequence},
+                      {"was_cpu_milli", Was.cpu_milli()},
+                      {"cpu_milli", New.Room.cpu_milli()},
+                      {"was_memory_mb", Was.memory_mb()},
+                      {"memory_mb", New.Room.memory_mb()},
+                      {"runs", this->Runs.size()}});
+  this->Events.onRoomChanged(Now);
+}
+
 void WorkerSession::addCandidate(const WorkerProfile &New) {
+  auto Known = std::ranges::find(this->Candidates, New.Id, &WorkerProfile::Id);
+  if (Known != this->Candidates.end() && Known->Sequence > New.Sequence)
+    return;
   std::erase_if(this->Candidates,
                 [&](const WorkerProfile &Known) { return Known.Id == New.Id; });
   if (this->Candidates.size() == MaxCandidates)
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -85,6 +85,8 @@
   /// The agent now speaks to another life of the worker; what ran in the last
   /// one is told as ended next.
   virtual void onWorkerAttached(Instant Now) = 0;
+  /// The worker's room has shrunk or grown.
+  virtual void onRoomChanged(Instant Now) {}
   /// The worker's present life may be given runs.
   virtual void onWorkerReady(Instant Now) = 0;
   /// The worker has left a call for ends without a reply.
@@ -96,7 +98,8 @@
   WorkerSession(SessionOptions Options, WorkerPort &Port,
                 SessionEvents &Events);
 
-  /// Takes what the worker has announced of itself. A new life ends all runs
+  /// Takes what the worker has announced of itself. Of the present life its
+  /// room may change and it may drain, which is final. A new life ends all runs
   /// of the last one, which is asked first whether it is there: an announcement
   /// may have been held up on its way since before the worker restarted. While
   /// the last one may be there and has runs, it stays the present one.
@@ -140,6 +143,8 @@
 
   void attach(const WorkerProfile &New, Instant Now);
   void addCandidate(const WorkerProfile &New);
+  /// Takes a later word of the present life.
+  void refresh(const WorkerProfile &New, Instant Now);
   /// Decides on lives that were announced beside one that may be alive.
   void judgeCandidates(const WorkerReply &Reply, Instant Now);
   void callStart(const RunKey &Key, const Run &Known, Instant Now);
--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -1,5 +1,7 @@
 #include "entry/lease_board.h"
 
+#include "protocol/task_needs.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,12 +17,6 @@
 /// Beyond this a stamp is not carried on: the agent is asked for a new one.
 constexpr std::chrono::milliseconds MaxStampAge{5000};
 
-bool holds(const peer::TaskNeeds &Room, const peer::TaskNeeds &Needs) {
-  return Room.cpu_milli() >= Needs.cpu_milli() &&
-         Room.memory_mb() >= Needs.memory_mb() &&
-         Room.accelerators() >= Needs.accelerators();
-}
-
 /// Of a worker's processor time, what others were last said to hold.
 double shareOf(const LeasedWorker &Worker) {
   return static_cast<double>(Worker.OthersCpu) / Worker.Room.cpu_milli();
@@ -68,7 +64,9 @@
   Target.Agent = {Member.name(), Member.address()};
   Target.Pool = Member.pool();
   Target.Labels = {Member.labels().begin(), Member.labels().end()};
-  Target.Room = Member.room();
+  // What the agent itself says of its worker's room is newer.
+  if (!Target.RoomHeard)
+    Target.Room = Member.room();
   Target.Alive = Member.state() == peer::MEMBER_ALIVE;
   if (Target.Alive) {
     Target.Silent = false;
@@ -100,6 +98,7 @@
   if (NewLife) {
     Target->Incarnation = Load.incarnation();
     Target->Stamp = 0;
+    Target->RoomHeard = false;
     Target->Alive = true;
   }
   Target->Silent = false;
@@ -110,6 +109,10 @@
   Target->Stamp = Load.stamp();
   Target->StampHeard = Now;
   Target->OthersCpu = Load.others_cpu_milli();
+  if (Load.has_room()) {
+    Target->Room = Load.room();
+    Target->RoomHeard = true;
+  }
   if (Target->Room.cpu_milli() > 0)
     this->Forecasts[Target->Pool].onReport(shareOf(*Target), Now);
   if (Load.leaving())
@@ -214,7 +217,7 @@
   // On an older stamp the agent would refuse it; it is being asked for one.
   bool Fresh = Now - Worker.StampHeard < MaxStampAge;
   bool Serves = Worker.isReachable() && Fresh && Worker.Pool == Job.Pool;
-  if (!Serves || !holds(Worker.Room, Job.Needs))
+  if (!Serves || !holdsNeeds(Worker.Room, Job.Needs))
     return false;
   if (!Job.RequiredLabel.empty() && !Worker.Labels.contains(Job.RequiredLabel))
     return false;
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -63,6 +63,8 @@
   std::string Pool;
   std::set<std::string> Labels;
   peer::TaskNeeds Room;
+  /// Its agent has told of its room, which may change while it runs.
+  bool RoomHeard = false;
   /// As control last told.
   peer::MemberState State = peer::MEMBER_UNSPECIFIED;
   bool Alive = false;
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -6,6 +6,7 @@
 #include "main/process.h"
 #include "platform/agent_gate.h"
 #include "platform/worker_client.h"
+#include "protocol/task_needs.h"
 #include "transport/link_node.h"
 
 #include <optional>
@@ -66,7 +67,12 @@
   struct Announced {
     std::uint64_t Incarnation = 0;
     bool Leaving = false;
-    bool operator==(const Announced &) const = default;
+    peer::TaskNeeds Room;
+    bool operator==(const Announced &Other) const {
+      return this->Incarnation == Other.Incarnation &&
+             this->Leaving == Other.Leaving &&
+             isSameNeeds(this->Room, Other.Room);
+    }
   };
 
   NodePlan Plan;
@@ -82,6 +88,7 @@
   platform::WorkerClient Client;
   LeaseKeeper Keeper;
   Announcer Announce;
+  std::shared_ptr<platform::AgentGate> Gate;
   HttpServer Worker;
   HttpServer MetricsServer;
 };
@@ -94,9 +101,8 @@
       Announce(planAnnouncer(Plan),
                planMember(Plan, peer::ROLE_AGENT, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
-      Worker({.Listen = Plan.ControlListen, .Threads = 1},
-             std::shared_ptr<HttpHandler>(
-                 std::make_shared<platform::AgentGate>(*this))),
+      Gate(std::make_shared<platform::AgentGate>(*this)),
+      Worker({.Listen = Plan.ControlListen, .Threads = 1}, this->Gate),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
   this->Node.start({[this](Instant Now) { this->tick(Now); },
@@ -151,7 +157,8 @@
 void LeaseAgentProcess::announceChanges(Instant Now) {
   if (!this->Keeper.session().hasWorker())
     return;
-  Announced Present{this->Keeper.incarnation(), this->Keeper.isLeaving()};
+  Announced Present{this->Keeper.incarnation(), this->Keeper.isLeaving(),
+                    this->Keeper.session().profile().Room};
   if (Present == this->LastAnnounced)
     return;
   this->LastAnnounced = Present;
@@ -244,6 +251,8 @@
   Text += metricLine("yardwheel_tasks_refused_total", Counts.Refused);
   Text +=
       metricLine("yardwheel_entry_leases_lapsed_total", Counts.LeasesLapsed);
+  Text += metricLine("yardwheel_announcements_refused_total",
+                     this->Gate->refused());
   Text += metricLine("yardwheel_tasks_queued", this->Keeper.queued());
   Text += metricLine("yardwheel_worker_ready",
                      this->Keeper.session().isReady() ? 1 : 0);
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -1,5 +1,7 @@
 #include "membership/member_registry.h"
 
+#include "protocol/task_needs.h"
+
 namespace yardwheel {
 
 void MemberRegistry::reset(std::uint64_t NewTerm, TimePoint Now) {
@@ -30,7 +32,8 @@
       SameLife ? std::max(Target.Revision, Beat.revision()) : Beat.revision();
   Target.TableTerm = Beat.table_term();
   Target.TableVersion = Beat.table_version();
-  bool Changed = !SameLife || (Target.Member.state() != Told.state());
+  bool Changed = !SameLife || Target.Member.state() != Told.state() ||
+                 !isSameNeeds(Target.Member.room(), Told.room());
   if (Returns || !Changed)
     return false;
   Target.Member = Told;
