--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -48,6 +48,7 @@
                 [this](const PeerRef &From, const peer::Message &Message) {
                   this->Keeper.onMessage(From, Message, this->World.now());
                 });
+    this->RestartAfter = Options.RestartAfter;
     this->Profile.Id = this->Name + "-worker";
     this->Profile.Pool = PoolName;
     this->Profile.Room.set_cpu_milli(RoomMilli);
@@ -69,29 +70,36 @@
     return Member;
   }
 
-  void attach(const WorkerProfile &) override {}
+  void attach(const WorkerProfile &New) override { this->Attached = New.Id; }
 
   void start(const StartCall &Call) override {
-    this->World.after(WorkerDelay, [this, Call] {
-      this->begin(Call.Run);
-      this->World.after(lengthIn(Call.Spec, Call.Run.Index),
-                        [this, Call] { this->end(Call.Run, RunEnd::Done); });
-      this->World.after(WorkerDelay, [this, Call] {
-        this->Keeper.session().onStartReply(this->Profile.Id, Call.Run,
-                                            this->reply(), this->World.now());
+    this->World.after(WorkerDelay, [this, Call, Life = this->Attached] {
+      if (this->isThere(Life))
+        this->begin(Call);
+      this->World.after(WorkerDelay, [this, Call, Life] {
+        this->Keeper.session().onStartReply(Life, Call.Run, this->reply(Life),
+                                            this->World.now());
       });
     });
   }
 
   void stop(const StopCall &Call) override {
-    this->World.after(WorkerDelay, [this, Call] {
-      this->end(Call.Run, RunEnd::Stopped);
-      this->Keeper.session().onStopReply(this->Profile.Id, Call.Run,
-                                         this->reply(), this->World.now());
+    this->World.after(WorkerDelay, [this, Call, Life = this->Attached] {
+      if (this->isThere(Life))
+        this->end(Call.Run, RunEnd::Stopped);
+      this->Keeper.session().onStopReply(Life, Call.Run, this->reply(Life),
+                                         this->World.now());
     });
   }
 
   void hold(const HoldCall &Call) override {
+    if (!this->isThere(this->Attached)) {
+      this->World.after(WorkerDelay, [this, Life = this->Attached] {
+        this->Keeper.session().onHoldReply(Life, this->reply(Life),
+                                           this->World.now());
+      });
+      return;
+    }
     std::uint64_t Number = ++this->LastHold;
     std::erase_if(this->Ended, [&](const EndedRun &Known) {
       return Known.Number <= Call.AcknowledgedEnd;
@@ -114,17 +122,59 @@
     return Options;
   }
 
-  WorkerReply reply() const {
+  bool isThere(const std::string &Life) const {
+    return this->Up && Life == this->Profile.Id;
+  }
+
+  /// What a call to a life of the worker is answered, if it is.
+  WorkerReply reply(const std::string &Life) const {
     WorkerReply Reply;
-    Reply.Answered = true;
+    Reply.Answered = this->Up;
+    if (Life != this->Profile.Id)
+      Reply.Refusal = WorkerRefusal::OtherLife;
     return Reply;
   }
 
   /// A worker starts no run twice, and none that it has ended.
-  void begin(const RunKey &Run) {
-    bool New = !this->Over.contains(Run) && this->Begun.insert(Run).second;
-    if (New && !this->Owner.Running.insert({Run.Job, Run.Index}).second)
+  void begin(const StartCall &Call) {
+    const RunKey &Run = Call.Run;
+    if (this->Over.contains(Run) || !this->Begun.insert(Run).second)
+      return;
+    TaskName Task{Run.Job, Run.Index};
+    if (!this->Owner.Running.insert(Task).second)
       ++this->Owner.Doubled;
+    std::chrono::milliseconds Length = lengthIn(Call.Spec, Run.Index);
+    if (Length == CrashesWorker) {
+      this->crash(Task);
+      return;
+    }
+    this->World.after(Length, [this, Run, Life = this->Profile.Id] {
+      if (this->isThere(Life))
+        this->end(Run, RunEnd::Done);
+    });
+  }
+
+  void crash(const TaskName &Cause) {
+    CrashCount &Count = this->Owner.CrashCounts[Cause];
+    if (Count.Crashes >= 3)
+      ++Count.StartsAfterThree;
+    ++Count.Crashes;
+    this->Up = false;
+    for (const RunKey &Run : this->Begun)
+      if (!this->Over.contains(Run))
+        this->Owner.Running.erase({Run.Job, Run.Index});
+    this->Begun.clear();
+    this->Over.clear();
+    this->Ended.clear();
+    this->answerHolds();
+    this->World.after(this->RestartAfter, [this] { this->restart(); });
+  }
+
+  void restart() {
+    this->Up = true;
+    this->Profile.Id = fmt::format("{}-worker-{}", this->Name, ++this->Lives);
+    this->LastEnd = 0;
+    this->Keeper.onProfile(this->Profile, this->World.now());
   }
 
   void end(const RunKey &Run, RunEnd How) {
@@ -144,11 +194,11 @@
   }
 
   void answerHold() {
-    WorkerReply Reply = this->reply();
+    std::string Life = this->Profile.Id;
+    WorkerReply Reply = this->reply(Life);
     Reply.Ended = {this->Ended.begin(), this->Ended.end()};
-    this->World.after(WorkerDelay, [this, Reply] {
-      this->Keeper.session().onHoldReply(this->Profile.Id, Reply,
-                                         this->World.now());
+    this->World.after(WorkerDelay, [this, Reply, Life] {
+      this->Keeper.session().onHoldReply(Life, Reply, this->World.now());
     });
   }
 
@@ -156,6 +206,12 @@
   VirtualWorld &World;
   std::string Name;
   WorkerProfile Profile;
+  std::chrono::milliseconds RestartAfter{};
+  /// The worker's process is there.
+  bool Up = true;
+  std::uint64_t Lives = 1;
+  /// The life of the worker that the agent speaks to.
+  std::string Attached;
   LeaseKeeper Keeper;
   std::set<RunKey> Begun;
   std::set<RunKey> Over;
@@ -292,6 +348,17 @@
   return Effort;
 }
 
+CrashToll LeasedWorld::crashToll() const {
+  CrashToll Toll;
+  for (const auto &[Task, Count] : this->CrashCounts) {
+    Toll.Crashes += Count.Crashes;
+    Toll.MostUnderOneTask = std::max(Toll.MostUnderOneTask, Count.Crashes);
+    Toll.MostStartsAfterThree =
+        std::max(Toll.MostStartsAfterThree, Count.StartsAfterThree);
+  }
+  return Toll;
+}
+
 void LeasedWorld::onEnded(const std::string &Route, bool InTime,
                           LeasedEnd End) {
   RouteOutcome &Known = this->Outcomes[Route];
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -3,8 +3,8 @@
 /// \file
 /// Entries, agents and workers of the leased path in virtual time: the real
 /// coordinators and keepers with their decisions, and workers that guard their
-/// room and run each task for as long as its spec says. The load is the
-/// caller's; the same seed gives the same run.
+/// room and run each task for as long as its spec says, or crash when they
+/// start it. The load is the caller's; the same seed gives the same run.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_EMULATOR_LEASED_WORLD_H
@@ -22,6 +22,9 @@
 
 namespace yardwheel {
 
+/// In place of a task's length: the worker that starts it crashes.
+constexpr std::chrono::milliseconds CrashesWorker{-1};
+
 struct LeasedWorldOptions {
   std::uint64_t Seed = 1;
   std::size_t Entries = 3;
@@ -37,6 +40,17 @@
   Duration EntryMessageCost{0};
   /// Before the load begins: each entry asks each agent once.
   std::chrono::milliseconds WarmUp{200};
+  /// A worker that has crashed is back after this long, as another life.
+  std::chrono::milliseconds RestartAfter{2500};
+};
+
+/// What tasks that crash their workers have done.
+struct CrashToll {
+  std::uint32_t Crashes = 0;
+  /// Workers that have crashed under one task, at most.
+  std::uint32_t MostUnderOneTask = 0;
+  /// Starts of a task after three workers had crashed under it, at most.
+  std::uint32_t MostStartsAfterThree = 0;
 };
 
 /// What serving the load has cost the entries.
@@ -77,11 +91,17 @@
   EntryEffort effort() const;
   /// Starts of a task while another run of it was under way, at any worker.
   std::uint32_t doubledRuns() const { return this->Doubled; }
+  CrashToll crashToll() const;
 
 private:
   class EntryNode;
   class AgentNode;
   void onEnded(const std::string &Route, bool InTime, LeasedEnd End);
+  using TaskName = std::pair<std::string, std::uint32_t>;
+  struct CrashCount {
+    std::uint32_t Crashes = 0;
+    std::uint32_t StartsAfterThree = 0;
+  };
 
   VirtualWorld World;
   /// When the load could begin.
@@ -90,7 +110,8 @@
   std::vector<std::unique_ptr<AgentNode>> Agents;
   std::map<std::string, RouteOutcome> Outcomes;
   /// Tasks that run, by job and index.
-  std::set<std::pair<std::string, std::uint32_t>> Running;
+  std::set<TaskName> Running;
+  std::map<TaskName, CrashCount> CrashCounts;
   std::uint32_t Doubled = 0;
 };
 
