--- a/tests/control/entry_table_test.cpp
+++ b/tests/control/entry_table_test.cpp
@@ -258,8 +258,7 @@
 
 // Nothing can change while all of control is gone, so that callers are served
 // on; the entry only has to know it.
-TEST(EntryTableTest,
-     WithoutAnyControlAnEntryServesOnAndReturnsToControlInTime) {
+TEST(EntryTableTest, WithoutControlAnEntryServesOnAndReturnsInTime) {
   // Its table may get too old while the last replicas have time to answer.
   constexpr Duration MayRefuse = 300ms;
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
--- /dev/null
+++ b/tests/entry/coordinator_placement_test.cpp
@@ -0,0 +1,267 @@
+//===- Where tasks are placed, wait, are moved and shed -----------------===//
+
+#include "tests/entry/coordinator_bench.h"
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+TEST_GROUP_BASE(CoordinatorPlacementTest, CoordinatorBench){};
+
+// What is known of others' tasks is a message old, so entries meet at workers
+// that each takes for empty.
+TEST(CoordinatorPlacementTest,
+     WhatABusyAgentRefusesIsSentToAnotherAtOnceAndTogether) {
+  addAgent("a", 4000);
+  addAgent("b", 4000);
+  Coordinator.submit(request(4), 1, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(Sink.Dispatches[0].second.start_or_refuse());
+  std::string Busy = Sink.Dispatches[0].first;
+  // Its load comes with the refusals.
+  for (const peer::LeasedTask &Task : Sink.Dispatches[0].second.tasks()) {
+    peer::Message Message;
+    peer::LeasedUpdate *Update = Message.mutable_leased_update();
+    Update->set_job("j");
+    Update->set_index(Task.index());
+    Update->set_order(Task.order());
+    Update->set_event(peer::LEASED_NOT_STARTED);
+    Update->set_refusal(peer::REFUSAL_BUSY);
+    Update->mutable_load()->set_incarnation(AgentLife);
+    Update->mutable_load()->set_stamp(++Stamp);
+    Update->mutable_load()->set_others_cpu_milli(4000);
+    Coordinator.onMessage({Busy, "10.0.0.1:1"}, Message, Now);
+  }
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  Coordinator.placeDue(Now);
+  LONGS_EQUAL(3, Sink.Dispatches.size());
+  CHECK(Sink.Dispatches[2].first != Busy);
+  LONGS_EQUAL(2, Sink.Dispatches[2].second.tasks_size());
+}
+
+// Else tasks would travel for as long as all workers are full.
+TEST(CoordinatorPlacementTest, AfterSomeRefusalsTasksWaitWhereTheyAreSent) {
+  addAgent("a", 1000);
+  CoordinatorOptions Options;
+  Coordinator.submit(patientRequest(1), 1, Now);
+  for (std::uint32_t I = 0; I < Options.MaxBounces; ++I) {
+    CHECK(Sink.Dispatches.back().second.start_or_refuse());
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED,
+           peer::REFUSAL_BUSY);
+  }
+  LONGS_EQUAL(Options.MaxBounces + 1, Sink.Dispatches.size());
+  CHECK_FALSE(Sink.Dispatches.back().second.start_or_refuse());
+}
+
+TEST(CoordinatorPlacementTest, WhatCanOnlyWaitIsNotRefusedForThat) {
+  addAgent("a", 1000);
+  Coordinator.submit(patientRequest(1, "j"), 1, Now);
+  CHECK(Sink.Dispatches.back().second.start_or_refuse());
+  Coordinator.submit(patientRequest(1, "k"), 2, Now);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK_FALSE(Sink.Dispatches.back().second.start_or_refuse());
+}
+
+// In the queue of one worker it would wait for a slot of that one.
+TEST(CoordinatorPlacementTest, UrgentTasksWithoutRoomTakeWhatFallsFreeFirst) {
+  for (const char *Agent : {"a", "b", "c"})
+    addAgent(Agent, 1000);
+  Coordinator.submit(patientRequest(3, "full"), 1, Now);
+  LONGS_EQUAL(3, Sink.Dispatches.size());
+  Coordinator.submit(request(2, "urgent"), 2, Now);
+  LONGS_EQUAL(3, Sink.Dispatches.size());
+  LONGS_EQUAL(3, Sink.Interests.size());
+  for (const auto &[Agent, Interest] : Sink.Interests) {
+    STRCMP_EQUAL("urgent", Interest.job().c_str());
+    LONGS_EQUAL(2, Interest.tasks());
+    LONGS_EQUAL(120, Interest.start_by_ms());
+  }
+  offer("c", "urgent", 1);
+  offer("a", "urgent", 2);
+  LONGS_EQUAL(5, Sink.Dispatches.size());
+  for (std::size_t I : {3, 4}) {
+    LONGS_EQUAL(1, Sink.Dispatches[I].second.tasks_size());
+    CHECK(Sink.Dispatches[I].second.start_or_refuse());
+    CHECK(Sink.Dispatches[I].second.offer() > 0);
+  }
+  // All are placed: whoever offers more gets its room back at once.
+  offer("b", "urgent", 1);
+  LONGS_EQUAL(5, Sink.Dispatches.size());
+  LONGS_EQUAL(1, Sink.Declined["b"]);
+  answer(3, peer::LEASED_DONE);
+  answer(4, peer::LEASED_DONE);
+  CHECK(onlyAnswer().End == LeasedEnd::Completed);
+}
+
+// An interest or an offer may have been lost.
+TEST(CoordinatorPlacementTest, WithoutOffersUrgentTasksGoIntoQueuesInTime) {
+  addAgent("a", 1000);
+  Coordinator.submit(patientRequest(1, "full"), 1, Now);
+  Coordinator.submit(request(1, "urgent"), 2, Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  pass(60ms);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  pass(40ms);
+  LONGS_EQUAL(2, Sink.Dispatches.size());
+  CHECK(Sink.Dispatches[1].second.start_by_ms() > 0);
+  CHECK_FALSE(Sink.Dispatches[1].second.start_or_refuse());
+  // What comes late finds nothing to take.
+  offer("a", "urgent", 1);
+  LONGS_EQUAL(1, Sink.Declined["a"]);
+}
+
+// Offers cost messages, and another worker is easily found.
+TEST(CoordinatorPlacementTest, InALargePoolTasksWaitAtWorkers) {
+  WaitingOptions Limits;
+  std::size_t Workers = Limits.MaxWorkers + 1;
+  for (std::size_t I = 0; I < Workers; ++I)
+    addAgent("a" + std::to_string(I), 1000);
+  auto All = static_cast<std::uint32_t>(Workers);
+  Coordinator.submit(patientRequest(All, "full"), 1, Now);
+  Coordinator.submit(request(1, "urgent"), 2, Now);
+  LONGS_EQUAL(0, Sink.Interests.size());
+  LONGS_EQUAL(Workers + 1, Sink.Dispatches.size());
+}
+
+// They are refused as others are: what waits here takes room as well.
+TEST(CoordinatorPlacementTest, TasksThatWaitForOffersCountAsLoad) {
+  addAgent("a", 1000);
+  Coordinator.submit(patientRequest(1, "full"), 1, Now);
+  Coordinator.submit(request(3, "u1"), 2, Now);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  Coordinator.submit(request(3, "u2"), 3, Now);
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+}
+
+TEST(CoordinatorPlacementTest, AJobThatEndsWhileItWaitsForOffersHasNotRun) {
+  addAgent("a", 1000);
+  Coordinator.submit(patientRequest(1, "full"), 1, Now);
+  Coordinator.submit(request(1, "urgent"), 2, Now);
+  Coordinator.cancel("urgent", "test", Now);
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+  offer("a", "urgent", 1);
+  LONGS_EQUAL(1, Sink.Declined["a"]);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+}
+
+// A worker on which tasks stand still answers every call well.
+TEST(CoordinatorPlacementTest, ATaskFarBehindItsSiblingsIsStoppedAndMoved) {
+  addAgent("a", 2000);
+  addAgent("b", 2000);
+  addAgent("c", 2000);
+  Coordinator.submit(request(6), 1, Now);
+  LONGS_EQUAL(3, Sink.Dispatches.size());
+  pass(100ms);
+  answer(0, peer::LEASED_DONE);
+  answer(1, peer::LEASED_DONE);
+  pass(100ms);
+  LONGS_EQUAL(0, Sink.Stalls.size());
+  pass(400ms);
+  // Of both tasks there, told again only after a while.
+  CHECK(Sink.Stalls.size() >= 2);
+  CHECK(Sink.Stalls[0].second.longer_than_ms() > 100);
+  STRCMP_EQUAL(Sink.Dispatches[2].first.c_str(), Sink.Stalls[0].first.c_str());
+  answer(2, peer::LEASED_ENDED_EARLY);
+  LONGS_EQUAL(5, Sink.Dispatches.size());
+  for (std::size_t I = 3; I < 5; ++I)
+    CHECK(Sink.Dispatches[I].first != Sink.Dispatches[2].first);
+}
+
+// Such a worker holds nothing and so looks emptier than all others.
+TEST(CoordinatorPlacementTest, AWorkerThatLeavesStartsUnansweredIsAvoided) {
+  addAgent("a");
+  addAgent("b");
+  for (int I = 0; I < 4; ++I) {
+    Coordinator.submit(request(1, ("j" + std::to_string(I)).c_str()), 1, Now);
+    std::string First = Sink.Dispatches.back().first;
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_ENDED_EARLY,
+           peer::REFUSAL_WORKER);
+    CHECK(Sink.Dispatches.back().first != First);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+  }
+  LONGS_EQUAL(4, Answers.Answers.size());
+}
+
+TEST(CoordinatorPlacementTest, AWorkerIsEjectedForStartsItLeavesUnanswered) {
+  addAgent("a", 100000);
+  addAgent("b", 2000);
+  Coordinator.submit(request(8), 1, Now);
+  std::size_t ToA = Sink.Dispatches[0].first == "a" ? 0 : 1;
+  answer(ToA, peer::LEASED_ENDED_EARLY, peer::REFUSAL_WORKER);
+  LONGS_EQUAL(1, Coordinator.counters().Ejections);
+}
+
+TEST(CoordinatorPlacementTest, AWorkerThatFailsInARowGetsNothingForAWhile) {
+  addAgent("a");
+  addAgent("b");
+  for (int I = 0; I < 3; ++I) {
+    std::string Id = "j" + std::to_string(I);
+    LeasedJobRequest Request = request(1, Id.c_str());
+    Request.MaxAttempts = 1;
+    Coordinator.submit(Request, 1, Now);
+    while (Sink.Dispatches.back().first != "a") {
+      answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED,
+             peer::REFUSAL_OTHER_OWNER);
+    }
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_FAILED);
+  }
+  LONGS_EQUAL(1, Coordinator.counters().Ejections);
+  Coordinator.submit(request(4, "k"), 1, Now);
+  STRCMP_EQUAL("b", Sink.Dispatches.back().first.c_str());
+  LONGS_EQUAL(4, Sink.Dispatches.back().second.tasks_size());
+}
+
+// Each entry would else have to lose tasks there to find out.
+TEST(CoordinatorPlacementTest, FailuresThatOthersMetEjectAWorkerHereToo) {
+  auto Tell = [&](std::uint32_t Failures) {
+    peer::Message Message;
+    peer::WorkerLoad *Load = Message.mutable_worker_load();
+    Load->set_incarnation(AgentLife);
+    Load->set_stamp(++Stamp);
+    Load->set_failures_in_row(Failures);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+  };
+  struct Row {
+    std::uint32_t Failures;
+    std::size_t Workers;
+  };
+  const Row Rows[] = {{2, 2}, {3, 1}, {4, 1}, {0, 2}};
+  addAgent("a");
+  addAgent("b");
+  int Number = 0;
+  for (const Row &Row : Rows) {
+    Tell(Row.Failures);
+    Sink.Dispatches.clear();
+    std::string Id = "j" + std::to_string(++Number);
+    Coordinator.submit(request(4, Id.c_str()), 1, Now);
+    LONGS_EQUAL(Row.Workers, Sink.Dispatches.size());
+    for (std::size_t I = 0; I < Sink.Dispatches.size(); ++I)
+      for (const peer::LeasedTask &Task : Sink.Dispatches[I].second.tasks()) {
+        peer::Message Message;
+        peer::LeasedUpdate *Update = Message.mutable_leased_update();
+        Update->set_job(Id);
+        Update->set_index(Task.index());
+        Update->set_order(Task.order());
+        Update->set_event(peer::LEASED_DONE);
+        Coordinator.onMessage({"x", ""}, Message, Now);
+        Coordinator.onMessage({Sink.Dispatches[I].first, ""}, Message, Now);
+      }
+  }
+}
+
+TEST(CoordinatorPlacementTest, UnderOverloadTheRouteWithMostWorkIsShedFirst) {
+  addAgent("a", 10000);
+  LeasedJobRequest Heavy = request(13, "h1");
+  Heavy.Route = "heavy";
+  Coordinator.submit(Heavy, 1, Now);
+  LeasedJobRequest Light = request(1, "l1");
+  Light.Route = "light";
+  Coordinator.submit(Light, 2, Now);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  Heavy.Id = "h2";
+  Coordinator.submit(Heavy, 3, Now);
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+  STRCMP_EQUAL("admit", onlyAnswer().Step.c_str());
+  Light.Id = "l2";
+  Coordinator.submit(Light, 4, Now);
+  LONGS_EQUAL(1, Answers.Answers.size());
+}
