--- /dev/null
+++ b/entry/lease_coordinator_placement.cpp
@@ -0,0 +1,143 @@
+//===- The part of LeaseCoordinator that places and sends tasks -----------===//
+
+#include "entry/lease_coordinator.h"
+
+namespace yardwheel {
+
+void LeaseCoordinator::place(Job &Target, Instant Now) {
+  // Tasks that must avoid the same agents are placed together.
+  std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
+  std::vector<std::uint32_t> Suspects;
+  bool Allowed = true;
+  for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
+    const Task &Which = Target.Tasks[I];
+    if (Which.Phase != TaskPhase::Unplaced)
+      continue;
+    CrashVerdict Verdict = this->Crashes.verdict(Target.Request.Id, I);
+    // It waits here until it is known whether those workers have crashed.
+    if (Verdict == CrashVerdict::Held)
+      continue;
+    if (Verdict == CrashVerdict::Suspect)
+      Suspects.push_back(I);
+    else
+      Groups[Which.Avoid].push_back(I);
+    Allowed = Allowed && Which.Attempt < this->Options.MaxPlacements;
+  }
+  Target.AwaitingOffers = 0;
+  std::map<std::string, peer::LeasedDispatch> Batch;
+  for (std::uint32_t Index : Suspects)
+    Allowed = Allowed && this->placeSuspect(Target, Index, Now, Batch);
+  for (const auto &[Avoid, Indexes] : Groups)
+    Allowed = Allowed && this->placeGroup(Target, Avoid, Indexes, Now, Batch);
+  if (Allowed) {
+    this->dispatch(Target, Batch, Now);
+    return;
+  }
+  // What has been put in the batch was never sent.
+  for (const auto &[Agent, Unsent] : Batch)
+    for (const peer::LeasedTask &Order : Unsent.tasks())
+      this->settle(Target, Target.Tasks[Order.index()], TaskPhase::Over);
+  this->giveUp(Target,
+               {LeasedEnd::NotRun, "place", "",
+                "no worker may take the task now", this->Options.RetryAfter},
+               Now);
+}
+
+bool LeaseCoordinator::placeGroup(
+    Job &Target, const std::set<std::string> &Avoid,
+    const std::vector<std::uint32_t> &Indexes, Instant Now,
+    std::map<std::string, peer::LeasedDispatch> &Batch) {
+  std::map<std::string, std::uint32_t> Placed;
+  if (Target.Request.MaxPerWorker > 0)
+    for (const Task &Other : Target.Tasks)
+      if (Other.Phase == TaskPhase::Sent)
+        ++Placed[Other.Agent];
+  bool Awaits = !Target.OffersOver && Target.Request.MaxPerWorker == 0 &&
+                this->Waits.waitsForOffers(slackOf(Target, Now),
+                                           this->Board.workers().size());
+  // What is known here of the workers' room has been wrong for this job.
+  bool Misled = Awaits && Target.Bounces >= this->Options.MaxBounces;
+  auto Wanted = Misled ? 0U : static_cast<std::uint32_t>(Indexes.size());
+  std::size_t Next = 0;
+  for (const WorkerShare &Share : this->Board.divide(
+           Target.Request, Wanted, Avoid, Placed, Awaits, Now.Steady)) {
+    bool MayAskElsewhere =
+        Share.StartsNow && Target.Bounces < this->Options.MaxBounces;
+    Batch[Share.Worker->Agent.Node].set_start_or_refuse(MayAskElsewhere);
+    for (std::uint32_t I = 0; I < Share.Tasks; ++I)
+      this->assign(Target, Indexes[Next++], *Share.Worker, Now, Batch);
+  }
+  if (Next == Indexes.size())
+    return true;
+  if (!Awaits || !this->Board.hasChoice(Target.Request, Avoid, Now.Steady))
+    return false;
+  this->awaitOffers(Target, Avoid,
+                    static_cast<std::uint32_t>(Indexes.size() - Next), Now);
+  return true;
+}
+
+bool LeaseCoordinator::placeSuspect(
+    Job &Target, std::uint32_t Index, Instant Now,
+    std::map<std::string, peer::LeasedDispatch> &Batch) {
+  LeasedWorker *Emptiest = this->Board.emptiest(
+      Target.Request, Target.Tasks[Index].Avoid, Now.Steady);
+  if (Emptiest == nullptr)
+    return false;
+  peer::LeasedDispatch &Order = Batch[Emptiest->Agent.Node];
+  Order.set_start_or_refuse(Target.Bounces < this->Options.MaxBounces);
+  this->assign(Target, Index, *Emptiest, Now, Batch);
+  Order.mutable_tasks()->rbegin()->set_suspect(true);
+  return true;
+}
+
+void LeaseCoordinator::assign(
+    Job &Target, std::uint32_t Index, const LeasedWorker &Chosen, Instant Now,
+    std::map<std::string, peer::LeasedDispatch> &Batch) {
+  Task &Which = Target.Tasks[Index];
+  Which.Phase = TaskPhase::Sent;
+  Which.Agent = Chosen.Agent.Node;
+  Which.Incarnation = Chosen.Incarnation;
+  Which.Stalled = false;
+  Which.AskStalledAt = Now.Steady + this->stallLimit(Target);
+  ++Which.Attempt;
+  Which.Order = ++this->LastOrder;
+  Which.Repeated = false;
+  Which.PlacedAt = Now.Steady;
+  Which.MissingSince = TimePoint::max();
+  ++Target.OutCount;
+  this->Board.onSent(Which.Agent, Target.Request.Needs);
+  peer::LeasedTask *Order = Batch[Which.Agent].add_tasks();
+  Order->set_index(Index);
+  Order->set_attempt(Which.Attempt);
+  Order->set_order(Which.Order);
+}
+
+void LeaseCoordinator::dispatch(
+    Job &Target, std::map<std::string, peer::LeasedDispatch> &Batch,
+    Instant Now) {
+  const LeasedJobRequest &Request = Target.Request;
+  std::chrono::milliseconds Used(millisBetween(Target.Taken, Now.Steady));
+  auto StartBy = slackOf(Target, Now);
+  auto GiveUp = Request.Deadline - Used;
+  for (auto &[Agent, Order] : Batch) {
+    LeasedWorker *Worker = this->Board.find(Agent);
+    Order.set_job(Request.Id);
+    Order.set_agent_incarnation(Worker->Incarnation);
+    Order.set_stamp(Worker->stampAt(Now.Steady));
+    Order.set_spec(Request.Spec);
+    *Order.mutable_needs() = Request.Needs;
+    Order.set_start_by_ms(static_cast<std::int32_t>(StartBy.count()));
+    Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
+    Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
+    this->Counters.TasksSent += Order.tasks_size();
+    peer::Message Message;
+    *Message.mutable_leased_dispatch() = std::move(Order);
+    this->Sink.send(Worker->Agent, std::move(Message));
+    // It carries a stamp, and so renews the lease like a renewal.
+    Contact &Line = this->Contacts[Agent];
+    Line.NextRenewal = Now.Steady + this->Options.RenewEvery;
+    Line.SentAt = std::min(Line.SentAt, Now.Steady);
+  }
+}
+
+} // namespace yardwheel
