--- a/core/clock.h
+++ b/core/clock.h
@@ -26,8 +26,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
   // The name that the standard library asks for.
-  static constexpr bool is_steady =
-      true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   /// \throws Error if the host has no such clock; there is none to take its
   /// place.
--- a/tests/entry/crashing_task_test.cpp
+++ b/tests/entry/crashing_task_test.cpp
@@ -35,10 +35,9 @@
   /// \p Crashes.
   void submit(const std::string &Route, std::uint32_t Tasks,
               std::chrono::milliseconds Length, bool Crashes,
-              std::chrono::milliseconds Deadline,
-              std::optional<std::string> Id = std::nullopt) {
+              std::chrono::milliseconds Deadline, const std::string &Id = "") {
     LeasedJobRequest Job;
-    Job.Id = Id.value_or(fmt::format("job-{}", ++this->LastJob));
+    Job.Id = Id.empty() ? fmt::format("job-{}", ++this->LastJob) : Id;
     Job.Route = Route;
     Job.Needs.set_cpu_milli(Core);
     Job.Estimate = Length;
--- a/tests/transport/link_pool_test.cpp
+++ b/tests/transport/link_pool_test.cpp
@@ -256,6 +256,7 @@
   constexpr int Rounds = 4;
   TestNode Busy("e", peer::ROLE_ENTRY, freeAddress());
   std::vector<std::unique_ptr<TestNode>> Senders;
+  Senders.reserve(Peers);
   for (int I = 0; I < Peers; ++I)
     Senders.push_back(std::make_unique<TestNode>("a", peer::ROLE_AGENT,
                                                  freeAddress(), I + 1));
