Lost workers hold up nothing: a crash is laid to what was started last

Change: no suspects, no runs alone. The agent names what was started before the worker was last heard, and which of it was started last, within 10 ms; a task is given up after two crashes under which it was started last both times, or after three. What a planned end lapses counts for nothing.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -50,6 +50,7 @@
   if (this->HadWorker)
     ++this->Options.Incarnation;
   this->HadWorker = true;
+  this->LastLifeLeft = this->Leaving;
   this->FailuresInRow = 0;
   this->Leaving = this->ShuttingDown;
   this->leaveIfDraining(Now);
@@ -150,10 +151,9 @@
   for (const peer::LeasedTask &Order : Dispatch.tasks()) {
     TaskId Id{Dispatch.job(), Order.index()};
     auto Known = this->Tasks.find(Id);
-    bool Starts = Known != this->Tasks.end() &&
-                  Known->second.State == Phase::Queued &&
-                  Known->second.Order == Order.order() &&
-                  this->fits(Known->second.Needs) && !this->runsSuspect();
+    bool Starts =
+        Known != this->Tasks.end() && Known->second.State == Phase::Queued &&
+        Known->second.Order == Order.order() && this->fits(Known->second.Needs);
     if (!Starts)
       continue;
     this->dequeue(Id);
@@ -204,7 +204,6 @@
   New.Owner = From;
   New.Attempt = Order.attempt();
   New.Order = Order.order();
-  New.Suspect = Order.suspect();
   New.Spec = Dispatch.spec();
   New.Needs = Dispatch.needs();
   New.Arrived = Now.Steady;
@@ -326,13 +325,6 @@
 
 bool LeaseKeeper::isOverfull() const { return !this->fits({}); }
 
-bool LeaseKeeper::runsSuspect() const {
-  return std::any_of(
-      this->Tasks.begin(), this->Tasks.end(), [](const auto &Item) {
-        return Item.second.Suspect && Item.second.State != Phase::Queued;
-      });
-}
-
 std::vector<LeaseKeeper::TaskId> LeaseKeeper::order(Instant Now) const {
   std::vector<TaskId> Sorted = this->Queue;
   auto Before = [&](const TaskId &Left, const TaskId &Right) {
@@ -351,8 +343,8 @@
 void LeaseKeeper::startFitting(Instant Now) {
   this->Desk.dropStale(Now.Steady);
   bool Idle = this->Queue.empty() && this->Desk.interests().empty();
-  bool Blocked = Idle || !this->Session.isReady() ||
-                 Now.Steady < this->NoRoomUntil || this->runsSuspect();
+  bool Blocked =
+      Idle || !this->Session.isReady() || Now.Steady < this->NoRoomUntil;
   if (Blocked)
     return;
   std::vector<TaskId> Rest;
@@ -369,7 +361,7 @@
     bool Late = Which.StartBy < Now.Steady;
     OfferUntil(Late ? TimePoint::max() : Which.StartBy);
     // The first that does not fit keeps its turn.
-    Full = Full || !this->fits(Which.Needs) || this->runsSuspect();
+    Full = Full || !this->fits(Which.Needs);
     if (Full)
       Rest.push_back(Id);
     else
@@ -383,7 +375,7 @@
   Which.State = Phase::Running;
   Which.Started = Now.Steady;
   Which.Run = this->nextRun(Id, Which.Attempt, Now);
-  this->LastRuns[Id].Suspect = Which.Suspect;
+  this->LastRuns[Id].Started = Now.Steady;
   this->takeRoom(Which.Needs);
   ++this->Counters.Started;
   this->Session.start({Id.Job, Id.Index, Which.Run}, Which.Spec, Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -124,8 +124,6 @@
     TimePoint Started;
     /// Its entry had it stopped because it stood still.
     bool Stalled = false;
-    /// A worker was lost under it before.
-    bool Suspect = false;
   };
   struct Lease {
     TimePoint Until = TimePoint::min();
@@ -141,8 +139,8 @@
   };
   struct LastRun {
     std::uint64_t Run = 0;
-    bool Suspect = false;
     TimePoint Used;
+    TimePoint Started;
   };
 
   /// Ends what an entry had here if the message comes from another life of it.
@@ -187,10 +185,6 @@
   bool fits(const peer::TaskNeeds &Needs) const;
   /// Whether what is taken is more than there is, as after the room shrank.
   bool isOverfull() const;
-  /// Whether a suspect runs. Nothing starts beside it, so that a crash in this
-  /// time is its own: of 1,500 ordinary jobs beside 25 that crash workers one
-  /// was given up with them where others started beside a suspect, none so.
-  bool runsSuspect() const;
   void takeRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &Which, RunEnd How);
@@ -243,6 +237,8 @@
   TimePoint NextOrderSweep = TimePoint::min();
   bool Leaving = false;
   bool ShuttingDown = false;
+  /// The worker's last life had said that it would leave.
+  bool LastLifeLeft = false;
   /// Whether the worker has been attached in an earlier life.
   bool HadWorker = false;
   /// Runs that the worker has failed since it last got one done.
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -13,6 +13,9 @@
 /// Added to a run's number when the worker has seen a higher one, which an
 /// earlier agent of its gave.
 constexpr std::uint64_t RunStep = 16;
+/// A worker that a task crashes has taken others up to so long after it: calls
+/// to it are under way while it crashes, and take about a millisecond.
+constexpr std::chrono::milliseconds CrashAfterStart{10};
 /// Crashes that are told at once. A worker is back after some seconds, so more
 /// do not fall into the time for which they are told.
 constexpr std::size_t MaxCrashesTold = 8;
@@ -100,7 +103,8 @@
        {"ran_ms", millisBetween(Which->Started, Now.Steady)}});
   peer::LeasedRefusal Blame =
       How == RunEnd::Unanswered ? peer::REFUSAL_WORKER : peer::REFUSAL_NONE;
-  bool WorkerLost = How == RunEnd::Lapsed && !this->Session.isHeard();
+  bool WorkerLost = How == RunEnd::Lapsed && !this->Session.isHeard() &&
+                    !this->Leaving && !this->LastLifeLeft;
   this->say(Id, *Which, Event, Blame, runEndName(How), Now, WorkerLost);
   this->Tasks.erase(Id);
   this->NoRoomUntil = TimePoint::min();
@@ -112,31 +116,31 @@
   // It had said that it would leave.
   if (this->Leaving)
     return;
-  auto IsSuspect = [this](const RunKey &Run) {
+  auto StartOf = [this](const RunKey &Run) {
     auto Last = this->LastRuns.find({Run.Job, Run.Index});
-    return Last != this->LastRuns.end() && Last->second.Suspect;
+    return Last == this->LastRuns.end() ? TimePoint::min()
+                                        : Last->second.Started;
   };
-  // A suspect that ran there explains the crash; others are not held to it.
-  bool Explained = std::ranges::any_of(Runs, IsSuspect);
+  TimePoint LastStart = TimePoint::min();
+  for (const RunKey &Run : Runs)
+    LastStart = std::max(LastStart, StartOf(Run));
   Crash New;
   New.At = Now.Steady;
   New.Told.set_incarnation(this->Options.Incarnation);
   for (const RunKey &Run : Runs) {
-    if (Explained && !IsSuspect(Run))
-      continue;
     peer::CrashedTask *Task = New.Told.add_tasks();
     Task->set_job(Run.Job);
     Task->set_index(Run.Index);
+    Task->set_started_last(LastStart - StartOf(Run) <= CrashAfterStart);
+    this->Log.decision("worker_crashed",
+                       {{"worker", this->Session.profile().Id},
+                        {"incarnation", this->Options.Incarnation},
+                        {"job", Run.Job},
+                        {"task", Run.Index},
+                        {"started_last", Task->started_last()},
+                        {"runs", Runs.size()}});
   }
   ++this->Counters.WorkerCrashes;
-  this->Log.decision("worker_crashed",
-                     {{"worker", this->Session.profile().Id},
-                      {"incarnation", this->Options.Incarnation},
-                      {"runs", Runs.size()},
-                      {"may_be_the_cause", New.Told.tasks_size()},
-                      {"first_job", New.Told.tasks(0).job()},
-                      {"first_task", New.Told.tasks(0).index()},
-                      {"suspect_ran", Explained}});
   if (this->Crashes.size() == MaxCrashesTold)
     this->Crashes.pop_front();
   this->Crashes.push_back(std::move(New));
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -64,6 +64,15 @@
   this->ClockRead = *Reply.Clock;
   this->ClockReadAt = Now.Steady;
   this->LastAnswer = Now.Steady;
+  // The word of another life says nothing of this one.
+  if (Reply.Refusal != WorkerRefusal::OtherLife)
+    this->UnheardSince.reset();
+}
+
+void WorkerSession::noteUnanswered(Instant Now) {
+  this->LastLoss = Now.Steady;
+  if (!this->UnheardSince)
+    this->UnheardSince = Now.Steady;
 }
 
 WorkerTime WorkerSession::extendLease(Instant Now) {
@@ -143,7 +152,7 @@
 void WorkerSession::onStartLost(const RunKey &Key, Run &Known,
                                 const WorkerReply &Reply, Instant Now) {
   ++Known.StartsLost;
-  this->LastLoss = Now.Steady;
+  this->noteUnanswered(Now);
   this->Log.decision("start_unanswered", {{"job", Key.Job},
                                           {"task", Key.Index},
                                           {"run", Key.Run},
@@ -324,7 +333,7 @@
   }
   this->InDoubt = true;
   if (!Reply.Answered)
-    this->LastLoss = Now.Steady;
+    this->noteUnanswered(Now);
   bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilentAfter;
   if (!this->Answering || !Silent)
     return;
@@ -370,7 +379,7 @@
                 Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
   if (Lapsed) {
     for (const auto &[Key, Known] : this->Runs)
-      this->LapsedUnheard.push_back(Key);
+      this->LapsedUnheard[Key] = Known.CalledAt;
     this->lapseAll(Now);
   }
   this->tickRuns(Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -171,6 +171,7 @@
   void lapseAll(Instant Now);
   /// Tells of what ran when the present life ended, if that was a crash.
   void tellCrash(Instant Now);
+  void noteUnanswered(Instant Now);
   void takeEnds(const WorkerReply &Reply, Instant Now);
   /// Replaces ends that stay unreadable by what else is known of their runs.
   void settleBadEnds(const WorkerReply &Reply, Instant Now);
@@ -216,9 +217,12 @@
   int HoldsOut = 0;
   TimePoint NextHold = TimePoint::min();
   std::map<RunKey, Run> Runs;
-  /// Runs that have lapsed since the worker was last heard. If it is heard no
-  /// more, they were there when it ended.
-  std::vector<RunKey> LapsedUnheard;
+  /// When the first call since the worker was last heard stayed without a
+  /// reply.
+  std::optional<TimePoint> UnheardSince;
+  /// Runs that have lapsed since the worker was last heard, and when they were
+  /// started. If it is heard no more, they were there when it ended.
+  std::map<RunKey, TimePoint> LapsedUnheard;
   /// Runs of an earlier agent that have to end first.
   std::map<RunKey, Run> Strangers;
 };
--- a/agent/worker_session_lives.cpp
+++ b/agent/worker_session_lives.cpp
@@ -83,10 +83,16 @@
 }
 
 void WorkerSession::tellCrash(Instant Now) {
-  std::vector<RunKey> Last = std::move(this->LapsedUnheard);
-  this->LapsedUnheard.clear();
+  std::map<RunKey, TimePoint> Started;
+  std::swap(Started, this->LapsedUnheard);
   for (const auto &[Key, Known] : this->Runs)
-    Last.push_back(Key);
+    Started[Key] = Known.CalledAt;
+  std::vector<RunKey> Last;
+  // What was sent later found nobody.
+  for (const auto &[Key, At] : Started)
+    if (!this->UnheardSince || At <= *this->UnheardSince)
+      Last.push_back(Key);
+  this->UnheardSince.reset();
   bool Planned = !this->Profile || this->Profile->Draining;
   if (!Planned && !Last.empty())
     this->Events.onWorkerCrashed(Last, Now);
--- a/entry/crash_record.cpp
+++ b/entry/crash_record.cpp
@@ -45,8 +45,9 @@
     Named.insert(Name);
     Suspicion &Known = this->touch(Name, Now);
     Known.Lost.insert(Life);
-    if (Known.Crashed.insert(Life).second)
-      Settled.insert(Name.Job);
+    Known.Crashed.insert(Life);
+    Known.StartedLast += Task.started_last() ? 1 : 0;
+    Settled.insert(Name.Job);
   }
   // The cause is among those named; whatever else ran there is cleared.
   for (auto &[Name, Known] : this->Tasks)
@@ -56,11 +57,12 @@
 }
 
 CrashVerdict CrashRecord::judge(const Suspicion &Known) const {
-  if (Known.Crashed.size() >= this->Options.MostCrashes)
+  if (Known.StartedLast >= this->Options.MostCrashes ||
+      Known.Crashed.size() >= this->Options.MostCrashesBeside)
     return CrashVerdict::GivenUp;
-  if (Known.Lost.size() >= this->Options.MostCrashes)
-    return CrashVerdict::Held;
-  return Known.Lost.empty() ? CrashVerdict::Clear : CrashVerdict::Suspect;
+  bool AllKnown = Known.Lost.size() == Known.Crashed.size();
+  bool Held = Known.Lost.size() >= this->Options.MostCrashes && !AllKnown;
+  return Held ? CrashVerdict::Held : CrashVerdict::Clear;
 }
 
 CrashVerdict CrashRecord::verdict(const std::string &Job,
--- a/entry/crash_record.h
+++ b/entry/crash_record.h
@@ -26,21 +26,22 @@
 namespace yardwheel {
 
 enum class CrashVerdict {
-  /// No worker was lost under it.
+  /// It may be placed.
   Clear,
-  /// One was: it runs where no other such task does.
-  Suspect,
-  /// As many were lost as may crash under a task; whether they have is not
-  /// known yet, so it is not placed.
+  /// As many workers were lost under it as may crash under a task. Whether all
+  /// have is not known yet, so it is not placed.
   Held,
   /// That many have crashed. It is given up.
   GivenUp,
 };
 
 struct CrashRecordOptions {
-  /// Workers that may crash under a task. After one the cause may be a task
-  /// that ran beside it; a second one, where no other suspect ran, is proof.
+  /// Workers that may crash under a task that was started last on each of them:
+  /// what ran there before had not crashed it until then.
   std::size_t MostCrashes = 2;
+  /// Workers that may crash under any task. Who only ran beside the cause,
+  /// twice, is placed once more.
+  std::size_t MostCrashesBeside = 3;
   /// How long a task is remembered: longer than any job's deadline (17 s).
   std::chrono::milliseconds Memory{30000};
   /// Tasks remembered at most, the longest unused go first. At 10 crashes a
@@ -90,6 +91,8 @@
     /// Lives that were lost under it, and of these, those that have crashed.
     std::set<WorkerLife> Lost;
     std::set<WorkerLife> Crashed;
+    /// Of these, the number on which it was started last.
+    std::size_t StartedLast = 0;
     TimePoint Used;
   };
 
--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -328,27 +328,6 @@
   return Shares;
 }
 
-LeasedWorker *LeaseBoard::emptiest(const LeasedJobRequest &Job,
-                                   const std::set<std::string> &Avoid,
-                                   TimePoint Now) {
-  const LoadForecast *Known = this->forecastOf(Job.Pool);
-  LeasedWorker *Best = nullptr;
-  double Least = 0;
-  for (auto &[Name, Worker] : this->Workers) {
-    bool Tried = Worker.Ejected || Worker.OnTrial;
-    if (Tried || Avoid.contains(Name) || !this->mayTake(Worker, Job, Now))
-      continue;
-    PlacementTarget Target = this->targetFor(Worker, Job, Known, Now);
-    double Taken = static_cast<double>(Target.TakenMilli) /
-                   std::max<std::uint32_t>(Target.RoomMilli, 1);
-    if (Best != nullptr && Taken >= Least)
-      continue;
-    Best = &Worker;
-    Least = Taken;
-  }
-  return Best;
-}
-
 std::vector<const LeasedWorker *>
 LeaseBoard::draw(const LeasedJobRequest &Job,
                  const std::set<std::string> &Avoid, std::size_t Count,
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -154,11 +154,6 @@
          const std::map<std::string, std::uint32_t> &Placed, bool OnlyStarting,
          TimePoint Now);
 
-  /// The worker that may take a task of the job and of whose room the least is
-  /// expected to be taken; null if none may.
-  LeasedWorker *emptiest(const LeasedJobRequest &Job,
-                         const std::set<std::string> &Avoid, TimePoint Now);
-
   /// Some workers that may take tasks of the job, drawn at random.
   std::vector<const LeasedWorker *> draw(const LeasedJobRequest &Job,
                                          const std::set<std::string> &Avoid,
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -272,9 +272,6 @@
   bool placeGroup(Job &Target, const std::set<std::string> &Avoid,
                   const std::vector<std::uint32_t> &Indexes, Instant Now,
                   std::map<std::string, peer::LeasedDispatch> &Batch);
-  /// Places a task under which a worker was lost, where least runs beside it.
-  bool placeSuspect(Job &Target, std::uint32_t Index, Instant Now,
-                    std::map<std::string, peer::LeasedDispatch> &Batch);
   /// Ends jobs whose tasks are given up by what an agent tells of crashes.
   void onCrashes(const std::string &Agent, const peer::WorkerLoad &Load,
                  Instant Now);
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -7,26 +7,19 @@
 void LeaseCoordinator::place(Job &Target, Instant Now) {
   // Tasks that must avoid the same agents are placed together.
   std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
-  std::vector<std::uint32_t> Suspects;
   bool Allowed = true;
   for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
     const Task &Which = Target.Tasks[I];
     if (Which.Phase != TaskPhase::Unplaced)
       continue;
-    CrashVerdict Verdict = this->Crashes.verdict(Target.Request.Id, I);
     // It waits here until it is known whether those workers have crashed.
-    if (Verdict == CrashVerdict::Held)
+    if (this->Crashes.verdict(Target.Request.Id, I) == CrashVerdict::Held)
       continue;
-    if (Verdict == CrashVerdict::Suspect)
-      Suspects.push_back(I);
-    else
-      Groups[Which.Avoid].push_back(I);
+    Groups[Which.Avoid].push_back(I);
     Allowed = Allowed && Which.Attempt < this->Options.MaxPlacements;
   }
   Target.AwaitingOffers = 0;
   std::map<std::string, peer::LeasedDispatch> Batch;
-  for (std::uint32_t Index : Suspects)
-    Allowed = Allowed && this->placeSuspect(Target, Index, Now, Batch);
   for (const auto &[Avoid, Indexes] : Groups)
     Allowed = Allowed && this->placeGroup(Target, Avoid, Indexes, Now, Batch);
   if (Allowed) {
@@ -76,20 +69,6 @@
   return true;
 }
 
-bool LeaseCoordinator::placeSuspect(
-    Job &Target, std::uint32_t Index, Instant Now,
-    std::map<std::string, peer::LeasedDispatch> &Batch) {
-  LeasedWorker *Emptiest = this->Board.emptiest(
-      Target.Request, Target.Tasks[Index].Avoid, Now.Steady);
-  if (Emptiest == nullptr)
-    return false;
-  peer::LeasedDispatch &Order = Batch[Emptiest->Agent.Node];
-  Order.set_start_or_refuse(Target.Bounces < this->Options.MaxBounces);
-  this->assign(Target, Index, *Emptiest, Now, Batch);
-  Order.mutable_tasks()->rbegin()->set_suspect(true);
-  return true;
-}
-
 void LeaseCoordinator::assign(
     Job &Target, std::uint32_t Index, const LeasedWorker &Chosen, Instant Now,
     std::map<std::string, peer::LeasedDispatch> &Batch) {
