Crashes go with each load for a second, later only with answers to renewals

Found by reading: each end of a run carries a load, and for 20 s after a crash that held up to eight crashes of some ten tasks each.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -78,7 +78,7 @@
     this->tellLingering(From);
     peer::Message Reply;
     peer::WorkerLoad *Load = Reply.mutable_worker_load();
-    *Load = this->loadFor(From.Node, Now);
+    *Load = this->loadFor(From.Node, Now, /*WithAllCrashes=*/true);
     Load->set_lists_held(true);
     for (const auto &[Id, Known] : this->Tasks)
       if (Known.Owner.Node == From.Node)
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -46,7 +46,10 @@
   /// between data centres.
   std::chrono::milliseconds OfferHold{20};
   SessionOptions Session;
-  /// How long a crash of the worker is told with its load: several times what
+  /// How long a crash of the worker is told with each load, so that whoever has
+  /// tasks there hears of it at once.
+  std::chrono::milliseconds CrashIsNews{1000};
+  /// How long it is told in answers to renewals: several times what
   /// an entry takes to ask again, and longer than jobs live (17 s).
   std::chrono::milliseconds CrashTold{20000};
   /// Off only in tests that show what the rule is for.
@@ -198,7 +201,11 @@
   /// Tells an entry the ends that waited.
   void tellLingering(const PeerRef &Entry);
   void tickLingering(Instant Now);
-  peer::WorkerLoad loadFor(const std::string &Entry, Instant Now) const;
+  /// \param WithAllCrashes Those that are no news any more, too: in answers to
+  /// renewals, which each entry asks for within two seconds. Every end of a run
+  /// carries a load, and the tasks of crashes are many.
+  peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
+                           bool WithAllCrashes = false) const;
   Task *taskOf(const RunKey &Run);
   void tickLeases(Instant Now);
   void tickQueue(Instant Now);
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -274,8 +274,8 @@
                         {"age_ms", millisBetween(Lost.SentAt, Now.Steady)}});
 }
 
-peer::WorkerLoad LeaseKeeper::loadFor(const std::string &Entry,
-                                      Instant Now) const {
+peer::WorkerLoad LeaseKeeper::loadFor(const std::string &Entry, Instant Now,
+                                      bool WithAllCrashes) const {
   peer::WorkerLoad Load;
   Load.set_incarnation(this->Options.Incarnation);
   Load.set_stamp(stampAt(Now));
@@ -286,7 +286,8 @@
   Load.set_others_cpu_milli(Others);
   Load.set_leaving(this->Leaving);
   for (const Crash &Known : this->Crashes)
-    *Load.add_crashes() = Known.Told;
+    if (WithAllCrashes || Now.Steady - Known.At < this->Options.CrashIsNews)
+      *Load.add_crashes() = Known.Told;
   if (this->Session.hasWorker())
     *Load.mutable_room() = this->Session.profile().Room;
   Load.set_failures_in_row(this->FailuresInRow);
