--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -11,6 +11,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "http/http_server.h"
+#include "tests/support/http_caller.h"
 
 #include <arpa/inet.h>
 #include <condition_variable>
@@ -35,125 +36,7 @@
 
 namespace {
 
-constexpr milliseconds Patience{5000};
-
-/// A descriptor that the test owns.
-class Descriptor {
-public:
-  explicit Descriptor(int Number) : Number(Number) {}
-  ~Descriptor() { this->close(); }
-  Descriptor(Descriptor &&Other) noexcept
-      : Number(std::exchange(Other.Number, -1)) {}
-  Descriptor(const Descriptor &) = delete;
-  Descriptor &operator=(const Descriptor &) = delete;
-
-  int number() const { return this->Number; }
-  void close() {
-    if (this->Number >= 0)
-      ::close(std::exchange(this->Number, -1));
-  }
-
-private:
-  int Number;
-};
-
-std::uint16_t freePort() {
-  Descriptor Probe(::socket(AF_INET, SOCK_STREAM, 0));
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof Address;
-  auto *Plain = reinterpret_cast<sockaddr *>(&Address);
-  CHECK_EQUAL(0, ::bind(Probe.number(), Plain, Size));
-  CHECK_EQUAL(0, ::getsockname(Probe.number(), Plain, &Size));
-  return ntohs(Address.sin_port);
-}
-
-/// A caller's connection, whose descriptor exists before it connects.
-class Caller {
-public:
-  explicit Caller(std::uint16_t Port)
-      : Line(::socket(AF_INET, SOCK_STREAM, 0)), Port(Port) {}
-
-  void connect() {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_port = htons(this->Port);
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int Result =
-        ::connect(this->Line.number(), reinterpret_cast<sockaddr *>(&Address),
-                  sizeof Address);
-    CHECK_EQUAL(0, Result);
-  }
-
-  void send(const std::string &Text) {
-    ::send(this->Line.number(), Text.data(), Text.size(), MSG_NOSIGNAL);
-  }
-
-  void ask(const std::string &Path) {
-    this->send("GET " + Path +
-               " HTTP/1.1\r\nHost: test\r\nConnection: keep-alive\r\n\r\n");
-  }
-
-  void leave() { this->Line.close(); }
-
-  void reset() {
-    linger Hard{1, 0};
-    ::setsockopt(this->Line.number(), SOL_SOCKET, SO_LINGER, &Hard,
-                 sizeof Hard);
-    this->Line.close();
-  }
-
-  /// What comes until \p Length bytes, the end, or nothing for \p Wait.
-  std::string read(std::size_t Length, milliseconds Wait = Patience) {
-    std::string Text;
-    pollfd Watched{this->Line.number(), POLLIN, 0};
-    constexpr std::size_t Chunk = 65536;
-    std::string Buffer(Chunk, '\0');
-    while (Text.size() < Length &&
-           ::poll(&Watched, 1, static_cast<int>(Wait.count())) > 0) {
-      ssize_t Count = ::recv(this->Line.number(), Buffer.data(), Chunk, 0);
-      if (Count <= 0)
-        break;
-      Text.append(Buffer, 0, static_cast<std::size_t>(Count));
-    }
-    return Text;
-  }
-
-  /// Whether the server ends the connection in time.
-  bool seesEnd() {
-    pollfd Watched{this->Line.number(), POLLIN, 0};
-    char Next = 0;
-    return ::poll(&Watched, 1, static_cast<int>(Patience.count())) > 0 &&
-           ::recv(this->Line.number(), &Next, sizeof Next, 0) <= 0;
-  }
-
-  /// A whole answer: its head and as many bytes as that names.
-  std::string readAnswer() {
-    std::string Text;
-    std::size_t End = std::string::npos;
-    while ((End = Text.find("\r\n\r\n")) == std::string::npos) {
-      std::string More = this->read(1);
-      if (More.empty())
-        return Text;
-      Text += More;
-    }
-    constexpr std::size_t MarkSize = 4;
-    const std::string Length = "Content-Length: ";
-    std::size_t Name = Text.find(Length);
-    if (Name == std::string::npos)
-      return Text;
-    std::size_t Body = std::stoul(Text.substr(Name + Length.size()));
-    std::size_t Whole = End + MarkSize + Body;
-    if (Text.size() < Whole)
-      Text += this->read(Whole - Text.size());
-    return Text;
-  }
-
-private:
-  Descriptor Line;
-  std::uint16_t Port;
-};
+constexpr milliseconds Patience = CallerPatience;
 
 /// Keeps replies for the test to send, and holds the server's thread on
 /// requests below /hold until it is let go.
@@ -251,7 +134,7 @@
 } // namespace
 
 TEST_GROUP(HttpServerTest) {
-  std::uint16_t Port = freePort();
+  std::uint16_t Port = freeHttpPort();
   std::shared_ptr<KeepingHandler> Handler = std::make_shared<KeepingHandler>();
   std::optional<HttpServer> Server;
 
@@ -285,7 +168,7 @@
   };
   for (const Case &Row : Cases) {
     this->Handler = std::make_shared<KeepingHandler>();
-    this->Port = freePort();
+    this->Port = freeHttpPort();
     this->serve();
     Caller Leaving = this->connected();
     Caller Holding = this->connected();
