The server finds the ends of requests itself, and reads nothing behind a refusal

What callers saw: after 413, 400, 500 or 501 the rest of the refused request was answered as the next one (http_refusal); of requests in one segment all but the first were dropped (http_framing).

Cause: the HTTP library frames, answers and times out by itself. On a refusal it resets its parser and reads on; after a request it empties its buffer, whatever that still holds.

Ruled out: reacting to the library's refusal, as tried before; its write queue races with whatever comes after it, and letting that queue out from within its reading ended the process. The library's parser fed by us: it does not tell how much it has taken. A limit of the library's own: it counts the head.

Change: our handler takes the library's place in reading (onInput). RequestReader finds requests with Boost.Beast's parser, which says how many bytes it took; whatever it refuses gets one answer, in its place among the others, by our own descriptor; then the connection is closed for writing and read on for at most 5 s and 16 MB, so that no reset takes the answer away. Timeouts are ConnectionWatch's, also in a second request; the library never answers any more. Answers are counted and logged (request_unread) like all others.

A check that was wrong: HTTP/1.1 without a Connection field was answered by "Connection: Close", and the connection stayed open. Such a connection persists (RFC 9112, 9.3), and the answer now says so; a row for a request that asks to close is added, and its connection ends.

--- a/emulator/fake_upstream_main.cpp
+++ b/emulator/fake_upstream_main.cpp
@@ -40,11 +40,8 @@
     Options.FailPercent = static_cast<std::uint32_t>(FLAGS_fail_percent);
     Options.StartLog = FLAGS_start_log;
     Options.Seed = FLAGS_seed;
-    // Longer than any task: the library would answer a longer one by 408.
-    constexpr std::chrono::minutes Patience{60};
-    HttpServer Server(
-        {.Listen = FLAGS_listen, .Threads = 1, .HeaderTimeout = Patience},
-        std::make_shared<FakeUpstream>(Options));
+    HttpServer Server({.Listen = FLAGS_listen, .Threads = 1},
+                      std::make_shared<FakeUpstream>(Options));
     Log.info("{} listens at {}.", FLAGS_name, FLAGS_listen);
     int Signal = 0;
     sigwait(&Signals, &Signal);
--- a/http/answer_counters.h
+++ b/http/answer_counters.h
@@ -3,8 +3,7 @@
 /// \file
 /// Counts the answers of a server by status where they are written. What
 /// callers count and what is counted here differ by answers that were lost or
-/// reached somebody else, which no log of a decision can show, and by those
-/// that the HTTP library makes by itself (400, 408, 413).
+/// reached somebody else, which no log of a decision can show.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_HTTP_ANSWER_COUNTERS_H
--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -8,14 +8,61 @@
 
 namespace yardwheel {
 
-HttpConnection::HttpConnection(int Descriptor)
-    : Own(::fcntl(Descriptor, F_DUPFD_CLOEXEC, 0)) {}
+namespace {
 
-std::uint64_t HttpConnection::expectAnswer() {
+/// A caller that sends on after its last answer is read, or else it would lose
+/// that answer to a reset; but not without end.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{16} << 20;
+
+TimePoint now() {
+  return std::chrono::time_point_cast<Duration>(BootClock::now());
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(int Descriptor,
+                               const ConnectionTimeouts &Timeouts)
+    : Own(::fcntl(Descriptor, F_DUPFD_CLOEXEC, 0)), Timeouts(Timeouts),
+      WaitsSince(now()) {}
+
+std::optional<std::uint64_t> HttpConnection::expectAnswer() {
   std::lock_guard Lock(this->Mutex);
+  return this->expectLocked();
+}
+
+std::optional<std::uint64_t> HttpConnection::expectLastAnswer() {
+  std::lock_guard Lock(this->Mutex);
+  std::optional<std::uint64_t> Place = this->expectLocked();
+  if (Place)
+    this->LastPlace = Place;
+  return Place;
+}
+
+std::optional<std::uint64_t> HttpConnection::expectLocked() {
+  if (this->LastPlace)
+    return std::nullopt;
+  this->InRequest = false;
   return this->NextPlace++;
 }
 
+bool HttpConnection::makeLast(std::uint64_t Place) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->NextPlace != Place + 1)
+    return false;
+  this->LastPlace = Place;
+  return true;
+}
+
+bool HttpConnection::takesRequests() const {
+  std::lock_guard Lock(this->Mutex);
+  return !this->LastPlace;
+}
+
+std::uint64_t HttpConnection::pendingAnswers() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->NextPlace - this->NextToLeave;
+}
+
 WriteState HttpConnection::answer(std::uint64_t Place, std::string Text) {
   std::lock_guard Lock(this->Mutex);
   if (this->Own < 0)
@@ -27,6 +74,8 @@
     this->Early.erase(Ready);
     Ready = this->Early.find(++this->NextToLeave);
   }
+  if (!this->InRequest)
+    this->WaitsSince = now();
   return this->writeOut();
 }
 
@@ -49,7 +98,20 @@
       return WriteState::Blocked;
     this->endLocked();
   }
-  return this->Own < 0 ? WriteState::Gone : WriteState::Done;
+  if (this->Own < 0)
+    return WriteState::Gone;
+  if (this->LastPlace && this->NextToLeave > *this->LastPlace)
+    this->finishLocked();
+  return WriteState::Done;
+}
+
+void HttpConnection::finishLocked() {
+  if (this->FinishedAt)
+    return;
+  // The way in stays open: a connection that is closed on unread input is
+  // reset, which would take the answer away from a caller that sends on.
+  ::shutdown(this->Own, SHUT_WR);
+  this->FinishedAt = now();
 }
 
 void HttpConnection::close() {
@@ -76,6 +138,50 @@
   this->Early.clear();
 }
 
+void HttpConnection::noteInput(std::size_t Bytes, bool InRequest) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->LastPlace) {
+    this->Discarded += Bytes;
+    if (this->Discarded > MaxDiscardedBytes)
+      this->endLocked();
+    return;
+  }
+  if (InRequest && !this->InRequest)
+    this->WaitsSince = now();
+  this->InRequest = InRequest;
+}
+
+TimeoutCheck HttpConnection::checkTimeouts() {
+  std::lock_guard Lock(this->Mutex);
+  TimePoint Now = now();
+  if (this->Own < 0)
+    return {};
+  if (this->FinishedAt)
+    return this->endFrom(*this->FinishedAt + this->Timeouts.Linger, Now);
+  if (this->InRequest && !this->LastPlace) {
+    TimePoint Limit = this->WaitsSince + this->Timeouts.Request;
+    if (Now < Limit)
+      return {.Next = Limit};
+    this->LastPlace = this->expectLocked();
+    return {.LateRequest = this->LastPlace, .Next = Now};
+  }
+  bool CallerWaits =
+      this->NextToLeave != this->NextPlace || !this->Unwritten.empty();
+  if (CallerWaits)
+    return {.Next = Now + this->Timeouts.Request};
+  bool IsNew = this->NextPlace == 0;
+  return this->endFrom(
+      this->WaitsSince + (IsNew ? this->Timeouts.Request : this->Timeouts.Idle),
+      Now);
+}
+
+TimeoutCheck HttpConnection::endFrom(TimePoint Limit, TimePoint Now) {
+  if (Now < Limit)
+    return {.Next = Limit};
+  this->endLocked();
+  return {};
+}
+
 bool HttpConnection::hasCaller() const {
   std::lock_guard Lock(this->Mutex);
   if (this->Own < 0)
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -11,9 +11,13 @@
 #ifndef YARDWHEEL_HTTP_HTTP_CONNECTION_H
 #define YARDWHEEL_HTTP_HTTP_CONNECTION_H
 
+#include "core/clock.h"
+
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace yardwheel {
@@ -27,20 +31,51 @@
   Gone,
 };
 
+struct ConnectionTimeouts {
+  /// From a request's first byte to its last, and from a new connection to its
+  /// first request.
+  Duration Request{};
+  /// From an answer to the next request.
+  Duration Idle{};
+  /// After the last answer, until the caller has closed the connection.
+  Duration Linger{};
+};
+
+/// What a look at a connection's timeouts has found.
+struct TimeoutCheck {
+  /// The place of the answer to a request that took too long to come: the
+  /// connection's last.
+  std::optional<std::uint64_t> LateRequest;
+  /// When to look again; none once the connection has ended.
+  std::optional<TimePoint> Next;
+};
+
 /// For any thread.
 class HttpConnection {
 public:
   /// \param Descriptor Of the connection, which must be open during the call.
-  explicit HttpConnection(int Descriptor);
+  HttpConnection(int Descriptor, const ConnectionTimeouts &Timeouts);
   ~HttpConnection() { this->close(); }
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
   /// Takes a place among the answers on this connection, which leave in the
   /// order of their requests: a caller can tell them apart by nothing else.
-  std::uint64_t expectAnswer();
+  /// \returns none if an answer before it is the last, and the request must not
+  /// be handled.
+  std::optional<std::uint64_t> expectAnswer();
+  /// The same for the connection's last answer.
+  std::optional<std::uint64_t> expectLastAnswer();
+  /// Makes the answer with that place the connection's last, unless requests
+  /// behind it have been taken.
+  bool makeLast(std::uint64_t Place);
+  /// Whether further requests are read.
+  bool takesRequests() const;
+  /// Answers that have not left.
+  std::uint64_t pendingAnswers() const;
+
   /// Writes the answer with that place, and those behind it that have waited
-  /// for it.
+  /// for it. After the last one the caller sees that no more will come.
   WriteState answer(std::uint64_t Place, std::string Text);
   /// Writes on what did not fit before.
   WriteState flush();
@@ -50,6 +85,11 @@
   /// cannot come.
   void end();
 
+  /// Notes what has been read: whether it ends within a request, and its size.
+  void noteInput(std::size_t Bytes, bool InRequest);
+  /// Ends the connection if its caller has taken too long.
+  TimeoutCheck checkTimeouts();
+
   /// Whether the caller has not closed its connection, as far as is known
   /// here; costs a system call.
   bool hasCaller() const;
@@ -58,17 +98,30 @@
   int descriptor() const;
 
 private:
+  std::optional<std::uint64_t> expectLocked();
   WriteState writeOut();
+  void finishLocked();
+  TimeoutCheck endFrom(TimePoint Limit, TimePoint Now);
   void endLocked();
   void closeLocked();
 
   mutable std::mutex Mutex;
   int Own = -1;
+  const ConnectionTimeouts Timeouts;
   std::uint64_t NextPlace = 0;
   std::uint64_t NextToLeave = 0;
+  std::optional<std::uint64_t> LastPlace;
   /// Answers whose predecessors are not ready.
   std::map<std::uint64_t, std::string> Early;
   std::string Unwritten;
+  /// Since when the connection waits: for a first or next request, or for the
+  /// rest of one.
+  TimePoint WaitsSince;
+  bool InRequest = false;
+  /// Since when all has been written and the caller has to close.
+  std::optional<TimePoint> FinishedAt;
+  /// Read after the last request.
+  std::size_t Discarded = 0;
 };
 
 } // namespace yardwheel
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -1,16 +1,16 @@
 #include "http/http_server.h"
 
 #include "core/error.h"
-#include "http/answer_flusher.h"
+#include "core/logger.h"
+#include "http/answer_writer.h"
+#include "http/connection_watch.h"
 #include "http/http_connection.h"
+#include "http/request_reader.h"
 
 #include <atomic>
-#include <fmt/format.h>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/peer.h>
-#include <pistache/transport.h>
-#include <sstream>
 #include <sys/socket.h>
 #include <system_error>
 
@@ -18,169 +18,95 @@
 
 namespace {
 
-HttpMethod methodOf(Pistache::Http::Method Method) {
-  switch (Method) {
-  case Pistache::Http::Method::Get:
-    return HttpMethod::Get;
-  case Pistache::Http::Method::Post:
-    return HttpMethod::Post;
-  case Pistache::Http::Method::Put:
-    return HttpMethod::Put;
-  case Pistache::Http::Method::Patch:
-    return HttpMethod::Patch;
-  case Pistache::Http::Method::Delete:
-    return HttpMethod::Delete;
-  default:
-    return HttpMethod::Other;
-  }
-}
+/// After its last answer, for a caller to close the connection.
+constexpr Duration LingerTimeout = std::chrono::seconds(5);
 
-int hexValue(char C) {
-  if (C >= '0' && C <= '9')
-    return C - '0';
-  if (C >= 'a' && C <= 'f')
-    return C - 'a' + 10;
-  if (C >= 'A' && C <= 'F')
-    return C - 'A' + 10;
-  return -1;
-}
+/// Requests on one connection that wait for their answers. A caller that sends
+/// more without reading is not served at the others' cost.
+constexpr std::uint64_t MaxPendingAnswers = 64;
 
-std::string decodePart(const std::string &Part) {
-  std::string Decoded;
-  constexpr int HexBase = 16;
-  for (std::size_t I = 0; I < Part.size(); ++I) {
-    bool Escape = Part[I] == '%' && I + 2 < Part.size() &&
-                  hexValue(Part[I + 1]) >= 0 && hexValue(Part[I + 2]) >= 0;
-    if (!Escape) {
-      Decoded.push_back(Part[I]);
-      continue;
-    }
-    Decoded.push_back(static_cast<char>(hexValue(Part[I + 1]) * HexBase +
-                                        hexValue(Part[I + 2])));
-    I += 2;
-  }
-  return Decoded;
-}
+/// The library ends no connection by itself within this: ConnectionWatch does.
+constexpr std::chrono::hours LibraryTimeout{24 * 365};
 
-std::vector<std::string> splitPath(const std::string &Resource) {
-  std::vector<std::string> Parts;
-  std::string Part;
-  for (char C : Resource + "/") {
-    if (C != '/') {
-      Part.push_back(C);
-      continue;
-    }
-    if (!Part.empty())
-      Parts.push_back(decodePart(Part));
-    Part.clear();
-  }
-  return Parts;
+/// An answer of the server's own, which knows no handler's format.
+HttpAnswer plainAnswer(const ReadRefusal &Why) {
+  return {.Status = Why.Status,
+          .Body = Why.Reason + ".\n",
+          .ContentType = "text/plain"};
 }
 
-std::string rawHeader(const Pistache::Http::Request &Request,
-                      const std::string &Name) {
-  auto Found = Request.headers().tryGetRaw(Name);
-  return Found ? Found->value() : "";
-}
-
-/// A header's text; Pistache keeps those that it knows as types of their own.
-std::string headerOf(const Pistache::Http::Request &Request,
-                     const std::string &Name) {
-  auto Typed = Request.headers().tryGet(Name);
-  if (!Typed)
-    return rawHeader(Request, Name);
-  std::ostringstream Text;
-  Typed->write(Text);
-  return Text.str();
-}
-
-/// Pistache writes only headers that are types of their own.
-template <typename Tag>
-class TextHeader : public Pistache::Http::Header::Header {
-public:
-  explicit TextHeader(std::string Value) : Value(std::move(Value)) {}
-  static constexpr const char *Name = Tag::Text;
-  const char *name() const override { return Name; }
-  static constexpr std::uint64_t Hash =
-      Pistache::Http::Header::detail::hash(Tag::Text);
-  std::uint64_t hash() const override { return Hash; }
-  void parse(const std::string &) override {}
-  void write(std::ostream &Stream) const override { Stream << this->Value; }
-
-private:
-  std::string Value;
+/// What the connections and replies of one server share; they may outlive it.
+struct ServerState {
+  explicit ServerState(const HttpServerOptions &Options)
+      : Reading{.MaxBodyBytes = Options.MaxBodyBytes,
+                .Headers = Options.Headers},
+        Timeouts{.Request = Options.HeaderTimeout,
+                 .Idle = Options.IdleTimeout,
+                 .Linger = LingerTimeout},
+        Watch([this](const std::shared_ptr<HttpConnection> &Late,
+                     std::uint64_t Place) {
+          this->Answers.writeLast(
+              Late, Place,
+              plainAnswer({HttpStatus::RequestTimeout,
+                           "the request took too long to come"}));
+        }) {}
+
+  const ReaderOptions Reading;
+  const ConnectionTimeouts Timeouts;
+  AnswerWriter Answers;
+  /// Last: its thread uses the others.
+  ConnectionWatch Watch;
 };
 
-struct RetryAfterName {
-  static constexpr const char *Text = "Retry-After";
-};
-struct LocationName {
-  static constexpr const char *Text = "Location";
-};
-struct ContentTypeName {
-  static constexpr const char *Text = "Content-Type";
+/// What is known of one connection, kept with the library's peer, so that both
+/// end together.
+struct Intake {
+  Intake(int Descriptor, const ServerState &Server)
+      : Reader(Server.Reading), Connection(std::make_shared<HttpConnection>(
+                                    Descriptor, Server.Timeouts)) {}
+  RequestReader Reader;
+  std::shared_ptr<HttpConnection> Connection;
 };
 
-constexpr const char *LineEnd = "\r\n";
+constexpr const char *IntakeKey = "intake";
 
-/// What the replies of one server share; they may outlive it.
-struct AnswerPath {
-  AnswerCounters Counters;
-  AnswerFlusher Flusher;
-};
-
-/// Kept with the library's peer, so that both end together.
-constexpr const char *ConnectionKey = "connection";
-
-std::shared_ptr<HttpConnection>
-findConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
-  return std::static_pointer_cast<HttpConnection>(
-      Peer->tryGetData(ConnectionKey));
-}
-
-/// On the library's own thread, which closes the peer's descriptor.
-std::shared_ptr<HttpConnection>
-connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
-  std::shared_ptr<HttpConnection> Known = findConnection(Peer);
-  if (Known)
-    return Known;
-  auto New = std::make_shared<HttpConnection>(Peer->fd());
-  // Without a descriptor there is no answer; the caller learns it at once.
-  if (New->descriptor() < 0)
-    ::shutdown(Peer->fd(), SHUT_RDWR);
-  Peer->putData(ConnectionKey, New);
-  return New;
+std::shared_ptr<Intake>
+intakeOf(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  return std::static_pointer_cast<Intake>(Peer->tryGetData(IntakeKey));
 }
 
-class PistacheReply final : public HttpReply {
+class ConnectionReply final : public HttpReply {
 public:
-  PistacheReply(const Pistache::Http::Request &Request,
-                Pistache::Http::Header::Collection Headers,
-                const std::shared_ptr<HttpConnection> &Connection,
-                std::shared_ptr<AnswerPath> Path)
-      : Version(Request.version()), Headers(std::move(Headers)),
-        Connection(Connection), Place(Connection->expectAnswer()),
-        Path(std::move(Path)) {
-    this->Path->Counters.countRequest();
+  ConnectionReply(const AnswerForm &Form,
+                  const std::shared_ptr<HttpConnection> &Connection,
+                  std::uint64_t Place, std::shared_ptr<ServerState> Server)
+      : Form(Form), Connection(Connection), Place(Place),
+        Server(std::move(Server)) {
+    this->Server->Answers.counters().countRequest();
   }
 
   /// A reply that is dropped would hold back all later answers on its
   /// connection.
-  ~PistacheReply() override {
+  ~ConnectionReply() override {
     if (this->Sent.load())
       return;
     if (std::shared_ptr<HttpConnection> Open = this->Connection.lock())
       Open->end();
-    this->Path->Counters.countSettled();
+    this->Server->Answers.counters().countSettled();
   }
-  PistacheReply(const PistacheReply &) = delete;
-  PistacheReply &operator=(const PistacheReply &) = delete;
+  ConnectionReply(const ConnectionReply &) = delete;
+  ConnectionReply &operator=(const ConnectionReply &) = delete;
 
   void send(const HttpAnswer &Answer) override {
     if (this->Sent.exchange(true))
       return;
-    this->write(Answer);
-    this->Path->Counters.countSettled();
+    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
+    // Where requests behind this one have been taken, the last of their
+    // answers ends the connection.
+    if (Answer.Close && Open && Open->makeLast(this->Place))
+      this->Form.KeepsConnection = false;
+    this->Server->Answers.write(Open, this->Place, Answer, this->Form);
+    this->Server->Answers.counters().countSettled();
   }
 
   bool hasClient() const override {
@@ -189,138 +115,142 @@
   }
 
 private:
-  void write(const HttpAnswer &Answer) {
-    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
-    WriteState State = Open ? Open->answer(this->Place, this->describe(Answer))
-                            : WriteState::Gone;
-    if (State == WriteState::Gone) {
-      this->Path->Counters.countWithoutCaller();
-      return;
-    }
-    this->Path->Counters.countAnswered(static_cast<int>(Answer.Status));
-    if (State == WriteState::Blocked)
-      this->finishLater(Open);
-  }
-
-  /// The answer's head and body, as they are sent.
-  std::string describe(const HttpAnswer &Answer) {
-    this->addHeaders(Answer);
-    std::ostringstream Text;
-    Text << Pistache::Http::versionString(this->Version) << ' '
-         << static_cast<int>(Answer.Status) << ' '
-         << Pistache::Http::codeString(
-                static_cast<Pistache::Http::Code>(Answer.Status))
-         << LineEnd;
-    for (const auto &Header : this->Headers.list()) {
-      Text << Header->name() << ": ";
-      Header->write(Text);
-      Text << LineEnd;
-    }
-    Text << "Content-Length: " << Answer.Body.size() << LineEnd << LineEnd
-         << Answer.Body;
-    return Text.str();
-  }
-
-  void addHeaders(const HttpAnswer &Answer) {
-    this->Headers.add<TextHeader<ContentTypeName>>(Answer.ContentType);
-    if (Answer.RetryAfter.count() > 0) {
-      // HTTP counts in whole seconds; the body has the milliseconds.
-      auto Seconds = std::chrono::ceil<std::chrono::seconds>(Answer.RetryAfter);
-      this->Headers.add<TextHeader<RetryAfterName>>(
-          fmt::to_string(Seconds.count()));
-    }
-    if (!Answer.Location.empty())
-      this->Headers.add<TextHeader<LocationName>>(Answer.Location);
-    if (!Answer.Close)
-      return;
-    using ConnectionHeader = Pistache::Http::Header::Connection;
-    this->Headers.remove<ConnectionHeader>();
-    this->Headers.add<ConnectionHeader>(
-        Pistache::Http::ConnectionControl::Close);
-  }
-
-  void finishLater(const std::shared_ptr<HttpConnection> &Open) {
-    this->Path->Counters.countBlocked();
-    try {
-      this->Path->Flusher.add(Open);
-    } catch (const std::system_error &) {
-      // Half an answer must end as a broken connection.
-      Open->end();
-    }
-  }
-
-  Pistache::Http::Version Version;
-  Pistache::Http::Header::Collection Headers;
+  AnswerForm Form;
   /// Ends with the library's peer.
   std::weak_ptr<HttpConnection> Connection;
   std::uint64_t Place;
-  std::shared_ptr<AnswerPath> Path;
+  std::shared_ptr<ServerState> Server;
   std::atomic<bool> Sent{false};
 };
 
+/// Reads connections in the library's place. The library answers what it
+/// cannot read past our answers, forgets it, and takes what follows for the
+/// next request; it drops what comes in one segment behind a request. So it
+/// only gets us the bytes.
 class PistacheHandler final : public Pistache::Http::Handler {
 public:
   HTTP_PROTOTYPE(PistacheHandler)
 
   PistacheHandler(std::shared_ptr<HttpHandler> Target,
-                  std::vector<std::string> Headers,
-                  std::shared_ptr<AnswerPath> Path)
-      : Target(std::move(Target)), Headers(std::move(Headers)),
-        Path(std::move(Path)) {}
-
-  void onRequest(const Pistache::Http::Request &Request,
-                 Pistache::Http::ResponseWriter Writer) override {
-    HttpRequest Plain;
-    Plain.Method = methodOf(Request.method());
-    Plain.Resource = Request.resource();
-    Plain.Path = splitPath(Request.resource());
-    Plain.Body = Request.body();
-    Plain.Job = rawHeader(Request, "X-Yardwheel-Job");
-    Plain.Task = rawHeader(Request, "X-Yardwheel-Task");
-    for (const std::string &Name : this->Headers) {
-      std::string Value = headerOf(Request, Name);
-      if (!Value.empty())
-        Plain.Headers[Name] = std::move(Value);
-    }
-    std::shared_ptr<Pistache::Tcp::Peer> Peer = Writer.getPeer();
-    if (!Peer)
-      return;
-    Plain.Connection = Peer->getID();
-    // The request is whole, so its caller is not slow to send it: the library
-    // would answer 408 while our answer is pending, by a number of its own.
+                  std::shared_ptr<ServerState> Server)
+      : Target(std::move(Target)), Server(std::move(Server)) {}
+
+  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    // The library looks for a parser and its age at each connection.
+    Peer->putData(ParserData,
+                  std::make_shared<Pistache::Http::RequestParser>(0));
     Peer->setIdle(true);
-    this->Target->handle(
-        Plain, std::make_shared<PistacheReply>(Request, Writer.headers(),
-                                               connectionOf(Peer), this->Path));
+    auto New = std::make_shared<Intake>(Peer->fd(), *this->Server);
+    Peer->putData(IntakeKey, New);
+    // Without a descriptor there is no answer; the caller learns it at once.
+    if (New->Connection->descriptor() < 0)
+      ::shutdown(Peer->fd(), SHUT_RDWR);
+    this->watch(New->Connection);
+  }
+
+  void onInput(const char *Bytes, std::size_t Size,
+               const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    std::shared_ptr<Intake> Known = intakeOf(Peer);
+    if (!Known)
+      return;
+    HttpConnection &Connection = *Known->Connection;
+    if (Connection.takesRequests())
+      this->read(*Known, {Bytes, Size}, Peer->getID());
+    Connection.noteInput(Size, Known->Reader.isInRequest());
   }
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
-    // The last moment at which the descriptor's number is surely this one's:
-    // what the library itself has queued by it (400, 408, 413) is dropped now,
-    // or else reaches the next caller. A 408 that could still be written would
-    // make the library remove this peer here and again afterwards, which ends
-    // the process.
-    ::shutdown(Peer->fd(), SHUT_RDWR);
-    this->transport()->flush();
-    if (std::shared_ptr<HttpConnection> Known = findConnection(Peer))
-      Known->close();
+    // The last moment at which the descriptor's number is surely this one's.
+    if (std::shared_ptr<Intake> Known = intakeOf(Peer))
+      Known->Connection->close();
     this->Target->onDisconnect(Peer->getID());
   }
 
+  /// Not called: the library's own reading is replaced.
+  void onRequest(const Pistache::Http::Request &,
+                 Pistache::Http::ResponseWriter) override {}
+
 private:
+  void watch(const std::shared_ptr<HttpConnection> &New) {
+    try {
+      this->Server->Watch.add(New);
+    } catch (const std::system_error &Problem) {
+      this->Log.warning("A connection is ended, as its timeouts cannot be "
+                        "watched: {}.",
+                        Problem.what());
+      New->end();
+    }
+  }
+
+  void read(Intake &Known, std::string_view Bytes, std::uint64_t Id) {
+    RequestReader &Reader = Known.Reader;
+    Reader.feed(Bytes);
+    while (Known.Connection->takesRequests()) {
+      std::optional<ReadRequest> Next = Reader.next();
+      if (!Next)
+        break;
+      Next->Request.Connection = Id;
+      this->take(Known, std::move(*Next));
+    }
+    if (Reader.refusal())
+      this->refuse(Known, *Reader.refusal());
+  }
+
+  void take(Intake &Known, ReadRequest Next) {
+    HttpConnection &Connection = *Known.Connection;
+    if (Connection.pendingAnswers() >= MaxPendingAnswers) {
+      this->refuse(Known, {HttpStatus::TooManyRequests,
+                           "too many requests wait on this connection; this "
+                           "one has not run"});
+      return;
+    }
+    std::optional<std::uint64_t> Place = Next.Form.KeepsConnection
+                                             ? Connection.expectAnswer()
+                                             : Connection.expectLastAnswer();
+    // Its caller has just been told that it took too long.
+    if (!Place)
+      return;
+    this->handle(Next.Request,
+                 std::make_shared<ConnectionReply>(Next.Form, Known.Connection,
+                                                   *Place, this->Server));
+  }
+
+  void handle(const HttpRequest &Request, std::shared_ptr<HttpReply> Reply) {
+    try {
+      this->Target->handle(Request, std::move(Reply));
+    } catch (const std::exception &Problem) {
+      // The dropped reply has ended the connection.
+      this->Log.error("A request for {} was dropped: {}.", Request.Resource,
+                      Problem.what());
+    }
+  }
+
+  void refuse(Intake &Known, const ReadRefusal &Why) {
+    HttpConnection &Connection = *Known.Connection;
+    std::optional<std::uint64_t> Place = Connection.expectLastAnswer();
+    if (!Place)
+      return;
+    this->Log.decision("request_unread",
+                       {{"status", static_cast<int>(Why.Status)},
+                        {"reason", Why.Reason},
+                        {"answers_pending", Connection.pendingAnswers() - 1}});
+    this->Server->Answers.writeLast(Known.Connection, *Place, plainAnswer(Why));
+  }
+
   std::shared_ptr<HttpHandler> Target;
-  std::vector<std::string> Headers;
-  std::shared_ptr<AnswerPath> Path;
+  std::shared_ptr<ServerState> Server;
+  Logger Log{"http"};
 };
 
 } // namespace
 
 class HttpServer::Implementation {
 public:
-  explicit Implementation(const std::string &Listen)
-      : Endpoint(Pistache::Address(Listen)) {}
-  std::shared_ptr<AnswerPath> Path = std::make_shared<AnswerPath>();
+  explicit Implementation(const HttpServerOptions &Options)
+      : Server(std::make_shared<ServerState>(Options)),
+        Endpoint(Pistache::Address(Options.Listen)) {}
+  std::shared_ptr<ServerState> Server;
   Pistache::Http::Endpoint Endpoint;
   bool Running = false;
 };
@@ -328,17 +258,17 @@
 HttpServer::HttpServer(const HttpServerOptions &Options,
                        std::shared_ptr<HttpHandler> Handler) {
   try {
-    this->Inner = std::make_unique<Implementation>(Options.Listen);
+    this->Inner = std::make_unique<Implementation>(Options);
     auto Settings = Pistache::Http::Endpoint::options()
                         .threads(static_cast<int>(Options.Threads))
-                        .maxRequestSize(Options.MaxBodyBytes)
-                        .headerTimeout(Options.HeaderTimeout)
-                        .bodyTimeout(Options.HeaderTimeout)
+                        .headerTimeout(LibraryTimeout)
+                        .bodyTimeout(LibraryTimeout)
+                        .keepaliveTimeout(LibraryTimeout)
                         .flags(Pistache::Flags<Pistache::Tcp::Options>(
                             Pistache::Tcp::Options::ReuseAddr));
     this->Inner->Endpoint.init(Settings);
     this->Inner->Endpoint.setHandler(std::make_shared<PistacheHandler>(
-        std::move(Handler), Options.Headers, this->Inner->Path));
+        std::move(Handler), this->Inner->Server));
     this->Inner->Endpoint.serveThreaded();
     this->Inner->Running = true;
   } catch (const std::exception &Problem) {
@@ -349,7 +279,7 @@
 HttpServer::~HttpServer() { this->stop(); }
 
 const AnswerCounters &HttpServer::answers() const {
-  return this->Inner->Path->Counters;
+  return this->Inner->Server->Answers.counters();
 }
 
 void HttpServer::stop() {
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -17,10 +17,8 @@
 /// the grace goes by while new jobs are refused.
 constexpr std::chrono::milliseconds LongestJob{1700};
 
-/// The HTTP library takes a connection whose answer is pending for one that is
-/// slow to send a request, and answers it by itself. So this is longer than
-/// any deadline of a job seen (three times its objective, some 17 s).
-constexpr std::chrono::milliseconds CallerTimeout{120000};
+/// For a caller on a link that loses packets to send a request whole.
+constexpr std::chrono::milliseconds CallerTimeout{10000};
 
 /// Far above the placements that an entry makes in a microsecond, the unit of
 /// incarnations, so that no two lives give one number twice.
--- a/tests/http/http_framing_test.cpp
+++ b/tests/http/http_framing_test.cpp
@@ -1,11 +1,14 @@
 //===- Where one request ends and the next begins -------------------------===//
 //
-// A caller was answered for requests that it never sent: after a refusal of the
-// HTTP library's own the rest of the refused request was read as the next one.
-// Of two requests that came in one segment the second was dropped, so that its
-// caller waited for nothing, and where its body followed later that body was
-// read as a request. A length that is no number counted as none, and of two
-// lengths the first, with the same end.
+// Of two requests that came in one segment the second was dropped, and its
+// caller waited for nothing. Where the second's body followed in a later
+// segment that body was read as a request: a handler that wrote down what it
+// was asked had "handled /inside" for the body of a POST. The HTTP library
+// reads into a buffer that it empties after each request, whatever it still
+// holds. By the same reading a length that is no number counted as none, of two
+// lengths the first one, and the limit for bodies counted the head. Its
+// timeouts know only a connection's first request. The server now reads by a
+// parser that says how much it has taken, and keeps the rest.
 //
 //===----------------------------------------------------------------------===//
 
--- a/tests/http/http_refusal_test.cpp
+++ b/tests/http/http_refusal_test.cpp
@@ -1,3 +1,22 @@
+//===- What follows a refused request --------------------------------------=//
+//
+// A caller that sent a body over the limit read 413, and then 200 for a request
+// that stood inside that body; whoever may choose a body's content could so
+// have a job taken that nobody had submitted. The HTTP library answers what it
+// cannot read by itself, forgets what it has read, and takes the bytes that
+// come next for a new request, though the rest of the refused one is still on
+// its way. With a handler that wrote down what it was asked, 11 of 11 refusals
+// of the library (413, 400, 500, 501) were followed by
+//
+//   handled /inside body=0
+//
+// and 4 MB behind a length over the limit were answered by 980 times 413, one
+// for each segment. Nobody knows where the next request begins once one has
+// been refused, so now the server itself finds the ends of requests, and reads
+// none behind a refusal.
+//
+//===----------------------------------------------------------------------===//
+
 #include "http/http_server.h"
 
 #include <arpa/inet.h>
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -222,7 +222,10 @@
        "Connection: Keep-Alive\r\nContent-Length: 2\r\n\r\n/a"},
       {"GET /b HTTP/1.1\r\nHost: t\r\n\r\n",
        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-       "Connection: Close\r\nContent-Length: 2\r\n\r\n/b"},
+       "Connection: Keep-Alive\r\nContent-Length: 2\r\n\r\n/b"},
+      {"GET /d HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n",
+       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+       "Connection: Close\r\nContent-Length: 2\r\n\r\n/d"},
       {"GET /c HTTP/1.0\r\nHost: t\r\n\r\n",
        "HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n"
        "Connection: Close\r\nContent-Length: 2\r\n\r\n/c"},
@@ -287,7 +290,7 @@
 
 TEST(HttpServerTest, APendingOrIdleCallerIsNotTakenForASlowSender) {
   constexpr milliseconds Limit{300};
-  // The library looks for slow senders twice a second.
+  // Slow senders are looked for twice a second.
   constexpr milliseconds Longer{1500};
   this->serve({.HeaderTimeout = Limit});
   Caller Pending = this->connected();
@@ -401,7 +404,7 @@
 TEST(HttpServerTest, ASlowSenderThatLeavesIsClosedOnce) {
   constexpr int Senders = 20;
   constexpr int Opened = 400;
-  // The library looks for slow senders twice a second.
+  // Slow senders are looked for twice a second.
   constexpr milliseconds PastALook{700};
   this->serve({.HeaderTimeout = milliseconds(100)});
   for (bool LeavesBefore : {true, false}) {
