An answer to HEAD has no body

Callers that asked by HEAD read the body of its answer as the beginning of the next one, so that all later answers on that connection were off their places.

Cause: the server wrote each answer alike; only the length belongs into an answer to HEAD (RFC 9110, 9.3.2). Now the answer's form goes with the request.

HttpFramingTest.AnAnswerToHeadHasNoBody failed before (the body "/head" stood in front of the next answer) and passes now.

--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -33,7 +33,9 @@
     AddHeader("Location", Answer.Location);
   AddHeader("Connection", Form.KeepsConnection ? "Keep-Alive" : "Close");
   AddHeader("Content-Length", Answer.Body.size());
-  Text += LineEnd + Answer.Body;
+  Text += LineEnd;
+  if (Form.HasBody)
+    Text += Answer.Body;
   return Text;
 }
 
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -74,6 +74,8 @@
   bool IsHttp10 = false;
   /// Whether the connection stays open for another request.
   bool KeepsConnection = true;
+  /// The body of an answer to HEAD is only told the length of.
+  bool HasBody = true;
 };
 
 /// The answer's head and body, as they are sent.
--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -202,6 +202,7 @@
   ReadRequest Read;
   Read.Form.IsHttp10 = Parsed.version() < 11;
   Read.Form.KeepsConnection = KeepAlive;
+  Read.Form.HasBody = Parsed.method() != http::verb::head;
   HttpRequest &Request = Read.Request;
   std::string_view Target(Parsed.target().data(), Parsed.target().size());
   Request.Method = methodOf(Parsed.method());
