A caller that asks before it sends a body is told to go on

Callers that send Expect: 100-continue, as curl does with large bodies, waited a second for an answer that never came. Now they are told at once (100), or refused at once if the body would be over the limit; not while earlier answers on their connection are due, as the caller could not tell them apart.

--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -79,6 +79,13 @@
   return this->writeOut();
 }
 
+WriteState HttpConnection::writeInterim(const std::string &Text) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->NextToLeave == this->NextPlace)
+    this->Unwritten += Text;
+  return this->writeOut();
+}
+
 WriteState HttpConnection::flush() {
   std::lock_guard Lock(this->Mutex);
   return this->writeOut();
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -77,6 +77,8 @@
   /// Writes the answer with that place, and those behind it that have waited
   /// for it. After the last one the caller sees that no more will come.
   WriteState answer(std::uint64_t Place, std::string Text);
+  /// Writes what precedes the next request's answer, unless others are due.
+  WriteState writeInterim(const std::string &Text);
   /// Writes on what did not fit before.
   WriteState flush();
   /// Nothing is written after this returns.
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -28,6 +28,9 @@
 /// The library ends no connection by itself within this: ConnectionWatch does.
 constexpr std::chrono::hours LibraryTimeout{24 * 365};
 
+/// Sent to a caller that asks before it sends a body.
+constexpr const char *ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
 /// An answer of the server's own, which knows no handler's format.
 HttpAnswer plainAnswer(const ReadRefusal &Why) {
   return {.Status = Why.Status,
@@ -157,6 +160,8 @@
     if (Connection.takesRequests())
       this->read(*Known, {Bytes, Size}, Peer->getID());
     Connection.noteInput(Size, Known->Reader.isInRequest());
+    if (Known->Reader.takeContinueWish())
+      Connection.writeInterim(ContinueAnswer);
   }
 
   void
--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -147,12 +147,14 @@
       static_cast<std::uint32_t>(this->Options.MaxHeadBytes));
   this->Parser->body_limit(this->Options.MaxBodyBytes);
   this->HeadChecked = false;
+  this->WishesContinue = false;
 }
 
 void RequestReader::refuse(HttpStatus Status, const std::string &Reason) {
   this->Refusal = ReadRefusal{Status, Reason};
   this->Unread.clear();
   this->Parser.reset();
+  this->WishesContinue = false;
 }
 
 void RequestReader::refuse(const beast::error_code &Problem) {
@@ -183,6 +185,10 @@
     this->refuse(HttpStatus::BadRequest, "HTTP/1.0 has no encoding of a body");
     return;
   }
+  this->WishesContinue =
+      Head.version() >= 11 &&
+      beast::iequals(Head[http::field::expect], "100-continue") &&
+      !this->Parser->is_done();
 }
 
 void RequestReader::checkUnfinished() {
@@ -195,6 +201,10 @@
     this->refuse(http::make_error_code(http::error::header_limit));
 }
 
+bool RequestReader::takeContinueWish() {
+  return std::exchange(this->WishesContinue, false);
+}
+
 ReadRequest RequestReader::take() {
   http::request<http::string_body> Parsed = this->Parser->release();
   bool KeepAlive = Parsed.keep_alive();
--- a/http/request_reader.h
+++ b/http/request_reader.h
@@ -59,6 +59,9 @@
 
   /// Whether a request has begun to come and is not whole.
   bool isInRequest() const { return this->Parser.has_value(); }
+  /// Whether the caller holds back its request's body until it is told to send
+  /// it; true once for each such request.
+  bool takeContinueWish();
 
 private:
   using BeastParser =
@@ -82,6 +85,7 @@
   std::string Unread;
   std::optional<BeastParser> Parser;
   bool HeadChecked = false;
+  bool WishesContinue = false;
   std::optional<ReadRefusal> Refusal;
 };
 
