Test: a status that the protocol does not name proves nothing of a start (red)

Symptom, known by reading until now: a start that is answered by 500, 502 or 504 counts as proof that its run has not begun. The task is then started elsewhere, beside a run that may be at work, and a job whose tasks were all answered so is refused as not run.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -316,6 +316,20 @@
   }
 }
 
+// A start that was answered by 500, 502 or 504 was taken for one that had not
+// begun, and its task was started at another upstream beside it. Whoever makes
+// such an answer, a proxy on the way or an upstream that failed midway, does
+// not say that nothing was done; only the statuses that the protocol names do.
+TEST(CodecTest, AStatusThatIsNotNamedProvesNothing) {
+  for (long Status :
+       {0L, 204L, 302L, 404L, 408L, 413L, 500L, 502L, 504L, 599L}) {
+    std::string Name = "status " + std::to_string(Status);
+    WorkerReply Reply = decodeReply(Status, R"({"clockMs":5})");
+    CHECK_FALSE_TEXT(Reply.Answered, Name.c_str());
+    STRCMP_EQUAL(Name.c_str(), Reply.Problem.c_str());
+  }
+}
+
 TEST(CodecTest, RunsAreReadBackAsTheyWereWritten) {
   RunKey Run{"5c0e7a21d94b36f8", 17, 2};
   STRCMP_EQUAL("5c0e7a21d94b36f8.0.0.17", taskName(Run).c_str());
