A start answered by a status that is not named may have begun, and is treated so

What callers saw: a task could run at two upstreams at a time, and a job could be refused as not run though a task of it was at work, where a start was answered by 500, 502, 504 or another status that the protocol gives no meaning.

Cause: the codec's default took every status for a reply, and a reply that is no 200 for the worker's word that nothing was done. Now such a reply counts like none: the same run is started again, which a worker carries out at most once, then it is stopped and its end waited for. 400, 409, 421, 429 and 503 keep their meaning.

Looked for elsewhere: the product's own upstreams' calls say "failed", never "not started", for any status; holds and stops without a named status are repeated, as before.

--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -109,7 +109,8 @@
 };
 
 struct WorkerReply {
-  /// False where no reply came; the call may have been carried out.
+  /// False where no reply came, or one that proves nothing: the call may have
+  /// been carried out.
   bool Answered = false;
   WorkerRefusal Refusal = WorkerRefusal::None;
   std::optional<WorkerTime> Clock;
