--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -1,6 +1,7 @@
 //===- An entry that coordinates best-effort jobs under leases ------------===//
 
 #include "entry/drain_watch.h"
+#include "entry/readiness.h"
 #include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
@@ -43,6 +44,7 @@
   void receive(const peer::Envelope &Envelope, Instant Now);
   void tick(Instant Now);
   void logTableState(Instant Now);
+  void updateReadiness(Instant Now);
   void publishMetrics(Instant Now);
   void stop();
 
@@ -55,6 +57,7 @@
   NodeCatalog Catalog;
   std::atomic<bool> Draining{false};
   /// As the balancer was last told; the loop's.
+  Readiness ReadyRule;
   bool Ready = false;
   std::atomic<std::size_t> InFlight{0};
   LinkNode Node;
@@ -126,24 +129,30 @@
       Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
-  bool HasRoutes = this->Catalog.view()->Routes.version() > 0;
-  // Cut off from all workers, this entry is of no use: the balancer sends
-  // callers to one that has some.
+  this->updateReadiness(Now);
+  this->InFlight.store(this->Coordinator.inFlight());
+}
+
+void LeaseEntryProcess::updateReadiness(Instant Now) {
   TimePoint LastIdle = this->Node.loop().lastIdle();
-  bool KeepsUp = this->Load.mayBeReady(Now.Steady, LastIdle);
-  bool HasWorkers = this->Coordinator.hasWorkers();
-  bool Ready = HasRoutes && HasWorkers && KeepsUp && !this->Draining.load();
+  ReadinessFacts Facts;
+  Facts.HasRoutes = this->Catalog.view()->Routes.version() > 0;
+  Facts.HasWorkers = this->Coordinator.hasWorkers();
+  Facts.KeepsUp = this->Load.mayBeReady(Now.Steady, LastIdle);
+  Facts.Draining = this->Draining.load();
+  Facts.Table = this->Table.standing(Now.Steady, LastIdle).State;
+  bool Ready = this->ReadyRule.update(Facts, Now.Steady);
   if (Ready != this->Ready)
     this->Log.decision("readiness",
                        {{"ready", Ready},
-                        {"has_routes", HasRoutes},
-                        {"has_workers", HasWorkers},
-                        {"keeps_up", KeepsUp},
-                        {"draining", this->Draining.load()},
+                        {"has_routes", Facts.HasRoutes},
+                        {"has_workers", Facts.HasWorkers},
+                        {"keeps_up", Facts.KeepsUp},
+                        {"draining", Facts.Draining},
+                        {"table_state", tableStateName(Facts.Table)},
                         {"idle_ms_ago", millisBetween(LastIdle, Now.Steady)}});
   this->Ready = Ready;
   this->Health->setReady(Ready);
-  this->InFlight.store(this->Coordinator.inFlight());
 }
 
 void LeaseEntryProcess::onConfirmed(TimePoint Asked) {
