An entry whose table may be old for a second is not ready

What callers saw: an entry that cannot reach control and has heard of a newer route table refuses every job, and goes on being sent callers.

Cause: readiness looked at routes, workers and load, not at the table's state. Now an unknown table that lasts for a second, the time between two questions of the balancer, makes the entry unready; once the table is current, or control is known to be out of reach and known routes are served on, it is ready again with the next tick. Shorter spells stay unseen, as leaving and coming back cost callers more than they save.

Not yet played on machines.

--- a/entry/readiness.cpp
+++ b/entry/readiness.cpp
@@ -2,9 +2,20 @@
 
 namespace yardwheel {
 
-bool Readiness::update(const ReadinessFacts &Facts, TimePoint) {
+bool Readiness::update(const ReadinessFacts &Facts, TimePoint Now) {
+  bool LacksTable = this->lacksTable(Facts.Table, Now);
   return Facts.HasRoutes && Facts.HasWorkers && Facts.KeepsUp &&
-         !Facts.Draining;
+         !Facts.Draining && !LacksTable;
+}
+
+bool Readiness::lacksTable(TableState Table, TimePoint Now) {
+  if (Table != TableState::Unknown) {
+    this->UnknownSince.reset();
+    return false;
+  }
+  if (!this->UnknownSince)
+    this->UnknownSince = Now;
+  return Now - *this->UnknownSince >= this->Options.UnknownTable;
 }
 
 } // namespace yardwheel
--- a/entry/readiness.h
+++ b/entry/readiness.h
@@ -14,6 +14,9 @@
 #include "core/clock.h"
 #include "entry/table_lease.h"
 
+#include <chrono>
+#include <optional>
+
 namespace yardwheel {
 
 /// What an entry knows of itself.
@@ -27,10 +30,25 @@
   TableState Table = TableState::Unknown;
 };
 
+struct ReadinessOptions {
+  /// For how long the table may be unknown: as long as the balancer takes from
+  /// one question to the next.
+  std::chrono::milliseconds UnknownTable{1000};
+};
+
 class Readiness {
 public:
+  explicit Readiness(ReadinessOptions Options = {}) : Options(Options) {}
+
   /// To be called at each tick. \returns whether callers should come here.
   bool update(const ReadinessFacts &Facts, TimePoint Now);
+
+private:
+  /// Whether all jobs have been refused for a while, as the table may be old.
+  bool lacksTable(TableState Table, TimePoint Now);
+
+  ReadinessOptions Options;
+  std::optional<TimePoint> UnknownSince;
 };
 
 } // namespace yardwheel
