--- a/settings/settings_parser.cpp
+++ b/settings/settings_parser.cpp
@@ -25,7 +25,6 @@
     this->readMap(Root, "");
     this->fillDefaults();
     this->checkControls();
-    this->checkTimeouts();
     return std::move(this->Result);
   }
 
@@ -156,16 +155,6 @@
       this->complain(0, ControlsKey, "expected at least one control replica");
   }
 
-  void checkTimeouts() {
-    // The HTTP library closes a connection whose answer takes longer.
-    constexpr std::chrono::milliseconds Margin{500};
-    const EntrySettings &Entry = this->Result.Values.Entry;
-    if (Entry.HeaderTimeout < Entry.WaitTimeout + Margin &&
-        this->Result.Values.Role == NodeRole::Entry)
-      this->complain(0, "entry.header_timeout",
-                     "expected at least 500 more than entry.wait_timeout");
-  }
-
   ParsedSettings Result;
   std::set<std::string> Seen;
 };
--- a/settings/settings_rules.cpp
+++ b/settings/settings_rules.cpp
@@ -180,8 +180,8 @@
           [](Settings & S) -> auto & { return S.Entry.WaitTimeout; }),
       time(
           "entry.header_timeout", "25000", 600, 2 * Minute,
-          "A connection without a whole request is closed after this; at "
-          "least 500 more than wait_timeout.",
+          "A request that has not come whole within this is answered 408, and "
+          "its connection ends.",
           [](Settings & S) -> auto & { return S.Entry.HeaderTimeout; }),
       time(
           "entry.claim_timeout", "1000", 10, Minute,
