The keeper's tests in two files on one fixture, which the tests of room use too

The 27 tests are the same, 8 of them in KeeperNewsTest now; none changed. A Release build (-O3) with tests failed on a warning of g++ 12 (-Wrestrict, for an assignment of "w" to a string); the worker's name is a constant now, and these files compile with -O3.

--- /dev/null
+++ b/tests/agent/keeper_fixture.h
@@ -0,0 +1,141 @@
+//===- tests/agent/keeper_fixture.h - An agent with a worker ----*- C++ -*-===//
+///
+/// \file
+/// A lease keeper between entries and a worker of the test's, in virtual time.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_AGENT_KEEPER_FIXTURE_H
+#define YARDWHEEL_TESTS_AGENT_KEEPER_FIXTURE_H
+
+#include "agent/lease_keeper.h"
+
+#include <string>
+#include <vector>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+namespace yardwheel {
+
+/// A worker that starts what it is told to and ends it when a test says so.
+class ObedientPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &) override {}
+  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
+  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
+  void hold(const HoldCall &) override {}
+  std::vector<StartCall> Starts;
+  std::vector<StopCall> Stops;
+};
+
+class CollectingSink final : public PeerSink {
+public:
+  void send(const PeerRef &, peer::Message Message) override {
+    if (Message.has_leased_update())
+      this->Updates.push_back(Message.leased_update());
+    else if (Message.has_worker_load())
+      this->Load = Message.worker_load();
+    else if (Message.has_leased_offer())
+      this->Offers.push_back(Message.leased_offer());
+  }
+  std::vector<peer::LeasedOffer> Offers;
+  std::vector<peer::LeasedUpdate> Updates;
+  peer::WorkerLoad Load;
+};
+
+/// The agent's own life, by which messages name it.
+constexpr std::uint64_t AgentLife = 7;
+inline const PeerRef EntryA{"entry-a", "10.0.0.1:1"};
+inline const PeerRef EntryB{"entry-b", "10.0.0.2:1"};
+inline constexpr std::chrono::milliseconds TickEvery{20};
+inline const std::string WorkerId("w");
+
+/// \param CountFromEcho Whether leases count from the stamp that an entry
+/// echoes, as they should, or from its message's arrival.
+inline KeeperOptions optionsWith(bool CountFromEcho) {
+  KeeperOptions Options;
+  Options.Incarnation = AgentLife;
+  Options.LeasesCountFromEcho = CountFromEcho;
+  return Options;
+}
+
+/// The group of all tests of the keeper.
+class KeeperFixture : public Utest {
+public:
+  ObedientPort Port;
+  CollectingSink Sink;
+  std::uint64_t LastOrder = 0;
+  Instant Now{TimePoint(std::chrono::hours(1)), fromUnixMillis(1800000000000)};
+
+  void attach(LeaseKeeper &Keeper, std::uint32_t CpuMilli = 4000) {
+    WorkerProfile Profile;
+    Profile.Id = WorkerId;
+    Profile.Pool = "pool";
+    Profile.Room.set_cpu_milli(CpuMilli);
+    Profile.Room.set_memory_mb(1000);
+    Keeper.onProfile(Profile, this->Now);
+    WorkerReply Reply;
+    Reply.Answered = true;
+    Keeper.session().onHoldReply(WorkerId, Reply, this->Now);
+  }
+  peer::Message dispatch(const std::string &Job, std::uint64_t Stamp,
+                         std::uint32_t CpuMilli = 1000,
+                         std::int32_t StartByMs = 100,
+                         std::uint32_t Tasks = 1) {
+    peer::Message Message;
+    peer::LeasedDispatch *Order = Message.mutable_leased_dispatch();
+    Order->set_job(Job);
+    Order->set_agent_incarnation(AgentLife);
+    Order->set_stamp(Stamp);
+    Order->set_start_by_ms(StartByMs);
+    Order->set_give_up_ms(2000);
+    Order->mutable_needs()->set_cpu_milli(CpuMilli);
+    for (std::uint32_t I = 0; I < Tasks; ++I) {
+      peer::LeasedTask *Task = Order->add_tasks();
+      Task->set_index(I);
+      Task->set_attempt(1);
+      Task->set_order(++this->LastOrder);
+    }
+    return Message;
+  }
+  peer::Message interest(const std::string &Job, std::uint32_t Tasks,
+                         std::int32_t StartByMs) {
+    peer::Message Message;
+    peer::LeasedInterest *Told = Message.mutable_leased_interest();
+    Told->set_job(Job);
+    Told->set_agent_incarnation(AgentLife);
+    Told->mutable_needs()->set_cpu_milli(1000);
+    Told->set_tasks(Tasks);
+    Told->set_start_by_ms(StartByMs);
+    return Message;
+  }
+  peer::Message decline(std::uint64_t Offer) {
+    peer::Message Message;
+    Message.mutable_offer_reply()->set_offer(Offer);
+    return Message;
+  }
+  peer::Message renewal(std::uint64_t Stamp) {
+    peer::Message Message;
+    Message.mutable_lease_renewal()->set_agent_incarnation(AgentLife);
+    Message.mutable_lease_renewal()->set_stamp(Stamp);
+    return Message;
+  }
+  std::uint64_t stamp() { return LeaseKeeper::stampAt(this->Now); }
+  void pass(LeaseKeeper &Keeper, std::chrono::milliseconds Time) {
+    for (std::chrono::milliseconds Step{}; Step < Time; Step += TickEvery) {
+      this->Now.Steady += TickEvery;
+      Keeper.tick(this->Now);
+    }
+  }
+  void end(LeaseKeeper &Keeper, std::size_t Start, RunEnd How) {
+    WorkerReply Reply;
+    Reply.Answered = true;
+    Reply.Ended.push_back({++this->Ends, this->Port.Starts[Start].Run, How});
+    Keeper.session().onHoldReply(WorkerId, Reply, this->Now);
+  }
+  std::uint64_t Ends = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/tests/agent/keeper_news_test.cpp
@@ -0,0 +1,179 @@
+#include "tests/agent/keeper_fixture.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+// What the keeper tells entries: ends of runs, and room that falls free.
+TEST_GROUP_BASE(KeeperNewsTest, KeeperFixture){};
+
+// An entry answers only when all tasks of a job are done.
+TEST(KeeperNewsTest, EndsOfOneJobAreToldTogetherAndTheLastAtOnce) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp(), 1000, 100, 3), Now);
+  end(Keeper, 0, RunEnd::Done);
+  end(Keeper, 1, RunEnd::Done);
+  LONGS_EQUAL(0, Sink.Updates.size());
+  end(Keeper, 2, RunEnd::Done);
+  LONGS_EQUAL(3, Sink.Updates.size());
+}
+
+TEST(KeeperNewsTest, AnEndThatWaitsForOthersIsToldSoonAnyhow) {
+  struct Row {
+    const char *Name;
+    std::function<void(LeaseKeeper &)> Prompt;
+    std::size_t Updates;
+  };
+  const Row Rows[] = {
+      {"time", [&](LeaseKeeper &Keeper) { pass(Keeper, 60ms); }, 1},
+      {"a failure",
+       [&](LeaseKeeper &Keeper) { end(Keeper, 1, RunEnd::Failed); }, 2},
+      {"a renewal",
+       [&](LeaseKeeper &Keeper) {
+         Keeper.onMessage(EntryA, renewal(stamp()), Now);
+       },
+       1}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    Sink.Updates.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper);
+    Keeper.onMessage(EntryA, dispatch("j", stamp(), 1000, 100, 3), Now);
+    end(Keeper, 0, RunEnd::Done);
+    LONGS_EQUAL_TEXT(0, Sink.Updates.size(), Row.Name);
+    Row.Prompt(Keeper);
+    LONGS_EQUAL_TEXT(Row.Updates, Sink.Updates.size(), Row.Name);
+    CHECK_TEXT(Sink.Updates[0].event() == peer::LEASED_DONE, Row.Name);
+  }
+}
+
+TEST(KeeperNewsTest, UpdatesAreToldAgainWhileTheirEntryRenewsItsLease) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  end(Keeper, 0, RunEnd::Done);
+  auto Sent = std::make_shared<peer::Envelope>();
+  *Sent->add_messages()->mutable_leased_update() = Sink.Updates.back();
+  Sent->add_messages()->mutable_worker_load();
+  Keeper.onUndelivered({EntryA, Now.Steady, Sent}, Now);
+  LONGS_EQUAL(2, Sink.Updates.size());
+  CHECK(Sink.Updates.back().event() == peer::LEASED_DONE);
+  CHECK(Sink.Updates.back().order() == LastOrder);
+  Now.Steady += 2s;
+  Keeper.tick(Now);
+  Keeper.onUndelivered({EntryA, Now.Steady, Sent}, Now);
+  LONGS_EQUAL(2, Sink.Updates.size());
+}
+
+TEST(KeeperNewsTest, EveryEndIsToldOnce) {
+  struct Row {
+    RunEnd How;
+    peer::LeasedEvent Expected;
+    peer::LeasedRefusal Blame = peer::REFUSAL_NONE;
+  };
+  const Row Rows[] = {
+      {RunEnd::Done, peer::LEASED_DONE},
+      {RunEnd::Failed, peer::LEASED_FAILED},
+      {RunEnd::Stopped, peer::LEASED_ENDED_EARLY},
+      {RunEnd::Lapsed, peer::LEASED_ENDED_EARLY},
+      {RunEnd::Unanswered, peer::LEASED_ENDED_EARLY, peer::REFUSAL_WORKER},
+      {RunEnd::Other, peer::LEASED_ENDED_EARLY}};
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper);
+  std::size_t Start = 0;
+  for (const Row &Row : Rows) {
+    Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+    end(Keeper, Start++, Row.How);
+    LONGS_EQUAL(Start, Sink.Updates.size());
+    CHECK(Sink.Updates.back().event() == Row.Expected);
+    CHECK(Sink.Updates.back().refusal() == Row.Blame);
+    // A later run of the same task has a higher number.
+    LONGS_EQUAL(Start, Port.Starts.back().Run.Run);
+  }
+}
+
+TEST(KeeperNewsTest, FreedRoomIsOfferedToTheMostUrgentThatWaitElsewhere) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 2000);
+  Keeper.onMessage(EntryA, dispatch("long", stamp(), 1000, 500, 2), Now);
+  Keeper.onMessage(EntryA, dispatch("queued", stamp(), 1000, 300, 1), Now);
+  Keeper.onMessage(EntryB, interest("later", 1, 90), Now);
+  Keeper.onMessage(EntryB, interest("urgent", 1, 80), Now);
+  LONGS_EQUAL(0, Sink.Offers.size());
+  end(Keeper, 0, RunEnd::Done);
+  LONGS_EQUAL(1, Sink.Offers.size());
+  STRCMP_EQUAL("urgent", Sink.Offers[0].job().c_str());
+  // Its room is held: nothing else starts in it.
+  LONGS_EQUAL(2, Port.Starts.size());
+  peer::Message Order = dispatch("urgent", stamp(), 1000, 80, 1);
+  Order.mutable_leased_dispatch()->set_offer(Sink.Offers[0].offer());
+  Order.mutable_leased_dispatch()->set_start_or_refuse(true);
+  Keeper.onMessage(EntryB, Order, Now);
+  LONGS_EQUAL(3, Port.Starts.size());
+  STRCMP_EQUAL("urgent", Port.Starts[2].Run.Job.c_str());
+}
+
+TEST(KeeperNewsTest, OfferedRoomThatIsNotTakenUpIsUsedByOthers) {
+  struct Row {
+    const char *Name;
+    bool Declined;
+  };
+  const Row Rows[] = {{"declined", true}, {"no answer", false}};
+  for (const Row &Row : Rows) {
+    Sink.Offers.clear();
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper, 1000);
+    Keeper.onMessage(EntryB, interest("urgent", 2, 80), Now);
+    LONGS_EQUAL_TEXT(1, Sink.Offers.size(), Row.Name);
+    LONGS_EQUAL_TEXT(1, Sink.Offers[0].tasks(), Row.Name);
+    Keeper.onMessage(EntryA, dispatch("queued", stamp(), 1000, 300, 1), Now);
+    LONGS_EQUAL_TEXT(0, Port.Starts.size(), Row.Name);
+    if (Row.Declined)
+      Keeper.onMessage(EntryB, decline(Sink.Offers[0].offer()), Now);
+    else
+      pass(Keeper, 100ms);
+    LONGS_EQUAL_TEXT(1, Port.Starts.size(), Row.Name);
+    // Whoever declines has no more tasks that wait.
+    if (Row.Declined)
+      LONGS_EQUAL_TEXT(1, Sink.Offers.size(), Row.Name);
+  }
+}
+
+// Offers are numbered anew in each life of an agent, and two entries may have
+// the same job.
+TEST(KeeperNewsTest, AnEntryAnswersOnlyForItsOwnOffersAndJobs) {
+  struct Row {
+    const char *Name;
+    PeerRef From;
+    std::size_t Starts;
+    std::size_t Offers;
+  };
+  const Row Rows[] = {{"its own", EntryB, 1, 1}, {"another's", EntryA, 0, 2}};
+  for (const Row &Row : Rows) {
+    Sink.Offers.clear();
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper, 1000);
+    Keeper.onMessage(EntryB, interest("urgent", 2, 500), Now);
+    LONGS_EQUAL_TEXT(1, Sink.Offers.size(), Row.Name);
+    Keeper.onMessage(EntryA, dispatch("queued", stamp(), 1000, 800, 1), Now);
+    Keeper.onMessage(Row.From, decline(Sink.Offers[0].offer()), Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    // Nor does it say that another's tasks wait no longer.
+    Keeper.onMessage(Row.From, interest("urgent", 0, 0), Now);
+    pass(Keeper, 40ms);
+    LONGS_EQUAL_TEXT(Row.Offers, Sink.Offers.size(), Row.Name);
+  }
+}
+
+TEST(KeeperNewsTest, ALeavingAgentOffersNoRoom) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  attach(Keeper, 1000);
+  Keeper.leave("test", Now);
+  Keeper.onMessage(EntryB, interest("urgent", 1, 80), Now);
+  LONGS_EQUAL(0, Sink.Offers.size());
+}
--- a/tests/agent/worker_room_test.cpp
+++ b/tests/agent/worker_room_test.cpp
@@ -7,8 +7,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "agent/lease_keeper.h"
 #include "entry/lease_board.h"
+#include "tests/agent/keeper_fixture.h"
 
 #include <fmt/format.h>
 
@@ -20,35 +20,9 @@
 
 namespace {
 
-constexpr std::uint64_t Life = 7;
 constexpr std::uint32_t Core = 1000;
 const PeerRef Entry{"entry", "10.0.0.1:1"};
 
-class CountingPort final : public WorkerPort {
-public:
-  void attach(const WorkerProfile &) override {}
-  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
-  void stop(const StopCall &) override { ++this->Stops; }
-  void hold(const HoldCall &) override {}
-  std::vector<StartCall> Starts;
-  int Stops = 0;
-};
-
-class KeptMessages final : public PeerSink {
-public:
-  void send(const PeerRef &, peer::Message Message) override {
-    if (Message.has_leased_update())
-      this->Updates.push_back(Message.leased_update());
-    else if (Message.has_worker_load())
-      this->Load = Message.worker_load();
-    else if (Message.has_leased_offer())
-      this->Offers.push_back(Message.leased_offer());
-  }
-  std::vector<peer::LeasedUpdate> Updates;
-  std::vector<peer::LeasedOffer> Offers;
-  peer::WorkerLoad Load;
-};
-
 /// An agent and its worker.
 class RoomBench {
 public:
@@ -62,7 +36,7 @@
   void announce(std::uint64_t Sequence, std::uint32_t Cores,
                 std::uint32_t MemoryMb = 1000) {
     WorkerProfile Profile;
-    Profile.Id = "w";
+    Profile.Id = WorkerId;
     Profile.Pool = "pool";
     Profile.Sequence = Sequence;
     Profile.Room.set_cpu_milli(Cores * Core);
@@ -75,7 +49,7 @@
     peer::Message Message;
     peer::LeasedDispatch *Order = Message.mutable_leased_dispatch();
     Order->set_job(Job);
-    Order->set_agent_incarnation(Life);
+    Order->set_agent_incarnation(AgentLife);
     Order->set_stamp(LeaseKeeper::stampAt(this->Now));
     Order->set_start_by_ms(500);
     Order->set_give_up_ms(2000);
@@ -94,7 +68,7 @@
     peer::Message Message;
     peer::LeasedInterest *Told = Message.mutable_leased_interest();
     Told->set_job(Job);
-    Told->set_agent_incarnation(Life);
+    Told->set_agent_incarnation(AgentLife);
     Told->mutable_needs()->set_cpu_milli(Core);
     Told->set_tasks(Tasks);
     Told->set_start_by_ms(500);
@@ -109,7 +83,7 @@
   }
   peer::WorkerLoad load() {
     peer::Message Message;
-    Message.mutable_lease_renewal()->set_agent_incarnation(Life);
+    Message.mutable_lease_renewal()->set_agent_incarnation(AgentLife);
     Message.mutable_lease_renewal()->set_stamp(LeaseKeeper::stampAt(this->Now));
     this->Keeper.onMessage(Entry, Message, this->Now);
     return this->Sink.Load;
@@ -124,15 +98,15 @@
                       }));
   }
 
-  CountingPort Port;
-  KeptMessages Sink;
+  ObedientPort Port;
+  CollectingSink Sink;
   Instant Now{TimePoint(1h), fromUnixMillis(1800000000000)};
   LeaseKeeper Keeper;
 
 private:
   static KeeperOptions options() {
     KeeperOptions Options;
-    Options.Incarnation = Life;
+    Options.Incarnation = AgentLife;
     return Options;
   }
   std::uint64_t LastOrder = 0;
@@ -174,7 +148,7 @@
   RoomBench Bench;
   Bench.dispatch("running", 4);
   Bench.announce(2, 2);
-  LONGS_EQUAL(0, Bench.Port.Stops);
+  LONGS_EQUAL(0, Bench.Port.Stops.size());
   Bench.dispatch("next", 1);
   Bench.endFirst();
   Bench.endFirst();
@@ -237,14 +211,14 @@
   LeaseBoard Board(LeaseBoardOptions(), 1);
   peer::Member Member;
   Member.set_name("a");
-  Member.set_incarnation(Life);
+  Member.set_incarnation(AgentLife);
   Member.set_state(peer::MEMBER_ALIVE);
   Member.set_pool("pool");
   Member.mutable_room()->set_cpu_milli(4 * Core);
   Board.update(Member, Now);
   auto Hear = [&](std::uint64_t Stamp, std::uint32_t Cores) {
     peer::WorkerLoad Load;
-    Load.set_incarnation(Life);
+    Load.set_incarnation(AgentLife);
     Load.set_stamp(Stamp);
     Load.mutable_room()->set_cpu_milli(Cores * Core);
     Board.hear("a", Load, Now);
