What an agent says of its load counts within what its worker can hold

What callers saw: one faulty agent could have all jobs of its pool refused, or draw them all to itself.

Cause: the board took an agent's word whole, and added it up. Of nine workers with eight empty, one that told the most a figure holds made the pool look 119,305 times taken. Now a worker counts as holding three times its room at most, its runs and a queue; loads beyond are logged (load_beyond_room) as they begin.

LeaseBoardTest failed at 1,000 times the room before; all five rows pass now. lease_entry, lease_overload, lease_fleet and worker_room pass unchanged.

--- a/entry/lease_board.cpp
+++ b/entry/lease_board.cpp
@@ -17,6 +17,11 @@
 /// Beyond this a stamp is not carried on: the agent is asked for a new one.
 constexpr std::chrono::milliseconds MaxStampAge{5000};
 
+/// What a worker may be said to hold for others, in times its room: its runs
+/// and a queue. More is a mistake of its agent, and must neither close the pool
+/// nor go over the end of what placement adds up.
+constexpr std::uint64_t MostHeld = 3;
+
 /// Of a worker's processor time, what others were last said to hold.
 double shareOf(const LeasedWorker &Worker) {
   return static_cast<double>(Worker.OthersCpu) / Worker.Room.cpu_milli();
@@ -108,11 +113,11 @@
     return NewLife;
   Target->Stamp = Load.stamp();
   Target->StampHeard = Now;
-  Target->OthersCpu = Load.others_cpu_milli();
   if (Load.has_room()) {
     Target->Room = Load.room();
     Target->RoomHeard = true;
   }
+  this->takeOthers(*Target, Load.others_cpu_milli());
   if (Target->Room.cpu_milli() > 0)
     this->Forecasts[Target->Pool].onReport(shareOf(*Target), Now);
   if (Load.leaving())
@@ -121,6 +126,19 @@
   return NewLife;
 }
 
+void LeaseBoard::takeOthers(LeasedWorker &Target, std::uint32_t Told) {
+  std::uint64_t Most = MostHeld * Target.Room.cpu_milli();
+  bool IsNews = Target.OthersCpu < Most;
+  if (Told > Most && IsNews)
+    this->Log.decision("load_beyond_room",
+                       {{"agent", Target.Agent.Node},
+                        {"told_cpu_milli", Told},
+                        {"room_cpu_milli", Target.Room.cpu_milli()},
+                        {"taken_as", Most}});
+  Target.OthersCpu =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(Told, Most));
+}
+
 void LeaseBoard::setSilent(const std::string &Agent) {
   if (LeasedWorker *Target = this->find(Agent))
     Target->Silent = true;
--- a/entry/lease_board.h
+++ b/entry/lease_board.h
@@ -10,6 +10,7 @@
 #define YARDWHEEL_ENTRY_LEASE_BOARD_H
 
 #include "core/clock.h"
+#include "core/logger.h"
 #include "core/peer_sink.h"
 #include "dispatch/load_forecast.h"
 #include "dispatch/placement.h"
@@ -164,6 +165,8 @@
                  const std::set<std::string> &Avoid, TimePoint Now) const;
 
 private:
+  /// Takes what a worker is said to hold for others, within what it can.
+  void takeOthers(LeasedWorker &Target, std::uint32_t Told);
   bool mayTake(const LeasedWorker &Worker, const LeasedJobRequest &Job,
                TimePoint Now) const;
   /// \param Known The forecast of the worker's pool, from forecastOf.
@@ -190,6 +193,7 @@
   std::map<std::string, LeasedWorker> Workers;
   /// By pool.
   std::map<std::string, LoadForecast> Forecasts;
+  Logger Log{"board"};
 };
 
 } // namespace yardwheel
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -196,13 +196,13 @@
       if (!Next)
         break;
       Next->Request.Connection = Id;
-      this->take(Known, std::move(*Next));
+      this->take(Known, *Next);
     }
     if (Reader.refusal())
       this->refuse(Known, *Reader.refusal());
   }
 
-  void take(Intake &Known, ReadRequest Next) {
+  void take(Intake &Known, const ReadRequest &Next) {
     HttpConnection &Connection = *Known.Connection;
     if (Connection.pendingAnswers() >= MaxPendingAnswers) {
       this->refuse(Known, {HttpStatus::TooManyRequests,
