Connections stay only for callers that ask for it, and end with refusals

Cause: a caller's next request on a kept connection comes to the process that it knows, also when that has just died or refuses; a new connection finds another one.

Change: a connection is kept if its request asks for it, or if more has come behind it already; an answer that ends it says so, and it then does end. Ruled out: to go on saying Close and stay open, which served requests that a caller was told would not be.

Rows of http_framing whose connections are to stay now ask for it; rows for those that do not ask are added.

--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <utility>
 
 namespace yardwheel {
@@ -136,9 +137,7 @@
 }
 
 void RequestReader::begin() {
-  // Some callers end a body with a line end too many.
-  std::size_t First = this->Unread.find_first_not_of("\r\n");
-  this->Unread.erase(0, std::min(First, this->Unread.size()));
+  this->skipEmptyLines();
   if (this->Unread.empty())
     return;
   this->Parser.emplace();
@@ -150,6 +149,11 @@
   this->WishesContinue = false;
 }
 
+void RequestReader::skipEmptyLines() {
+  std::size_t First = this->Unread.find_first_not_of("\r\n");
+  this->Unread.erase(0, std::min(First, this->Unread.size()));
+}
+
 void RequestReader::refuse(HttpStatus Status, const std::string &Reason) {
   this->Refusal = ReadRefusal{Status, Reason};
   this->Unread.clear();
@@ -205,13 +209,19 @@
   return std::exchange(this->WishesContinue, false);
 }
 
+bool RequestReader::keepsConnection(const BeastRequest &Parsed) const {
+  http::token_list Wishes(Parsed[http::field::connection]);
+  bool IsAsked = Wishes.exists("keep-alive");
+  return Parsed.keep_alive() && (IsAsked || !this->Unread.empty());
+}
+
 ReadRequest RequestReader::take() {
-  http::request<http::string_body> Parsed = this->Parser->release();
-  bool KeepAlive = Parsed.keep_alive();
+  BeastRequest Parsed = this->Parser->release();
   this->Parser.reset();
+  this->skipEmptyLines();
   ReadRequest Read;
   Read.Form.IsHttp10 = Parsed.version() < 11;
-  Read.Form.KeepsConnection = KeepAlive;
+  Read.Form.KeepsConnection = this->keepsConnection(Parsed);
   Read.Form.HasBody = Parsed.method() != http::verb::head;
   HttpRequest &Request = Read.Request;
   std::string_view Target(Parsed.target().data(), Parsed.target().size());
--- a/http/request_reader.h
+++ b/http/request_reader.h
@@ -66,8 +66,16 @@
 private:
   using BeastParser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using BeastRequest =
+      boost::beast::http::request<boost::beast::http::string_body>;
 
   void begin();
+  /// Some callers end a body with a line end too many.
+  void skipEmptyLines();
+  /// Connections stay only for callers that ask for it, or have sent more: on
+  /// one that is kept, a caller's next request finds this process also when it
+  /// has just died, and is lost; a new connection finds another process.
+  bool keepsConnection(const BeastRequest &Parsed) const;
   /// Whether the parser has to wait for more of a chunked body.
   bool lacksChunkedEnd() const;
   void refuse(HttpStatus Status, const std::string &Reason);
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -153,6 +153,7 @@
                         {"idle_ms_ago", millisBetween(LastIdle, Now.Steady)}});
   this->Ready = Ready;
   this->Health->setReady(Ready);
+  this->Gate->setReady(Ready);
 }
 
 void LeaseEntryProcess::onConfirmed(TimePoint Asked) {
--- a/tests/http/http_framing_test.cpp
+++ b/tests/http/http_framing_test.cpp
@@ -74,12 +74,17 @@
 }
 
 std::string get(const std::string &Path) {
+  return "GET " + Path + " HTTP/1.1\r\nConnection: keep-alive\r\n\r\n";
+}
+
+/// One that says nothing of its connection.
+std::string plainGet(const std::string &Path) {
   return "GET " + Path + " HTTP/1.1\r\nHost: t\r\n\r\n";
 }
 
 /// The head of a POST with one more field.
 std::string post(const std::string &Field) {
-  return "POST /a HTTP/1.1\r\nHost: t\r\n" + Field + "\r\n\r\n";
+  return "POST /a HTTP/1.1\r\nConnection: keep-alive\r\n" + Field + "\r\n\r\n";
 }
 
 std::string post(const std::string &Field, std::size_t BodySize) {
@@ -239,7 +244,7 @@
         {get("/b") + post("Content-Length: " + std::to_string(Inside.size())),
          Inside},
         "200 200 ",
-        "/b=0 /a=33 "},
+        "/b=0 /a=48 "},
        {"byte by byte", Bytewise, "200 200 ", "/a=5 /b=0 "},
        {"chunks, and one more",
         {post("Transfer-Encoding: chunked") +
@@ -267,8 +272,8 @@
                "200 200 ",
                "/a=1000 /b=0 "},
               {"a long head",
-               {"GET /a HTTP/1.1\r\nHost: t\r\nX: " + std::string(3000, 'x') +
-                    "\r\n\r\n",
+               {"GET /a HTTP/1.1\r\nConnection: keep-alive\r\nX: " +
+                    std::string(3000, 'x') + "\r\n\r\n",
                 get("/b")},
                "200 200 ",
                "/a=0 /b=0 "},
@@ -288,6 +293,14 @@
                             "\r\n\r\n";
   this->play(
       {{"as its request asks", {Close, get("/b")}, "200 ", "/a=0 "},
+       {"as its request does not ask to keep it",
+        {plainGet("/a"), plainGet("/b")},
+        "200 ",
+        "/a=0 "},
+       {"two in one segment that do not ask to keep it",
+        {plainGet("/a") + plainGet("/b")},
+        "200 200 ",
+        "/a=0 /b=0 "},
        {"with one more behind it", {Close + get("/b")}, "200 ", "/a=0 "},
        {"HTTP/1.0", {"GET /a HTTP/1.0\r\n\r\n"}, "200 ", "/a=0 "},
        {"the last of two", {get("/b") + Close}, "200 200 ", "/b=0 /a=0 "}},
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -222,7 +222,7 @@
        "Connection: Keep-Alive\r\nContent-Length: 2\r\n\r\n/a"},
       {"GET /b HTTP/1.1\r\nHost: t\r\n\r\n",
        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-       "Connection: Keep-Alive\r\nContent-Length: 2\r\n\r\n/b"},
+       "Connection: Close\r\nContent-Length: 2\r\n\r\n/b"},
       {"GET /d HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n",
        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
        "Connection: Close\r\nContent-Length: 2\r\n\r\n/d"},
