The watch of connections has its thread from the start, and cannot fail later

A thread that was started by the first connection could fail then, and its failure had to end that connection. Each server gets connections, so nothing was saved.

Under the thread sanitizer http, http_framing and http_refusal pass; each shows one report, at the end of a thread that the HTTP library's own thread has started.

--- a/http/connection_watch.cpp
+++ b/http/connection_watch.cpp
@@ -20,14 +20,16 @@
 
 } // namespace
 
+ConnectionWatch::ConnectionWatch(LateRequest Tell)
+    : Tell(std::move(Tell)), Thread([this] { this->run(); }) {}
+
 ConnectionWatch::~ConnectionWatch() {
   {
     std::lock_guard Lock(this->Mutex);
     this->Stopping = true;
   }
   this->Changed.notify_all();
-  if (this->Thread.joinable())
-    this->Thread.join();
+  this->Thread.join();
 }
 
 void ConnectionWatch::add(const std::shared_ptr<HttpConnection> &New) {
@@ -37,8 +39,6 @@
   std::lock_guard Lock(this->Mutex);
   bool WasEmpty = this->Watched.empty();
   this->Watched.emplace(std::min(*First, now() + LookWithin), New);
-  if (!this->Thread.joinable())
-    this->Thread = std::thread([this] { this->run(); });
   if (WasEmpty)
     this->Changed.notify_all();
 }
--- a/http/connection_watch.h
+++ b/http/connection_watch.h
@@ -28,14 +28,14 @@
   using LateRequest = std::function<void(
       const std::shared_ptr<HttpConnection> &Late, std::uint64_t Place)>;
 
-  explicit ConnectionWatch(LateRequest Tell) : Tell(std::move(Tell)) {}
+  /// \throws std::system_error if no thread can be had.
+  explicit ConnectionWatch(LateRequest Tell);
   ~ConnectionWatch();
   ConnectionWatch(const ConnectionWatch &) = delete;
   ConnectionWatch &operator=(const ConnectionWatch &) = delete;
 
   /// Watches a connection until it ends, and does not keep it open; for any
   /// thread.
-  /// \throws std::system_error if no thread can be had.
   void add(const std::shared_ptr<HttpConnection> &New);
 
 private:
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -104,8 +104,8 @@
     if (this->Sent.exchange(true))
       return;
     std::shared_ptr<HttpConnection> Open = this->Connection.lock();
-    // Where requests behind this one have been taken, the last of their
-    // answers ends the connection.
+    // Where requests behind this one have been taken, the connection has to
+    // stay for their answers.
     if (Answer.Close && Open && Open->makeLast(this->Place))
       this->Form.KeepsConnection = false;
     this->Server->Answers.write(Open, this->Place, Answer, this->Form);
@@ -148,7 +148,7 @@
     // Without a descriptor there is no answer; the caller learns it at once.
     if (New->Connection->descriptor() < 0)
       ::shutdown(Peer->fd(), SHUT_RDWR);
-    this->watch(New->Connection);
+    this->Server->Watch.add(New->Connection);
   }
 
   void onInput(const char *Bytes, std::size_t Size,
@@ -172,22 +172,11 @@
     this->Target->onDisconnect(Peer->getID());
   }
 
-  /// Not called: the library's own reading is replaced.
+  /// Not called, as the library reads nothing.
   void onRequest(const Pistache::Http::Request &,
                  Pistache::Http::ResponseWriter) override {}
 
 private:
-  void watch(const std::shared_ptr<HttpConnection> &New) {
-    try {
-      this->Server->Watch.add(New);
-    } catch (const std::system_error &Problem) {
-      this->Log.warning("A connection is ended, as its timeouts cannot be "
-                        "watched: {}.",
-                        Problem.what());
-      New->end();
-    }
-  }
-
   void read(Intake &Known, std::string_view Bytes, std::uint64_t Id) {
     RequestReader &Reader = Known.Reader;
     Reader.feed(Bytes);
