Test: a refused caller that is cut off learns of it while the machine is busy (red)

Symptom: in both runs of all tests HttpLimitsTest's caller that sends without end was held for 106,286 and 106,864 ms; alone it takes 10 ms. That test bounds bytes, not time, and was green.

Evidence: the same beside eight busy processes, first try; the server's side was then in FIN-WAIT-2 with an empty queue and a timer of 55 s, held by no process. So the caller's window is at zero as the server ends the connection; the end of the answers had gone out before, and no reset goes out.

--- /dev/null
+++ b/tests/http/http_cut_off_test.cpp
@@ -0,0 +1,67 @@
+//===- A caller that is cut off learns of it ------------------------------=//
+//
+// A refused caller that sends on past what is read after a refusal is cut off,
+// and hung for 106 s where the machine was busy. Its window was at zero when
+// the server ended the connection: nothing was left to send it, as the end of
+// the answers had gone out before, and no reset went out. The kernel then
+// showed the server's side in FIN-WAIT-2 with an empty queue and a timer of 55
+// s, held by no process, and the caller still sending.
+//
+//===----------------------------------------------------------------------===//
+
+#include "http/http_server.h"
+#include "tests/support/http_caller.h"
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+
+namespace {
+
+class SilentHandler final : public HttpHandler {
+public:
+  void handle(const HttpRequest &, std::shared_ptr<HttpReply>) override {}
+};
+
+} // namespace
+
+TEST_GROUP(HttpCutOffTest){};
+
+TEST(HttpCutOffTest, ACallerThatIsCutOffLearnsOfItWhileTheMachineIsBusy) {
+  // For which a refused caller is read on, and a little more.
+  constexpr std::chrono::seconds InTime{7};
+  constexpr std::size_t Part = 1000000;
+  constexpr int MostParts = 100;
+  constexpr int Busy = 8;
+  std::atomic<bool> Done{false};
+  std::vector<std::thread> Others;
+  Others.reserve(Busy);
+  for (int I = 0; I < Busy; ++I)
+    Others.emplace_back([&Done] {
+      while (!Done.load()) {
+      }
+    });
+  std::uint16_t Port = freeHttpPort();
+  HttpServer Server({.Listen = "127.0.0.1:" + std::to_string(Port),
+                     .Threads = 1,
+                     .MaxBodyBytes = Part},
+                    std::make_shared<SilentHandler>());
+  Caller Line(Port);
+  Line.connect();
+  Line.send("POST /a HTTP/1.1\r\nContent-Length: 3000000\r\n\r\n");
+  auto Began = std::chrono::steady_clock::now();
+  for (int I = 0; I < MostParts && Line.send(std::string(Part, 'x'));)
+    ++I;
+  auto Took = std::chrono::steady_clock::now() - Began;
+  Done.store(true);
+  for (std::thread &Other : Others)
+    Other.join();
+  CHECK(Took < InTime);
+}
