Logs tell where a task was placed, by what lease it ran, and that a process stood still

Two runs of one task were alive at once, and the record could not tell whether one entry had placed the task twice or two entries had taken the job, nor what kept the first run alive.

- An entry logs each dispatch: its job, agent, first placement, and how long ago it heard the agent.
- An agent logs with each end the placement and what was left of the lease, and why a dispatch was too old: another incarnation or the stamp's age.
- A loop that comes to its next round 400 ms late logs process_stalled.
- Times of log lines have milliseconds.

No decision changes.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -132,6 +132,17 @@
   // Enough must be left for renewals, whose answers bring a newer stamp.
   bool Fresh = Mine && this->takeStamp(From, Dispatch.stamp(), Now) >=
                            this->Options.EntryLease / 2;
+  if (!Fresh && Dispatch.tasks_size() > 0)
+    this->Log.decision(
+        "dispatch_stale",
+        {{"job", Dispatch.job()},
+         {"entry", From.Node},
+         {"first_order", Dispatch.tasks(0).order()},
+         {"tasks", Dispatch.tasks_size()},
+         {"for_incarnation", Dispatch.agent_incarnation()},
+         {"incarnation", this->Options.Incarnation},
+         {"stamp_age_ms", static_cast<std::int64_t>(stampAt(Now)) -
+                              static_cast<std::int64_t>(Dispatch.stamp())}});
   for (const peer::LeasedTask &Order : Dispatch.tasks())
     this->onOrder(From, Dispatch, Order, Fresh, Now);
   if (Dispatch.offer() > 0)
@@ -309,6 +320,7 @@
                                      {"task", Id.Index},
                                      {"run", Which.Run},
                                      {"entry", Which.Owner.Node},
+                                     {"order", Which.Order},
                                      {"reason", Reason}});
   this->Session.stop({Id.Job, Id.Index, Which.Run}, Now);
 }
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -191,6 +191,8 @@
   void takeRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &Which, RunEnd How);
+  /// Of an entry's lease, in milliseconds, for logs; 0 once it has lapsed.
+  std::int64_t leaseLeft(const std::string &Entry, Instant Now) const;
   void giveRoomBack(const peer::TaskNeeds &Needs);
 
   void say(const TaskId &Id, const Task &Which, peer::LeasedEvent Event,
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -80,6 +80,14 @@
     ++this->FailuresInRow;
 }
 
+std::int64_t LeaseKeeper::leaseLeft(const std::string &Entry,
+                                    Instant Now) const {
+  auto Held = this->Leases.find(Entry);
+  return Held == this->Leases.end()
+             ? 0
+             : millisBetween(Now.Steady, Held->second.Until);
+}
+
 void LeaseKeeper::onRunEnded(const RunKey &Run, RunEnd How, Instant Now) {
   Task *Which = this->taskOf(Run);
   if (Which == nullptr)
@@ -98,6 +106,8 @@
        {"task", Run.Index},
        {"run", Run.Run},
        {"entry", Which->Owner.Node},
+       {"order", Which->Order},
+       {"entry_lease_left_ms", this->leaseLeft(Which->Owner.Node, Now)},
        {"end", runEndName(How)},
        {"waited_ms", millisBetween(Which->Arrived, Which->Started)},
        {"ran_ms", millisBetween(Which->Started, Now.Steady)}});
--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -93,8 +93,11 @@
 std::string lineStart(LogLevel Level, const std::string &Part) {
   auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
-  return fmt::format(R"({{"time":"{:%FT%TZ}","level":"{}","part":"{}")", Now,
-                     LevelNames[static_cast<std::size_t>(Level)], Part);
+  auto Millis = Now.time_since_epoch() % std::chrono::seconds(1);
+  return fmt::format(
+      R"({{"time":"{:%FT%T}.{:03}Z","level":"{}","part":"{}")",
+      std::chrono::time_point_cast<std::chrono::seconds>(Now - Millis),
+      Millis.count(), LevelNames[static_cast<std::size_t>(Level)], Part);
 }
 
 } // namespace
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -109,6 +109,15 @@
     Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
     Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
     this->Counters.TasksSent += Order.tasks_size();
+    this->Log.decision(
+        "dispatched",
+        {{"job", Request.Id},
+         {"agent", Agent},
+         {"first_task", Order.tasks(0).index()},
+         {"attempt", Order.tasks(0).attempt()},
+         {"first_order", Order.tasks(0).order()},
+         {"tasks", Order.tasks_size()},
+         {"heard_ms_ago", millisBetween(Worker->Heard, Now.Steady)}});
     peer::Message Message;
     *Message.mutable_leased_dispatch() = std::move(Order);
     this->Sink.send(Worker->Agent, std::move(Message));
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -18,6 +18,10 @@
 /// turn between them sees them apart by some milliseconds.
 constexpr std::chrono::milliseconds SuspensionNoticed{100};
 
+/// A round that begins this long after the one before is logged: half of the
+/// shortest lease that another process holds on this one's word.
+constexpr std::chrono::milliseconds StallNoticed{400};
+
 } // namespace
 
 EventLoop::EventLoop(const Clock &Source, LoopWaiter &Waiter,
@@ -87,6 +91,16 @@
                       {"run_time_ms", (Passed - Suspended).count() / 1000}});
 }
 
+void EventLoop::noteStall(TimePoint Now) {
+  Duration Passed = Now - this->LastRound;
+  if (Passed < StallNoticed)
+    return;
+  this->Log.decision(
+      "process_stalled",
+      {{"since_last_round_ms", Passed.count() / 1000},
+       {"since_idle_ms", (Now - this->LastIdle.load()).count() / 1000}});
+}
+
 void EventLoop::run() {
   TimePoint NextTick = this->Source.now().Steady;
   Duration Longest{0};
@@ -98,6 +112,7 @@
     if (!this->takeRound(Round))
       return;
     Instant Now = this->Source.now();
+    this->noteStall(Now.Steady);
     this->noteSuspension(Now.Steady);
     if (Idle && Round.empty())
       this->noteIdle(Now.Steady);
--- a/transport/event_loop.h
+++ b/transport/event_loop.h
@@ -65,6 +65,9 @@
   /// A suspension takes the way of any other time in which this process stood
   /// still; it is only told apart for whoever reads the log.
   void noteSuspension(TimePoint Now);
+  /// Logs that this process stood still, as a frozen one or one without
+  /// processor time does: what it knows of others is that much older.
+  void noteStall(TimePoint Now);
 
   Logger Log{"loop"};
   TimePoint LastRound;
