Test: no run outlives the answer of an entry that hears nothing (red)

One entry places a task of 5 s; 300 ms later nothing that agents send reaches it any more, while they go on hearing it. 720 ms later it takes the agent for lost and answers 504. The caller hands the job in elsewhere after the 1,300 ms that he has to wait, and two runs are alive: at its end the first one's lease had 701 ms left, 5 s after the entry last heard its agent. The lease was renewed by the entry that had given the run up.

--- /dev/null
+++ b/tests/entry/overlapping_runs_test.cpp
@@ -0,0 +1,77 @@
+// A caller that was answered, or whose connection broke, hands its job in
+// again elsewhere after a while; until then no run of it may be left.
+
+#include "emulator/leased_world.h"
+
+#include <fmt/format.h>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 20;
+/// After its answer, until a caller hands its job in again.
+constexpr std::chrono::milliseconds ResubmitAfter{1300};
+constexpr std::chrono::milliseconds Length{5000};
+/// Longer than any message is waited for.
+constexpr std::chrono::hours Never{1};
+
+LeasedJobRequest longJob() {
+  LeasedJobRequest Job;
+  Job.Id = "j";
+  Job.Route = "long";
+  Job.Needs.set_cpu_milli(1000);
+  Job.Estimate = Length;
+  Job.Objective = 2 * Length;
+  Job.Deadline = 3 * Length;
+  Job.MaxAttempts = 2;
+  return Job;
+}
+
+bool isAgent(const std::string &Node) { return Node.starts_with("agent"); }
+
+} // namespace
+
+TEST_GROUP(OverlappingRunsTest){};
+
+// An entry that hears nothing more of an agent answers its caller, and must not
+// keep the agent's lease alive by what it goes on sending.
+TEST(OverlappingRunsTest, NoRunOutlivesTheAnswerOfAnEntryThatHearsNothing) {
+  struct Row {
+    const char *Name;
+    bool FromAgents;
+    bool ToAgents;
+  };
+  const Row Rows[] = {{"entry hears nothing", true, false},
+                      {"entry reaches nobody", false, true},
+                      {"neither", true, true}};
+  for (const Row &Row : Rows)
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      LeasedWorldOptions Options;
+      Options.Seed = Seed;
+      Options.Entries = 2;
+      LeasedWorld World(Options);
+      World.submit(0, longJob(), {Length}, 2 * Length);
+      World.world().run(300ms);
+      World.world().setFilter([&](const PeerRef &From, const PeerRef &To,
+                                  const peer::Message &) -> Duration {
+        bool Lost =
+            (Row.FromAgents && isAgent(From.Node) && To.Node == "entry-0") ||
+            (Row.ToAgents && From.Node == "entry-0" && isAgent(To.Node));
+        return Lost ? Duration(Never) : Duration(0);
+      });
+      std::string Case = fmt::format("{}, seed {}", Row.Name, Seed);
+      for (int I = 0; I < 300 && World.outcomes().at("long").Failed == 0; ++I)
+        World.world().run(10ms);
+      LONGS_EQUAL_TEXT(1, World.outcomes().at("long").Failed, Case.c_str());
+      World.world().run(ResubmitAfter);
+      World.submit(1, longJob(), {Length}, 2 * Length);
+      World.world().run(2 * Length);
+      LONGS_EQUAL_TEXT(0, World.doubledRuns(), Case.c_str());
+      LONGS_EQUAL_TEXT(1, World.outcomes().at("long").InTime, Case.c_str());
+    }
+}
