Leases name placements, so that an entry keeps no run alive that it has answered for

What callers saw: one task ran at two upstreams at once. An entry that no longer heard an agent answered 504 after 720 ms; its caller handed the job in elsewhere 1,300 ms later, and the first run went on to its end.

Cause: a lease that was renewed by whom it should expire against. An agent held one lease for each entry. The entry echoed a stamp of the agent's clock, but had come to carry it on by its own clock for up to 5 s, to save refusals of dispatches as stale; and it went on sending renewals to agents that it had taken for lost, to learn whether they are back. So an entry that heard nothing kept all its runs there alive. The proof rested on the stamp being as old as what was last heard, and was not read again when that changed. No stop went out either: the lost placements were settled before the stops were made.

Change: each placement has a lease of its own. Renewals and dispatches name the placements of jobs that are under way; one that is not named lapses. What was answered for, given up or lost is named no more from that moment, so its run ends within L after the last message that named it, which was sent before the answer. A dispatch that is sent again names what is wanted by then. An agent taken for lost is told to stop the placements, which it may hear.

Why it holds: whether the agent is heard no longer matters.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -74,7 +74,8 @@
   } else if (Message.has_lease_renewal()) {
     const peer::LeaseRenewal &Renewal = Message.lease_renewal();
     if (Renewal.agent_incarnation() == this->Options.Incarnation)
-      this->takeStamp(From, Renewal.stamp(), Now);
+      this->renew(From, {Renewal.orders().begin(), Renewal.orders().end()},
+                  this->leaseFrom(Renewal.stamp(), Now), Now);
     this->tellLingering(From);
     peer::Message Reply;
     peer::WorkerLoad *Load = Reply.mutable_worker_load();
@@ -93,7 +94,7 @@
   Life = From.Incarnation;
   if (!Restarted)
     return;
-  this->Leases.erase(From.Node);
+  this->EntriesHeard.erase(From.Node);
   std::vector<TaskId> Orphaned;
   for (const auto &[Id, Known] : this->Tasks)
     if (Known.Owner.Node == From.Node &&
@@ -102,24 +103,35 @@
   this->Log.decision("entry_restarted", {{"entry", From.Node},
                                          {"incarnation", From.Incarnation},
                                          {"tasks", Orphaned.size()}});
-  // The present life would renew their lease without knowing of them, while
-  // their callers have them run elsewhere.
+  // The present life does not know of them, while their callers have them run
+  // elsewhere.
   for (const TaskId &Id : Orphaned)
     this->dropTask(Id, peer::REFUSAL_STALE, "its entry has restarted", Now);
 }
 
-std::chrono::milliseconds
-LeaseKeeper::takeStamp(const PeerRef &From, std::uint64_t Stamp, Instant Now) {
+std::chrono::milliseconds LeaseKeeper::leaseFrom(std::uint64_t Stamp,
+                                                 Instant Now) const {
   std::uint64_t Present = stampAt(Now);
   if (!this->Options.LeasesCountFromEcho)
     Stamp = Present;
   auto Length = static_cast<std::uint64_t>(this->Options.EntryLease.count());
   if (Stamp > Present || Present - Stamp >= Length)
     return {};
-  std::chrono::milliseconds Left(Length - (Present - Stamp));
-  Lease &Held = this->Leases[From.Node];
-  Held.Until = std::max(Held.Until, Now.Steady + Left);
-  return Left;
+  return std::chrono::milliseconds(Length - (Present - Stamp));
+}
+
+void LeaseKeeper::renew(const PeerRef &From,
+                        const std::set<std::uint64_t> &Orders,
+                        std::chrono::milliseconds Left, Instant Now) {
+  if (Left.count() == 0)
+    return;
+  TimePoint Until = Now.Steady + Left;
+  TimePoint &Heard = this->EntriesHeard[From.Node];
+  Heard = std::max(Heard, Until);
+  for (auto &[Id, Known] : this->Tasks)
+    if (Known.Owner.Node == From.Node && Known.State != Phase::Stopping &&
+        Orders.contains(Known.Order))
+      Known.Until = std::max(Known.Until, Until);
 }
 
 // ---- Tasks come in ----
@@ -130,8 +142,12 @@
   // Meant for an earlier life: this one has not started it and will not.
   bool Mine = Dispatch.agent_incarnation() == this->Options.Incarnation;
   // Enough must be left for renewals, whose answers bring a newer stamp.
-  bool Fresh = Mine && this->takeStamp(From, Dispatch.stamp(), Now) >=
-                           this->Options.EntryLease / 2;
+  std::chrono::milliseconds Left{0};
+  if (Mine)
+    Left = this->leaseFrom(Dispatch.stamp(), Now);
+  this->renew(From, {Dispatch.renewed().begin(), Dispatch.renewed().end()},
+              Left, Now);
+  bool Fresh = Left >= this->Options.EntryLease / 2;
   if (!Fresh && Dispatch.tasks_size() > 0)
     this->Log.decision(
         "dispatch_stale",
@@ -144,7 +160,7 @@
          {"stamp_age_ms", static_cast<std::int64_t>(stampAt(Now)) -
                               static_cast<std::int64_t>(Dispatch.stamp())}});
   for (const peer::LeasedTask &Order : Dispatch.tasks())
-    this->onOrder(From, Dispatch, Order, Fresh, Now);
+    this->onOrder(From, Dispatch, Order, Left, Now);
   if (Dispatch.offer() > 0)
     this->startOffered(From, Dispatch, Now);
   this->startFitting(Now);
@@ -208,13 +224,14 @@
 
 void LeaseKeeper::onOrder(const PeerRef &From,
                           const peer::LeasedDispatch &Dispatch,
-                          const peer::LeasedTask &Order, bool Fresh,
-                          Instant Now) {
+                          const peer::LeasedTask &Order,
+                          std::chrono::milliseconds Left, Instant Now) {
   TaskId Id{Dispatch.job(), Order.index()};
   Task New;
   New.Owner = From;
   New.Attempt = Order.attempt();
   New.Order = Order.order();
+  New.Until = Now.Steady + Left;
   New.Spec = Dispatch.spec();
   New.Needs = Dispatch.needs();
   New.Arrived = Now.Steady;
@@ -227,6 +244,7 @@
               Known->second.Order == Order.order();
   if (Held || this->Ended.contains({From.Node, Order.order()}))
     return;
+  bool Fresh = Left >= this->Options.EntryLease / 2;
   peer::LeasedRefusal Refusal = this->refusalFor(Id, Fresh);
   // It would keep its turn for good, and others from theirs.
   if (Refusal == peer::REFUSAL_NONE &&
@@ -278,9 +296,11 @@
     this->stopStalled(From, Stop, Now);
     return;
   }
+  std::set<std::uint64_t> Orders(Stop.orders().begin(), Stop.orders().end());
   std::vector<TaskId> Meant;
   for (const auto &[Id, Known] : this->Tasks)
-    if (Id.Job == Stop.job() && Known.Owner.Node == From.Node)
+    if (Id.Job == Stop.job() && Known.Owner.Node == From.Node &&
+        (Orders.empty() || Orders.contains(Known.Order)))
       Meant.push_back(Id);
   for (const TaskId &Id : Meant)
     this->dropTask(Id, peer::REFUSAL_STOPPED, "stopped by its entry", Now);
@@ -420,39 +440,40 @@
 // ---- Time ----
 
 void LeaseKeeper::tick(Instant Now) {
+  this->dropExpired(Now);
   this->Session.tick(Now);
-  this->tickLeases(Now);
-  this->tickQueue(Now);
+  this->sweep(Now);
   for (const peer::TaskNeeds &Room : this->Desk.releaseExpired(Now.Steady))
     this->giveRoomBack(Room);
   this->startFitting(Now);
   this->tickLingering(Now);
 }
 
-void LeaseKeeper::tickLeases(Instant Now) {
-  std::vector<std::string> Lapsed;
-  for (const auto &[Entry, Held] : this->Leases)
-    if (Now.Steady >= Held.Until)
-      Lapsed.push_back(Entry);
-  for (const std::string &Entry : Lapsed) {
-    this->Leases.erase(Entry);
-    std::vector<TaskId> Concerned;
-    for (const auto &[Id, Known] : this->Tasks)
-      if (Known.Owner.Node == Entry)
-        Concerned.push_back(Id);
-    if (Concerned.empty())
-      continue;
+void LeaseKeeper::dropExpired(Instant Now) {
+  this->dropLapsed(Now);
+  this->dropLate(Now);
+}
+
+void LeaseKeeper::dropLapsed(Instant Now) {
+  std::erase_if(this->EntriesHeard,
+                [&](const auto &Item) { return Now.Steady >= Item.second; });
+  std::map<std::string, std::vector<TaskId>> Lapsed;
+  for (const auto &[Id, Known] : this->Tasks)
+    if (Known.State != Phase::Stopping && Now.Steady >= Known.Until)
+      Lapsed[Known.Owner.Node].push_back(Id);
+  for (const auto &[Entry, Concerned] : Lapsed) {
     ++this->Counters.LeasesLapsed;
     this->Log.decision("lease_lapsed",
                        {{"entry", Entry},
                         {"lease_ms", this->Options.EntryLease.count()},
+                        {"entry_heard", this->EntriesHeard.contains(Entry)},
                         {"tasks", Concerned.size()}});
     for (const TaskId &Id : Concerned)
       this->dropTask(Id, peer::REFUSAL_STALE, "its entry's lease lapsed", Now);
   }
 }
 
-void LeaseKeeper::tickQueue(Instant Now) {
+void LeaseKeeper::dropLate(Instant Now) {
   std::vector<TaskId> Late;
   for (const TaskId &Id : this->Queue)
     if (Now.Steady >= this->Tasks.at(Id).GiveUp)
@@ -460,7 +481,6 @@
   for (const TaskId &Id : Late)
     this->dropTask(Id, peer::REFUSAL_TOO_LATE, "it could not start in time",
                    Now);
-  this->sweep(Now);
 }
 
 void LeaseKeeper::sweep(Instant Now) {
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -1,10 +1,10 @@
 //===- agent/lease_keeper.h - Leased tasks at an agent ----------*- C++ -*-===//
 ///
 /// \file
-/// Holds the entries' leases, and the queue and the room of one worker. Tasks
-/// of an entry run only while its lease lasts: it counts from a stamp of this
-/// agent's own clock that the entry has echoed, so that neither a message
-/// held up on its way nor an entry that was frozen extends it.
+/// Holds the leases of tasks, and the queue and the room of one worker. A task
+/// runs only while its lease lasts, which its entry renews by naming the
+/// placement. It counts from a stamp of this agent's own clock, so that neither
+/// a message held up on its way nor an entry that was frozen extends it.
 ///
 /// Single-threaded, without sockets or clocks.
 ///
@@ -21,6 +21,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,8 @@
     std::uint32_t Attempt = 0;
     std::uint64_t Order = 0;
     std::uint64_t Run = 0;
+    /// The end of its lease.
+    TimePoint Until;
     std::string Spec;
     peer::TaskNeeds Needs;
     TimePoint StartBy;
@@ -128,9 +131,6 @@
     /// Its entry had it stopped because it stood still.
     bool Stalled = false;
   };
-  struct Lease {
-    TimePoint Until = TimePoint::min();
-  };
   /// A placement, by its entry and its number there.
   struct Placement {
     std::string Entry;
@@ -148,14 +148,18 @@
 
   /// Ends what an entry had here if the message comes from another life of it.
   void noteLife(const PeerRef &From, Instant Now);
-  /// Extends an entry's lease. \returns how much of it is left; 0 for a stamp
-  /// that is too old.
-  std::chrono::milliseconds takeStamp(const PeerRef &From, std::uint64_t Stamp,
-                                      Instant Now);
+  /// How much is left of a lease that counts from a stamp; 0 for a stamp that
+  /// is too old.
+  std::chrono::milliseconds leaseFrom(std::uint64_t Stamp, Instant Now) const;
+  /// Extends the leases of the placements that an entry names.
+  void renew(const PeerRef &From, const std::set<std::uint64_t> &Orders,
+             std::chrono::milliseconds Left, Instant Now);
   void onDispatch(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
                   Instant Now);
+  /// \param Left Of the task's lease.
   void onOrder(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
-               const peer::LeasedTask &Order, bool Fresh, Instant Now);
+               const peer::LeasedTask &Order, std::chrono::milliseconds Left,
+               Instant Now);
   /// Starts the tasks of a dispatch in the room that was offered for them.
   void startOffered(const PeerRef &From, const peer::LeasedDispatch &Dispatch,
                     Instant Now);
@@ -191,8 +195,6 @@
   void takeRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &Which, RunEnd How);
-  /// Of an entry's lease, in milliseconds, for logs; 0 once it has lapsed.
-  std::int64_t leaseLeft(const std::string &Entry, Instant Now) const;
   void giveRoomBack(const peer::TaskNeeds &Needs);
 
   void say(const TaskId &Id, const Task &Which, peer::LeasedEvent Event,
@@ -209,15 +211,20 @@
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
                            bool WithAllCrashes = false) const;
   Task *taskOf(const RunKey &Run);
-  void tickLeases(Instant Now);
-  void tickQueue(Instant Now);
+  /// Drops what has outlived its lease or waited for too long. It precedes
+  /// whatever may renew a lease or start a task, as this process may have stood
+  /// still since the last tick.
+  void dropExpired(Instant Now);
+  void dropLapsed(Instant Now);
+  void dropLate(Instant Now);
   void sweep(Instant Now);
 
   KeeperOptions Options;
   Logger Log{"keeper"};
   PeerSink &Sink;
   WorkerSession Session;
-  std::map<std::string, Lease> Leases;
+  /// Until when entries count as being there, by what they last sent.
+  std::map<std::string, TimePoint> EntriesHeard;
   /// The lives that entries were last heard of in.
   std::map<std::string, std::uint64_t> EntryLives;
   std::map<TaskId, Task> Tasks;
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -80,14 +80,6 @@
     ++this->FailuresInRow;
 }
 
-std::int64_t LeaseKeeper::leaseLeft(const std::string &Entry,
-                                    Instant Now) const {
-  auto Held = this->Leases.find(Entry);
-  return Held == this->Leases.end()
-             ? 0
-             : millisBetween(Now.Steady, Held->second.Until);
-}
-
 void LeaseKeeper::onRunEnded(const RunKey &Run, RunEnd How, Instant Now) {
   Task *Which = this->taskOf(Run);
   if (Which == nullptr)
@@ -107,7 +99,7 @@
        {"run", Run.Run},
        {"entry", Which->Owner.Node},
        {"order", Which->Order},
-       {"entry_lease_left_ms", this->leaseLeft(Which->Owner.Node, Now)},
+       {"lease_left_ms", millisBetween(Now.Steady, Which->Until)},
        {"end", runEndName(How)},
        {"waited_ms", millisBetween(Which->Arrived, Which->Started)},
        {"ran_ms", millisBetween(Which->Started, Now.Steady)}});
@@ -268,7 +260,7 @@
 
 void LeaseKeeper::onUndelivered(const Undelivered &Lost, Instant Now) {
   // An entry that is gone renews nothing, and then nobody waits.
-  if (!this->Leases.contains(Lost.To.Node))
+  if (!this->EntriesHeard.contains(Lost.To.Node))
     return;
   int Updates = 0;
   for (const peer::Message &Message : Lost.Envelope->messages()) {
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -267,6 +267,7 @@
 
 void LeaseCoordinator::settle(Job &Target, Task &Which, TaskPhase Next) {
   this->Board.onSettled(Which.Agent, Target.Request.Needs);
+  this->Contacts[Which.Agent].Wanted.erase(Which.Order);
   --Target.OutCount;
   Which.Phase = Next;
 }
@@ -286,19 +287,24 @@
 
 void LeaseCoordinator::stopTasks(Job &Target) {
   std::set<std::string> Agents;
-  for (const Task &Which : Target.Tasks)
-    if (Which.Phase == TaskPhase::Sent)
-      Agents.insert(Which.Agent);
+  for (const Task &Which : Target.Tasks) {
+    if (Which.Phase != TaskPhase::Sent)
+      continue;
+    Agents.insert(Which.Agent);
+    this->Contacts[Which.Agent].Wanted.erase(Which.Order);
+  }
   for (const std::string &Agent : Agents)
-    this->sendStop(Target.Request.Id, *this->Board.find(Agent));
+    this->sendStop(Target.Request.Id, *this->Board.find(Agent), {});
 }
 
 void LeaseCoordinator::sendStop(const std::string &Id,
-                                const LeasedWorker &Worker) {
+                                const LeasedWorker &Worker,
+                                const std::vector<std::uint64_t> &Orders) {
   peer::Message Message;
   peer::LeasedStop *Stop = Message.mutable_leased_stop();
   Stop->set_job(Id);
   Stop->set_agent_incarnation(Worker.Incarnation);
+  Stop->mutable_orders()->Add(Orders.begin(), Orders.end());
   this->Sink.send(Worker.Agent, std::move(Message));
 }
 
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -243,6 +243,10 @@
     TimePoint LoseOldAt = TimePoint::max();
     /// When messages to it were last sent again.
     TimePoint RepeatedAt = TimePoint::min();
+    /// Placements there whose jobs still run here, by their numbers: all that
+    /// renewals name. What is answered for must lapse, also at an agent that
+    /// cannot be heard.
+    std::set<std::uint64_t> Wanted;
     /// Placements that were given up when it was lost, by their numbers. It
     /// may hold them all the same.
     struct GivenUp {
@@ -307,9 +311,9 @@
   /// was lost.
   void stopGivenUp(const LeasedWorker &Worker,
                    const std::set<std::uint64_t> &Held, Instant Now);
-  /// Whether a job that still runs has tasks at an agent.
-  bool isWantedAt(const std::string &Id, const std::string &Agent);
-  void sendStop(const std::string &Id, const LeasedWorker &Worker);
+  /// \param Orders The placements to stop; all of the job there if empty.
+  void sendStop(const std::string &Id, const LeasedWorker &Worker,
+                const std::vector<std::uint64_t> &Orders);
   void onUpdate(const std::string &Agent, const peer::LeasedUpdate &Update,
                 Instant Now);
   /// Whether an agent's word that a task has not started holds for all copies
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -84,6 +84,7 @@
   Which.PlacedAt = Now.Steady;
   Which.MissingSince = TimePoint::max();
   ++Target.OutCount;
+  this->Contacts[Which.Agent].Wanted.insert(Which.Order);
   this->Board.onSent(Which.Agent, Target.Request.Needs);
   peer::LeasedTask *Order = Batch[Which.Agent].add_tasks();
   Order->set_index(Index);
@@ -108,6 +109,10 @@
     Order.set_start_by_ms(static_cast<std::int32_t>(StartBy.count()));
     Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
     Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
+    // The numbers of its own tasks are the highest so far.
+    Contact &Line = this->Contacts[Agent];
+    auto Earlier = Line.Wanted.lower_bound(Order.tasks(0).order());
+    Order.mutable_renewed()->Add(Line.Wanted.begin(), Earlier);
     this->Counters.TasksSent += Order.tasks_size();
     this->Log.decision(
         "dispatched",
@@ -121,8 +126,7 @@
     peer::Message Message;
     *Message.mutable_leased_dispatch() = std::move(Order);
     this->Sink.send(Worker->Agent, std::move(Message));
-    // It carries a stamp, and so renews the lease like a renewal.
-    Contact &Line = this->Contacts[Agent];
+    // It renews all leases there.
     Line.NextRenewal = Now.Steady + this->Options.RenewEvery;
     Line.SentAt = std::min(Line.SentAt, Now.Steady);
   }
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -53,9 +53,11 @@
     if (Message.has_leased_dispatch()) {
       this->repeatDispatch(Worker, Message.leased_dispatch(), Age, Now);
     } else if (Message.has_leased_stop()) {
-      const Job *Target = this->find(Message.leased_stop().job());
-      // Stops of single tasks are sent again in their own time.
-      if (Target != nullptr && Target->Phase != JobPhase::Running)
+      const peer::LeasedStop &Stop = Message.leased_stop();
+      const Job *Target = this->find(Stop.job());
+      // Stops of stalled tasks are sent again in their own time.
+      bool Over = Target != nullptr && Target->Phase != JobPhase::Running;
+      if (Over || Stop.orders_size() > 0)
         this->Sink.send(Worker.Agent, Message);
     }
   }
@@ -73,6 +75,8 @@
   peer::LeasedDispatch *Again = Message.mutable_leased_dispatch();
   *Again = Lost;
   Again->clear_tasks();
+  // Renewals go out beside it, for what is wanted by now.
+  Again->clear_renewed();
   for (const peer::LeasedTask &Order : Lost.tasks()) {
     Task &Which = Target->Tasks[Order.index()];
     if (Which.Phase != TaskPhase::Sent || Which.Order != Order.order())
@@ -118,14 +122,18 @@
   for (const std::string &Id : Concerned) {
     Job &Target = *this->Jobs[Id];
     Target.MayHaveRun = true;
-    // What became of its runs is not known. They lapse with our lease, and are
-    // stopped should the agent be heard before.
+    // What became of its runs is not known. They are no longer named in
+    // renewals, and lapse; the agent may still hear that they are to stop.
+    std::vector<std::uint64_t> Orders;
     for (Task &Which : Target.Tasks) {
       if (!IsLost(Which))
         continue;
       this->Contacts[Agent].Lost[Which.Order] = {Id, Which.PlacedAt};
+      Orders.push_back(Which.Order);
       this->settle(Target, Which, TaskPhase::Over);
     }
+    if (Worker != nullptr)
+      this->sendStop(Id, *Worker, Orders);
     if (Target.Phase == JobPhase::Running)
       this->giveUp(Target, {LeasedEnd::Unknown, "run", Agent, Reason, {}}, Now);
     else if (Target.Phase == JobPhase::GivingUp)
@@ -180,38 +188,29 @@
     this->onUpdate(Agent, End, Now);
 }
 
-bool LeaseCoordinator::isWantedAt(const std::string &Id,
-                                  const std::string &Agent) {
-  const Job *Known = this->find(Id);
-  return Known != nullptr && Known->Phase == JobPhase::Running &&
-         std::any_of(
-             Known->Tasks.begin(), Known->Tasks.end(), [&](const Task &Which) {
-               return Which.Phase == TaskPhase::Sent && Which.Agent == Agent;
-             });
-}
-
 void LeaseCoordinator::stopGivenUp(const LeasedWorker &Worker,
                                    const std::set<std::uint64_t> &Held,
                                    Instant Now) {
   const std::string &Agent = Worker.Agent.Node;
-  std::set<std::string> GivenUp;
+  std::map<std::string, std::vector<std::uint64_t>> GivenUp;
   // Its stop may have been lost.
   for (const auto &[Id, Known] : this->Jobs)
     for (const Task &Which : Known->Tasks)
       if (Known->Phase != JobPhase::Running && Which.Phase == TaskPhase::Sent &&
           Which.Agent == Agent && Held.contains(Which.Order))
-        GivenUp.insert(Id);
+        GivenUp[Id].push_back(Which.Order);
   std::erase_if(this->Contacts[Agent].Lost, [&](const auto &Item) {
     const auto &[Order, Lost] = Item;
-    // A stop ends all that the agent holds of a job.
-    if (Held.contains(Order) && !this->isWantedAt(Lost.Job, Agent))
-      GivenUp.insert(Lost.Job);
+    if (Held.contains(Order))
+      GivenUp[Lost.Job].push_back(Order);
     bool MayArrive = Now.Steady - Lost.PlacedAt <= this->Options.InTransit;
     return !Held.contains(Order) && !MayArrive;
   });
-  for (const std::string &Id : GivenUp) {
-    this->Log.decision("given_up_stopped", {{"job", Id}, {"agent", Agent}});
-    this->sendStop(Id, Worker);
+  for (const auto &[Id, Orders] : GivenUp) {
+    this->Log.decision(
+        "given_up_stopped",
+        {{"job", Id}, {"agent", Agent}, {"placements", Orders.size()}});
+    this->sendStop(Id, Worker, Orders);
   }
 }
 
@@ -324,8 +323,10 @@
   else
     Line.AskedAt = std::min(Line.AskedAt, Now.Steady);
   peer::Message Message;
-  Message.mutable_lease_renewal()->set_agent_incarnation(Worker.Incarnation);
-  Message.mutable_lease_renewal()->set_stamp(Worker.stampAt(Now.Steady));
+  peer::LeaseRenewal *Renewal = Message.mutable_lease_renewal();
+  Renewal->set_agent_incarnation(Worker.Incarnation);
+  Renewal->set_stamp(Worker.stampAt(Now.Steady));
+  Renewal->mutable_orders()->Add(Line.Wanted.begin(), Line.Wanted.end());
   this->Sink.send(Worker.Agent, std::move(Message));
 }
 
