An agent looks at its leases before it acts on what it reads

Cause: leases and waiting times were looked at with each tick only. An agent that stood still reads first what came meanwhile. A renewal, whose stamp its entry had carried on, revived a lease that had lapsed, and a worker that became free was given a task that had lapsed or could no longer be in time; its caller may have handed it in elsewhere by then.

Change: what has expired is dropped before a message is taken and before a task is started.

Evidence: two new tests were red before (a renewal after 1,000 ms; a task that waits, after 900 ms and past its time).

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -58,6 +58,7 @@
 
 void LeaseKeeper::onMessage(const PeerRef &From, const peer::Message &Message,
                             Instant Now) {
+  this->dropExpired(Now);
   // Another role may have the same name on a node, and lives of its own.
   if (isFromEntry(Message))
     this->noteLife(From, Now);
@@ -379,6 +380,7 @@
       Idle || !this->Session.isReady() || Now.Steady < this->NoRoomUntil;
   if (Blocked)
     return;
+  this->dropExpired(Now);
   std::vector<TaskId> Rest;
   bool Full = false;
   auto Interested = this->Desk.interests().begin();
--- a/tests/agent/placement_lease_test.cpp
+++ b/tests/agent/placement_lease_test.cpp
@@ -70,3 +70,36 @@
   LONGS_EQUAL(1, Port.Stops.size());
   LONGS_EQUAL(1, Port.Stops[0].Run.Index);
 }
+
+// An agent that stood still reads what came meanwhile before it looks at the
+// time; its entry may have carried the stamp on.
+TEST(PlacementLeaseTest, ARenewalThatIsReadFirstRevivesNoLapsedLease) {
+  Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+  Now.Steady += 1000ms;
+  renew({1});
+  CHECK(stoppedJobs() == Jobs{"j"});
+}
+
+TEST(PlacementLeaseTest, AWorkerThatBecomesFreeStartsNothingThatHasLapsed) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds StoodStill;
+    std::int32_t GiveUpMs;
+    std::size_t Starts;
+  };
+  const Row Rows[] = {{"in time", 100ms, 2000, 2},
+                      {"its lease has lapsed", 900ms, 2000, 1},
+                      {"it can no longer be in time", 400ms, 300, 1}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    LeaseKeeper Other(optionsWith(true), Sink, Port);
+    attach(Other, 1000);
+    Other.onMessage(EntryA, dispatch("runs", stamp()), Now);
+    peer::Message Waits = dispatch("waits", stamp());
+    Waits.mutable_leased_dispatch()->set_give_up_ms(Row.GiveUpMs);
+    Other.onMessage(EntryA, Waits, Now);
+    Now.Steady += Row.StoodStill;
+    end(Other, 0, RunEnd::Done);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+  }
+}
