An entry places nothing for a caller that no longer waits

What could happen: an entry that stood still read first what agents had sent meanwhile, such as refusals of tasks whose leases had lapsed, and placed these tasks anew, although the deadline of the job had passed or its caller had closed the connection long enough ago to have handed it in elsewhere. The deadline was looked at with the next tick, and the closed connection some milliseconds later, by another thread.

Change: before tasks are placed again or an offer is taken up, the deadline is looked at, and after this process was behind also whether any caller is still connected. What an agent may start is bounded by the deadline of the job's last caller instead of that of the first.

Evidence: NothingIsPlacedForACallerThatNoLongerWaits was red before with tasks that come back and with offers, and is with either check taken out.

--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -112,6 +112,9 @@
   virtual ~LeasedAnswerSink() = default;
   virtual void onLeasedAnswer(LeaseTicket Ticket,
                               const LeasedAnswer &Answer) = 0;
+  /// Whether the caller has not closed its connection, as far as the host
+  /// knows. That it has may still lie unread in a process that stood still.
+  virtual bool hasCaller(LeaseTicket Ticket) const { return true; }
 };
 
 struct CoordinatorCounters {
@@ -152,6 +155,9 @@
   /// input. What others left unanswered until then may lie here unread.
   void tick(Instant Now, TimePoint LastBehind);
   void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
+  /// Tells until when this process was behind, before a message is taken that
+  /// may have waited here.
+  void noteBehind(TimePoint NewLastBehind) { this->LastBehind = NewLastBehind; }
 
   /// Whether a job with this id is under way here.
   bool isRunning(const std::string &Id) const {
@@ -270,6 +276,11 @@
   /// Whether the job was refused because too much is waiting already.
   bool shed(const LeasedJobRequest &Request, LeaseTicket Waiter, Instant Now);
   void place(Job &Target, Instant Now);
+  /// Gives up a job whose deadline has passed or whose callers have gone.
+  /// \returns whether it has.
+  bool endIfUnwanted(Job &Target, Instant Now);
+  /// Whether this process was behind until a moment ago.
+  bool wasBehind(Instant Now) const;
   void placeSoon(Job &Target);
   /// Places tasks that must avoid the same agents. \returns whether all could
   /// be.
--- a/entry/lease_coordinator_offers.cpp
+++ b/entry/lease_coordinator_offers.cpp
@@ -72,7 +72,8 @@
   const LeasedWorker *Worker = this->Board.find(From.Node);
   bool Wanted = Target != nullptr && Target->Phase == JobPhase::Running &&
                 Worker != nullptr && Worker->isReachable() &&
-                Worker->Incarnation == Offer.load().incarnation();
+                Worker->Incarnation == Offer.load().incarnation() &&
+                !this->endIfUnwanted(*Target, Now);
   std::map<std::string, peer::LeasedDispatch> Batch;
   std::uint32_t Taken = 0;
   for (std::uint32_t I = 0; Wanted && I < Target->Tasks.size(); ++I) {
@@ -89,6 +90,7 @@
     peer::Message Message;
     Message.mutable_offer_reply()->set_offer(Offer.offer());
     this->Sink.send(From, std::move(Message));
+    this->forgetIfSettled(Offer.job(), Now);
     return;
   }
   Target->AwaitingOffers -= std::min(Target->AwaitingOffers, Taken);
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -2,9 +2,35 @@
 
 #include "entry/lease_coordinator.h"
 
+#include <algorithm>
+
 namespace yardwheel {
 
+bool LeaseCoordinator::endIfUnwanted(Job &Target, Instant Now) {
+  if (Now.Steady >= Target.GiveUpAt) {
+    this->giveUp(Target,
+                 {LeasedEnd::Unknown,
+                  "deadline",
+                  "",
+                  "the caller's deadline has passed",
+                  {}},
+                 Now);
+    return true;
+  }
+  auto IsThere = [this](LeaseTicket Waiter) {
+    return this->Answers.hasCaller(Waiter);
+  };
+  if (!this->wasBehind(Now) || std::ranges::any_of(Target.Waiters, IsThere))
+    return false;
+  this->giveUp(Target,
+               {LeasedEnd::Unknown, "cancel", "", "the caller has gone", {}},
+               Now);
+  return true;
+}
+
 void LeaseCoordinator::place(Job &Target, Instant Now) {
+  if (this->endIfUnwanted(Target, Now))
+    return;
   // Tasks that must avoid the same agents are placed together.
   std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
   bool Allowed = true;
@@ -96,9 +122,8 @@
     Job &Target, std::map<std::string, peer::LeasedDispatch> &Batch,
     Instant Now) {
   const LeasedJobRequest &Request = Target.Request;
-  std::chrono::milliseconds Used(millisBetween(Target.Taken, Now.Steady));
   auto StartBy = slackOf(Target, Now);
-  auto GiveUp = Request.Deadline - Used;
+  std::chrono::milliseconds GiveUp(millisBetween(Now.Steady, Target.GiveUpAt));
   for (auto &[Agent, Order] : Batch) {
     LeasedWorker *Worker = this->Board.find(Agent);
     Order.set_job(Request.Id);
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -20,15 +20,18 @@
   this->Contacts[Agent].LoseOldAt = Now.Steady + this->Options.RestartGrace;
 }
 
+bool LeaseCoordinator::wasBehind(Instant Now) const {
+  return this->LastBehind != TimePoint::min() &&
+         Now.Steady - this->LastBehind < this->Options.BehindMemory;
+}
+
 void LeaseCoordinator::onUndelivered(const Undelivered &Lost, Instant Now) {
   LeasedWorker *Worker = this->Board.find(Lost.To.Node);
   if (Worker == nullptr || Worker->Silent)
     return;
   // Neither a verdict nor more messages while this process has to catch up;
   // what an agent has not got it will not list.
-  bool Behind = this->LastBehind != TimePoint::min() &&
-                Now.Steady - this->LastBehind < this->Options.BehindMemory;
-  if (Behind)
+  if (this->wasBehind(Now))
     return;
   Contact &Line = this->Contacts[Lost.To.Node];
   // Whatever was under way when a connection broke fails together.
@@ -401,13 +404,7 @@
   for (const std::string &Id : Due) {
     Job &Target = *this->Jobs[Id];
     if (Target.Phase == JobPhase::Running)
-      this->giveUp(Target,
-                   {LeasedEnd::Unknown,
-                    "deadline",
-                    "",
-                    "the caller's deadline has passed",
-                    {}},
-                   Now);
+      this->endIfUnwanted(Target, Now);
     else
       this->finishIfProven(Target, Now);
     this->forgetIfSettled(Id, Now);
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -118,6 +118,7 @@
 }
 
 void LeaseEntryProcess::receive(const peer::Envelope &Envelope, Instant Now) {
+  this->Coordinator.noteBehind(this->Node.loop().lastBehind());
   deliver(Envelope, this->Announce, this->Coordinator, Now);
   this->Coordinator.placeDue(Now);
 }
--- a/tests/entry/coordinator_bench.h
+++ b/tests/entry/coordinator_bench.h
@@ -57,6 +57,8 @@
   void onLeasedAnswer(LeaseTicket Ticket, const LeasedAnswer &Answer) override {
     this->Answers.push_back({Ticket, Answer});
   }
+  bool hasCaller(LeaseTicket) const override { return this->CallersThere; }
+  bool CallersThere = true;
   std::vector<std::pair<LeaseTicket, LeasedAnswer>> Answers;
 };
 
--- a/tests/entry/coordinator_placement_test.cpp
+++ b/tests/entry/coordinator_placement_test.cpp
@@ -265,3 +265,46 @@
   Coordinator.submit(Light, 4, Now);
   LONGS_EQUAL(1, Answers.Answers.size());
 }
+
+// An entry that stood still reads what agents sent meanwhile before it looks at
+// the time, and that callers have closed their connections a moment later.
+TEST(CoordinatorPlacementTest, NothingIsPlacedForACallerThatNoLongerWaits) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds StoodStill;
+    bool CallersThere;
+    bool IsPlaced;
+  };
+  const Row Rows[] = {{"in time", 0ms, true, true},
+                      {"stood still, the caller waits", 1000ms, true, true},
+                      {"the deadline has passed", 1600ms, true, false},
+                      {"the caller has gone", 1000ms, false, false}};
+  for (bool Offered : {false, true})
+    for (const Row &Row : Rows) {
+      Answers.Answers.clear();
+      Answers.CallersThere = true;
+      addAgent("a", 1000);
+      // The job waits here for an offer where the worker is full.
+      LeasedJobRequest Full = patientRequest(1, "full");
+      Full.Deadline = 20s;
+      if (Offered)
+        Coordinator.submit(Full, 2, Now);
+      Coordinator.submit(request(1), 1, Now);
+      std::size_t Before = Sink.Dispatches.size();
+      Now.Steady += Row.StoodStill;
+      Coordinator.noteBehind(Row.StoodStill.count() > 0 ? Now.Steady
+                                                        : TimePoint::min());
+      Answers.CallersThere = Row.CallersThere;
+      if (Offered)
+        offer("a", "j", 1);
+      else
+        answer(Before - 1, peer::LEASED_NOT_STARTED, peer::REFUSAL_STALE);
+      LONGS_EQUAL_TEXT(Row.IsPlaced, Sink.Dispatches.size() > Before, Row.Name);
+      LONGS_EQUAL_TEXT(Row.IsPlaced ? 0 : 1, Answers.Answers.size(), Row.Name);
+      for (std::size_t I = 0; I < Sink.Dispatches.size(); ++I)
+        answer(I, peer::LEASED_DONE);
+      Coordinator.noteBehind(TimePoint::min());
+      pass(6000ms);
+      LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+    }
+}
