A worker's lease lasts no longer than those of its runs

What could happen: a run lives while its entry's lease lasts (L = 800 ms) and while its worker's lease lasts (0.9 W = 900 ms), which its agent renews. Each is below the 1,300 ms after which a caller hands its job in again, their sum is not. An agent that stood still, or whose stop was not taken, just before an entry's lease lapsed left the run alive for up to 1,700 ms after the entry's last word. The proof looked at each lease alone.

Change: no call extends the worker's lease beyond the first end of the leases of what runs there and 250 ms for the stop. So a run ends by then whatever becomes of its agent and of the agent's stops; L + 250 ms, with 2 % of a slow clock, is below R - S. While entries renew, every 200 ms, the limit is not reached. Where a stop is not taken in time the worker's other runs end too, and their entries place them again; nothing is started in the last 100 ms of such a lease.

Evidence: TheWorkersLeaseOutlastsNoLeaseOfItsRuns is red with the limit out (a second entry's renewals extend the worker's lease without end beside a run whose entry is gone).

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -174,7 +174,7 @@
                                Instant Now) {
   auto Sent = static_cast<std::uint32_t>(Dispatch.tasks_size());
   this->giveRoomBack(this->Desk.release(From.Node, Dispatch.offer(), Sent));
-  if (!this->Session.isReady())
+  if (!this->mayStart(Now))
     return;
   for (const peer::LeasedTask &Order : Dispatch.tasks()) {
     TaskId Id{Dispatch.job(), Order.index()};
@@ -376,8 +376,7 @@
 void LeaseKeeper::startFitting(Instant Now) {
   this->Desk.dropStale(Now.Steady);
   bool Idle = this->Queue.empty() && this->Desk.interests().empty();
-  bool Blocked =
-      Idle || !this->Session.isReady() || Now.Steady < this->NoRoomUntil;
+  bool Blocked = Idle || !this->mayStart(Now) || Now.Steady < this->NoRoomUntil;
   if (Blocked)
     return;
   this->dropExpired(Now);
@@ -405,6 +404,19 @@
   this->Queue = std::move(Rest);
 }
 
+bool LeaseKeeper::mayStart(Instant Now) const {
+  return this->Session.isReady() &&
+         this->runsEndBy() - Now.Steady >= this->Options.LeastWorkerLease;
+}
+
+TimePoint LeaseKeeper::runsEndBy() const {
+  TimePoint First = TimePoint::max();
+  for (const auto &[Id, Known] : this->Tasks)
+    if (Known.State != Phase::Queued)
+      First = std::min(First, Known.Until + this->Options.StopAllowance);
+  return First;
+}
+
 void LeaseKeeper::startTask(const TaskId &Id, Task &Which, Instant Now) {
   Which.State = Phase::Running;
   Which.Started = Now.Steady;
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -33,6 +33,11 @@
   /// with a stop it must end before a caller's resubmission may begin
   /// elsewhere.
   std::chrono::milliseconds EntryLease{800};
+  /// After the end of a run's lease, for its stop to take effect. Then the
+  /// worker's lease ends, and with it all runs there.
+  std::chrono::milliseconds StopAllowance{250};
+  /// What the worker's lease must last at least for a task to be started.
+  std::chrono::milliseconds LeastWorkerLease{100};
   /// After the worker found no room where we counted some.
   std::chrono::milliseconds RoomRetry{20};
   /// How long the number of a task's last run is remembered.
@@ -103,6 +108,7 @@
   void onRoomChanged(Instant Now) override;
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
+  TimePoint runsEndBy() const override;
 
 private:
   struct TaskId {
@@ -189,6 +195,8 @@
   void startFitting(Instant Now);
   std::vector<TaskId> order(Instant Now) const;
   void startTask(const TaskId &Id, Task &Which, Instant Now);
+  /// Whether the worker takes starts, each of which has to bring it a lease.
+  bool mayStart(Instant Now) const;
   bool fits(const peer::TaskNeeds &Needs) const;
   /// Whether what is taken is more than there is, as after the room shrank.
   bool isOverfull() const;
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -75,13 +75,20 @@
     this->UnheardSince = Now.Steady;
 }
 
+TimePoint WorkerSession::nextLeaseEnd(Instant Now) const {
+  return std::min(Now.Steady + this->Options.Lease, this->Events.runsEndBy());
+}
+
 WorkerTime WorkerSession::extendLease(Instant Now) {
-  this->LeaseEnds = Now.Steady + this->Options.Lease;
+  TimePoint Ends = this->nextLeaseEnd(Now);
+  // A worker shortens no lease.
+  this->LeaseEnds = std::max(this->LeaseEnds, Ends);
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       Now.Steady - this->ClockReadAt);
   if (Since > this->Options.ClockReadFor)
     Since = {};
-  return this->ClockRead + Since + this->Options.Lease;
+  return this->ClockRead + Since +
+         std::chrono::floor<std::chrono::milliseconds>(Ends - Now.Steady);
 }
 
 void WorkerSession::raiseToken(Instant Now) {
@@ -223,13 +230,18 @@
   Call.Wait = Wait;
   // A worker that may not hear us is given no lease, so that its last one can
   // be told to have lapsed.
-  if (this->Ready && !this->InDoubt && !this->Runs.empty())
+  bool Extends = this->Ready && !this->InDoubt && !this->Runs.empty() &&
+                 this->nextLeaseEnd(Now) > Now.Steady;
+  if (Extends)
     Call.LeaseUntil = this->extendLease(Now);
   this->Port.hold(Call);
 }
 
 void WorkerSession::renewIfDue(Instant Now) {
-  bool Due = !this->Runs.empty() && this->Ready && !this->InDoubt &&
+  // Where the lease may not last as long as it could, calls gain little.
+  bool Gains =
+      this->nextLeaseEnd(Now) - this->LeaseEnds >= this->Options.Lease / 8;
+  bool Due = !this->Runs.empty() && this->Ready && !this->InDoubt && Gains &&
              this->LeaseEnds - Now.Steady < this->Options.Lease / 2;
   if (Due)
     this->callHold({}, Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -95,6 +95,9 @@
   virtual void onWorkerReady(Instant Now) = 0;
   /// The worker has left a call for ends without a reply.
   virtual void onWorkerSilent(Instant Now) = 0;
+  /// Until when all runs may go on. The worker's lease is never extended beyond
+  /// it, so that they end then whatever becomes of the agent and of its stops.
+  virtual TimePoint runsEndBy() const { return TimePoint::max(); }
 };
 
 class WorkerSession {
@@ -157,7 +160,9 @@
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
   void noteClock(const WorkerReply &Reply, Instant Now);
-  /// The end of a lease that begins now, on the worker's clock.
+  /// Until when a call that is made now may extend the worker's lease.
+  TimePoint nextLeaseEnd(Instant Now) const;
+  /// The same, on the worker's clock, for a call that goes out.
   WorkerTime extendLease(Instant Now);
   bool isCurrent(const std::string &Life) const;
   void raiseToken(Instant Now);
--- a/agent/worker_session_lives.cpp
+++ b/agent/worker_session_lives.cpp
@@ -110,6 +110,7 @@
   this->Answering = true;
   this->InDoubt = false;
   this->LastAnswer = Now.Steady;
+  this->LeaseEnds = Now.Steady;
   this->HoldsOut = 0;
   this->Strangers.clear();
   // The time of day is higher than in any earlier life of this agent, unless
--- a/tests/agent/keeper_fixture.h
+++ b/tests/agent/keeper_fixture.h
@@ -23,9 +23,14 @@
   void attach(const WorkerProfile &) override {}
   void start(const StartCall &Call) override { this->Starts.push_back(Call); }
   void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
-  void hold(const HoldCall &) override {}
+  void hold(const HoldCall &Call) override {
+    if (Call.LeaseUntil)
+      this->LeaseUntil = std::max(this->LeaseUntil, *Call.LeaseUntil);
+  }
   std::vector<StartCall> Starts;
   std::vector<StopCall> Stops;
+  /// The longest lease that a call for ends has brought.
+  WorkerTime LeaseUntil{};
 };
 
 class CollectingSink final : public PeerSink {
--- a/tests/agent/placement_lease_test.cpp
+++ b/tests/agent/placement_lease_test.cpp
@@ -103,3 +103,32 @@
     LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
   }
 }
+
+// The agent may stand still, or its stops may not be taken, just when a lease
+// lapses that an entry held. The worker's own lease then ends the run, and must
+// not come on top of the entry's.
+TEST(PlacementLeaseTest, TheWorkersLeaseOutlastsNoLeaseOfItsRuns) {
+  KeeperOptions Options = optionsWith(true);
+  WorkerTime EntryLease = Options.EntryLease;
+  Keeper.onMessage(EntryA, dispatch("given-up", stamp()), Now);
+  Keeper.onMessage(EntryB, dispatch("wanted", stamp()), Now);
+  auto RenewB = [&] { Keeper.onMessage(EntryB, renewal(stamp()), Now); };
+  WorkerReply Answer;
+  Answer.Answered = true;
+  for (int I = 0; I < 10; ++I) {
+    pass(Keeper, 100ms);
+    RenewB();
+    Keeper.session().onHoldReply(WorkerId, Answer, Now);
+  }
+  CHECK(stoppedJobs() == Jobs{"given-up"});
+  CHECK(Port.LeaseUntil > EntryLease);
+  CHECK(Port.LeaseUntil <= EntryLease + Options.StopAllowance);
+  // Nothing could be started under a lease that ends.
+  Keeper.onMessage(EntryB, dispatch("late", stamp()), Now);
+  LONGS_EQUAL(2, Port.Starts.size());
+  // Once it has ended, the other goes on and the next one starts.
+  end(Keeper, 0, RunEnd::Stopped);
+  pass(Keeper, 20ms);
+  LONGS_EQUAL(3, Port.Starts.size());
+  CHECK(Port.LeaseUntil > EntryLease + Options.StopAllowance);
+}
