--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -89,52 +89,6 @@
   }
 }
 
-void LeaseKeeper::noteLife(const PeerRef &From, Instant Now) {
-  std::uint64_t &Life = this->EntryLives[From.Node];
-  bool Restarted = Life != 0 && Life != From.Incarnation;
-  Life = From.Incarnation;
-  if (!Restarted)
-    return;
-  this->EntriesHeard.erase(From.Node);
-  std::vector<TaskId> Orphaned;
-  for (const auto &[Id, Known] : this->Tasks)
-    if (Known.Owner.Node == From.Node &&
-        Known.Owner.Incarnation != From.Incarnation)
-      Orphaned.push_back(Id);
-  this->Log.decision("entry_restarted", {{"entry", From.Node},
-                                         {"incarnation", From.Incarnation},
-                                         {"tasks", Orphaned.size()}});
-  // The present life does not know of them, while their callers have them run
-  // elsewhere.
-  for (const TaskId &Id : Orphaned)
-    this->dropTask(Id, peer::REFUSAL_STALE, "its entry has restarted", Now);
-}
-
-std::chrono::milliseconds LeaseKeeper::leaseFrom(std::uint64_t Stamp,
-                                                 Instant Now) const {
-  std::uint64_t Present = stampAt(Now);
-  if (!this->Options.LeasesCountFromEcho)
-    Stamp = Present;
-  auto Length = static_cast<std::uint64_t>(this->Options.EntryLease.count());
-  if (Stamp > Present || Present - Stamp >= Length)
-    return {};
-  return std::chrono::milliseconds(Length - (Present - Stamp));
-}
-
-void LeaseKeeper::renew(const PeerRef &From,
-                        const std::set<std::uint64_t> &Orders,
-                        std::chrono::milliseconds Left, Instant Now) {
-  if (Left.count() == 0)
-    return;
-  TimePoint Until = Now.Steady + Left;
-  TimePoint &Heard = this->EntriesHeard[From.Node];
-  Heard = std::max(Heard, Until);
-  for (auto &[Id, Known] : this->Tasks)
-    if (Known.Owner.Node == From.Node && Known.State != Phase::Stopping &&
-        Orders.contains(Known.Order))
-      Known.Until = std::max(Known.Until, Until);
-}
-
 // ---- Tasks come in ----
 
 void LeaseKeeper::onDispatch(const PeerRef &From,
@@ -409,14 +363,6 @@
          this->runsEndBy() - Now.Steady >= this->Options.LeastWorkerLease;
 }
 
-TimePoint LeaseKeeper::runsEndBy() const {
-  TimePoint First = TimePoint::max();
-  for (const auto &[Id, Known] : this->Tasks)
-    if (Known.State != Phase::Queued)
-      First = std::min(First, Known.Until + this->Options.StopAllowance);
-  return First;
-}
-
 void LeaseKeeper::startTask(const TaskId &Id, Task &Which, Instant Now) {
   Which.State = Phase::Running;
   Which.Started = Now.Steady;
@@ -451,68 +397,4 @@
       Less(this->Used.accelerators(), Needs.accelerators()));
 }
 
-// ---- Time ----
-
-void LeaseKeeper::tick(Instant Now) {
-  this->dropExpired(Now);
-  this->Session.tick(Now);
-  this->sweep(Now);
-  for (const peer::TaskNeeds &Room : this->Desk.releaseExpired(Now.Steady))
-    this->giveRoomBack(Room);
-  this->startFitting(Now);
-  this->tickLingering(Now);
-}
-
-void LeaseKeeper::dropExpired(Instant Now) {
-  this->dropLapsed(Now);
-  this->dropLate(Now);
-}
-
-void LeaseKeeper::dropLapsed(Instant Now) {
-  std::erase_if(this->EntriesHeard,
-                [&](const auto &Item) { return Now.Steady >= Item.second; });
-  std::map<std::string, std::vector<TaskId>> Lapsed;
-  for (const auto &[Id, Known] : this->Tasks)
-    if (Known.State != Phase::Stopping && Now.Steady >= Known.Until)
-      Lapsed[Known.Owner.Node].push_back(Id);
-  for (const auto &[Entry, Concerned] : Lapsed) {
-    ++this->Counters.LeasesLapsed;
-    this->Log.decision("lease_lapsed",
-                       {{"entry", Entry},
-                        {"lease_ms", this->Options.EntryLease.count()},
-                        {"entry_heard", this->EntriesHeard.contains(Entry)},
-                        {"tasks", Concerned.size()}});
-    for (const TaskId &Id : Concerned)
-      this->dropTask(Id, peer::REFUSAL_STALE, "its entry's lease lapsed", Now);
-  }
-}
-
-void LeaseKeeper::dropLate(Instant Now) {
-  std::vector<TaskId> Late;
-  for (const TaskId &Id : this->Queue)
-    if (Now.Steady >= this->Tasks.at(Id).GiveUp)
-      Late.push_back(Id);
-  for (const TaskId &Id : Late)
-    this->dropTask(Id, peer::REFUSAL_TOO_LATE, "it could not start in time",
-                   Now);
-}
-
-void LeaseKeeper::sweep(Instant Now) {
-  while (!this->Crashes.empty() &&
-         Now.Steady - this->Crashes.front().At > this->Options.CrashTold)
-    this->Crashes.pop_front();
-  if (Now.Steady >= this->NextOrderSweep) {
-    this->NextOrderSweep = Now.Steady + this->Options.OrderMemory;
-    std::erase_if(this->Ended, [&](const auto &Item) {
-      return Now.Steady - Item.second > this->Options.OrderMemory;
-    });
-  }
-  if (Now.Steady < this->NextSweep)
-    return;
-  this->NextSweep = Now.Steady + this->Options.RunMemory;
-  std::erase_if(this->LastRuns, [&](const auto &Item) {
-    return Now.Steady - Item.second.Used > this->Options.RunMemory;
-  });
-}
-
 } // namespace yardwheel
