A run has no longer lease than its placement, whichever start brought it

Cause: the limit on a worker's lease held for later calls only.

Change: what waits limits the worker's lease as what runs does, and a task starts only if its lease and the time for a stop last until the worker's lease ends; else it waits to be renewed. Stops are repeated after 50 ms instead of 100, so that four fit into the 250 ms before everything there ends.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -135,7 +135,8 @@
     auto Known = this->Tasks.find(Id);
     bool Starts =
         Known != this->Tasks.end() && Known->second.State == Phase::Queued &&
-        Known->second.Order == Order.order() && this->fits(Known->second.Needs);
+        Known->second.Order == Order.order() &&
+        this->fits(Known->second.Needs) && this->outlastsWorker(Known->second);
     if (!Starts)
       continue;
     this->dequeue(Id);
@@ -349,7 +350,7 @@
     OfferUntil(Late ? TimePoint::max() : Which.StartBy);
     // The first that does not fit keeps its turn.
     Full = Full || !this->fits(Which.Needs);
-    if (Full)
+    if (Full || !this->outlastsWorker(Which))
       Rest.push_back(Id);
     else
       this->startTask(Id, Which, Now);
@@ -360,7 +361,11 @@
 
 bool LeaseKeeper::mayStart(Instant Now) const {
   return this->Session.isReady() &&
-         this->runsEndBy() - Now.Steady >= this->Options.LeastWorkerLease;
+         this->runsEndBy(Now) - Now.Steady >= this->Options.LeastWorkerLease;
+}
+
+bool LeaseKeeper::outlastsWorker(const Task &Which) const {
+  return Which.Until + this->Options.StopAllowance >= this->Session.leaseEnds();
 }
 
 void LeaseKeeper::startTask(const TaskId &Id, Task &Which, Instant Now) {
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -108,7 +108,7 @@
   void onRoomChanged(Instant Now) override;
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
-  TimePoint runsEndBy() const override;
+  TimePoint runsEndBy(Instant Now) const override;
 
 private:
   struct TaskId {
@@ -197,6 +197,9 @@
   void startTask(const TaskId &Id, Task &Which, Instant Now);
   /// Whether the worker takes starts, each of which has to bring it a lease.
   bool mayStart(Instant Now) const;
+  /// Whether a task's lease lasts until the worker's does, which a run that is
+  /// started now would have.
+  bool outlastsWorker(const Task &Which) const;
   bool fits(const peer::TaskNeeds &Needs) const;
   /// Whether what is taken is more than there is, as after the room shrank.
   bool isOverfull() const;
--- a/agent/lease_keeper_leases.cpp
+++ b/agent/lease_keeper_leases.cpp
@@ -47,16 +47,20 @@
   TimePoint &Heard = this->EntriesHeard[From.Node];
   Heard = std::max(Heard, Until);
   for (auto &[Id, Known] : this->Tasks)
-    if (Known.Owner.Node == From.Node && Known.State != Phase::Stopping &&
-        Orders.contains(Known.Order))
+    if (Known.Owner.Node == From.Node && Orders.contains(Known.Order))
       Known.Until = std::max(Known.Until, Until);
 }
 
-TimePoint LeaseKeeper::runsEndBy() const {
+TimePoint LeaseKeeper::runsEndBy(Instant Now) const {
+  // What waits counts as well: it may start next.
   TimePoint First = TimePoint::max();
-  for (const auto &[Id, Known] : this->Tasks)
-    if (Known.State != Phase::Queued)
+  for (const auto &[Id, Known] : this->Tasks) {
+    bool HasStopped =
+        Known.State == Phase::Stopping &&
+        this->Session.hasStopped({Id.Job, Id.Index, Known.Run}, Now);
+    if (!HasStopped)
       First = std::min(First, Known.Until + this->Options.StopAllowance);
+  }
   return First;
 }
 
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -76,7 +76,8 @@
 }
 
 TimePoint WorkerSession::nextLeaseEnd(Instant Now) const {
-  return std::min(Now.Steady + this->Options.Lease, this->Events.runsEndBy());
+  return std::min(Now.Steady + this->Options.Lease,
+                  this->Events.runsEndBy(Now));
 }
 
 WorkerTime WorkerSession::extendLease(Instant Now) {
@@ -191,6 +192,7 @@
   // A run that did begin is listed as ended before its room is free.
   Run &Known = Found->second;
   Known.NextStop = Now.Steady + this->Options.ConfirmedStopRetry;
+  Known.StopConfirmedAt = std::min(Known.StopConfirmedAt, Now.Steady);
   // One that never began is not listed as ended, nor legibly one whose end
   // could not be read.
   bool NotTold = Known.StartsLost > 0 || Known.EndUnread;
@@ -198,6 +200,12 @@
     Known.StoppedAt = Now.Steady + this->Options.StopTakes;
 }
 
+bool WorkerSession::hasStopped(const RunKey &Key, Instant Now) const {
+  auto Found = this->Runs.find(Key);
+  return Found != this->Runs.end() &&
+         Found->second.StopConfirmedAt <= Now.Steady - this->Options.StopTakes;
+}
+
 void WorkerSession::refuse(const RunKey &Key, WorkerRefusal Why, Instant Now) {
   this->Runs.erase(Key);
   this->Events.onRunRefused(Key, Why, Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -47,7 +47,7 @@
   /// For how long after a lost call that holds; calls are lost for seconds.
   std::chrono::milliseconds LossMemory{2000};
   /// Before a stop without a reply is sent again.
-  std::chrono::milliseconds StopRetry{100};
+  std::chrono::milliseconds StopRetry{50};
   /// A confirmed stop has ended its run within this.
   std::chrono::milliseconds StopTakes{100};
   /// Added to a lease before it is taken to have lapsed at a worker whose
@@ -97,7 +97,7 @@
   virtual void onWorkerSilent(Instant Now) = 0;
   /// Until when all runs may go on. The worker's lease is never extended beyond
   /// it, so that they end then whatever becomes of the agent and of its stops.
-  virtual TimePoint runsEndBy() const { return TimePoint::max(); }
+  virtual TimePoint runsEndBy(Instant Now) const { return TimePoint::max(); }
 };
 
 class WorkerSession {
@@ -129,6 +129,12 @@
   void tick(Instant Now);
 
   std::size_t runs() const { return this->Runs.size(); }
+  /// When the newest lease ends that the worker may have been given. A run that
+  /// is started lasts as long, whatever lease its start brings.
+  TimePoint leaseEnds() const { return this->LeaseEnds; }
+  /// Whether a confirmed stop of the run has taken effect, so that only its end
+  /// has not been told yet.
+  bool hasStopped(const RunKey &Run, Instant Now) const;
   /// Whether the worker's last reply came in time; else it may be gone.
   bool isHeard() const { return this->Ready && !this->InDoubt; }
 
@@ -142,6 +148,8 @@
     /// that the run has not begun.
     std::uint32_t StartsLost = 0;
     TimePoint NextStop = TimePoint::min();
+    /// When a stop was first confirmed.
+    TimePoint StopConfirmedAt = TimePoint::max();
     TimePoint CalledAt;
     /// It was not listed beside ends that could not be read, and is stopped: a
     /// confirmed stop proves that it has ended.
--- a/tests/agent/keeper_fixture.h
+++ b/tests/agent/keeper_fixture.h
@@ -33,6 +33,13 @@
   WorkerTime LeaseUntil{};
 };
 
+/// A worker's answer to a call that has nothing to tell.
+inline WorkerReply plainReply() {
+  WorkerReply Reply;
+  Reply.Answered = true;
+  return Reply;
+}
+
 class CollectingSink final : public PeerSink {
 public:
   void send(const PeerRef &, peer::Message Message) override {
--- a/tests/agent/placement_lease_test.cpp
+++ b/tests/agent/placement_lease_test.cpp
@@ -113,12 +113,10 @@
   Keeper.onMessage(EntryA, dispatch("given-up", stamp()), Now);
   Keeper.onMessage(EntryB, dispatch("wanted", stamp()), Now);
   auto RenewB = [&] { Keeper.onMessage(EntryB, renewal(stamp()), Now); };
-  WorkerReply Answer;
-  Answer.Answered = true;
   for (int I = 0; I < 10; ++I) {
     pass(Keeper, 100ms);
     RenewB();
-    Keeper.session().onHoldReply(WorkerId, Answer, Now);
+    Keeper.session().onHoldReply(WorkerId, plainReply(), Now);
   }
   CHECK(stoppedJobs() == Jobs{"given-up"});
   CHECK(Port.LeaseUntil > EntryLease);
@@ -132,3 +130,84 @@
   LONGS_EQUAL(3, Port.Starts.size());
   CHECK(Port.LeaseUntil > EntryLease + Options.StopAllowance);
 }
+
+// The worker's lease holds for all that runs there, whichever start brought it.
+TEST(PlacementLeaseTest, ATaskWithoutALeaseAsLongAsTheWorkersIsNotStarted) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds StampAge;
+    std::size_t Starts;
+  };
+  const Row Rows[] = {{"a new dispatch", 5ms, 2}, {"held up", 390ms, 1}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    LeaseKeeper Other(optionsWith(true), Sink, Port);
+    attach(Other);
+    Other.onMessage(EntryA, dispatch("runs", stamp()), Now);
+    Other.session().onHoldReply(WorkerId, plainReply(), Now);
+    peer::Message Late = dispatch(
+        "late", stamp() - static_cast<std::uint64_t>(Row.StampAge.count()));
+    Other.onMessage(EntryB, Late, Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    // Its entry still wants it.
+    Other.onMessage(EntryB, renewal(stamp()), Now);
+    pass(Other, 20ms);
+    LONGS_EQUAL_TEXT(2, Port.Starts.size(), Row.Name);
+  }
+}
+
+// It may start when its lease is nearly over.
+TEST(PlacementLeaseTest, ATaskThatWaitsLimitsTheWorkersLease) {
+  KeeperOptions Options = optionsWith(true);
+  Keeper.onMessage(EntryA, dispatch("runs", stamp(), 4000), Now);
+  Keeper.onMessage(EntryB, dispatch("waits", stamp()), Now);
+  for (int I = 0; I < 7; ++I) {
+    pass(Keeper, 100ms);
+    renew({1});
+    Keeper.session().onHoldReply(WorkerId, plainReply(), Now);
+  }
+  CHECK(Port.LeaseUntil <= Options.EntryLease + Options.StopAllowance);
+  end(Keeper, 0, RunEnd::Done);
+  LONGS_EQUAL(2, Port.Starts.size());
+  CHECK(Port.Starts[1].LeaseUntil <=
+        Options.EntryLease + Options.StopAllowance);
+}
+
+// What else runs there must not end with it.
+TEST(PlacementLeaseTest, AStopThatHasTakenEffectLimitsNoLease) {
+  struct Row {
+    const char *Name;
+    bool IsConfirmed;
+    bool IsNamed;
+    bool IsLimited;
+  };
+  const Row Rows[] = {{"confirmed", true, false, false},
+                      {"its entry still names it", false, true, false},
+                      {"neither", false, false, true}};
+  for (const Row &Row : Rows) {
+    Port.LeaseUntil = {};
+    LeaseKeeper Other(optionsWith(true), Sink, Port);
+    attach(Other);
+    Other.onMessage(EntryA, dispatch("stopped", stamp()), Now);
+    std::uint64_t Stopped = LastOrder;
+    Other.onMessage(EntryB, dispatch("other", stamp()), Now);
+    peer::Message Stop;
+    Stop.mutable_leased_stop()->set_job("stopped");
+    Other.onMessage(EntryA, Stop, Now);
+    if (Row.IsConfirmed)
+      Other.session().onStopReply(WorkerId, Port.Stops.back().Run, plainReply(),
+                                  Now);
+    for (int I = 0; I < 20; ++I) {
+      pass(Other, 100ms);
+      peer::Message Renewal;
+      Renewal.mutable_lease_renewal()->set_agent_incarnation(AgentLife);
+      Renewal.mutable_lease_renewal()->set_stamp(stamp());
+      Renewal.mutable_lease_renewal()->add_orders(Stopped);
+      if (Row.IsNamed)
+        Other.onMessage(EntryA, Renewal, Now);
+      Other.onMessage(EntryB, renewal(stamp()), Now);
+      Other.session().onHoldReply(WorkerId, plainReply(), Now);
+    }
+    CHECK_TEXT(Row.IsLimited == (Port.LeaseUntil < 2000ms), Row.Name);
+  }
+}
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -33,7 +33,9 @@
   void onWorkerAttached(Instant) override { ++this->Attached; }
   void onWorkerReady(Instant) override { ++this->Ready; }
   void onWorkerSilent(Instant) override { ++this->Silent; }
+  TimePoint runsEndBy(Instant) const override { return this->EndBy; }
 
+  TimePoint EndBy = TimePoint::max();
   std::vector<WorkerRefusal> Refusals;
   std::vector<RunEnd> Ends;
   int Attached = 0;
@@ -403,3 +405,41 @@
   LONGS_EQUAL(1, Events.Ends.size());
   CHECK(Events.Ends[0] == RunEnd::Lapsed);
 }
+
+// A worker shortens no lease, so that a later and shorter one proves nothing.
+TEST(WorkerSessionTest, RunsLapseOnlyWithTheLongestLeaseThatWasGiven) {
+  attach();
+  Session.start(Run, "spec", Now);
+  TimePoint Longest = Now.Steady + Options.Lease;
+  Events.EndBy = Now.Steady + 200ms;
+  pass(20ms);
+  Session.onHoldReply("life-1", answered(), Now);
+  CHECK(Session.leaseEnds() == Longest);
+  Session.onHoldReply("life-1", WorkerReply(), Now);
+  pass(600ms);
+  LONGS_EQUAL(0, Events.Ends.size());
+  pass(500ms);
+  LONGS_EQUAL(1, Events.Ends.size());
+}
+
+// It has none before its first start.
+TEST(WorkerSessionTest, ANewLifeOfAWorkerHasNotTheLeaseOfTheLast) {
+  attach();
+  Session.start(Run, "spec", Now);
+  Profile.Id = "life-2";
+  Session.onProfile(Profile, Now);
+  Session.onHoldReply("life-1", answered(WorkerRefusal::OtherLife), Now);
+  CHECK(Session.leaseEnds() == Now.Steady);
+}
+
+TEST(WorkerSessionTest, AConfirmedStopHasTakenEffectAfterItsTime) {
+  attach();
+  Session.start(Run, "spec", Now);
+  Session.stop(Run, Now);
+  pass(Options.StopTakes);
+  CHECK_FALSE(Session.hasStopped(Run, Now));
+  Session.onStopReply("life-1", Run, answered(), Now);
+  CHECK_FALSE(Session.hasStopped(Run, Now));
+  pass(Options.StopTakes);
+  CHECK(Session.hasStopped(Run, Now));
+}
