An entry that stood still renews for no caller that has gone

Cause: that a caller has closed its connection lay unread in an entry that stood still, and was handled some milliseconds after its next renewals and dispatches, which named the job's placements for another 800 ms: a caller that left at the beginning of a standstill of 780 ms found its job alive until 1,580 ms later, if the stop that followed was lost. Streams that ended meanwhile were handled before the entry knew that it had been behind, and dispatches sent again for such callers.

Change: whoever hands the coordinator something first tells it until when the process was behind. Then all jobs whose callers have gone, or whose deadline has passed, end before anything is sent.

Evidence: AnEntryThatStoodStillRenewsForNoCallerThatHasGone was red with the look taken out.

--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -68,6 +68,8 @@
   /// After this process was behind, for how long streams that end say nothing
   /// about their peers: it may not have answered in time itself.
   std::chrono::milliseconds BehindMemory{1000};
+  /// Between two looks, in such a time, whether callers are still there.
+  std::chrono::milliseconds CallerLookEvery{200};
   /// Before an agent is asked again to stop a stalled task.
   std::chrono::milliseconds StallRetry{250};
   /// After an agent has restarted, before what its last life had is lost: some
@@ -155,9 +157,10 @@
   /// input. What others left unanswered until then may lie here unread.
   void tick(Instant Now, TimePoint LastBehind);
   void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
-  /// Tells until when this process was behind, before a message is taken that
-  /// may have waited here.
-  void noteBehind(TimePoint NewLastBehind) { this->LastBehind = NewLastBehind; }
+  /// Tells until when this process was behind, before anything is done that
+  /// may have waited here. Then jobs whose callers have gone meanwhile end,
+  /// before a message renews what they have at agents.
+  void noteBehind(TimePoint NewLastBehind, Instant Now);
 
   /// Whether a job with this id is under way here.
   bool isRunning(const std::string &Id) const {
@@ -386,6 +389,7 @@
   CoordinatorCounters Counters;
   LeaseMetrics Metrics;
   TimePoint LastBehind = TimePoint::min();
+  TimePoint NextCallerLook = TimePoint::min();
   std::size_t Waiting = 0;
   std::uint64_t LastOrder;
 };
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -25,6 +25,20 @@
          Now.Steady - this->LastBehind < this->Options.BehindMemory;
 }
 
+void LeaseCoordinator::noteBehind(TimePoint NewLastBehind, Instant Now) {
+  this->LastBehind = NewLastBehind;
+  if (!this->wasBehind(Now) || Now.Steady < this->NextCallerLook)
+    return;
+  this->NextCallerLook = Now.Steady + this->Options.CallerLookEvery;
+  std::vector<std::string> Running;
+  for (const auto &[Id, Known] : this->Jobs)
+    if (Known->Phase == JobPhase::Running)
+      Running.push_back(Id);
+  for (const std::string &Id : Running)
+    if (this->endIfUnwanted(*this->Jobs.at(Id), Now))
+      this->forgetIfSettled(Id, Now);
+}
+
 void LeaseCoordinator::onUndelivered(const Undelivered &Lost, Instant Now) {
   LeasedWorker *Worker = this->Board.find(Lost.To.Node);
   if (Worker == nullptr || Worker->Silent)
@@ -220,7 +234,7 @@
 // ---- Time ----
 
 void LeaseCoordinator::tick(Instant Now, TimePoint NewLastBehind) {
-  this->LastBehind = NewLastBehind;
+  this->noteBehind(NewLastBehind, Now);
   this->placeDue(Now);
   this->renew(Now);
   this->tickJobs(Now);
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -102,6 +102,8 @@
                       this->receive(Envelope, Now);
                     },
                     [this](const Undelivered &Lost, Instant Now) {
+                      this->Coordinator.noteBehind(
+                          this->Node.loop().lastBehind(), Now);
                       this->Coordinator.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("entry_started", {{"node", Plan.Node},
@@ -118,7 +120,7 @@
 }
 
 void LeaseEntryProcess::receive(const peer::Envelope &Envelope, Instant Now) {
-  this->Coordinator.noteBehind(this->Node.loop().lastBehind());
+  this->Coordinator.noteBehind(this->Node.loop().lastBehind(), Now);
   deliver(Envelope, this->Announce, this->Coordinator, Now);
   this->Coordinator.placeDue(Now);
 }
--- a/tests/entry/coordinator_bench.h
+++ b/tests/entry/coordinator_bench.h
@@ -10,6 +10,8 @@
 
 #include "entry/lease_coordinator.h"
 
+#include <algorithm>
+
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
 
@@ -58,6 +60,12 @@
     this->Answers.push_back({Ticket, Answer});
   }
   bool hasCaller(LeaseTicket) const override { return this->CallersThere; }
+  std::size_t countOf(LeaseTicket Ticket) const {
+    return static_cast<std::size_t>(
+        std::ranges::count(this->Answers, Ticket, [](const auto &Answered) {
+          return Answered.first;
+        }));
+  }
   bool CallersThere = true;
   std::vector<std::pair<LeaseTicket, LeasedAnswer>> Answers;
 };
--- a/tests/entry/coordinator_placement_test.cpp
+++ b/tests/entry/coordinator_placement_test.cpp
@@ -200,7 +200,7 @@
     Coordinator.submit(Request, 1, Now);
     while (Sink.Dispatches.back().first != "a") {
       answer(Sink.Dispatches.size() - 1, peer::LEASED_NOT_STARTED,
-             peer::REFUSAL_OTHER_OWNER);
+             peer::REFUSAL_LEAVING);
     }
     answer(Sink.Dispatches.size() - 1, peer::LEASED_FAILED);
   }
@@ -271,14 +271,18 @@
 TEST(CoordinatorPlacementTest, NothingIsPlacedForACallerThatNoLongerWaits) {
   struct Row {
     const char *Name;
-    std::chrono::milliseconds StoodStill;
+    std::chrono::milliseconds Passed;
+    bool WasBehind;
     bool CallersThere;
     bool IsPlaced;
   };
-  const Row Rows[] = {{"in time", 0ms, true, true},
-                      {"stood still, the caller waits", 1000ms, true, true},
-                      {"the deadline has passed", 1600ms, true, false},
-                      {"the caller has gone", 1000ms, false, false}};
+  const Row Rows[] = {
+      {"in time", 0ms, false, true, true},
+      {"stood still, the caller waits", 1000ms, true, true, true},
+      {"the deadline has passed", 1600ms, false, true, false},
+      {"the deadline has passed meanwhile", 1600ms, true, true, false},
+      {"the caller has gone meanwhile", 1000ms, true, false, false},
+      {"it tells so in its turn", 1000ms, false, false, true}};
   for (bool Offered : {false, true})
     for (const Row &Row : Rows) {
       Answers.Answers.clear();
@@ -291,19 +295,19 @@
         Coordinator.submit(Full, 2, Now);
       Coordinator.submit(request(1), 1, Now);
       std::size_t Before = Sink.Dispatches.size();
-      Now.Steady += Row.StoodStill;
-      Coordinator.noteBehind(Row.StoodStill.count() > 0 ? Now.Steady
-                                                        : TimePoint::min());
+      Now.Steady += Row.Passed;
       Answers.CallersThere = Row.CallersThere;
+      Coordinator.noteBehind(Row.WasBehind ? Now.Steady : TimePoint::min(),
+                             Now);
       if (Offered)
         offer("a", "j", 1);
       else
         answer(Before - 1, peer::LEASED_NOT_STARTED, peer::REFUSAL_STALE);
       LONGS_EQUAL_TEXT(Row.IsPlaced, Sink.Dispatches.size() > Before, Row.Name);
-      LONGS_EQUAL_TEXT(Row.IsPlaced ? 0 : 1, Answers.Answers.size(), Row.Name);
+      LONGS_EQUAL_TEXT(Row.IsPlaced ? 0 : 1, Answers.countOf(1), Row.Name);
       for (std::size_t I = 0; I < Sink.Dispatches.size(); ++I)
         answer(I, peer::LEASED_DONE);
-      Coordinator.noteBehind(TimePoint::min());
+      Coordinator.noteBehind(TimePoint::min(), Now);
       pass(6000ms);
       LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
     }
--- a/tests/entry/placement_leases_test.cpp
+++ b/tests/entry/placement_leases_test.cpp
@@ -88,6 +88,34 @@
   LONGS_EQUAL(0, Sink.Dispatches.back().second.renewed_size());
 }
 
+// That a caller has closed its connection lies unread in an entry that stood
+// still, and is handled after its next renewals.
+TEST(PlacementLeasesTest, AnEntryThatStoodStillRenewsForNoCallerThatHasGone) {
+  struct Row {
+    const char *Name;
+    bool CallersThere;
+    bool WasBehind;
+    bool IsNamed;
+  };
+  const Row Rows[] = {{"the caller waits", true, true, true},
+                      {"the caller has gone", false, true, false},
+                      {"the entry kept up", false, false, true}};
+  for (const Row &Row : Rows) {
+    addAgent("a");
+    Answers.CallersThere = true;
+    std::uint64_t Order = place("j");
+    Sink.Stops.clear();
+    Now.Steady += 780ms;
+    Answers.CallersThere = Row.CallersThere;
+    Coordinator.tick(Now, Row.WasBehind ? Now.Steady : TimePoint::min());
+    LONGS_EQUAL_TEXT(Row.IsNamed, Sink.Named["a"].contains(Order), Row.Name);
+    LONGS_EQUAL_TEXT(Row.IsNamed ? 0 : 1, Sink.Stops.size(), Row.Name);
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_DONE);
+    pass(6000ms);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
+
 // The way to an agent may be open while the way back is not.
 TEST(PlacementLeasesTest, AnAgentThatIsTakenForLostIsToldToStop) {
   addAgent("a");
