A task that runs for an earlier hand-in is not started elsewhere

Cause: an agent that holds a task for another placement refuses it, and the entry took that for a refusal like others: it remembered that the job may have run, and sent the task to another agent, where it ran beside the first. So the last word that could have prevented a second run brought it about.

Change: the job ends as unknown (504). Its caller hands it in again after the time in which what is left of the first run ends.

Evidence: ATaskThatRunsAtAnAgentIsNotStartedElsewhere was red before: one dispatch to the second agent. Found by review.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -156,9 +156,8 @@
                                     const peer::LeasedUpdate &Update,
                                     Instant Now) {
   ++this->Counters.TasksRefused;
-  // The agent holds a task of an earlier hand-in, and that may run.
-  if (Update.refusal() == peer::REFUSAL_OTHER_OWNER)
-    Target.MayHaveRun = true;
+  bool RunsThere = Update.refusal() == peer::REFUSAL_OTHER_OWNER;
+  Target.MayHaveRun = Target.MayHaveRun || RunsThere;
   this->settle(Target, Which, TaskPhase::Unplaced);
   this->Log.decision("task_not_started",
                      {{"job", Target.Request.Id},
@@ -169,6 +168,16 @@
                       {"reason", Update.reason()}});
   if (Target.Phase != JobPhase::Running)
     return;
+  if (RunsThere) {
+    this->giveUp(Target,
+                 {LeasedEnd::Unknown,
+                  "start",
+                  Agent,
+                  "a run of an earlier hand-in has not ended",
+                  {}},
+                 Now);
+    return;
+  }
   if (Update.refusal() == peer::REFUSAL_TOO_LATE) {
     this->giveUp(Target,
                  {LeasedEnd::NotRun, "start", Agent, Update.reason(),
--- a/tests/entry/coordinator_placement_test.cpp
+++ b/tests/entry/coordinator_placement_test.cpp
@@ -312,3 +312,14 @@
       LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
     }
 }
+
+// A run of an earlier hand-in goes on there. Elsewhere a second one would run
+// beside it.
+TEST(CoordinatorPlacementTest, ATaskThatRunsAtAnAgentIsNotStartedElsewhere) {
+  addAgent("a");
+  addAgent("b");
+  Coordinator.submit(request(1), 1, Now);
+  answer(0, peer::LEASED_NOT_STARTED, peer::REFUSAL_OTHER_OWNER);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
