OverlappingRunsTest also loses the stops

With stops that arrive, the test was green with renewals that name everything: a stop by placement ended the run. Each of the two has to hold alone.

--- a/tests/entry/overlapping_runs_test.cpp
+++ b/tests/entry/overlapping_runs_test.cpp
@@ -45,10 +45,13 @@
     const char *Name;
     bool FromAgents;
     bool ToAgents;
+    bool Stops;
   };
-  const Row Rows[] = {{"entry hears nothing", true, false},
-                      {"entry reaches nobody", false, true},
-                      {"neither", true, true}};
+  const Row Rows[] = {
+      {"entry hears nothing", true, false, false},
+      {"entry hears nothing, and its stops are lost", true, false, true},
+      {"entry reaches nobody", false, true, false},
+      {"neither", true, true, false}};
   for (const Row &Row : Rows)
     for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
       LeasedWorldOptions Options;
@@ -58,10 +61,12 @@
       World.submit(0, longJob(), {Length}, 2 * Length);
       World.world().run(300ms);
       World.world().setFilter([&](const PeerRef &From, const PeerRef &To,
-                                  const peer::Message &) -> Duration {
+                                  const peer::Message &Message) -> Duration {
+        bool ToAgent = From.Node == "entry-0" && isAgent(To.Node);
         bool Lost =
             (Row.FromAgents && isAgent(From.Node) && To.Node == "entry-0") ||
-            (Row.ToAgents && From.Node == "entry-0" && isAgent(To.Node));
+            (Row.ToAgents && ToAgent) ||
+            (Row.Stops && ToAgent && Message.has_leased_stop());
         return Lost ? Duration(Never) : Duration(0);
       });
       std::string Case = fmt::format("{}, seed {}", Row.Name, Seed);
