The two libcurl clients share one transfer loop

The clients of the upstream and of the worker each had a thread, a locked queue, its wake-up, the turn of perform, collect and poll, the bounded receive callback, the list of headers and the options of a POST, alike but for names.

Change: TransferLoop owns the multi handle and the thread, runs posted work on it, adds and removes handles and hands finished ones to its owner. How connections are used and what an end means stays with the clients. The worker client's other fields are its callers' one thread's, so its lock went with the queue.

Behaviour stays, but for the words of the error where libcurl cannot be set up: they name the transfer loop.

--- a/agent/upstream_client.h
+++ b/agent/upstream_client.h
@@ -13,15 +13,12 @@
 #include "agent/task_runner.h"
 #include "core/clock.h"
 #include "core/logger.h"
+#include "http/transfer_loop.h"
 
-#include <curl/curl.h>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 
 namespace yardwheel {
 
@@ -43,40 +40,23 @@
   void stop(const TaskKey &Task) override;
 
 private:
-  struct Transfer {
+  struct Transfer : HttpPost {
     TaskKey Task;
-    std::string Payload;
-    std::string Answer;
-    curl_slist *Headers = nullptr;
     BootClock::time_point Started;
   };
-  struct Order {
-    TaskKey Task;
-    std::string Workspace;
-    std::string Payload;
-    bool Stop = false;
-  };
 
-  void run();
-  bool takeOrders();
-  void begin(Order Next);
+  void begin(std::shared_ptr<Transfer> Next);
   void abort(const TaskKey &Task);
-  void collect();
   void finish(CURL *Handle, CURLcode Code);
   TaskEnd describe(CURL *Handle, CURLcode Code, Transfer &Ended) const;
-  static std::size_t receive(char *Data, std::size_t Size, std::size_t Count,
-                             void *Target);
 
   Logger Log{"upstream"};
   std::string Url;
   std::chrono::milliseconds Timeout;
   EndHandler OnEnd;
-  CURLM *Multi = nullptr;
-  std::map<CURL *, std::unique_ptr<Transfer>> Transfers;
-  std::mutex Mutex;
-  std::deque<Order> Orders;
-  bool Stopping = false;
-  std::thread Thread;
+  std::map<CURL *, std::shared_ptr<Transfer>> Transfers;
+  /// Last, as its thread uses all of the above.
+  TransferLoop Loop;
 };
 
 } // namespace yardwheel
