Whether a process keeps up with its input is decided in one place

ControlSearch and TableLease had the same rule: watched of late, and idle of late, each within the longest spell that proves nothing. Both rest a promise on it, so a change of one alone would be a fault.

Change: keepsUp() stands beside InputProgress in core/input_progress.h; each caller hands in its own limit and points of time. Behaviour stays.

--- a/entry/table_lease.cpp
+++ b/entry/table_lease.cpp
@@ -1,5 +1,7 @@
 #include "entry/table_lease.h"
 
+#include "core/input_progress.h"
+
 #include <algorithm>
 
 namespace yardwheel {
@@ -16,14 +18,6 @@
   return "unknown";
 }
 
-bool TableLease::keepsUp(TimePoint Now, TimePoint LastIdle) const {
-  TimePoint Last = this->Watched.load();
-  // A process that wakes may look idle before it has read anything; that it
-  // was not watched meanwhile gives it away.
-  return Last != TimePoint::min() && Now - Last <= this->Options.LongSpell &&
-         Now - LastIdle <= this->Options.LongSpell;
-}
-
 void TableLease::confirm(TimePoint Asked) {
   this->Confirmed.store(std::max(this->Confirmed.load(), Asked));
 }
@@ -50,7 +44,9 @@
   // What a peer has newer came into force less than this age ago.
   if (Age <= this->Options.MaxAge)
     Result.State = TableState::Current;
-  else if (!Result.NewerKnown && this->keepsUp(Now, LastIdle) &&
+  else if (!Result.NewerKnown &&
+           keepsUp(Now, this->Watched.load(), LastIdle,
+                   this->Options.LongSpell) &&
            this->isSearched(Now))
     Result.State = TableState::Unreachable;
   return Result;
--- a/entry/table_lease.h
+++ b/entry/table_lease.h
@@ -75,8 +75,6 @@
   TableStanding standing(TimePoint Now, TimePoint LastIdle) const;
 
 private:
-  /// Whether this process reads its input now, and did when last watched.
-  bool keepsUp(TimePoint Now, TimePoint LastIdle) const;
   /// Whether all of control has been asked in vain of late.
   bool isSearched(TimePoint Now) const;
 
--- a/membership/control_search.cpp
+++ b/membership/control_search.cpp
@@ -32,12 +32,7 @@
 }
 
 void ControlSearch::watch(TimePoint Now, const InputProgress &Input) {
-  // A process that wakes may look idle before it has read anything; that it
-  // was not watched meanwhile gives it away.
-  bool KeepsUp = this->Watched != TimePoint::min() &&
-                 Now - this->Watched <= this->Options.LongSpell &&
-                 Now - Input.LastIdle <= this->Options.LongSpell;
-  if (!KeepsUp)
+  if (!keepsUp(Now, this->Watched, Input.LastIdle, this->Options.LongSpell))
     this->KeptUpSince = Now;
   this->Watched = Now;
   this->LastIdle = Input.LastIdle;
--- a/membership/control_search.h
+++ b/membership/control_search.h
@@ -16,6 +16,7 @@
 #define YARDWHEEL_MEMBERSHIP_CONTROL_SEARCH_H
 
 #include "core/clock.h"
+#include "core/input_progress.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
 
@@ -27,14 +28,6 @@
 
 namespace yardwheel {
 
-/// How far a process has read its input.
-struct InputProgress {
-  /// When nothing was left to read.
-  TimePoint LastIdle;
-  /// Until when it did not keep up.
-  TimePoint LastBehind = TimePoint::min();
-};
-
 struct SearchOptions {
   /// A replica that leaves a question unanswered for so long cannot be reached
   /// or does not lead. Many round trips and rounds of a quorum (some 20 ms), so
