A connection that ends on unread input is reset, also when the library reads it

What callers saw: a caller that sent on after a refusal, past 16 MB, was cut off and hung for 106 s in send(), at times, on a busy machine. The server's side stood in FIN-WAIT-2 with an empty queue and no process.

Cause: the window. A busy server reads late, the caller fills the receive buffer and finds its window closed. The cut-off then shut the socket down both ways. From there on the kernel sends no window update, so reading the rest opens nothing; the library did read it, found the end and closed on an empty queue. The kernel resets a connection that is closed on unread input, but there was none left, and the FIN had gone out with the refusal: nothing was sent. The caller's probes of the window lie outside it and are answered by its old size, zero, until the socket's last state times out. On an idle machine the window is open, and the next data is answered by a reset.

The window, not the load, decides.

Change: a cut-off sets SO_LINGER to zero before it shuts the socket down, so that the last close, which is the library's, is a reset. What the library reads after any other end was unread when that came; it sets the same on the library's descriptor, and is no longer parsed (a request in it was handled for nobody). Ends without unread input are orderly as before: the queue was empty, so the window is open and the caller sees the FIN, and a reset once it sends. Where setsockopt fails, the end is the orderly one of before.

--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+void resetWhenClosed(int Descriptor) {
+  linger Hard{.l_onoff = 1, .l_linger = 0};
+  // Where this fails, the end is an orderly one.
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Hard, sizeof Hard);
+}
+
 HttpConnection::HttpConnection(int Descriptor,
                                const ConnectionTimeouts &Timeouts)
     : Own(::fcntl(Descriptor, F_DUPFD_CLOEXEC, 0)), Timeouts(Timeouts),
@@ -138,6 +144,12 @@
   this->closeLocked();
 }
 
+void HttpConnection::cutOffLocked() {
+  if (this->Own >= 0)
+    resetWhenClosed(this->Own);
+  this->endLocked();
+}
+
 void HttpConnection::closeLocked() {
   if (this->Own >= 0)
     ::close(std::exchange(this->Own, -1));
@@ -150,7 +162,7 @@
   if (this->LastPlace) {
     this->Discarded += Bytes;
     if (this->Discarded > MaxDiscardedBytes)
-      this->endLocked();
+      this->cutOffLocked();
     return;
   }
   if (InRequest && !this->InRequest)
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -50,6 +50,10 @@
   std::optional<TimePoint> Next;
 };
 
+/// Makes the last close of a connection a reset, also once it is shut down. An
+/// orderly end tells a caller nothing that still sends into a closed window.
+void resetWhenClosed(int Descriptor);
+
 /// For any thread.
 class HttpConnection {
 public:
@@ -86,6 +90,8 @@
   /// The same, and the caller sees the connection end: what it waits for
   /// cannot come.
   void end();
+  /// Whether nothing can be written any more.
+  bool hasEnded() const { return this->descriptor() < 0; }
 
   /// Notes what has been read: whether it ends within a request, and its size.
   void noteInput(std::size_t Bytes, bool InRequest);
@@ -105,6 +111,8 @@
   void finishLocked();
   TimeoutCheck endFrom(TimePoint Limit, TimePoint Now);
   void endLocked();
+  /// Ends the connection without regard to what is under way to its caller.
+  void cutOffLocked();
   void closeLocked();
 
   mutable std::mutex Mutex;
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -157,6 +157,12 @@
     if (!Known)
       return;
     HttpConnection &Connection = *Known->Connection;
+    if (Connection.hasEnded()) {
+      // The library reads what is left and then closes; the kernel, which
+      // resets a connection that is closed on unread input, finds none.
+      resetWhenClosed(Peer->fd());
+      return;
+    }
     if (Connection.takesRequests())
       this->read(*Known, {Bytes, Size}, Peer->getID());
     Connection.noteInput(Size, Known->Reader.isInRequest());
--- a/tests/http/http_cut_off_test.cpp
+++ b/tests/http/http_cut_off_test.cpp
@@ -1,11 +1,6 @@
 //===- A caller that is cut off learns of it ------------------------------=//
 //
-// A refused caller that sends on past what is read after a refusal is cut off,
-// and hung for 106 s where the machine was busy. Its window was at zero when
-// the server ended the connection: nothing was left to send it, as the end of
-// the answers had gone out before, and no reset went out. The kernel then
-// showed the server's side in FIN-WAIT-2 with an empty queue and a timer of 55
-// s, held by no process, and the caller still sending.
+// A refused caller that sends on without end is cut off, and must not hang.
 //
 //===----------------------------------------------------------------------===//
 
--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/http_caller.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -48,6 +49,19 @@
   return Sent == static_cast<ssize_t>(Text.size());
 }
 
+void Caller::fill() {
+  constexpr std::size_t Part = 65536;
+  constexpr std::chrono::milliseconds Still{200};
+  const std::string Text(Part, 'x');
+  pollfd Watched{this->Line.number(), POLLOUT, 0};
+  while (::poll(&Watched, 1, static_cast<int>(Still.count())) > 0) {
+    ssize_t Count = ::send(this->Line.number(), Text.data(), Text.size(),
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+      return;
+  }
+}
+
 void Caller::ask(const std::string &Path) {
   this->send("GET " + Path +
              " HTTP/1.1\r\nHost: test\r\nConnection: keep-alive\r\n\r\n");
@@ -81,6 +95,13 @@
          ::recv(this->Line.number(), &Next, sizeof Next, 0) <= 0;
 }
 
+bool Caller::isReset(std::chrono::milliseconds Wait) {
+  // Without events of its own: an orderly end of the other side is none here.
+  pollfd Watched{this->Line.number(), 0, 0};
+  ::poll(&Watched, 1, static_cast<int>(Wait.count()));
+  return (Watched.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 std::string Caller::readAnswer() {
   std::string Text;
   std::size_t End = std::string::npos;
--- a/tests/support/http_caller.h
+++ b/tests/support/http_caller.h
@@ -51,6 +51,8 @@
   void connect();
   /// \returns whether all could be sent.
   bool send(const std::string &Text);
+  /// Sends until the server's window is closed and nothing more is taken.
+  void fill();
   /// Sends a GET that asks to keep the connection.
   void ask(const std::string &Path);
   void leave() { this->Line.close(); }
@@ -62,6 +64,8 @@
                    std::chrono::milliseconds Wait = CallerPatience);
   /// Whether the server ends the connection in time.
   bool seesEnd(std::chrono::milliseconds Wait = CallerPatience);
+  /// Whether the server resets the connection in time.
+  bool isReset(std::chrono::milliseconds Wait = CallerPatience);
   /// A whole answer: its head and as many bytes as that names.
   std::string readAnswer();
 
