A caller that leaves more than 4 MiB of answers unread is reset

What could happen: a caller that asks on one connection without reading gets every answer kept in the server's memory until it goes. Only requests that wait for their answers were bounded; answers that are ready were not.

Change: where more than MaxUnreadBytes of a connection's answers have not fitted into its buffer when the next one is due, the connection is reset and its other requests count as without a caller. A single answer of any size still reaches a slow reader whole.

Evidence: HttpLimitsTest.ACallerThatReadsNoAnswersIsReset was red before: no reset within 100 answers of 1 MB.

Left: what is unread within the limit is held as long as its caller stays.

--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -14,6 +14,10 @@
 /// that answer to a reset; but not without end.
 constexpr std::size_t MaxDiscardedBytes = std::size_t{16} << 20;
 
+/// Of a connection's answers that its caller has not read when the next one is
+/// due. One answer of any size may wait, and a slow reader gets it whole.
+constexpr std::size_t MaxUnreadBytes = std::size_t{4} << 20;
+
 TimePoint now() {
   return std::chrono::time_point_cast<Duration>(BootClock::now());
 }
@@ -71,6 +75,8 @@
 
 WriteState HttpConnection::answer(std::uint64_t Place, std::string Text) {
   std::lock_guard Lock(this->Mutex);
+  if (this->Unwritten.size() > MaxUnreadBytes)
+    this->cutOffLocked();
   if (this->Own < 0)
     return WriteState::Gone;
   this->Early[Place] = std::move(Text);
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -79,7 +79,8 @@
   std::uint64_t pendingAnswers() const;
 
   /// Writes the answer with that place, and those behind it that have waited
-  /// for it. After the last one the caller sees that no more will come.
+  /// for it. After the last one the caller sees that no more will come. A
+  /// caller that leaves too much unread is reset instead.
   WriteState answer(std::uint64_t Place, std::string Text);
   /// Writes what precedes the next request's answer, unless others are due.
   WriteState writeInterim(const std::string &Text);
--- a/tests/http/http_limits_test.cpp
+++ b/tests/http/http_limits_test.cpp
@@ -43,9 +43,11 @@
   void answerAll() {
     std::lock_guard Lock(this->Mutex);
     for (const std::shared_ptr<HttpReply> &Reply : this->Replies)
-      Reply->send({.Body = "{}"});
+      Reply->send({.Body = this->Body});
     this->Replies.clear();
   }
+  /// Of all answers; set before there are any.
+  std::string Body = "{}";
 
 private:
   std::mutex Mutex;
@@ -142,6 +144,45 @@
   CHECK_FALSE(Line.send("x"));
 }
 
+TEST(HttpLimitsTest, ACallerThatReadsNoAnswersIsReset) {
+  constexpr std::size_t Part = 1000000;
+  // Far more than the buffers of both ends and what may wait between them.
+  constexpr std::size_t MostParts = 100;
+  this->Handler->Body = std::string(Part, 'x');
+  Caller Line = this->connected();
+  std::size_t Parts = 0;
+  auto IsReset = [&Line] { return Line.isReset(milliseconds(0)); };
+  while (Parts < MostParts && !IsReset()) {
+    Line.ask("/a");
+    CHECK(this->waitFor(
+        [&] { return IsReset() || this->Handler->waiting() == 1; }));
+    this->Handler->answerAll();
+    ++Parts;
+  }
+  CHECK(Line.isReset());
+  CHECK(Parts < MostParts);
+  CHECK(this->Server->answers().withoutCaller() > 0);
+}
+
+TEST(HttpLimitsTest, ACallerThatReadsAtLeisureGetsAllAnswers) {
+  constexpr std::size_t Part = 1000000;
+  constexpr std::size_t Parts = 20;
+  this->Handler->Body = std::string(Part, 'x');
+  Caller Line = this->connected();
+  std::string Text;
+  for (std::size_t I = 0; I < Parts; ++I) {
+    Line.ask("/a");
+    CHECK(this->waitFor([&] { return this->Handler->waiting() == 1; }));
+    this->Handler->answerAll();
+    // One answer behind, so that some of them always wait.
+    if (I > 0)
+      Text += Line.read(Part);
+  }
+  Text += Line.read(std::string::npos, Quiet);
+  LONGS_EQUAL(Parts, countOf("HTTP/1.1 200 OK", Text));
+  CHECK(Text.size() > Parts * Part);
+}
+
 TEST(HttpLimitsTest, CallersThatHaveGoneLeaveNoDescriptor) {
   constexpr int Callers = 50;
   {
