--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -381,6 +381,18 @@
   CHECK(this->Handler->waitForLeaving());
 }
 
+TEST(HttpServerTest, ACallerThatClosesItsSendingSideCountsAsGone) {
+  this->serve();
+  Caller Half = this->connected();
+  Half.ask("/half");
+  std::shared_ptr<HttpReply> Reply = this->Handler->reply("/half");
+  CHECK(Reply->hasClient());
+  Half.finishSending();
+  CHECK(this->Handler->waitForLeaving());
+  CHECK_FALSE(Reply->hasClient());
+  CHECK(Half.seesEnd());
+}
+
 // Answers leave in the order of their requests, so one that never comes holds
 // back all later ones of its connection, unless that ends.
 TEST(HttpServerTest, AReplyThatIsDroppedEndsItsConnection) {
--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -67,6 +67,8 @@
              " HTTP/1.1\r\nHost: test\r\nConnection: keep-alive\r\n\r\n");
 }
 
+void Caller::finishSending() { ::shutdown(this->Line.number(), SHUT_WR); }
+
 void Caller::reset() {
   linger Hard{1, 0};
   ::setsockopt(this->Line.number(), SOL_SOCKET, SO_LINGER, &Hard, sizeof Hard);
--- a/tests/support/http_caller.h
+++ b/tests/support/http_caller.h
@@ -56,6 +56,8 @@
   /// Sends a GET that asks to keep the connection.
   void ask(const std::string &Path);
   void leave() { this->Line.close(); }
+  /// Closes the sending side only.
+  void finishSending();
   /// Ends the connection without the usual farewell.
   void reset();
 
