Test: a request that is read after its connection has ended is not handled

The idle timeout ended a connection while a request lay unread; the library read it on its way to the end, and the handler was asked for it although its answer could reach nobody.

--- a/tests/http/closed_window_test.cpp
+++ b/tests/http/closed_window_test.cpp
@@ -9,6 +9,7 @@
 #include "http/http_server.h"
 #include "tests/support/http_caller.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -31,6 +32,8 @@
 public:
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpReply> Reply) override {
+    if (Request.Resource == "/late")
+      this->HandledLate.store(true);
     if (Request.Resource != "/hold") {
       Reply->send({.Body = "{}"});
       return;
@@ -46,6 +49,7 @@
     return this->Changed.wait_for(Lock, CallerPatience,
                                   [this] { return this->Holds; });
   }
+  bool hasHandledLate() const { return this->HandledLate.load(); }
   void release() {
     std::lock_guard Lock(this->Mutex);
     this->Released = true;
@@ -57,6 +61,7 @@
   std::condition_variable Changed;
   bool Holds = false;
   bool Released = false;
+  std::atomic<bool> HandledLate{false};
 };
 
 struct Row {
@@ -156,3 +161,21 @@
               .Before = AlmostDiscarded,
               .Hold = Quiet});
 }
+
+TEST(ClosedWindowTest, ARequestThatIsReadAfterTheEndIsNotHandled) {
+  this->start();
+  Caller Line(this->Port);
+  Caller Other(this->Port);
+  Line.connect();
+  Line.send(Kept);
+  STRCMP_CONTAINS("200 OK", Line.readAnswer().c_str());
+  Other.connect();
+  Other.send(Held);
+  CHECK(this->Handler->waitForHold());
+  Line.ask("/late");
+  std::this_thread::sleep_for(PastTimeout);
+  this->Handler->release();
+  std::this_thread::sleep_for(Quiet);
+  CHECK_FALSE(this->Handler->hasHandledLate());
+  CHECK(Line.isReset());
+}
