--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -14,12 +14,22 @@
 /// that answer to a reset; but not without end.
 constexpr std::size_t MaxDiscardedBytes = std::size_t{16} << 20;
 
+/// Of a connection's answers that its caller has not read when the next one is
+/// due. One answer of any size may wait, and a slow reader gets it whole.
+constexpr std::size_t MaxUnreadBytes = std::size_t{4} << 20;
+
 TimePoint now() {
   return std::chrono::time_point_cast<Duration>(BootClock::now());
 }
 
 } // namespace
 
+void resetWhenClosed(int Descriptor) {
+  linger Hard{.l_onoff = 1, .l_linger = 0};
+  // Where this fails, the end is an orderly one.
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Hard, sizeof Hard);
+}
+
 HttpConnection::HttpConnection(int Descriptor,
                                const ConnectionTimeouts &Timeouts)
     : Own(::fcntl(Descriptor, F_DUPFD_CLOEXEC, 0)), Timeouts(Timeouts),
@@ -65,6 +75,8 @@
 
 WriteState HttpConnection::answer(std::uint64_t Place, std::string Text) {
   std::lock_guard Lock(this->Mutex);
+  if (this->Unwritten.size() > MaxUnreadBytes)
+    this->cutOffLocked();
   if (this->Own < 0)
     return WriteState::Gone;
   this->Early[Place] = std::move(Text);
@@ -138,6 +150,12 @@
   this->closeLocked();
 }
 
+void HttpConnection::cutOffLocked() {
+  if (this->Own >= 0)
+    resetWhenClosed(this->Own);
+  this->endLocked();
+}
+
 void HttpConnection::closeLocked() {
   if (this->Own >= 0)
     ::close(std::exchange(this->Own, -1));
@@ -150,7 +168,7 @@
   if (this->LastPlace) {
     this->Discarded += Bytes;
     if (this->Discarded > MaxDiscardedBytes)
-      this->endLocked();
+      this->cutOffLocked();
     return;
   }
   if (InRequest && !this->InRequest)
