--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -203,6 +203,11 @@
   return Count > 0 || IsQuiet;
 }
 
+std::optional<RequestAge> HttpConnection::inputAge() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Own < 0 ? std::nullopt : findInputAge(this->Own);
+}
+
 int HttpConnection::descriptor() const {
   std::lock_guard Lock(this->Mutex);
   return this->Own;
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -12,6 +12,7 @@
 #define YARDWHEEL_HTTP_HTTP_CONNECTION_H
 
 #include "core/clock.h"
+#include "http/request_age.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -95,6 +96,9 @@
   /// Whether the caller has not closed its connection, as far as is known
   /// here; costs a system call.
   bool hasCaller() const;
+  /// For how long what was last read has been here; none where the host does
+  /// not tell, or once closed; costs system calls.
+  std::optional<RequestAge> inputAge() const;
   /// To wait until more can be written; -1 once closed. The number may be
   /// somebody else's as soon as this returns: it must not be written to.
   int descriptor() const;
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -82,8 +82,9 @@
 public:
   ConnectionReply(const AnswerForm &Form,
                   const std::shared_ptr<HttpConnection> &Connection,
-                  std::uint64_t Place, std::shared_ptr<ServerState> Server)
-      : Form(Form), Connection(Connection), Place(Place),
+                  std::uint64_t Place, bool EndsInput,
+                  std::shared_ptr<ServerState> Server)
+      : Form(Form), Connection(Connection), Place(Place), EndsInput(EndsInput),
         Server(std::move(Server)) {
     this->Server->Answers.counters().countRequest();
   }
@@ -117,11 +118,21 @@
     return Open && Open->hasCaller();
   }
 
+  std::optional<RequestAge> age() const override {
+    std::shared_ptr<HttpConnection> Open = this->Connection.lock();
+    std::optional<RequestAge> Age = Open ? Open->inputAge() : std::nullopt;
+    if (Age && !this->EndsInput)
+      Age->AtMost.reset();
+    return Age;
+  }
+
 private:
   AnswerForm Form;
   /// Ends with the library's peer.
   std::weak_ptr<HttpConnection> Connection;
   std::uint64_t Place;
+  /// Whether nothing behind the request had been read with it.
+  bool EndsInput;
   std::shared_ptr<ServerState> Server;
   std::atomic<bool> Sent{false};
 };
@@ -205,9 +216,9 @@
     // Its caller has just been told that it took too long.
     if (!Place)
       return;
-    this->handle(Next.Request,
-                 std::make_shared<ConnectionReply>(Next.Form, Known.Connection,
-                                                   *Place, this->Server));
+    this->handle(Next.Request, std::make_shared<ConnectionReply>(
+                                   Next.Form, Known.Connection, *Place,
+                                   !Known.Reader.hasMore(), this->Server));
   }
 
   void handle(const HttpRequest &Request, std::shared_ptr<HttpReply> Reply) {
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -11,10 +11,12 @@
 
 #include "http/answer_counters.h"
 #include "http/http_message.h"
+#include "http/request_age.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,9 @@
   /// Whether the client has not closed its connection, as far as is known
   /// here; costs a system call.
   virtual bool hasClient() const { return true; }
+  /// For how long the request has been here; none where the host does not
+  /// tell. To be asked while the request is handled; costs system calls.
+  virtual std::optional<RequestAge> age() const { return std::nullopt; }
 };
 
 class HttpHandler {
--- a/http/request_reader.h
+++ b/http/request_reader.h
@@ -59,6 +59,8 @@
 
   /// Whether a request has begun to come and is not whole.
   bool isInRequest() const { return this->Parser.has_value(); }
+  /// Whether anything has come behind the requests taken so far.
+  bool hasMore() const { return this->isInRequest() || !this->Unread.empty(); }
   /// Whether the caller holds back its request's body until it is told to send
   /// it; true once for each such request.
   bool takeContinueWish();
--- a/tests/platform/entry_gate_test.cpp
+++ b/tests/platform/entry_gate_test.cpp
@@ -19,7 +19,11 @@
   Instant now() const override {
     return {this->Now.load(), fromUnixMillis(1800000000000)};
   }
+  Duration runTime() const override {
+    return this->Now.load().time_since_epoch() - this->Suspended.load();
+  }
   std::atomic<TimePoint> Now{TimePoint(1h)};
+  std::atomic<Duration> Suspended{Duration(0)};
 };
 
 /// Lets the loop look for work all the time.
@@ -32,9 +36,14 @@
   void wake() override {}
 };
 
-class DroppingSink final : public PeerSink {
+class GiveUpSink final : public PeerSink {
 public:
-  void send(const PeerRef &, peer::Message) override {}
+  void send(const PeerRef &, peer::Message Message) override {
+    if (Message.has_leased_dispatch())
+      this->GiveUpMs = Message.leased_dispatch().give_up_ms();
+  }
+  /// Of the last dispatch; none while nothing was dispatched.
+  std::optional<int> GiveUpMs;
 };
 
 class KeptReply final : public HttpReply {
@@ -47,6 +56,11 @@
     std::lock_guard Lock(this->Mutex);
     return this->Answer;
   }
+  std::optional<RequestAge> age() const override { return this->Age; }
+  bool hasClient() const override { return this->HasClient; }
+  /// As the host tells it.
+  std::optional<RequestAge> Age;
+  bool HasClient = true;
 
 private:
   mutable std::mutex Mutex;
@@ -113,6 +127,10 @@
                                 this->Source.now());
   }
   std::shared_ptr<KeptReply> send(HttpMethod Method, const std::string &Path) {
+    return this->send(Method, Path, std::make_shared<KeptReply>());
+  }
+  std::shared_ptr<KeptReply> send(HttpMethod Method, const std::string &Path,
+                                  std::shared_ptr<KeptReply> Reply) {
     HttpRequest Request;
     Request.Method = Method;
     Request.Resource = Path;
@@ -120,7 +138,6 @@
     Request.Connection = ++this->Connections;
     Request.Body = R"({"spec":"5","bestEffort":true,
       "phases":[{"count":1,"cpu":500,"estMs":5}]})";
-    auto Reply = std::make_shared<KeptReply>();
     this->Gate.handle(Request, Reply);
     return Reply;
   }
@@ -137,6 +154,25 @@
         std::this_thread::sleep_for(1ms);
     }
   }
+  /// The process stands still for this long, and has nothing left to do after.
+  void freeze(std::chrono::milliseconds Time) {
+    TimePoint Now = this->Source.Now.load() + Time;
+    this->Source.Now.store(Now);
+    while (this->Loop.lastIdle() != Now)
+      std::this_thread::sleep_for(1ms);
+  }
+  /// What the last dispatch allows; on the loop's thread.
+  std::optional<int> giveUpMs() {
+    std::optional<int> Value;
+    std::atomic<bool> Done{false};
+    this->Loop.post([&](Instant) {
+      Value = this->Sink.GiveUpMs;
+      Done.store(true);
+    });
+    while (!Done.load())
+      std::this_thread::sleep_for(1ms);
+    return Value;
+  }
   /// Waits until the loop has done what was posted before.
   void settle() {
     std::atomic<bool> Done{false};
@@ -152,7 +188,7 @@
   EventLoop Loop{Source, Waiter, 20ms, [](Instant) {}, [] {}};
 
 private:
-  DroppingSink Sink;
+  GiveUpSink Sink;
   SelfLoad Load{SelfLoadOptions()};
   EntryGate Gate{Catalog, Source, Load, Table};
   LeaseCoordinator Coordinator{{}, Sink, Gate};
@@ -325,3 +361,133 @@
   Bench.settle();
   LONGS_EQUAL(NoAnswer, statusOf(Second->answer()));
 }
+
+// A caller counts its deadline, 3,000 ms here, from when it sent its request.
+// An entry that counted it from when it read the request went on for longer
+// than its caller waited, beside the caller's next hand-in elsewhere.
+TEST(EntryGateTest, TheDeadlineCountsFromTheRequestsArrival) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds Frozen;
+    /// Of that time, with the whole host.
+    std::chrono::milliseconds Suspended;
+    /// After the process went on.
+    std::chrono::milliseconds ReadAfter;
+    std::optional<RequestAge> Age;
+    bool HasClient;
+    int Expected;
+    std::optional<int> GiveUpMs;
+  };
+  auto Whole = [](Duration Time) { return RequestAge{Time, Time}; };
+  auto AtLeast = [](Duration Time) { return RequestAge{Time, std::nullopt}; };
+  const Row Rows[] = {
+      {"no pause", 0ms, 0ms, 0ms, {}, true, NoAnswer, 3000},
+      {"a pause without backlog", 2000ms, 0ms, 50ms, Whole(0ms), true, NoAnswer,
+       3000},
+      {"unread for a while", 2000ms, 0ms, 0ms, Whole(1500ms), true, NoAnswer,
+       1500},
+      {"unread for too long", 4000ms, 0ms, 0ms, Whole(3000ms), true, 503, {}},
+      {"read long after the pause",
+       4000ms,
+       0ms,
+       1000ms,
+       Whole(4500ms),
+       true,
+       503,
+       {}},
+      {"followed by another",
+       4000ms,
+       0ms,
+       1000ms,
+       AtLeast(3500ms),
+       true,
+       503,
+       {}},
+      {"followed by another, first to be read", 2000ms, 0ms, 0ms,
+       AtLeast(500ms), true, NoAnswer, 1000},
+      {"the host does not tell", 2000ms, 0ms, 0ms, {}, true, NoAnswer, 1000},
+      {"the same, too long", 4000ms, 0ms, 0ms, {}, true, 503, {}},
+      {"the same, read after the backlog",
+       4000ms,
+       0ms,
+       1000ms,
+       {},
+       true,
+       NoAnswer,
+       3000},
+      {"the caller has gone", 2000ms, 0ms, 0ms, Whole(0ms), false, 503, {}},
+      {"before the host was suspended, or after", 2000ms, 2000ms, 0ms,
+       Whole(50ms), true, NoAnswer, 950},
+      {"after the host was suspended", 2000ms, 2000ms, 1000ms, Whole(50ms),
+       true, NoAnswer, 2950},
+  };
+  const char *Known = "/known/00000000000000a1";
+  for (const Row &Row : Rows) {
+    GateBench Bench;
+    Bench.addAgent();
+    Bench.Loop.start();
+    Bench.Source.Suspended.store(Row.Suspended);
+    if (Row.Frozen > 0ms)
+      Bench.freeze(Row.Frozen);
+    Bench.pass(Row.ReadAfter);
+    Bench.addAgent();
+    Bench.makeCurrent();
+    auto Reply = std::make_shared<KeptReply>();
+    Reply->Age = Row.Age;
+    Reply->HasClient = Row.HasClient;
+    Bench.send(HttpMethod::Post, Known, Reply);
+    std::optional<int> GiveUpMs = Bench.giveUpMs();
+    LONGS_EQUAL_TEXT(Row.Expected, statusOf(Reply->answer()), Row.Name);
+    LONGS_EQUAL_TEXT(Row.GiveUpMs.value_or(-1), GiveUpMs.value_or(-1),
+                     Row.Name);
+  }
+}
+
+// 503 says that a job never runs.
+TEST(EntryGateTest, AJobTakenBeforeIsNotPlacedForACallerThatWaitsNoMore) {
+  GateBench Bench;
+  Bench.makeCurrent();
+  Bench.Loop.start();
+  const char *Known = "/known/00000000000000a1";
+  // Without an agent the job ends at once.
+  auto First = Bench.send(HttpMethod::Post, Known);
+  Bench.settle();
+  LONGS_EQUAL(503, statusOf(First->answer()));
+  Bench.addAgent();
+  Bench.freeze(4000ms);
+  Bench.addAgent();
+  Bench.makeCurrent();
+  auto Second = std::make_shared<KeptReply>();
+  Second->Age = RequestAge{3500ms, 3500ms};
+  Bench.send(HttpMethod::Post, Known, Second);
+  CHECK_FALSE(Bench.giveUpMs().has_value());
+  LONGS_EQUAL(504, statusOf(Second->answer()));
+}
+
+// A request that has been read may wait for the loop.
+TEST(EntryGateTest, TheDeadlineGoesOnWhileTheLoopDoesNotRun) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds Waited;
+    int Expected;
+    std::optional<int> GiveUpMs;
+  };
+  const Row Rows[] = {
+      {"a while", 1000ms, NoAnswer, 2000},
+      {"too long", 3000ms, 503, {}},
+  };
+  const char *Known = "/known/00000000000000a1";
+  for (const Row &Row : Rows) {
+    GateBench Bench;
+    Bench.addAgent();
+    Bench.makeCurrent();
+    auto Reply = Bench.send(HttpMethod::Post, Known);
+    Bench.Source.Now.store(Bench.Source.Now.load() + Row.Waited);
+    Bench.addAgent();
+    Bench.Loop.start();
+    std::optional<int> GiveUpMs = Bench.giveUpMs();
+    LONGS_EQUAL_TEXT(Row.Expected, statusOf(Reply->answer()), Row.Name);
+    LONGS_EQUAL_TEXT(Row.GiveUpMs.value_or(-1), GiveUpMs.value_or(-1),
+                     Row.Name);
+  }
+}
--- a/tests/transport/suspension_test.cpp
+++ b/tests/transport/suspension_test.cpp
@@ -140,6 +140,11 @@
   CHECK(waitFor(
       [&] { return Source.now().Steady - Node.loop().lastIdle() < 100ms; }));
   LONGS_EQUAL(1, Node.loop().suspensions());
+  // What was read soon after may have come before; the host's clock for that
+  // leaves the suspension out.
+  CHECK(Node.loop().suspendedSince(Before) >= 2900ms);
+  CHECK(Node.loop().suspendedSince(Before) <= 3500ms);
+  CHECK(Node.loop().suspendedSince(Source.now().Steady) == 0ms);
   // A process that merely stood still is not taken for a suspended host.
   Node.loop().post([](Instant) { std::this_thread::sleep_for(300ms); });
   std::this_thread::sleep_for(500ms);
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -14,6 +14,10 @@
 /// spell seen in a process that keeps up.
 constexpr std::chrono::milliseconds BehindAfter{100};
 
+/// After the loop was behind, for other threads to have read what came
+/// meanwhile.
+constexpr std::chrono::milliseconds CatchUpTime{150};
+
 /// The two clocks are read one after the other, so that a thread that loses its
 /// turn between them sees them apart by some milliseconds.
 constexpr std::chrono::milliseconds SuspensionNoticed{100};
@@ -28,7 +32,8 @@
                      std::chrono::milliseconds Interval, Work Tick,
                      std::function<void()> Flush)
     : Source(Source), Waiter(Waiter), Interval(Interval), Tick(std::move(Tick)),
-      Flush(std::move(Flush)), LastIdle(Source.now().Steady) {}
+      Flush(std::move(Flush)), LastIdle(Source.now().Steady),
+      IdleRunTime(Source.runTime()) {}
 
 EventLoop::~EventLoop() { this->stop(); }
 
@@ -64,10 +69,46 @@
                                                    : this->LastBehind.load();
 }
 
+std::optional<TimePoint> EventLoop::backlogSince() const {
+  TimePoint Now = this->Source.now().Steady;
+  std::lock_guard Lock(this->Mutex);
+  Pause Last = this->lastPause(Now);
+  bool IsRead =
+      Last.Until == TimePoint::min() || Now - Last.Until > CatchUpTime;
+  return IsRead ? std::nullopt : std::optional(Last.Since);
+}
+
+Duration EventLoop::suspendedSince(TimePoint When) const {
+  TimePoint Now = this->Source.now().Steady;
+  std::lock_guard Lock(this->Mutex);
+  Pause Last = this->lastPause(Now);
+  return When < Last.Until ? Last.Suspended : Duration{0};
+}
+
+EventLoop::Pause EventLoop::lastPause(TimePoint Now) const {
+  TimePoint Idle = this->LastIdle.load();
+  if (Now - Idle <= BehindAfter)
+    return this->LastPause;
+  // What came in a longer one just before may not have been read either.
+  const Pause &Before = this->LastPause;
+  bool Counts = Before.Until != TimePoint::min() &&
+                Now - Before.Until <= CatchUpTime &&
+                Before.Until - Before.Since > Now - Idle;
+  if (Counts)
+    return Before;
+  Duration Ran = this->Source.runTime() - this->IdleRunTime;
+  // The clocks are read one after the other.
+  Duration Suspended = std::max(Now - Idle - Ran, Duration{0});
+  return {Idle, Now, Suspended < SuspensionNoticed ? Duration{0} : Suspended};
+}
+
 void EventLoop::noteIdle(TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  this->LastPause = this->lastPause(Now);
   if (Now - this->LastIdle.load() > BehindAfter)
     this->LastBehind.store(Now);
   this->LastIdle.store(Now);
+  this->IdleRunTime = this->LastRunTime;
 }
 
 bool EventLoop::takeRound(std::deque<Work> &Round) {
--- a/transport/event_loop.h
+++ b/transport/event_loop.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace yardwheel {
@@ -46,10 +47,25 @@
   /// Until when the loop last was behind: without an idle moment for too long.
   /// Its own lateness must not be taken for that of others.
   TimePoint lastBehind() const;
+  /// Since when what this process reads now may have come: from the last idle
+  /// moment before the loop was behind, until shortly after. None if it is
+  /// read as it comes.
+  std::optional<TimePoint> backlogSince() const;
+  /// For how long the host was suspended after that moment, at most: clocks
+  /// that the host keeps may leave this out.
+  Duration suspendedSince(TimePoint When) const;
   /// How often the host was seen to have been suspended; for any thread.
   std::uint64_t suspensions() const { return this->Suspensions.load(); }
 
 private:
+  /// A time without an idle moment.
+  struct Pause {
+    TimePoint Since = TimePoint::min();
+    TimePoint Until = TimePoint::min();
+    /// Of it, while the host was suspended.
+    Duration Suspended{0};
+  };
+
   void run();
   bool takeRound(std::deque<Work> &Round);
 
@@ -58,10 +74,12 @@
   std::chrono::milliseconds Interval;
   Work Tick;
   std::function<void()> Flush;
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   std::deque<Work> Items;
   bool Stopping = false;
   void noteIdle(TimePoint Now);
+  /// With the pause under way, if there is one.
+  Pause lastPause(TimePoint Now) const;
   /// A suspension takes the way of any other time in which this process stood
   /// still; it is only told apart for whoever reads the log.
   void noteSuspension(TimePoint Now);
@@ -75,6 +93,9 @@
   std::atomic<std::uint64_t> Suspensions{0};
   std::atomic<TimePoint> LastIdle;
   std::atomic<TimePoint> LastBehind{TimePoint::min()};
+  /// Both under the lock.
+  Pause LastPause;
+  Duration IdleRunTime{0};
   std::thread Thread;
 };
 
