Test: a job outlives the deadline of the callers that are left (red)

A second hand-in that joins a job extends its time, and the job keeps that time when this caller leaves: it then goes on for an older one whose deadline has passed and whose connection may be dead without a sign.

OlderCallersTest is red: with deadlines of 1,500 ms and a newer hand-in after 1,000 ms that leaves at once, the job is not stopped at 1,600 ms.

--- /dev/null
+++ b/tests/entry/older_callers_test.cpp
@@ -0,0 +1,53 @@
+//===- Jobs that several callers await, of whom some no longer do ---------===//
+
+#include "tests/entry/coordinator_bench.h"
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+TEST_GROUP_BASE(OlderCallersTest, CoordinatorBench){
+    /// Meanwhile the agent is heard.
+    void runUntil(TimePoint End){while (Now.Steady < End){pass(100ms);
+hear("a");
+}
+}
+}
+;
+
+// A connection may be dead without a sign. Its caller, whose deadline has
+// passed, may have handed the job in elsewhere.
+TEST(OlderCallersTest, NoJobOutlivesTheDeadlineOfTheCallersThatAreLeft) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds NewerDeadline;
+    /// After the older one, whose deadline is 1,500 ms.
+    std::chrono::milliseconds NewerAfter;
+    bool NewerLeaves;
+    bool IsStopped;
+  };
+  const Row Rows[] = {
+      {"the newer one waits", 1500ms, 1000ms, false, false},
+      {"the newer one leaves", 1500ms, 1000ms, true, true},
+      {"the newer one leaves, had more time", 15000ms, 200ms, true, true},
+  };
+  for (const Row &Row : Rows) {
+    Sink.Stops.clear();
+    addAgent("a");
+    LeasedJobRequest Older = request(1);
+    Older.Estimate = 10s;
+    LeasedJobRequest Newer = Older;
+    Newer.Deadline = Row.NewerDeadline;
+    TimePoint Begin = Now.Steady;
+    Coordinator.submit(Older, 1, Now);
+    std::size_t Sent = Sink.Dispatches.size();
+    this->runUntil(Begin + Row.NewerAfter);
+    Coordinator.submit(Newer, 2, Now);
+    if (Row.NewerLeaves)
+      Coordinator.withdraw("j", 2, "the caller has gone", Now);
+    LONGS_EQUAL_TEXT(0, Sink.Stops.size(), Row.Name);
+    this->runUntil(Begin + 1600ms);
+    CHECK_TEXT(Row.IsStopped == !Sink.Stops.empty(), Row.Name);
+    answer(Sent - 1, peer::LEASED_DONE);
+    LONGS_EQUAL_TEXT(0, Coordinator.inFlight(), Row.Name);
+  }
+}
