A job lasts until the last deadline of the callers that are left

Cause: a second hand-in that joined a job extended its time, and the job kept that time when this caller left. It then went on for an older caller whose deadline had passed, and whose connection may be dead without a sign, while the caller that left hands it in elsewhere. A hand-in that waits for an earlier one's runs to end had the first one's deadline, whoever waits.

Change: each hand-in has its own deadline; a job is given up at the last of those that are left.

Evidence: OlderCallersTest was red: with deadlines of 1,500 ms and a newer hand-in after 1,000 ms that leaves at once, the job was not stopped at 1,600 ms.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -362,10 +362,10 @@
                       {"done", Target.DoneCount}});
   this->Metrics.onEnded(Target.Request.Route, Answer.End,
                         Now.Steady - Target.Taken, Target.Request.Objective);
-  std::vector<LeaseTicket> Waiters = std::move(Target.Waiters);
-  this->Waiting -= Waiters.size();
-  for (LeaseTicket Waiter : Waiters)
-    this->Answers.onLeasedAnswer(Waiter, Answer);
+  std::vector<Caller> Callers = std::move(Target.Callers);
+  this->Waiting -= Callers.size();
+  for (const Caller &Told : Callers)
+    this->Answers.onLeasedAnswer(Told.Ticket, Answer);
 }
 
 void LeaseCoordinator::forgetIfSettled(const std::string &Id, Instant Now) {
@@ -380,8 +380,7 @@
   std::optional<Job::Resubmission> Next = std::move(Found->second->Next);
   this->Jobs.erase(Found);
   if (Next)
-    this->begin(std::move(Next->Request), std::move(Next->Waiters),
-                Next->GiveUpAt, Now);
+    this->begin(std::move(Next->Request), std::move(Next->Callers), Now);
 }
 
 } // namespace yardwheel
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -203,9 +203,14 @@
     std::set<std::string> Avoid;
   };
   enum class JobPhase { Running, GivingUp, Answered };
+  /// One hand-in of a job, and until when it waits for the answer.
+  struct Caller {
+    LeaseTicket Ticket = 0;
+    TimePoint Until;
+  };
   struct Job {
     LeasedJobRequest Request;
-    std::vector<LeaseTicket> Waiters;
+    std::vector<Caller> Callers;
     std::vector<Task> Tasks;
     JobPhase Phase = JobPhase::Running;
     TimePoint Taken;
@@ -232,8 +237,7 @@
     /// stopped. It begins once they have ended.
     struct Resubmission {
       LeasedJobRequest Request;
-      std::vector<LeaseTicket> Waiters;
-      TimePoint GiveUpAt;
+      std::vector<Caller> Callers;
     };
     std::optional<Resubmission> Next;
   };
@@ -265,8 +269,10 @@
     std::map<std::uint64_t, GivenUp> Lost;
   };
 
-  void begin(LeasedJobRequest Request, std::vector<LeaseTicket> Waiters,
-             TimePoint GiveUpAt, Instant Now);
+  void begin(LeasedJobRequest Request, std::vector<Caller> Callers,
+             Instant Now);
+  /// Until when any of them waits.
+  static TimePoint lastDeadline(const std::vector<Caller> &Callers);
   /// Lets a job that was handed in again wait for the end of its earlier runs.
   void awaitEnd(Job &Known, LeasedJobRequest Request, LeaseTicket Waiter,
                 Instant Now);
@@ -274,7 +280,7 @@
   void dropResubmission(Job &Known, const std::string &Reason);
   /// Answers one of several callers, who has gone. \returns false, and does
   /// nothing, if he is the only one.
-  bool leaveOthers(std::vector<LeaseTicket> &Waiters, LeaseTicket Waiter,
+  bool leaveOthers(std::vector<Caller> &Callers, LeaseTicket Waiter,
                    const std::string &Reason);
   /// Whether the job was refused because too much is waiting already.
   bool shed(const LeasedJobRequest &Request, LeaseTicket Waiter, Instant Now);
@@ -296,7 +302,7 @@
   /// Answers a job at once whose tasks have been given up before. \returns
   /// whether they have.
   bool refuseGivenUp(const LeasedJobRequest &Request,
-                     const std::vector<LeaseTicket> &Waiters);
+                     const std::vector<Caller> &Callers);
   /// Keeps tasks here, and asks agents to offer room for them.
   void awaitOffers(Job &Target, const std::set<std::string> &Avoid,
                    std::uint32_t Tasks, Instant Now);
--- a/entry/lease_coordinator_intake.cpp
+++ b/entry/lease_coordinator_intake.cpp
@@ -21,32 +21,37 @@
       this->awaitEnd(*Known, std::move(Request), Waiter, Now);
       return;
     }
-    Known->Waiters.push_back(Waiter);
+    Known->Callers.push_back({Waiter, Now.Steady + Request.Deadline});
     ++this->Waiting;
-    // The first caller may have gone; this one waits from now.
-    Known->GiveUpAt = std::max(Known->GiveUpAt, Now.Steady + Request.Deadline);
+    Known->GiveUpAt = lastDeadline(Known->Callers);
     return;
   }
   if (this->shed(Request, Waiter, Now))
     return;
   ++this->Waiting;
-  TimePoint GiveUpAt = Now.Steady + Request.Deadline;
-  this->begin(std::move(Request), {Waiter}, GiveUpAt, Now);
+  TimePoint Until = Now.Steady + Request.Deadline;
+  this->begin(std::move(Request), {{Waiter, Until}}, Now);
+}
+
+TimePoint LeaseCoordinator::lastDeadline(const std::vector<Caller> &Callers) {
+  TimePoint Last = TimePoint::min();
+  for (const Caller &Known : Callers)
+    Last = std::max(Last, Known.Until);
+  return Last;
 }
 
 void LeaseCoordinator::begin(LeasedJobRequest Request,
-                             std::vector<LeaseTicket> Waiters,
-                             TimePoint GiveUpAt, Instant Now) {
-  if (this->refuseGivenUp(Request, Waiters))
+                             std::vector<Caller> Callers, Instant Now) {
+  if (this->refuseGivenUp(Request, Callers))
     return;
   auto New = std::make_unique<Job>();
   New->Tasks.resize(Request.TaskCount);
   New->Taken = Now.Steady;
-  New->GiveUpAt = GiveUpAt;
+  New->GiveUpAt = lastDeadline(Callers);
   // An earlier hand-in's runs are runs of the job.
   New->MayHaveRun = this->Ran.contains(Request.Id);
   New->Request = std::move(Request);
-  New->Waiters = std::move(Waiters);
+  New->Callers = std::move(Callers);
   Job &Target = *New;
   this->Jobs[Target.Request.Id] = std::move(New);
   std::string Id = Target.Request.Id;
@@ -55,7 +60,7 @@
 }
 
 bool LeaseCoordinator::refuseGivenUp(const LeasedJobRequest &Request,
-                                     const std::vector<LeaseTicket> &Waiters) {
+                                     const std::vector<Caller> &Callers) {
   std::string Why = this->Crashes.describeGivenUp(Request.Id);
   if (Why.empty())
     return false;
@@ -64,22 +69,21 @@
       {{"job", Request.Id}, {"route", Request.Route}, {"reason", Why}});
   ++this->Counters.JobsCrashing;
   ++this->Counters.Failed;
-  this->Waiting -= Waiters.size();
-  for (LeaseTicket Waiter : Waiters)
-    this->Answers.onLeasedAnswer(Waiter,
+  this->Waiting -= Callers.size();
+  for (const Caller &Told : Callers)
+    this->Answers.onLeasedAnswer(Told.Ticket,
                                  {LeasedEnd::Failed, "submit", "", Why, {}});
   return true;
 }
 
 void LeaseCoordinator::awaitEnd(Job &Known, LeasedJobRequest Request,
                                 LeaseTicket Waiter, Instant Now) {
-  if (!Known.Next) {
-    TimePoint GiveUpAt = Now.Steady + Request.Deadline;
-    Known.Next = {std::move(Request), {}, GiveUpAt};
-  }
+  TimePoint Until = Now.Steady + Request.Deadline;
+  if (!Known.Next)
+    Known.Next = {std::move(Request), {}};
   this->Log.decision("resubmission_waits",
                      {{"job", Known.Request.Id}, {"out", Known.OutCount}});
-  Known.Next->Waiters.push_back(Waiter);
+  Known.Next->Callers.push_back({Waiter, Until});
   ++this->Waiting;
 }
 
@@ -87,12 +91,12 @@
   // Runs of the earlier submission count as runs of the job.
   LeasedEnd End = Known.MayHaveRun || Known.OutCount > 0 ? LeasedEnd::Unknown
                                                          : LeasedEnd::NotRun;
-  std::vector<LeaseTicket> Waiters = std::move(Known.Next->Waiters);
+  std::vector<Caller> Callers = std::move(Known.Next->Callers);
   Known.Next.reset();
-  this->Waiting -= Waiters.size();
-  for (LeaseTicket Waiter : Waiters)
+  this->Waiting -= Callers.size();
+  for (const Caller &Told : Callers)
     this->Answers.onLeasedAnswer(
-        Waiter, {End, "submit", "", Reason, this->Options.RetryAfter});
+        Told.Ticket, {End, "submit", "", Reason, this->Options.RetryAfter});
 }
 
 bool LeaseCoordinator::shed(const LeasedJobRequest &Request, LeaseTicket Waiter,
@@ -134,12 +138,14 @@
   this->forgetIfSettled(Id, Now);
 }
 
-bool LeaseCoordinator::leaveOthers(std::vector<LeaseTicket> &Waiters,
+bool LeaseCoordinator::leaveOthers(std::vector<Caller> &Callers,
                                    LeaseTicket Waiter,
                                    const std::string &Reason) {
-  if (Waiters.size() == 1)
+  if (Callers.size() == 1)
     return false;
-  std::erase(Waiters, Waiter);
+  std::erase_if(Callers, [Waiter](const Caller &Known) {
+    return Known.Ticket == Waiter;
+  });
   --this->Waiting;
   this->Answers.onLeasedAnswer(Waiter,
                                {LeasedEnd::Unknown, "cancel", "", Reason, {}});
@@ -151,18 +157,20 @@
   Job *Known = this->find(Id);
   if (Known == nullptr)
     return;
-  auto IsAmong = [&](const std::vector<LeaseTicket> &Waiters) {
-    return std::find(Waiters.begin(), Waiters.end(), Waiter) != Waiters.end();
+  auto IsAmong = [&](const std::vector<Caller> &Callers) {
+    return std::ranges::find(Callers, Waiter, &Caller::Ticket) != Callers.end();
   };
-  if (Known->Next && IsAmong(Known->Next->Waiters)) {
-    if (!this->leaveOthers(Known->Next->Waiters, Waiter, Reason))
+  if (Known->Next && IsAmong(Known->Next->Callers)) {
+    if (!this->leaveOthers(Known->Next->Callers, Waiter, Reason))
       this->dropResubmission(*Known, Reason);
     return;
   }
   // A job that is being given up has no more to be stopped.
-  bool MayStop = Known->Phase == JobPhase::Running && IsAmong(Known->Waiters);
-  if (MayStop && !this->leaveOthers(Known->Waiters, Waiter, Reason))
+  bool MayStop = Known->Phase == JobPhase::Running && IsAmong(Known->Callers);
+  if (MayStop && !this->leaveOthers(Known->Callers, Waiter, Reason))
     this->cancel(Id, Reason, Now);
+  else if (MayStop)
+    Known->GiveUpAt = lastDeadline(Known->Callers);
 }
 
 } // namespace yardwheel
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -17,10 +17,10 @@
                  Now);
     return true;
   }
-  auto IsThere = [this](LeaseTicket Waiter) {
-    return this->Answers.hasCaller(Waiter);
+  auto IsThere = [this](const Caller &Known) {
+    return this->Answers.hasCaller(Known.Ticket);
   };
-  if (!this->wasBehind(Now) || std::ranges::any_of(Target.Waiters, IsThere))
+  if (!this->wasBehind(Now) || std::ranges::any_of(Target.Callers, IsThere))
     return false;
   this->giveUp(Target,
                {LeasedEnd::Unknown, "cancel", "", "the caller has gone", {}},
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -412,7 +412,7 @@
   for (const auto &[Id, Known] : this->Jobs) {
     if (Now.Steady >= Known->GiveUpAt && Known->Phase != JobPhase::Answered)
       Due.push_back(Id);
-    if (Known->Next && Now.Steady >= Known->Next->GiveUpAt)
+    if (Known->Next && Now.Steady >= lastDeadline(Known->Next->Callers))
       this->dropResubmission(*Known, "an earlier hand-in has not ended yet");
   }
   for (const std::string &Id : Due) {
