Virtual world: silence in one direction, lost receipts, timers that fire last

What was missing: a cut always took both directions, a message whose receipt was lost counted as arrived for its sender, a node that thawed took what it held in the order of time only, and messages did not name the life of their sender, so no agent noticed that an entry had restarted.

Change: cutOneWay and mendOneWay beside cut; a sender whose receipts are cut off is told that its message may not have arrived; thaw takes an order, in which timers may come last, as in a loop that reads before it looks at the time; what was not delivered is handed to its sender, so that it can send it again.

--- a/emulator/virtual_cluster.cpp
+++ b/emulator/virtual_cluster.cpp
@@ -135,8 +135,8 @@
       });
   this->World.every(Name, this->Options.Tick,
                     [this, Name] { this->Entries[Name]->tick(); });
-  this->World.onSendFailed(Name, [this, Name](const PeerRef &To) {
-    this->Entries[Name]->Service.onSendFailed(To.Node, this->World.now());
+  this->World.onSendFailed(Name, [this, Name](const Undelivered &Lost) {
+    this->Entries[Name]->Service.onSendFailed(Lost.To.Node, this->World.now());
   });
   if (this->Options.Controls == 0)
     this->Entries[Name]->Service.setCatalog(this->fixedView());
@@ -151,8 +151,8 @@
       });
   this->World.every(Name, this->Options.Tick,
                     [this, Name] { this->Agents[Name]->tick(); });
-  this->World.onSendFailed(Name, [this, Name](const PeerRef &To) {
-    this->Agents[Name]->Core.onSendFailed(To.Node, this->World.now());
+  this->World.onSendFailed(Name, [this, Name](const Undelivered &Lost) {
+    this->Agents[Name]->Core.onSendFailed(Lost.To.Node, this->World.now());
   });
   if (this->Options.Controls == 0)
     this->Agents[Name]->Core.setCatalog(*this->fixedView(), this->World.now());
--- a/emulator/virtual_world.cpp
+++ b/emulator/virtual_world.cpp
@@ -1,5 +1,7 @@
 #include "emulator/virtual_world.h"
 
+#include <algorithm>
+
 namespace yardwheel {
 
 namespace {
@@ -73,13 +75,16 @@
   this->Nodes[Name].Frozen = true;
 }
 
-void VirtualWorld::thaw(const std::string &Name) {
+void VirtualWorld::thaw(const std::string &Name, ThawOrder Order) {
   Node &Target = this->Nodes[Name];
   Target.Frozen = false;
-  std::vector<std::function<void()>> Held;
+  std::vector<HeldAction> Held;
   std::swap(Held, Target.Held);
-  for (std::function<void()> &Action : Held)
-    this->after(Duration(0), std::move(Action));
+  if (Order == ThawOrder::TimersLast)
+    std::stable_partition(Held.begin(), Held.end(),
+                          [](const HeldAction &Each) { return !Each.IsTimer; });
+  for (HeldAction &Each : Held)
+    this->after(Duration(0), std::move(Each.Action));
 }
 
 bool VirtualWorld::isUp(const std::string &Name) const {
@@ -88,13 +93,15 @@
 }
 
 void VirtualWorld::runFor(const std::string &Name, std::uint64_t Life,
-                          const std::function<void()> &Action) {
+                          const std::function<void()> &Action, bool IsTimer) {
   Node &Target = this->Nodes[Name];
   if (!Target.Up || Target.Life != Life)
     return;
   if (Target.Frozen)
-    Target.Held.push_back(
-        [this, Name, Life, Action] { this->runFor(Name, Life, Action); });
+    Target.Held.push_back({[this, Name, Life, Action, IsTimer] {
+                             this->runFor(Name, Life, Action, IsTimer);
+                           },
+                           IsTimer});
   else
     Action();
 }
@@ -105,17 +112,21 @@
 }
 
 void VirtualWorld::onSendFailed(
-    const std::string &Name, std::function<void(const PeerRef &To)> Handler) {
+    const std::string &Name,
+    std::function<void(const Undelivered &Lost)> Handler) {
   this->Nodes[Name].SendFailed = std::move(Handler);
 }
 
-void VirtualWorld::reportFailure(const std::string &From, const PeerRef &To) {
-  std::uint64_t Life = this->Nodes[From].Life;
-  this->after(DeliveryTimeout, [this, From, To, Life] {
-    this->runFor(From, Life, [this, From, To] {
-      const Node &Sender = this->Nodes[From];
-      if (Sender.SendFailed)
-        Sender.SendFailed(To);
+void VirtualWorld::reportFailure(const Parcel &Sent) {
+  const std::string &Sender = Sent.From.Node;
+  this->after(DeliveryTimeout, [this, Sender, Sent] {
+    this->runFor(Sender, Sent.From.Incarnation, [this, Sender, Sent] {
+      const Node &Known = this->Nodes[Sender];
+      if (!Known.SendFailed)
+        return;
+      auto Envelope = std::make_shared<peer::Envelope>();
+      *Envelope->add_messages() = Sent.Message;
+      Known.SendFailed({Sent.To, Sent.SentAt, std::move(Envelope)});
     });
   });
 }
@@ -129,16 +140,27 @@
                              Duration Interval,
                              const std::function<void()> &Tick) {
   this->after(Interval, [this, Name, Life, Interval, Tick] {
-    this->runFor(Name, Life, [this, Name, Life, Interval, Tick] {
-      Tick();
-      this->tickLater(Name, Life, Interval, Tick);
-    });
+    this->runFor(
+        Name, Life,
+        [this, Name, Life, Interval, Tick] {
+          Tick();
+          this->tickLater(Name, Life, Interval, Tick);
+        },
+        /*IsTimer=*/true);
   });
 }
 
 void VirtualWorld::cut(const std::string &A, const std::string &B) {
-  this->Cuts.insert({A, B});
-  this->Cuts.insert({B, A});
+  this->cutOneWay(A, B);
+  this->cutOneWay(B, A);
+}
+
+void VirtualWorld::cutOneWay(const std::string &From, const std::string &To) {
+  this->Cuts.insert({From, To});
+}
+
+void VirtualWorld::mendOneWay(const std::string &From, const std::string &To) {
+  this->Cuts.erase({From, To});
 }
 
 void VirtualWorld::healAll() {
@@ -166,32 +188,36 @@
   Duration Delay = this->DelayBetween(From, To.Node);
   if (this->Filter)
     Delay += this->Filter({From, From}, To, Message);
+  Parcel Sent{{From, From, this->Nodes[From].Life}, To, Message, this->Time};
   bool Lost = this->isCut(From, To.Node) ||
               this->Random() % WholePermille < this->Faults.LossPermille;
   if (Lost) {
-    this->reportFailure(From, To);
+    this->reportFailure(Sent);
     return;
   }
-  this->deliverLater(From, To, Message, Delay);
+  this->deliverLater(Sent, Delay);
   if (this->Random() % WholePermille < this->Faults.DoublePermille)
-    this->deliverLater(From, To, Message, Delay);
+    this->deliverLater(Sent, Delay);
 }
 
-void VirtualWorld::deliverLater(const std::string &From, const PeerRef &To,
-                                const peer::Message &Message, Duration Delay) {
+void VirtualWorld::deliverLater(const Parcel &Sent, Duration Delay) {
   if (this->Faults.Jitter.count() > 0)
     Delay += Duration(this->Random() %
                       static_cast<std::uint64_t>(this->Faults.Jitter.count()));
   // A later life at the same address receives it, as on a real network.
-  this->after(Delay, [this, From, To, Message] {
-    Node &Target = this->Nodes[To.Node];
+  this->after(Delay, [this, Sent] {
+    const std::string &From = Sent.From.Node;
+    const std::string &To = Sent.To.Node;
+    Node &Target = this->Nodes[To];
+    bool Lost = this->isCut(From, To);
     bool Late = !Target.Up || Target.Frozen;
-    if (Late || this->isCut(From, To.Node))
-      this->reportFailure(From, To);
-    if (this->isCut(From, To.Node))
+    // Of what arrives the receipt may be lost.
+    if (Lost || Late || this->isCut(To, From))
+      this->reportFailure(Sent);
+    if (Lost)
       return;
-    this->runFor(To.Node, Target.Life, [this, From, To, Message] {
-      this->Nodes[To.Node].Receive({From, From}, Message);
+    this->runFor(To, Target.Life, [this, To, Sent] {
+      this->Nodes[To].Receive(Sent.From, Sent.Message);
     });
   });
 }
--- a/emulator/virtual_world.h
+++ b/emulator/virtual_world.h
@@ -32,6 +32,13 @@
   Duration Jitter{0};
 };
 
+/// In what order a node that thaws takes what it held.
+enum class ThawOrder {
+  AsHeld,
+  /// Its timers fire after it has read all that came meanwhile.
+  TimersLast,
+};
+
 class VirtualWorld {
 public:
   using Receiver =
@@ -51,9 +58,9 @@
   /// earlier lives are dropped.
   void start(const std::string &Node, Receiver Receive);
   /// Tells a node, after a delivery's time-out, that a message of its own did
-  /// not arrive in time.
+  /// not arrive in time, or that its receipt did not.
   void onSendFailed(const std::string &Node,
-                    std::function<void(const PeerRef &To)> Handler);
+                    std::function<void(const Undelivered &Lost)> Handler);
   /// Calls \p Tick every \p Interval for as long as this life lasts.
   void every(const std::string &Node, Duration Interval,
              const std::function<void()> &Tick);
@@ -62,13 +69,16 @@
   void kill(const std::string &Node);
   /// A frozen node does nothing; what comes meanwhile waits for it.
   void freeze(const std::string &Node);
-  void thaw(const std::string &Node);
+  void thaw(const std::string &Node, ThawOrder Order = ThawOrder::AsHeld);
   bool isUp(const std::string &Node) const;
 
   /// Nothing passes between \p Node and any other node.
   void isolate(const std::string &Node) { this->Isolated.insert(Node); }
   void reconnect(const std::string &Node) { this->Isolated.erase(Node); }
   void cut(const std::string &A, const std::string &B);
+  /// Nothing passes from one to the other, while the way back is open.
+  void cutOneWay(const std::string &From, const std::string &To);
+  void mendOneWay(const std::string &From, const std::string &To);
   void healAll();
   void setFaults(NetworkFaults New) { this->Faults = New; }
   /// One-way delay between two nodes.
@@ -97,24 +107,34 @@
       return std::tie(this->At, this->Order) > std::tie(Other.At, Other.Order);
     }
   };
+  struct HeldAction {
+    std::function<void()> Action;
+    bool IsTimer = false;
+  };
   struct Node {
     Receiver Receive;
-    std::function<void(const PeerRef &To)> SendFailed;
+    std::function<void(const Undelivered &Lost)> SendFailed;
     std::uint64_t Life = 0;
     bool Up = false;
     bool Frozen = false;
-    std::vector<std::function<void()>> Held;
+    std::vector<HeldAction> Held;
     std::unique_ptr<PeerSink> Sink;
   };
   class NodeSink;
 
   void send(const std::string &From, const PeerRef &To,
             const peer::Message &Message);
-  void deliverLater(const std::string &From, const PeerRef &To,
-                    const peer::Message &Message, Duration Delay);
-  void reportFailure(const std::string &From, const PeerRef &To);
+  /// A message on its way, and the life of the node that sent it.
+  struct Parcel {
+    PeerRef From;
+    PeerRef To;
+    peer::Message Message;
+    TimePoint SentAt;
+  };
+  void deliverLater(const Parcel &Sent, Duration Delay);
+  void reportFailure(const Parcel &Sent);
   void runFor(const std::string &Name, std::uint64_t Life,
-              const std::function<void()> &Action);
+              const std::function<void()> &Action, bool IsTimer = false);
   void tickLater(const std::string &Name, std::uint64_t Life, Duration Interval,
                  const std::function<void()> &Tick);
   bool isCut(const std::string &A, const std::string &B) const;
