Leased world: workers' leases, lives of processes, and callers that come again

What was missing: the stand-in worker held no lease and no clock of its own, its replies reached an agent that was frozen or dead, no process could restart, and callers handed a job in once.

Change: - VirtualWorker keeps a lease by a clock that is up to 2 % slow, shortens it to 1,000 ms, ends its runs as lapsed, and refuses lower tokens, leases that are over and old runs. A stop takes up to 50 ms. - LeasedAgent takes calls' replies and announcements only while it runs, loses calls or has them carried out 2 to 12 s late, and can begin another life while its worker runs on. - LeasedEntry stands behind a gate as the product's: a request is read, then handed on to the loop, and the process may stand still in between. It can be killed and begin another life. - PersistentCaller hands its job in again by the answer that it got, or did not get. - RunRegister sees all runs of all workers.

--- /dev/null
+++ b/emulator/leased_agent.cpp
@@ -0,0 +1,163 @@
+#include "emulator/leased_agent.h"
+
+namespace yardwheel {
+
+namespace {
+
+/// One way between an agent and its worker, which share a host.
+constexpr std::chrono::microseconds WorkerDelay{200};
+constexpr std::chrono::milliseconds AnnounceEvery{1000};
+/// Before a call counts as unanswered, beyond the time that it may wait.
+constexpr std::chrono::milliseconds CallTimeout{50};
+constexpr std::chrono::milliseconds HoldSlack{80};
+/// When a late call is carried out.
+constexpr std::chrono::milliseconds LeastLate{2000};
+constexpr std::chrono::milliseconds MostLate{12000};
+constexpr std::uint32_t WholePermille = 1000;
+/// Between the incarnations of two lives: more than the workers' lives that
+/// one sees, each of which takes a number.
+constexpr std::uint64_t LifeStep = 1000;
+
+} // namespace
+
+LeasedAgent::LeasedAgent(VirtualWorld &World, RunRegister &Runs,
+                         std::string Name, const LeasedAgentOptions &Options)
+    : World(World), Name(std::move(Name)), Options(Options),
+      Random(Options.Seed), Worker(World, Runs, this->Name + "-worker",
+                                   Options.Pool, Options.Worker, Options.Seed) {
+  this->Worker.onRestart([this] {
+    this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
+      this->Keeper->onProfile(Profile, this->World.now());
+    });
+  });
+  this->beginLife();
+  this->announceWorker();
+}
+
+void LeasedAgent::restart() {
+  // Its worker is heard of with the next of its announcements.
+  this->beginLife();
+}
+
+void LeasedAgent::beginLife() {
+  ++this->Life;
+  KeeperOptions Options = this->Options.Keeper;
+  Options.Incarnation = 1 + (this->Life - 1) * LifeStep;
+  this->Attached.clear();
+  this->Keeper = std::make_unique<LeaseKeeper>(
+      Options, this->World.sinkOf(this->Name), *this);
+  this->World.start(this->Name,
+                    [this](const PeerRef &From, const peer::Message &Message) {
+                      this->Keeper->onMessage(From, Message, this->World.now());
+                    });
+  this->World.onSendFailed(this->Name, [this](const Undelivered &Lost) {
+    this->Keeper->onUndelivered(Lost, this->World.now());
+  });
+  this->World.every(this->Name, this->Options.Tick,
+                    [this] { this->Keeper->tick(this->World.now()); });
+}
+
+void LeasedAgent::announceWorker() {
+  if (this->Worker.isUp())
+    this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
+      this->Keeper->onProfile(Profile, this->World.now());
+    });
+  this->World.after(AnnounceEvery, [this] { this->announceWorker(); });
+}
+
+peer::Member LeasedAgent::member() const {
+  peer::Member Member;
+  Member.set_name(this->Name);
+  Member.set_role(peer::ROLE_AGENT);
+  Member.set_incarnation(this->Keeper->incarnation());
+  Member.set_address(this->Name);
+  Member.set_pool(this->Options.Pool);
+  Member.mutable_room()->set_cpu_milli(this->Options.Worker.RoomMilli);
+  Member.mutable_room()->set_memory_mb(UINT32_MAX);
+  Member.set_state(peer::MEMBER_ALIVE);
+  return Member;
+}
+
+// ---- Calls to the worker ----
+
+LeasedAgent::CallFate LeasedAgent::drawFate() {
+  std::uint32_t Sum = this->Faults.LostPermille +
+                      this->Faults.UnansweredPermille +
+                      this->Faults.LatePermille;
+  if (Sum == 0)
+    return CallFate::Carried;
+  auto Drawn = static_cast<std::uint32_t>(this->Random() % WholePermille);
+  if (Drawn >= Sum)
+    return CallFate::Carried;
+  if (Drawn < this->Faults.LostPermille)
+    return CallFate::Lost;
+  Drawn -= this->Faults.LostPermille;
+  return Drawn < this->Faults.UnansweredPermille ? CallFate::Unanswered
+                                                 : CallFate::Late;
+}
+
+LeasedAgent::Answer LeasedAgent::toThisLife(const Answer &Take) {
+  return [this, Take, Life = this->Life](const WorkerReply &Reply) {
+    this->World.after(WorkerDelay, [this, Take, Life, Reply] {
+      // Connections end with the life that made them.
+      if (Life == this->Life)
+        this->World.runOn(this->Name, [Take, Reply] { Take(Reply); });
+    });
+  };
+}
+
+void LeasedAgent::call(std::chrono::milliseconds Timeout,
+                       const std::function<void(const Answer &Reply)> &CarryOut,
+                       const Answer &Take) {
+  Answer Reply = this->toThisLife(Take);
+  CallFate Fate = this->drawFate();
+  if (Fate == CallFate::Carried) {
+    this->World.after(WorkerDelay, [CarryOut, Reply] { CarryOut(Reply); });
+    return;
+  }
+  this->World.after(Timeout, [Reply] { Reply(WorkerReply()); });
+  Duration Delay = WorkerDelay;
+  if (Fate == CallFate::Late)
+    Delay = LeastLate + std::chrono::milliseconds(
+                            this->Random() % (MostLate - LeastLate).count());
+  if (Fate != CallFate::Lost)
+    this->World.after(Delay,
+                      [CarryOut] { CarryOut([](const WorkerReply &) {}); });
+}
+
+void LeasedAgent::start(const StartCall &Call) {
+  this->call(
+      CallTimeout,
+      [this, Call, Life = this->Attached](const Answer &Reply) {
+        Reply(this->Worker.start(Life, Call));
+      },
+      [this, Call, Life = this->Attached](const WorkerReply &Reply) {
+        this->Keeper->session().onStartReply(Life, Call.Run, Reply,
+                                             this->World.now());
+      });
+}
+
+void LeasedAgent::stop(const StopCall &Call) {
+  this->call(
+      CallTimeout,
+      [this, Call, Life = this->Attached](const Answer &Reply) {
+        Reply(this->Worker.stop(Life, Call));
+      },
+      [this, Call, Life = this->Attached](const WorkerReply &Reply) {
+        this->Keeper->session().onStopReply(Life, Call.Run, Reply,
+                                            this->World.now());
+      });
+}
+
+void LeasedAgent::hold(const HoldCall &Call) {
+  this->call(
+      Call.Wait + HoldSlack,
+      [this, Call, Life = this->Attached](const Answer &Reply) {
+        this->Worker.hold(Life, Call, Reply);
+      },
+      [this, Life = this->Attached](const WorkerReply &Reply) {
+        this->Keeper->session().onHoldReply(Life, Reply, this->World.now());
+      });
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/emulator/leased_entry.cpp
@@ -0,0 +1,181 @@
+#include "emulator/leased_entry.h"
+
+#include <algorithm>
+
+namespace yardwheel {
+
+namespace {
+
+/// Without an idle moment for this long, the process is behind.
+constexpr std::chrono::milliseconds BehindAfter{100};
+/// What a caller is told whose request is refused as read late.
+constexpr std::chrono::milliseconds RefusalRetry{300};
+/// Far above the placements of one life.
+constexpr std::uint64_t OrdersOfOneLife = 1000000;
+
+} // namespace
+
+LeasedEntry::LeasedEntry(VirtualWorld &World, std::string Name,
+                         const LeasedEntryOptions &Options)
+    : World(World), Name(std::move(Name)), Options(Options), Processor(World),
+      Outlet(World.sinkOf(this->Name)) {
+  this->beginLife();
+}
+
+void LeasedEntry::beginLife() {
+  ++this->Life;
+  CoordinatorOptions Options = this->Options.Coordinator;
+  Options.FirstOrder += (this->Life - 1) * OrdersOfOneLife;
+  Options.Seed += this->Life - 1;
+  this->Coordinator = std::make_unique<LeaseCoordinator>(Options, *this, *this);
+  this->LastIdle = this->World.now().Steady;
+  this->LastBehind = TimePoint::min();
+  this->World.start(
+      this->Name, [this](const PeerRef &From, const peer::Message &Message) {
+        this->runSoon([this, From, Message] { this->receive(From, Message); });
+      });
+  this->World.onSendFailed(this->Name, [this](const Undelivered &Lost) {
+    this->Coordinator->onUndelivered(Lost, this->World.now());
+  });
+  this->World.every(this->Name, this->Options.Tick, [this] { this->tick(); });
+}
+
+void LeasedEntry::kill() {
+  this->World.kill(this->Name);
+  this->Unanswered.clear();
+  this->Taken.clear();
+  std::map<HandIn, Listener> Broken;
+  std::swap(Broken, this->Callers);
+  for (const auto &[Which, Hear] : Broken)
+    Hear(std::nullopt);
+}
+
+void LeasedEntry::restart() { this->beginLife(); }
+
+void LeasedEntry::runSoon(std::function<void()> Action) {
+  this->Processor.run(this->Options.MessageCost,
+                      [this, Life = this->Life, Action = std::move(Action)] {
+                        if (Life == this->Life)
+                          this->World.runOn(this->Name, Action);
+                      });
+}
+
+// ---- The loop ----
+
+TimePoint LeasedEntry::lastBehind() const {
+  TimePoint Now = this->World.now().Steady;
+  return Now - this->LastIdle > BehindAfter ? Now : this->LastBehind;
+}
+
+void LeasedEntry::tick() {
+  this->Coordinator->tick(this->World.now(), this->lastBehind());
+  this->LastBehind = this->lastBehind();
+  this->LastIdle = this->World.now().Steady;
+}
+
+void LeasedEntry::receive(const PeerRef &From, const peer::Message &Message) {
+  Instant Now = this->World.now();
+  this->Coordinator->noteBehind(this->lastBehind());
+  this->Coordinator->onMessage(From, Message, Now);
+  this->Coordinator->placeDue(Now);
+}
+
+void LeasedEntry::send(const PeerRef &To, peer::Message Message) {
+  this->runSoon([this, To, Message = std::move(Message)] {
+    this->Outlet.send(To, Message);
+  });
+}
+
+void LeasedEntry::meet(const peer::Member &Agent) {
+  this->World.runOn(this->Name, [this, Agent] {
+    this->Coordinator->onMember(Agent, this->World.now());
+  });
+}
+
+// ---- Callers ----
+
+void LeasedEntry::handIn(HandIn Which, const LeasedJobRequest &Job,
+                         Listener Hear) {
+  if (!this->World.isUp(this->Name)) {
+    Hear(std::nullopt);
+    return;
+  }
+  this->Callers[Which] = std::move(Hear);
+  this->runSoon([this, Which, Job] { this->read(Which, Job); });
+}
+
+void LeasedEntry::read(HandIn Which, const LeasedJobRequest &Job) {
+  bool WasBehind = this->lastBehind() == this->World.now().Steady;
+  bool MayRefuse = !this->Taken.contains(Job.Id);
+  if (MayRefuse && WasBehind && !this->hasCaller(Which)) {
+    this->answer(Which, {LeasedEnd::NotRun, "submit", "",
+                         "the caller has gone; nothing has run", RefusalRetry});
+    return;
+  }
+  this->Taken.insert(Job.Id);
+  this->handOver([this, Which, Job] {
+    this->Unanswered[Which] = Job.Id;
+    this->Coordinator->submit(Job, Which, this->World.now());
+  });
+}
+
+void LeasedEntry::handOver(const std::function<void()> &Action) {
+  TimePoint Now = this->World.now().Steady;
+  bool AtOnce =
+      this->Options.HandOver.count() == 0 || this->World.random()() % 2 == 0;
+  TimePoint At = AtOnce ? Now : Now + this->Options.HandOver;
+  // One does not overtake another.
+  At = std::max(At, this->LastHandOver);
+  this->LastHandOver = At;
+  if (At == Now) {
+    Action();
+    return;
+  }
+  this->World.after(At - Now, [this, Action, Life = this->Life] {
+    if (Life == this->Life)
+      this->World.runOn(this->Name, Action);
+  });
+}
+
+bool LeasedEntry::hasCaller(LeaseTicket Ticket) const {
+  return this->Callers.contains(Ticket);
+}
+
+void LeasedEntry::hangUp(HandIn Which) {
+  if (this->Callers.erase(Which) == 0)
+    return;
+  this->World.runOn(this->Name, [this, Which] {
+    this->handOver([this, Which] {
+      auto Found = this->Unanswered.find(Which);
+      if (Found == this->Unanswered.end())
+        return;
+      // It is answered at once, and then off the list.
+      std::string Job = Found->second;
+      this->Coordinator->withdraw(Job, Which, "the caller has gone",
+                                  this->World.now());
+    });
+  });
+}
+
+void LeasedEntry::onLeasedAnswer(LeaseTicket Ticket,
+                                 const LeasedAnswer &Answer) {
+  if (this->Unanswered.erase(Ticket) == 0) {
+    ++this->AnsweredTwice;
+    return;
+  }
+  this->runSoon([this, Ticket, Answer] { this->answer(Ticket, Answer); });
+}
+
+void LeasedEntry::answer(HandIn Which, const LeasedAnswer &Answer) {
+  auto Found = this->Callers.find(Which);
+  if (Found == this->Callers.end())
+    return;
+  // Only what a caller hears binds.
+  if (Answer.End == LeasedEnd::NotRun)
+    this->NotRun.insert(Which);
+  Listener Hear = std::move(Found->second);
+  this->Callers.erase(Found);
+  Hear(Answer);
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/emulator/run_register.cpp
@@ -0,0 +1,67 @@
+#include "emulator/run_register.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace yardwheel {
+
+void RunRegister::begin(const std::string &Worker, const RunKey &Run,
+                        HandIn For, TimePoint Now) {
+  TaskName Task{Run.Job, Run.Index};
+  std::vector<RunRegister::Run> &Known = this->Runs[Task];
+  if (std::ranges::any_of(Known, [](const RunRegister::Run &Each) {
+        return Each.Ended == TimePoint::max();
+      })) {
+    ++this->Doubled;
+    this->DoubledTasks.insert(Task);
+  }
+  Known.push_back({Worker, Run.Run, For, Now});
+  this->Begun.insert(For);
+}
+
+void RunRegister::end(const std::string &Worker, const RunKey &Run,
+                      const std::string &How, TimePoint Now) {
+  for (RunRegister::Run &Each : this->Runs[{Run.Job, Run.Index}]) {
+    bool Meant = Each.Worker == Worker && Each.Number == Run.Run &&
+                 Each.Ended == TimePoint::max();
+    if (!Meant)
+      continue;
+    Each.Ended = Now;
+    Each.How = How;
+  }
+}
+
+void RunRegister::noteCrash(const RunKey &Cause) {
+  CrashCount &Count = this->CrashCounts[{Cause.Job, Cause.Index}];
+  if (Count.Crashes >= 3)
+    ++Count.StartsAfterThree;
+  ++Count.Crashes;
+}
+
+CrashToll RunRegister::crashToll() const {
+  CrashToll Toll;
+  for (const auto &[Task, Count] : this->CrashCounts) {
+    Toll.Crashes += Count.Crashes;
+    Toll.MostUnderOneTask = std::max(Toll.MostUnderOneTask, Count.Crashes);
+    Toll.MostStartsAfterThree =
+        std::max(Toll.MostStartsAfterThree, Count.StartsAfterThree);
+  }
+  return Toll;
+}
+
+std::string RunRegister::describeDoubled(TimePoint Since) const {
+  std::string Text;
+  for (const TaskName &Task : this->DoubledTasks) {
+    Text += fmt::format("{}/{}:\n", Task.first, Task.second);
+    for (const Run &Each : this->Runs.at(Task)) {
+      bool Alive = Each.Ended == TimePoint::max();
+      Text += fmt::format(
+          "  hand-in {} run {} at {} from {} to {} ms: {}\n", Each.For,
+          Each.Number, Each.Worker, millisBetween(Since, Each.Began),
+          Alive ? -1 : millisBetween(Since, Each.Ended), Each.How);
+    }
+  }
+  return Text;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/emulator/virtual_worker.cpp
@@ -0,0 +1,269 @@
+#include "emulator/virtual_worker.h"
+
+#include "agent/worker_session.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace yardwheel {
+
+namespace {
+
+constexpr std::int64_t WholePermille = 1000;
+/// What its clock shows when a life begins; any time but zero will do.
+constexpr WorkerTime ClockStart{480000};
+
+struct Spec {
+  HandIn For = 0;
+  std::chrono::milliseconds Length{};
+};
+
+Spec readSpec(const std::string &Text, std::uint32_t Index) {
+  std::istringstream Words(Text);
+  Spec Read;
+  std::int64_t Millis = 0;
+  Words >> Read.For;
+  for (std::uint32_t I = 0; I <= Index; ++I)
+    Words >> Millis;
+  Read.Length = std::chrono::milliseconds(Millis);
+  return Read;
+}
+
+} // namespace
+
+std::string specOf(HandIn For,
+                   const std::vector<std::chrono::milliseconds> &Lengths) {
+  std::string Text = fmt::format("{} ", For);
+  for (std::chrono::milliseconds Length : Lengths)
+    Text += fmt::format("{} ", Length.count());
+  return Text;
+}
+
+VirtualWorker::VirtualWorker(VirtualWorld &World, RunRegister &Runs,
+                             std::string Name, std::string Pool,
+                             VirtualWorkerOptions Options, std::uint64_t Seed)
+    : World(World), Runs(Runs), Name(std::move(Name)), Options(Options),
+      Random(Seed), Started(World.now().Steady) {
+  this->SlowPermille = static_cast<std::uint32_t>(
+      this->Random() % (Options.MaxSlowPermille + 1));
+  this->Profile.Id = this->Name;
+  this->Profile.Pool = std::move(Pool);
+  this->Profile.Room.set_cpu_milli(Options.RoomMilli);
+  this->Profile.Room.set_memory_mb(UINT32_MAX);
+}
+
+WorkerProfile VirtualWorker::announce() {
+  ++this->Profile.Sequence;
+  this->Profile.Clock = this->clock();
+  return this->Profile;
+}
+
+// ---- The clock, the lease and the token ----
+
+WorkerTime VirtualWorker::clock() const {
+  Duration Passed = this->World.now().Steady - this->Started;
+  return ClockStart +
+         std::chrono::duration_cast<WorkerTime>(
+             Passed * (WholePermille - this->SlowPermille) / WholePermille);
+}
+
+WorkerReply VirtualWorker::reply(const std::string &Life) const {
+  WorkerReply Reply;
+  Reply.Answered = this->Up;
+  if (!this->Up)
+    return Reply;
+  Reply.Clock = this->clock();
+  if (Life != this->Profile.Id)
+    Reply.Refusal = WorkerRefusal::OtherLife;
+  return Reply;
+}
+
+WorkerRefusal VirtualWorker::fence(std::uint64_t Given) {
+  if (Given < this->Token)
+    return WorkerRefusal::Fenced;
+  this->Token = Given;
+  return WorkerRefusal::None;
+}
+
+void VirtualWorker::extendLease(WorkerTime Until) {
+  this->LeaseEnd = std::max(
+      this->LeaseEnd, std::min(Until, this->clock() + this->Options.MaxLease));
+  this->lapseLater();
+}
+
+void VirtualWorker::lapseLater() {
+  if (this->Alive.empty() || this->AwaitsLapse)
+    return;
+  this->AwaitsLapse = true;
+  // A slow clock shows the end of the lease later.
+  Duration Left = std::max<Duration>(this->LeaseEnd - this->clock(),
+                                     std::chrono::milliseconds(1));
+  this->World.after(Left, [this] {
+    this->AwaitsLapse = false;
+    this->lapseIfDue();
+  });
+}
+
+void VirtualWorker::lapseIfDue() {
+  if (this->clock() < this->LeaseEnd) {
+    this->lapseLater();
+    return;
+  }
+  while (!this->Alive.empty()) {
+    RunKey First = this->Alive.begin()->first;
+    this->end(First, RunEnd::Lapsed);
+  }
+}
+
+// ---- Calls ----
+
+WorkerReply VirtualWorker::start(const std::string &Life,
+                                 const StartCall &Call) {
+  WorkerReply Reply = this->reply(Life);
+  if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None)
+    return Reply;
+  Reply.Refusal = this->fence(Call.FencingToken);
+  if (Reply.Refusal != WorkerRefusal::None)
+    return Reply;
+  if (Call.LeaseUntil <= this->clock()) {
+    Reply.Refusal = WorkerRefusal::LeaseOver;
+    return Reply;
+  }
+  // Also a start that is refused as old brings its lease.
+  this->extendLease(Call.LeaseUntil);
+  if (this->Alive.contains(Call.Run))
+    return Reply;
+  auto Over = this->LastOver.find({Call.Run.Job, Call.Run.Index});
+  if (Over != this->LastOver.end() && Call.Run.Run <= Over->second)
+    Reply.Refusal = WorkerRefusal::OldRun;
+  else
+    this->begin(Call);
+  Reply.Answered = this->Up;
+  return Reply;
+}
+
+WorkerReply VirtualWorker::stop(const std::string &Life, const StopCall &Call) {
+  WorkerReply Reply = this->reply(Life);
+  if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None)
+    return Reply;
+  Reply.Refusal = this->fence(Call.FencingToken);
+  if (Reply.Refusal != WorkerRefusal::None)
+    return Reply;
+  std::uint64_t &Over = this->LastOver[{Call.Run.Job, Call.Run.Index}];
+  Over = std::max(Over, Call.Run.Run);
+  auto Found = this->Alive.find(Call.Run);
+  if (Found == this->Alive.end() || Found->second.Stopping)
+    return Reply;
+  Found->second.Stopping = true;
+  auto Takes = static_cast<std::int64_t>(this->Random() %
+                                         (this->Options.StopTakes.count() + 1));
+  this->World.after(std::chrono::milliseconds(Takes),
+                    [this, Run = Call.Run, Life] {
+                      if (this->Up && Life == this->Profile.Id)
+                        this->end(Run, RunEnd::Stopped);
+                    });
+  return Reply;
+}
+
+void VirtualWorker::hold(const std::string &Life, const HoldCall &Call,
+                         Answer Answered) {
+  WorkerReply Reply = this->reply(Life);
+  if (Reply.Answered && Reply.Refusal == WorkerRefusal::None)
+    Reply.Refusal = this->fence(Call.FencingToken);
+  if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None) {
+    Answered(Reply);
+    return;
+  }
+  if (Call.LeaseUntil)
+    this->extendLease(*Call.LeaseUntil);
+  std::erase_if(this->Ended, [&](const EndedRun &Known) {
+    return Known.Number <= Call.AcknowledgedEnd;
+  });
+  std::uint64_t Number = ++this->LastHold;
+  this->Holds.push_back({Number, std::move(Answered)});
+  if (!this->Ended.empty()) {
+    this->answerHolds();
+    return;
+  }
+  this->World.after(Call.Wait, [this, Number] {
+    auto Own = std::ranges::find(this->Holds, Number, &WaitingHold::Number);
+    if (Own == this->Holds.end())
+      return;
+    WaitingHold Due = std::move(*Own);
+    this->Holds.erase(Own);
+    this->tell({Due});
+  });
+}
+
+void VirtualWorker::answerHolds() {
+  std::vector<WaitingHold> Due;
+  std::swap(Due, this->Holds);
+  this->tell(Due);
+}
+
+void VirtualWorker::tell(const std::vector<WaitingHold> &Due) {
+  if (Due.empty())
+    return;
+  WorkerReply Reply = this->reply(this->Profile.Id);
+  for (const auto &[Key, Known] : this->Alive)
+    Reply.Running.push_back(Key);
+  Reply.Ended = {this->Ended.begin(), this->Ended.end()};
+  for (const WaitingHold &Each : Due)
+    Each.Reply(Reply);
+}
+
+// ---- Runs ----
+
+void VirtualWorker::begin(const StartCall &Call) {
+  const RunKey &Key = Call.Run;
+  Spec Read = readSpec(Call.Spec, Key.Index);
+  this->Alive[Key] = {};
+  this->Runs.begin(this->Profile.Id, Key, Read.For, this->World.now().Steady);
+  if (Read.Length == CrashesWorker) {
+    this->Runs.noteCrash(Key);
+    this->crash();
+    return;
+  }
+  this->lapseLater();
+  this->World.after(Read.Length, [this, Key, Life = this->Profile.Id] {
+    if (this->Up && Life == this->Profile.Id)
+      this->end(Key, RunEnd::Done);
+  });
+}
+
+void VirtualWorker::end(const RunKey &Key, RunEnd How) {
+  if (this->Alive.erase(Key) == 0)
+    return;
+  std::uint64_t &Over = this->LastOver[{Key.Job, Key.Index}];
+  Over = std::max(Over, Key.Run);
+  this->Runs.end(this->Profile.Id, Key, runEndName(How),
+                 this->World.now().Steady);
+  this->Ended.push_back({++this->LastEnd, Key, How});
+  this->answerHolds();
+}
+
+void VirtualWorker::crash() {
+  this->Up = false;
+  for (const auto &[Key, Known] : this->Alive)
+    this->Runs.end(this->Profile.Id, Key, "crashed", this->World.now().Steady);
+  this->Alive.clear();
+  this->LastOver.clear();
+  this->Ended.clear();
+  this->answerHolds();
+  this->World.after(this->Options.RestartAfter, [this] { this->restart(); });
+}
+
+void VirtualWorker::restart() {
+  this->Up = true;
+  this->Profile.Id = fmt::format("{}-{}", this->Name, ++this->Lives);
+  this->Profile.Sequence = 0;
+  this->Started = this->World.now().Steady;
+  this->LeaseEnd = {};
+  this->Token = 0;
+  this->LastEnd = 0;
+  if (this->Restarted)
+    this->Restarted();
+}
+
+} // namespace yardwheel
