Test: random faults on the leased path, and planted ones that they must show

Each story has 40 jobs of 60 ms to 3 s, whose callers come again, and clusters of faults that hit one entry and one agent more than others: silences in one or both directions, lost or delivered late, freezes, kills, noise, and lost or late calls to workers. Then all is mended. No two runs of a task may be alive at once, each hand-in that was read is answered once, one that is answered as not run has not run, and nearly all jobs complete.

A second test takes nine rules out, one at a time, and wants two runs at once of each: leases that count from the receipt, a worker's lease beyond those of its runs, an entry's lease too long, callers that do not wait, a worker's clock taken to be right, a confirmed stop taken for an end, placements on their way taken for missing, ended placements forgotten, and callers not looked for after a pause.

--- /dev/null
+++ b/tests/entry/lease_hunt_test.cpp
@@ -0,0 +1,101 @@
+// Random faults on the leased path, for many seeds. A failing seed is printed
+// with its story.
+
+#include "tests/entry/lease_story.h"
+#include "tests/support/seeds.h"
+
+#include <fmt/format.h>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t DefaultSeeds = 60;
+/// Within so many a planted fault must be seen.
+constexpr std::uint64_t PlantedSeeds = 3000;
+
+} // namespace
+
+TEST_GROUP(LeaseHuntTest){};
+
+TEST(LeaseHuntTest, NoTaskRunsTwiceAtOnceAndEachHandInIsAnsweredTruly) {
+  SeedRange Seeds = seedRange(DefaultSeeds);
+  std::uint64_t Completed = 0;
+  std::uint64_t Jobs = 0;
+  std::uint32_t Bad = 0;
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
+    LeaseStory Story(LeaseStory::options(Seed));
+    std::string Found = Story.play();
+    Completed += Story.completed();
+    Jobs += Story.jobs();
+    if (Found.empty())
+      continue;
+    ++Bad;
+    UT_PRINT(
+        fmt::format("seed {}: {}{}", Seed, Found, Story.describe()).c_str());
+  }
+  LONGS_EQUAL(0, Bad);
+  // What never ends when all is calm again would be hidden by a check by story.
+  CHECK(Completed * 100 >= Jobs * 98);
+}
+
+// Each rule off by itself, so that a quiet hunt says something.
+TEST(LeaseHuntTest, TheHuntSeesPlantedFaults) {
+  struct Row {
+    const char *Name;
+    void (*Plant)(LeaseStoryOptions &Options);
+  };
+  const Row Rows[] = {
+      {"leases count from the receipt of a message",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.LeasesCountFromEcho = false;
+       }},
+      {"a worker's lease outlasts those of its runs",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.StopAllowance = 1h;
+       }},
+      {"an entry's lease is too long",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.EntryLease = 1600ms;
+       }},
+      {"callers do not wait",
+       [](LeaseStoryOptions &Options) { Options.Callers.ResubmitAfter = 0ms; }},
+      {"a silent worker's clock is taken to be right",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.Session.LapseSlack = 0ms;
+       }},
+      {"a confirmed stop counts as an end",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.Session.StopTakes = 0ms;
+       }},
+      {"a placement on its way is taken for missing",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Coordinator.InTransit = 0ms;
+         Options.World.Coordinator.MissingLimit = 0ms;
+       }},
+      {"placements that have ended are forgotten",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Keeper.OrderMemory = 0ms;
+       }},
+      {"an entry that stood still does not look whether its callers are there",
+       [](LeaseStoryOptions &Options) {
+         Options.World.Coordinator.BehindMemory = -1ms;
+       }},
+  };
+  for (const Row &Row : Rows) {
+    std::uint64_t SeenAt = 0;
+    for (std::uint64_t Seed = 1; SeenAt == 0 && Seed <= PlantedSeeds; ++Seed) {
+      LeaseStoryOptions Options = LeaseStory::options(Seed);
+      Row.Plant(Options);
+      LeaseStory Story(Options);
+      Story.play();
+      if (Story.doubledRuns() > 0)
+        SeenAt = Seed;
+    }
+    CHECK_TEXT(SeenAt > 0, Row.Name);
+  }
+}
--- /dev/null
+++ b/tests/entry/lease_story.h
@@ -0,0 +1,82 @@
+//===- tests/entry/lease_story.h - A random story of faults -----*- C++ -*-===//
+///
+/// \file
+/// One random story of the leased path: jobs of several lengths, and beside
+/// them silences, freezes, kills, noise and lost calls to workers, several at a
+/// time. Then all is mended, and calm for long enough that all can end.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_ENTRY_LEASE_STORY_H
+#define YARDWHEEL_TESTS_ENTRY_LEASE_STORY_H
+
+#include "emulator/persistent_caller.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+struct LeaseStoryOptions {
+  LeasedWorldOptions World;
+  PersistentCallerOptions Callers;
+};
+
+class LeaseStory {
+public:
+  /// What callers promise and processes are given, for \p Seed.
+  static LeaseStoryOptions options(std::uint64_t Seed);
+
+  explicit LeaseStory(const LeaseStoryOptions &Options);
+
+  /// Plays it to its end. \returns what is wrong, or nothing.
+  std::string play();
+  /// The faults and what callers saw, a line each.
+  std::string describe() const;
+  std::uint32_t jobs() const {
+    return static_cast<std::uint32_t>(this->Callers.size());
+  }
+  std::uint32_t completed() const;
+  std::uint32_t doubledRuns() const { return this->World.doubledRuns(); }
+
+private:
+  using Link = std::pair<std::string, std::string>;
+
+  std::chrono::milliseconds draw(std::chrono::milliseconds Least,
+                                 std::chrono::milliseconds Most);
+  /// The processes that the faults of one cluster hit more than others.
+  struct Focus {
+    std::size_t Entry = 0;
+    std::size_t Agent = 0;
+  };
+  std::size_t pickEntry(const Focus &Near);
+  std::size_t pickAgent(const Focus &Near);
+  void planCluster();
+  void causeFault(const Focus &Near);
+  void silence(const Focus &Near);
+  void silenceLink(const Link &Way, bool HeldUp,
+                   std::chrono::milliseconds Length);
+  void freeze(const Focus &Near);
+  void kill(const Focus &Near);
+  void loseCalls(const Focus &Near);
+  void makeNoise();
+  void planJob(std::chrono::milliseconds At);
+  void note(const std::string &What);
+  std::string findings() const;
+
+  std::mt19937_64 Random;
+  LeaseStoryOptions Options;
+  LeasedWorld World;
+  std::vector<std::unique_ptr<PersistentCaller>> Callers;
+  /// How many silences each direction of a link has now.
+  std::map<Link, int> Cuts;
+  /// Until when messages are held up on their way.
+  std::map<Link, TimePoint> HeldUpUntil;
+  std::string Log;
+};
+
+} // namespace yardwheel
+
+#endif
