The tests of the platform's cluster stand in files of one subject

PlatformCluster is now a pair of its own; the tests are split into entries and configuration, runs and workers, and ends, disks and settings.

--- /dev/null
+++ b/tests/system/platform_runs_test.cpp
@@ -0,0 +1,174 @@
+//===- Runs and workers on the platform -----------------------------------===//
+
+#include "tests/system/platform_cluster.h"
+
+#include <fmt/format.h>
+#include <future>
+#include <thread>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+TEST_GROUP(PlatformRunsTest){};
+
+// The caller hands a job in again at another entry 1,300 ms after its entry
+// was killed: by then no run of the first may be alive.
+TEST(PlatformRunsTest, RunsOfAKilledEntryEndBeforeTheJobMayBeginAgain) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto First = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "00000000000000c1", BothWorkers, 2500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == BothWorkers; }));
+  Cluster.kill("front1");
+  LONGS_EQUAL(0, First.get());
+  std::this_thread::sleep_for(1300ms);
+  LONGS_EQUAL(0, Cluster.Recorder.alive());
+  LONGS_EQUAL(200,
+              Cluster.submit(2, "00000000000000c1", BothWorkers, 50).Status);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+TEST(PlatformRunsTest, RunsOfAKilledAgentLapseAndItsSuccessorFencesThem) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto First = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "00000000000000d1", BothWorkers, 2500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == BothWorkers; }));
+  std::uint64_t Token = Cluster.Workers[1]->highestToken();
+  Cluster.kill("side1");
+  // The entry can no longer answer for its runs there and says so at once.
+  LONGS_EQUAL(504, First.get());
+  std::this_thread::sleep_for(1300ms);
+  LONGS_EQUAL(0, Cluster.Recorder.alive());
+  Cluster.start("side1", 11, "side");
+  CHECK(waitFor([&] { return Cluster.Workers[1]->highestToken() > Token; }));
+  LONGS_EQUAL(200,
+              Cluster.submit(1, "00000000000000d1", BothWorkers, 50).Status);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+TEST(PlatformRunsTest, StartsThatAreCarriedOutLateStartNothingTwice) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  Cluster.Workers[1]->delayStarts(600ms);
+  int Served = 0;
+  for (int I = 0; I < 4; ++I) {
+    std::string Id = fmt::format("{:016x}", 0xe00 + I);
+    if (Cluster.submit(1, Id, BothWorkers, 300).Status == 200)
+      ++Served;
+  }
+  std::this_thread::sleep_for(1s);
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+  LONGS_EQUAL(4, Served);
+}
+
+// Connections may go silent without a reset while new ones work.
+TEST(PlatformRunsTest, SilentConnectionsToWorkersAreReplaced) {
+  PlatformCluster Cluster;
+  Cluster.ProxyWorkers = true;
+  Cluster.startAll();
+  for (int Round = 0; Round < 3; ++Round) {
+    LONGS_EQUAL(200, Cluster
+                         .submit(1, fmt::format("{:016x}", 0x500 + Round),
+                                 BothWorkers, 50)
+                         .Status);
+    for (auto &[Side, Proxy] : Cluster.Proxies)
+      Proxy->silence();
+  }
+  // Also runs under way live on, by a lease on another connection.
+  auto Long = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "0000000000000600", BothWorkers, 1500).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == BothWorkers; }));
+  for (auto &[Side, Proxy] : Cluster.Proxies)
+    Proxy->silence();
+  LONGS_EQUAL(200, Long.get());
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+// An announcement may be held up until after its sender has restarted.
+TEST(PlatformRunsTest, ALateAnnouncementOfADeadWorkerChangesNothing) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  auto Running = std::async(std::launch::async, [&] {
+    return Cluster.submit(1, "0000000000000700", BothWorkers, 1000).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == BothWorkers; }));
+  int Starts = Cluster.Recorder.starts();
+  for (int Side : {1, 2})
+    LONGS_EQUAL(200, Cluster.announceDead(Side));
+  LONGS_EQUAL(200, Running.get());
+  LONGS_EQUAL(Starts, Cluster.Recorder.starts());
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+// Of the present worker, of one that was never there, and before there is any.
+TEST(PlatformRunsTest, AnnouncementsThatCannotBeReadNameNoWorker) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  json Warming = Cluster.announcement(1);
+  Warming["state"] = "warming";
+  json NoAddress = Cluster.announcement(1);
+  NoAddress["address"] = "nowhere";
+  json NoRoom = Cluster.announcement(1);
+  NoRoom.erase("capacity");
+  std::string Whole = Cluster.announcement(1).dump();
+  const std::pair<const char *, std::string> Rows[] = {
+      {"no JSON", "ready"},
+      {"truncated", Whole.substr(0, Whole.size() / 2)},
+      {"not UTF-8", "{\"service\":\"\xff\xfe\"}"},
+      {"an array", "[" + Whole + "]"},
+      {"deeply nested", std::string(200000, '[')},
+      {"an unknown state", Warming.dump()},
+      {"a name for an address", NoAddress.dump()},
+      {"no capacity", NoRoom.dump()},
+  };
+  Cluster.start("side3", 13, "side");
+  CHECK(waitFor([&] {
+    return Cluster.log("side3").find("\"started\"") != std::string::npos;
+  }));
+  unsigned Job = 0x800;
+  for (const auto &[Name, Body] : Rows) {
+    for (int Side : {1, 2, 3})
+      for (const std::string &Id :
+           {fmt::format("i-{}", Side), std::string("i-other")})
+        LONGS_EQUAL_TEXT(400, Cluster.announce(Side, Id, Body), Name);
+    LONGS_EQUAL_TEXT(
+        200,
+        Cluster.submit(1, fmt::format("{:016x}", ++Job), BothWorkers, 20)
+            .Status,
+        Name);
+  }
+  LONGS_EQUAL(0, Cluster.count("side3", "worker_attached"));
+  for (const char *Side : {"side1", "side2"})
+    LONGS_EQUAL(1, Cluster.count(Side, "worker_attached"));
+  LONGS_EQUAL(0, Cluster.Recorder.overlaps());
+}
+
+TEST(PlatformRunsTest, AWorkerOfAPoolThatNoRouteNamesIsLeftAlone) {
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  Cluster.start("side3", 13, "side");
+  Cluster.addWorker(3, "elsewhere");
+  CHECK(waitFor([&] { return Cluster.count("side3", "worker_ready") == 1; }));
+  for (int Front : {1, 2})
+    CHECK(waitFor([&] {
+      return Cluster.log(fmt::format("front{}", Front)).find("side3") !=
+             std::string::npos;
+    }));
+  unsigned Job = 0x900;
+  for (int Front : {1, 2}) {
+    LONGS_EQUAL(
+        200,
+        Cluster.submit(Front, fmt::format("{:016x}", ++Job), BothWorkers, 20)
+            .Status);
+  }
+  LONGS_EQUAL(0, Cluster.Workers[3]->starts());
+  LONGS_EQUAL(200, Cluster.replace(2));
+}
