A soak of real processes under random faults

Faults were tested one at a time and at places of our choosing; the overlapping runs needed several at once. misc/soak.sh starts control, entries, agents and stand-in workers as on the platform, follows a plan of faults that a seed gives, and checks what callers, an operator and workers see: no two runs of a task at one time, none of a job refused as not run, completed only with all tasks done, no request cut that was read (but for the platform's allowance in the last sixth of the grace), no configuration read that is older than one acknowledged 2 s before or that nobody sent, no process that ends by itself, and service again once the faults end.

Between nodes: a node announces the address at which it listens, and its links allow neither shared ports nor proxies. So a proxy stands before each node at an address of the same length, replaces nodes' addresses in what passes by those of proxies, and entries and agents get proxies as seeds. Links among control replicas do not pass one.

The stand-in worker ends runs at the times of their ends and leases also where it is late, answers calls for another life with 421, and its runs end with it. Runs are recorded with their times under one lock.

--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -6,12 +6,11 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-// Last: it redefines new.
-#include <CppUTest/TestHarness.h>
-
 namespace yardwheel {
 
 using namespace std::chrono_literals;
@@ -42,7 +41,8 @@
     ::kill(Process, SIGKILL);
     ::waitpid(Process, nullptr, 0);
   }
-  std::filesystem::remove_all(this->Folder);
+  if (!this->KeepFolder)
+    std::filesystem::remove_all(this->Folder);
 }
 
 std::string PlatformCluster::ip(int Host) const {
@@ -99,6 +99,10 @@
     int File = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(File, STDOUT_FILENO);
     ::dup2(File, STDERR_FILENO);
+    // Nothing is left running by a program that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // Else connections would live on here after their owner has closed them.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::setenv("YARDWHEEL_SETTINGS", Path.c_str(), 1);
     ::execl(Daemon.c_str(), Daemon.c_str(), "--platform", nullptr);
     ::_exit(127);
@@ -117,9 +121,11 @@
   for (int I = 1; I <= 2; ++I)
     this->addWorker(I);
   this->Started = true;
-  CHECK(waitFor([&] { return this->replace(1) == 200; }));
+  bool Served = waitFor([&] { return this->replace(1) == 200; });
   for (int I = 1; I <= 2; ++I)
-    CHECK(waitFor([&] { return this->usesBothWorkers(I); }));
+    Served = Served && waitFor([&] { return this->usesBothWorkers(I); });
+  if (!Served)
+    throw std::runtime_error("the nodes do not come to serve");
 }
 
 bool PlatformCluster::usesBothWorkers(int Front) {
@@ -252,6 +258,24 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128;
 }
 
+std::optional<int> PlatformCluster::tryWait(const std::string &Name) {
+  int Status = 0;
+  if (::waitpid(this->Running.at(Name), &Status, WNOHANG) == 0)
+    return std::nullopt;
+  this->Running.erase(Name);
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+}
+
+bool PlatformCluster::handles(const std::string &Name, int Number) const {
+  std::ifstream File(fmt::format("/proc/{}/status", this->Running.at(Name)));
+  std::uint64_t Handled = 0;
+  std::string Line;
+  while (std::getline(File, Line))
+    if (Line.starts_with("SigBlk:") || Line.starts_with("SigCgt:"))
+      Handled |= std::stoull(Line.substr(7), nullptr, 16);
+  return (Handled >> (Number - 1) & 1) != 0;
+}
+
 std::string PlatformCluster::log(const std::string &Name) const {
   std::ifstream File(fmt::format("{}/{}.log", this->Folder, Name));
   std::ostringstream Text;
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 
@@ -41,6 +42,7 @@
   /// The log from its first line on settings that were taken over.
   std::string reloads(const std::string &Name) const;
   pid_t launch(const std::string &Name, const std::string &Settings);
+  /// \throws std::runtime_error if they do not come to serve.
   void startAll();
   /// Whether an entry has heard of both workers: it gives both some tasks of a
   /// job that does not fit one.
@@ -66,6 +68,11 @@
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number);
   int wait(const std::string &Name);
+  /// \returns how a process has ended, a signal as 128 and its number; nothing
+  /// while it runs.
+  std::optional<int> tryWait(const std::string &Name);
+  /// Whether a process has got as far as to deal with a signal itself.
+  bool handles(const std::string &Name, int Number) const;
   std::string log(const std::string &Name) const;
   /// How often a node has logged a decision.
   int count(const std::string &Name, const std::string &Decision) const;
@@ -73,6 +80,8 @@
 
   /// Whether calls to workers pass a proxy; set before they are added.
   bool ProxyWorkers = false;
+  /// Whether settings, logs and disks outlive this object.
+  bool KeepFolder = false;
   RunRecorder Recorder;
   std::map<int, std::unique_ptr<PlatformWorker>> Workers;
   std::map<int, std::unique_ptr<SilentProxy>> Proxies;
--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <string_view>
 
 namespace yardwheel {
 
@@ -11,35 +12,18 @@
 
 constexpr std::chrono::milliseconds TickEvery{5};
 constexpr std::chrono::milliseconds CallTimeout{1000};
+/// Which life of a worker a call is meant for.
+constexpr const char *LifeHeader = "X-Yardwheel-Target-Instance";
 
 } // namespace
 
-void RunRecorder::onStart(const std::string &Task) {
-  std::lock_guard Lock(this->Mutex);
-  ++this->Starts;
-  if (++this->Alive[Task] > 1)
-    ++this->Overlaps;
-}
-
-void RunRecorder::onEnd(const std::string &Task) {
-  std::lock_guard Lock(this->Mutex);
-  --this->Alive[Task];
-}
-
-int RunRecorder::alive() const {
-  std::lock_guard Lock(this->Mutex);
-  int Count = 0;
-  for (const auto &[Task, Runs] : this->Alive)
-    Count += Runs;
-  return Count;
-}
-
 PlatformWorker::PlatformWorker(PlatformWorkerOptions Given,
                                RunRecorder &Recorder)
     : Options(std::move(Given)), Recorder(Recorder) {
   HttpServerOptions Serving;
   Serving.Listen = this->Options.Listen;
   Serving.Threads = 1;
+  Serving.Headers = {LifeHeader};
   // The handler lives as long as the server, which this object owns.
   std::shared_ptr<HttpHandler> Handler(this, [](HttpHandler *) {});
   this->Server = std::make_unique<HttpServer>(Serving, Handler);
@@ -62,6 +46,17 @@
   this->Ticker.join();
   this->Announcer.join();
   this->Server->stop();
+  // What runs ends with it.
+  std::lock_guard Lock(this->Mutex);
+  auto Now = Clock::now();
+  this->settle(Now);
+  for (const auto &[Task, Known] : this->Runs)
+    this->Recorder.onEnd(Task, this->Options.Id, Now, false);
+}
+
+void PlatformWorker::delayStarts(std::chrono::milliseconds Delay) {
+  std::lock_guard Lock(this->Mutex);
+  this->Delay = Delay;
 }
 
 std::int64_t PlatformWorker::clockMs() const {
@@ -123,7 +118,7 @@
   auto Length =
       std::chrono::milliseconds(std::stoi(Body.at("spec").get<std::string>()));
   this->Runs[Task] = {Number, Clock::now() + Length, 0};
-  this->Recorder.onStart(Task);
+  this->Recorder.onStart(Task, this->Options.Id);
   ++this->Starts;
   return "";
 }
@@ -136,15 +131,30 @@
   this->LastRuns[Task] = std::max(this->LastRuns[Task], Number);
   auto Known = this->Runs.find(Task);
   if (Known != this->Runs.end() && Known->second.Number == Number)
-    this->end(Task, "stopped");
+    this->end(Task, "stopped", Clock::now());
   return "";
 }
 
-void PlatformWorker::end(const std::string &Task, const char *How) {
+void PlatformWorker::settle(Clock::time_point Now) {
+  auto Lapse = this->Begun + std::chrono::milliseconds(this->LeaseUntil);
+  std::vector<std::string> Over;
+  for (const auto &[Task, Known] : this->Runs)
+    if (Now >= std::min(Known.EndsAt, Lapse))
+      Over.push_back(Task);
+  for (const std::string &Task : Over) {
+    auto EndsAt = this->Runs.at(Task).EndsAt;
+    bool Done = EndsAt < Lapse;
+    this->end(Task, Done ? "done" : "lapsed", Done ? EndsAt : Lapse);
+  }
+}
+
+void PlatformWorker::end(const std::string &Task, const char *How,
+                         Clock::time_point At) {
   std::uint64_t Number = this->Runs.at(Task).Number;
   this->Ends.push_back(json::array({++this->LastEnd, Task, Number, How, ""}));
   this->Runs.erase(Task);
-  this->Recorder.onEnd(Task);
+  this->Recorder.onEnd(Task, this->Options.Id, At,
+                       std::string_view(How) == "done");
   std::deque<Waiting> Woken;
   std::swap(Woken, this->Holds);
   for (const Waiting &Open : Woken)
@@ -177,8 +187,17 @@
 
 void PlatformWorker::handle(const HttpRequest &Request,
                             std::shared_ptr<HttpReply> Reply) {
+  auto Life = Request.Headers.find(LifeHeader);
+  if (Life != Request.Headers.end() && Life->second != this->Options.Id) {
+    HttpAnswer Answer;
+    Answer.Status = HttpStatus::Misdirected;
+    Answer.Body = "{}";
+    Reply->send(Answer);
+    return;
+  }
   json Body = json::parse(Request.Body);
   std::lock_guard Lock(this->Mutex);
+  this->settle(Clock::now());
   if (Request.Resource == "/run-start") {
     if (this->Delay.count() > 0)
       this->LateStarts.push_back({Body, Clock::now() + this->Delay});
@@ -204,19 +223,12 @@
 void PlatformWorker::tick() {
   std::lock_guard Lock(this->Mutex);
   auto Now = Clock::now();
+  this->settle(Now);
   while (!this->LateStarts.empty() && Now >= this->LateStarts.front().At) {
     json Body = this->LateStarts.front().Body;
     this->LateStarts.pop_front();
     this->start(Body);
   }
-  std::vector<std::string> Done;
-  for (const auto &[Task, Known] : this->Runs)
-    if (Now >= Known.EndsAt)
-      Done.push_back(Task);
-  for (const std::string &Task : Done)
-    this->end(Task, "done");
-  while (this->clockMs() >= this->LeaseUntil && !this->Runs.empty())
-    this->end(std::string(this->Runs.begin()->first), "lapsed");
   while (!this->Holds.empty() && Now >= this->Holds.front().Until) {
     this->answerHold(this->Holds.front().Reply);
     this->Holds.pop_front();
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -14,6 +14,7 @@
 
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "tests/system/run_recorder.h"
 
 #include <atomic>
 #include <chrono>
@@ -27,23 +28,6 @@
 
 namespace yardwheel {
 
-/// Sees the runs of all workers.
-class RunRecorder {
-public:
-  void onStart(const std::string &Task);
-  void onEnd(const std::string &Task);
-  /// Starts of a task while another run of it was alive.
-  int overlaps() const { return this->Overlaps.load(); }
-  int starts() const { return this->Starts.load(); }
-  int alive() const;
-
-private:
-  mutable std::mutex Mutex;
-  std::map<std::string, int> Alive;
-  std::atomic<int> Overlaps{0};
-  std::atomic<int> Starts{0};
-};
-
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Listen;
@@ -67,7 +51,7 @@
 
   /// Every start from now on is left without a reply, and carried out after
   /// this.
-  void delayStarts(std::chrono::milliseconds Delay) { this->Delay = Delay; }
+  void delayStarts(std::chrono::milliseconds Delay);
   void setDraining() { this->Draining.store(true); }
   std::uint64_t highestToken() const { return this->Token; }
   /// Runs that it has begun.
@@ -95,7 +79,10 @@
   std::string stop(const nlohmann::json &Body);
   bool checkToken(const nlohmann::json &Body);
   void extendLease(const nlohmann::json &Body);
-  void end(const std::string &Task, const char *How);
+  /// Ends the runs whose time is over, at the times at which they end however
+  /// late that is seen to.
+  void settle(Clock::time_point Now);
+  void end(const std::string &Task, const char *How, Clock::time_point At);
   void reply(const std::shared_ptr<HttpReply> &Reply,
              const std::string &Refusal) const;
   void answerHold(const std::shared_ptr<HttpReply> &Reply) const;
--- /dev/null
+++ b/tests/system/soak_fleet.h
@@ -0,0 +1,97 @@
+//===- tests/system/soak_fleet.h - Nodes under faults -----------*- C++ -*-===//
+///
+/// \file
+/// The processes, workers and proxies of one soak. Carries out the planned
+/// faults, starts again what it has ended, and tells which process ended by
+/// itself. For one thread, but where it says otherwise.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_SYSTEM_SOAK_FLEET_H
+#define YARDWHEEL_TESTS_SYSTEM_SOAK_FLEET_H
+
+#include "tests/system/platform_cluster.h"
+#include "tests/system/soak_findings.h"
+#include "tests/system/soak_link.h"
+#include "tests/system/soak_plan.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+class SoakFleet {
+public:
+  using Clock = std::chrono::steady_clock;
+
+  explicit SoakFleet(const SoakOptions &Options);
+
+  void startAll();
+  void apply(const SoakFault &Fault);
+  /// Does what is due: wakes, kills after the grace, starts again.
+  void step();
+  /// Ends all faults and waits until every process runs.
+  void heal();
+  /// Keeps the logs, to which it adds the plan.
+  void keepLogs(const std::vector<SoakFault> &Plan);
+
+  /// Whether an entry may end a request without an answer that was sent and cut
+  /// at these times; for any thread.
+  bool mayCut(int Host, Clock::time_point SentAt,
+              Clock::time_point CutAt) const;
+  std::vector<std::string> callerAddresses() const;
+  std::vector<std::string> operatorAddresses() const;
+  /// Connections between nodes that pass a proxy, so far.
+  int proxied() const;
+  RunRecorder &recorder() { return this->Cluster.Recorder; }
+  SoakFindings &findings() { return this->Findings; }
+
+private:
+  struct Node {
+    std::string Name;
+    const char *Serves = "";
+    bool Up = false;
+    bool Terminating = false;
+    Clock::time_point KillAt;
+    Clock::time_point StartAt;
+    bool Frozen = false;
+    Clock::time_point WakeAt;
+    /// The pause before its next start.
+    std::chrono::milliseconds Pause{0};
+  };
+
+  void addNodes(const char *Prefix, const char *Serves, int First, int Count);
+  std::string settings(int Host);
+  void start(int Host);
+  void startWorker(int Host);
+  void kill(int Host);
+  void wake(int Host);
+  void freeze(int Host, std::chrono::milliseconds For);
+  void replaceSettings(int Host, const std::string &Text);
+  void changeSettings(int Host, bool Good);
+  void applyToLink(const SoakFault &Fault);
+  void applyToWorker(const SoakFault &Fault);
+  void stepNode(int Host, Clock::time_point Now);
+  void onEnded(int Host, int Status, Clock::time_point Now);
+
+  const SoakOptions &Options;
+  PlatformCluster Cluster;
+  SoakFindings Findings;
+  std::mt19937_64 Random;
+  bool Bootstrapped = false;
+  std::map<int, Node> Nodes;
+  std::map<int, std::unique_ptr<SoakLink>> Links;
+  std::map<int, Clock::time_point> LateStartsUntil;
+  int Lives = 0;
+  mutable std::mutex Mutex;
+  std::map<int, std::vector<Clock::time_point>> Kills;
+  std::map<int, std::vector<Clock::time_point>> Terminations;
+};
+
+} // namespace yardwheel
+
+#endif
--- /dev/null
+++ b/tests/system/soak_plan.cpp
@@ -0,0 +1,157 @@
+#include "tests/system/soak_plan.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+
+namespace yardwheel {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int MaxSeries = 4;
+/// Between two series, and between two faults of one.
+constexpr int MaxPauseMs = 900;
+constexpr int MaxGapMs = 300;
+
+const char *nameOf(SoakFaultKind Kind) {
+  switch (Kind) {
+  case SoakFaultKind::Kill:
+    return "kill";
+  case SoakFaultKind::Freeze:
+    return "freeze";
+  case SoakFaultKind::Terminate:
+    return "terminate";
+  case SoakFaultKind::Settings:
+    return "settings";
+  case SoakFaultKind::BadSettings:
+    return "bad settings";
+  case SoakFaultKind::LinkDelay:
+    return "link delay";
+  case SoakFaultKind::LinkHold:
+    return "link hold";
+  case SoakFaultKind::LinkReset:
+    return "link reset";
+  case SoakFaultKind::LinkSilence:
+    return "link silence";
+  case SoakFaultKind::WorkerCrash:
+    return "worker crash";
+  case SoakFaultKind::LateStarts:
+    return "late starts";
+  }
+  return "unknown";
+}
+
+/// How often a kind comes, and how long it lasts.
+struct KindRow {
+  SoakFaultKind Kind;
+  double Weight;
+  milliseconds Shortest;
+  milliseconds Longest;
+};
+
+const KindRow Kinds[] = {
+    {SoakFaultKind::Kill, 12, milliseconds(0), milliseconds(4000)},
+    {SoakFaultKind::Freeze, 20, milliseconds(100), milliseconds(3000)},
+    {SoakFaultKind::Terminate, 8, milliseconds(0), milliseconds(1000)},
+    {SoakFaultKind::Settings, 5, milliseconds(0), milliseconds(0)},
+    {SoakFaultKind::BadSettings, 2, milliseconds(0), milliseconds(0)},
+    {SoakFaultKind::LinkDelay, 10, milliseconds(300), milliseconds(3000)},
+    {SoakFaultKind::LinkHold, 25, milliseconds(500), milliseconds(6000)},
+    {SoakFaultKind::LinkReset, 6, milliseconds(0), milliseconds(0)},
+    {SoakFaultKind::LinkSilence, 8, milliseconds(0), milliseconds(0)},
+    {SoakFaultKind::WorkerCrash, 3, milliseconds(0), milliseconds(0)},
+    {SoakFaultKind::LateStarts, 4, milliseconds(300), milliseconds(1500)},
+};
+
+class Planner {
+public:
+  explicit Planner(const SoakOptions &Options)
+      : Options(Options), Random(Options.Seed) {}
+
+  SoakFault next(milliseconds At) {
+    SoakFault Fault;
+    Fault.At = At;
+    const KindRow &Row = this->pickKind();
+    Fault.Kind = Row.Kind;
+    Fault.For = milliseconds(this->pick(static_cast<int>(Row.Shortest.count()),
+                                        static_cast<int>(Row.Longest.count())));
+    bool OfWorker = Fault.Kind == SoakFaultKind::WorkerCrash ||
+                    Fault.Kind == SoakFaultKind::LateStarts;
+    Fault.Host = OfWorker ? this->agent() : this->node();
+    if (Fault.Kind == SoakFaultKind::LinkHold ||
+        Fault.Kind == SoakFaultKind::LinkDelay)
+      this->placeOnLink(Fault);
+    if (Fault.Kind == SoakFaultKind::LateStarts)
+      Fault.Delay = milliseconds(this->pick(100, 1500));
+    return Fault;
+  }
+  int pick(int Low, int High) {
+    return std::uniform_int_distribution<int>(Low, High)(this->Random);
+  }
+
+private:
+  const KindRow &pickKind() {
+    std::vector<double> Weights;
+    for (const KindRow &Row : Kinds)
+      Weights.push_back(Row.Weight);
+    std::discrete_distribution<std::size_t> Choice(Weights.begin(),
+                                                   Weights.end());
+    return Kinds[Choice(this->Random)];
+  }
+  int entry() { return SoakFirstEntry + this->pick(0, Options.Entries - 1); }
+  int agent() { return SoakFirstAgent + this->pick(0, Options.Agents - 1); }
+  int control() {
+    return SoakFirstControl + this->pick(0, Options.Controls - 1);
+  }
+  int node() {
+    int Role = this->pick(0, 9);
+    if (Role < 4)
+      return this->entry();
+    return Role < 8 ? this->agent() : this->control();
+  }
+  /// Most are between an agent and an entry, where an entry hears nothing of an
+  /// agent that hears it, or the other way round.
+  void placeOnLink(SoakFault &Fault) {
+    int Where = this->pick(0, 9);
+    if (Where < 4) {
+      Fault.Host = this->entry();
+      Fault.From = this->agent();
+    } else if (Where < 8) {
+      Fault.Host = this->agent();
+      Fault.From = this->entry();
+    }
+    Fault.Back = this->pick(0, 4) == 0;
+    Fault.Delay = milliseconds(this->pick(20, 900));
+  }
+
+  const SoakOptions &Options;
+  std::mt19937_64 Random;
+};
+
+} // namespace
+
+std::string describe(const SoakFault &Fault) {
+  return fmt::format("{} ms: {} at host {}, from {}{}, for {} ms, delay {} ms",
+                     Fault.At.count(), nameOf(Fault.Kind), Fault.Host,
+                     Fault.From, Fault.Back ? " (back)" : "", Fault.For.count(),
+                     Fault.Delay.count());
+}
+
+std::vector<SoakFault> planFaults(const SoakOptions &Options) {
+  Planner Plan(Options);
+  std::vector<SoakFault> Faults;
+  milliseconds At(0);
+  while (At < Options.Length) {
+    int Members = Plan.pick(1, MaxSeries);
+    for (int I = 0; I < Members; ++I) {
+      Faults.push_back(Plan.next(At));
+      At += milliseconds(Plan.pick(0, MaxGapMs));
+    }
+    At += milliseconds(Plan.pick(0, MaxPauseMs));
+  }
+  return Faults;
+}
+
+} // namespace yardwheel
--- /dev/null
+++ b/tests/system/soak_plan.h
@@ -0,0 +1,68 @@
+//===- tests/system/soak_plan.h - Which faults, and when --------*- C++ -*-===//
+///
+/// \file
+/// The faults of one soak, which follow from its seed alone. They come in
+/// series, whose members overlap.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_SYSTEM_SOAK_PLAN_H
+#define YARDWHEEL_TESTS_SYSTEM_SOAK_PLAN_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+struct SoakOptions {
+  std::uint64_t Seed = 1;
+  std::chrono::seconds Length{12};
+  int Controls = 3;
+  int Entries = 2;
+  int Agents = 3;
+  int Callers = 8;
+};
+
+enum class SoakFaultKind {
+  Kill,
+  Freeze,
+  Terminate,
+  /// Another order of the seeds, with SIGHUP or without.
+  Settings,
+  /// Settings that cannot be read, until the next good ones.
+  BadSettings,
+  LinkDelay,
+  LinkHold,
+  LinkReset,
+  LinkSilence,
+  /// A worker's life ends and another begins.
+  WorkerCrash,
+  /// A worker carries out starts late and without a reply.
+  LateStarts,
+};
+
+struct SoakFault {
+  /// Since the plan's beginning.
+  std::chrono::milliseconds At{0};
+  SoakFaultKind Kind = SoakFaultKind::Kill;
+  int Host = 0;
+  /// The peer on whose connections a link's fault is; 0 is any.
+  int From = 0;
+  bool Back = false;
+  /// How long it lasts, or until the process is started again.
+  std::chrono::milliseconds For{0};
+  std::chrono::milliseconds Delay{0};
+};
+
+/// Hosts by role: the first entry, agent and control replica.
+constexpr int SoakFirstEntry = 101;
+constexpr int SoakFirstAgent = 111;
+constexpr int SoakFirstControl = 121;
+
+std::string describe(const SoakFault &Fault);
+std::vector<SoakFault> planFaults(const SoakOptions &Options);
+
+} // namespace yardwheel
+
+#endif
