An entry that ends answers the jobs that outlast it

What callers saw: a job taken up to four seconds after SIGTERM, and lasting for longer than 1.7 s, had its connection closed without an answer when the entry ended. Its caller could not tell that from a crash.

Cause: after it stopped taking jobs, the entry waited for those in flight and then ended with them.

Change: for the last 150 ms of that wait it gives up what has not ended: the runs are stopped, and callers are told 504.

AnEntryThatEndsAnswersJobsThatOutlastIt was red without it (no answer).

--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -144,6 +144,8 @@
                 const std::string &Reason, Instant Now);
   /// The job is wanted no longer, whoever waits for it.
   void cancel(const std::string &Id, const std::string &Reason, Instant Now);
+  /// Gives up all jobs, as this process ends.
+  void cancelAll(const std::string &Reason, Instant Now);
   void onMember(const peer::Member &Member, Instant Now);
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
--- a/entry/lease_coordinator_intake.cpp
+++ b/entry/lease_coordinator_intake.cpp
@@ -138,6 +138,14 @@
   this->forgetIfSettled(Id, Now);
 }
 
+void LeaseCoordinator::cancelAll(const std::string &Reason, Instant Now) {
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Known] : this->Jobs)
+    Ids.push_back(Id);
+  for (const std::string &Id : Ids)
+    this->cancel(Id, Reason, Now);
+}
+
 bool LeaseCoordinator::leaveOthers(std::vector<Caller> &Callers,
                                    LeaseTicket Waiter,
                                    const std::string &Reason) {
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -18,6 +18,10 @@
 /// the grace goes by while new jobs are refused.
 constexpr std::chrono::milliseconds LongestJob{1700};
 
+/// Of the time for the longest job, kept for the answers to jobs that have not
+/// ended by then.
+constexpr std::chrono::milliseconds GiveUpTime{150};
+
 /// For a caller on a link that loses packets to send a request whole.
 constexpr std::chrono::milliseconds CallerTimeout{10000};
 
@@ -227,11 +231,18 @@
   this->Gate->refuseNew();
   // A request read just before may still be on its way to a loop that is held
   // up, so that no job in flight is no proof; each request read is counted.
-  bool Done = waitUntil(
-      LongestJob, [this] { return this->Callers.answers().unanswered() == 0; });
-  if (!Done)
+  auto AllAnswered = [this] {
+    return this->Callers.answers().unanswered() == 0;
+  };
+  if (!waitUntil(LongestJob - GiveUpTime, AllAnswered)) {
     this->Log.warning("Entry {} stops with {} jobs in flight.", this->Plan.Node,
                       this->InFlight.load());
+    // Their callers learn that the end is not known, instead of being cut off.
+    this->Node.loop().post([this](Instant Now) {
+      this->Coordinator.cancelAll("this process ends", Now);
+    });
+    waitUntil(GiveUpTime, AllAnswered);
+  }
   // Answers handed to the server still have to reach their sockets.
   std::this_thread::sleep_for(FlushTime / 2);
   this->stop();
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -158,7 +158,7 @@
     Routes.push_back({{"name", fmt::format("r{}", I)},
                       {"host", this->ip(I)},
                       {"pathPrefix", "/q/"},
-                      {"timeoutMs", 3000},
+                      {"timeoutMs", this->RouteTimeout.count()},
                       {"sloMs", 60},
                       {"priority", 0},
                       {"service", "pool"},
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -83,6 +83,8 @@
   /// Whether settings, logs and disks outlive this object.
   bool KeepFolder = false;
   RunRecorder Recorder;
+  /// How long callers wait; set before the configuration is replaced.
+  std::chrono::milliseconds RouteTimeout{3000};
   std::map<int, std::unique_ptr<PlatformWorker>> Workers;
   std::map<int, std::unique_ptr<SilentProxy>> Proxies;
 
--- a/tests/system/platform_process_test.cpp
+++ b/tests/system/platform_process_test.cpp
@@ -39,6 +39,22 @@
   STRCMP_CONTAINS("\"decision\":\"stopped\"", Cluster.log("front1").c_str());
 }
 
+// What cannot end in time is given up, and its caller told.
+TEST(PlatformProcessTest, AnEntryThatEndsAnswersJobsThatOutlastIt) {
+  PlatformCluster Cluster;
+  Cluster.RouteTimeout = 20s;
+  Cluster.startAll();
+  std::future<long> Call = std::async(std::launch::async, [&Cluster] {
+    return Cluster.submit(1, "00000000000000ad", 1, 20000).Status;
+  });
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 1; }));
+  Cluster.signal("front1", SIGTERM);
+  LONGS_EQUAL(504, Call.get());
+  LONGS_EQUAL(0, Cluster.wait("front1"));
+  STRCMP_CONTAINS("this process ends", Cluster.log("front1").c_str());
+  CHECK(waitFor([&] { return Cluster.Recorder.alive() == 0; }));
+}
+
 // Callers use the entry to its last moment; whoever reached it is answered.
 TEST(PlatformProcessTest, AnEntryThatEndsCutsNoRequestThatItHasRead) {
   PlatformCluster Cluster;
