--- a/tests/entry/left_callers_test.cpp
+++ b/tests/entry/left_callers_test.cpp
@@ -2,6 +2,7 @@
 // while. An entry that stood still meanwhile must not start it here then.
 
 #include "emulator/leased_world.h"
+#include "tests/entry/long_job.h"
 
 #include <fmt/format.h>
 
@@ -15,20 +16,6 @@
 
 constexpr std::uint64_t Seeds = 20;
 constexpr std::chrono::milliseconds CallerWaits{1200};
-constexpr std::chrono::milliseconds ResubmitAfter{1300};
-constexpr std::chrono::milliseconds Length{5000};
-
-LeasedJobRequest longJob() {
-  LeasedJobRequest Job;
-  Job.Id = "j";
-  Job.Route = "long";
-  Job.Needs.set_cpu_milli(1000);
-  Job.Estimate = Length;
-  Job.Objective = 2 * Length;
-  Job.Deadline = 3 * Length;
-  Job.MaxAttempts = 2;
-  return Job;
-}
 
 } // namespace
 
@@ -60,7 +47,7 @@
         Options.EntryHandOver = 2ms;
       LeasedWorld World(Options);
       auto HandIn = [&](std::size_t Entry) {
-        return World.handIn(Entry, longJob(), {Length}, [](const auto &) {});
+        return World.handIn(Entry, longJob(), {LongTask}, [](const auto &) {});
       };
       if (Row.TakenBefore) {
         World.entry(0).hangUp(HandIn(0));
@@ -80,7 +67,7 @@
       HandIn(1);
       World.world().run(500ms);
       World.world().thaw("entry-0", ThawOrder::TimersLast);
-      World.world().run(2 * Length);
+      World.world().run(2 * LongTask);
       std::string Case = fmt::format("{}, seed {}", Row.Name, Seed);
       LONGS_EQUAL_TEXT(0, World.doubledRuns(), Case.c_str());
     }
--- /dev/null
+++ b/tests/entry/long_job.h
@@ -0,0 +1,36 @@
+//===- tests/entry/long_job.h - A job that outlasts its entry ---*- C++ -*-===//
+///
+/// \file
+/// A job whose task runs for longer than its caller waits before it hands the
+/// job in again.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_ENTRY_LONG_JOB_H
+#define YARDWHEEL_TESTS_ENTRY_LONG_JOB_H
+
+#include "entry/leased_job.h"
+
+#include <chrono>
+
+namespace yardwheel {
+
+/// After an answer or a broken connection, until a caller hands its job in
+/// again.
+inline constexpr std::chrono::milliseconds ResubmitAfter{1300};
+inline constexpr std::chrono::milliseconds LongTask{5000};
+
+inline LeasedJobRequest longJob() {
+  LeasedJobRequest Job;
+  Job.Id = "j";
+  Job.Route = "long";
+  Job.Needs.set_cpu_milli(1000);
+  Job.Estimate = LongTask;
+  Job.Objective = 2 * LongTask;
+  Job.Deadline = 3 * LongTask;
+  Job.MaxAttempts = 2;
+  return Job;
+}
+
+} // namespace yardwheel
+
+#endif
--- a/tests/entry/overlapping_runs_test.cpp
+++ b/tests/entry/overlapping_runs_test.cpp
@@ -2,6 +2,7 @@
 // again elsewhere after a while; until then no run of it may be left.
 
 #include "emulator/leased_world.h"
+#include "tests/entry/long_job.h"
 
 #include <fmt/format.h>
 
@@ -14,24 +15,9 @@
 namespace {
 
 constexpr std::uint64_t Seeds = 20;
-/// After its answer, until a caller hands its job in again.
-constexpr std::chrono::milliseconds ResubmitAfter{1300};
-constexpr std::chrono::milliseconds Length{5000};
 /// Longer than any message is waited for.
 constexpr std::chrono::hours Never{1};
 
-LeasedJobRequest longJob() {
-  LeasedJobRequest Job;
-  Job.Id = "j";
-  Job.Route = "long";
-  Job.Needs.set_cpu_milli(1000);
-  Job.Estimate = Length;
-  Job.Objective = 2 * Length;
-  Job.Deadline = 3 * Length;
-  Job.MaxAttempts = 2;
-  return Job;
-}
-
 bool isAgent(const std::string &Node) { return Node.starts_with("agent"); }
 
 } // namespace
@@ -58,7 +44,7 @@
       Options.Seed = Seed;
       Options.Entries = 2;
       LeasedWorld World(Options);
-      World.submit(0, longJob(), {Length}, 2 * Length);
+      World.submit(0, longJob(), {LongTask}, 2 * LongTask);
       World.world().run(300ms);
       World.world().setFilter([&](const PeerRef &From, const PeerRef &To,
                                   const peer::Message &Message) -> Duration {
@@ -74,8 +60,8 @@
         World.world().run(10ms);
       LONGS_EQUAL_TEXT(1, World.outcomes().at("long").Failed, Case.c_str());
       World.world().run(ResubmitAfter);
-      World.submit(1, longJob(), {Length}, 2 * Length);
-      World.world().run(2 * Length);
+      World.submit(1, longJob(), {LongTask}, 2 * LongTask);
+      World.world().run(2 * LongTask);
       LONGS_EQUAL_TEXT(0, World.doubledRuns(), Case.c_str());
       LONGS_EQUAL_TEXT(1, World.outcomes().at("long").InTime, Case.c_str());
     }
--- a/tests/platform/entry_gate_callers_test.cpp
+++ b/tests/platform/entry_gate_callers_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/entry_gate.h"
+#include "tests/support/plain_waiter.h"
 
 #include <condition_variable>
 #include <future>
@@ -24,27 +25,6 @@
   }
 };
 
-class PlainWaiter final : public LoopWaiter {
-public:
-  bool wait(Duration Longest) override {
-    std::unique_lock Lock(this->Mutex);
-    bool Came =
-        this->Changed.wait_for(Lock, Longest, [this] { return this->Woken; });
-    this->Woken = false;
-    return !Came;
-  }
-  void wake() override {
-    std::lock_guard Lock(this->Mutex);
-    this->Woken = true;
-    this->Changed.notify_one();
-  }
-
-private:
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  bool Woken = false;
-};
-
 class CollectingSink final : public PeerSink {
 public:
   void send(const PeerRef &, peer::Message Message) override {
--- a/tests/platform/late_request_test.cpp
+++ b/tests/platform/late_request_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/entry_gate.h"
 #include "platform/job_codec.h"
 #include "tests/support/http_caller.h"
+#include "tests/support/plain_waiter.h"
 
 #include <condition_variable>
 #include <future>
@@ -22,27 +23,6 @@
 constexpr std::uint64_t Life = 9;
 constexpr std::chrono::milliseconds Pause{600};
 
-class PlainWaiter final : public LoopWaiter {
-public:
-  bool wait(Duration Longest) override {
-    std::unique_lock Lock(this->Mutex);
-    bool Came =
-        this->Changed.wait_for(Lock, Longest, [this] { return this->Woken; });
-    this->Woken = false;
-    return !Came;
-  }
-  void wake() override {
-    std::lock_guard Lock(this->Mutex);
-    this->Woken = true;
-    this->Changed.notify_one();
-  }
-
-private:
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  bool Woken = false;
-};
-
 class DispatchSink final : public PeerSink {
 public:
   void send(const PeerRef &, peer::Message Message) override {
