--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -36,10 +36,25 @@
   }
 };
 
+/// One life of a worker. A worker may start again under the id that it had;
+/// then its numbers of ends, its clock and its announcements begin anew.
+struct WorkerLife {
+  std::string Id;
+  /// The Unix millisecond of its start; nothing where the worker does not say.
+  std::optional<std::uint64_t> Born;
+};
+
+/// Whether both names mean one life: without a time of birth on both sides the
+/// id alone is the life.
+inline bool isSameLife(const WorkerLife &A, const WorkerLife &B) {
+  return A.Id == B.Id && (!A.Born || !B.Born || *A.Born == *B.Born);
+}
+
 /// What a worker says of itself.
 struct WorkerProfile {
-  /// Names one life of the worker.
+  /// Its life; see WorkerLife.
   std::string Id;
+  std::optional<std::uint64_t> Born;
   std::string Address;
   std::string Pool;
   peer::TaskNeeds Room;
@@ -48,6 +63,8 @@
   /// Increases with each announcement of the same life.
   std::uint64_t Sequence = 0;
   WorkerTime Clock{};
+
+  WorkerLife life() const { return {this->Id, this->Born}; }
 };
 
 struct StartCall {
@@ -98,6 +115,9 @@
   Lapsed,
   /// The worker left its starts without a reply, and it was stopped.
   Unanswered,
+  /// Another life of the worker may have begun it, and nobody can tell what
+  /// became of it.
+  Unknown,
   Other,
 };
 
@@ -113,6 +133,8 @@
   /// been carried out.
   bool Answered = false;
   WorkerRefusal Refusal = WorkerRefusal::None;
+  /// Which of the lives that share the id of the call has answered.
+  std::optional<std::uint64_t> Born;
   std::optional<WorkerTime> Clock;
   std::vector<RunKey> Running;
   std::vector<EndedRun> Ended;
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -46,6 +46,8 @@
     return "lapsed";
   case RunEnd::Unanswered:
     return "unanswered";
+  case RunEnd::Unknown:
+    return "unknown";
   case RunEnd::Other:
     return "other";
   }
@@ -130,7 +132,7 @@
   this->Port.stop({Key, this->Token});
 }
 
-void WorkerSession::onStartReply(const std::string &Life, const RunKey &Key,
+void WorkerSession::onStartReply(const WorkerLife &Life, const RunKey &Key,
                                  const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
@@ -175,7 +177,7 @@
     this->callStop(Key, Known, Now);
 }
 
-void WorkerSession::onStopReply(const std::string &Life, const RunKey &Key,
+void WorkerSession::onStopReply(const WorkerLife &Life, const RunKey &Key,
                                 const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
@@ -255,7 +257,7 @@
     this->callHold({}, Now);
 }
 
-void WorkerSession::onHoldReply(const std::string &Life,
+void WorkerSession::onHoldReply(const WorkerLife &Life,
                                 const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -120,11 +120,11 @@
   void start(const RunKey &Run, const std::string &Spec, Instant Now);
   void stop(const RunKey &Run, Instant Now);
 
-  void onStartReply(const std::string &Life, const RunKey &Run,
+  void onStartReply(const WorkerLife &Life, const RunKey &Run,
                     const WorkerReply &Reply, Instant Now);
-  void onStopReply(const std::string &Life, const RunKey &Run,
+  void onStopReply(const WorkerLife &Life, const RunKey &Run,
                    const WorkerReply &Reply, Instant Now);
-  void onHoldReply(const std::string &Life, const WorkerReply &Reply,
+  void onHoldReply(const WorkerLife &Life, const WorkerReply &Reply,
                    Instant Now);
   void tick(Instant Now);
 
@@ -172,7 +172,7 @@
   TimePoint nextLeaseEnd(Instant Now) const;
   /// The same, on the worker's clock, for a call that goes out.
   WorkerTime extendLease(Instant Now);
-  bool isCurrent(const std::string &Life) const;
+  bool isCurrent(const WorkerLife &Life) const;
   void raiseToken(Instant Now);
   void callHold(std::chrono::milliseconds Wait, Instant Now);
   std::chrono::milliseconds holdWait(Instant Now) const;
--- a/agent/worker_session_lives.cpp
+++ b/agent/worker_session_lives.cpp
@@ -136,8 +136,8 @@
     this->Events.onRunEnded(Key, RunEnd::Lapsed, Now);
 }
 
-bool WorkerSession::isCurrent(const std::string &Life) const {
-  return this->Profile && this->Profile->Id == Life;
+bool WorkerSession::isCurrent(const WorkerLife &Life) const {
+  return this->Profile && this->Profile->Id == Life.Id;
 }
 
 } // namespace yardwheel
--- a/emulator/leased_agent.cpp
+++ b/emulator/leased_agent.cpp
@@ -43,7 +43,7 @@
   ++this->Life;
   KeeperOptions Options = this->Options.Keeper;
   Options.Incarnation = 1 + (this->Life - 1) * LifeStep;
-  this->Attached.clear();
+  this->Attached = {};
   this->Keeper = std::make_unique<LeaseKeeper>(
       Options, this->World.sinkOf(this->Name), *this);
   this->World.start(this->Name,
@@ -129,7 +129,7 @@
   this->call(
       CallTimeout,
       [this, Call, Life = this->Attached](const Answer &Reply) {
-        Reply(this->Worker.start(Life, Call));
+        Reply(this->Worker.start(Life.Id, Call));
       },
       [this, Call, Life = this->Attached](const WorkerReply &Reply) {
         this->Keeper->session().onStartReply(Life, Call.Run, Reply,
@@ -141,7 +141,7 @@
   this->call(
       CallTimeout,
       [this, Call, Life = this->Attached](const Answer &Reply) {
-        Reply(this->Worker.stop(Life, Call));
+        Reply(this->Worker.stop(Life.Id, Call));
       },
       [this, Call, Life = this->Attached](const WorkerReply &Reply) {
         this->Keeper->session().onStopReply(Life, Call.Run, Reply,
@@ -153,7 +153,7 @@
   this->call(
       Call.Wait + HoldSlack,
       [this, Call, Life = this->Attached](const Answer &Reply) {
-        this->Worker.hold(Life, Call, Reply);
+        this->Worker.hold(Life.Id, Call, Reply);
       },
       [this, Life = this->Attached](const WorkerReply &Reply) {
         this->Keeper->session().onHoldReply(Life, Reply, this->World.now());
--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -49,7 +49,9 @@
   void restart();
   void setCallFaults(WorkerCallFaults New) { this->Faults = New; }
 
-  void attach(const WorkerProfile &New) override { this->Attached = New.Id; }
+  void attach(const WorkerProfile &New) override {
+    this->Attached = New.life();
+  }
   void start(const StartCall &Call) override;
   void stop(const StopCall &Call) override;
   void hold(const HoldCall &Call) override;
@@ -76,7 +78,7 @@
   std::mt19937_64 Random;
   VirtualWorker Worker;
   /// The life of the worker that the agent speaks to.
-  std::string Attached;
+  WorkerLife Attached;
   std::uint64_t Life = 0;
   WorkerCallFaults Faults;
   std::unique_ptr<LeaseKeeper> Keeper;
--- a/emulator/virtual_worker.cpp
+++ b/emulator/virtual_worker.cpp
@@ -47,10 +47,22 @@
       Random(Seed), Started(World.now().Steady) {
   this->SlowPermille = static_cast<std::uint32_t>(
       this->Random() % (Options.MaxSlowPermille + 1));
-  this->Profile.Id = this->Name;
   this->Profile.Pool = std::move(Pool);
   this->Profile.Room.set_cpu_milli(Options.RoomMilli);
   this->Profile.Room.set_memory_mb(UINT32_MAX);
+  this->beginLife();
+}
+
+void VirtualWorker::beginLife() {
+  bool First = this->Lives == 1;
+  this->LifeName =
+      First ? this->Name : fmt::format("{}-{}", this->Name, this->Lives);
+  this->Profile.Id = this->Options.KeepsId ? this->Name : this->LifeName;
+  if (this->Options.KeepsId)
+    this->Profile.Born =
+        static_cast<std::uint64_t>(toUnixMillis(this->World.now().Wall));
+  this->Profile.Sequence = 0;
+  this->Started = this->World.now().Steady;
 }
 
 WorkerProfile VirtualWorker::announce() {
@@ -68,13 +80,13 @@
              Passed * (WholePermille - this->SlowPermille) / WholePermille);
 }
 
-WorkerReply VirtualWorker::reply(const std::string &Life) const {
+WorkerReply VirtualWorker::reply(const std::string &Id) const {
   WorkerReply Reply;
   Reply.Answered = this->Up;
   if (!this->Up)
     return Reply;
   Reply.Clock = this->clock();
-  if (Life != this->Profile.Id)
+  if (Id != this->Profile.Id)
     Reply.Refusal = WorkerRefusal::OtherLife;
   return Reply;
 }
@@ -118,9 +130,8 @@
 
 // ---- Calls ----
 
-WorkerReply VirtualWorker::start(const std::string &Life,
-                                 const StartCall &Call) {
-  WorkerReply Reply = this->reply(Life);
+WorkerReply VirtualWorker::start(const std::string &Id, const StartCall &Call) {
+  WorkerReply Reply = this->reply(Id);
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None)
     return Reply;
   Reply.Refusal = this->fence(Call.FencingToken);
@@ -143,8 +154,8 @@
   return Reply;
 }
 
-WorkerReply VirtualWorker::stop(const std::string &Life, const StopCall &Call) {
-  WorkerReply Reply = this->reply(Life);
+WorkerReply VirtualWorker::stop(const std::string &Id, const StopCall &Call) {
+  WorkerReply Reply = this->reply(Id);
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None)
     return Reply;
   Reply.Refusal = this->fence(Call.FencingToken);
@@ -159,16 +170,16 @@
   auto Takes = static_cast<std::int64_t>(this->Random() %
                                          (this->Options.StopTakes.count() + 1));
   this->World.after(std::chrono::milliseconds(Takes),
-                    [this, Run = Call.Run, Life] {
-                      if (this->Up && Life == this->Profile.Id)
+                    [this, Run = Call.Run, Life = this->Lives] {
+                      if (this->Up && Life == this->Lives)
                         this->end(Run, RunEnd::Stopped);
                     });
   return Reply;
 }
 
-void VirtualWorker::hold(const std::string &Life, const HoldCall &Call,
+void VirtualWorker::hold(const std::string &Id, const HoldCall &Call,
                          Answer Answered) {
-  WorkerReply Reply = this->reply(Life);
+  WorkerReply Reply = this->reply(Id);
   if (Reply.Answered && Reply.Refusal == WorkerRefusal::None)
     Reply.Refusal = this->fence(Call.FencingToken);
   if (!Reply.Answered || Reply.Refusal != WorkerRefusal::None) {
@@ -206,6 +217,7 @@
   if (Due.empty())
     return;
   WorkerReply Reply = this->reply(this->Profile.Id);
+  Reply.Born = this->Profile.Born;
   for (const auto &[Key, Known] : this->Alive)
     Reply.Running.push_back(Key);
   Reply.Ended = {this->Ended.begin(), this->Ended.end()};
@@ -219,15 +231,15 @@
   const RunKey &Key = Call.Run;
   Spec Read = readSpec(Call.Spec, Key.Index);
   this->Alive[Key] = {};
-  this->Runs.begin(this->Profile.Id, Key, Read.For, this->World.now().Steady);
+  this->Runs.begin(this->LifeName, Key, Read.For, this->World.now().Steady);
   if (Read.Length == CrashesWorker) {
     this->Runs.noteCrash(Key);
     this->crash();
     return;
   }
   this->lapseLater();
-  this->World.after(Read.Length, [this, Key, Life = this->Profile.Id] {
-    if (this->Up && Life == this->Profile.Id)
+  this->World.after(Read.Length, [this, Key, Life = this->Lives] {
+    if (this->Up && Life == this->Lives)
       this->end(Key, RunEnd::Done);
   });
 }
@@ -237,16 +249,18 @@
     return;
   std::uint64_t &Over = this->LastOver[{Key.Job, Key.Index}];
   Over = std::max(Over, Key.Run);
-  this->Runs.end(this->Profile.Id, Key, runEndName(How),
+  this->Runs.end(this->LifeName, Key, runEndName(How),
                  this->World.now().Steady);
   this->Ended.push_back({++this->LastEnd, Key, How});
   this->answerHolds();
 }
 
 void VirtualWorker::crash() {
+  if (!this->Up)
+    return;
   this->Up = false;
   for (const auto &[Key, Known] : this->Alive)
-    this->Runs.end(this->Profile.Id, Key, "crashed", this->World.now().Steady);
+    this->Runs.end(this->LifeName, Key, "crashed", this->World.now().Steady);
   this->Alive.clear();
   this->LastOver.clear();
   this->Ended.clear();
@@ -256,9 +270,8 @@
 
 void VirtualWorker::restart() {
   this->Up = true;
-  this->Profile.Id = fmt::format("{}-{}", this->Name, ++this->Lives);
-  this->Profile.Sequence = 0;
-  this->Started = this->World.now().Steady;
+  ++this->Lives;
+  this->beginLife();
   this->LeaseEnd = {};
   this->Token = 0;
   this->LastEnd = 0;
--- a/emulator/virtual_worker.h
+++ b/emulator/virtual_worker.h
@@ -40,6 +40,8 @@
   /// One that has crashed is back after this long, as another life.
   std::chrono::milliseconds RestartAfter{2500};
   std::uint32_t RoomMilli = 64000;
+  /// Each life has the id of the first, and says when it was born.
+  bool KeepsId = false;
 };
 
 class VirtualWorker {
@@ -58,11 +60,14 @@
   /// What it says of itself now.
   WorkerProfile announce();
 
-  /// Carries out a call to one of its lives at once.
-  WorkerReply start(const std::string &Life, const StartCall &Call);
-  WorkerReply stop(const std::string &Life, const StopCall &Call);
+  /// Carries out a call to one of its lives at once. Calls name a life by its
+  /// id, so that one meant for an earlier life of the same id is carried out.
+  WorkerReply start(const std::string &Id, const StartCall &Call);
+  WorkerReply stop(const std::string &Id, const StopCall &Call);
   /// Answers once it has an end to tell, or the call's wait is over.
-  void hold(const std::string &Life, const HoldCall &Call, Answer Reply);
+  void hold(const std::string &Id, const HoldCall &Call, Answer Reply);
+  /// Power fails: what runs ends, and another life begins.
+  void crash();
 
 private:
   struct Run {
@@ -75,7 +80,7 @@
   using TaskName = std::pair<std::string, std::uint32_t>;
 
   WorkerTime clock() const;
-  WorkerReply reply(const std::string &Life) const;
+  WorkerReply reply(const std::string &Id) const;
   /// Checks a call's token, and keeps the highest.
   WorkerRefusal fence(std::uint64_t Token);
   void extendLease(WorkerTime Until);
@@ -83,8 +88,8 @@
   void lapseIfDue();
   void begin(const StartCall &Call);
   void end(const RunKey &Run, RunEnd How);
-  void crash();
   void restart();
+  void beginLife();
   /// Answers each of the calls that wait.
   void answerHolds();
   void tell(const std::vector<WaitingHold> &Due);
@@ -98,6 +103,8 @@
   std::function<void()> Restarted;
   bool Up = true;
   std::uint64_t Lives = 1;
+  /// Names the present life in the register of runs.
+  std::string LifeName;
   TimePoint Started;
   std::uint32_t SlowPermille = 0;
   WorkerTime LeaseEnd{};
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -45,14 +45,14 @@
   void onMember(const peer::Member &, Instant) override {}
   void onOutranked(std::uint64_t Known, Instant Now) override;
 
-  void onStart(const std::string &Life, const RunKey &Run,
+  void onStart(const WorkerLife &Life, const RunKey &Run,
                WorkerReply Reply) override;
-  void onStop(const std::string &Life, const RunKey &Run,
+  void onStop(const WorkerLife &Life, const RunKey &Run,
               WorkerReply Reply) override;
-  void onHold(const std::string &Life, WorkerReply Reply) override;
+  void onHold(const WorkerLife &Life, WorkerReply Reply) override;
 
   void onAnnounced(const WorkerProfile &Profile) override;
-  void onLeft(const std::string &Id) override;
+  void onLeft(const WorkerLife &Life) override;
 
 private:
   KeeperOptions keeperOptions() const;
@@ -183,10 +183,10 @@
   this->announceChanges(Now);
 }
 
-void LeaseAgentProcess::onLeft(const std::string &Id) {
-  this->Node.loop().post([this, Id](Instant Now) {
+void LeaseAgentProcess::onLeft(const WorkerLife &Life) {
+  this->Node.loop().post([this, Life](Instant Now) {
     bool Present = this->Keeper.session().hasWorker() &&
-                   this->Keeper.session().profile().Id == Id;
+                   this->Keeper.session().profile().Id == Life.Id;
     if (!Present)
       return;
     this->Keeper.leave("the worker has left", Now);
@@ -194,21 +194,21 @@
   });
 }
 
-void LeaseAgentProcess::onStart(const std::string &Life, const RunKey &Run,
+void LeaseAgentProcess::onStart(const WorkerLife &Life, const RunKey &Run,
                                 WorkerReply Reply) {
   this->Node.loop().post([this, Life, Run, Reply](Instant Now) {
     this->Keeper.session().onStartReply(Life, Run, Reply, Now);
   });
 }
 
-void LeaseAgentProcess::onStop(const std::string &Life, const RunKey &Run,
+void LeaseAgentProcess::onStop(const WorkerLife &Life, const RunKey &Run,
                                WorkerReply Reply) {
   this->Node.loop().post([this, Life, Run, Reply](Instant Now) {
     this->Keeper.session().onStopReply(Life, Run, Reply, Now);
   });
 }
 
-void LeaseAgentProcess::onHold(const std::string &Life, WorkerReply Reply) {
+void LeaseAgentProcess::onHold(const WorkerLife &Life, WorkerReply Reply) {
   this->Node.loop().post([this, Life, Reply](Instant Now) {
     this->Keeper.session().onHoldReply(Life, Reply, Now);
     // The reply may settle which life of the worker is the present one.
--- a/tests/agent/keeper_fixture.h
+++ b/tests/agent/keeper_fixture.h
@@ -88,7 +88,7 @@
     Keeper.onProfile(Profile, this->Now);
     WorkerReply Reply;
     Reply.Answered = true;
-    Keeper.session().onHoldReply(WorkerId, Reply, this->Now);
+    Keeper.session().onHoldReply({WorkerId}, Reply, this->Now);
   }
   peer::Message dispatch(const std::string &Job, std::uint64_t Stamp,
                          std::uint32_t CpuMilli = 1000,
@@ -147,7 +147,7 @@
     WorkerReply Reply;
     Reply.Answered = true;
     Reply.Ended.push_back({++this->Ends, this->Port.Starts[Start].Run, How});
-    Keeper.session().onHoldReply(WorkerId, Reply, this->Now);
+    Keeper.session().onHoldReply({WorkerId}, Reply, this->Now);
   }
   std::uint64_t Ends = 0;
 };
--- a/tests/agent/lease_keeper_test.cpp
+++ b/tests/agent/lease_keeper_test.cpp
@@ -231,7 +231,7 @@
   WorkerReply Gone;
   Gone.Answered = true;
   Gone.Refusal = WorkerRefusal::OtherLife;
-  Keeper.session().onHoldReply(WorkerId, Gone, Now);
+  Keeper.session().onHoldReply({WorkerId}, Gone, Now);
   LONGS_EQUAL(AgentLife + 1, Keeper.incarnation());
   CHECK_FALSE(Keeper.isLeaving());
 }
--- a/tests/agent/placement_lease_test.cpp
+++ b/tests/agent/placement_lease_test.cpp
@@ -116,7 +116,7 @@
   for (int I = 0; I < 10; ++I) {
     pass(Keeper, 100ms);
     RenewB();
-    Keeper.session().onHoldReply(WorkerId, plainReply(), Now);
+    Keeper.session().onHoldReply({WorkerId}, plainReply(), Now);
   }
   CHECK(stoppedJobs() == Jobs{"given-up"});
   CHECK(Port.LeaseUntil > EntryLease);
@@ -144,7 +144,7 @@
     LeaseKeeper Other(optionsWith(true), Sink, Port);
     attach(Other);
     Other.onMessage(EntryA, dispatch("runs", stamp()), Now);
-    Other.session().onHoldReply(WorkerId, plainReply(), Now);
+    Other.session().onHoldReply({WorkerId}, plainReply(), Now);
     peer::Message Late = dispatch(
         "late", stamp() - static_cast<std::uint64_t>(Row.StampAge.count()));
     Other.onMessage(EntryB, Late, Now);
@@ -164,7 +164,7 @@
   for (int I = 0; I < 7; ++I) {
     pass(Keeper, 100ms);
     renew({1});
-    Keeper.session().onHoldReply(WorkerId, plainReply(), Now);
+    Keeper.session().onHoldReply({WorkerId}, plainReply(), Now);
   }
   CHECK(Port.LeaseUntil <= Options.EntryLease + Options.StopAllowance);
   end(Keeper, 0, RunEnd::Done);
@@ -195,8 +195,8 @@
     Stop.mutable_leased_stop()->set_job("stopped");
     Other.onMessage(EntryA, Stop, Now);
     if (Row.IsConfirmed)
-      Other.session().onStopReply(WorkerId, Port.Stops.back().Run, plainReply(),
-                                  Now);
+      Other.session().onStopReply({WorkerId}, Port.Stops.back().Run,
+                                  plainReply(), Now);
     for (int I = 0; I < 20; ++I) {
       pass(Other, 100ms);
       peer::Message Renewal;
@@ -206,7 +206,7 @@
       if (Row.IsNamed)
         Other.onMessage(EntryA, Renewal, Now);
       Other.onMessage(EntryB, renewal(stamp()), Now);
-      Other.session().onHoldReply(WorkerId, plainReply(), Now);
+      Other.session().onHoldReply({WorkerId}, plainReply(), Now);
     }
     CHECK_TEXT(Row.IsLimited == (Port.LeaseUntil < 2000ms), Row.Name);
   }
--- /dev/null
+++ b/tests/agent/worker_lives_test.cpp
@@ -0,0 +1,323 @@
+// A worker may start again under the id that it had, and then knows nothing of
+// before: its announcements, its ends, its clock and its runs begin anew. Each
+// place that tells two lives apart must go by the time of birth as well.
+
+#include "agent/worker_session.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char *const Id = "worker";
+constexpr std::uint64_t FirstBorn = 1800000000000;
+constexpr std::uint64_t SecondBorn = FirstBorn + 5000;
+const WorkerLife First{Id, FirstBorn};
+const WorkerLife Second{Id, SecondBorn};
+
+class RecordingPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &Profile) override {
+    this->Life = Profile.life();
+  }
+  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
+  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
+  void hold(const HoldCall &Call) override { this->Holds.push_back(Call); }
+
+  WorkerLife Life;
+  std::vector<StartCall> Starts;
+  std::vector<StopCall> Stops;
+  std::vector<HoldCall> Holds;
+};
+
+class RecordingEvents final : public SessionEvents {
+public:
+  void onRunRefused(const RunKey &, WorkerRefusal Why, Instant) override {
+    this->Refusals.push_back(Why);
+  }
+  void onRunEnded(const RunKey &, RunEnd How, Instant) override {
+    this->Ends.push_back(How);
+  }
+  void onWorkerAttached(Instant) override { ++this->Attached; }
+  void onWorkerCrashed(const std::vector<RunKey> &Runs, Instant) override {
+    this->Crashed.push_back(Runs.size());
+  }
+  void onWorkerReady(Instant) override { ++this->Ready; }
+  void onWorkerSilent(Instant) override {}
+
+  std::vector<WorkerRefusal> Refusals;
+  std::vector<RunEnd> Ends;
+  std::vector<std::size_t> Crashed;
+  int Attached = 0;
+  int Ready = 0;
+};
+
+WorkerReply replyOf(std::optional<std::uint64_t> Born,
+                    WorkerRefusal Refusal = WorkerRefusal::None) {
+  WorkerReply Reply;
+  Reply.Answered = true;
+  Reply.Refusal = Refusal;
+  Reply.Born = Born;
+  return Reply;
+}
+
+WorkerProfile profileOf(std::optional<std::uint64_t> Born,
+                        std::uint64_t Sequence) {
+  WorkerProfile Profile;
+  Profile.Id = Id;
+  Profile.Born = Born;
+  Profile.Sequence = Sequence;
+  Profile.Clock = WorkerTime(480000);
+  Profile.Room.set_cpu_milli(16000);
+  return Profile;
+}
+
+} // namespace
+
+TEST_GROUP(WorkerLivesTest) {
+  RecordingPort Port;
+  RecordingEvents Events;
+  SessionOptions Options;
+  WorkerSession Session{SessionOptions(), Port, Events};
+  Instant Now{TimePoint(1h), fromUnixMillis(FirstBorn + 100000)};
+  RunKey Run{"00000000000000aa", 0, 1};
+
+  void pass(std::chrono::milliseconds Time) {
+    Now.Steady += Time;
+    Now.Wall += Time;
+    Session.tick(Now);
+  }
+  void attachFirst() {
+    Session.onProfile(profileOf(FirstBorn, 50), Now);
+    Session.onHoldReply(First, replyOf(FirstBorn), Now);
+    CHECK(Session.isReady());
+  }
+  /// Starts a run that the first life is known to hold.
+  void startRun(const RunKey &Key) {
+    Session.start(Key, "spec", Now);
+    Session.onStartReply(First, Key, replyOf({}), Now);
+  }
+  void proveFirst(const RunKey &Key) {
+    WorkerReply Held = replyOf(FirstBorn);
+    Held.Running.push_back(Key);
+    pass(10ms);
+    Session.onHoldReply(First, Held, Now);
+  }
+  /// The second life answers a call that was meant for the first.
+  void beReplaced() {
+    pass(2s);
+    WorkerReply Reply = replyOf(SecondBorn);
+    Reply.Clock = WorkerTime(700);
+    Session.onHoldReply(First, Reply, Now);
+  }
+  /// The second life answers what is asked of it, and says what it is.
+  void settleSecond(const WorkerReply &Reply) {
+    Session.onHoldReply(Second, Reply, Now);
+    Session.onProfile(profileOf(SecondBorn, 1), Now);
+  }
+};
+
+TEST(WorkerLivesTest, ALowerSequenceOfANewLifeIsNotALateWord) {
+  attachFirst();
+  WorkerProfile New = profileOf(SecondBorn, 1);
+  New.Room.set_cpu_milli(8000);
+  Session.onProfile(New, Now);
+  Session.onHoldReply(First, replyOf(SecondBorn), Now);
+  LONGS_EQUAL(2, Events.Attached);
+  CHECK(Session.profile().Born == SecondBorn);
+  LONGS_EQUAL(8000, Session.profile().Room.cpu_milli());
+  Session.onHoldReply(Second, replyOf(SecondBorn), Now);
+  CHECK(Session.isReady());
+}
+
+// Also where the clocks of hosts were set back between the two: which of them
+// is there is asked, not concluded from which was born first.
+TEST(WorkerLivesTest, ALateAnnouncementOfAnotherLifeChangesNothing) {
+  for (std::uint64_t Other : {FirstBorn - 5000, FirstBorn + 5000}) {
+    attachFirst();
+    WorkerProfile Late = profileOf(Other, 99);
+    Late.Draining = true;
+    Late.Room.set_cpu_milli(1);
+    Session.onProfile(Late, Now);
+    Session.onHoldReply(First, replyOf(FirstBorn), Now);
+    CHECK(Session.profile().Born == FirstBorn);
+    CHECK_FALSE(Session.profile().Draining);
+    LONGS_EQUAL(16000, Session.profile().Room.cpu_milli());
+    LONGS_EQUAL(1, Events.Attached);
+  }
+}
+
+// No answer says which of two lives is there; the next one will.
+TEST(WorkerLivesTest, SilenceDecidesNothingBetweenLivesOfOneId) {
+  attachFirst();
+  Session.onProfile(profileOf(FirstBorn - 5000, 99), Now);
+  Session.onHoldReply(First, WorkerReply(), Now);
+  LONGS_EQUAL(1, Events.Attached);
+  pass(Options.HoldRetry);
+  Session.onHoldReply(First, replyOf(FirstBorn), Now);
+  LONGS_EQUAL(1, Events.Attached);
+  CHECK(Session.isReady());
+}
+
+// A worker forgets its ends up to the number that it is told.
+TEST(WorkerLivesTest, EndsAreCountedAnewInEachLife) {
+  attachFirst();
+  startRun(Run);
+  WorkerReply Told = replyOf(FirstBorn);
+  Told.Ended.push_back({57, Run, RunEnd::Done});
+  Session.onHoldReply(First, Told, Now);
+  LONGS_EQUAL(57, Port.Holds.back().AcknowledgedEnd);
+  beReplaced();
+  LONGS_EQUAL(0, Port.Holds.back().AcknowledgedEnd);
+  settleSecond(replyOf(SecondBorn));
+  Run.Run = 2;
+  Session.start(Run, "spec", Now);
+  WorkerReply Next = replyOf(SecondBorn);
+  Next.Ended.push_back({1, Run, RunEnd::Done});
+  Session.onHoldReply(Second, Next, Now);
+  LONGS_EQUAL(2, Events.Ends.size());
+  LONGS_EQUAL(1, Port.Holds.back().AcknowledgedEnd);
+}
+
+// A deadline on the clock of the last life would be the longest lease that the
+// new one grants.
+TEST(WorkerLivesTest, LeasesGoByTheClockOfTheLifeThatGrantsThem) {
+  attachFirst();
+  beReplaced();
+  settleSecond(replyOf(SecondBorn));
+  Session.start(Run, "spec", Now);
+  CHECK(Port.Starts.back().LeaseUntil <= WorkerTime(700) + Options.Lease);
+  CHECK(Port.Starts.back().LeaseUntil > WorkerTime(700));
+}
+
+// Calls that were meant for the last life, and are carried out late, are
+// refused by the token of the first call that was meant for the new one.
+TEST(WorkerLivesTest, ANewLifeGetsAHigherToken) {
+  attachFirst();
+  std::uint64_t Before = Port.Holds.back().FencingToken;
+  beReplaced();
+  CHECK(Port.Holds.back().FencingToken > Before);
+}
+
+TEST(WorkerLivesTest, RepliesOfTheLastLifeChangeNothing) {
+  attachFirst();
+  startRun(Run);
+  beReplaced();
+  settleSecond(replyOf(SecondBorn));
+  Run.Run = 2;
+  Session.start(Run, "spec", Now);
+  std::size_t Ends = Events.Ends.size();
+  WorkerReply Late = replyOf(FirstBorn);
+  Late.Clock = WorkerTime(999000);
+  Late.Ended.push_back({58, Run, RunEnd::Done});
+  Session.onHoldReply(First, Late, Now);
+  Session.onStartReply(First, Run, replyOf({}, WorkerRefusal::NoRoom), Now);
+  LONGS_EQUAL(Ends, Events.Ends.size());
+  LONGS_EQUAL(0, Events.Refusals.size());
+  Run.Index = 1;
+  Session.start(Run, "spec", Now);
+  CHECK(Port.Starts.back().LeaseUntil < WorkerTime(999000));
+}
+
+// It was known to run in the life that has ended.
+TEST(WorkerLivesTest, WhatRanInTheLastLifeHasLapsedAndCountsAsACrash) {
+  attachFirst();
+  startRun(Run);
+  proveFirst(Run);
+  beReplaced();
+  settleSecond(replyOf(SecondBorn));
+  LONGS_EQUAL(1, Events.Ends.size());
+  CHECK(Events.Ends[0] == RunEnd::Lapsed);
+  LONGS_EQUAL(1, Events.Crashed.size());
+}
+
+// Its id let the new life take a start that was meant for the last one. Told as
+// ended it would be begun elsewhere beside itself.
+TEST(WorkerLivesTest, WhatANewLifeHasBegunForTheLastIsStoppedFirst) {
+  attachFirst();
+  startRun(Run);
+  beReplaced();
+  WorkerReply Held = replyOf(SecondBorn);
+  Held.Running.push_back(Run);
+  settleSecond(Held);
+  LONGS_EQUAL(0, Events.Ends.size());
+  CHECK_FALSE(Session.isReady());
+  LONGS_EQUAL(1, Port.Stops.size());
+  CHECK(Port.Stops.back().Run == Run);
+  WorkerReply Stopped = replyOf(SecondBorn);
+  Stopped.Ended.push_back({1, Run, RunEnd::Stopped});
+  Session.onHoldReply(Second, Stopped, Now);
+  LONGS_EQUAL(1, Events.Ends.size());
+  CHECK(Events.Ends[0] == RunEnd::Stopped);
+  CHECK(Session.isReady());
+}
+
+// The new life may have begun it, ended it, and forgotten that end for an
+// acknowledgement that was meant for the last life.
+TEST(WorkerLivesTest, WhatMayHaveEndedUnheardIsNotToldAsLapsed) {
+  attachFirst();
+  pass(10ms);
+  startRun(Run);
+  beReplaced();
+  settleSecond(replyOf(SecondBorn));
+  LONGS_EQUAL(1, Events.Ends.size());
+  CHECK(Events.Ends[0] == RunEnd::Unknown);
+}
+
+// What it is must be known from itself: another life may have another room.
+TEST(WorkerLivesTest, ALifeThatOnlyAnsweredGetsNothingBeforeItsAnnouncement) {
+  attachFirst();
+  beReplaced();
+  Session.onHoldReply(Second, replyOf(SecondBorn), Now);
+  CHECK_FALSE(Session.isReady());
+  int Ready = Events.Ready;
+  WorkerProfile New = profileOf(SecondBorn, 1);
+  New.Room.set_cpu_milli(8000);
+  New.Address = "10.0.0.9:1";
+  Session.onProfile(New, Now);
+  CHECK(Session.isReady());
+  LONGS_EQUAL(Ready + 1, Events.Ready);
+  LONGS_EQUAL(8000, Session.profile().Room.cpu_milli());
+  STRCMP_EQUAL("10.0.0.9:1", Session.profile().Address.c_str());
+}
+
+// An id that is not there proves that no life of that id is.
+TEST(WorkerLivesTest, AnotherIdAtTheAddressRulesOutEachLifeOfThisOne) {
+  attachFirst();
+  Session.onProfile(profileOf(SecondBorn, 1), Now);
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::OtherLife), Now);
+  LONGS_EQUAL(1, Events.Attached);
+  WorkerProfile Other = profileOf(SecondBorn, 1);
+  Other.Id = "other";
+  Session.onProfile(Other, Now);
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::OtherLife), Now);
+  STRCMP_EQUAL("other", Session.profile().Id.c_str());
+}
+
+TEST(WorkerLivesTest, WithoutATimeOfBirthTheIdAloneIsTheLife) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> Announced;
+    std::optional<std::uint64_t> Again;
+    std::optional<std::uint64_t> Replied;
+  };
+  const Row Rows[] = {
+      {"nobody says it", {}, {}, {}},
+      {"only the lists say it", {}, {}, FirstBorn},
+      {"only the announcements say it", FirstBorn, FirstBorn, {}},
+      {"a later announcement says it", {}, FirstBorn, FirstBorn},
+      {"a later announcement does not", FirstBorn, {}, FirstBorn},
+  };
+  for (const Row &Row : Rows) {
+    int Attached = Events.Attached;
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.Announced, 1), Now);
+    Fresh.onHoldReply(Port.Life, replyOf(Row.Replied), Now);
+    Fresh.onProfile(profileOf(Row.Again, 2), Now);
+    Fresh.onHoldReply(Port.Life, replyOf(Row.Replied), Now);
+    LONGS_EQUAL_TEXT(Attached + 1, Events.Attached, Row.Name);
+    CHECK_TEXT(Fresh.isReady(), Row.Name);
+  }
+}
--- a/tests/agent/worker_room_test.cpp
+++ b/tests/agent/worker_room_test.cpp
@@ -30,7 +30,7 @@
     this->announce(1, 4);
     WorkerReply Ready;
     Ready.Answered = true;
-    this->Keeper.session().onHoldReply("w", Ready, this->Now);
+    this->Keeper.session().onHoldReply({"w"}, Ready, this->Now);
   }
 
   void announce(std::uint64_t Sequence, std::uint32_t Cores,
@@ -79,7 +79,7 @@
     Reply.Answered = true;
     Reply.Ended.push_back(
         {++this->Ends, this->Port.Starts[this->Ends - 1].Run, RunEnd::Done});
-    this->Keeper.session().onHoldReply("w", Reply, this->Now);
+    this->Keeper.session().onHoldReply({"w"}, Reply, this->Now);
   }
   peer::WorkerLoad load() {
     peer::Message Message;
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -73,12 +73,12 @@
   }
   void attach() {
     Session.onProfile(Profile, Now);
-    Session.onHoldReply("life-1", answered(), Now);
+    Session.onHoldReply({"life-1"}, answered(), Now);
   }
   /// Leaves as many starts without a reply as the session makes.
   void loseStarts() {
     for (std::uint32_t I = 0; I < Options.StartTries; ++I)
-      Session.onStartReply("life-1", Run, WorkerReply(), Now);
+      Session.onStartReply({"life-1"}, Run, WorkerReply(), Now);
   }
 };
 
@@ -87,13 +87,13 @@
   attach();
   Session.start(Run, "spec", Now);
   pass(50ms);
-  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  Session.onStartReply({"life-1"}, Run, WorkerReply(), Now);
   LONGS_EQUAL(0, Port.Stops.size());
   LONGS_EQUAL(2, Port.Starts.size());
   CHECK(Port.Starts[0].Run == Port.Starts[1].Run);
   STRCMP_EQUAL("spec", Port.Starts[1].Spec.c_str());
   CHECK(Port.Starts[1].LeaseUntil > Port.Starts[0].LeaseUntil);
-  Session.onStartReply("life-1", Run, answered(), Now);
+  Session.onStartReply({"life-1"}, Run, answered(), Now);
   pass(200ms);
   LONGS_EQUAL(0, Port.Stops.size());
   LONGS_EQUAL(0, Events.Ends.size());
@@ -108,16 +108,16 @@
   for (WorkerRefusal Why : Rows) {
     ++Run.Run;
     Session.start(Run, "spec", Now);
-    Session.onStartReply("life-1", Run, WorkerReply(), Now);
-    Session.onStartReply("life-1", Run, answered(Why), Now);
+    Session.onStartReply({"life-1"}, Run, WorkerReply(), Now);
+    Session.onStartReply({"life-1"}, Run, answered(Why), Now);
     LONGS_EQUAL(0, Events.Refusals.size());
     LONGS_EQUAL(++Stops, Port.Stops.size());
-    Session.onStopReply("life-1", Run, answered(), Now);
+    Session.onStopReply({"life-1"}, Run, answered(), Now);
   }
   // One of them had begun and is done.
   WorkerReply Held = answered();
   Held.Ended.push_back({1, Run, RunEnd::Done});
-  Session.onHoldReply("life-1", Held, Now);
+  Session.onHoldReply({"life-1"}, Held, Now);
   LONGS_EQUAL(1, Events.Ends.size());
   CHECK(Events.Ends[0] == RunEnd::Done);
   pass(150ms);
@@ -128,7 +128,7 @@
   attach();
   Session.start(Run, "spec", Now);
   Session.stop(Run, Now);
-  Session.onStartReply("life-1", Run, WorkerReply(), Now);
+  Session.onStartReply({"life-1"}, Run, WorkerReply(), Now);
   LONGS_EQUAL(1, Port.Starts.size());
 }
 
@@ -153,7 +153,7 @@
     if (Row.HasRuns) {
       ++Run.Run;
       Session.start(Run, "spec", Now);
-      Session.onStartReply(Port.Life, Run, answered(), Now);
+      Session.onStartReply({Port.Life}, Run, answered(), Now);
     }
     std::string Present = Port.Life;
     std::size_t Ends = Events.Ends.size();
@@ -164,7 +164,7 @@
     Session.onProfile(Profile, Now);
     LONGS_EQUAL_TEXT(0, Port.Holds.back().Wait.count(), Row.Name);
     STRCMP_EQUAL_TEXT(Present.c_str(), Port.Life.c_str(), Row.Name);
-    Session.onHoldReply(Present, Row.FromPresentLife, Now);
+    Session.onHoldReply({Present}, Row.FromPresentLife, Now);
     STRCMP_EQUAL_TEXT(Row.Expected, Port.Life.c_str(), Row.Name);
     LONGS_EQUAL_TEXT(Ends + (Moves ? Alive : 0), Events.Ends.size(), Row.Name);
     LONGS_EQUAL_TEXT(Attached + (Moves ? 1 : 0), Events.Attached, Row.Name);
@@ -172,7 +172,7 @@
     WorkerReply Held = answered();
     if (Row.HasRuns && Session.runs() > 0)
       Held.Ended.push_back({1, Run, RunEnd::Done});
-    Session.onHoldReply(Port.Life, Held, Now);
+    Session.onHoldReply({Port.Life}, Held, Now);
     CHECK_TEXT(Session.isReady(), Row.Name);
     LONGS_EQUAL_TEXT(0, Session.runs(), Row.Name);
   }
@@ -192,9 +192,9 @@
     // Only the new life is there to reply.
     for (const char *Asked : {"life-1", "life-0"})
       if (Port.Life == Asked)
-        Restarted.onHoldReply(Asked, answered(WorkerRefusal::OtherLife), Now);
+        Restarted.onHoldReply({Asked}, answered(WorkerRefusal::OtherLife), Now);
     STRCMP_EQUAL("life-2", Port.Life.c_str());
-    Restarted.onHoldReply("life-2", answered(), Now);
+    Restarted.onHoldReply({"life-2"}, answered(), Now);
     CHECK(Restarted.isReady());
     STRCMP_EQUAL("life-2", Port.Life.c_str());
   }
@@ -218,23 +218,23 @@
 TEST(WorkerSessionTest, SilenceAloneEndsNoRunsForAnAnnouncement) {
   attach();
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, answered(), Now);
-  Session.onHoldReply("life-1", WorkerReply(), Now);
+  Session.onStartReply({"life-1"}, Run, answered(), Now);
+  Session.onHoldReply({"life-1"}, WorkerReply(), Now);
   Profile.Id = "life-0";
   Session.onProfile(Profile, Now);
-  Session.onHoldReply("life-1", WorkerReply(), Now);
+  Session.onHoldReply({"life-1"}, WorkerReply(), Now);
   pass(Options.HoldRetry);
-  Session.onHoldReply("life-1", answered(WorkerRefusal::Unwell), Now);
+  Session.onHoldReply({"life-1"}, answered(WorkerRefusal::Unwell), Now);
   STRCMP_EQUAL("life-1", Port.Life.c_str());
   LONGS_EQUAL(0, Events.Ends.size());
   // It has only been slow to reply.
   pass(Options.HoldRetry);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   STRCMP_EQUAL("life-1", Port.Life.c_str());
   // Silent until its lease must have lapsed, it makes way for the other.
   Session.onProfile(Profile, Now);
   for (int I = 0; I < 24; ++I) {
-    Session.onHoldReply("life-1", WorkerReply(), Now);
+    Session.onHoldReply({"life-1"}, WorkerReply(), Now);
     pass(50ms);
   }
   STRCMP_EQUAL("life-0", Port.Life.c_str());
@@ -246,7 +246,7 @@
   Session.onProfile(Profile, Now);
   Profile.Id = "life-0";
   Session.onProfile(Profile, Now);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   STRCMP_EQUAL("life-1", Port.Life.c_str());
   CHECK(Session.isReady());
 }
@@ -254,17 +254,17 @@
 TEST(WorkerSessionTest, CallsForEndsWaitLessAfterALostCall) {
   attach();
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, answered(), Now);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onStartReply({"life-1"}, Run, answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   CHECK(Port.Holds.back().Wait == Options.HoldWait);
-  Session.onHoldReply("life-1", WorkerReply(), Now);
+  Session.onHoldReply({"life-1"}, WorkerReply(), Now);
   pass(Options.HoldRetry);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   CHECK(Port.Holds.back().Wait == Options.HoldWaitAfterLoss);
   pass(Options.LossMemory);
   // One call that waited, and one that renewed the lease meanwhile.
-  Session.onHoldReply("life-1", answered(), Now);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   CHECK(Port.Holds.back().Wait == Options.HoldWait);
 }
 
@@ -275,7 +275,7 @@
   loseStarts();
   LONGS_EQUAL(Options.StartTries, Port.Starts.size());
   LONGS_EQUAL(1, Port.Stops.size());
-  Session.onStopReply("life-1", Run, answered(), Now);
+  Session.onStopReply({"life-1"}, Run, answered(), Now);
   pass(40ms);
   // The run may have begun, and a stop takes a while.
   LONGS_EQUAL(0, Events.Ends.size());
@@ -289,7 +289,7 @@
   Session.start(Run, "spec", Now);
   loseStarts();
   for (int I = 0; I < 3; ++I) {
-    Session.onStopReply("life-1", Run, WorkerReply(), Now);
+    Session.onStopReply({"life-1"}, Run, WorkerReply(), Now);
     pass(100ms);
   }
   LONGS_EQUAL(4, Port.Stops.size());
@@ -302,7 +302,7 @@
   loseStarts();
   WorkerReply Held = answered();
   Held.Ended.push_back({1, Run, RunEnd::Done});
-  Session.onHoldReply("life-1", Held, Now);
+  Session.onHoldReply({"life-1"}, Held, Now);
   LONGS_EQUAL(1, Events.Ends.size());
   CHECK(Events.Ends[0] == RunEnd::Done);
   LONGS_EQUAL(1, Port.Holds.back().AcknowledgedEnd);
@@ -312,17 +312,17 @@
   Session.onProfile(Profile, Now);
   WorkerReply Held = answered();
   Held.Running.push_back(Run);
-  Session.onHoldReply("life-1", Held, Now);
+  Session.onHoldReply({"life-1"}, Held, Now);
   LONGS_EQUAL(0, Events.Ready);
   LONGS_EQUAL(1, Port.Stops.size());
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   LONGS_EQUAL(1, Events.Ready);
 }
 
 TEST(WorkerSessionTest, ATokenThatIsTooLowIsRaisedUntilItIsTaken) {
   Session.onProfile(Profile, Now);
   std::uint64_t First = Port.Holds.back().FencingToken;
-  Session.onHoldReply("life-1", answered(WorkerRefusal::Fenced), Now);
+  Session.onHoldReply({"life-1"}, answered(WorkerRefusal::Fenced), Now);
   pass(50ms);
   CHECK(Port.Holds.back().FencingToken > First);
 }
@@ -333,11 +333,11 @@
   Profile.Id = "life-2";
   Session.onProfile(Profile, Now);
   // The last one no longer replies, or another replies in its place.
-  Session.onHoldReply("life-1", answered(WorkerRefusal::OtherLife), Now);
+  Session.onHoldReply({"life-1"}, answered(WorkerRefusal::OtherLife), Now);
   LONGS_EQUAL(1, Events.Ends.size());
   CHECK(Events.Ends[0] == RunEnd::Lapsed);
   // Replies of the last life change nothing.
-  Session.onStartReply("life-1", Run, answered(WorkerRefusal::NoRoom), Now);
+  Session.onStartReply({"life-1"}, Run, answered(WorkerRefusal::NoRoom), Now);
   LONGS_EQUAL(0, Events.Refusals.size());
 }
 
@@ -354,16 +354,16 @@
   // The worker may take this call's whole time; it was made with no lease.
   CHECK_FALSE(Port.Holds.back().LeaseUntil.has_value());
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, answered(), Now);
+  Session.onStartReply({"life-1"}, Run, answered(), Now);
   std::size_t Before = Port.Holds.size();
   for (int I = 0; I < 25; ++I)
     pass(20ms);
   LONGS_EQUAL(Before + 1, Port.Holds.size());
   CHECK(Port.Holds.back().LeaseUntil.has_value());
   // Two calls have come back, and one is made again.
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   LONGS_EQUAL(Before + 1, Port.Holds.size());
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   LONGS_EQUAL(Before + 2, Port.Holds.size());
 }
 
@@ -374,18 +374,18 @@
   WorkerReply Good = answered();
   Good.Clock = WorkerTime(6000);
   for (int I = 0; I < 6; ++I) {
-    Session.onHoldReply("life-1", WorkerReply(), Now);
+    Session.onHoldReply({"life-1"}, WorkerReply(), Now);
     CHECK(Session.isReady());
     pass(60ms);
     // The next tells whether the worker hears us, and waits for nothing.
     LONGS_EQUAL(0, Port.Holds.back().Wait.count());
     CHECK_FALSE(Port.Holds.back().LeaseUntil.has_value());
-    Session.onHoldReply("life-1", Good, Now);
+    Session.onHoldReply({"life-1"}, Good, Now);
     CHECK(Port.Holds.back().LeaseUntil.has_value());
   }
   LONGS_EQUAL(0, Events.Silent);
   for (int I = 0; I < 20; ++I) {
-    Session.onHoldReply("life-1", WorkerReply(), Now);
+    Session.onHoldReply({"life-1"}, WorkerReply(), Now);
     pass(60ms);
   }
   LONGS_EQUAL(1, Events.Silent);
@@ -395,9 +395,9 @@
 TEST(WorkerSessionTest, RunsOfASilentWorkerEndWhenItsLeaseMustHaveLapsed) {
   attach();
   Session.start(Run, "spec", Now);
-  Session.onStartReply("life-1", Run, answered(), Now);
+  Session.onStartReply({"life-1"}, Run, answered(), Now);
   for (std::chrono::milliseconds Time = 0ms; Time < 900ms; Time += 50ms) {
-    Session.onHoldReply("life-1", WorkerReply(), Now);
+    Session.onHoldReply({"life-1"}, WorkerReply(), Now);
     LONGS_EQUAL(0, Events.Ends.size());
     pass(50ms);
   }
@@ -413,9 +413,9 @@
   TimePoint Longest = Now.Steady + Options.Lease;
   Events.EndBy = Now.Steady + 200ms;
   pass(20ms);
-  Session.onHoldReply("life-1", answered(), Now);
+  Session.onHoldReply({"life-1"}, answered(), Now);
   CHECK(Session.leaseEnds() == Longest);
-  Session.onHoldReply("life-1", WorkerReply(), Now);
+  Session.onHoldReply({"life-1"}, WorkerReply(), Now);
   pass(600ms);
   LONGS_EQUAL(0, Events.Ends.size());
   pass(500ms);
@@ -428,7 +428,7 @@
   Session.start(Run, "spec", Now);
   Profile.Id = "life-2";
   Session.onProfile(Profile, Now);
-  Session.onHoldReply("life-1", answered(WorkerRefusal::OtherLife), Now);
+  Session.onHoldReply({"life-1"}, answered(WorkerRefusal::OtherLife), Now);
   CHECK(Session.leaseEnds() == Now.Steady);
 }
 
@@ -438,7 +438,7 @@
   Session.stop(Run, Now);
   pass(Options.StopTakes);
   CHECK_FALSE(Session.hasStopped(Run, Now));
-  Session.onStopReply("life-1", Run, answered(), Now);
+  Session.onStopReply({"life-1"}, Run, answered(), Now);
   CHECK_FALSE(Session.hasStopped(Run, Now));
   pass(Options.StopTakes);
   CHECK(Session.hasStopped(Run, Now));
--- a/tests/platform/announcement_test.cpp
+++ b/tests/platform/announcement_test.cpp
@@ -18,7 +18,9 @@
   void onAnnounced(const WorkerProfile &Profile) override {
     this->Profiles.push_back(Profile);
   }
-  void onLeft(const std::string &Id) override { this->Left.push_back(Id); }
+  void onLeft(const WorkerLife &Life) override {
+    this->Left.push_back(Life.Id);
+  }
 
   std::vector<WorkerProfile> Profiles;
   std::vector<std::string> Left;
--- a/tests/platform/reply_rows_test.cpp
+++ b/tests/platform/reply_rows_test.cpp
@@ -86,17 +86,17 @@
     hold("", "");
     for (std::uint32_t I = 0; I < Count; ++I) {
       Session->start({"a", I, 1}, "spec", Now);
-      Session->onStartReply(Life, {"a", I, 1}, replyOf("", ""), Now);
+      Session->onStartReply({Life}, {"a", I, 1}, replyOf("", ""), Now);
     }
   }
   void hold(const std::string &Running, const std::string &Ended) {
-    Session->onHoldReply(Life, replyOf(Running, Ended), Now);
+    Session->onHoldReply({Life}, replyOf(Running, Ended), Now);
   }
   void confirmStops() {
     std::vector<RunKey> Called;
     std::swap(Called, Port.Stops);
     for (const RunKey &Run : Called)
-      Session->onStopReply(Life, Run, replyOf("", ""), Now);
+      Session->onStopReply({Life}, Run, replyOf("", ""), Now);
   }
   /// Gives the same reply to each call for ends during this time.
   void holdFor(std::chrono::milliseconds Time, const std::string &Running,
--- a/tests/platform/worker_client_test.cpp
+++ b/tests/platform/worker_client_test.cpp
@@ -105,14 +105,13 @@
 /// Keeps the replies for a test to await.
 class CollectingReplies final : public WorkerReplies {
 public:
-  void onStart(const std::string &, const RunKey &,
-               WorkerReply Reply) override {
+  void onStart(const WorkerLife &, const RunKey &, WorkerReply Reply) override {
     this->add(std::move(Reply));
   }
-  void onStop(const std::string &, const RunKey &, WorkerReply Reply) override {
+  void onStop(const WorkerLife &, const RunKey &, WorkerReply Reply) override {
     this->add(std::move(Reply));
   }
-  void onHold(const std::string &, WorkerReply Reply) override {
+  void onHold(const WorkerLife &, WorkerReply Reply) override {
     this->add(std::move(Reply));
   }
   WorkerReply next() {
--- a/tests/transport/suspension_test.cpp
+++ b/tests/transport/suspension_test.cpp
@@ -109,7 +109,7 @@
     Keeper.onProfile(Profile, Before);
     WorkerReply Ready;
     Ready.Answered = true;
-    Keeper.session().onHoldReply("life", Ready, Before);
+    Keeper.session().onHoldReply({"life"}, Ready, Before);
     peer::Message Message;
     peer::LeasedDispatch *Dispatch = Message.mutable_leased_dispatch();
     Dispatch->set_job("job");
