A worker's life is its id and its time of birth

What would happen: a worker that starts again under its id is taken for the life before. Its announcements look late (lower sequence), its ends lie below what was acknowledged and are forgotten, its leases are set by the last life's clock, what ran before never ends, and callers wait until their deadline.

Cause: lives were compared by id in onProfile, addCandidate and isCurrent, and a reply named no life of its own, so that 421, which goes by the id, was the only proof of another life.

Change: a life is id and born, wherever lives are told apart (announcements, also late ones and those of leaving; candidates; replies to calls). A reply whose born differs proves another life of the id: the session turns to it, counts its ends from 0, reads its clock, takes a higher token, and gives it no runs before it has announced itself. What was begun for the last life may have been carried out by this one, as calls name the id only. So it is stopped if it is listed; what was known to run in the last life has lapsed; of the rest nobody can tell whether it has ended, and it is not given back for another start. Which of two lives is there is always asked, not concluded from which was born first, as clocks of hosts are set back. Where nobody says a time of birth the id alone is the life.

A born that is no whole number is refused with 400 and logged (announcement_test, codec_test).

--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -87,9 +87,10 @@
   void tick(Instant Now);
   /// Tells an entry again what it may not have heard, while its lease lasts.
   void onUndelivered(const Undelivered &Lost, Instant Now);
+  /// A life of the worker has said that it has left.
+  void onWorkerLeft(const WorkerLife &Life, Instant Now);
   /// Gives back what waits and takes nothing more; what runs goes on.
   void leave(const std::string &Reason, Instant Now);
-
   /// The same, for good.
   void shutDown(Instant Now);
 
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -103,6 +103,12 @@
        {"end", runEndName(How)},
        {"waited_ms", millisBetween(Which->Arrived, Which->Started)},
        {"ran_ms", millisBetween(Which->Started, Now.Steady)}});
+  // Its entry takes it for lost with the agent's earlier life.
+  if (How == RunEnd::Unknown) {
+    this->Ended[{Which->Owner.Node, Which->Order}] = Now.Steady;
+    this->Tasks.erase(Id);
+    return;
+  }
   peer::LeasedRefusal Blame =
       How == RunEnd::Unanswered ? peer::REFUSAL_WORKER : peer::REFUSAL_NONE;
   bool WorkerLost = How == RunEnd::Lapsed && !this->Session.isHeard() &&
@@ -169,6 +175,13 @@
   this->giveBackQueue(peer::REFUSAL_WORKER, "the worker is silent", Now);
 }
 
+void LeaseKeeper::onWorkerLeft(const WorkerLife &Life, Instant Now) {
+  bool Present = this->Session.hasWorker() &&
+                 isSameLife(this->Session.profile().life(), Life);
+  if (Present)
+    this->leave("the worker has left", Now);
+}
+
 void LeaseKeeper::leave(const std::string &Reason, Instant Now) {
   this->Leaving = true;
   this->Log.decision("leaving", {{"reason", Reason},
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -136,6 +136,10 @@
                                  const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
+  if (this->isFromOtherLife(Reply)) {
+    this->replaceLife(Reply, Now);
+    return;
+  }
   this->noteClock(Reply, Now);
   auto Found = this->Runs.find(Key);
   if (Found == this->Runs.end())
@@ -181,6 +185,10 @@
                                 const WorkerReply &Reply, Instant Now) {
   if (!this->isCurrent(Life))
     return;
+  if (this->isFromOtherLife(Reply)) {
+    this->replaceLife(Reply, Now);
+    return;
+  }
   this->noteClock(Reply, Now);
   if (Reply.Answered && Reply.Refusal == WorkerRefusal::Fenced)
     this->raiseToken(Now);
@@ -262,6 +270,10 @@
   if (!this->isCurrent(Life))
     return;
   this->HoldsOut = std::max(this->HoldsOut - 1, 0);
+  if (this->isFromOtherLife(Reply)) {
+    this->replaceLife(Reply, Now);
+    return;
+  }
   this->noteClock(Reply, Now);
   if (!this->Candidates.empty()) {
     this->judgeCandidates(Reply, Now);
@@ -276,6 +288,7 @@
   this->InDoubt = false;
   this->LapsedUnheard.clear();
   this->logBadRows(Reply, Now);
+  this->noteRunning(Reply);
   this->takeEnds(Reply, Now);
   this->settleBadEnds(Reply, Now);
   if (!this->Ready)
@@ -287,6 +300,14 @@
     this->callHold(this->holdWait(Now), Now);
 }
 
+void WorkerSession::noteRunning(const WorkerReply &Reply) {
+  for (const RunKey &Key : Reply.Running) {
+    auto Found = this->Runs.find(Key);
+    if (Found != this->Runs.end())
+      Found->second.Listed = true;
+  }
+}
+
 void WorkerSession::takeEnds(const WorkerReply &Reply, Instant Now) {
   for (const EndedRun &Ended : Reply.Ended) {
     // A worker forgets all ends up to an acknowledged one. One that could not
@@ -296,6 +317,8 @@
     this->Strangers.erase(Ended.Run);
     if (this->Runs.contains(Ended.Run))
       this->end(Ended.Run, Ended.How, Now);
+    else if (this->Inherited.erase(Ended.Run) > 0)
+      this->Events.onRunEnded(Ended.Run, Ended.How, Now);
   }
 }
 
@@ -374,10 +397,12 @@
   bool Unknown = this->mayHaveUnknownRuns(Reply, Now);
   if (Unknown || !this->Strangers.empty())
     return;
+  this->settleInherited(Now);
   this->Ready = true;
   this->Log.decision("worker_ready", {{"worker", this->Profile->Id},
                                       {"fencing_token", this->Token}});
-  this->Events.onWorkerReady(Now);
+  if (this->Announced)
+    this->Events.onWorkerReady(Now);
 }
 
 bool WorkerSession::mayHaveUnknownRuns(const WorkerReply &Reply, Instant Now) {
@@ -397,7 +422,8 @@
   if (this->HoldsOut == 0 && Now.Steady >= this->NextHold)
     this->callHold(this->holdWait(Now), Now);
   this->renewIfDue(Now);
-  bool Lapsed = this->InDoubt && !this->Runs.empty() &&
+  bool HasRuns = !this->Runs.empty() || !this->Inherited.empty();
+  bool Lapsed = this->InDoubt && HasRuns &&
                 Now.Steady >= this->LeaseEnds + this->Options.LapseSlack;
   if (Lapsed) {
     for (const auto &[Key, Known] : this->Runs)
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -114,7 +114,9 @@
   bool hasWorker() const { return this->Profile.has_value(); }
   /// Whether the worker replies, and its runs of an earlier agent have been
   /// stopped.
-  bool isReady() const { return this->Ready && this->Answering; }
+  bool isReady() const {
+    return this->Ready && this->Answering && this->Announced;
+  }
   const WorkerProfile &profile() const { return *this->Profile; }
 
   void start(const RunKey &Run, const std::string &Spec, Instant Now);
@@ -154,11 +156,23 @@
     /// It was not listed beside ends that could not be read, and is stopped: a
     /// confirmed stop proves that it has ended.
     bool EndUnread = false;
+    /// The worker's life that it was begun for has listed it as running.
+    bool Listed = false;
     /// When a confirmed stop of such a run has taken effect.
     TimePoint StoppedAt = TimePoint::max();
   };
 
   void attach(const WorkerProfile &New, Instant Now);
+  /// Turns to another life of the same id, which has answered in place of the
+  /// present one.
+  void replaceLife(const WorkerReply &Reply, Instant Now);
+  /// Whether another life of the same id has answered.
+  bool isFromOtherLife(const WorkerReply &Reply) const;
+  /// Takes what a life that was known by its answers only says of itself.
+  void completeProfile(const WorkerProfile &New, Instant Now);
+  /// Ends what had been begun for the last life of this id, once the present
+  /// one has none of it.
+  void settleInherited(Instant Now);
   void addCandidate(const WorkerProfile &New);
   /// Takes a later word of the present life.
   void refresh(const WorkerProfile &New, Instant Now);
@@ -185,6 +199,7 @@
   /// Tells of what ran when the present life ended, if that was a crash.
   void tellCrash(Instant Now);
   void noteUnanswered(Instant Now);
+  void noteRunning(const WorkerReply &Reply);
   void takeEnds(const WorkerReply &Reply, Instant Now);
   /// Replaces ends that stay unreadable by what else is known of their runs.
   void settleBadEnds(const WorkerReply &Reply, Instant Now);
@@ -219,6 +234,8 @@
   std::optional<TimePoint> BadRunningSince;
   TimePoint NextBadRowsLog = TimePoint::min();
   bool Ready = false;
+  /// The present life has said what it is.
+  bool Announced = false;
   bool Answering = true;
   /// The last call for ends failed: whether the worker hears us is not known.
   bool InDoubt = false;
@@ -236,8 +253,12 @@
   /// Runs that have lapsed since the worker was last heard, and when they were
   /// started. If it is heard no more, they were there when it ended.
   std::map<RunKey, TimePoint> LapsedUnheard;
-  /// Runs of an earlier agent that have to end first.
+  /// Runs of an earlier agent, or of the last life of this id, that have to end
+  /// first.
   std::map<RunKey, Run> Strangers;
+  /// Runs that were begun for the last life of this id. Calls name a life by
+  /// its id, so that the present one may have them.
+  std::map<RunKey, Run> Inherited;
 };
 
 /// A refusal's and an end's name in logs.
--- a/agent/worker_session_lives.cpp
+++ b/agent/worker_session_lives.cpp
@@ -17,9 +17,11 @@
 } // namespace
 
 void WorkerSession::onProfile(const WorkerProfile &New, Instant Now) {
-  bool SameLife = this->Profile && this->Profile->Id == New.Id;
-  if (SameLife) {
-    this->refresh(New, Now);
+  if (this->Profile && isSameLife(this->Profile->life(), New.life())) {
+    if (this->Announced)
+      this->refresh(New, Now);
+    else
+      this->completeProfile(New, Now);
     return;
   }
   if (!this->Profile) {
@@ -30,6 +32,19 @@
   this->callHold({}, Now);
 }
 
+void WorkerSession::completeProfile(const WorkerProfile &New, Instant Now) {
+  this->Announced = true;
+  this->Profile = New;
+  this->Port.attach(New);
+  this->Log.decision("worker_announced", {{"worker", New.Id},
+                                          {"born", New.Born.value_or(0)},
+                                          {"address", New.Address},
+                                          {"cpu_milli", New.Room.cpu_milli()}});
+  this->Events.onRoomChanged(Now);
+  if (this->Ready)
+    this->Events.onWorkerReady(Now);
+}
+
 void WorkerSession::refresh(const WorkerProfile &New, Instant Now) {
   this->Profile->Draining |= New.Draining;
   // One that was held up on its way must not give room back that has gone.
@@ -52,32 +67,74 @@
 }
 
 void WorkerSession::addCandidate(const WorkerProfile &New) {
-  auto Known = std::ranges::find(this->Candidates, New.Id, &WorkerProfile::Id);
+  auto IsNew = [&](const WorkerProfile &Known) {
+    return isSameLife(Known.life(), New.life());
+  };
+  auto Known = std::ranges::find_if(this->Candidates, IsNew);
   if (Known != this->Candidates.end() && Known->Sequence > New.Sequence)
     return;
-  std::erase_if(this->Candidates,
-                [&](const WorkerProfile &Known) { return Known.Id == New.Id; });
+  std::erase_if(this->Candidates, IsNew);
   if (this->Candidates.size() == MaxCandidates)
     this->Candidates.pop_front();
   this->Candidates.push_back(New);
 }
 
+bool WorkerSession::isFromOtherLife(const WorkerReply &Reply) const {
+  return Reply.Answered && Reply.Born && this->Profile->Born &&
+         *Reply.Born != *this->Profile->Born;
+}
+
+void WorkerSession::replaceLife(const WorkerReply &Reply, Instant Now) {
+  WorkerLife Present{this->Profile->Id, Reply.Born};
+  auto Known =
+      std::ranges::find_if(this->Candidates, [&](const WorkerProfile &Each) {
+        return isSameLife(Each.life(), Present);
+      });
+  bool HasAnnounced = Known != this->Candidates.end();
+  // Until it announces itself, where it was found.
+  WorkerProfile Next = HasAnnounced ? *Known : *this->Profile;
+  if (!HasAnnounced) {
+    Next.Born = Reply.Born;
+    Next.Sequence = 0;
+    Next.Draining = false;
+  }
+  if (Reply.Clock)
+    Next.Clock = *Reply.Clock;
+  // Lives of this id that were announced meanwhile are not there either.
+  std::erase_if(this->Candidates, [&](const WorkerProfile &Each) {
+    return Each.Id == Present.Id;
+  });
+  this->attach(Next, Now);
+  this->Announced = HasAnnounced;
+}
+
 void WorkerSession::judgeCandidates(const WorkerReply &Reply, Instant Now) {
   bool Lives = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
   bool Replaced = Reply.Answered && Reply.Refusal == WorkerRefusal::OtherLife;
+  // No life of an id is there where another id is; and without an answer
+  // nothing is known of which one is.
+  auto IsOut = [&](const WorkerProfile &Each) {
+    return Each.Id == this->Profile->Id;
+  };
+  if (Replaced)
+    std::erase_if(this->Candidates, IsOut);
+  auto Next = std::ranges::find_if_not(this->Candidates, IsOut);
   if (Lives) {
     for (const WorkerProfile &Late : this->Candidates)
       this->Log.decision(
           "announcement_ignored",
           {{"worker", Late.Id},
+           {"born", Late.Born.value_or(0)},
            {"alive", this->Profile->Id},
+           {"alive_born", this->Profile->Born.value_or(0)},
            {"reason", "the present life of the worker replies"}});
     this->Candidates.clear();
-  } else if (Replaced || this->Runs.empty()) {
+  } else if (Next != this->Candidates.end() &&
+             (Replaced || (this->Runs.empty() && this->Inherited.empty()))) {
     // The others are judged by whether this one is there.
-    WorkerProfile Next = this->Candidates.front();
-    this->Candidates.pop_front();
-    this->attach(Next, Now);
+    WorkerProfile New = *Next;
+    this->Candidates.erase(Next);
+    this->attach(New, Now);
   }
   // Otherwise its runs may go on until their lease has lapsed.
 }
@@ -100,7 +157,9 @@
 
 void WorkerSession::attach(const WorkerProfile &New, Instant Now) {
   this->tellCrash(Now);
+  bool SharesId = this->Profile && this->Profile->Id == New.Id;
   this->Profile = New;
+  this->Announced = true;
   this->ClockRead = New.Clock;
   this->ClockReadAt = Now.Steady;
   this->Acknowledged = 0;
@@ -110,7 +169,9 @@
   this->Answering = true;
   this->InDoubt = false;
   this->LastAnswer = Now.Steady;
-  this->LeaseEnds = Now.Steady;
+  // Calls until now may have brought a life of this id the longest lease, as
+  // their deadlines were on the last one's clock.
+  this->LeaseEnds = SharesId ? Now.Steady + this->Options.Lease : Now.Steady;
   this->HoldsOut = 0;
   this->Strangers.clear();
   // The time of day is higher than in any earlier life of this agent, unless
@@ -118,6 +179,7 @@
   std::uint64_t DayTime = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
   this->Token = std::max(this->Token + 1, DayTime);
   this->Log.decision("worker_attached", {{"worker", New.Id},
+                                         {"born", New.Born.value_or(0)},
                                          {"address", New.Address},
                                          {"pool", New.Pool},
                                          {"cpu_milli", New.Room.cpu_milli()},
@@ -125,19 +187,36 @@
                                          {"runs_lost", this->Runs.size()}});
   this->Port.attach(New);
   this->Events.onWorkerAttached(Now);
-  this->lapseAll(Now);
+  if (SharesId)
+    this->Inherited.merge(this->Runs);
+  else
+    this->lapseAll(Now);
+  this->Runs.clear();
   this->callHold(this->holdWait(Now), Now);
 }
 
+void WorkerSession::settleInherited(Instant Now) {
+  std::map<RunKey, Run> Over;
+  std::swap(Over, this->Inherited);
+  for (const auto &[Key, Known] : Over) {
+    // A start that was not listed then, or was sent again, may have been
+    // carried out by the present life, and its end acknowledged unread.
+    bool RanOnlyThere = Known.Listed && Known.StartsLost == 0;
+    this->Events.onRunEnded(
+        Key, RanOnlyThere ? RunEnd::Lapsed : RunEnd::Unknown, Now);
+  }
+}
+
 void WorkerSession::lapseAll(Instant Now) {
   std::map<RunKey, Run> Lost;
   std::swap(Lost, this->Runs);
   for (const auto &[Key, Known] : Lost)
     this->Events.onRunEnded(Key, RunEnd::Lapsed, Now);
+  this->settleInherited(Now);
 }
 
 bool WorkerSession::isCurrent(const WorkerLife &Life) const {
-  return this->Profile && this->Profile->Id == Life.Id;
+  return this->Profile && isSameLife(this->Profile->life(), Life);
 }
 
 } // namespace yardwheel
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -185,11 +185,7 @@
 
 void LeaseAgentProcess::onLeft(const WorkerLife &Life) {
   this->Node.loop().post([this, Life](Instant Now) {
-    bool Present = this->Keeper.session().hasWorker() &&
-                   this->Keeper.session().profile().Id == Life.Id;
-    if (!Present)
-      return;
-    this->Keeper.leave("the worker has left", Now);
+    this->Keeper.onWorkerLeft(Life, Now);
     this->announceChanges(Now);
   });
 }
@@ -198,6 +194,7 @@
                                 WorkerReply Reply) {
   this->Node.loop().post([this, Life, Run, Reply](Instant Now) {
     this->Keeper.session().onStartReply(Life, Run, Reply, Now);
+    this->announceChanges(Now);
   });
 }
 
@@ -205,6 +202,7 @@
                                WorkerReply Reply) {
   this->Node.loop().post([this, Life, Run, Reply](Instant Now) {
     this->Keeper.session().onStopReply(Life, Run, Reply, Now);
+    this->announceChanges(Now);
   });
 }
 
--- a/tests/agent/worker_lives_test.cpp
+++ b/tests/agent/worker_lives_test.cpp
@@ -3,6 +3,7 @@
 // place that tells two lives apart must go by the time of birth as well.
 
 #include "agent/worker_session.h"
+#include "tests/agent/keeper_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -321,3 +322,90 @@
     CHECK_TEXT(Fresh.isReady(), Row.Name);
   }
 }
+
+TEST_GROUP_BASE(KeeperLivesTest,
+                KeeperFixture){WorkerProfile profileBorn(std::uint64_t Born){
+    WorkerProfile Profile = profileOf(Born, 1);
+Profile.Id = WorkerId;
+Profile.Pool = "pool";
+Profile.Room.set_memory_mb(1000);
+return Profile;
+}
+void beginLife(LeaseKeeper &Keeper, std::uint64_t Born) {
+  Keeper.onProfile(profileBorn(Born), Now);
+  Keeper.session().onHoldReply({WorkerId, Born}, replyOf(Born), Now);
+  CHECK(Keeper.session().isReady());
+}
+/// Another life of the worker answers, and says what it is.
+void replaceLife(LeaseKeeper &Keeper, const WorkerReply &Held) {
+  Keeper.session().onHoldReply({WorkerId, FirstBorn}, replyOf(SecondBorn), Now);
+  Keeper.session().onHoldReply({WorkerId, SecondBorn}, Held, Now);
+  Keeper.onProfile(profileBorn(SecondBorn), Now);
+}
+}
+;
+
+// Held up on its way, it would take a new life out of use for good.
+TEST(KeeperLivesTest, ALateLeavingOfAnEarlierLifeChangesNothing) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  beginLife(Keeper, SecondBorn);
+  Keeper.onWorkerLeft({WorkerId, FirstBorn}, Now);
+  CHECK_FALSE(Keeper.isLeaving());
+  Keeper.onWorkerLeft({WorkerId, SecondBorn}, Now);
+  CHECK(Keeper.isLeaving());
+}
+
+// Entries tell lives of a worker apart by the agent's number for each.
+TEST(KeeperLivesTest, EachLifeOfOneIdHasANumberOfItsOwnForEntries) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  beginLife(Keeper, FirstBorn);
+  std::uint64_t Before = Keeper.incarnation();
+  replaceLife(Keeper, replyOf(SecondBorn));
+  CHECK(Keeper.incarnation() > Before);
+  // What was meant for the last life is not begun by the new one.
+  Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+  LONGS_EQUAL(0, Port.Starts.size());
+  CHECK(Sink.Updates.back().refusal() == peer::REFUSAL_STALE);
+}
+
+// The entry is told nothing that would let it place the task again; it takes
+// it for lost with the agent's earlier life.
+TEST(KeeperLivesTest, ATaskOfUnknownEndIsNotGivenBackForAnotherStart) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  beginLife(Keeper, FirstBorn);
+  Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+  LONGS_EQUAL(1, Port.Starts.size());
+  replaceLife(Keeper, replyOf(SecondBorn));
+  LONGS_EQUAL(0, Sink.Updates.size());
+  CHECK(Keeper.isIdle());
+  // Its room is free again.
+  peer::Message Next = dispatch("next", stamp(), 16000);
+  Next.mutable_leased_dispatch()->set_agent_incarnation(Keeper.incarnation());
+  Keeper.onMessage(EntryA, Next, Now);
+  LONGS_EQUAL(2, Port.Starts.size());
+}
+
+// A crash of one life is not counted for the next one of its id.
+TEST(KeeperLivesTest, CrashesAreToldByLife) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  beginLife(Keeper, FirstBorn);
+  std::uint64_t Life = Keeper.incarnation();
+  Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+  replaceLife(Keeper, replyOf(SecondBorn));
+  Keeper.onMessage(EntryA, renewal(stamp()), Now);
+  LONGS_EQUAL(1, Sink.Load.crashes_size());
+  CHECK(Sink.Load.crashes(0).incarnation() == Life);
+}
+
+// A worker refuses a run that is not above one that it has seen.
+TEST(KeeperLivesTest, RunNumbersGoOnRisingAcrossLives) {
+  LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+  beginLife(Keeper, FirstBorn);
+  Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+  replaceLife(Keeper, replyOf(SecondBorn));
+  peer::Message Again = dispatch("job", stamp());
+  Again.mutable_leased_dispatch()->set_agent_incarnation(Keeper.incarnation());
+  Keeper.onMessage(EntryA, Again, Now);
+  LONGS_EQUAL(2, Port.Starts.size());
+  CHECK(Port.Starts[1].Run.Run > Port.Starts[0].Run.Run);
+}
--- a/tests/platform/announcement_test.cpp
+++ b/tests/platform/announcement_test.cpp
@@ -18,12 +18,10 @@
   void onAnnounced(const WorkerProfile &Profile) override {
     this->Profiles.push_back(Profile);
   }
-  void onLeft(const WorkerLife &Life) override {
-    this->Left.push_back(Life.Id);
-  }
+  void onLeft(const WorkerLife &Life) override { this->Left.push_back(Life); }
 
   std::vector<WorkerProfile> Profiles;
-  std::vector<std::string> Left;
+  std::vector<WorkerLife> Left;
 };
 
 class RecordingReply final : public HttpReply {
@@ -172,6 +170,15 @@
       {"/sequence", -4},
       {"/sequence", 4.5},
       {"/sequence", 18446744073709551615ULL},
+      {"/born", nullptr},
+      {"/born", "1800000000000"},
+      {"/born", -1},
+      {"/born", 1.5},
+      {"/born", true},
+      {"/born", json::array({1})},
+      {"/born", json::object()},
+      {"/born", 1180591620717411303424.0},
+      {"/born", 18446744073709551615ULL},
       {"/zone", 7},
       {"/version", json::array()},
       {"/slots", "8"},
@@ -221,5 +228,25 @@
   CHECK_FALSE(Target.Profiles[0].Draining);
   CHECK(Target.Profiles[1].Draining);
   CHECK(call("", "i-1", "deregister") == HttpStatus::Ok);
-  STRCMP_EQUAL("i-1", Target.Left[0].c_str());
+  STRCMP_EQUAL("i-1", Target.Left[0].Id.c_str());
+}
+
+// A worker that starts again keeps its id.
+TEST(AnnouncementTest, ALifeIsNamedByItsTimeOfBirthToo) {
+  call(announcement().dump());
+  call(changed({"/born", 1800000000123}));
+  CHECK_FALSE(Target.Profiles[0].Born.has_value());
+  CHECK(Target.Profiles[1].Born == 1800000000123U);
+  for (const char *Body : {"", "{}", R"({"sequence":4})"})
+    CHECK_TEXT(call(Body, "i-1", "deregister") == HttpStatus::Ok, Body);
+  CHECK(call(R"({"born":1800000000123})", "i-1", "deregister") ==
+        HttpStatus::Ok);
+  LONGS_EQUAL(4, Target.Left.size());
+  CHECK_FALSE(Target.Left[0].Born.has_value());
+  CHECK(Target.Left[3].Born == 1800000000123U);
+  for (const char *Bad : {R"({"born":"x"})", R"({"born":-1})",
+                          R"({"born":null})", R"({"born":1.5})", "[]", "x"})
+    CHECK_TEXT(call(Bad, "i-1", "deregister") == HttpStatus::BadRequest, Bad);
+  LONGS_EQUAL(4, Target.Left.size());
+  LONGS_EQUAL(6, Gate.refused());
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -304,7 +304,10 @@
   for (const Row &Row : Rows)
     CHECK(decodeReply(Row.Status, Row.Body).Refusal == Row.Expected);
   for (const char *Bad :
-       {"", "x", R"({"clockMs":-1})", R"({"running":7})", R"({"ended":{}})"})
+       {"", "x", R"({"clockMs":-1})", R"({"running":7})", R"({"ended":{}})",
+        R"({"born":"x"})", R"({"born":-1})", R"({"born":1.5})",
+        R"({"born":null})", R"({"born":true})", R"({"born":[1]})",
+        R"({"born":1180591620717411303424})"})
     CHECK_FALSE_TEXT(complaint([&] { decodeReply(200, Bad); }).empty(), Bad);
   // A row that cannot be read is counted, and is none of the rows that were.
   for (const char *Bad :
@@ -339,8 +342,9 @@
     CHECK_FALSE_TEXT(parseTaskName(Strange, 1).has_value(), Strange);
   WorkerReply Reply = decodeReply(
       200,
-      R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.0.17",2,"",41],
+      R"({"clockMs":1,"born":1800000000123,"running":[["5c0e7a21d94b36f8.0.0.17",2,"",41],
       ["x.1.1.1",4,"",0]],"ended":[[58,"5c0e7a21d94b36f8.0.0.9",1,"done",""]]})");
+  CHECK(Reply.Born == 1800000000123U);
   CHECK(Reply.Running[0] == Run);
   STRCMP_EQUAL("x.1.1.1", taskName(Reply.Running[1]).c_str());
   LONGS_EQUAL(58, Reply.Ended[0].Number);
