--- a/emulator/leased_agent.cpp
+++ b/emulator/leased_agent.cpp
@@ -39,6 +39,19 @@
   this->beginLife();
 }
 
+void LeasedAgent::crashWorker(std::chrono::milliseconds RestartAfter,
+                              std::chrono::milliseconds Late) {
+  if (!this->Worker.isUp())
+    return;
+  WorkerProfile Last = this->Worker.announce();
+  this->Worker.crash(RestartAfter);
+  this->World.after(Late, [this, Last] {
+    this->World.runOn(this->Name, [this, Last] {
+      this->Keeper->onProfile(Last, this->World.now());
+    });
+  });
+}
+
 void LeasedAgent::beginLife() {
   ++this->Life;
   KeeperOptions Options = this->Options.Keeper;
--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -48,6 +48,10 @@
   /// on, and announces itself again within a second.
   void restart();
   void setCallFaults(WorkerCallFaults New) { this->Faults = New; }
+  /// Ends the worker's life; another begins after \p RestartAfter. The last
+  /// announcement of the old one arrives once more after \p Late.
+  void crashWorker(std::chrono::milliseconds RestartAfter,
+                   std::chrono::milliseconds Late);
 
   void attach(const WorkerProfile &New) override {
     this->Attached = New.life();
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -29,6 +29,7 @@
   Own.Tick = Options.Tick;
   Own.Keeper = Options.Keeper;
   Own.Worker.RestartAfter = Options.RestartAfter;
+  Own.Worker.KeepsId = Options.WorkersKeepId;
   Own.Worker.RoomMilli = Options.RoomsMilli[Which % Options.RoomsMilli.size()];
   Own.Seed = Options.Seed * Options.Agents + Which;
   return Own;
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -42,6 +42,8 @@
   std::chrono::milliseconds WarmUp{200};
   /// A worker that has crashed is back after this long, as another life.
   std::chrono::milliseconds RestartAfter{2500};
+  /// Each life of a worker has the id of the first.
+  bool WorkersKeepId = false;
 };
 
 /// What serving the load has cost the entries.
--- a/emulator/virtual_worker.cpp
+++ b/emulator/virtual_worker.cpp
@@ -255,7 +255,9 @@
   this->answerHolds();
 }
 
-void VirtualWorker::crash() {
+void VirtualWorker::crash() { this->crash(this->Options.RestartAfter); }
+
+void VirtualWorker::crash(std::chrono::milliseconds RestartAfter) {
   if (!this->Up)
     return;
   this->Up = false;
@@ -265,7 +267,7 @@
   this->LastOver.clear();
   this->Ended.clear();
   this->answerHolds();
-  this->World.after(this->Options.RestartAfter, [this] { this->restart(); });
+  this->World.after(RestartAfter, [this] { this->restart(); });
 }
 
 void VirtualWorker::restart() {
--- a/emulator/virtual_worker.h
+++ b/emulator/virtual_worker.h
@@ -66,8 +66,9 @@
   WorkerReply stop(const std::string &Id, const StopCall &Call);
   /// Answers once it has an end to tell, or the call's wait is over.
   void hold(const std::string &Id, const HoldCall &Call, Answer Reply);
-  /// Power fails: what runs ends, and another life begins.
+  /// What runs ends, and another life begins some time later.
   void crash();
+  void crash(std::chrono::milliseconds RestartAfter);
 
 private:
   struct Run {
--- a/tests/entry/lease_hunt_test.cpp
+++ b/tests/entry/lease_hunt_test.cpp
@@ -18,6 +18,20 @@
 /// Within so many a planted fault must be seen.
 constexpr std::uint64_t PlantedSeeds = 3000;
 
+/// Plays a story in which workers, and in some all hosts, start again.
+bool isBadWithRestarts(std::uint64_t Seed) {
+  LeaseStoryOptions Options = LeaseStory::options(Seed);
+  Options.MostWorkerCrashes = 6;
+  Options.World.WorkersKeepId = Seed % 4 != 0;
+  Options.PowerLoss = Seed % 2 == 0;
+  LeaseStory Story(Options);
+  std::string Found = Story.play();
+  if (!Found.empty())
+    UT_PRINT(
+        fmt::format("seed {}: {}{}", Seed, Found, Story.describe()).c_str());
+  return !Found.empty();
+}
+
 } // namespace
 
 TEST_GROUP(LeaseHuntTest){};
@@ -43,6 +57,25 @@
   CHECK(Completed * 100 >= Jobs * 98);
 }
 
+// Workers crash and start again beside the other faults, each life under the id
+// of the first or under its own.
+TEST(LeaseHuntTest, NoTaskRunsTwiceAtOnceWhereWorkersStartAgain) {
+  SeedRange Seeds = seedRange(DefaultSeeds);
+  std::uint32_t Bad = 0;
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed)
+    Bad += isBadWithRestarts(Seed) ? 1 : 0;
+  LONGS_EQUAL(0, Bad);
+}
+
+// A start that is carried out seconds late reaches the next life of the same
+// id. While its agent stands still or is gone, nothing has fenced it off.
+TEST(LeaseHuntTest, ALateStartIsNotBegunByTheNextLifeOfItsId) {
+  std::uint32_t Bad = 0;
+  for (std::uint64_t Seed : {511, 1785, 2190, 4957})
+    Bad += isBadWithRestarts(Seed) ? 1 : 0;
+  LONGS_EQUAL(0, Bad);
+}
+
 // Each rule off by itself, so that a quiet hunt says something.
 TEST(LeaseHuntTest, TheHuntSeesPlantedFaults) {
   struct Row {
--- a/tests/entry/lease_story.h
+++ b/tests/entry/lease_story.h
@@ -22,6 +22,10 @@
 struct LeaseStoryOptions {
   LeasedWorldOptions World;
   PersistentCallerOptions Callers;
+  /// Most times that workers crash and start again in a story.
+  std::uint32_t MostWorkerCrashes = 0;
+  /// Whether all hosts lose power at the same moment, once.
+  bool PowerLoss = false;
 };
 
 class LeaseStory {
@@ -39,6 +43,8 @@
     return static_cast<std::uint32_t>(this->Callers.size());
   }
   std::uint32_t completed() const;
+  /// Jobs that ended as crashing, in stories with workers that crash.
+  std::uint32_t givenUp() const;
   std::uint32_t doubledRuns() const { return this->World.doubledRuns(); }
 
 private:
@@ -62,6 +68,10 @@
   void kill(const Focus &Near);
   void loseCalls(const Focus &Near);
   void makeNoise();
+  void planWorkerCrashes();
+  /// All processes and workers lose power at the same moment, and come back one
+  /// after the other.
+  void planPowerLoss();
   void planJob(std::chrono::milliseconds At);
   void note(const std::string &What);
   std::string findings() const;
