--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -48,8 +48,14 @@
   /// on, and announces itself again within a second.
   void restart();
   void setCallFaults(WorkerCallFaults New) { this->Faults = New; }
+  /// Ends the worker's life; another begins after \p RestartAfter. The last
+  /// announcement of the old one arrives once more after \p Late.
+  void crashWorker(std::chrono::milliseconds RestartAfter,
+                   std::chrono::milliseconds Late);
 
-  void attach(const WorkerProfile &New) override { this->Attached = New.Id; }
+  void attach(const WorkerProfile &New) override {
+    this->Attached = New.life();
+  }
   void start(const StartCall &Call) override;
   void stop(const StopCall &Call) override;
   void hold(const HoldCall &Call) override;
@@ -76,7 +82,7 @@
   std::mt19937_64 Random;
   VirtualWorker Worker;
   /// The life of the worker that the agent speaks to.
-  std::string Attached;
+  WorkerLife Attached;
   std::uint64_t Life = 0;
   WorkerCallFaults Faults;
   std::unique_ptr<LeaseKeeper> Keeper;
