--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -164,6 +164,10 @@
                       {"task", Update.index()},
                       {"agent", Agent},
                       {"attempt", Update.attempt()},
+                      {"order", Update.order()},
+                      {"sent_to_life", Which.Incarnation},
+                      {"refused_by_life", Update.load().incarnation()},
+                      {"repeated", Which.Repeated},
                       {"refusal", peer::LeasedRefusal_Name(Update.refusal())},
                       {"reason", Update.reason()}});
   if (Target.Phase != JobPhase::Running)
@@ -358,6 +362,8 @@
                       {"took_ms", millisBetween(Target.Taken, Now.Steady)},
                       {"objective_ms", Target.Request.Objective.count()},
                       {"estimate_ms", Target.Request.Estimate.count()},
+                      {"may_have_run", Target.MayHaveRun},
+                      {"placements_out", Target.OutCount},
                       {"tasks", Target.Tasks.size()},
                       {"done", Target.DoneCount}});
   this->Metrics.onEnded(Target.Request.Route, Answer.End,
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -187,6 +187,7 @@
        {"table_age_ms", Standing.ageMillis()},
        {"newer_known", Standing.NewerKnown},
        {"idle_ms_ago", millisBetween(LastIdle, Now.Steady)},
+       {"control", this->Announce.describeControl(Now.Steady)},
        {"table_version", this->Catalog.view()->Routes.version()}});
 }
 
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -64,6 +64,10 @@
   /// every message of every peer.
   void noteRevision(std::uint64_t Revision, Instant Now);
   void onReply(const peer::HeartbeatReply &Reply, Instant Now);
+  /// How control has answered of late, for logs.
+  std::string describeControl(TimePoint Now) const {
+    return this->Search.describeAnswers(Now);
+  }
   /// Adds control replicas to those that are tried.
   void addControls(const std::vector<PeerRef> &Added);
   /// Announces the state that \p Change has made at once.
--- a/membership/control_search.cpp
+++ b/membership/control_search.cpp
@@ -1,6 +1,7 @@
 #include "membership/control_search.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace yardwheel {
 
@@ -158,7 +159,10 @@
   Question Answered = Found->second;
   this->Open.erase(Found);
   Replica &From = this->Replicas[Answered.Replica];
-  From.Refused = std::max(From.Refused, Answered.Sent);
+  if (Answered.Sent >= From.Refused) {
+    From.Refused = Answered.Sent;
+    From.Named = Leader;
+  }
   // A late word of a replica that was left long ago.
   if (!this->Searching && Answered.Replica != this->Current)
     return false;
@@ -194,6 +198,21 @@
   return Result;
 }
 
+std::string ControlSearch::describeAnswers(TimePoint Now) const {
+  std::string Text;
+  for (const Replica &Known : this->Replicas) {
+    bool Refused = Known.Refused != TimePoint::min() &&
+                   Known.Refused >= Known.Asked - this->Options.AnswerWithin;
+    Text += fmt::format("{}{} {}", Text.empty() ? "" : ", ", Known.Peer.Address,
+                        Refused ? "refused" : "silent");
+    if (Refused && !Known.Named.empty())
+      Text += fmt::format(" for {}", Known.Named);
+    if (Known.Asked != TimePoint::min())
+      Text += fmt::format(" {} ms", millisBetween(Known.Asked, Now));
+  }
+  return Text;
+}
+
 TimePoint ControlSearch::searchedSince() const {
   TimePoint Since = TimePoint::max();
   for (std::size_t I = 0; I < this->Replicas.size(); ++I)
--- a/membership/control_search.h
+++ b/membership/control_search.h
@@ -79,6 +79,8 @@
   /// A leader was heard, but not in answer to a question.
   void onPushed(TimePoint Now);
 
+  /// How each replica answered its latest question, for logs.
+  std::string describeAnswers(TimePoint Now) const;
   /// Each replica known has been asked since this time, and has refused or left
   /// the question unanswered; the least time if that cannot be said.
   TimePoint searchedSince() const;
@@ -89,6 +91,8 @@
     TimePoint Asked = TimePoint::min();
     /// When the latest question that it refused was sent.
     TimePoint Refused = TimePoint::min();
+    /// The address of the leader that it named then; empty if none.
+    std::string Named;
     /// Since when silence speaks against its connection.
     TimePoint Connected = TimePoint::min();
   };
