--- a/tests/control/entry_table_test.cpp
+++ b/tests/control/entry_table_test.cpp
@@ -17,6 +17,7 @@
 #include "tests/control/seeded_cluster.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <optional>
 #include <vector>
 
@@ -146,6 +147,14 @@
                                 SeededCluster::addressOf(B));
   }
 
+  /// What the leader sends does not reach the entry; its questions do.
+  void silenceLeaderTowardsEntry() {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      if (this->leads(Host))
+        this->Cluster.World.cutOneWay(SeededCluster::addressOf(Host),
+                                      EntryAddress);
+  }
+
   void killAll() {
     for (std::size_t Host = 0; Host < Hosts; ++Host)
       this->Cluster.kill(Host);
@@ -274,3 +283,20 @@
     LONGS_EQUAL_TEXT(0, Story.Late.count(), Found.c_str());
   }
 }
+
+// The leader takes changes, and its answers to the entry are lost, as while its
+// connection to a busy entry is made anew. That the others refuse, and name it,
+// shows that there is a leader.
+TEST(EntryTableTest, ALeaderWhoseAnswersAreLostIsNotTakenForGone) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SplitStory Story(Seed);
+    Story.silenceLeaderTowardsEntry();
+    Story.play(8s);
+    std::string Found = fmt::format(
+        "seed {}: an old table served {} ms too long, {}", Seed,
+        std::chrono::duration_cast<std::chrono::milliseconds>(Story.Late)
+            .count(),
+        tableStateName(Story.StateWhenLate));
+    CHECK_TEXT(Story.Late.count() == 0, Found.c_str());
+  }
+}
