An entry that others tell of a leader does not take it for gone

Cause (the class: a conclusion from silence, though somebody speaks): an entry whose questions to the leader stay unanswered asks all replicas. Each that refused or left the question for 600 ms counted as one that does not lead, so five refusals and one silence made 'unreachable', by which an old table is served. But the five refuse because they hear the sixth: their refusals name it.

Change: a replica that has refused of late and names a leader is a witness of it, unless that one has refused as well about then. With a witness the table is 'unknown', and requests are refused (503) until the leader is heard.

That this made the recorded answers is not shown: the record has no lines of the entry, and agents that show their revision should have stopped it.

--- a/membership/control_search.cpp
+++ b/membership/control_search.cpp
@@ -213,7 +213,25 @@
   return Text;
 }
 
+bool ControlSearch::hasWitness() const {
+  return std::ranges::any_of(this->Replicas, [this](const Replica &Witness) {
+    bool IsFresh =
+        Witness.Refused != TimePoint::min() &&
+        Witness.Asked - Witness.Refused <= this->Options.AnswerWithin;
+    if (!IsFresh)
+      return false;
+    std::optional<std::size_t> Leader = this->find(Witness.Named);
+    if (!Leader)
+      return !Witness.Named.empty();
+    // A replica may name a leader of a moment ago.
+    return this->Replicas[*Leader].Refused <
+           Witness.Refused - this->Options.AnswerWithin;
+  });
+}
+
 TimePoint ControlSearch::searchedSince() const {
+  if (this->hasWitness())
+    return TimePoint::min();
   TimePoint Since = TimePoint::max();
   for (std::size_t I = 0; I < this->Replicas.size(); ++I)
     Since = std::min(Since, this->inVain(I));
--- a/membership/control_search.h
+++ b/membership/control_search.h
@@ -82,7 +82,8 @@
   /// How each replica answered its latest question, for logs.
   std::string describeAnswers(TimePoint Now) const;
   /// Each replica known has been asked since this time, and has refused or left
-  /// the question unanswered; the least time if that cannot be said.
+  /// the question unanswered; the least time if that cannot be said, or one of
+  /// them hears a leader.
   TimePoint searchedSince() const;
 
 private:
@@ -102,6 +103,9 @@
   };
 
   std::optional<std::size_t> find(const std::string &Address) const;
+  /// Whether a replica that refused named a leader that has not refused itself
+  /// about then: that one is there, though its answers do not arrive.
+  bool hasWitness() const;
   std::size_t leastRecentlyAsked() const;
   /// Questions to the present replica without an answer since it was turned to.
   std::size_t unanswered() const;
--- a/tests/membership/control_search_test.cpp
+++ b/tests/membership/control_search_test.cpp
@@ -148,6 +148,19 @@
        500ms,
        false},
       {"one refuses, others silent", {Refuses, Silent, Silent}, 900ms, true},
+      {"one names a silent one", {Silent, {Part::Refuses, 0}}, 3000ms, false},
+      {"one names one that is not known",
+       {Silent, {Part::Refuses, 7}},
+       3000ms,
+       false},
+      {"one names one that refuses",
+       {Refuses, {Part::Refuses, 0}},
+       200ms,
+       true},
+      {"two name each other",
+       {{Part::Refuses, 1}, {Part::Refuses, 0}},
+       200ms,
+       true},
   };
   for (const Row &Row : Rows) {
     ControlSearch Search = make(Row.Script);
@@ -159,6 +172,16 @@
   }
 }
 
+// What it said of a leader before is no longer known to be so.
+TEST(ControlSearchTest, AReplicaThatFallsSilentSpeaksForNoLeader) {
+  ControlSearch Search = make({{Part::Silent}, {Part::Refuses, 0}});
+  play(Search, 1500ms);
+  CHECK(Search.searchedSince() == TimePoint::min());
+  Replicas[1].Plays = Part::Silent;
+  play(Search, 2000ms);
+  CHECK(Search.searchedSince() != TimePoint::min());
+}
+
 TEST(ControlSearchTest, WhatWasFoundGoesWithTheNextSignOfALeader) {
   ControlSearch Search = make({{Part::Refuses}, {Part::Refuses}});
   play(Search, 300ms);
