Test: a worker that starts again under its id, beside real processes

The stand-in worker begins another life under its id on demand: nothing is answered for a while, and its sequence, ends, clock, token and runs begin anew. Once, before anybody has missed it, under a job, and five times in a row.

--- a/tests/system/platform_runs_test.cpp
+++ b/tests/system/platform_runs_test.cpp
@@ -68,6 +68,55 @@
   LONGS_EQUAL(4, Served);
 }
 
+// It holds and knows nothing of before, and counts its ends from 1 again. Taken
+// for the life before, it left jobs without an answer until their deadline.
+TEST(PlatformRunsTest, AWorkerThatStartsAgainUnderItsIdServesOn) {
+  struct Row {
+    const char *Name;
+    int Restarts;
+    std::chrono::milliseconds Down;
+    bool UnderAJob;
+  };
+  const Row Rows[] = {
+      {"once", 1, 300ms, false},
+      {"before anybody has missed it", 1, 5ms, false},
+      {"under a job", 1, 300ms, true},
+      {"under a job, at once", 1, 5ms, true},
+      {"five in a row", 5, 100ms, true},
+  };
+  PlatformCluster Cluster;
+  Cluster.startAll();
+  int Job = 0xb00;
+  auto Submit = [&](int Millis) {
+    return Cluster.submit(1, fmt::format("{:016x}", ++Job), BothWorkers, Millis)
+        .Status;
+  };
+  for (const Row &Row : Rows) {
+    // Their ends are acknowledged, up to a number that the next life has not.
+    CHECK_TEXT(waitFor([&] { return Cluster.usesBothWorkers(1); }), Row.Name);
+    std::future<long> Under;
+    auto Begun = std::chrono::steady_clock::now();
+    if (Row.UnderAJob) {
+      Under = std::async(std::launch::async, Submit, 800);
+      CHECK(waitFor([&] { return Cluster.Recorder.alive() == BothWorkers; }));
+    }
+    for (int I = 0; I < Row.Restarts; ++I) {
+      for (auto &[Side, Worker] : Cluster.Workers)
+        Worker->restart(Row.Down);
+      std::this_thread::sleep_for(Row.Down + 50ms);
+    }
+    if (Row.UnderAJob) {
+      long Status = Under.get();
+      CHECK_TEXT(Status == 200 || Status == 504, Row.Name);
+      auto Took = std::chrono::steady_clock::now() - Begun;
+      CHECK_TEXT(Took < Cluster.RouteTimeout - 200ms, Row.Name);
+    }
+    // Within a heartbeat of a worker, callers that come again are served.
+    CHECK_TEXT(waitFor([&] { return Submit(50) == 200; }), Row.Name);
+    LONGS_EQUAL_TEXT(0, Cluster.Recorder.overlaps(), Row.Name);
+  }
+}
+
 // Connections may go silent without a reset while new ones work.
 TEST(PlatformRunsTest, SilentConnectionsToWorkersAreReplaced) {
   PlatformCluster Cluster;
--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -26,6 +26,9 @@
   Serving.Headers = {LifeHeader};
   // The handler lives as long as the server, which this object owns.
   std::shared_ptr<HttpHandler> Handler(this, [](HttpHandler *) {});
+  this->Born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count();
   this->Server = std::make_unique<HttpServer>(Serving, Handler);
   this->Ticker = std::thread([this] {
     while (!this->Stopping.load()) {
@@ -54,6 +57,31 @@
     this->Recorder.onEnd(Task, this->Options.Id, Now, false);
 }
 
+void PlatformWorker::restart(std::chrono::milliseconds Down) {
+  std::lock_guard Lock(this->Mutex);
+  auto Now = Clock::now();
+  this->settle(Now);
+  for (const auto &[Task, Known] : this->Runs)
+    this->Recorder.onEnd(Task, this->Options.Id, Now, false);
+  this->Runs.clear();
+  this->LastRuns.clear();
+  this->Ends.clear();
+  this->LastEnd = 0;
+  this->LeaseUntil = 0;
+  this->Token = 0;
+  this->Sequence = 0;
+  this->Holds.clear();
+  this->LateStarts.clear();
+  this->DownUntil = Now + Down;
+  this->Begun = this->DownUntil - std::chrono::seconds(1);
+  this->Born += Down.count() + 1;
+}
+
+void PlatformWorker::addBorn(json &Body) const {
+  if (this->Options.SaysBorn)
+    Body["born"] = this->Born;
+}
+
 void PlatformWorker::delayStarts(std::chrono::milliseconds Delay) {
   std::lock_guard Lock(this->Mutex);
   this->Delay = Delay;
@@ -66,6 +94,9 @@
 }
 
 void PlatformWorker::announce() {
+  std::unique_lock Lock(this->Mutex);
+  if (this->isDown())
+    return;
   json Body = {
       {"service", this->Options.Pool},
       {"address", this->Options.Announced.empty() ? this->Options.Listen
@@ -80,6 +111,8 @@
       {"labels", {"a", "r1"}},
       {"clockMs", this->clockMs()},
       {"sequence", ++this->Sequence}};
+  this->addBorn(Body);
+  Lock.unlock();
   HttpClient Client(CallTimeout);
   Client.call("POST",
               fmt::format("http://{}/instances/{}/heartbeat",
@@ -180,6 +213,7 @@
   json Body = {{"clockMs", this->clockMs()},
                {"running", Running},
                {"ended", this->Ends}};
+  this->addBorn(Body);
   HttpAnswer Answer;
   Answer.Body = Body.dump();
   Reply->send(Answer);
@@ -197,6 +231,8 @@
   }
   json Body = json::parse(Request.Body);
   std::lock_guard Lock(this->Mutex);
+  if (this->isDown())
+    return;
   this->settle(Clock::now());
   if (Request.Resource == "/run-start") {
     if (this->Delay.count() > 0)
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -39,6 +39,8 @@
   int CpuMilli = 4000;
   std::chrono::milliseconds HeartbeatEvery{300};
   std::chrono::milliseconds MaxLease{1000};
+  /// Whether it says when its life began.
+  bool SaysBorn = true;
 };
 
 class PlatformWorker final : public HttpHandler {
@@ -53,6 +55,9 @@
   /// this.
   void delayStarts(std::chrono::milliseconds Delay);
   void setDraining() { this->Draining.store(true); }
+  /// Ends this life and all that it holds, and begins another under the same id
+  /// after \p Down, in which nothing is answered. Returns at once.
+  void restart(std::chrono::milliseconds Down);
   std::uint64_t highestToken() const { return this->Token; }
   /// Runs that it has begun.
   int starts() const { return this->Starts.load(); }
@@ -87,6 +92,9 @@
              const std::string &Refusal) const;
   void answerHold(const std::shared_ptr<HttpReply> &Reply) const;
   std::int64_t clockMs() const;
+  bool isDown() const { return Clock::now() < this->DownUntil; }
+  /// Names the present life in what it says of itself.
+  void addBorn(nlohmann::json &Body) const;
   void tick();
   void announce();
 
@@ -104,6 +112,8 @@
   std::deque<Waiting> Holds;
   std::deque<Late> LateStarts;
   std::chrono::milliseconds Delay{0};
+  Clock::time_point DownUntil{};
+  std::int64_t Born = 0;
   std::atomic<bool> Draining{false};
   /// Of the last announcement.
   std::uint64_t Sequence = 0;
