--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -179,6 +179,10 @@
     this->startWorker(Fault.Host);
     return;
   }
+  if (Fault.Kind == SoakFaultKind::WorkerRestart) {
+    this->Cluster.Workers.at(Fault.Host)->restart(Fault.For);
+    return;
+  }
   this->Cluster.Workers.at(Fault.Host)->delayStarts(Fault.Delay);
   this->LateStartsUntil[Fault.Host] = Clock::now() + Fault.For;
 }
@@ -214,6 +218,7 @@
       this->changeSettings(Fault.Host, Fault.Kind == SoakFaultKind::Settings);
     break;
   case SoakFaultKind::WorkerCrash:
+  case SoakFaultKind::WorkerRestart:
   case SoakFaultKind::LateStarts:
     this->applyToWorker(Fault);
     break;
--- a/tests/system/soak_main.cpp
+++ b/tests/system/soak_main.cpp
@@ -182,6 +182,8 @@
       Given.Options.Seed = std::stoull(Value);
     else if (Name == "--seconds")
       Given.Options.Length = std::chrono::seconds(std::stoi(Value));
+    else if (Name == "--restarts" && (Value == "yes" || Value == "no"))
+      Given.Options.Restarts = Value == "yes";
     else if (Name == "--count")
       Given.Count = std::stoi(Value);
     else if (Name == "--scale" && (Value == "small" || Value == "large")) {
@@ -201,7 +203,7 @@
   Arguments Given;
   if (!parse(Count, Words, Given)) {
     std::cerr << "expected --seed N, --count N, --seconds S, --scale "
-                 "small|large\n";
+                 "small|large, --restarts yes|no\n";
     return 2;
   }
   curl_global_init(CURL_GLOBAL_ALL);
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -14,6 +14,10 @@
 /// Between two series, and between two faults of one.
 constexpr int MaxPauseMs = 900;
 constexpr int MaxGapMs = 300;
+/// Between two restarts of workers, and how long one is down.
+constexpr int MaxRestartPauseMs = 2500;
+constexpr int MaxDownMs = 2000;
+constexpr int ShortDownMs = 50;
 
 const char *nameOf(SoakFaultKind Kind) {
   switch (Kind) {
@@ -37,6 +41,8 @@
     return "link silence";
   case SoakFaultKind::WorkerCrash:
     return "worker crash";
+  case SoakFaultKind::WorkerRestart:
+    return "worker restart";
   case SoakFaultKind::LateStarts:
     return "late starts";
   }
@@ -91,6 +97,17 @@
     return std::uniform_int_distribution<int>(Low, High)(this->Random);
   }
 
+  SoakFault nextRestart(milliseconds At) {
+    SoakFault Fault;
+    Fault.At = At;
+    Fault.Kind = SoakFaultKind::WorkerRestart;
+    Fault.Host = this->agent();
+    // Some are back before anybody has missed them.
+    bool Short = this->pick(0, 2) == 0;
+    Fault.For = milliseconds(this->pick(1, Short ? ShortDownMs : MaxDownMs));
+    return Fault;
+  }
+
 private:
   const KindRow &pickKind() {
     std::vector<double> Weights;
@@ -151,6 +168,17 @@
     }
     At += milliseconds(Plan.pick(0, MaxPauseMs));
   }
+  if (!Options.Restarts)
+    return Faults;
+  SoakOptions Other = Options;
+  Other.Seed = ~Options.Seed;
+  Planner Restarts(Other);
+  At = milliseconds(Restarts.pick(0, MaxRestartPauseMs));
+  while (At < Options.Length) {
+    Faults.push_back(Restarts.nextRestart(At));
+    At += milliseconds(Restarts.pick(0, MaxRestartPauseMs));
+  }
+  std::ranges::stable_sort(Faults, {}, &SoakFault::At);
   return Faults;
 }
 
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -22,6 +22,9 @@
   int Entries = 2;
   int Agents = 3;
   int Callers = 8;
+  /// Whether workers start again under their ids beside the other faults, whose
+  /// plan is the same with and without.
+  bool Restarts = true;
 };
 
 enum class SoakFaultKind {
@@ -38,6 +41,8 @@
   LinkSilence,
   /// A worker's life ends and another begins.
   WorkerCrash,
+  /// A worker's life ends, and another begins under its id.
+  WorkerRestart,
   /// A worker carries out starts late and without a reply.
   LateStarts,
 };
