--- /dev/null
+++ b/tests/agent/session_recorders.h
@@ -0,0 +1,65 @@
+//===- tests/agent/session_recorders.h - What a session does ----*- C++ -*-===//
+///
+/// \file
+/// Records the calls of a worker session, and what it tells its agent.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_TESTS_AGENT_SESSION_RECORDERS_H
+#define YARDWHEEL_TESTS_AGENT_SESSION_RECORDERS_H
+
+#include "agent/worker_session.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yardwheel {
+
+class RecordingPort final : public WorkerPort {
+public:
+  void attach(const WorkerProfile &Profile) override {
+    this->Life = Profile.Id;
+    this->Born = Profile.Born;
+  }
+  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
+  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
+  void hold(const HoldCall &Call) override { this->Holds.push_back(Call); }
+  WorkerLife life() const { return {this->Life, this->Born}; }
+
+  /// The id of the life that calls go to, and its time of birth.
+  std::string Life;
+  std::optional<std::uint64_t> Born;
+  std::vector<StartCall> Starts;
+  std::vector<StopCall> Stops;
+  std::vector<HoldCall> Holds;
+};
+
+class RecordingEvents final : public SessionEvents {
+public:
+  void onRunRefused(const RunKey &, WorkerRefusal Why, Instant) override {
+    this->Refusals.push_back(Why);
+  }
+  void onRunEnded(const RunKey &, RunEnd How, Instant) override {
+    this->Ends.push_back(How);
+  }
+  void onWorkerAttached(Instant) override { ++this->Attached; }
+  void onWorkerCrashed(const std::vector<RunKey> &Runs, Instant) override {
+    this->Crashed.push_back(Runs.size());
+  }
+  void onWorkerReady(Instant) override { ++this->Ready; }
+  void onWorkerSilent(Instant) override { ++this->Silent; }
+  TimePoint runsEndBy(Instant) const override { return this->EndBy; }
+
+  TimePoint EndBy = TimePoint::max();
+  std::vector<WorkerRefusal> Refusals;
+  std::vector<RunEnd> Ends;
+  /// Of each crash, the number of runs.
+  std::vector<std::size_t> Crashed;
+  int Attached = 0;
+  int Ready = 0;
+  int Silent = 0;
+};
+
+} // namespace yardwheel
+
+#endif
--- a/tests/agent/worker_lives_test.cpp
+++ b/tests/agent/worker_lives_test.cpp
@@ -2,8 +2,8 @@
 // before: its announcements, its ends, its clock and its runs begin anew. Each
 // place that tells two lives apart must go by the time of birth as well.
 
-#include "agent/worker_session.h"
 #include "tests/agent/keeper_fixture.h"
+#include "tests/agent/session_recorders.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,43 +18,6 @@
 const WorkerLife First{Id, FirstBorn};
 const WorkerLife Second{Id, SecondBorn};
 
-class RecordingPort final : public WorkerPort {
-public:
-  void attach(const WorkerProfile &Profile) override {
-    this->Life = Profile.life();
-  }
-  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
-  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
-  void hold(const HoldCall &Call) override { this->Holds.push_back(Call); }
-
-  WorkerLife Life;
-  std::vector<StartCall> Starts;
-  std::vector<StopCall> Stops;
-  std::vector<HoldCall> Holds;
-};
-
-class RecordingEvents final : public SessionEvents {
-public:
-  void onRunRefused(const RunKey &, WorkerRefusal Why, Instant) override {
-    this->Refusals.push_back(Why);
-  }
-  void onRunEnded(const RunKey &, RunEnd How, Instant) override {
-    this->Ends.push_back(How);
-  }
-  void onWorkerAttached(Instant) override { ++this->Attached; }
-  void onWorkerCrashed(const std::vector<RunKey> &Runs, Instant) override {
-    this->Crashed.push_back(Runs.size());
-  }
-  void onWorkerReady(Instant) override { ++this->Ready; }
-  void onWorkerSilent(Instant) override {}
-
-  std::vector<WorkerRefusal> Refusals;
-  std::vector<RunEnd> Ends;
-  std::vector<std::size_t> Crashed;
-  int Attached = 0;
-  int Ready = 0;
-};
-
 WorkerReply replyOf(std::optional<std::uint64_t> Born,
                     WorkerRefusal Refusal = WorkerRefusal::None) {
   WorkerReply Reply;
@@ -315,9 +278,9 @@
     int Attached = Events.Attached;
     WorkerSession Fresh(Options, Port, Events);
     Fresh.onProfile(profileOf(Row.Announced, 1), Now);
-    Fresh.onHoldReply(Port.Life, replyOf(Row.Replied), Now);
+    Fresh.onHoldReply(Port.life(), replyOf(Row.Replied), Now);
     Fresh.onProfile(profileOf(Row.Again, 2), Now);
-    Fresh.onHoldReply(Port.Life, replyOf(Row.Replied), Now);
+    Fresh.onHoldReply(Port.life(), replyOf(Row.Replied), Now);
     LONGS_EQUAL_TEXT(Attached + 1, Events.Attached, Row.Name);
     CHECK_TEXT(Fresh.isReady(), Row.Name);
   }
--- a/tests/agent/worker_session_test.cpp
+++ b/tests/agent/worker_session_test.cpp
@@ -1,4 +1,4 @@
-#include "agent/worker_session.h"
+#include "tests/agent/session_recorders.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,42 +7,6 @@
 
 namespace {
 
-class RecordingPort final : public WorkerPort {
-public:
-  void attach(const WorkerProfile &Profile) override {
-    this->Life = Profile.Id;
-  }
-  void start(const StartCall &Call) override { this->Starts.push_back(Call); }
-  void stop(const StopCall &Call) override { this->Stops.push_back(Call); }
-  void hold(const HoldCall &Call) override { this->Holds.push_back(Call); }
-
-  std::string Life;
-  std::vector<StartCall> Starts;
-  std::vector<StopCall> Stops;
-  std::vector<HoldCall> Holds;
-};
-
-class RecordingEvents final : public SessionEvents {
-public:
-  void onRunRefused(const RunKey &, WorkerRefusal Why, Instant) override {
-    this->Refusals.push_back(Why);
-  }
-  void onRunEnded(const RunKey &, RunEnd How, Instant) override {
-    this->Ends.push_back(How);
-  }
-  void onWorkerAttached(Instant) override { ++this->Attached; }
-  void onWorkerReady(Instant) override { ++this->Ready; }
-  void onWorkerSilent(Instant) override { ++this->Silent; }
-  TimePoint runsEndBy(Instant) const override { return this->EndBy; }
-
-  TimePoint EndBy = TimePoint::max();
-  std::vector<WorkerRefusal> Refusals;
-  std::vector<RunEnd> Ends;
-  int Attached = 0;
-  int Ready = 0;
-  int Silent = 0;
-};
-
 WorkerReply answered(WorkerRefusal Refusal = WorkerRefusal::None) {
   WorkerReply Reply;
   Reply.Answered = true;
