--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -112,8 +112,8 @@
   /// the last one may be there and has runs, it stays the present one.
   void onProfile(const WorkerProfile &New, Instant Now);
   bool hasWorker() const { return this->Profile.has_value(); }
-  /// Whether the worker replies, has said what it is, and has no runs left of an
-  /// earlier agent or for its last life.
+  /// Whether the worker replies, has said what it is, and has no runs left of
+  /// an earlier agent or for its last life.
   bool isReady() const {
     return this->Ready && this->Answering && this->Announced;
   }
