tests: force the order of events around late starts

The simulated agent gets a plan for its next start calls and an offset of its wall clock; without them it draws and does what it did before.

--- a/emulator/leased_agent.cpp
+++ b/emulator/leased_agent.cpp
@@ -29,13 +29,19 @@
                                    Options.Pool, Options.Worker, Options.Seed) {
   this->Worker.onRestart([this] {
     this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
-      this->Keeper->onProfile(Profile, this->World.now());
+      this->Keeper->onProfile(Profile, this->now());
     });
   });
   this->startIncarnation();
   this->announceWorker();
 }
 
+Instant LeasedAgent::now() const {
+  Instant Now = this->World.now();
+  Now.Wall += this->WallOffset;
+  return Now;
+}
+
 void LeasedAgent::restart() {
   // The agent learns of its worker from the next announcement.
   this->startIncarnation();
@@ -49,7 +55,7 @@
   this->Worker.crash(RestartAfter);
   this->World.after(Late, [this, Last] {
     this->World.runOn(this->Name, [this, Last] {
-      this->Keeper->onProfile(Last, this->World.now());
+      this->Keeper->onProfile(Last, this->now());
     });
   });
 }
@@ -63,19 +69,19 @@
       Options, this->World.sinkOf(this->Name), *this);
   this->World.start(this->Name,
                     [this](const PeerRef &From, const peer::Message &Message) {
-                      this->Keeper->onMessage(From, Message, this->World.now());
+                      this->Keeper->onMessage(From, Message, this->now());
                     });
   this->World.onSendFailed(this->Name, [this](const Undelivered &Lost) {
-    this->Keeper->onUndelivered(Lost, this->World.now());
+    this->Keeper->onUndelivered(Lost, this->now());
   });
   this->World.every(this->Name, this->Options.Tick,
-                    [this] { this->Keeper->tick(this->World.now()); });
+                    [this] { this->Keeper->tick(this->now()); });
 }
 
 void LeasedAgent::announceWorker() {
   if (this->Worker.isUp())
     this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
-      this->Keeper->onProfile(Profile, this->World.now());
+      this->Keeper->onProfile(Profile, this->now());
     });
   this->World.after(AnnounceInterval, [this] { this->announceWorker(); });
 }
@@ -142,16 +148,33 @@
                       [Execute] { Execute([](const WorkerReply &) {}); });
 }
 
+void LeasedAgent::startAsPlanned(const StartCall &Call, const Answer &Take) {
+  std::optional<Duration> Delay = this->PlannedStarts.front();
+  this->PlannedStarts.pop_front();
+  Answer Reply = this->replyToThisLife(Take);
+  this->World.after(CallTimeout, [Reply] { Reply(WorkerReply()); });
+  if (Delay)
+    this->World.after(*Delay, [this, Call, Id = this->Attached.Id] {
+      this->PlannedStartReplies.push_back(this->Worker.start(Id, Call));
+    });
+}
+
 void LeasedAgent::start(const StartCall &Call) {
+  Answer Take = [this, Call,
+                 Incarnation = this->Attached](const WorkerReply &Reply) {
+    this->Keeper->session().onStartReply(Incarnation, Call.Run, Reply,
+                                         this->now());
+  };
+  if (!this->PlannedStarts.empty()) {
+    this->startAsPlanned(Call, Take);
+    return;
+  }
   this->call(
       CallTimeout,
       [this, Call, Incarnation = this->Attached](const Answer &Reply) {
         Reply(this->Worker.start(Incarnation.Id, Call));
       },
-      [this, Call, Incarnation = this->Attached](const WorkerReply &Reply) {
-        this->Keeper->session().onStartReply(Incarnation, Call.Run, Reply,
-                                             this->World.now());
-      });
+      Take);
 }
 
 void LeasedAgent::stop(const StopCall &Call) {
@@ -162,7 +185,7 @@
       },
       [this, Call, Incarnation = this->Attached](const WorkerReply &Reply) {
         this->Keeper->session().onStopReply(Incarnation, Call.Run, Reply,
-                                            this->World.now());
+                                            this->now());
       });
 }
 
@@ -173,8 +196,7 @@
         this->Worker.hold(Incarnation.Id, Call, Reply);
       },
       [this, Incarnation = this->Attached](const WorkerReply &Reply) {
-        this->Keeper->session().onHoldReply(Incarnation, Reply,
-                                            this->World.now());
+        this->Keeper->session().onHoldReply(Incarnation, Reply, this->now());
       });
 }
 
--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -12,9 +12,12 @@
 #include "agent/lease_keeper.h"
 #include "emulator/virtual_worker.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace yardwheel {
 
@@ -49,6 +52,19 @@
   /// running, and announces itself again within a second.
   void restart();
   void setCallFaults(WorkerCallFaults New) { this->Faults = New; }
+  /// Sets the wall clock of the agent's host ahead of the others', or back.
+  void setWallOffset(std::chrono::milliseconds New) { this->WallOffset = New; }
+  /// Plans the fate of the next start calls, in order; later ones are not
+  /// affected. Each gets no reply, and is executed after its delay, or never if
+  /// it has none. Replaces an earlier plan.
+  void planStarts(std::deque<std::optional<Duration>> Delays) {
+    this->PlannedStarts = std::move(Delays);
+  }
+  /// Returns what the worker replied to each planned start that it received.
+  /// These replies reach no agent.
+  const std::vector<WorkerReply> &plannedStartReplies() const {
+    return this->PlannedStartReplies;
+  }
   /// Crashes the worker; a new incarnation starts after \p RestartAfter. The
   /// last announcement of the old one arrives once more after \p Late.
   void crashWorker(std::chrono::milliseconds RestartAfter,
@@ -65,6 +81,7 @@
   enum class CallFate { Executed, Lost, Unanswered, Late };
   using Answer = VirtualWorker::Answer;
 
+  Instant now() const;
   void startIncarnation();
   /// Announces the worker to this agent, now and every second.
   void announceWorker();
@@ -74,6 +91,8 @@
   void call(std::chrono::milliseconds Timeout,
             const std::function<void(const Answer &Reply)> &Execute,
             const Answer &Take);
+  /// Leaves a start call without a reply, according to the plan.
+  void startAsPlanned(const StartCall &Call, const Answer &Take);
   /// Returns a callback that passes a reply to \p Take only in the incarnation
   /// of this process that made the call.
   Answer replyToThisLife(const Answer &Take);
@@ -87,6 +106,9 @@
   WorkerIncarnation Attached;
   std::uint64_t Incarnation = 0;
   WorkerCallFaults Faults;
+  std::chrono::milliseconds WallOffset{0};
+  std::deque<std::optional<Duration>> PlannedStarts;
+  std::vector<WorkerReply> PlannedStartReplies;
   std::unique_ptr<LeaseKeeper> Keeper;
 };
 
