agent: count runs as lapsed only after a next incarnation's lease

What callers saw: two runs of one task at once. A task was placed again within its submission while its first run went on in the next incarnation of its worker.

Cause: WorkerSession::tick counted runs as lapsed when the lease that the agent had intended was over (LeaseEnds + LeaseExpiryMargin). A worker that restarts under its id starts its clock over. A deadline on the old clock lies far ahead there, so that it grants its longest lease for a call in transit.

Change: for a worker with a start time, runs lapse only when the longest lease that any call since may have brought is over as well: the time of the last call with a lease + SessionOptions::Lease + LeaseExpiryMargin. leaseEnds() keeps its meaning. A worker without a start time gets a new id at each start and refuses such calls; nothing changes there.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -87,6 +87,8 @@
   TimePoint Ends = this->nextLeaseEnd(Now);
   // A worker never shortens a lease.
   this->LeaseEnds = std::max(this->LeaseEnds, Ends);
+  if (this->canReturnUnderItsId())
+    this->NextIncarnationLeaseEnds = Now.Steady + this->Options.Lease;
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       Now.Steady - this->ClockReadingTime);
   if (Since > this->Options.MaxClockReadingAge)
@@ -438,8 +440,10 @@
     this->sendHold(this->holdWait(Now), Now);
   this->renewIfDue(Now);
   bool HasRuns = !this->Runs.empty() || !this->InheritedRuns.empty();
+  TimePoint LastLeaseEnds =
+      std::max(this->LeaseEnds, this->NextIncarnationLeaseEnds);
   bool Lapsed = this->LastHoldFailed && HasRuns &&
-                Now.Steady >= this->LeaseEnds + this->Options.LeaseExpiryMargin;
+                Now.Steady >= LastLeaseEnds + this->Options.LeaseExpiryMargin;
   if (Lapsed) {
     for (const auto &[Key, Known] : this->Runs)
       this->LapsedWhileSilent[Key] = Known.StartTime;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -205,6 +205,11 @@
   /// \returns the end of the lease on the worker's clock.
   WorkerTime extendLease(Instant Now);
   bool isCurrent(const WorkerIncarnation &Worker) const;
+  /// Whether a later incarnation of the worker may have the same id and thus
+  /// execute calls that are meant for the current one.
+  bool canReturnUnderItsId() const {
+    return this->Profile->StartUnixMs.has_value();
+  }
   void raiseToken(Instant Now);
   void sendHold(std::chrono::milliseconds Wait, Instant Now);
   std::chrono::milliseconds holdWait(Instant Now) const;
@@ -267,6 +272,10 @@
   TimePoint LastLoss = TimePoint::min();
   /// When the newest lease ends that the worker may hold.
   TimePoint LeaseEnds = TimePoint::min();
+  /// When the longest lease ends that a later incarnation with this id may have
+  /// granted for one of our calls: it finds our deadlines far ahead of its own
+  /// clock, which starts over.
+  TimePoint NextIncarnationLeaseEnds = TimePoint::min();
   /// Number of hold calls without a reply so far.
   int PendingHolds = 0;
   TimePoint NextHold = TimePoint::min();
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -179,6 +179,7 @@
   // that it grants, as their deadlines refer to the previous incarnation's
   // clock.
   this->LeaseEnds = SharesId ? Now.Steady + this->Options.Lease : Now.Steady;
+  this->NextIncarnationLeaseEnds = this->LeaseEnds;
   this->PendingHolds = 0;
   this->OrphanedRuns.clear();
   // The wall clock is ahead of any token of an earlier run of this agent,
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -291,6 +291,36 @@
   }
 }
 
+// Guards against a second placement of a task that still runs: the next
+// incarnation grants the longest lease for a deadline on the previous clock.
+TEST(WorkerIncarnationTest, RunsLapseWithTheLongestLeaseOfANextIncarnation) {
+  constexpr std::chrono::milliseconds Asked{200};
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds LongestLease;
+  };
+  const Row Rows[] = {
+      {"it may return under its id", FirstStartMs, Options.Lease},
+      {"its next incarnation has another id", {}, Asked}};
+  for (const Row &Row : Rows) {
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    std::size_t Ends = Events.Ends.size();
+    Events.EndBy = Now.Steady + Asked;
+    Fresh.start(Run, "spec", Now);
+    CHECK_TEXT(Fresh.leaseEnds() == Now.Steady + Asked, Row.Name);
+    Fresh.onHoldReply(Port.workerIncarnation(), WorkerReply(), Now);
+    Now.Steady += Row.LongestLease + Options.LeaseExpiryMargin - 1ms;
+    Fresh.tick(Now);
+    LONGS_EQUAL_TEXT(Ends, Events.Ends.size(), Row.Name);
+    Now.Steady += 1ms;
+    Fresh.tick(Now);
+    LONGS_EQUAL_TEXT(Ends + 1, Events.Ends.size(), Row.Name);
+  }
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
