agent: send no start again whose lease has expired

What callers saw: two runs of one task at once. The first had been started with an expired lease in the next incarnation of its worker, and ran there while a later placement ran elsewhere.

Cause: after a suspension of the agent, WorkerSession::onStartLost handles the time-out of a start before LeaseKeeper::dropExpired has stopped the run, and sent the start again with a deadline in the past. The incarnation that it was meant for refuses it; the next one under the same id, whose clock has started over, accepts it and grants its longest lease.

The new unit test failed before: two starts instead of one.

Change: for a worker with a start time, a start without a reply is sent again only while the lease that it would carry is valid; otherwise its run is stopped, as after the last retry. A worker without a start time is treated as before.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -83,6 +83,10 @@
                   this->Events.maxWorkerLeaseEnd(Now));
 }
 
+bool WorkerSession::canSendStart(Instant Now) const {
+  return !this->canReturnUnderItsId() || this->nextLeaseEnd(Now) > Now.Steady;
+}
+
 WorkerTime WorkerSession::extendLease(Instant Now) {
   TimePoint Ends = this->nextLeaseEnd(Now);
   // A worker never shortens a lease.
@@ -179,7 +183,9 @@
                                           {"problem", Reply.Problem}});
   if (Known.State != Phase::Starting)
     return;
-  if (Known.StartsLost < this->Options.MaxStartAttempts)
+  // The process may have been suspended since the start was sent.
+  if (Known.StartsLost < this->Options.MaxStartAttempts &&
+      this->canSendStart(Now))
     this->sendStart(Key, Known, Now);
   else
     this->sendStop(Key, Known, Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -201,6 +201,10 @@
   void recordClock(const WorkerReply &Reply, Instant Now);
   /// \returns until when a call made now may extend the worker's lease.
   TimePoint nextLeaseEnd(Instant Now) const;
+  /// Whether a start may be sent now. The next incarnation of a worker, whose
+  /// clock starts over, accepts a lease even if it has expired on the previous
+  /// clock.
+  bool canSendStart(Instant Now) const;
   /// Records the lease extension of a call that is about to be sent.
   /// \returns the end of the lease on the worker's clock.
   WorkerTime extendLease(Instant Now);
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -321,6 +321,36 @@
   }
 }
 
+// Guards against a run in the next incarnation that the entry counts as ended:
+// an agent that was suspended handles the time-out of a start call before the
+// end of the task's lease.
+TEST(WorkerIncarnationTest, AStartIsNotSentAgainWhenItsLeaseHasExpired) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds Suspended;
+    std::size_t Starts;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {
+      {"the lease is valid", FirstStartMs, 50ms, 2, 0},
+      {"the lease has just expired", FirstStartMs, Options.Lease, 1, 1},
+      {"the lease expired long ago", FirstStartMs, 3s, 1, 1},
+      {"the next incarnation has another id", {}, 3s, 2, 0}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    Events.EndBy = Now.Steady + Options.Lease;
+    Fresh.start(Run, "spec", Now);
+    Now.Steady += Row.Suspended;
+    Fresh.onStartReply(Port.workerIncarnation(), Run, WorkerReply(), Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+  }
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
