agent: carry no lease that a next incarnation makes too long

What callers saw: two runs of one task at once. A run that the next incarnation of a worker began from a start in transit lasted for the longest lease there, if its agent died at once, and the job had been resubmitted elsewhere by then.

Cause: a call carries a lease that ends StopAllowance after the shortest lease of the tasks. That holds on the clock of the incarnation that it is meant for. The next incarnation under the same id grants its longest lease, 1000 ms, for any deadline on the old clock, whereas a run must end within 450 ms of its lease.

With endsInTime() always true, the three new or extended unit tests fail.

Change: for a worker with a start time, a call carries a lease only if that longest lease, on the slowest clock, ends within MaxOverrun of the leases of the runs concerned: the one to be started and those that the current incarnation has not listed, or whose start was sent more than once. Runs that can only be in the current incarnation end with it, so that a late renewal of one entry does not stop the starts of others. A start that may not be sent waits in the queue for the next renewal; one without a reply is not sent again but stopped. With the present options a start needs 580 ms of its task's lease, a stamp of at most 220 ms. A worker without a start time is treated as before.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -138,7 +138,7 @@
                   Known->second.State == Phase::Queued &&
                   Known->second.Order == Order.order() &&
                   this->fits(Known->second.Needs) &&
-                  this->outlastsWorkerLease(Known->second);
+                  this->hasLeaseToStart(Known->second, Now);
     if (!Starts)
       continue;
     this->dequeue(Id);
@@ -356,7 +356,7 @@
     // The first task that does not fit blocks those behind it, so that it is
     // not starved.
     Full = Full || !this->fits(TheTask.Needs);
-    if (Full || !this->outlastsWorkerLease(TheTask))
+    if (Full || !this->hasLeaseToStart(TheTask, Now))
       Rest.push_back(Id);
     else
       this->startTask(Id, TheTask, Now);
@@ -366,8 +366,16 @@
 }
 
 bool LeaseKeeper::canStartRuns(Instant Now) const {
-  return this->Session.isReady() && this->maxWorkerLeaseEnd(Now) - Now.Steady >=
-                                        this->Options.MinWorkerLease;
+  return this->Session.isReady() &&
+         this->maxWorkerLeaseEnd(Now) - Now.Steady >=
+             this->Options.MinWorkerLease &&
+         this->Session.mayCarryLease(Now);
+}
+
+bool LeaseKeeper::hasLeaseToStart(const Task &TheTask, Instant Now) const {
+  return this->outlastsWorkerLease(TheTask) &&
+         this->Session.endsInTime(TheTask.LeaseEnd + this->Options.MaxOverrun,
+                                  Now);
 }
 
 bool LeaseKeeper::outlastsWorkerLease(const Task &TheTask) const {
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -37,6 +37,10 @@
   /// Time allowed for a run to stop after its lease has ended. Then the
   /// worker's own lease ends, which ends all runs on the worker.
   std::chrono::milliseconds StopAllowance{250};
+  /// How long after its task's lease a run may last at most, even if another
+  /// incarnation of the worker executes its start or if this agent dies.
+  /// Callers resubmit jobs only later.
+  std::chrono::milliseconds MaxOverrun{450};
   /// A task is started only if the worker's lease can last at least this long.
   std::chrono::milliseconds MinWorkerLease{100};
   /// Delay before the next start after the worker refused a run for lack of
@@ -119,6 +123,7 @@
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
   TimePoint maxWorkerLeaseEnd(Instant Now) const override;
+  TimePoint lastRunEnd(const RunKey &Run) const override;
 
 private:
   struct TaskId {
@@ -213,8 +218,11 @@
   std::vector<TaskId> sortedQueue(Instant Now) const;
   void startTask(const TaskId &Id, Task &TheTask, Instant Now);
   /// Whether runs may be started: the worker is ready, and the lease that it
-  /// can get now lasts at least MinWorkerLease.
+  /// can get now lasts at least MinWorkerLease and endangers no run.
   bool canStartRuns(Instant Now) const;
+  /// Whether the task's lease is long enough for a start. Otherwise the task
+  /// waits for a renewal.
+  bool hasLeaseToStart(const Task &TheTask, Instant Now) const;
   /// Whether the task's lease, with StopAllowance added, ends no earlier than
   /// the worker's current lease, which would also cover a run started now.
   bool outlastsWorkerLease(const Task &TheTask) const;
--- a/agent/lease_keeper_leases.cpp
+++ b/agent/lease_keeper_leases.cpp
@@ -64,6 +64,13 @@
   return First;
 }
 
+TimePoint LeaseKeeper::lastRunEnd(const RunKey &Run) const {
+  auto Found = this->Tasks.find({Run.Job, Run.Index});
+  bool Same = Found != this->Tasks.end() && Found->second.Run == Run.Run;
+  return Same ? Found->second.LeaseEnd + this->Options.MaxOverrun
+              : TimePoint::max();
+}
+
 void LeaseKeeper::tick(Instant Now) {
   this->dropExpired(Now);
   this->Session.tick(Now);
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -10,6 +10,7 @@
 /// each refusal. Larger than the difference between the processes' wall clocks
 /// ever is.
 constexpr std::uint64_t TokenStep = 10000;
+constexpr std::int64_t WholePermille = 1000;
 
 } // namespace
 
@@ -84,7 +85,28 @@
 }
 
 bool WorkerSession::canSendStart(Instant Now) const {
-  return !this->canReturnUnderItsId() || this->nextLeaseEnd(Now) > Now.Steady;
+  return !this->canReturnUnderItsId() ||
+         (this->nextLeaseEnd(Now) > Now.Steady && this->mayCarryLease(Now));
+}
+
+bool WorkerSession::endsInTime(TimePoint Limit, Instant Now) const {
+  if (!this->canReturnUnderItsId())
+    return true;
+  std::chrono::milliseconds Longest =
+      this->Options.Lease + this->Options.LongestLeaseExcess;
+  std::chrono::milliseconds Lag =
+      Longest * this->Options.MaxClockLagPermille / WholePermille;
+  return Limit - Now.Steady >= Longest + Lag + this->Options.LapseDuration;
+}
+
+bool WorkerSession::mayCarryLease(Instant Now) const {
+  if (!this->canReturnUnderItsId())
+    return true;
+  return std::ranges::all_of(this->Runs, [&](const auto &Item) {
+    const auto &[Key, Known] = Item;
+    return Known.isOnlyThere() || this->hasStopped(Key, Now) ||
+           this->endsInTime(this->Events.lastRunEnd(Key), Now);
+  });
 }
 
 WorkerTime WorkerSession::extendLease(Instant Now) {
@@ -262,7 +284,8 @@
   // A worker that may not receive our calls is given no lease, so that the
   // expiry of its last one can be determined.
   bool Extends = this->Ready && !this->LastHoldFailed && !this->Runs.empty() &&
-                 this->nextLeaseEnd(Now) > Now.Steady;
+                 this->nextLeaseEnd(Now) > Now.Steady &&
+                 this->mayCarryLease(Now);
   if (Extends)
     Call.LeaseUntil = this->extendLease(Now);
   this->Port.hold(Call);
@@ -273,7 +296,8 @@
   bool Gains =
       this->nextLeaseEnd(Now) - this->LeaseEnds >= this->Options.Lease / 8;
   bool Due = !this->Runs.empty() && this->Ready && !this->LastHoldFailed &&
-             Gains && this->LeaseEnds - Now.Steady < this->Options.Lease / 2;
+             Gains && this->LeaseEnds - Now.Steady < this->Options.Lease / 2 &&
+             this->mayCarryLease(Now);
   if (Due)
     this->sendHold({}, Now);
 }
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -56,6 +56,14 @@
   /// may have been asked for more than the longest lease it grants, 100 ms
   /// above ours.
   std::chrono::milliseconds LeaseExpiryMargin{150};
+  /// How much longer than Lease the longest lease is that a worker grants. The
+  /// next incarnation under the same id grants it for any deadline on the
+  /// previous clock.
+  std::chrono::milliseconds LongestLeaseExcess{100};
+  /// How slow a worker's clock may be, in thousandths.
+  std::uint32_t MaxClockLagPermille = 20;
+  /// Time within which a worker ends its runs after its lease has ended.
+  std::chrono::milliseconds LapseDuration{10};
   /// How long a reading of the worker's clock may be extrapolated with ours;
   /// longer than a hold call takes. Over a longer time the worker's host or
   /// ours may have been suspended. If the extrapolated time were ahead of the
@@ -108,6 +116,11 @@
   virtual TimePoint maxWorkerLeaseEnd(Instant Now) const {
     return TimePoint::max();
   }
+  /// \returns when the run must have ended, whichever incarnation of the worker
+  /// executes it.
+  virtual TimePoint lastRunEnd(const RunKey &Run) const {
+    return TimePoint::max();
+  }
 };
 
 class WorkerSession {
@@ -145,6 +158,13 @@
   /// \returns when the newest lease ends that the worker may hold. A run that
   /// is started lasts as long, whatever lease its start carries.
   TimePoint leaseEnds() const { return this->LeaseEnds; }
+  /// Whether a run that must have ended by \p Limit does so even if the next
+  /// incarnation with this id begins it, or has begun it, and executes a call
+  /// sent now that carries a lease.
+  bool endsInTime(TimePoint Limit, Instant Now) const;
+  /// Whether a call sent now may carry a lease: all runs that the next
+  /// incarnation may have begun would still end in time.
+  bool mayCarryLease(Instant Now) const;
   /// Whether a confirmed stop of the run has taken effect, so that only the
   /// report of its end is missing.
   bool hasStopped(const RunKey &Run, Instant Now) const;
@@ -172,6 +192,9 @@
     /// Whether the worker incarnation for which the run was started has listed
     /// it as running.
     bool Listed = false;
+    /// Whether no start of the run can reach another incarnation: the only one
+    /// sent was executed where the run was meant to be started.
+    bool isOnlyThere() const { return this->Listed && this->StartsLost == 0; }
     /// When a confirmed stop has taken effect, for a run whose end the worker
     /// will not report.
     TimePoint StoppedAt = TimePoint::max();
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -210,9 +210,9 @@
     // A start that the previous incarnation had not listed, or that was sent
     // again, may have been executed by the current one, and its end may have
     // been acknowledged unread.
-    bool RanOnlyThere = Known.Listed && Known.StartsLost == 0;
     this->Events.onRunEnded(
-        Key, RanOnlyThere ? RunOutcome::Lapsed : RunOutcome::Unknown, Now);
+        Key, Known.isOnlyThere() ? RunOutcome::Lapsed : RunOutcome::Unknown,
+        Now);
   }
 }
 
--- a/tests/agent/session_recorders.h
+++ b/tests/agent/session_recorders.h
@@ -51,8 +51,12 @@
   void onWorkerReady(Instant) override { ++this->Ready; }
   void onWorkerSilent(Instant) override { ++this->Silent; }
   TimePoint maxWorkerLeaseEnd(Instant) const override { return this->EndBy; }
+  TimePoint lastRunEnd(const RunKey &) const override {
+    return this->LastRunEnd;
+  }
 
   TimePoint EndBy = TimePoint::max();
+  TimePoint LastRunEnd = TimePoint::max();
   std::vector<WorkerRefusal> Refusals;
   std::vector<RunOutcome> Ends;
   /// The number of runs of each crash.
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -334,6 +334,8 @@
   };
   const Row Rows[] = {
       {"the lease is valid", FirstStartMs, 50ms, 2, 0},
+      {"the lease is too short for a next incarnation", FirstStartMs, 71ms, 1,
+       1},
       {"the lease has just expired", FirstStartMs, Options.Lease, 1, 1},
       {"the lease expired long ago", FirstStartMs, 3s, 1, 1},
       {"the next incarnation has another id", {}, 3s, 2, 0}};
@@ -343,6 +345,7 @@
     Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
     Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
     Events.EndBy = Now.Steady + Options.Lease;
+    Events.LastRunEnd = Events.EndBy + 200ms;
     Fresh.start(Run, "spec", Now);
     Now.Steady += Row.Suspended;
     Fresh.onStartReply(Port.workerIncarnation(), Run, WorkerReply(), Now);
@@ -351,6 +354,43 @@
   }
 }
 
+// Guards against a run that the next incarnation has begun from a start in
+// transit: a hold call would give it the longest lease there. Runs that only
+// the current incarnation can have begun end with it.
+TEST(WorkerIncarnationTest, NoHoldCallLetsARunOutlastItsLimit) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    bool IsStartLost;
+    bool IsListed;
+    std::chrono::milliseconds UntilLimit;
+    bool Extends;
+  };
+  const Row Rows[] = {
+      {"it ends in time", FirstStartMs, false, false, 1030ms, true},
+      {"it would last too long", FirstStartMs, false, false, 1029ms, false},
+      {"the incarnation lists it", FirstStartMs, false, true, 100ms, true},
+      {"another start was sent", FirstStartMs, true, true, 1029ms, false},
+      {"the next incarnation has another id", {}, true, false, 100ms, true}};
+  for (const Row &Row : Rows) {
+    Events.LastRunEnd = TimePoint::max();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerReply Held = replyOf(Row.StartUnixMs);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    Fresh.start(Run, "spec", Now);
+    if (Row.IsStartLost)
+      Fresh.onStartReply(Port.workerIncarnation(), Run, WorkerReply(), Now);
+    Fresh.onStartReply(Port.workerIncarnation(), Run, replyOf({}), Now);
+    if (Row.IsListed)
+      Held.Running.push_back(Run);
+    Events.LastRunEnd = Now.Steady + Row.UntilLimit;
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    CHECK_EQUAL_TEXT(Row.Extends, Port.Holds.back().LeaseUntil.has_value(),
+                     Row.Name);
+  }
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
@@ -441,3 +481,37 @@
   LONGS_EQUAL(2, Port.Starts.size());
   CHECK(Port.Starts[1].Run.Run > Port.Starts[0].Run.Run);
 }
+
+// Guards against a start in transit over the restart of the worker: the next
+// incarnation gives its run the longest lease. Dispatches with a stamp of an
+// ordinary age must start at once all the same.
+TEST(KeeperIncarnationTest, ATaskWithTooShortALeaseWaitsForARenewal) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds StampAge;
+    std::size_t StartsAtOnce;
+  };
+  const Row Rows[] = {{"a fresh stamp", FirstStartMs, 5ms, 1},
+                      {"the oldest stamp for which its run ends in time",
+                       FirstStartMs, 220ms, 1},
+                      {"its run would last too long", FirstStartMs, 221ms, 0},
+                      {"the next incarnation has another id", {}, 390ms, 1}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    WorkerProfile Profile = profileStartedAt(FirstStartMs);
+    Profile.StartUnixMs = Row.StartUnixMs;
+    Keeper.onProfile(Profile, Now);
+    Keeper.session().onHoldReply(Profile.workerIncarnation(),
+                                 replyOf(Row.StartUnixMs), Now);
+    Keeper.onMessage(EntryA,
+                     dispatch("job", stamp() - static_cast<std::uint64_t>(
+                                                   Row.StampAge.count())),
+                     Now);
+    LONGS_EQUAL_TEXT(Row.StartsAtOnce, Port.Starts.size(), Row.Name);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    pass(Keeper, TickInterval);
+    LONGS_EQUAL_TEXT(1, Port.Starts.size(), Row.Name);
+  }
+}
