agent: raise the token before a call that may reach another incarnation

What callers saw: two runs of one task at once. A late start began a run in the next incarnation of its worker although the agent had called that incarnation.

Cause: the call carried the token of the late start. A worker that restarts under its id knows no token and takes the first one that it receives; the session took a higher one only when it had attached the new incarnation. Up to then the new incarnation executed late starts with the same token.

Without the change both new unit tests fail.

Change: for a worker with a start time, the session takes a higher token when another incarnation with the id is announced, when a start stays without a reply and when a hold call fails, always before its next call. An incarnation that is still alive accepts the higher token; its runs continue. A call sent before that arrives later is refused, which raises the token only if the refusal can concern the current one: each such raise doubles the distance to the wall clock.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -123,6 +123,19 @@
          std::chrono::floor<std::chrono::milliseconds>(Ends - Now.Steady);
 }
 
+void WorkerSession::advanceToken(Instant Now) {
+  if (!this->canReturnUnderItsId())
+    return;
+  std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
+  this->Token = std::max(this->Token + 1, UnixMs);
+  this->TokenAdvancedAt = Now.Steady;
+}
+
+bool WorkerSession::hasTokenSettled(Instant Now) const {
+  return this->TokenAdvancedAt == TimePoint::min() ||
+         Now.Steady - this->TokenAdvancedAt >= this->Options.TokenSettleTime;
+}
+
 void WorkerSession::raiseToken(Instant Now) {
   std::uint64_t Refused = this->Token;
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
@@ -144,8 +157,8 @@
   this->sendStart(Key, New, Now);
 }
 
-void WorkerSession::sendStart(const RunKey &Key, const Run &Known,
-                              Instant Now) {
+void WorkerSession::sendStart(const RunKey &Key, Run &Known, Instant Now) {
+  Known.StartToken = this->Token;
   this->Port.start({Key, Known.Spec, this->extendLease(Now), this->Token});
 }
 
@@ -184,7 +197,8 @@
       Known.State = Phase::Running;
     return;
   }
-  if (Reply.Refusal == WorkerRefusal::Fenced)
+  if (Reply.Refusal == WorkerRefusal::Fenced &&
+      (Known.StartToken == this->Token || this->hasTokenSettled(Now)))
     this->raiseToken(Now);
   if (Known.StartsLost == 0)
     this->refuse(Key, Reply.Refusal, Now);
@@ -197,6 +211,7 @@
                                 const WorkerReply &Reply, Instant Now) {
   ++Known.StartsLost;
   this->recordLostCall(Now);
+  this->advanceToken(Now);
   this->Log.decision("start_unanswered", {{"job", Key.Job},
                                           {"task", Key.Index},
                                           {"run", Key.Run},
@@ -223,7 +238,8 @@
     return;
   }
   this->recordClock(Reply, Now);
-  if (Reply.Answered && Reply.Refusal == WorkerRefusal::Fenced)
+  if (Reply.Answered && Reply.Refusal == WorkerRefusal::Fenced &&
+      this->hasTokenSettled(Now))
     this->raiseToken(Now);
   bool Confirmed = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
   if (!Confirmed)
@@ -418,10 +434,12 @@
 void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
   this->NextHold = Now.Steady + this->Options.HoldRetryInterval;
   if (Reply.Refusal == WorkerRefusal::Fenced) {
-    this->raiseToken(Now);
+    if (this->hasTokenSettled(Now))
+      this->raiseToken(Now);
     return;
   }
   this->LastHoldFailed = true;
+  this->advanceToken(Now);
   if (!Reply.Answered)
     this->recordLostCall(Now);
   bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilenceTimeout;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -47,6 +47,9 @@
   /// How long HoldWaitAfterLoss applies after a lost call; losses come in
   /// periods of seconds.
   std::chrono::milliseconds LossWindow{2000};
+  /// How long after the token has changed a refusal may concern a call sent
+  /// before; longer than a call that is refused takes.
+  std::chrono::milliseconds TokenSettleTime{100};
   /// Delay before a stop without a reply is sent again.
   std::chrono::milliseconds StopRetryInterval{50};
   /// Time within which a confirmed stop has ended its run.
@@ -181,6 +184,8 @@
     /// Number of starts without a reply. If it is not 0, a refusal does not
     /// prove that the run has not started.
     std::uint32_t StartsLost = 0;
+    /// Token of the last start.
+    std::uint64_t StartToken = 0;
     TimePoint NextStop = TimePoint::min();
     /// When a stop was first confirmed.
     TimePoint StopConfirmedAt = TimePoint::max();
@@ -218,7 +223,7 @@
   /// Decides about incarnations that were announced while another one might
   /// still be alive.
   void resolveCandidates(const WorkerReply &Reply, Instant Now);
-  void sendStart(const RunKey &Key, const Run &Known, Instant Now);
+  void sendStart(const RunKey &Key, Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
   void recordClock(const WorkerReply &Reply, Instant Now);
@@ -238,6 +243,13 @@
     return this->Profile->StartUnixMs.has_value();
   }
   void raiseToken(Instant Now);
+  /// Takes a higher token before a call that may reach another incarnation of
+  /// the worker, so that this one refuses starts sent before. The current one
+  /// accepts the token as well.
+  void advanceToken(Instant Now);
+  /// Whether a refusal that arrives now concerns the current token, not the
+  /// one before.
+  bool hasTokenSettled(Instant Now) const;
   void sendHold(std::chrono::milliseconds Wait, Instant Now);
   std::chrono::milliseconds holdWait(Instant Now) const;
   /// Renews the lease while a pending hold call that carries no renewal is
@@ -277,6 +289,8 @@
   /// new one would have no agent until it announces itself again.
   std::deque<WorkerProfile> Candidates;
   std::uint64_t Token = 0;
+  /// When the token was last advanced.
+  TimePoint TokenAdvancedAt = TimePoint::min();
   /// The last reading of the worker's clock, and our time when it arrived.
   WorkerTime ClockReading{};
   TimePoint ClockReadingTime;
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -30,6 +30,8 @@
     return;
   }
   this->addCandidate(New);
+  if (New.Id == this->Profile->Id)
+    this->advanceToken(Now);
   this->sendHold({}, Now);
 }
 
@@ -186,6 +188,7 @@
   // unless it was set back; then the worker refuses the token and it is raised.
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
   this->Token = std::max(this->Token + 1, UnixMs);
+  this->TokenAdvancedAt = TimePoint::min();
   this->Log.decision("worker_attached", {{"worker", New.Id},
                                          {"born", New.StartUnixMs.value_or(0)},
                                          {"address", New.Address},
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -391,6 +391,83 @@
   }
 }
 
+// Guards against a late start that the next incarnation executes because its
+// first call from here carried the same token.
+TEST(WorkerIncarnationTest, ACallThatMayReachAnotherIncarnationHasANewToken) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    void (*Do)(WorkerSession &Target, const WorkerIncarnation &Worker,
+               Instant Now);
+    bool Advances;
+  };
+  auto Announce = [](WorkerSession &Target, const WorkerIncarnation &,
+                     Instant Now) {
+    Target.onProfile(profileOf(SecondStartMs, 1), Now);
+  };
+  auto AnnounceAgain = [](WorkerSession &Target, const WorkerIncarnation &,
+                          Instant Now) {
+    Target.onProfile(profileOf(FirstStartMs, 2), Now);
+  };
+  auto LoseHold = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                     Instant Now) {
+    Target.onHoldReply(Worker, WorkerReply(), Now);
+  };
+  auto FailHold = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                     Instant Now) {
+    Target.onHoldReply(Worker, replyOf({}, WorkerRefusal::Unhealthy), Now);
+  };
+  auto LoseStart = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                      Instant Now) {
+    Target.onStartReply(Worker, {"00000000000000aa", 0, 1}, WorkerReply(), Now);
+  };
+  const Row Rows[] = {
+      {"another incarnation is announced", FirstStartMs, Announce, true},
+      {"the current one is announced", FirstStartMs, AnnounceAgain, false},
+      {"a hold call is lost", FirstStartMs, LoseHold, true},
+      {"a hold call fails", FirstStartMs, FailHold, true},
+      {"a start is lost", FirstStartMs, LoseStart, true},
+      {"a hold call is lost, the next incarnation has another id",
+       {},
+       LoseHold,
+       false}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    // The wall clock must not be what raises the token.
+    Now.Wall -= 1h;
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerIncarnation Worker = Port.workerIncarnation();
+    Fresh.onHoldReply(Worker, replyOf(Row.StartUnixMs), Now);
+    Fresh.start(Run, "spec", Now);
+    std::uint64_t Before = Port.Starts.back().FencingToken;
+    Row.Do(Fresh, Worker, Now);
+    Fresh.onHoldReply(Worker, replyOf(Row.StartUnixMs), Now);
+    Now.Steady += Options.HoldRetryInterval;
+    Fresh.tick(Now);
+    CHECK_EQUAL_TEXT(Row.Advances, Port.Holds.back().FencingToken > Before,
+                     Row.Name);
+    CHECK_TEXT(Port.Holds.back().FencingToken >= Before, Row.Name);
+  }
+}
+
+// Guards against a token that doubles its distance from the wall clock with
+// each refused call that was overtaken by one with a higher token.
+TEST(WorkerIncarnationTest, ARefusalOfAnOvertakenCallDoesNotRaiseTheToken) {
+  attachFirst();
+  Session.onHoldReply(First, WorkerReply(), Now);
+  pass(Options.HoldRetryInterval);
+  std::uint64_t Advanced = Port.Holds.back().FencingToken;
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::Fenced), Now);
+  pass(Options.HoldRetryInterval);
+  CHECK(Port.Holds.back().FencingToken == Advanced);
+  // A refusal that concerns the new token raises it.
+  pass(Options.TokenSettleTime);
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::Fenced), Now);
+  pass(Options.HoldRetryInterval);
+  CHECK(Port.Holds.back().FencingToken > Advanced);
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
