agent: stop runs that a ready worker lists and the session does not know

What callers saw: none is known to have seen this; it was found by reading. A run that a late start begins in an attached incarnation would go on beside a later placement of its task, as the session's own lease renewals keep it alive.

Cause: WorkerSession compared the worker's list of running tasks with its own runs only until the worker was ready.

Evidence: without the change both new unit tests fail: no stop is sent.

Change: for a worker with a start time, each hold reply's list is searched for runs that are neither in Runs, OrphanedRuns nor InheritedRuns, and these are stopped under the current token, with each reply until they are no longer listed. Nothing is stored. If the reply was overtaken and the run has ended meanwhile, or if it has just been counted as ended after a confirmed stop, the worker ignores the stop. The next hold call waits no longer than one with runs, as the stop may get lost. A run that begins during an idle hold call is seen when that call ends.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -344,14 +344,18 @@
   this->markListedRuns(Reply);
   this->processEnds(Reply, Now);
   this->resolveUnreadableEnds(Reply, Now);
+  auto MaxWait = std::chrono::milliseconds::max();
   if (!this->Ready)
     this->stopOrphanedRuns(Reply, Now);
+  else if (this->stopUnknownRuns(Reply))
+    // The stop may get lost.
+    MaxWait = this->Options.HoldWait;
   // The worker reports an unacknowledged end again in each reply, without
   // waiting.
   if (this->UnreadableEndsSince)
     this->NextHold = Now.Steady + this->Options.HoldRetryInterval;
   else if (this->PendingHolds == 0)
-    this->sendHold(this->holdWait(Now), Now);
+    this->sendHold(std::min(this->holdWait(Now), MaxWait), Now);
 }
 
 void WorkerSession::markListedRuns(const WorkerReply &Reply) {
@@ -468,6 +472,24 @@
     this->Events.onWorkerReady(Now);
 }
 
+bool WorkerSession::stopUnknownRuns(const WorkerReply &Reply) {
+  if (!this->canReturnUnderItsId())
+    return false;
+  bool Any = false;
+  for (const RunKey &Key : Reply.Running) {
+    if (this->Runs.contains(Key) || this->OrphanedRuns.contains(Key) ||
+        this->InheritedRuns.contains(Key))
+      continue;
+    Any = true;
+    this->Log.decision("unknown_run_stopped", {{"job", Key.Job},
+                                               {"task", Key.Index},
+                                               {"run", Key.Run},
+                                               {"worker", this->Profile->Id}});
+    this->Port.stop({Key, this->Token});
+  }
+  return Any;
+}
+
 bool WorkerSession::mayHaveUnreadableRuns(const WorkerReply &Reply,
                                           Instant Now) {
   if (Reply.UnreadableRunning == 0)
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -274,6 +274,11 @@
   bool stopUnlisted(const WorkerReply &Reply, Instant Now);
   void logUnreadableRows(const WorkerReply &Reply, Instant Now);
   void stopOrphanedRuns(const WorkerReply &Reply, Instant Now);
+  /// Stops the runs that the worker lists and the session does not know; a
+  /// late start may have begun them. A stop of a run that has ended since the
+  /// reply was sent changes nothing.
+  /// \returns whether there are any.
+  bool stopUnknownRuns(const WorkerReply &Reply);
   /// Whether runs from unreadable rows may still be active on the worker.
   bool mayHaveUnreadableRuns(const WorkerReply &Reply, Instant Now);
   void end(const RunKey &Key, RunOutcome Outcome, Instant Now);
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -468,6 +468,60 @@
   CHECK(Port.Holds.back().FencingToken > Advanced);
 }
 
+// Guards against a run that a late start has begun and that the session's own
+// lease renewals keep alive beside a later placement of its task.
+TEST(WorkerIncarnationTest, AReadySessionStopsRunsThatItDoesNotKnow) {
+  const RunKey Unknown{"00000000000000bb", 0, 1};
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    RunKey Listed;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {
+      {"an unknown run", FirstStartMs, Unknown, 1},
+      {"an earlier run of a known task", FirstStartMs, {Run.Job, 0, 1}, 1},
+      {"a known run", FirstStartMs, {Run.Job, 0, 2}, 0},
+      {"the next incarnation has another id", {}, Unknown, 0}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerReply Held = replyOf(Row.StartUnixMs);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    Fresh.start({Run.Job, 0, 2}, "spec", Now);
+    Held.Running.push_back(Row.Listed);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+    if (Row.Stops == 0)
+      continue;
+    CHECK_TEXT(Port.Stops.back().Run == Row.Listed, Row.Name);
+    LONGS_EQUAL_TEXT(Port.Holds.back().FencingToken,
+                     Port.Stops.back().FencingToken, Row.Name);
+    // The stop is sent until the worker no longer lists the run.
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    LONGS_EQUAL_TEXT(2, Port.Stops.size(), Row.Name);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    LONGS_EQUAL_TEXT(2, Port.Stops.size(), Row.Name);
+  }
+}
+
+// Guards against a lost stop of such a run that is noticed only at the end of a
+// long idle hold call.
+TEST(WorkerIncarnationTest, AnIdleSessionChecksSoonWhetherAnUnknownRunEnded) {
+  attachFirst();
+  CHECK(Port.Holds.back().Wait == Options.IdleHoldWait);
+  listInFirst(Run);
+  CHECK(Port.Holds.back().Wait == Options.HoldWait);
+  // An end that the session does not know is only acknowledged.
+  WorkerReply Stopped = replyOf(FirstStartMs);
+  Stopped.Ended.push_back({1, Run, RunOutcome::Stopped});
+  Session.onHoldReply(First, Stopped, Now);
+  LONGS_EQUAL(0, Events.Ends.size());
+  LONGS_EQUAL(1, Port.Holds.back().AcknowledgedEnd);
+  CHECK(Port.Holds.back().Wait == Options.IdleHoldWait);
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
