--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -10,6 +10,7 @@
 /// each refusal. Larger than the difference between the processes' wall clocks
 /// ever is.
 constexpr std::uint64_t TokenStep = 10000;
+constexpr std::int64_t WholePermille = 1000;
 
 } // namespace
 
@@ -83,10 +84,37 @@
                   this->Events.maxWorkerLeaseEnd(Now));
 }
 
+bool WorkerSession::canSendStart(Instant Now) const {
+  return !this->canReturnUnderItsId() ||
+         (this->nextLeaseEnd(Now) > Now.Steady && this->mayCarryLease(Now));
+}
+
+bool WorkerSession::endsInTime(TimePoint Limit, Instant Now) const {
+  if (!this->canReturnUnderItsId())
+    return true;
+  std::chrono::milliseconds Longest =
+      this->Options.Lease + this->Options.LongestLeaseExcess;
+  std::chrono::milliseconds Lag =
+      Longest * this->Options.MaxClockLagPermille / WholePermille;
+  return Limit - Now.Steady >= Longest + Lag + this->Options.LapseDuration;
+}
+
+bool WorkerSession::mayCarryLease(Instant Now) const {
+  if (!this->canReturnUnderItsId())
+    return true;
+  return std::ranges::all_of(this->Runs, [&](const auto &Item) {
+    const auto &[Key, Known] = Item;
+    return Known.isOnlyThere() || this->hasStopped(Key, Now) ||
+           this->endsInTime(this->Events.lastRunEnd(Key), Now);
+  });
+}
+
 WorkerTime WorkerSession::extendLease(Instant Now) {
   TimePoint Ends = this->nextLeaseEnd(Now);
   // A worker never shortens a lease.
   this->LeaseEnds = std::max(this->LeaseEnds, Ends);
+  if (this->canReturnUnderItsId())
+    this->NextIncarnationLeaseEnds = Now.Steady + this->Options.Lease;
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       Now.Steady - this->ClockReadingTime);
   if (Since > this->Options.MaxClockReadingAge)
@@ -95,6 +123,19 @@
          std::chrono::floor<std::chrono::milliseconds>(Ends - Now.Steady);
 }
 
+void WorkerSession::advanceToken(Instant Now) {
+  if (!this->canReturnUnderItsId())
+    return;
+  std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
+  this->Token = std::max(this->Token + 1, UnixMs);
+  this->TokenAdvancedAt = Now.Steady;
+}
+
+bool WorkerSession::hasTokenSettled(Instant Now) const {
+  return this->TokenAdvancedAt == TimePoint::min() ||
+         Now.Steady - this->TokenAdvancedAt >= this->Options.TokenSettleTime;
+}
+
 void WorkerSession::raiseToken(Instant Now) {
   std::uint64_t Refused = this->Token;
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
@@ -116,8 +157,8 @@
   this->sendStart(Key, New, Now);
 }
 
-void WorkerSession::sendStart(const RunKey &Key, const Run &Known,
-                              Instant Now) {
+void WorkerSession::sendStart(const RunKey &Key, Run &Known, Instant Now) {
+  Known.StartToken = this->Token;
   this->Port.start({Key, Known.Spec, this->extendLease(Now), this->Token});
 }
 
@@ -159,7 +200,8 @@
       Known.State = Phase::Running;
     return;
   }
-  if (Reply.Refusal == WorkerRefusal::Fenced)
+  if (Reply.Refusal == WorkerRefusal::Fenced &&
+      (Known.StartToken == this->Token || this->hasTokenSettled(Now)))
     this->raiseToken(Now);
   if (Known.StartsLost == 0)
     this->refuse(Key, Reply.Refusal, Now);
@@ -172,6 +214,7 @@
                                 const WorkerReply &Reply, Instant Now) {
   ++Known.StartsLost;
   this->recordLostCall(Now);
+  this->advanceToken(Now);
   this->Log.decision("start_unanswered", {{"job", Key.Job},
                                           {"task", Key.Index},
                                           {"run", Key.Run},
@@ -180,7 +223,9 @@
                                           {"problem", Reply.Problem}});
   if (Known.State != Phase::Starting)
     return;
-  if (Known.StartsLost < this->Options.MaxStartAttempts)
+  // The process may have been suspended since the start was sent.
+  if (Known.StartsLost < this->Options.MaxStartAttempts &&
+      this->canSendStart(Now))
     this->sendStart(Key, Known, Now);
   else
     this->sendStop(Key, Known, Now);
@@ -196,7 +241,8 @@
     return;
   }
   this->recordClock(Reply, Now);
-  if (Reply.Answered && Reply.Refusal == WorkerRefusal::Fenced)
+  if (Reply.Answered && Reply.Refusal == WorkerRefusal::Fenced &&
+      this->hasTokenSettled(Now))
     this->raiseToken(Now);
   bool Confirmed = Reply.Answered && Reply.Refusal == WorkerRefusal::None;
   if (!Confirmed)
@@ -257,7 +303,8 @@
   // A worker that may not receive our calls is given no lease, so that the
   // expiry of its last one can be determined.
   bool Extends = this->Ready && !this->LastHoldFailed && !this->Runs.empty() &&
-                 this->nextLeaseEnd(Now) > Now.Steady;
+                 this->nextLeaseEnd(Now) > Now.Steady &&
+                 this->mayCarryLease(Now);
   if (Extends)
     Call.LeaseUntil = this->extendLease(Now);
   this->Port.hold(Call);
@@ -268,7 +315,8 @@
   bool Gains =
       this->nextLeaseEnd(Now) - this->LeaseEnds >= this->Options.Lease / 8;
   bool Due = !this->Runs.empty() && this->Ready && !this->LastHoldFailed &&
-             Gains && this->LeaseEnds - Now.Steady < this->Options.Lease / 2;
+             Gains && this->LeaseEnds - Now.Steady < this->Options.Lease / 2 &&
+             this->mayCarryLease(Now);
   if (Due)
     this->sendHold({}, Now);
 }
@@ -299,14 +347,18 @@
   this->markListedRuns(Reply);
   this->processEnds(Reply, Now);
   this->resolveUnreadableEnds(Reply, Now);
+  auto MaxWait = std::chrono::milliseconds::max();
   if (!this->Ready)
     this->stopOrphanedRuns(Reply, Now);
+  else if (this->stopUnknownRuns(Reply))
+    // The stop may get lost.
+    MaxWait = this->Options.HoldWait;
   // The worker reports an unacknowledged end again in each reply, without
   // waiting.
   if (this->UnreadableEndsSince)
     this->NextHold = Now.Steady + this->Options.HoldRetryInterval;
   else if (this->PendingHolds == 0)
-    this->sendHold(this->holdWait(Now), Now);
+    this->sendHold(std::min(this->holdWait(Now), MaxWait), Now);
 }
 
 void WorkerSession::markListedRuns(const WorkerReply &Reply) {
@@ -389,10 +441,12 @@
 void WorkerSession::onHoldFailed(const WorkerReply &Reply, Instant Now) {
   this->NextHold = Now.Steady + this->Options.HoldRetryInterval;
   if (Reply.Refusal == WorkerRefusal::Fenced) {
-    this->raiseToken(Now);
+    if (this->hasTokenSettled(Now))
+      this->raiseToken(Now);
     return;
   }
   this->LastHoldFailed = true;
+  this->advanceToken(Now);
   if (!Reply.Answered)
     this->recordLostCall(Now);
   bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilenceTimeout;
@@ -421,6 +475,24 @@
     this->Events.onWorkerReady(Now);
 }
 
+bool WorkerSession::stopUnknownRuns(const WorkerReply &Reply) {
+  if (!this->canReturnUnderItsId())
+    return false;
+  bool Any = false;
+  for (const RunKey &Key : Reply.Running) {
+    if (this->Runs.contains(Key) || this->OrphanedRuns.contains(Key) ||
+        this->InheritedRuns.contains(Key))
+      continue;
+    Any = true;
+    this->Log.decision("unknown_run_stopped", {{"job", Key.Job},
+                                               {"task", Key.Index},
+                                               {"run", Key.Run},
+                                               {"worker", this->Profile->Id}});
+    this->Port.stop({Key, this->Token});
+  }
+  return Any;
+}
+
 bool WorkerSession::mayHaveUnreadableRuns(const WorkerReply &Reply,
                                           Instant Now) {
   if (Reply.UnreadableRunning == 0)
@@ -441,8 +513,10 @@
     this->sendHold(this->holdWait(Now), Now);
   this->renewIfDue(Now);
   bool HasRuns = !this->Runs.empty() || !this->InheritedRuns.empty();
+  TimePoint LastLeaseEnds =
+      std::max(this->LeaseEnds, this->NextIncarnationLeaseEnds);
   bool Lapsed = this->LastHoldFailed && HasRuns &&
-                Now.Steady >= this->LeaseEnds + this->Options.LeaseExpiryMargin;
+                Now.Steady >= LastLeaseEnds + this->Options.LeaseExpiryMargin;
   if (Lapsed) {
     for (const auto &[Key, Known] : this->Runs)
       this->LapsedWhileSilent[Key] = Known.StartTime;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -47,6 +47,9 @@
   /// How long HoldWaitAfterLoss applies after a lost call; losses come in
   /// periods of seconds.
   std::chrono::milliseconds LossWindow{2000};
+  /// How long after the token has changed a refusal may concern a call sent
+  /// before; longer than a call that is refused takes.
+  std::chrono::milliseconds TokenSettleTime{100};
   /// Delay before a stop without a reply is sent again.
   std::chrono::milliseconds StopRetryInterval{50};
   /// Time within which a confirmed stop has ended its run.
@@ -56,6 +59,14 @@
   /// may have been asked for more than the longest lease it grants, 100 ms
   /// above ours.
   std::chrono::milliseconds LeaseExpiryMargin{150};
+  /// How much longer than Lease the longest lease is that a worker grants. The
+  /// next incarnation under the same id grants it for any deadline on the
+  /// previous clock.
+  std::chrono::milliseconds LongestLeaseExcess{100};
+  /// How slow a worker's clock may be, in thousandths.
+  std::uint32_t MaxClockLagPermille = 20;
+  /// Time within which a worker ends its runs after its lease has ended.
+  std::chrono::milliseconds LapseDuration{10};
   /// How long a reading of the worker's clock may be extrapolated with ours;
   /// longer than a hold call takes. Over a longer time the worker's host or
   /// ours may have been suspended. If the extrapolated time were ahead of the
@@ -111,6 +122,11 @@
   virtual TimePoint maxWorkerLeaseEnd(Instant Now) const {
     return TimePoint::max();
   }
+  /// \returns when the run must have ended, whichever incarnation of the worker
+  /// executes it.
+  virtual TimePoint lastRunEnd(const RunKey &Run) const {
+    return TimePoint::max();
+  }
 };
 
 class WorkerSession {
@@ -148,6 +164,13 @@
   /// \returns when the newest lease ends that the worker may hold. A run that
   /// is started lasts as long, whatever lease its start carries.
   TimePoint leaseEnds() const { return this->LeaseEnds; }
+  /// Whether a run that must have ended by \p Limit does so even if the next
+  /// incarnation with this id begins it, or has begun it, and executes a call
+  /// sent now that carries a lease.
+  bool endsInTime(TimePoint Limit, Instant Now) const;
+  /// Whether a call sent now may carry a lease: all runs that the next
+  /// incarnation may have begun would still end in time.
+  bool mayCarryLease(Instant Now) const;
   /// Whether a confirmed stop of the run has taken effect, so that only the
   /// report of its end is missing.
   bool hasStopped(const RunKey &Run, Instant Now) const;
@@ -164,6 +187,8 @@
     /// Number of starts without a reply. If it is not 0, a refusal does not
     /// prove that the run has not started.
     std::uint32_t StartsLost = 0;
+    /// Token of the last start.
+    std::uint64_t StartToken = 0;
     TimePoint NextStop = TimePoint::min();
     /// When a stop was first confirmed.
     TimePoint StopConfirmedAt = TimePoint::max();
@@ -175,6 +200,9 @@
     /// Whether the worker incarnation for which the run was started has listed
     /// it as running.
     bool Listed = false;
+    /// Whether no start of the run can reach another incarnation: the only one
+    /// sent was executed where the run was meant to be started.
+    bool isOnlyThere() const { return this->Listed && this->StartsLost == 0; }
     /// When a confirmed stop has taken effect, for a run whose end the worker
     /// will not report.
     TimePoint StoppedAt = TimePoint::max();
@@ -198,17 +226,33 @@
   /// Decides about incarnations that were announced while another one might
   /// still be alive.
   void resolveCandidates(const WorkerReply &Reply, Instant Now);
-  void sendStart(const RunKey &Key, const Run &Known, Instant Now);
+  void sendStart(const RunKey &Key, Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
   void recordClock(const WorkerReply &Reply, Instant Now);
   /// \returns until when a call made now may extend the worker's lease.
   TimePoint nextLeaseEnd(Instant Now) const;
+  /// Whether a start may be sent now. The next incarnation of a worker, whose
+  /// clock starts over, accepts a lease even if it has expired on the previous
+  /// clock.
+  bool canSendStart(Instant Now) const;
   /// Records the lease extension of a call that is about to be sent.
   /// \returns the end of the lease on the worker's clock.
   WorkerTime extendLease(Instant Now);
   bool isCurrent(const WorkerIncarnation &Worker) const;
+  /// Whether a later incarnation of the worker may have the same id and thus
+  /// execute calls that are meant for the current one.
+  bool canReturnUnderItsId() const {
+    return this->Profile->StartUnixMs.has_value();
+  }
   void raiseToken(Instant Now);
+  /// Takes a higher token before a call that may reach another incarnation of
+  /// the worker, so that this one refuses starts sent before. The current one
+  /// accepts the token as well.
+  void advanceToken(Instant Now);
+  /// Whether a refusal that arrives now concerns the current token, not the
+  /// one before.
+  bool hasTokenSettled(Instant Now) const;
   void sendHold(std::chrono::milliseconds Wait, Instant Now);
   std::chrono::milliseconds holdWait(Instant Now) const;
   /// Renews the lease while a pending hold call that carries no renewal is
@@ -233,6 +277,11 @@
   bool stopUnlisted(const WorkerReply &Reply, Instant Now);
   void logUnreadableRows(const WorkerReply &Reply, Instant Now);
   void stopOrphanedRuns(const WorkerReply &Reply, Instant Now);
+  /// Stops the runs that the worker lists and the session does not know; a
+  /// late start may have begun them. A stop of a run that has ended since the
+  /// reply was sent changes nothing.
+  /// \returns whether there are any.
+  bool stopUnknownRuns(const WorkerReply &Reply);
   /// Whether runs from unreadable rows may still be active on the worker.
   bool mayHaveUnreadableRuns(const WorkerReply &Reply, Instant Now);
   void end(const RunKey &Key, RunOutcome Outcome, Instant Now);
@@ -248,6 +297,8 @@
   /// new one would have no agent until it announces itself again.
   std::deque<WorkerProfile> Candidates;
   std::uint64_t Token = 0;
+  /// When the token was last advanced.
+  TimePoint TokenAdvancedAt = TimePoint::min();
   /// The last reading of the worker's clock, and our time when it arrived.
   WorkerTime ClockReading{};
   TimePoint ClockReadingTime;
@@ -270,6 +321,10 @@
   TimePoint LastLoss = TimePoint::min();
   /// When the newest lease ends that the worker may hold.
   TimePoint LeaseEnds = TimePoint::min();
+  /// When the longest lease ends that a later incarnation with this id may have
+  /// granted for one of our calls: it finds our deadlines far ahead of its own
+  /// clock, which starts over.
+  TimePoint NextIncarnationLeaseEnds = TimePoint::min();
   /// Number of hold calls without a reply so far.
   int PendingHolds = 0;
   TimePoint NextHold = TimePoint::min();
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -30,6 +30,8 @@
     return;
   }
   this->addCandidate(New);
+  if (New.Id == this->Profile->Id)
+    this->advanceToken(Now);
   this->sendHold({}, Now);
 }
 
@@ -179,12 +181,14 @@
   // that it grants, as their deadlines refer to the previous incarnation's
   // clock.
   this->LeaseEnds = SharesId ? Now.Steady + this->Options.Lease : Now.Steady;
+  this->NextIncarnationLeaseEnds = this->LeaseEnds;
   this->PendingHolds = 0;
   this->OrphanedRuns.clear();
   // The wall clock is ahead of any token of an earlier run of this agent,
   // unless it was set back; then the worker refuses the token and it is raised.
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
   this->Token = std::max(this->Token + 1, UnixMs);
+  this->TokenAdvancedAt = TimePoint::min();
   this->Log.decision("worker_attached", {{"worker", New.Id},
                                          {"born", New.StartUnixMs.value_or(0)},
                                          {"address", New.Address},
@@ -209,9 +213,9 @@
     // A start that the previous incarnation had not listed, or that was sent
     // again, may have been executed by the current one, and its end may have
     // been acknowledged unread.
-    bool RanOnlyThere = Known.Listed && Known.StartsLost == 0;
     this->Events.onRunEnded(
-        Key, RanOnlyThere ? RunOutcome::Lapsed : RunOutcome::Unknown, Now);
+        Key, Known.isOnlyThere() ? RunOutcome::Lapsed : RunOutcome::Unknown,
+        Now);
   }
 }
 
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -291,6 +291,237 @@
   }
 }
 
+// Guards against a second placement of a task that still runs: the next
+// incarnation grants the longest lease for a deadline on the previous clock.
+TEST(WorkerIncarnationTest, RunsLapseWithTheLongestLeaseOfANextIncarnation) {
+  constexpr std::chrono::milliseconds Asked{200};
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds LongestLease;
+  };
+  const Row Rows[] = {
+      {"it may return under its id", FirstStartMs, Options.Lease},
+      {"its next incarnation has another id", {}, Asked}};
+  for (const Row &Row : Rows) {
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    std::size_t Ends = Events.Ends.size();
+    Events.EndBy = Now.Steady + Asked;
+    Fresh.start(Run, "spec", Now);
+    CHECK_TEXT(Fresh.leaseEnds() == Now.Steady + Asked, Row.Name);
+    Fresh.onHoldReply(Port.workerIncarnation(), WorkerReply(), Now);
+    Now.Steady += Row.LongestLease + Options.LeaseExpiryMargin - 1ms;
+    Fresh.tick(Now);
+    LONGS_EQUAL_TEXT(Ends, Events.Ends.size(), Row.Name);
+    Now.Steady += 1ms;
+    Fresh.tick(Now);
+    LONGS_EQUAL_TEXT(Ends + 1, Events.Ends.size(), Row.Name);
+  }
+}
+
+// Guards against a run in the next incarnation that the entry counts as ended:
+// an agent that was suspended handles the time-out of a start call before the
+// end of the task's lease.
+TEST(WorkerIncarnationTest, AStartIsNotSentAgainWhenItsLeaseHasExpired) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds Suspended;
+    std::size_t Starts;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {
+      {"the lease is valid", FirstStartMs, 50ms, 2, 0},
+      {"the lease is too short for a next incarnation", FirstStartMs, 71ms, 1,
+       1},
+      {"the lease has just expired", FirstStartMs, Options.Lease, 1, 1},
+      {"the lease expired long ago", FirstStartMs, 3s, 1, 1},
+      {"the next incarnation has another id", {}, 3s, 2, 0}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    Events.EndBy = Now.Steady + Options.Lease;
+    Events.LastRunEnd = Events.EndBy + 200ms;
+    Fresh.start(Run, "spec", Now);
+    Now.Steady += Row.Suspended;
+    Fresh.onStartReply(Port.workerIncarnation(), Run, WorkerReply(), Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+  }
+}
+
+// Guards against a run that the next incarnation has begun from a start in
+// transit: a hold call would give it the longest lease there. Runs that only
+// the current incarnation can have begun end with it.
+TEST(WorkerIncarnationTest, NoHoldCallLetsARunOutlastItsLimit) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    bool IsStartLost;
+    bool IsListed;
+    std::chrono::milliseconds UntilLimit;
+    bool Extends;
+  };
+  const Row Rows[] = {
+      {"it ends in time", FirstStartMs, false, false, 1030ms, true},
+      {"it would last too long", FirstStartMs, false, false, 1029ms, false},
+      {"the incarnation lists it", FirstStartMs, false, true, 100ms, true},
+      {"another start was sent", FirstStartMs, true, true, 1029ms, false},
+      {"the next incarnation has another id", {}, true, false, 100ms, true}};
+  for (const Row &Row : Rows) {
+    Events.LastRunEnd = TimePoint::max();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerReply Held = replyOf(Row.StartUnixMs);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    Fresh.start(Run, "spec", Now);
+    if (Row.IsStartLost)
+      Fresh.onStartReply(Port.workerIncarnation(), Run, WorkerReply(), Now);
+    Fresh.onStartReply(Port.workerIncarnation(), Run, replyOf({}), Now);
+    if (Row.IsListed)
+      Held.Running.push_back(Run);
+    Events.LastRunEnd = Now.Steady + Row.UntilLimit;
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    CHECK_EQUAL_TEXT(Row.Extends, Port.Holds.back().LeaseUntil.has_value(),
+                     Row.Name);
+  }
+}
+
+// Guards against a late start that the next incarnation executes because its
+// first call from here carried the same token.
+TEST(WorkerIncarnationTest, ACallThatMayReachAnotherIncarnationHasANewToken) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    void (*Do)(WorkerSession &Target, const WorkerIncarnation &Worker,
+               Instant Now);
+    bool Advances;
+  };
+  auto Announce = [](WorkerSession &Target, const WorkerIncarnation &,
+                     Instant Now) {
+    Target.onProfile(profileOf(SecondStartMs, 1), Now);
+  };
+  auto AnnounceAgain = [](WorkerSession &Target, const WorkerIncarnation &,
+                          Instant Now) {
+    Target.onProfile(profileOf(FirstStartMs, 2), Now);
+  };
+  auto LoseHold = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                     Instant Now) {
+    Target.onHoldReply(Worker, WorkerReply(), Now);
+  };
+  auto FailHold = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                     Instant Now) {
+    Target.onHoldReply(Worker, replyOf({}, WorkerRefusal::Unhealthy), Now);
+  };
+  auto LoseStart = [](WorkerSession &Target, const WorkerIncarnation &Worker,
+                      Instant Now) {
+    Target.onStartReply(Worker, {"00000000000000aa", 0, 1}, WorkerReply(), Now);
+  };
+  const Row Rows[] = {
+      {"another incarnation is announced", FirstStartMs, Announce, true},
+      {"the current one is announced", FirstStartMs, AnnounceAgain, false},
+      {"a hold call is lost", FirstStartMs, LoseHold, true},
+      {"a hold call fails", FirstStartMs, FailHold, true},
+      {"a start is lost", FirstStartMs, LoseStart, true},
+      {"a hold call is lost, the next incarnation has another id",
+       {},
+       LoseHold,
+       false}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    // The wall clock must not be what raises the token.
+    Now.Wall -= 1h;
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerIncarnation Worker = Port.workerIncarnation();
+    Fresh.onHoldReply(Worker, replyOf(Row.StartUnixMs), Now);
+    Fresh.start(Run, "spec", Now);
+    std::uint64_t Before = Port.Starts.back().FencingToken;
+    Row.Do(Fresh, Worker, Now);
+    Fresh.onHoldReply(Worker, replyOf(Row.StartUnixMs), Now);
+    Now.Steady += Options.HoldRetryInterval;
+    Fresh.tick(Now);
+    CHECK_EQUAL_TEXT(Row.Advances, Port.Holds.back().FencingToken > Before,
+                     Row.Name);
+    CHECK_TEXT(Port.Holds.back().FencingToken >= Before, Row.Name);
+  }
+}
+
+// Guards against a token that doubles its distance from the wall clock with
+// each refused call that was overtaken by one with a higher token.
+TEST(WorkerIncarnationTest, ARefusalOfAnOvertakenCallDoesNotRaiseTheToken) {
+  attachFirst();
+  Session.onHoldReply(First, WorkerReply(), Now);
+  pass(Options.HoldRetryInterval);
+  std::uint64_t Advanced = Port.Holds.back().FencingToken;
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::Fenced), Now);
+  pass(Options.HoldRetryInterval);
+  CHECK(Port.Holds.back().FencingToken == Advanced);
+  // A refusal that concerns the new token raises it.
+  pass(Options.TokenSettleTime);
+  Session.onHoldReply(First, replyOf({}, WorkerRefusal::Fenced), Now);
+  pass(Options.HoldRetryInterval);
+  CHECK(Port.Holds.back().FencingToken > Advanced);
+}
+
+// Guards against a run that a late start has begun and that the session's own
+// lease renewals keep alive beside a later placement of its task.
+TEST(WorkerIncarnationTest, AReadySessionStopsRunsThatItDoesNotKnow) {
+  const RunKey Unknown{"00000000000000bb", 0, 1};
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    RunKey Listed;
+    std::size_t Stops;
+  };
+  const Row Rows[] = {
+      {"an unknown run", FirstStartMs, Unknown, 1},
+      {"an earlier run of a known task", FirstStartMs, {Run.Job, 0, 1}, 1},
+      {"a known run", FirstStartMs, {Run.Job, 0, 2}, 0},
+      {"the next incarnation has another id", {}, Unknown, 0}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerReply Held = replyOf(Row.StartUnixMs);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    Fresh.start({Run.Job, 0, 2}, "spec", Now);
+    Held.Running.push_back(Row.Listed);
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    LONGS_EQUAL_TEXT(Row.Stops, Port.Stops.size(), Row.Name);
+    if (Row.Stops == 0)
+      continue;
+    CHECK_TEXT(Port.Stops.back().Run == Row.Listed, Row.Name);
+    LONGS_EQUAL_TEXT(Port.Holds.back().FencingToken,
+                     Port.Stops.back().FencingToken, Row.Name);
+    // The stop is sent until the worker no longer lists the run.
+    Fresh.onHoldReply(Port.workerIncarnation(), Held, Now);
+    LONGS_EQUAL_TEXT(2, Port.Stops.size(), Row.Name);
+    Fresh.onHoldReply(Port.workerIncarnation(), replyOf(Row.StartUnixMs), Now);
+    LONGS_EQUAL_TEXT(2, Port.Stops.size(), Row.Name);
+  }
+}
+
+// Guards against a lost stop of such a run that is noticed only at the end of a
+// long idle hold call.
+TEST(WorkerIncarnationTest, AnIdleSessionChecksSoonWhetherAnUnknownRunEnded) {
+  attachFirst();
+  CHECK(Port.Holds.back().Wait == Options.IdleHoldWait);
+  listInFirst(Run);
+  CHECK(Port.Holds.back().Wait == Options.HoldWait);
+  // An end that the session does not know is only acknowledged.
+  WorkerReply Stopped = replyOf(FirstStartMs);
+  Stopped.Ended.push_back({1, Run, RunOutcome::Stopped});
+  Session.onHoldReply(First, Stopped, Now);
+  LONGS_EQUAL(0, Events.Ends.size());
+  LONGS_EQUAL(1, Port.Holds.back().AcknowledgedEnd);
+  CHECK(Port.Holds.back().Wait == Options.IdleHoldWait);
+}
+
 TEST_GROUP_BASE(KeeperIncarnationTest, KeeperFixture){
     WorkerProfile profileStartedAt(std::uint64_t StartUnixMs){
         WorkerProfile Profile = profileOf(StartUnixMs, 1);
@@ -381,3 +612,37 @@
   LONGS_EQUAL(2, Port.Starts.size());
   CHECK(Port.Starts[1].Run.Run > Port.Starts[0].Run.Run);
 }
+
+// Guards against a start in transit over the restart of the worker: the next
+// incarnation gives its run the longest lease. Dispatches with a stamp of an
+// ordinary age must start at once all the same.
+TEST(KeeperIncarnationTest, ATaskWithTooShortALeaseWaitsForARenewal) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::chrono::milliseconds StampAge;
+    std::size_t StartsAtOnce;
+  };
+  const Row Rows[] = {{"a fresh stamp", FirstStartMs, 5ms, 1},
+                      {"the oldest stamp for which its run ends in time",
+                       FirstStartMs, 220ms, 1},
+                      {"its run would last too long", FirstStartMs, 221ms, 0},
+                      {"the next incarnation has another id", {}, 390ms, 1}};
+  for (const Row &Row : Rows) {
+    Port.Starts.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    WorkerProfile Profile = profileStartedAt(FirstStartMs);
+    Profile.StartUnixMs = Row.StartUnixMs;
+    Keeper.onProfile(Profile, Now);
+    Keeper.session().onHoldReply(Profile.workerIncarnation(),
+                                 replyOf(Row.StartUnixMs), Now);
+    Keeper.onMessage(EntryA,
+                     dispatch("job", stamp() - static_cast<std::uint64_t>(
+                                                   Row.StampAge.count())),
+                     Now);
+    LONGS_EQUAL_TEXT(Row.StartsAtOnce, Port.Starts.size(), Row.Name);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    pass(Keeper, TickInterval);
+    LONGS_EQUAL_TEXT(1, Port.Starts.size(), Row.Name);
+  }
+}
