Bound what open starts cost, and say where they stay unknown

An agent that a task avoids gets it no more, nor one that has lost more of its starts than one run sends. A new entry waits only for agents that are alive, 5 s at most. Open starts count as perhaps begun wherever a job is answered. Only new reports are acknowledged at once; a full record keeps what it has and logs it.

--- a/agent/open_starts.cpp
+++ b/agent/open_starts.cpp
@@ -1,5 +1,7 @@
 #include "agent/open_starts.h"
 
+#include <algorithm>
+
 namespace yardwheel {
 
 void OpenStarts::add(const std::string &Job, std::uint32_t Index,
@@ -30,17 +32,19 @@
   auto Found = this->Entries.find(Entry);
   std::uint64_t Known =
       Found == this->Entries.end() ? 0 : Found->second.Acknowledged;
-  for (const OpenStart &Start : this->Starts) {
-    if (Start.Number <= Known || Now >= Start.Until)
+  auto Start =
+      std::ranges::upper_bound(this->Starts, Known, {}, &OpenStart::Number);
+  for (; Start != this->Starts.end(); ++Start) {
+    if (Now >= Start->Until)
       continue;
     if (Report.open_starts_size() >= this->Options.MaxPerReport)
       return;
     peer::OpenStart *Row = Report.add_open_starts();
-    Row->set_job(Start.Job);
-    Row->set_index(Start.Index);
+    Row->set_job(Start->Job);
+    Row->set_index(Start->Index);
     Row->set_left_ms(
-        static_cast<std::uint32_t>(millisBetween(Now, Start.Until)));
-    Row->set_number(Start.Number);
+        static_cast<std::uint32_t>(millisBetween(Now, Start->Until)));
+    Row->set_number(Start->Number);
   }
 }
 
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -335,7 +335,8 @@
   if (!Over)
     return;
   LeasedAnswer Answer = Target.PendingAnswer;
-  bool NothingRan = Target.OutstandingCount == 0 && !Target.MayHaveRun;
+  bool NothingRan = Target.OutstandingCount == 0 && !Target.MayHaveRun &&
+                    !this->mayHaveRun(Target.Request.Id, Now);
   if (Answer.End != LeasedEnd::Failed)
     Answer.End = NothingRan ? LeasedEnd::NotRun : LeasedEnd::Unknown;
   if (Answer.End == LeasedEnd::NotRun && Answer.RetryAfter.count() == 0)
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -114,7 +114,7 @@
   /// capacity. About the time in which a full worker finishes its tasks.
   std::chrono::milliseconds RetryAfter{1000};
   /// Retry delay sent to callers while this entry may not know of all open
-  /// starts. Agents report within a second of their start.
+  /// starts. Agents that run report within some round trips.
   std::chrono::milliseconds StartupRetryAfter{300};
   WorkerTableOptions Workers;
   ShedderOptions Shedder;
@@ -312,7 +312,7 @@
   void queueResubmission(Job &Known, LeasedJobRequest Request,
                          LeaseTicket Waiter, Instant Now);
   /// Answers the callers of a held resubmission and discards it.
-  void dropResubmission(Job &Known, const std::string &Reason);
+  void dropResubmission(Job &Known, const std::string &Reason, Instant Now);
   /// Answers and removes a caller that has disconnected, if others remain.
   /// \returns false, and does nothing, if it is the only caller.
   bool removeCaller(std::vector<Caller> &Callers, LeaseTicket Waiter,
--- a/entry/lease_coordinator_intake.cpp
+++ b/entry/lease_coordinator_intake.cpp
@@ -87,11 +87,12 @@
   ++this->WaitingCallers;
 }
 
-void LeaseCoordinator::dropResubmission(Job &Known, const std::string &Reason) {
+void LeaseCoordinator::dropResubmission(Job &Known, const std::string &Reason,
+                                        Instant Now) {
   // Runs of the earlier submission count as runs of the job.
-  LeasedEnd End = Known.MayHaveRun || Known.OutstandingCount > 0
-                      ? LeasedEnd::Unknown
-                      : LeasedEnd::NotRun;
+  bool MayHaveRun = Known.MayHaveRun || this->mayHaveRun(Known.Request.Id, Now);
+  LeasedEnd End = MayHaveRun || Known.OutstandingCount > 0 ? LeasedEnd::Unknown
+                                                           : LeasedEnd::NotRun;
   std::vector<Caller> Callers = std::move(Known.NextSubmission->Callers);
   Known.NextSubmission.reset();
   this->WaitingCallers -= Callers.size();
@@ -110,7 +111,8 @@
   if (this->OpenStarts.mayMissOpenStarts(Now.Steady)) {
     Awaits =
         !std::ranges::all_of(this->Workers.workers(), [this](const auto &Item) {
-          return this->OpenStarts.hasSettled(Item.first);
+          const auto &[Agent, Worker] = Item;
+          return !Worker.Alive || this->OpenStarts.hasSettled(Agent);
         });
     if (!Awaits)
       this->OpenStarts.setComplete();
@@ -172,7 +174,7 @@
                               Instant Now) {
   Job *Known = this->find(Id);
   if (Known != nullptr && Known->NextSubmission)
-    this->dropResubmission(*Known, Reason);
+    this->dropResubmission(*Known, Reason, Now);
   if (Known != nullptr && Known->Phase == JobPhase::Running)
     this->giveUp(*Known, {LeasedEnd::Unknown, "cancel", "", Reason, {}}, Now);
   this->forgetIfSettled(Id, Now);
@@ -210,7 +212,7 @@
   };
   if (Known->NextSubmission && IsAmong(Known->NextSubmission->Callers)) {
     if (!this->removeCaller(Known->NextSubmission->Callers, Waiter, Reason))
-      this->dropResubmission(*Known, Reason);
+      this->dropResubmission(*Known, Reason, Now);
     return;
   }
   // A job that is being given up is already being stopped.
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -32,14 +32,13 @@
                                                        std::uint32_t Index,
                                                        Instant Now) const {
   const Task &JobTask = Target.Tasks[Index];
-  std::set<std::string> Open =
-      this->OpenStarts.agentsOf(Target.Request.Id, Index, Now.Steady);
-  if (Open.empty())
+  OpenStartRecord::Choice Choice =
+      this->OpenStarts.choiceFor(Target.Request.Id, Index, Now.Steady);
+  if (Choice.IsFree)
     return JobTask.Avoid;
-  // Where starts are open at several agents, each other one may begin a run.
-  std::set<std::string> Excluded;
+  std::set<std::string> Excluded = JobTask.Avoid;
   for (const auto &[Agent, Worker] : this->Workers.workers())
-    if (Open.size() > 1 || !Open.contains(Agent))
+    if (Agent != Choice.Agent)
       Excluded.insert(Agent);
   return Excluded;
 }
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -444,7 +444,8 @@
       Due.push_back(Id);
     if (Known->NextSubmission &&
         Now.Steady >= lastDeadline(Known->NextSubmission->Callers))
-      this->dropResubmission(*Known, "an earlier hand-in has not ended yet");
+      this->dropResubmission(*Known, "an earlier hand-in has not ended yet",
+                             Now);
   }
   for (const std::string &Id : Due) {
     Job &Target = *this->Jobs[Id];
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -1,7 +1,6 @@
 #include "entry/open_start_record.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace yardwheel {
 
@@ -21,18 +20,33 @@
   Reports &Known = this->Agents[Agent];
   if (Known.Incarnation != Load.incarnation())
     Known = {Load.incarnation(), 0};
+  std::uint64_t Before = Known.LastNumber;
   for (const peer::OpenStart &Row : Load.open_starts()) {
     Known.LastNumber = std::max(Known.LastNumber, Row.number());
-    TimePoint &Until = this->Tasks[{Row.job(), Row.index()}][Agent];
-    std::chrono::milliseconds Left(Row.left_ms());
-    Until = std::max(Until, Now + std::min(Left, this->Options.MaxCallDelay));
+    this->add(Agent, Row, Now);
   }
-  while (this->Tasks.size() > this->Options.MaxTasks)
-    this->Tasks.erase(
-        std::ranges::min_element(this->Tasks, {}, [](const auto &Item) {
-          return std::ranges::max(Item.second | std::views::values);
-        }));
-  return true;
+  return Known.LastNumber > Before;
+}
+
+void OpenStartRecord::add(const std::string &Agent, const peer::OpenStart &Row,
+                          TimePoint Now) {
+  TaskKey Task{Row.job(), Row.index()};
+  if (this->Tasks.size() >= this->Options.MaxTasks &&
+      !this->Tasks.contains(Task)) {
+    this->Log.decision("open_start_ignored", {{"job", Row.job()},
+                                              {"task", Row.index()},
+                                              {"agent", Agent},
+                                              {"known", this->Tasks.size()}});
+    return;
+  }
+  AtAgent &Open = this->Tasks[Task][Agent];
+  std::chrono::milliseconds Left(Row.left_ms());
+  Open.Until =
+      std::max(Open.Until, Now + std::min(Left, this->Options.MaxCallDelay));
+  // The same start is reported several times.
+  if (Row.number() > Open.LastNumber)
+    ++Open.Starts;
+  Open.LastNumber = std::max(Open.LastNumber, Row.number());
 }
 
 std::uint64_t OpenStartRecord::acknowledged(const std::string &Agent,
@@ -43,25 +57,30 @@
   return Same ? Found->second.LastNumber : 0;
 }
 
-std::set<std::string> OpenStartRecord::agentsOf(const std::string &Job,
-                                                std::uint32_t Index,
-                                                TimePoint Now) const {
-  std::set<std::string> Open;
-  auto Found = this->Tasks.find({Job, Index});
-  if (Found == this->Tasks.end())
-    return Open;
-  for (const auto &[Agent, Until] : Found->second)
-    if (Now < Until)
-      Open.insert(Agent);
-  return Open;
+OpenStartRecord::Choice OpenStartRecord::choiceFor(const std::string &Job,
+                                                   std::uint32_t Index,
+                                                   TimePoint Now) const {
+  Choice Found;
+  if (this->Tasks.empty())
+    return Found;
+  auto Task = this->Tasks.find({Job, Index});
+  if (Task == this->Tasks.end())
+    return Found;
+  for (const auto &[Agent, Open] : Task->second) {
+    if (Now >= Open.Until)
+      continue;
+    bool MayTake = Found.IsFree && Open.Starts <= this->Options.MaxLostStarts;
+    Found = {/*IsFree=*/false, MayTake ? Agent : ""};
+  }
+  return Found;
 }
 
 bool OpenStartRecord::hasOpenStart(const std::string &Job,
                                    TimePoint Now) const {
   auto Task = this->Tasks.lower_bound({Job, 0});
   for (; Task != this->Tasks.end() && Task->first.first == Job; ++Task)
-    for (const auto &[Agent, Until] : Task->second)
-      if (Now < Until)
+    for (const auto &[Agent, Open] : Task->second)
+      if (Now < Open.Until)
         return true;
   return false;
 }
@@ -70,14 +89,14 @@
   if (!this->Started)
     this->Started = Now;
   this->Complete =
-      this->Complete || Now - *this->Started >= this->Options.MaxCallDelay;
+      this->Complete || Now - *this->Started >= this->Options.StartupWait;
   return !this->Complete && this->WorkersKeepId.value_or(this->HasUnsettled);
 }
 
 void OpenStartRecord::sweep(TimePoint Now) {
   for (auto &[Task, Agents] : this->Tasks)
     std::erase_if(Agents,
-                  [Now](const auto &Item) { return Now >= Item.second; });
+                  [Now](const auto &Item) { return Now >= Item.second.Until; });
   std::erase_if(this->Tasks,
                 [](const auto &Item) { return Item.second.empty(); });
 }
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -9,14 +9,15 @@
 ///
 /// An entry that has just started knows of no open starts, and an agent that
 /// has restarted cannot report those of before. Such an entry accepts no jobs
-/// until each agent has reported that its worker refuses earlier starts, or
-/// until none can be open any more.
+/// until each agent that control lists as alive has reported that its worker
+/// refuses earlier starts, or until StartupWait is over.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_ENTRY_OPEN_START_RECORD_H
 #define YARDWHEEL_ENTRY_OPEN_START_RECORD_H
 
 #include "core/clock.h"
+#include "core/logger.h"
 #include "protocol/peer.pb.h"
 
 #include <cstdint>
@@ -29,10 +30,16 @@
 namespace yardwheel {
 
 struct OpenStartRecordOptions {
-  /// How long after it was sent the start of a task may be executed.
+  /// Upper limit of the time for which an agent may report a start as open.
   std::chrono::milliseconds MaxCallDelay{15000};
-  /// Maximum number of tasks remembered. Those whose open starts end first are
-  /// dropped first.
+  /// How long an entry that has just started waits for reports at most. Agents
+  /// that restart together with it take some seconds.
+  std::chrono::milliseconds StartupWait{5000};
+  /// A task that has lost more starts than this at an agent is not placed there
+  /// again while one of them is open: each further one would extend that time.
+  /// As many as one run may lose.
+  std::size_t MaxLostStarts = 3;
+  /// Maximum number of tasks remembered.
   std::size_t MaxTasks = 20000;
 };
 
@@ -41,17 +48,23 @@
   explicit OpenStartRecord(OpenStartRecordOptions Options = {})
       : Options(Options) {}
 
-  /// Records what an agent reports. \returns whether it has reported open
-  /// starts that are to be acknowledged.
+  /// Records what an agent reports. \returns whether it has reported new open
+  /// starts, which are to be acknowledged.
   bool onLoad(const std::string &Agent, const peer::WorkerLoad &Load,
               TimePoint Now);
   /// \returns the highest number among the open starts that this incarnation
   /// of the agent has reported; 0 if there are none.
   std::uint64_t acknowledged(const std::string &Agent,
                              std::uint64_t Incarnation) const;
-  /// \returns the agents whose workers may still begin a run of the task.
-  std::set<std::string> agentsOf(const std::string &Job, std::uint32_t Index,
-                                 TimePoint Now) const;
+  /// Where a task may be placed because of its open starts.
+  struct Choice {
+    /// Whether it has none, so that any agent will do.
+    bool IsFree = true;
+    /// The only agent that may take it; empty if none may.
+    std::string Agent;
+  };
+  Choice choiceFor(const std::string &Job, std::uint32_t Index,
+                   TimePoint Now) const;
   /// Whether a task of the job has an open start.
   bool hasOpenStart(const std::string &Job, TimePoint Now) const;
   /// Whether starts from before this record began may be open at agents that
@@ -68,14 +81,25 @@
 
 private:
   using TaskKey = std::pair<std::string, std::uint32_t>;
+  void add(const std::string &Agent, const peer::OpenStart &Row, TimePoint Now);
+
   struct Reports {
     std::uint64_t Incarnation = 0;
     std::uint64_t LastNumber = 0;
   };
 
+  /// The open starts of a task at an agent.
+  struct AtAgent {
+    /// Until when any of them may be executed.
+    TimePoint Until;
+    /// The number of the last one that was counted, and how many there were.
+    std::uint64_t LastNumber = 0;
+    std::size_t Starts = 0;
+  };
+
   OpenStartRecordOptions Options;
-  /// By task and agent: until when the start may be executed.
-  std::map<TaskKey, std::map<std::string, TimePoint>> Tasks;
+  Logger Log{"open-starts"};
+  std::map<TaskKey, std::map<std::string, AtAgent>> Tasks;
   std::map<std::string, Reports> Agents;
   /// Agents that have reported a worker without unknown open starts.
   std::set<std::string> Settled;
