A confirmed stop lets a task be placed elsewhere within its submission

Traced: it is no flake but what the open starts cost. A worker that answers starts after 600 ms leaves each without a reply, and a task with an open start was not placed elsewhere, so its job ended as unknown.

Change: an agent whose worker has confirmed the stop of the task's run does not bind the task in this submission. That worker refuses the late start; its next incarnation does not, so six forced orders of events overlap as before: late_start_stopped, known to fail. A resubmission knows of no stop and is bound as before.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -236,8 +236,10 @@
   this->settle(Target, JobTask, TaskPhase::Unplaced);
   // This worker looks the least loaded, so without this the task would be sent
   // there again.
-  bool WorkerAtFault =
-      JobTask.Stalled || Update.refusal() == peer::REFUSAL_WORKER;
+  bool IsStopConfirmed = Update.refusal() == peer::REFUSAL_WORKER;
+  if (IsStopConfirmed)
+    JobTask.Stopped.insert(Agent);
+  bool WorkerAtFault = JobTask.Stalled || IsStopConfirmed;
   if (WorkerAtFault) {
     JobTask.Avoid.insert(Agent);
     if (this->Workers.onFailure(Agent, Now.Steady))
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -232,6 +232,11 @@
     TimePoint MissingSince = TimePoint::max();
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
+    /// Agents whose workers have confirmed in this submission that they refuse
+    /// a late start of the task. It may be placed elsewhere, although another
+    /// incarnation of such a worker has promised nothing: a slow worker would
+    /// otherwise cost its callers their jobs.
+    std::set<std::string> Stopped;
   };
   enum class JobPhase { Running, GivingUp, Answered };
   /// One submission of a job and its deadline.
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -32,8 +32,8 @@
                                                        std::uint32_t Index,
                                                        Instant Now) const {
   const Task &JobTask = Target.Tasks[Index];
-  OpenStartRecord::Choice Choice =
-      this->OpenStarts.choiceFor(Target.Request.Id, Index, Now.Steady);
+  OpenStartRecord::Choice Choice = this->OpenStarts.choiceFor(
+      Target.Request.Id, Index, Now.Steady, JobTask.Stopped);
   if (Choice.IsFree)
     return JobTask.Avoid;
   std::set<std::string> Excluded = JobTask.Avoid;
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -57,9 +57,10 @@
   return Same ? Found->second.LastNumber : 0;
 }
 
-OpenStartRecord::Choice OpenStartRecord::choiceFor(const std::string &Job,
-                                                   std::uint32_t Index,
-                                                   TimePoint Now) const {
+OpenStartRecord::Choice
+OpenStartRecord::choiceFor(const std::string &Job, std::uint32_t Index,
+                           TimePoint Now,
+                           const std::set<std::string> &Stopped) const {
   Choice Found;
   if (this->Tasks.empty())
     return Found;
@@ -67,7 +68,7 @@
   if (Task == this->Tasks.end())
     return Found;
   for (const auto &[Agent, Open] : Task->second) {
-    if (Now >= Open.Until)
+    if (Now >= Open.Until || Stopped.contains(Agent))
       continue;
     bool MayTake = Found.IsFree && Open.Starts <= this->Options.MaxLostStarts;
     Found = {/*IsFree=*/false, MayTake ? Agent : ""};
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -63,8 +63,9 @@
     /// The only agent that may take it; empty if none may.
     std::string Agent;
   };
-  Choice choiceFor(const std::string &Job, std::uint32_t Index,
-                   TimePoint Now) const;
+  /// \param Stopped Agents whose open starts of the task do not count.
+  Choice choiceFor(const std::string &Job, std::uint32_t Index, TimePoint Now,
+                   const std::set<std::string> &Stopped = {}) const;
   /// Whether a task of the job has an open start.
   bool hasOpenStart(const std::string &Job, TimePoint Now) const;
   /// Whether starts from before this record began may be open at agents that
