http_framing: a row's second request is sent once the first is read

Cause: two HTTP/1.1 requests without a Connection header. The server closes after the first unless it has read more input behind it by then; the row "two in one segment" checks that both are answered in that case. The row that failed counted on a pause of 20 ms to have the first read alone; on a busy machine the server read both together.

Change: in this row the handler must have got the first request before the second is sent. The expected answers, requests and end of the connection are as before.

--- a/tests/http/http_framing_test.cpp
+++ b/tests/http/http_framing_test.cpp
@@ -14,6 +14,7 @@
 #include "http/http_server.h"
 #include "tests/support/http_caller.h"
 
+#include <condition_variable>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -41,6 +42,7 @@
       this->Asked.push_back(Request.Resource + "=" +
                             std::to_string(Request.Body.size()));
     }
+    this->Changed.notify_all();
     Reply->send({.Body = Request.Resource});
   }
 
@@ -53,8 +55,17 @@
     return Text;
   }
 
+  /// Waits until there have been \p Count requests, or for a bounded time.
+  void awaitRequests(std::size_t Count) {
+    std::unique_lock Lock(this->Mutex);
+    this->Changed.wait_for(Lock, CallerReadTimeout, [this, Count] {
+      return this->Asked.size() >= Count;
+    });
+  }
+
 private:
   std::mutex Mutex;
+  std::condition_variable Changed;
   std::vector<std::string> Asked;
 };
 
@@ -98,6 +109,9 @@
   const char *Statuses;
   /// The requests that the handler gets.
   const char *Asked;
+  /// Whether each segment is one request, which the handler has got before the
+  /// next segment is sent.
+  bool OneAfterOther = false;
 };
 
 } // namespace
@@ -123,9 +137,13 @@
     return New;
   }
 
-  void sendAll(Caller & Client, const std::vector<std::string> &Segments) {
-    for (const std::string &Segment : Segments) {
-      Client.send(Segment);
+  /// \param OneAfterOther See Row.
+  void sendAll(Caller & Client, const std::vector<std::string> &Segments,
+               bool OneAfterOther = false) {
+    for (std::size_t I = 0; I < Segments.size(); ++I) {
+      if (OneAfterOther)
+        this->Handler->awaitRequests(I);
+      Client.send(Segments[I]);
       std::this_thread::sleep_for(milliseconds(20));
     }
   }
@@ -135,7 +153,7 @@
     for (const Row &Row : Rows) {
       this->serve();
       Caller Client = this->connected();
-      this->sendAll(Client, Row.Segments);
+      this->sendAll(Client, Row.Segments, Row.OneAfterOther);
       std::string Text = Client.read(std::string::npos, Quiet);
       STRCMP_EQUAL_TEXT(Row.Statuses, statusesIn(Text).c_str(), Row.Name);
       STRCMP_EQUAL_TEXT(Row.Asked, this->Handler->asked().c_str(), Row.Name);
@@ -295,7 +313,8 @@
        {"as its request does not ask to keep it",
         {plainGet("/a"), plainGet("/b")},
         "200 ",
-        "/a=0 "},
+        "/a=0 ",
+        /*OneAfterOther=*/true},
        {"two in one segment that do not ask to keep it",
         {plainGet("/a") + plainGet("/b")},
         "200 200 ",
