A list of an agent's crashes ends holds for its earlier incarnations

Cause: a task under which two workers were lost is on hold until both are known to have crashed or not. An agent reports a crash of an earlier incarnation of its worker or never does: nothing that may be the cause was running there, its process has restarted, or the report is older than 20 s. The hold then lasted until the job's deadline, and again in each resubmission for 30 s.

Change: a reply to a renewal lists all crashes that the agent knows of, and a crash is recorded before the next incarnation gets its number. So incarnations before the one that sends the list, which are not on it, are no crashes. A report that arrives later still counts.

Without the call in onLoad(), TheNextIncarnationsListTakesAJobOffHold fails.

--- a/entry/crash_record.cpp
+++ b/entry/crash_record.cpp
@@ -27,7 +27,10 @@
   // If the crash of this incarnation is already known, its report has named the
   // tasks that may be the cause, and this task is not among them.
   WorkerIncarnation Worker{Agent, Incarnation};
-  if (!this->Crashes.contains(Worker))
+  auto First = this->FirstUnreported.find(Agent);
+  bool MayBeReported =
+      First == this->FirstUnreported.end() || Incarnation >= First->second;
+  if (MayBeReported && !this->Crashes.contains(Worker))
     this->touch({Job, Index}, Now).Lost.insert(std::move(Worker));
 }
 
@@ -58,6 +61,30 @@
   return {Settled.begin(), Settled.end()};
 }
 
+std::vector<std::string> CrashRecord::onCrashesListed(const std::string &Agent,
+                                                      std::uint64_t Current) {
+  std::uint64_t &First = this->FirstUnreported[Agent];
+  if (Current <= First)
+    return {};
+  First = Current;
+  return this->clearBefore(Agent, Current);
+}
+
+std::vector<std::string> CrashRecord::clearBefore(const std::string &Agent,
+                                                  std::uint64_t End) {
+  std::set<std::string> Cleared;
+  for (auto &[Name, Known] : this->Tasks) {
+    bool WasOnHold = this->judge(Known) == CrashVerdict::OnHold;
+    std::erase_if(Known.Lost, [&, &Known = Known](const auto &Worker) {
+      return Worker.Agent == Agent && Worker.Incarnation < End &&
+             !Known.Crashed.contains(Worker);
+    });
+    if (WasOnHold && this->judge(Known) != CrashVerdict::OnHold)
+      Cleared.insert(Name.Job);
+  }
+  return {Cleared.begin(), Cleared.end()};
+}
+
 CrashVerdict CrashRecord::judge(const TaskRecord &Known) const {
   if (Known.StartedLast >= this->Options.MaxCrashesStartedLast ||
       Known.Crashed.size() >= this->Options.MaxCrashesAnyTask)
--- a/entry/crash_record.h
+++ b/entry/crash_record.h
@@ -10,6 +10,9 @@
 /// just be cut off; that it crashed is known only once its next incarnation has
 /// announced itself.
 ///
+/// A task that waits for such a report must not wait for one that never comes:
+/// the agent may have found no crash, or its process may have restarted.
+///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_ENTRY_CRASH_RECORD_H
 #define YARDWHEEL_ENTRY_CRASH_RECORD_H
@@ -68,6 +71,13 @@
                                            const peer::WorkerCrash &Crash,
                                            TimePoint Now);
 
+  /// Handles the complete list of the crashes that an agent knows of, after
+  /// each of them has been passed to onWorkerCrashed(). Incarnations before \p
+  /// Current that are not on it will not be reported as crashed. \returns the
+  /// jobs with tasks that this takes off hold.
+  std::vector<std::string> onCrashesListed(const std::string &Agent,
+                                           std::uint64_t Current);
+
   CrashVerdict verdict(const std::string &Job, std::uint32_t Index) const;
   /// Describes a given-up task of the job and the workers that crashed while
   /// running it, for logs and callers. \returns an empty text if there is none.
@@ -103,12 +113,18 @@
   };
 
   CrashVerdict judge(const TaskRecord &Known) const;
+  /// Clears all tasks of the incarnations of an agent before \p End that have
+  /// not crashed. \returns the jobs with tasks that this takes off hold.
+  std::vector<std::string> clearBefore(const std::string &Agent,
+                                       std::uint64_t End);
   TaskRecord &touch(const TaskKey &Task, TimePoint Now);
 
   CrashRecordOptions Options;
   std::map<TaskKey, TaskRecord> Tasks;
   /// Crashes that have been counted, with the time of their last report.
   std::map<WorkerIncarnation, TimePoint> Crashes;
+  /// By agent, the first incarnation whose crash may still be reported.
+  std::map<std::string, std::uint64_t> FirstUnreported;
 };
 
 } // namespace yardwheel
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -78,6 +78,18 @@
   if (this->OpenStarts.onLoad(Agent, Load, Now.Steady) && Worker != nullptr)
     this->sendRenewal(*Worker, AgentContact, Now);
   this->onCrashes(Agent, Load, Now);
+  // Only a reply to a renewal names all crashes that the agent knows of.
+  if (Load.lists_held())
+    this->placeCleared(
+        this->Crashes.onCrashesListed(Agent, Load.incarnation()));
+}
+
+void LeaseCoordinator::placeCleared(const std::vector<std::string> &Cleared) {
+  for (const std::string &Id : Cleared) {
+    Job *Target = this->find(Id);
+    if (Target != nullptr && Target->Phase == JobPhase::Running)
+      this->schedulePlacement(*Target);
+  }
 }
 
 void LeaseCoordinator::onCrashes(const std::string &Agent,
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -355,6 +355,8 @@
   /// crashed too many workers.
   void onCrashes(const std::string &Agent, const peer::WorkerLoad &Load,
                  Instant Now);
+  /// Places the tasks of jobs on hold that have been cleared.
+  void placeCleared(const std::vector<std::string> &Cleared);
   /// Fails a job at once if one of its tasks was given up before for crashing
   /// workers. \returns whether it was.
   bool rejectCrashingJob(const LeasedJobRequest &Request,
