A run that no crash report will name has not lost its worker

Cause: a crash report leaves out runs that were started after the worker had fallen silent, as they never reached it. The update about such a run still told its entry that the worker was lost under it, so that the entry waited for a report.

Change: the update uses the rule of the report.

Measured: OnlyRunsThatACrashReportNamesLoseTheirWorker fails without the change ("started after it"); the 95 tests of lease_agent pass with it.

--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -116,7 +116,10 @@
   peer::LeasedRefusal Refusal = Outcome == RunOutcome::Unanswered
                                     ? peer::REFUSAL_WORKER
                                     : peer::REFUSAL_NONE;
+  // The entry holds the task back until it hears of a crash, so it must not
+  // wait for a report that leaves this run out.
   bool WorkerLost = Outcome == RunOutcome::Lapsed &&
+                    this->Session.isSuspect(Run) &&
                     !this->Session.isResponsive() && !this->Leaving &&
                     !this->WasLeavingAtAttach;
   this->sendUpdate(Id, *TheTask, Event, Refusal, runOutcomeName(Outcome), Now,
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -518,8 +518,12 @@
   bool Lapsed = this->LastHoldFailed && HasRuns &&
                 Now.Steady >= LastLeaseEnds + this->Options.LeaseExpiryMargin;
   if (Lapsed) {
-    for (const auto &[Key, Known] : this->Runs)
+    this->Suspects.clear();
+    for (const auto &[Key, Known] : this->Runs) {
       this->LapsedWhileSilent[Key] = Known.StartTime;
+      if (this->isBeforeSilence(Known.StartTime))
+        this->Suspects.insert(Key);
+    }
     this->lapseAllRuns(Now);
   }
   this->tickRuns(Now);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -177,6 +178,11 @@
   /// Whether the worker has become ready and its last hold call succeeded;
   /// otherwise the worker may be gone.
   bool isResponsive() const { return this->Ready && !this->LastHoldFailed; }
+  /// Whether a run that has lapsed may have crashed its worker: the report of
+  /// the crash has named it, or will name it if the worker never replies again.
+  bool isSuspect(const RunKey &Run) const {
+    return this->Suspects.contains(Run);
+  }
 
 private:
   enum class Phase { Starting, Running, Stopping };
@@ -265,6 +271,11 @@
   /// Reports the runs that were active when the current incarnation ended, if
   /// it crashed.
   void reportCrash(Instant Now);
+  /// Whether a run that was started at this time may have reached the worker
+  /// before it fell silent.
+  bool isBeforeSilence(TimePoint StartTime) const {
+    return !this->SilentSince || StartTime <= *this->SilentSince;
+  }
   void recordLostCall(Instant Now);
   void markListedRuns(const WorkerReply &Reply);
   void processEnds(const WorkerReply &Reply, Instant Now);
@@ -334,6 +345,8 @@
   /// Runs that have lapsed since the worker's last reply, with their start
   /// times. If the worker never replies again, they were active when it ended.
   std::map<RunKey, TimePoint> LapsedWhileSilent;
+  /// Of the runs that lapsed last, those that may have crashed the worker.
+  std::set<RunKey> Suspects;
   /// Runs of an earlier agent, or of the previous incarnation with this id,
   /// that must end before the worker is ready.
   std::map<RunKey, Run> OrphanedRuns;
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -155,10 +155,13 @@
   std::vector<RunKey> Last;
   // Runs started later never reached the worker.
   for (const auto &[Key, At] : Started)
-    if (!this->SilentSince || At <= *this->SilentSince)
+    if (this->isBeforeSilence(At))
       Last.push_back(Key);
   this->SilentSince.reset();
   bool Planned = !this->Profile || this->Profile->Draining;
+  this->Suspects.clear();
+  if (!Planned)
+    this->Suspects = {Last.begin(), Last.end()};
   if (!Planned && !Last.empty())
     this->Events.onWorkerCrashed(Last, Now);
 }
--- /dev/null
+++ b/tests/agent/worker_loss_test.cpp
@@ -0,0 +1,72 @@
+//===- What entries are told of runs whose worker was lost ----------------===//
+
+#include "tests/agent/keeper_fixture.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+TEST_GROUP_BASE(WorkerLossTest, KeeperFixture){
+    /// A call to the worker stays without a reply.
+    void loseHoldCall(LeaseKeeper & Keeper){
+        Keeper.session().onHoldReply({WorkerId}, WorkerReply(), Now);
+}
+void attachNext(LeaseKeeper &Keeper) {
+  WorkerProfile Next;
+  Next.Id = "next";
+  Next.Pool = "pool";
+  Keeper.onProfile(Next, Now);
+  WorkerReply Refused = plainReply();
+  Refused.Refusal = WorkerRefusal::OtherIncarnation;
+  Keeper.session().onHoldReply({WorkerId}, Refused, Now);
+}
+}
+;
+
+// Guards against a task that its entry holds back for the report of a crash
+// which names only the runs that may have reached the worker.
+TEST(WorkerLossTest, OnlyRunsThatACrashReportNamesLoseTheirWorker) {
+  struct Row {
+    const char *Name;
+    /// When the run is started, from the first lost call.
+    std::chrono::milliseconds StartedAfter;
+    /// Whether the next worker is there before the run has lapsed.
+    bool NextIsEarly;
+    bool IsNamed;
+  };
+  const Row Rows[] = {
+      {"started before the worker fell silent", -20ms, false, true},
+      {"started after it", 20ms, false, false},
+      {"before it, the next worker is there at once", -20ms, true, true},
+      {"after it, the next worker is there at once", 20ms, true, false},
+  };
+  for (const Row &Row : Rows) {
+    Sink.Updates.clear();
+    Sink.Load.Clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper);
+    bool IsLate = Row.StartedAfter > 0ms;
+    if (IsLate) {
+      loseHoldCall(Keeper);
+      pass(Keeper, Row.StartedAfter);
+    }
+    std::size_t Started = Port.Starts.size();
+    Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+    LONGS_EQUAL_TEXT(Started + 1, Port.Starts.size(), Row.Name);
+    if (!IsLate)
+      pass(Keeper, -Row.StartedAfter);
+    loseHoldCall(Keeper);
+    if (Row.NextIsEarly)
+      attachNext(Keeper);
+    pass(Keeper, 1500ms);
+    LONGS_EQUAL_TEXT(1, Sink.Updates.size(), Row.Name);
+    CHECK_TEXT(Sink.Updates[0].reason() == "lapsed", Row.Name);
+    CHECK_EQUAL_TEXT(Row.IsNamed, Sink.Updates[0].worker_lost(), Row.Name);
+    if (!Row.NextIsEarly)
+      attachNext(Keeper);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.IsNamed ? 1 : 0, Sink.Load.crashes_size(), Row.Name);
+  }
+}
