A worker that was only cut off takes its tasks off hold once it is back

Cause: a run that lapses while its worker does not reply is told as lost with it. When the same incarnation replied again, there was no crash to report, and nothing told the entry so: the task stayed on hold until its job's deadline, and in each resubmission for 30 s.

Change: loads say that the worker is not ready from a lapse until it has proved to be the same incarnation: by its start time or, without one, by a clock that has gone on. A load that says ready, with a later stamp than the loss, ends the hold. worker_ready is now sent for workers without a start time as well; entries read it for open starts only where one is known, so that nothing else changes. The messages are the same.

Without the call in onLoad(), AWorkerThatIsBackTakesAJobOffHold fails; without the check in loadFor(), AWorkerIsReadyAgainOnlyIfItHasNotRestarted fails.

--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -327,9 +327,12 @@
     *Load.mutable_room() = this->Session.profile().Room;
   Load.set_failures_in_row(this->FailuresInRow);
   Load.set_without_worker(!this->Session.hasWorker());
-  if (this->Session.hasWorker() && this->Session.profile().StartUnixMs) {
-    Load.set_worker_keeps_id(true);
-    Load.set_worker_ready(this->Session.isReady());
+  if (this->Session.hasWorker()) {
+    Load.set_worker_keeps_id(this->Session.profile().StartUnixMs.has_value());
+    // Entries also conclude from this that a worker which was lost was only cut
+    // off.
+    Load.set_worker_ready(this->Session.isReady() &&
+                          this->Session.hasSurvivedSilence());
   }
   this->Open.list(Entry, Now.Steady, Load);
   return Load;
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -65,6 +65,7 @@
 void WorkerSession::recordClock(const WorkerReply &Reply, Instant Now) {
   if (!Reply.Clock)
     return;
+  this->explainLapse(Reply, Now);
   this->ClockReading = *Reply.Clock;
   this->ClockReadingTime = Now.Steady;
   this->LastAnswer = Now.Steady;
@@ -73,6 +74,25 @@
     this->SilentSince.reset();
 }
 
+void WorkerSession::explainLapse(const WorkerReply &Reply, Instant Now) {
+  if (!this->LapseUnexplained || this->ClockStartedOver ||
+      Reply.Refusal == WorkerRefusal::OtherIncarnation)
+    return;
+  if (this->Profile->StartUnixMs) {
+    this->LapseUnexplained = Reply.StartUnixMs != this->Profile->StartUnixMs;
+    return;
+  }
+  auto Passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now.Steady - this->ClockReadingTime);
+  std::chrono::milliseconds Lag =
+      Passed * this->Options.MaxClockLagPermille / WholePermille;
+  std::chrono::milliseconds Ahead = *Reply.Clock - this->ClockReading - Passed;
+  bool HasContinued = Ahead <= Lag + this->Options.ClockTolerance &&
+                      -Ahead <= Lag + this->Options.ClockTolerance;
+  this->LapseUnexplained = !HasContinued;
+  this->ClockStartedOver = !HasContinued;
+}
+
 void WorkerSession::recordLostCall(Instant Now) {
   this->LastLoss = Now.Steady;
   if (!this->SilentSince)
@@ -518,6 +538,7 @@
   bool Lapsed = this->LastHoldFailed && HasRuns &&
                 Now.Steady >= LastLeaseEnds + this->Options.LeaseExpiryMargin;
   if (Lapsed) {
+    this->LapseUnexplained = true;
     this->Suspects.clear();
     for (const auto &[Key, Known] : this->Runs) {
       this->LapsedWhileSilent[Key] = Known.StartTime;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -74,6 +74,10 @@
   /// worker's clock, the worker would grant the longest lease that it can
   /// instead of the one intended.
   std::chrono::milliseconds MaxClockReadingAge{4000};
+  /// How far the worker's clock may be off the time expected from an earlier
+  /// reading, beyond its lag. A clock that has started over falls back by the
+  /// time for which the worker had run.
+  std::chrono::milliseconds ClockTolerance{200};
   /// Delay before a confirmed stop whose end has not been reported is sent
   /// again.
   std::chrono::milliseconds ConfirmedStopRetryInterval{1000};
@@ -178,6 +182,9 @@
   /// Whether the worker has become ready and its last hold call succeeded;
   /// otherwise the worker may be gone.
   bool isResponsive() const { return this->Ready && !this->LastHoldFailed; }
+  /// Whether the worker has proved, since runs lapsed on it, that it was only
+  /// cut off and has not restarted.
+  bool hasSurvivedSilence() const { return !this->LapseUnexplained; }
   /// Whether a run that has lapsed may have crashed its worker: the report of
   /// the crash has named it, or will name it if the worker never replies again.
   bool isSuspect(const RunKey &Run) const {
@@ -236,6 +243,8 @@
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
   void recordClock(const WorkerReply &Reply, Instant Now);
+  /// Checks whether a reply comes from the incarnation on which runs lapsed.
+  void explainLapse(const WorkerReply &Reply, Instant Now);
   /// \returns until when a call made now may extend the worker's lease.
   TimePoint nextLeaseEnd(Instant Now) const;
   /// Whether a start may be sent now. The next incarnation of a worker, whose
@@ -345,6 +354,11 @@
   /// Runs that have lapsed since the worker's last reply, with their start
   /// times. If the worker never replies again, they were active when it ended.
   std::map<RunKey, TimePoint> LapsedWhileSilent;
+  /// Whether it is unknown if the worker has restarted since runs lapsed.
+  bool LapseUnexplained = false;
+  /// Whether its clock has started over since. Without a start time, nothing
+  /// else tells that it has restarted under its id.
+  bool ClockStartedOver = false;
   /// Of the runs that lapsed last, those that may have crashed the worker.
   std::set<RunKey> Suspects;
   /// Runs of an earlier agent, or of the previous incarnation with this id,
--- a/entry/crash_record.cpp
+++ b/entry/crash_record.cpp
@@ -23,15 +23,19 @@
 
 void CrashRecord::onWorkerLost(const std::string &Job, std::uint32_t Index,
                                const std::string &Agent,
-                               std::uint64_t Incarnation, TimePoint Now) {
+                               std::uint64_t Incarnation, TimePoint Now,
+                               std::uint64_t Stamp) {
   // If the crash of this incarnation is already known, its report has named the
   // tasks that may be the cause, and this task is not among them.
   WorkerIncarnation Worker{Agent, Incarnation};
   auto First = this->FirstUnreported.find(Agent);
   bool MayBeReported =
       First == this->FirstUnreported.end() || Incarnation >= First->second;
-  if (MayBeReported && !this->Crashes.contains(Worker))
-    this->touch({Job, Index}, Now).Lost.insert(std::move(Worker));
+  if (!MayBeReported || this->Crashes.contains(Worker))
+    return;
+  std::uint64_t &Last = this->touch({Job, Index}, Now).Lost[Worker];
+  Last = std::max(Last, Stamp);
+  this->OpenLosses.insert(std::move(Worker));
 }
 
 std::vector<std::string>
@@ -41,6 +45,7 @@
   // An agent reports each crash many times.
   bool AlreadyReported = this->Crashes.contains(Worker);
   this->Crashes[Worker] = Now;
+  this->OpenLosses.erase(Worker);
   if (AlreadyReported)
     return {};
   std::set<TaskKey> Named;
@@ -49,7 +54,7 @@
     TaskKey Name{Task.job(), Task.index()};
     Named.insert(Name);
     TaskRecord &Known = this->touch(Name, Now);
-    Known.Lost.insert(Worker);
+    Known.Lost.try_emplace(Worker, 0);
     Known.Crashed.insert(Worker);
     Known.StartedLast += Task.started_last() ? 1 : 0;
     Settled.insert(Name.Job);
@@ -61,23 +66,14 @@
   return {Settled.begin(), Settled.end()};
 }
 
-std::vector<std::string> CrashRecord::onCrashesListed(const std::string &Agent,
-                                                      std::uint64_t Current) {
-  std::uint64_t &First = this->FirstUnreported[Agent];
-  if (Current <= First)
-    return {};
-  First = Current;
-  return this->clearBefore(Agent, Current);
-}
-
-std::vector<std::string> CrashRecord::clearBefore(const std::string &Agent,
-                                                  std::uint64_t End) {
+template <typename Predicate>
+std::vector<std::string> CrashRecord::clearLosses(const Predicate &IsNoCrash) {
   std::set<std::string> Cleared;
   for (auto &[Name, Known] : this->Tasks) {
     bool WasOnHold = this->judge(Known) == CrashVerdict::OnHold;
-    std::erase_if(Known.Lost, [&, &Known = Known](const auto &Worker) {
-      return Worker.Agent == Agent && Worker.Incarnation < End &&
-             !Known.Crashed.contains(Worker);
+    std::erase_if(Known.Lost, [&, &Known = Known](const auto &Loss) {
+      return !Known.Crashed.contains(Loss.first) &&
+             IsNoCrash(Loss.first, Loss.second);
     });
     if (WasOnHold && this->judge(Known) != CrashVerdict::OnHold)
       Cleared.insert(Name.Job);
@@ -85,6 +81,41 @@
   return {Cleared.begin(), Cleared.end()};
 }
 
+std::vector<std::string> CrashRecord::onCrashesListed(const std::string &Agent,
+                                                      std::uint64_t Current) {
+  std::uint64_t &First = this->FirstUnreported[Agent];
+  if (Current <= First)
+    return {};
+  First = Current;
+  auto IsOver = [&](const WorkerIncarnation &Worker) {
+    return Worker.Agent == Agent && Worker.Incarnation < Current;
+  };
+  if (std::erase_if(this->OpenLosses, IsOver) == 0)
+    return {};
+  return this->clearLosses([&](const WorkerIncarnation &Worker, std::uint64_t) {
+    return IsOver(Worker);
+  });
+}
+
+std::vector<std::string> CrashRecord::onWorkerReady(const std::string &Agent,
+                                                    std::uint64_t Incarnation,
+                                                    std::uint64_t Stamp) {
+  WorkerIncarnation Ready{Agent, Incarnation};
+  // Nearly all messages report a worker that is ready.
+  if (this->OpenLosses.erase(Ready) == 0)
+    return {};
+  bool HasLater = false;
+  std::vector<std::string> Cleared = this->clearLosses(
+      [&](const WorkerIncarnation &Worker, std::uint64_t LostAt) {
+        bool IsSame = !(Worker < Ready) && !(Ready < Worker);
+        HasLater = HasLater || (IsSame && LostAt >= Stamp);
+        return IsSame && LostAt < Stamp;
+      });
+  if (HasLater)
+    this->OpenLosses.insert(std::move(Ready));
+  return Cleared;
+}
+
 CrashVerdict CrashRecord::judge(const TaskRecord &Known) const {
   if (Known.StartedLast >= this->Options.MaxCrashesStartedLast ||
       Known.Crashed.size() >= this->Options.MaxCrashesAnyTask)
@@ -120,6 +151,8 @@
   std::erase_if(this->Tasks, [&](const auto &Item) {
     return Now - Item.second.LastUsed > this->Options.Retention;
   });
+  if (this->Tasks.empty())
+    this->OpenLosses.clear();
   std::erase_if(this->Crashes, [&](const auto &Item) {
     return Now - Item.second > this->Options.Retention;
   });
--- a/entry/crash_record.h
+++ b/entry/crash_record.h
@@ -61,10 +61,10 @@
   explicit CrashRecord(CrashRecordOptions Options = {}) : Options(Options) {}
 
   /// Records that a run of the task ended because its worker became
-  /// unreachable.
+  /// unreachable. \param Stamp The agent's stamp of the message that told it.
   void onWorkerLost(const std::string &Job, std::uint32_t Index,
                     const std::string &Agent, std::uint64_t Incarnation,
-                    TimePoint Now);
+                    TimePoint Now, std::uint64_t Stamp = 0);
   /// Records that an incarnation of a worker has crashed. \returns the jobs
   /// with tasks whose verdict is settled by this.
   std::vector<std::string> onWorkerCrashed(const std::string &Agent,
@@ -78,6 +78,13 @@
   std::vector<std::string> onCrashesListed(const std::string &Agent,
                                            std::uint64_t Current);
 
+  /// Handles the message that the worker was ready at \p Stamp of its agent. It
+  /// was only cut off at each earlier loss. \returns the jobs with tasks that
+  /// this takes off hold.
+  std::vector<std::string> onWorkerReady(const std::string &Agent,
+                                         std::uint64_t Incarnation,
+                                         std::uint64_t Stamp);
+
   CrashVerdict verdict(const std::string &Job, std::uint32_t Index) const;
   /// Describes a given-up task of the job and the workers that crashed while
   /// running it, for logs and callers. \returns an empty text if there is none.
@@ -103,9 +110,10 @@
     }
   };
   struct TaskRecord {
-    /// Incarnations that were lost while running the task, and those of them
-    /// that have crashed.
-    std::set<WorkerIncarnation> Lost;
+    /// Incarnations that were lost while running the task, with the stamp of
+    /// the last loss.
+    std::map<WorkerIncarnation, std::uint64_t> Lost;
+    /// Those of them that have crashed.
     std::set<WorkerIncarnation> Crashed;
     /// Number of crashed incarnations on which the task was started last.
     std::size_t StartedLast = 0;
@@ -113,16 +121,18 @@
   };
 
   CrashVerdict judge(const TaskRecord &Known) const;
-  /// Clears all tasks of the incarnations of an agent before \p End that have
-  /// not crashed. \returns the jobs with tasks that this takes off hold.
-  std::vector<std::string> clearBefore(const std::string &Agent,
-                                       std::uint64_t End);
+  /// Clears tasks of those losses that have turned out to be no crashes.
+  /// \returns the jobs with tasks that this takes off hold.
+  template <typename Predicate>
+  std::vector<std::string> clearLosses(const Predicate &IsNoCrash);
   TaskRecord &touch(const TaskKey &Task, TimePoint Now);
 
   CrashRecordOptions Options;
   std::map<TaskKey, TaskRecord> Tasks;
   /// Crashes that have been counted, with the time of their last report.
   std::map<WorkerIncarnation, TimePoint> Crashes;
+  /// Incarnations that were lost and may not have been cleared since.
+  std::set<WorkerIncarnation> OpenLosses;
   /// By agent, the first incarnation whose crash may still be reported.
   std::map<std::string, std::uint64_t> FirstUnreported;
 };
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -82,6 +82,9 @@
   if (Load.lists_held())
     this->placeCleared(
         this->Crashes.onCrashesListed(Agent, Load.incarnation()));
+  if (Load.worker_ready())
+    this->placeCleared(
+        this->Crashes.onWorkerReady(Agent, Load.incarnation(), Load.stamp()));
 }
 
 void LeaseCoordinator::placeCleared(const std::vector<std::string> &Cleared) {
@@ -244,7 +247,8 @@
   Target.MayHaveRun = true;
   if (Update.worker_lost())
     this->Crashes.onWorkerLost(Target.Request.Id, Update.index(), Agent,
-                               JobTask.Incarnation, Now.Steady);
+                               JobTask.Incarnation, Now.Steady,
+                               Update.load().stamp());
   this->settle(Target, JobTask, TaskPhase::Unplaced);
   // This worker looks the least loaded, so without this the task would be sent
   // there again.
--- a/tests/agent/worker_loss_test.cpp
+++ b/tests/agent/worker_loss_test.cpp
@@ -70,3 +70,57 @@
     LONGS_EQUAL_TEXT(Row.IsNamed ? 1 : 0, Sink.Load.crashes_size(), Row.Name);
   }
 }
+
+// Guards against an entry that waits for the crash of a worker which was only
+// cut off, and against one that takes a restarted worker for the same. Without
+// a start time, only the worker's clock tells.
+TEST(WorkerLossTest, AWorkerIsReadyAgainOnlyIfItHasNotRestarted) {
+  constexpr std::uint64_t StartMs = 1800000000000;
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    /// What the worker's clock shows more than at the last reading.
+    std::chrono::milliseconds ClockAdvance;
+    bool IsReady;
+  };
+  const Row Rows[] = {
+      {"a start time tells", StartMs, 1500ms, true},
+      {"a start time tells, whatever the clock shows", StartMs, 0ms, true},
+      {"the clock has gone on", {}, 1500ms, true},
+      {"the clock is slow", {}, 1470ms, true},
+      {"the clock has started over", {}, -60s, false},
+      {"the clock has started over, and is near", {}, 1200ms, false},
+      {"the clock is ahead", {}, 1800ms, false},
+  };
+  for (const Row &Row : Rows) {
+    Sink.Updates.clear();
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    WorkerProfile Profile;
+    Profile.Id = WorkerId;
+    Profile.StartUnixMs = Row.StartUnixMs;
+    Profile.Pool = "pool";
+    Profile.Clock = WorkerTime(480000);
+    Profile.Room.set_cpu_milli(4000);
+    Profile.Room.set_memory_mb(1000);
+    Keeper.onProfile(Profile, Now);
+    WorkerReply Reply = plainReply();
+    Reply.StartUnixMs = Row.StartUnixMs;
+    Reply.Clock = Profile.Clock;
+    Keeper.session().onHoldReply(Profile.workerIncarnation(), Reply, Now);
+    Keeper.onMessage(EntryA, dispatch("job", stamp()), Now);
+    CHECK_TEXT(Sink.Updates.empty(), Row.Name);
+    Keeper.session().onHoldReply(Profile.workerIncarnation(), WorkerReply(),
+                                 Now);
+    pass(Keeper, 1500ms);
+    LONGS_EQUAL_TEXT(1, Sink.Updates.size(), Row.Name);
+    CHECK_TEXT(Sink.Updates[0].worker_lost(), Row.Name);
+    CHECK_FALSE_TEXT(Sink.Updates[0].load().worker_ready(), Row.Name);
+    // The second reply shows that an odd clock is not forgotten.
+    for (int I = 0; I < 2; ++I) {
+      Reply.Clock = Profile.Clock + Row.ClockAdvance;
+      Keeper.session().onHoldReply(Profile.workerIncarnation(), Reply, Now);
+      Keeper.onMessage(EntryA, renewal(stamp()), Now);
+      CHECK_EQUAL_TEXT(Row.IsReady, Sink.Load.worker_ready(), Row.Name);
+    }
+  }
+}
--- a/tests/entry/unreported_crash_test.cpp
+++ b/tests/entry/unreported_crash_test.cpp
@@ -104,7 +104,8 @@
   for (const Row &Row : Rows) {
     CrashRecord Record;
     std::vector<std::string> Cleared;
-    for (const Event &What : Row.Events)
+    for (const Event &What : Row.Events) {
+      Cleared.clear();
       if (What.Kind == Event::Lost)
         Record.onWorkerLost("job", 0, What.Agent, What.Incarnation, Start);
       else if (What.Kind == Event::Crashed)
@@ -112,6 +113,105 @@
             What.Agent, crashUnder("job", What.Incarnation), Start);
       else
         Cleared = Record.onCrashesListed(What.Agent, What.Incarnation);
+    }
+    CHECK_TEXT(Row.Expected == Record.verdict("job", 0), Row.Name);
+    LONGS_EQUAL_TEXT(Row.Cleared, Cleared.size(), Row.Name);
+  }
+}
+
+// Guards against a record that waits for the crash of a worker that was only
+// cut off, and against one that takes an old message for a sign of life.
+TEST(UnreportedCrashTest, AWorkerThatIsReadyAfterItsLossHasNotCrashed) {
+  struct Event {
+    enum { Lost, Crashed, Ready } Kind;
+    const char *Agent;
+    std::uint64_t Incarnation;
+    std::uint64_t Stamp;
+  };
+  struct Row {
+    const char *Name;
+    std::vector<Event> Events;
+    CrashVerdict Expected;
+    /// Jobs that the last event takes off hold.
+    std::size_t Cleared;
+  };
+  const Row Rows[] = {
+      {"ready after the loss",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 11}},
+       CrashVerdict::Allowed,
+       1},
+      {"told in the same millisecond",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 10}},
+       CrashVerdict::OnHold,
+       0},
+      {"told before, and late",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 9}},
+       CrashVerdict::OnHold,
+       0},
+      {"told before, and again after",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 9},
+        {Event::Ready, "b", 1, 11}},
+       CrashVerdict::Allowed,
+       1},
+      {"the next incarnation",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 2, 11}},
+       CrashVerdict::OnHold,
+       0},
+      {"another agent",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "c", 1, 11}},
+       CrashVerdict::OnHold,
+       0},
+      {"lost again",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 11},
+        {Event::Lost, "b", 1, 12}},
+       CrashVerdict::OnHold,
+       0},
+      {"crashes later",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Ready, "b", 1, 11},
+        {Event::Crashed, "a", 1, 0},
+        {Event::Crashed, "b", 1, 0}},
+       CrashVerdict::GivenUp,
+       1},
+      {"a late message of an incarnation that has crashed",
+       {{Event::Lost, "a", 1, 10},
+        {Event::Lost, "b", 1, 10},
+        {Event::Crashed, "a", 1, 0},
+        {Event::Crashed, "b", 1, 0},
+        {Event::Ready, "b", 1, 11}},
+       CrashVerdict::GivenUp,
+       0},
+  };
+  for (const Row &Row : Rows) {
+    CrashRecord Record;
+    std::vector<std::string> Cleared;
+    for (const Event &What : Row.Events) {
+      Cleared.clear();
+      if (What.Kind == Event::Lost)
+        Record.onWorkerLost("job", 0, What.Agent, What.Incarnation, Start,
+                            What.Stamp);
+      else if (What.Kind == Event::Crashed)
+        Cleared = Record.onWorkerCrashed(
+            What.Agent, crashUnder("job", What.Incarnation), Start);
+      else
+        Cleared =
+            Record.onWorkerReady(What.Agent, What.Incarnation, What.Stamp);
+    }
     CHECK_TEXT(Row.Expected == Record.verdict("job", 0), Row.Name);
     LONGS_EQUAL_TEXT(Row.Cleared, Cleared.size(), Row.Name);
   }
@@ -200,3 +300,21 @@
     CHECK_EQUAL_TEXT(Row.IsPlaced, Job.isPlaced(), Row.Name);
   }
 }
+
+// Guards against a job that stays on hold although its workers were only cut
+// off and are back.
+TEST(JobOnHoldTest, AWorkerThatIsBackTakesAJobOffHold) {
+  struct Row {
+    const char *Name;
+    bool IsReady;
+    bool IsPlaced;
+  };
+  const Row Rows[] = {{"not back yet", false, false}, {"back", true, true}};
+  for (const Row &Row : Rows) {
+    JobOnHold Job;
+    peer::WorkerLoad Load = JobOnHold::loadOf(AgentIncarnation, false);
+    Load.set_worker_ready(Row.IsReady);
+    Job.receive(Job.lastAgent(), Load);
+    CHECK_EQUAL_TEXT(Row.IsPlaced, Job.isPlaced(), Row.Name);
+  }
+}
