An agent that leaves or is lost holds no job back

Cause: only agents that are alive are probed. A task on hold for the worker of an agent that had left or that control had lost waited for a report that this entry could not hear, until its job's deadline.

Change: such an agent's open losses are dropped. A crash that it reports later, when it is back, still counts.

Measured: AnAgentThatIsGoneTakesAJobOffHold fails without the change ("control says that it leaves"); the 95 tests of lease_entry pass.

--- a/entry/crash_record.cpp
+++ b/entry/crash_record.cpp
@@ -97,6 +97,17 @@
   });
 }
 
+std::vector<std::string> CrashRecord::onAgentGone(const std::string &Agent) {
+  auto IsThere = [&](const WorkerIncarnation &Worker) {
+    return Worker.Agent == Agent;
+  };
+  if (std::erase_if(this->OpenLosses, IsThere) == 0)
+    return {};
+  return this->clearLosses([&](const WorkerIncarnation &Worker, std::uint64_t) {
+    return IsThere(Worker);
+  });
+}
+
 std::vector<std::string> CrashRecord::onWorkerReady(const std::string &Agent,
                                                     std::uint64_t Incarnation,
                                                     std::uint64_t Stamp) {
--- a/entry/crash_record.h
+++ b/entry/crash_record.h
@@ -85,6 +85,10 @@
                                          std::uint64_t Incarnation,
                                          std::uint64_t Stamp);
 
+  /// Handles the end of an agent: it leaves or is lost, and will report nothing
+  /// to this entry. \returns the jobs with tasks that this takes off hold.
+  std::vector<std::string> onAgentGone(const std::string &Agent);
+
   CrashVerdict verdict(const std::string &Job, std::uint32_t Index) const;
   /// Describes a given-up task of the job and the workers that crashed while
   /// running it, for logs and callers. \returns an empty text if there is none.
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -43,6 +43,7 @@
                       {"state", peer::MemberState_Name(Member.state())},
                       {"used", this->Workers.find(Member.name())->Alive},
                       {"table_version", Member.version()}});
+  this->clearIfGone(Member.name());
   bool IsLost = Lost && !this->Workers.find(Member.name())->Alive;
   if (IsLost)
     this->giveUpAgentTasks(Member.name(), /*OnlyOldIncarnations=*/false,
@@ -78,6 +79,8 @@
   if (this->OpenStarts.onLoad(Agent, Load, Now.Steady) && Worker != nullptr)
     this->sendRenewal(*Worker, AgentContact, Now);
   this->onCrashes(Agent, Load, Now);
+  if (Load.leaving())
+    this->clearIfGone(Agent);
   // Only a reply to a renewal names all crashes that the agent knows of.
   if (Load.lists_held())
     this->placeCleared(
@@ -87,6 +90,13 @@
         this->Crashes.onWorkerReady(Agent, Load.incarnation(), Load.stamp()));
 }
 
+void LeaseCoordinator::clearIfGone(const std::string &Agent) {
+  // Only agents that are alive are probed, so that they report their crashes.
+  const LeasedWorker *Worker = this->Workers.find(Agent);
+  if (Worker == nullptr || !Worker->Alive)
+    this->placeCleared(this->Crashes.onAgentGone(Agent));
+}
+
 void LeaseCoordinator::placeCleared(const std::vector<std::string> &Cleared) {
   for (const std::string &Id : Cleared) {
     Job *Target = this->find(Id);
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -355,6 +355,8 @@
   /// crashed too many workers.
   void onCrashes(const std::string &Agent, const peer::WorkerLoad &Load,
                  Instant Now);
+  /// Stops waiting for crash reports of an agent that is leaving or lost.
+  void clearIfGone(const std::string &Agent);
   /// Places the tasks of jobs on hold that have been cleared.
   void placeCleared(const std::vector<std::string> &Cleared);
   /// Fails a job at once if one of its tasks was given up before for crashing
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -317,6 +317,7 @@
                            "it has restarted", Now);
   for (const std::string &Agent : Lost) {
     this->Workers.setLost(Agent);
+    this->clearIfGone(Agent);
     this->giveUpAgentTasks(Agent, /*OnlyOldIncarnations=*/false,
                            "control lost it and it is silent here", Now);
   }
--- a/tests/entry/unreported_crash_test.cpp
+++ b/tests/entry/unreported_crash_test.cpp
@@ -8,6 +8,8 @@
 
 #include "tests/entry/coordinator_fixture.h"
 
+#include <functional>
+
 // Must be included last: it redefines new.
 #include <CppUTest/TestHarness.h>
 
@@ -235,6 +237,9 @@
       Agents.insert(this->lastAgent());
       this->loseWorker(this->Sink.Dispatches.back());
     }
+    for (const char *Agent : {"a", "b", "c"})
+      if (!Agents.contains(Agent))
+        this->Third = Agent;
     this->Before = this->Sink.Dispatches.size();
   }
   /// Whether the job has been taken off hold.
@@ -268,8 +273,20 @@
     Load.set_lists_held(ListsAll);
     return Load;
   }
+  /// Control announces the state of the agent that lost its worker last.
+  void setLast(peer::MemberState State) {
+    this->setState(this->lastAgent(), State);
+  }
+  /// Lets time pass in which only the third agent is heard.
+  void pass(std::chrono::milliseconds Time) {
+    for (auto Passed = 0ms; Passed < Time; Passed += 20ms) {
+      this->reportLoad(this->Third);
+      this->advance(20ms);
+    }
+  }
 
 private:
+  std::string Third;
   std::size_t Before = 0;
 };
 
@@ -318,3 +335,39 @@
     CHECK_EQUAL_TEXT(Row.IsPlaced, Job.isPlaced(), Row.Name);
   }
 }
+
+// Guards against a job that stays on hold for an agent which is not probed any
+// more, so that no report of it arrives.
+TEST(JobOnHoldTest, AnAgentThatIsGoneTakesAJobOffHold) {
+  struct Row {
+    const char *Name;
+    std::function<void(JobOnHold &Job)> Happens;
+    bool IsPlaced;
+  };
+  const Row Rows[] = {
+      {"nothing", [](JobOnHold &) {}, false},
+      {"control says that it leaves",
+       [](JobOnHold &Job) { Job.setLast(peer::MEMBER_LEAVING); }, true},
+      {"it says that it leaves",
+       [](JobOnHold &Job) {
+         peer::WorkerLoad Load = JobOnHold::loadOf(AgentIncarnation, false);
+         Load.set_leaving(true);
+         Job.receive(Job.lastAgent(), Load);
+       },
+       true},
+      {"control has lost it, and it is heard here",
+       [](JobOnHold &Job) { Job.setLast(peer::MEMBER_LOST); }, false},
+      {"control has lost it, and it is not heard any more",
+       [](JobOnHold &Job) {
+         Job.setLast(peer::MEMBER_LOST);
+         Job.pass(4s);
+       },
+       true},
+  };
+  for (const Row &Row : Rows) {
+    JobOnHold Job;
+    Row.Happens(Job);
+    Job.pass(20ms);
+    CHECK_EQUAL_TEXT(Row.IsPlaced, Job.isPlaced(), Row.Name);
+  }
+}
