--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -116,7 +116,10 @@
   peer::LeasedRefusal Refusal = Outcome == RunOutcome::Unanswered
                                     ? peer::REFUSAL_WORKER
                                     : peer::REFUSAL_NONE;
+  // The entry holds the task back until it hears of a crash, so it must not
+  // wait for a report that leaves this run out.
   bool WorkerLost = Outcome == RunOutcome::Lapsed &&
+                    this->Session.isSuspect(Run) &&
                     !this->Session.isResponsive() && !this->Leaving &&
                     !this->WasLeavingAtAttach;
   this->sendUpdate(Id, *TheTask, Event, Refusal, runOutcomeName(Outcome), Now,
@@ -324,9 +327,12 @@
     *Load.mutable_room() = this->Session.profile().Room;
   Load.set_failures_in_row(this->FailuresInRow);
   Load.set_without_worker(!this->Session.hasWorker());
-  if (this->Session.hasWorker() && this->Session.profile().StartUnixMs) {
-    Load.set_worker_keeps_id(true);
-    Load.set_worker_ready(this->Session.isReady());
+  if (this->Session.hasWorker()) {
+    Load.set_worker_keeps_id(this->Session.profile().StartUnixMs.has_value());
+    // Entries also conclude from this that a worker which was lost was only cut
+    // off.
+    Load.set_worker_ready(this->Session.isReady() &&
+                          this->Session.hasSurvivedSilence());
   }
   this->Open.list(Entry, Now.Steady, Load);
   return Load;
--- a/entry/crash_record.h
+++ b/entry/crash_record.h
@@ -10,6 +10,9 @@
 /// just be cut off; that it crashed is known only once its next incarnation has
 /// announced itself.
 ///
+/// A task that waits for such a report must not wait for one that never comes:
+/// the agent may have found no crash, or its process may have restarted.
+///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_ENTRY_CRASH_RECORD_H
 #define YARDWHEEL_ENTRY_CRASH_RECORD_H
@@ -58,16 +61,34 @@
   explicit CrashRecord(CrashRecordOptions Options = {}) : Options(Options) {}
 
   /// Records that a run of the task ended because its worker became
-  /// unreachable.
+  /// unreachable. \param Stamp The agent's stamp of the message that told it.
   void onWorkerLost(const std::string &Job, std::uint32_t Index,
                     const std::string &Agent, std::uint64_t Incarnation,
-                    TimePoint Now);
+                    TimePoint Now, std::uint64_t Stamp = 0);
   /// Records that an incarnation of a worker has crashed. \returns the jobs
   /// with tasks whose verdict is settled by this.
   std::vector<std::string> onWorkerCrashed(const std::string &Agent,
                                            const peer::WorkerCrash &Crash,
                                            TimePoint Now);
 
+  /// Handles the complete list of the crashes that an agent knows of, after
+  /// each of them has been passed to onWorkerCrashed(). Incarnations before \p
+  /// Current that are not on it will not be reported as crashed. \returns the
+  /// jobs with tasks that this takes off hold.
+  std::vector<std::string> onCrashesListed(const std::string &Agent,
+                                           std::uint64_t Current);
+
+  /// Handles the message that the worker was ready at \p Stamp of its agent. It
+  /// was only cut off at each earlier loss. \returns the jobs with tasks that
+  /// this takes off hold.
+  std::vector<std::string> onWorkerReady(const std::string &Agent,
+                                         std::uint64_t Incarnation,
+                                         std::uint64_t Stamp);
+
+  /// Handles the end of an agent: it leaves or is lost, and will report nothing
+  /// to this entry. \returns the jobs with tasks that this takes off hold.
+  std::vector<std::string> onAgentGone(const std::string &Agent);
+
   CrashVerdict verdict(const std::string &Job, std::uint32_t Index) const;
   /// Describes a given-up task of the job and the workers that crashed while
   /// running it, for logs and callers. \returns an empty text if there is none.
@@ -93,9 +114,10 @@
     }
   };
   struct TaskRecord {
-    /// Incarnations that were lost while running the task, and those of them
-    /// that have crashed.
-    std::set<WorkerIncarnation> Lost;
+    /// Incarnations that were lost while running the task, with the stamp of
+    /// the last loss.
+    std::map<WorkerIncarnation, std::uint64_t> Lost;
+    /// Those of them that have crashed.
     std::set<WorkerIncarnation> Crashed;
     /// Number of crashed incarnations on which the task was started last.
     std::size_t StartedLast = 0;
@@ -103,12 +125,20 @@
   };
 
   CrashVerdict judge(const TaskRecord &Known) const;
+  /// Clears tasks of those losses that have turned out to be no crashes.
+  /// \returns the jobs with tasks that this takes off hold.
+  template <typename Predicate>
+  std::vector<std::string> clearLosses(const Predicate &IsNoCrash);
   TaskRecord &touch(const TaskKey &Task, TimePoint Now);
 
   CrashRecordOptions Options;
   std::map<TaskKey, TaskRecord> Tasks;
   /// Crashes that have been counted, with the time of their last report.
   std::map<WorkerIncarnation, TimePoint> Crashes;
+  /// Incarnations that were lost and may not have been cleared since.
+  std::set<WorkerIncarnation> OpenLosses;
+  /// By agent, the first incarnation whose crash may still be reported.
+  std::map<std::string, std::uint64_t> FirstUnreported;
 };
 
 } // namespace yardwheel
