Agents start nothing on a worker that has failed four hold calls in a row

Cause: an agent went on starting tasks on a crashed worker until it counted as silent (600 ms). Each start asked for the whole lease anew, so that all runs there lapsed up to 600 ms later (1,339 and 1,612 ms after their start in one traced job, 1,059 ms in another), and the tasks started there counted as lost with the worker.

Change: after four failed hold calls in a row, each sent 20 ms after the last, nothing is started until one succeeds. Tasks that may be refused are refused as busy and go elsewhere; others wait. No message more.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -369,7 +369,7 @@
 }
 
 bool LeaseKeeper::canStartRuns(Instant Now) const {
-  return this->Session.isReady() &&
+  return this->Session.isReady() && !this->Session.isUnresponsive() &&
          this->maxWorkerLeaseEnd(Now) - Now.Steady >=
              this->Options.MinWorkerLease &&
          this->Session.mayCarryLease(Now);
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -342,6 +342,7 @@
   }
   this->Answering = true;
   this->LastHoldFailed = false;
+  this->HoldsFailedInRow = 0;
   this->LapsedWhileSilent.clear();
   this->logUnreadableRows(Reply, Now);
   this->markListedRuns(Reply);
@@ -446,6 +447,7 @@
     return;
   }
   this->LastHoldFailed = true;
+  ++this->HoldsFailedInRow;
   this->advanceToken(Now);
   if (!Reply.Answered)
     this->recordLostCall(Now);
--- a/tests/agent/keeper_updates_test.cpp
+++ b/tests/agent/keeper_updates_test.cpp
@@ -95,6 +95,46 @@
   }
 }
 
+// A start would be lost with the worker and extend the lease after which the
+// runs there count as ended.
+TEST(KeeperUpdatesTest, NothingIsStartedAfterSeveralFailedHolds) {
+  struct Row {
+    const char *Name;
+    std::size_t FailedHolds;
+    bool RepliesAgain;
+    bool Starts;
+  };
+  const Row Rows[] = {{"it replies", 0, false, true},
+                      {"one call was lost", 1, false, true},
+                      {"as many as a lossy link loses", 3, false, true},
+                      {"it does not reply", 4, false, false},
+                      {"it replies again", 4, true, true}};
+  for (const Row &Row : Rows) {
+    for (bool MayWait : {false, true}) {
+      Port.Starts.clear();
+      Sink.Updates.clear();
+      LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+      attach(Keeper);
+      for (std::size_t I = 0; I < Row.FailedHolds; ++I)
+        Keeper.session().onHoldReply({WorkerId}, WorkerReply(), Now);
+      if (Row.RepliesAgain)
+        Keeper.session().onHoldReply({WorkerId}, plainReply(), Now);
+      peer::Message Order = dispatch("j", stamp());
+      Order.mutable_leased_dispatch()->set_start_or_refuse(!MayWait);
+      Keeper.onMessage(EntryA, Order, Now);
+      LONGS_EQUAL_TEXT(Row.Starts ? 1 : 0, Port.Starts.size(), Row.Name);
+      bool Refused = !Row.Starts && !MayWait;
+      LONGS_EQUAL_TEXT(Refused ? 1 : 0, Sink.Updates.size(), Row.Name);
+      if (Refused)
+        CHECK_TEXT(Sink.Updates[0].refusal() == peer::REFUSAL_BUSY, Row.Name);
+      // A task that may wait starts with the worker's next reply.
+      Keeper.session().onHoldReply({WorkerId}, plainReply(), Now);
+      Keeper.tick(Now);
+      LONGS_EQUAL_TEXT(Refused ? 0 : 1, Port.Starts.size(), Row.Name);
+    }
+  }
+}
+
 TEST(KeeperUpdatesTest, FreedRoomIsOfferedToTheMostUrgentInterest) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper, 2000);
