--- a/tests/entry/crashing_task_test.cpp
+++ b/tests/entry/crashing_task_test.cpp
@@ -178,3 +178,24 @@
     CHECK_TEXT(I == 0 || InTime[0] > InTime[1], Found.c_str());
   }
 }
+
+// Storms in which an ordinary job is taken for a cause.
+TEST_GROUP(OtherStormsTest){};
+
+TEST(OtherStormsTest, OrdinaryJobsOfOtherStormsAreCompleted) {
+  for (std::uint64_t Seed : {12, 15, 28, 38, 46, 47}) {
+    CrashScenario Scenario(Seed, 70, 7);
+    for (int Step = 0; Step < 500; ++Step) {
+      for (int Job = 0; Job < 3; ++Job)
+        Scenario.submit("ordinary", 3, 300ms, /*Crashes=*/false, 8s);
+      if (Step < 250 && Step % 10 == 0)
+        Scenario.submit("crashing", 1, 60ms, /*Crashes=*/true, 8s);
+      Scenario.run(20ms);
+    }
+    Scenario.run(10s);
+    RouteOutcome Ordinary = Scenario.outcome("ordinary");
+    std::string Found = fmt::format("seed {}: {} of {} failed", Seed,
+                                    Ordinary.Failed, Ordinary.Submitted);
+    LONGS_EQUAL_TEXT(0, Ordinary.Failed, Found.c_str());
+  }
+}
