Emulator: entries know each other

Cause: entries of the emulated world had no member rows of one another, so that messages between entries could not be tried there.

Change: LeasedWorld announces the entries to each other, at once at the start and 500 ms after a restart, without a random draw. Messages between entries draw their faults from a generator of their own, so that they leave the faults of a seed as they are. No product code changes; coordinators ignore the rows.

--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -95,6 +95,22 @@
   });
 }
 
+void LeasedEntry::announceEntry(const peer::Member &Entry) {
+  this->World.runOn(this->Name, [this, Entry] {
+    this->Coordinator->onMember(Entry, this->World.now());
+  });
+}
+
+peer::Member LeasedEntry::member() const {
+  peer::Member Self;
+  Self.set_name(this->Name);
+  Self.set_role(peer::ROLE_ENTRY);
+  Self.set_state(peer::MEMBER_ALIVE);
+  Self.set_incarnation(this->Incarnation);
+  Self.set_address(this->Name);
+  return Self;
+}
+
 // ---- Callers ----
 
 void LeasedEntry::submitJob(SubmissionId Which, const LeasedJobRequest &Job,
--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -46,6 +46,10 @@
 
   const std::string &name() const { return this->Name; }
   void announceAgent(const peer::Member &Agent);
+  /// Tells the entry of another one.
+  void announceEntry(const peer::Member &Entry);
+  /// Returns the entry's row in the member table.
+  peer::Member member() const;
   void submitJob(SubmissionId Which, const LeasedJobRequest &Job,
                  Listener OnAnswer);
   /// Closes the caller's connection; it receives nothing more.
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace yardwheel {
 
@@ -11,6 +12,9 @@
 /// Upper limit of the time until control has told entries of an agent's
 /// restart.
 constexpr std::chrono::milliseconds MaxMemberUpdateDelay{1000};
+/// Time until control has told entries of another entry's restart. Fixed, as a
+/// draw would change the faults of a seed.
+constexpr std::chrono::milliseconds EntryUpdateDelay{500};
 
 LeasedEntryOptions entryOptions(const LeasedWorldOptions &Options,
                                 std::size_t Which) {
@@ -51,6 +55,12 @@
     for (const auto &Agent : this->Agents)
       this->Entries.back()->announceAgent(Agent->member());
   }
+  std::set<std::string> Names;
+  for (std::size_t I = 0; I < Options.Entries; ++I) {
+    this->announceEntriesTo(I);
+    Names.insert(this->Entries[I]->name());
+  }
+  this->World.separateDraws(std::move(Names));
   // Each entry asks each agent once before the load begins.
   this->World.run(Options.WarmUp);
   this->LoadStart = this->World.now().Steady;
@@ -86,6 +96,21 @@
   this->Entries.at(Which)->restart();
   for (const auto &Agent : this->Agents)
     this->Entries.at(Which)->announceAgent(Agent->member());
+  this->announceEntriesTo(Which);
+  const LeasedEntry &Restarted = *this->Entries[Which];
+  for (const auto &Other : this->Entries)
+    if (Other->name() != Restarted.name())
+      this->World.after(EntryUpdateDelay,
+                        [&Other = *Other, Member = Restarted.member()] {
+                          Other.announceEntry(Member);
+                        });
+}
+
+void LeasedWorld::announceEntriesTo(std::size_t Which) {
+  LeasedEntry &Target = *this->Entries.at(Which);
+  for (const auto &Other : this->Entries)
+    if (Other->name() != Target.name())
+      Target.announceEntry(Other->member());
 }
 
 void LeasedWorld::restartAgent(std::size_t Which) {
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -95,7 +95,8 @@
                          LeasedEntry::Listener OnAnswer);
   /// Returns the id that the next submission gets.
   SubmissionId nextSubmission() const { return this->LastSubmission + 1; }
-  /// Starts a new incarnation of a killed entry and announces all agents to it.
+  /// Starts a new incarnation of a killed entry and announces all agents and
+  /// entries to it; the other entries learn of it after a fixed delay.
   void restartEntry(std::size_t Which);
   /// Starts a new incarnation of a killed agent; entries learn of it after a
   /// random delay.
@@ -114,6 +115,8 @@
   TimePoint loadStart() const { return this->LoadStart; }
 
 private:
+  /// Announces all other entries to an entry.
+  void announceEntriesTo(std::size_t Which);
   void onEnded(const std::string &Route, bool InTime, LeasedEnd End);
 
   VirtualWorld World;
--- a/emulator/virtual_world.cpp
+++ b/emulator/virtual_world.cpp
@@ -28,7 +28,8 @@
 };
 
 VirtualWorld::VirtualWorld(std::uint64_t Seed)
-    : Random(Seed), Time(std::chrono::duration_cast<Duration>(SteadyStart)),
+    : Random(Seed), SeparateRandom(Seed),
+      Time(std::chrono::duration_cast<Duration>(SteadyStart)),
       DelayBetween([](const std::string &, const std::string &) {
         return std::chrono::milliseconds(1);
       }) {}
@@ -175,6 +176,13 @@
          this->Cuts.contains({A, B});
 }
 
+std::mt19937_64 &VirtualWorld::randomFor(const std::string &From,
+                                         const std::string &To) {
+  bool Separate =
+      this->SeparateNodes.contains(From) && this->SeparateNodes.contains(To);
+  return Separate ? this->SeparateRandom : this->Random;
+}
+
 PeerSink &VirtualWorld::sinkOf(const std::string &Name) {
   Node &Target = this->Nodes[Name];
   if (!Target.Sink)
@@ -191,20 +199,21 @@
     Delay += this->Filter({From, From}, To, Message);
   Parcel Sent{
       {From, From, this->Nodes[From].Incarnation}, To, Message, this->Time};
+  std::mt19937_64 &Draws = this->randomFor(From, To.Node);
   bool Lost = this->isCut(From, To.Node) ||
-              this->Random() % WholePermille < this->Faults.LossPermille;
+              Draws() % WholePermille < this->Faults.LossPermille;
   if (Lost) {
     this->reportFailure(Sent);
     return;
   }
   this->deliverLater(Sent, Delay);
-  if (this->Random() % WholePermille < this->Faults.DuplicatePermille)
+  if (Draws() % WholePermille < this->Faults.DuplicatePermille)
     this->deliverLater(Sent, Delay);
 }
 
 void VirtualWorld::deliverLater(const Parcel &Sent, Duration Delay) {
   if (this->Faults.Jitter.count() > 0)
-    Delay += Duration(this->Random() %
+    Delay += Duration(this->randomFor(Sent.From.Node, Sent.To.Node)() %
                       static_cast<std::uint64_t>(this->Faults.Jitter.count()));
   // A later incarnation at the same address receives it, as on a real network.
   this->after(Delay, [this, Sent] {
--- a/emulator/virtual_world.h
+++ b/emulator/virtual_world.h
@@ -96,6 +96,12 @@
     this->Filter = std::move(New);
   }
 
+  /// Lets messages between these nodes draw their faults from a generator of
+  /// their own, so that they do not change what happens to other messages.
+  void separateDraws(std::set<std::string> Nodes) {
+    this->SeparateNodes = std::move(Nodes);
+  }
+
   /// Returns the sink for the messages that a node sends.
   PeerSink &sinkOf(const std::string &Node);
   std::uint64_t messagesSent() const { return this->Sent; }
@@ -141,8 +147,12 @@
   void tickLater(const std::string &Name, std::uint64_t Incarnation,
                  Duration Interval, const std::function<void()> &Tick);
   bool isCut(const std::string &A, const std::string &B) const;
+  /// Returns the generator of the faults of messages between two nodes.
+  std::mt19937_64 &randomFor(const std::string &From, const std::string &To);
 
   std::mt19937_64 Random;
+  std::mt19937_64 SeparateRandom;
+  std::set<std::string> SeparateNodes;
   TimePoint Time;
   std::uint64_t NextOrder = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
