Entries tell each other of starts at agents that they have lost

Cause: open starts are known to an entry only if their agent reports them. An agent that dies, freezes or is cut off before that leaves the others to place the resubmitted task elsewhere, while the late start runs in the worker's next incarnation.

Agents list, in answers to renewals, the held placements without an answered start; the others do not count. Nothing is sent while no agent with such tasks is lost, and nothing is listed where workers announce no start time.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -85,9 +85,16 @@
     peer::WorkerLoad *Load = Reply.mutable_worker_load();
     *Load = this->loadFor(From.Node, Now, /*WithAllCrashes=*/true);
     Load->set_lists_held(true);
-    for (const auto &[Id, Known] : this->Tasks)
-      if (Known.Owner.Node == From.Node)
-        Load->add_held_orders(Known.Order);
+    for (const auto &[Id, Known] : this->Tasks) {
+      if (Known.Owner.Node != From.Node)
+        continue;
+      Load->add_held_orders(Known.Order);
+      bool IsAnswered =
+          Known.State != Phase::Queued &&
+          this->Session.isStartAnswered({Id.Job, Id.Index, Known.Run});
+      if (Load->worker_keeps_id() && !IsAnswered)
+        Load->add_unanswered_orders(Known.Order);
+    }
     this->Sink.send(From, std::move(Reply));
   }
 }
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -196,6 +196,7 @@
     return;
   }
   if (Reply.Refusal == WorkerRefusal::None) {
+    Known.StartAnswered = true;
     if (Known.State == Phase::Starting)
       Known.State = Phase::Running;
     return;
@@ -269,6 +270,12 @@
              Now.Steady - this->Options.MaxStopDuration;
 }
 
+bool WorkerSession::isStartAnswered(const RunKey &Key) const {
+  auto Found = this->Runs.find(Key);
+  return Found != this->Runs.end() && Found->second.StartAnswered &&
+         Found->second.StartsLost == 0;
+}
+
 void WorkerSession::refuse(const RunKey &Key, WorkerRefusal Cause,
                            Instant Now) {
   this->Runs.erase(Key);
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -174,6 +174,9 @@
   /// Whether a confirmed stop of the run has taken effect, so that only the
   /// report of its end is missing.
   bool hasStopped(const RunKey &Run, Instant Now) const;
+  /// Whether the run was started and no start of it can be executed any more:
+  /// the only one sent has been answered.
+  bool isStartAnswered(const RunKey &Run) const;
   /// Whether the worker has become ready and its last hold call succeeded;
   /// otherwise the worker may be gone.
   bool isResponsive() const { return this->Ready && !this->LastHoldFailed; }
@@ -197,6 +200,8 @@
     /// could not be parsed. The run is then stopped; a confirmed stop proves
     /// that it has ended.
     bool EndUnreadable = false;
+    /// Whether the worker has replied to a start that it has executed.
+    bool StartAnswered = false;
     /// Whether the worker incarnation for which the run was started has listed
     /// it as running.
     bool Listed = false;
--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -26,6 +26,7 @@
 void LeasedEntry::startIncarnation() {
   ++this->Incarnation;
   CoordinatorOptions Options = this->Options.Coordinator;
+  Options.Name = this->Name;
   Options.FirstOrder += (this->Incarnation - 1) * OrdersPerIncarnation;
   Options.Seed += this->Incarnation - 1;
   this->Coordinator = std::make_unique<LeaseCoordinator>(Options, *this, *this);
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -28,6 +28,8 @@
 // ---- Messages from agents and control ----
 
 void LeaseCoordinator::onMember(const peer::Member &Member, Instant Now) {
+  if (Member.role() == peer::ROLE_ENTRY && Member.name() != this->Options.Name)
+    this->Relay.onMember(Member);
   if (Member.role() != peer::ROLE_AGENT)
     return;
   bool Lost = Member.state() == peer::MEMBER_LOST;
@@ -63,6 +65,10 @@
   } else if (Message.has_leased_offer()) {
     this->onLoad(From.Node, Message.leased_offer().load(), Now);
     this->onOffer(From, Message.leased_offer(), Now);
+  } else if (Message.has_open_start_relay()) {
+    this->onOpenStartRelay(From, Message.open_start_relay(), Now);
+  } else if (Message.has_open_start_relay_reply()) {
+    this->Relay.onReply(From.Node, Message.open_start_relay_reply());
   }
 }
 
@@ -80,6 +86,16 @@
   this->onCrashes(Agent, Load, Now);
 }
 
+void LeaseCoordinator::onOpenStartRelay(const PeerRef &From,
+                                        const peer::OpenStartRelay &Relay,
+                                        Instant Now) {
+  peer::Message Message;
+  peer::OpenStartRelayReply *Reply = Message.mutable_open_start_relay_reply();
+  Reply->set_receiver_incarnation(Relay.receiver_incarnation());
+  Reply->set_seen(this->OpenStarts.onRelay(From, Relay, Now.Steady));
+  this->Sink.send(From, std::move(Message));
+}
+
 void LeaseCoordinator::onCrashes(const std::string &Agent,
                                  const peer::WorkerLoad &Load, Instant Now) {
   for (const peer::WorkerCrash &Crash : Load.crashes())
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -21,6 +21,7 @@
 #include "entry/leased_job.h"
 #include "entry/load_shedder.h"
 #include "entry/open_start_record.h"
+#include "entry/open_start_relay.h"
 #include "entry/recent_ids.h"
 #include "entry/worker_table.h"
 
@@ -121,6 +122,9 @@
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
   OpenStartRecordOptions OpenStarts;
+  OpenStartRelayOptions OpenStartRelay;
+  /// Name of this entry in the member table.
+  std::string Name;
   std::uint64_t Seed = 1;
   /// Placements of this incarnation of the entry get numbers above this one,
   /// which is above all numbers of earlier incarnations.
@@ -226,6 +230,9 @@
     /// Whether its dispatch was sent more than once, possibly to several
     /// incarnations of the agent.
     bool Resent = false;
+    /// Whether the agent has listed the current placement as one whose only
+    /// start the worker has answered.
+    bool StartAnswered = false;
     /// When the dispatch was last sent.
     TimePoint PlacedAt;
     /// Since when its agent has not listed it; TimePoint::max() while it does.
@@ -416,6 +423,11 @@
   /// incarnations of it.
   void giveUpAgentTasks(const std::string &Agent, bool OnlyOldIncarnations,
                         const std::string &Reason, Instant Now);
+  /// Records that the start of a task may be open at an agent that is given
+  /// up, here and at the other entries.
+  void addOpenStart(const Job &Target, std::uint32_t Index, Instant Now);
+  void onOpenStartRelay(const PeerRef &From, const peer::OpenStartRelay &Relay,
+                        Instant Now);
   void onRestarted(const std::string &Agent, Instant Now);
   void resend(const LeasedWorker &Worker, const Undelivered &Lost, Instant Now);
   void resendDispatch(const LeasedWorker &Worker,
@@ -461,6 +473,7 @@
   RecentIds RecentlyRan;
   CrashRecord Crashes{this->Options.Crashes};
   OpenStartRecord OpenStarts{this->Options.OpenStarts};
+  OpenStartRelay Relay{this->Options.OpenStartRelay, this->Options.FirstOrder};
   /// Whether agents have yet to report whether starts are open there.
   bool AwaitsAgents = false;
   TimePoint NextSweep = TimePoint::min();
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -128,6 +128,7 @@
   ++JobTask.Attempt;
   JobTask.Order = ++this->LastOrder;
   JobTask.Resent = false;
+  JobTask.StartAnswered = false;
   JobTask.PlacedAt = Now.Steady;
   JobTask.MissingSince = TimePoint::max();
   ++Target.OutstandingCount;
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -120,6 +120,13 @@
   this->Sink.send(Worker.Agent, std::move(Message));
 }
 
+void LeaseCoordinator::addOpenStart(const Job &Target, std::uint32_t Index,
+                                    Instant Now) {
+  const std::string &Agent = Target.Tasks[Index].Agent;
+  this->OpenStarts.addUnreported(Agent, Target.Request.Id, Index, Now.Steady);
+  this->Relay.add(Agent, Target.Request.Id, Index, Now.Steady);
+}
+
 void LeaseCoordinator::giveUpAgentTasks(const std::string &Agent,
                                         bool OnlyOldIncarnations,
                                         const std::string &Reason,
@@ -143,15 +150,22 @@
   this->Log.decision(
       "agent_lost",
       {{"agent", Agent}, {"reason", Reason}, {"jobs", Concerned.size()}});
+  bool KeepsId = this->OpenStarts.keepsId(Agent);
+  std::size_t OpenStarts = 0;
   for (const std::string &Id : Concerned) {
     Job &Target = *this->Jobs[Id];
     Target.MayHaveRun = true;
     // The outcome of these runs is unknown. Renewals no longer name them, so
     // that their leases expire; a stop may still reach the agent.
     std::vector<std::uint64_t> Orders;
-    for (Task &JobTask : Target.Tasks) {
+    for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
+      Task &JobTask = Target.Tasks[I];
       if (!IsLost(JobTask))
         continue;
+      if (KeepsId && !JobTask.StartAnswered) {
+        ++OpenStarts;
+        this->addOpenStart(Target, I, Now);
+      }
       this->Contacts[Agent].GivenUpOrders[JobTask.Order] = {Id,
                                                             JobTask.PlacedAt};
       Orders.push_back(JobTask.Order);
@@ -165,6 +179,9 @@
       this->finishIfProven(Target, Now);
     this->forgetIfSettled(Id, Now);
   }
+  if (OpenStarts > 0)
+    this->Log.decision("open_starts_assumed",
+                       {{"agent", Agent}, {"starts", OpenStarts}});
 }
 
 // ---- Placements that agents list ----
@@ -192,12 +209,17 @@
     return;
   std::set<std::uint64_t> Held(Load.held_orders().begin(),
                                Load.held_orders().end());
+  std::set<std::uint64_t> Unanswered(Load.unanswered_orders().begin(),
+                                     Load.unanswered_orders().end());
   this->stopGivenUp(*Worker, Held, Now);
   std::vector<peer::LeasedUpdate> Lost;
   for (const auto &[Id, Known] : this->Jobs) {
     for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
       Task &JobTask = Known->Tasks[I];
       bool There = JobTask.Phase == TaskPhase::Sent && JobTask.Agent == Agent;
+      if (There && Load.worker_keeps_id() && Held.contains(JobTask.Order) &&
+          !Unanswered.contains(JobTask.Order))
+        JobTask.StartAnswered = true;
       if (!There ||
           !this->isMissing(JobTask, Held.contains(JobTask.Order), Now))
         continue;
@@ -251,6 +273,8 @@
   this->renewLeases(Now);
   this->tickJobs(Now);
   this->updateAwaitsAgents(Now);
+  for (auto &[Entry, Message] : this->Relay.dueMessages(Now.Steady))
+    this->Sink.send(Entry, std::move(Message));
   if (Now.Steady < this->NextSweep)
     return;
   this->NextSweep = Now.Steady + SweepInterval;
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -9,6 +9,8 @@
   if (!Load.without_worker())
     this->WorkersKeepId =
         this->WorkersKeepId.value_or(false) || Load.worker_keeps_id();
+  if (Load.worker_keeps_id())
+    this->KeepingId.insert(Agent);
   bool IsSettled = !Load.without_worker() &&
                    (Load.worker_ready() || !Load.worker_keeps_id());
   if (IsSettled)
@@ -28,25 +30,73 @@
   return Known.LastNumber > Before;
 }
 
+OpenStartRecord::AtAgent *OpenStartRecord::findOrAdd(const TaskKey &Task,
+                                                     const std::string &Agent) {
+  bool IsFull = this->Tasks.size() >= this->Options.MaxTasks &&
+                !this->Tasks.contains(Task);
+  if (!IsFull)
+    return &this->Tasks[Task][Agent];
+  this->Log.decision("open_start_ignored", {{"job", Task.first},
+                                            {"task", Task.second},
+                                            {"agent", Agent},
+                                            {"known", this->Tasks.size()}});
+  return nullptr;
+}
+
 void OpenStartRecord::add(const std::string &Agent, const peer::OpenStart &Row,
                           TimePoint Now) {
-  TaskKey Task{Row.job(), Row.index()};
-  if (this->Tasks.size() >= this->Options.MaxTasks &&
-      !this->Tasks.contains(Task)) {
-    this->Log.decision("open_start_ignored", {{"job", Row.job()},
-                                              {"task", Row.index()},
-                                              {"agent", Agent},
-                                              {"known", this->Tasks.size()}});
+  AtAgent *Open = this->findOrAdd({Row.job(), Row.index()}, Agent);
+  if (Open == nullptr)
     return;
-  }
-  AtAgent &Open = this->Tasks[Task][Agent];
   std::chrono::milliseconds Left(Row.left_ms());
-  Open.Until =
-      std::max(Open.Until, Now + std::min(Left, this->Options.MaxCallDelay));
+  Open->Until =
+      std::max(Open->Until, Now + std::min(Left, this->Options.MaxCallDelay));
   // The same start is reported several times.
-  if (Row.number() > Open.LastNumber)
-    ++Open.Starts;
-  Open.LastNumber = std::max(Open.LastNumber, Row.number());
+  if (Row.number() > Open->LastNumber)
+    ++Open->Starts;
+  Open->LastNumber = std::max(Open->LastNumber, Row.number());
+}
+
+void OpenStartRecord::addUnreported(const std::string &Agent,
+                                    const std::string &Job, std::uint32_t Index,
+                                    TimePoint Now) {
+  AtAgent *Open = this->findOrAdd({Job, Index}, Agent);
+  if (Open == nullptr)
+    return;
+  Open->Until = Now + this->Options.MaxCallDelay;
+  ++Open->Starts;
+}
+
+std::uint64_t OpenStartRecord::onRelay(const PeerRef &From,
+                                       const peer::OpenStartRelay &Relay,
+                                       TimePoint Now) {
+  Reports &Known = this->Relays[From.Node];
+  if (Known.Incarnation != From.Incarnation)
+    Known = {From.Incarnation, 0};
+  // The sender does not know yet that this entry has restarted, and has left
+  // out rows that are unknown here.
+  if (Relay.acknowledged() > Known.LastNumber)
+    return Known.LastNumber;
+  int New = 0;
+  for (const peer::RelayedStart &Row : Relay.starts()) {
+    const peer::OpenStart &Start = Row.start();
+    if (Start.number() <= Known.LastNumber)
+      continue;
+    Known.LastNumber = Start.number();
+    ++New;
+    AtAgent *Open = this->findOrAdd({Start.job(), Start.index()}, Row.agent());
+    if (Open == nullptr)
+      continue;
+    std::chrono::milliseconds Left(Start.left_ms());
+    Open->Until =
+        std::max(Open->Until, Now + std::min(Left, this->Options.MaxCallDelay));
+    ++Open->Starts;
+  }
+  if (New > 0)
+    this->Log.decision(
+        "open_starts_received",
+        {{"entry", From.Node}, {"starts", New}, {"known", this->Tasks.size()}});
+  return Known.LastNumber;
 }
 
 std::uint64_t OpenStartRecord::acknowledged(const std::string &Agent,
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -18,6 +18,7 @@
 
 #include "core/clock.h"
 #include "core/logger.h"
+#include "core/peer_sink.h"
 #include "protocol/peer.pb.h"
 
 #include <cstdint>
@@ -52,6 +53,18 @@
   /// starts, which are to be acknowledged.
   bool onLoad(const std::string &Agent, const peer::WorkerLoad &Load,
               TimePoint Now);
+  /// Records a start that may be open at an agent which was lost before it
+  /// could report it.
+  void addUnreported(const std::string &Agent, const std::string &Job,
+                     std::uint32_t Index, TimePoint Now);
+  /// Records what another entry reports of agents that it has lost. \returns
+  /// the number up to which all of its rows are known here.
+  std::uint64_t onRelay(const PeerRef &From, const peer::OpenStartRelay &Relay,
+                        TimePoint Now);
+  /// Whether the agent's worker may restart under its id, as far as known.
+  bool keepsId(const std::string &Agent) const {
+    return this->KeepingId.contains(Agent);
+  }
   /// \returns the highest number among the open starts that this incarnation
   /// of the agent has reported; 0 if there are none.
   std::uint64_t acknowledged(const std::string &Agent,
@@ -82,13 +95,6 @@
 
 private:
   using TaskKey = std::pair<std::string, std::uint32_t>;
-  void add(const std::string &Agent, const peer::OpenStart &Row, TimePoint Now);
-
-  struct Reports {
-    std::uint64_t Incarnation = 0;
-    std::uint64_t LastNumber = 0;
-  };
-
   /// The open starts of a task at an agent.
   struct AtAgent {
     /// Until when any of them may be executed.
@@ -98,10 +104,24 @@
     std::size_t Starts = 0;
   };
 
+  void add(const std::string &Agent, const peer::OpenStart &Row, TimePoint Now);
+  /// \returns the open starts of a task at an agent, or nullptr if the record
+  /// is full.
+  AtAgent *findOrAdd(const TaskKey &Task, const std::string &Agent);
+
+  struct Reports {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t LastNumber = 0;
+  };
+
   OpenStartRecordOptions Options;
   Logger Log{"open-starts"};
   std::map<TaskKey, std::map<std::string, AtAgent>> Tasks;
   std::map<std::string, Reports> Agents;
+  /// The rows that other entries have relayed.
+  std::map<std::string, Reports> Relays;
+  /// Agents whose workers may restart under their ids.
+  std::set<std::string> KeepingId;
   /// Agents that have reported a worker without unknown open starts.
   std::set<std::string> Settled;
   /// Whether any worker may restart under its id; empty until an agent has
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -122,6 +122,7 @@
 CoordinatorOptions LeaseEntryProcess::coordinatorOptions() const {
   CoordinatorOptions Options;
   Options.Seed = this->Incarnation;
+  Options.Name = this->Plan.Node;
   Options.FirstOrder = this->Incarnation * MaxOrdersPerMicrosecond;
   Options.RenewalInterval = CoordinatorRenewal;
   return Options;
--- a/tests/agent/open_starts_test.cpp
+++ b/tests/agent/open_starts_test.cpp
@@ -140,6 +140,48 @@
   LONGS_EQUAL(0, Sink.Load.open_starts_size());
 }
 
+// An entry that loses the agent takes all other starts for possibly open.
+TEST(OpenStartReportsTest, RepliesListThePlacementsWithoutAnAnsweredStart) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    bool Lost;
+    bool Answered;
+    int Unanswered;
+  };
+  const Row Rows[] = {
+      {"no reply yet", 5, false, false, 1},
+      {"answered", 5, false, true, 0},
+      {"the first start is lost", 5, true, true, 1},
+      {"the worker changes its id", std::nullopt, false, false, 0},
+  };
+  std::uint64_t Id = 0;
+  for (const Row &Row : Rows) {
+    LeaseKeeper Keeper{optionsWith(/*FromStamp=*/true), Sink, Port};
+    WorkerProfile Profile;
+    Profile.Id = WorkerId;
+    Profile.StartUnixMs = Row.StartUnixMs;
+    Profile.Room.set_cpu_milli(4000);
+    Profile.Room.set_memory_mb(1000);
+    Keeper.onProfile(Profile, Now);
+    WorkerReply Reply = plainReply();
+    Reply.StartUnixMs = Row.StartUnixMs;
+    WorkerIncarnation Worker{WorkerId, Row.StartUnixMs};
+    Keeper.session().onHoldReply(Worker, Reply, Now);
+    Keeper.onMessage(EntryA, dispatch("j" + std::to_string(++Id), stamp()),
+                     Now);
+    RunKey Run = Port.Starts.back().Run;
+    if (Row.Lost)
+      Keeper.session().onStartReply(Worker, Run, WorkerReply(), Now);
+    if (Row.Answered)
+      Keeper.session().onStartReply(Worker, Run, Reply, Now);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(1, Sink.Load.held_orders_size(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.Unanswered, Sink.Load.unanswered_orders_size(),
+                     Row.Name);
+  }
+}
+
 TEST(OpenStartReportsTest, ReportsSayWhetherTheWorkerRefusesEarlierStarts) {
   Keeper.onMessage(EntryA, renewal(stamp()), Now);
   CHECK(Sink.Load.without_worker());
--- a/tests/entry/coordinator_fixture.h
+++ b/tests/entry/coordinator_fixture.h
@@ -35,6 +35,10 @@
       this->Interests.push_back({To.Node, Message.leased_interest()});
     else if (Message.has_offer_reply())
       ++this->DeclinedOffers[To.Node];
+    else if (Message.has_open_start_relay())
+      this->Relays.push_back({To.Node, Message.open_start_relay()});
+    else if (Message.has_open_start_relay_reply())
+      this->RelayReplies[To.Node] = Message.open_start_relay_reply();
   }
   void reconnect(const PeerRef &To) override { ++this->Reconnects[To.Node]; }
   static std::set<std::uint64_t>
@@ -52,6 +56,8 @@
   std::map<std::string, int> DeclinedOffers;
   std::map<std::string, int> Renewals;
   std::map<std::string, int> Reconnects;
+  std::vector<std::pair<std::string, peer::OpenStartRelay>> Relays;
+  std::map<std::string, peer::OpenStartRelayReply> RelayReplies;
 };
 
 class CoordinatorAnswers final : public LeasedAnswerSink {
--- a/tests/entry/late_start_test.cpp
+++ b/tests/entry/late_start_test.cpp
@@ -399,8 +399,8 @@
      {{1000ms, loseCalls}, {1100ms, restartWorker}, {4500ms, restoreCalls}}},
 };
 
-/// The entry at which the job is resubmitted does not know that a start has
-/// stayed without a reply.
+/// The entry at which the job is resubmitted does not hear from the agent that
+/// a start has stayed without a reply.
 const Row UnknownRows[] = {
     {"the agent is killed before the start counts as unanswered",
      {3000ms},
@@ -550,9 +550,9 @@
   STRCMP_EQUAL("", Overlaps.c_str());
 }
 
-// An entry that does not know of an open start places the task elsewhere, while
-// the late start begins a run in the next incarnation of the worker.
-TEST(KnownLateStartTest, NoRunOverlapsALateStartThatIsUnknownToItsEntry) {
+// The agent cannot tell the entry at which the job is resubmitted. The entry
+// that gives up the agent's tasks does.
+TEST(LateStartTest, NoRunOverlapsALateStartThatItsAgentCannotReport) {
   std::string Overlaps;
   for (const Row &Row : UnknownRows)
     Overlaps += overlapsIn(Row);
