--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -26,6 +26,7 @@
 void LeasedEntry::startIncarnation() {
   ++this->Incarnation;
   CoordinatorOptions Options = this->Options.Coordinator;
+  Options.Name = this->Name;
   Options.FirstOrder += (this->Incarnation - 1) * OrdersPerIncarnation;
   Options.Seed += this->Incarnation - 1;
   this->Coordinator = std::make_unique<LeaseCoordinator>(Options, *this, *this);
@@ -95,6 +96,22 @@
   });
 }
 
+void LeasedEntry::announceEntry(const peer::Member &Entry) {
+  this->World.runOn(this->Name, [this, Entry] {
+    this->Coordinator->onMember(Entry, this->World.now());
+  });
+}
+
+peer::Member LeasedEntry::member() const {
+  peer::Member Self;
+  Self.set_name(this->Name);
+  Self.set_role(peer::ROLE_ENTRY);
+  Self.set_state(peer::MEMBER_ALIVE);
+  Self.set_incarnation(this->Incarnation);
+  Self.set_address(this->Name);
+  return Self;
+}
+
 // ---- Callers ----
 
 void LeasedEntry::submitJob(SubmissionId Which, const LeasedJobRequest &Job,
