--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -84,6 +84,11 @@
   // The renewal acknowledges the report.
   if (this->OpenStarts.onLoad(Agent, Load, Now.Steady) && Worker != nullptr)
     this->sendRenewal(*Worker, AgentContact, Now);
+  for (const peer::OpenStart &Open : Load.open_starts()) {
+    const Job *Target = this->find(Open.job());
+    if (Target != nullptr && Target->Phase == JobPhase::Answered)
+      this->relayOpenStarts(Open.job(), Now);
+  }
   this->onCrashes(Agent, Load, Now);
   if (Load.leaving())
     this->clearIfGone(Agent);
@@ -390,6 +395,8 @@
 
 void LeaseCoordinator::finish(Job &Target, LeasedAnswer Answer, Instant Now) {
   Target.Phase = JobPhase::Answered;
+  if (Answer.End != LeasedEnd::Completed)
+    this->relayOpenStarts(Target.Request.Id, Now);
   switch (Answer.End) {
   case LeasedEnd::Completed:
     ++this->Counters.Completed;
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -427,9 +427,9 @@
   /// incarnations of it.
   void giveUpAgentTasks(const std::string &Agent, bool OnlyOldIncarnations,
                         const std::string &Reason, Instant Now);
-  /// Records that the start of a task may be open at an agent that is given
-  /// up, here and at the other entries.
-  void addOpenStart(const Job &Target, std::uint32_t Index, Instant Now);
+  /// Tells the other entries of the open starts of a job that may be submitted
+  /// to them. They may not have heard of them from the agents.
+  void relayOpenStarts(const std::string &Id, Instant Now);
   void onOpenStartRelay(const PeerRef &From, const peer::OpenStartRelay &Relay,
                         Instant Now);
   void onRestarted(const std::string &Agent, Instant Now);
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -120,11 +120,10 @@
   this->Sink.send(Worker.Agent, std::move(Message));
 }
 
-void LeaseCoordinator::addOpenStart(const Job &Target, std::uint32_t Index,
-                                    Instant Now) {
-  const std::string &Agent = Target.Tasks[Index].Agent;
-  this->OpenStarts.addUnreported(Agent, Target.Request.Id, Index, Now.Steady);
-  this->Relay.add(Agent, Target.Request.Id, Index, Now.Steady);
+void LeaseCoordinator::relayOpenStarts(const std::string &Id, Instant Now) {
+  for (const OpenStartRecord::TaskAt &Open :
+       this->OpenStarts.takeUnrelayed(Id, Now.Steady))
+    this->Relay.add(Open.Agent, Id, Open.Index, Open.Until);
 }
 
 void LeaseCoordinator::giveUpAgentTasks(const std::string &Agent,
@@ -164,13 +163,14 @@
         continue;
       if (KeepsId && !JobTask.StartAnswered) {
         ++OpenStarts;
-        this->addOpenStart(Target, I, Now);
+        this->OpenStarts.addUnreported(Agent, Id, I, Now.Steady);
       }
       this->Contacts[Agent].GivenUpOrders[JobTask.Order] = {Id,
                                                             JobTask.PlacedAt};
       Orders.push_back(JobTask.Order);
       this->settle(Target, JobTask, TaskPhase::Over);
     }
+    this->relayOpenStarts(Id, Now);
     if (Worker != nullptr)
       this->sendStop(Id, *Worker, Orders);
     if (Target.Phase == JobPhase::Running)
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -52,8 +52,10 @@
   Open->Until =
       std::max(Open->Until, Now + std::min(Left, this->Options.MaxCallDelay));
   // The same start is reported several times.
-  if (Row.number() > Open->LastNumber)
+  if (Row.number() > Open->LastNumber) {
     ++Open->Starts;
+    Open->Relayed = false;
+  }
   Open->LastNumber = std::max(Open->LastNumber, Row.number());
 }
 
@@ -65,6 +67,18 @@
     return;
   Open->Until = Now + this->Options.MaxCallDelay;
   ++Open->Starts;
+  Open->Relayed = false;
+}
+
+std::vector<OpenStartRecord::TaskAt>
+OpenStartRecord::takeUnrelayed(const std::string &Job, TimePoint Now) {
+  std::vector<TaskAt> Taken;
+  auto Task = this->Tasks.lower_bound({Job, 0});
+  for (; Task != this->Tasks.end() && Task->first.first == Job; ++Task)
+    for (auto &[Agent, Open] : Task->second)
+      if (Now < Open.Until && !std::exchange(Open.Relayed, true))
+        Taken.push_back({Agent, Task->first.second, Open.Until});
+  return Taken;
 }
 
 std::uint64_t OpenStartRecord::onRelay(const PeerRef &From,
@@ -91,6 +105,7 @@
     Open->Until =
         std::max(Open->Until, Now + std::min(Left, this->Options.MaxCallDelay));
     ++Open->Starts;
+    Open->Relayed = true;
   }
   if (New > 0)
     this->Log.decision(
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -27,6 +27,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace yardwheel {
 
@@ -61,6 +62,14 @@
   /// the number up to which all of its rows are known here.
   std::uint64_t onRelay(const PeerRef &From, const peer::OpenStartRelay &Relay,
                         TimePoint Now);
+  struct TaskAt {
+    std::string Agent;
+    std::uint32_t Index = 0;
+    TimePoint Until;
+  };
+  /// \returns the open starts of a job of which no entry has told the others
+  /// as far as known, and marks them as told.
+  std::vector<TaskAt> takeUnrelayed(const std::string &Job, TimePoint Now);
   /// Whether the agent's worker may restart under its id, as far as known.
   bool keepsId(const std::string &Agent) const {
     return this->KeepingId.contains(Agent);
@@ -102,6 +111,8 @@
     /// The number of the last one that was counted, and how many there were.
     std::uint64_t LastNumber = 0;
     std::size_t Starts = 0;
+    /// Whether an entry has told the others of all of them.
+    bool Relayed = false;
   };
 
   void add(const std::string &Agent, const peer::OpenStart &Row, TimePoint Now);
--- a/entry/open_start_relay.cpp
+++ b/entry/open_start_relay.cpp
@@ -18,16 +18,15 @@
 }
 
 void OpenStartRelay::add(const std::string &Agent, const std::string &Job,
-                         std::uint32_t Index, TimePoint Now) {
+                         std::uint32_t Index, TimePoint Until) {
   if (this->Rows.size() >= this->Options.MaxStarts) {
     this->Log.decision("open_start_not_relayed",
                        {{"job", Job}, {"task", Index}, {"agent", Agent}});
     return;
   }
-  this->Rows.push_back({++this->LastNumber, Agent, Job, Index,
-                        Now + this->Options.MaxCallDelay});
+  this->Rows.push_back({++this->LastNumber, Agent, Job, Index, Until});
   for (auto &[Name, Known] : this->Entries)
-    Known.NextMessage = Now;
+    Known.NextMessage = TimePoint::min();
 }
 
 void OpenStartRelay::onReply(const std::string &Entry,
@@ -61,8 +60,9 @@
     peer::OpenStart *Start = Out->mutable_start();
     Start->set_job(Next->Job);
     Start->set_index(Next->Index);
-    Start->set_left_ms(
-        static_cast<std::uint32_t>(millisBetween(Now, Next->Until)));
+    // Later rows may be over earlier.
+    Start->set_left_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, millisBetween(Now, Next->Until))));
     Start->set_number(Next->Number);
   }
   return Message;
--- a/entry/open_start_relay.h
+++ b/entry/open_start_relay.h
@@ -1,11 +1,11 @@
 //===- entry/open_start_relay.h - Tells entries of open starts --*- C++ -*-===//
 ///
 /// \file
-/// Tells the other entries of the starts that may be open at an agent which
-/// this entry has given up: the agent may have died before it could report
-/// them. Each row is repeated until the receiver has acknowledged it, also to
-/// an entry that starts while the row is open. Nothing is sent while no such
-/// start is open.
+/// Tells the other entries of open starts that they may not have heard of from
+/// their agent: those at an agent which this entry has given up, and those of
+/// jobs that have ended here without being completed. Each row is repeated
+/// until the receiver has acknowledged it, also to an entry that starts while
+/// the row is open. Nothing is sent while no such start is open.
 ///
 /// Single-threaded; uses no sockets and no clock of its own.
 ///
@@ -28,8 +28,6 @@
 namespace yardwheel {
 
 struct OpenStartRelayOptions {
-  /// How long a start that was sent to a lost agent may still be executed.
-  std::chrono::milliseconds MaxCallDelay{15000};
   /// Interval between messages to an entry that has not acknowledged all rows.
   std::chrono::milliseconds RepeatInterval{200};
   /// Maximum number of rows in a message. An entry gets the next ones once it
@@ -48,10 +46,9 @@
 
   /// Handles a change of another entry in the member table of control.
   void onMember(const peer::Member &Entry);
-  /// Adds a start that may be open at an agent. Must be called with times that
-  /// do not decrease.
+  /// Adds a start that may be open at an agent until a time.
   void add(const std::string &Agent, const std::string &Job,
-           std::uint32_t Index, TimePoint Now);
+           std::uint32_t Index, TimePoint Until);
   void onReply(const std::string &Entry,
                const peer::OpenStartRelayReply &Reply);
   /// \returns the messages that are due now.
@@ -77,7 +74,7 @@
   OpenStartRelayOptions Options;
   Logger Log{"open-starts"};
   std::uint64_t LastNumber;
-  /// In the order of their numbers and of the times until which they are open.
+  /// In the order of their numbers.
   std::deque<Row> Rows;
   /// The other entries that control has not lost, by name.
   std::map<std::string, Entry> Entries;
--- a/tests/entry/open_start_relay_test.cpp
+++ b/tests/entry/open_start_relay_test.cpp
@@ -76,7 +76,7 @@
     Relay.onMember(entryMember());
     STRCMP_EQUAL_TEXT("", sentBy(Relay).c_str(), Row.Name);
     for (std::uint32_t I = 0; I < 4; ++I)
-      Relay.add("a", "j", I, Now);
+      Relay.add("a", "j", I, Now + 15s);
     STRCMP_EQUAL_TEXT("01", sentBy(Relay).c_str(), Row.Name);
     STRCMP_EQUAL_TEXT("", sentBy(Relay).c_str(), Row.Name);
     peer::OpenStartRelayReply Reply;
@@ -189,3 +189,30 @@
   CHECK(onlyAnswer().End == LeasedEnd::Unknown);
   CHECK(Sink.Dispatches.empty());
 }
+
+// The job may be submitted at an entry that the agent's report does not reach.
+TEST(LostAgentTest, OtherEntriesLearnOfReportedStartsOfAJobThatIsNotCompleted) {
+  Coordinator.onMember(entryMember(), Now);
+  for (bool Completed : {true, false}) {
+    const char *Id = Completed ? "completed" : "cancelled";
+    addAgent("a");
+    Coordinator.submit(patientRequest(1, Id), 1, Now);
+    peer::Message Message;
+    peer::WorkerLoad *Load = Message.mutable_worker_load();
+    Load->set_incarnation(AgentIncarnation);
+    Load->set_stamp(++Stamp);
+    Load->set_worker_keeps_id(true);
+    Load->add_open_starts()->set_job(Id);
+    Load->mutable_open_starts(0)->set_left_ms(5000);
+    Load->mutable_open_starts(0)->set_number(Completed ? 1 : 2);
+    Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
+    if (Completed)
+      answer(0, peer::LEASED_DONE);
+    else
+      Coordinator.cancel(Id, "the caller has gone", Now);
+    advance(100ms);
+    LONGS_EQUAL_TEXT(Completed ? 0 : 1, Sink.Relays.size(), Id);
+  }
+  STRCMP_EQUAL("cancelled",
+               Sink.Relays.at(0).second.starts(0).start().job().c_str());
+}
