--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -369,7 +369,7 @@
   }
   this->Answering = true;
   this->LastHoldFailed = false;
-  this->HoldsFailedInRow = 0;
+  this->UnansweredHoldsInRow = 0;
   this->LapsedWhileSilent.clear();
   this->logUnreadableRows(Reply, Now);
   this->markListedRuns(Reply);
@@ -474,10 +474,11 @@
     return;
   }
   this->LastHoldFailed = true;
-  ++this->HoldsFailedInRow;
   this->advanceToken(Now);
-  if (!Reply.Answered)
+  if (!Reply.Answered) {
+    ++this->UnansweredHoldsInRow;
     this->recordLostCall(Now);
+  }
   bool Silent = Now.Steady - this->LastAnswer >= this->Options.SilenceTimeout;
   if (!this->Answering || !Silent)
     return;
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -84,11 +84,10 @@
   /// A worker that has not replied for this long gets no tasks. Spans several
   /// calls, because a healthy worker may leave single ones without a reply.
   std::chrono::milliseconds SilenceTimeout{600};
-  /// Number of failed hold calls in a row after which nothing is started until
-  /// one succeeds. A worker that has crashed fails this many within some tens
-  /// of milliseconds; one that leaves half of the calls without a reply fails
-  /// them one time in sixteen.
-  std::uint32_t MaxFailedHolds = 4;
+  /// Number of hold calls in a row without a reply after which nothing is
+  /// started until one succeeds. A worker that leaves half of the calls without
+  /// a reply gets there one time in sixteen.
+  std::uint32_t MaxUnansweredHolds = 4;
   /// Delay before the next hold call after one failed or its reply had an end
   /// that could not be parsed.
   std::chrono::milliseconds HoldRetryInterval{20};
@@ -198,10 +197,10 @@
   bool isSuspect(const RunKey &Run) const {
     return this->Suspects.contains(Run);
   }
-  /// Whether so many hold calls in a row have failed that a start would
+  /// Whether so many hold calls in a row had no reply that a start would
   /// probably be lost too.
   bool isUnresponsive() const {
-    return this->HoldsFailedInRow >= this->Options.MaxFailedHolds;
+    return this->UnansweredHoldsInRow >= this->Options.MaxUnansweredHolds;
   }
 
 private:
@@ -352,7 +351,7 @@
   /// Whether the last hold call failed, so that the worker may not receive our
   /// calls.
   bool LastHoldFailed = false;
-  std::uint32_t HoldsFailedInRow = 0;
+  std::uint32_t UnansweredHoldsInRow = 0;
   TimePoint LastAnswer;
   TimePoint LastLoss = TimePoint::min();
   /// When the newest lease ends that the worker may hold.
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -181,7 +181,7 @@
   this->LastHoldFailed = false;
   this->LapseUnexplained = false;
   this->ClockStartedOver = false;
-  this->HoldsFailedInRow = 0;
+  this->UnansweredHoldsInRow = 0;
   this->LastAnswer = Now.Steady;
   // Earlier calls may have given an incarnation with this id the longest lease
   // that it grants, as their deadlines refer to the previous incarnation's
--- a/tests/agent/keeper_updates_test.cpp
+++ b/tests/agent/keeper_updates_test.cpp
@@ -97,18 +97,25 @@
 
 // A start would be lost with the worker and extend the lease after which the
 // runs there count as ended.
-TEST(KeeperUpdatesTest, NothingIsStartedAfterSeveralFailedHolds) {
+TEST(KeeperUpdatesTest, NothingIsStartedAfterSeveralHoldsWithoutAReply) {
+  WorkerReply NoConnection;
+  NoConnection.Answered = true;
+  NoConnection.Refusal = WorkerRefusal::Unhealthy;
   struct Row {
     const char *Name;
     std::size_t FailedHolds;
+    WorkerReply Failure;
     bool RepliesAgain;
     bool Starts;
   };
-  const Row Rows[] = {{"it replies", 0, false, true},
-                      {"one call was lost", 1, false, true},
-                      {"as many as a lossy link loses", 3, false, true},
-                      {"it does not reply", 4, false, false},
-                      {"it replies again", 4, true, true}};
+  const Row Rows[] = {
+      {"it replies", 0, WorkerReply(), false, true},
+      {"one call was lost", 1, WorkerReply(), false, true},
+      {"as many as a lossy link loses", 3, WorkerReply(), false, true},
+      {"it does not reply", 4, WorkerReply(), false, false},
+      {"it replies again", 4, WorkerReply(), true, true},
+      {"it refuses connections, so that a start fails at once", 4, NoConnection,
+       false, true}};
   for (const Row &Row : Rows) {
     for (bool MayWait : {false, true}) {
       Port.Starts.clear();
@@ -116,7 +123,7 @@
       LeaseKeeper Keeper(optionsWith(true), Sink, Port);
       attach(Keeper);
       for (std::size_t I = 0; I < Row.FailedHolds; ++I)
-        Keeper.session().onHoldReply({WorkerId}, WorkerReply(), Now);
+        Keeper.session().onHoldReply({WorkerId}, Row.Failure, Now);
       if (Row.RepliesAgain)
         Keeper.session().onHoldReply({WorkerId}, plainReply(), Now);
       peer::Message Order = dispatch("j", stamp());
