Open starts are counted once, and only answered ones are left out

Three findings of a review of the relay of open starts:

- A start that its agent had reported counted again when it was relayed or given up with its agent.
Only the agent's own rows count now.
- An agent of the build before lists no unanswered placements, which was taken for all being answered.
Agents list the answered ones instead, so that none listed means that all may be open.
- Each new row sent a message at once to entries that had not acknowledged the last one.
Now they get it with the next repeat.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -92,8 +92,8 @@
       bool IsAnswered =
           Known.State != Phase::Queued &&
           this->Session.isStartAnswered({Id.Job, Id.Index, Known.Run});
-      if (Load->worker_keeps_id() && !IsAnswered)
-        Load->add_unanswered_orders(Known.Order);
+      if (Load->worker_keeps_id() && IsAnswered)
+        Load->add_answered_orders(Known.Order);
     }
     this->Sink.send(From, std::move(Reply));
   }
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -209,16 +209,15 @@
     return;
   std::set<std::uint64_t> Held(Load.held_orders().begin(),
                                Load.held_orders().end());
-  std::set<std::uint64_t> Unanswered(Load.unanswered_orders().begin(),
-                                     Load.unanswered_orders().end());
+  std::set<std::uint64_t> Answered(Load.answered_orders().begin(),
+                                   Load.answered_orders().end());
   this->stopGivenUp(*Worker, Held, Now);
   std::vector<peer::LeasedUpdate> Lost;
   for (const auto &[Id, Known] : this->Jobs) {
     for (std::uint32_t I = 0; I < Known->Tasks.size(); ++I) {
       Task &JobTask = Known->Tasks[I];
       bool There = JobTask.Phase == TaskPhase::Sent && JobTask.Agent == Agent;
-      if (There && Load.worker_keeps_id() && Held.contains(JobTask.Order) &&
-          !Unanswered.contains(JobTask.Order))
+      if (There && Answered.contains(JobTask.Order))
         JobTask.StartAnswered = true;
       if (!There ||
           !this->isMissing(JobTask, Held.contains(JobTask.Order), Now))
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -66,7 +66,6 @@
   if (Open == nullptr)
     return;
   Open->Until = Now + this->Options.MaxCallDelay;
-  ++Open->Starts;
   Open->Relayed = false;
 }
 
@@ -104,7 +103,6 @@
     std::chrono::milliseconds Left(Start.left_ms());
     Open->Until =
         std::max(Open->Until, Now + std::min(Left, this->Options.MaxCallDelay));
-    ++Open->Starts;
     Open->Relayed = true;
   }
   if (New > 0)
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -108,7 +108,8 @@
   struct AtAgent {
     /// Until when any of them may be executed.
     TimePoint Until;
-    /// The number of the last one that was counted, and how many there were.
+    /// The number of the last one that the agent has reported, and how many
+    /// these were. Relayed ones and those of lost agents may be the same.
     std::uint64_t LastNumber = 0;
     std::size_t Starts = 0;
     /// Whether an entry has told the others of all of them.
--- a/entry/open_start_relay.cpp
+++ b/entry/open_start_relay.cpp
@@ -25,8 +25,10 @@
     return;
   }
   this->Rows.push_back({++this->LastNumber, Agent, Job, Index, Until});
+  // Others get the row with their next repeat.
   for (auto &[Name, Known] : this->Entries)
-    Known.NextMessage = TimePoint::min();
+    if (Known.Acknowledged >= Known.LastSent)
+      Known.NextMessage = TimePoint::min();
 }
 
 void OpenStartRelay::onReply(const std::string &Entry,
@@ -81,7 +83,10 @@
     if (!IsDue)
       continue;
     Known.NextMessage = Now + this->Options.RepeatInterval;
-    Due.emplace_back(Known.Ref, this->messageFor(Known, Now));
+    peer::Message Message = this->messageFor(Known, Now);
+    Known.LastSent =
+        Message.open_start_relay().starts().rbegin()->start().number();
+    Due.emplace_back(Known.Ref, std::move(Message));
   }
   return Due;
 }
--- a/entry/open_start_relay.h
+++ b/entry/open_start_relay.h
@@ -66,6 +66,8 @@
     PeerRef Ref;
     std::uint64_t Incarnation = 0;
     std::uint64_t Acknowledged = 0;
+    /// The highest number that was sent to it.
+    std::uint64_t LastSent = 0;
     TimePoint NextMessage = TimePoint::min();
   };
 
