A task waits for the only agent that may take it

Callers saw 504 where their resubmission could have been served: after an agent was killed, the entry takes the starts of its tasks for open, so that they may be placed at that agent only. If the successor was known to control, but had not been heard from by this entry, the job was answered as unknown at once.

Change: while control counts the only agent as alive, the task waits for it, up to 1 s or until the caller's deadline; it is placed once the agent is heard from. If control has lost the agent, or it is leaving, the caller is told at once, as before. A task that its only agent has refused is placed there again after 100 ms, not passed over.

OpenStartPlacementTest.ATaskWaitsForItsOnlyAgentWhileItMayComeBack is new; without the wait its first row has no dispatch.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -247,8 +247,10 @@
   // stamp and its current load.
   bool MayComeBack = Update.refusal() == peer::REFUSAL_STALE ||
                      Update.refusal() == peer::REFUSAL_BUSY;
-  if (!MayComeBack)
+  if (!MayComeBack) {
     JobTask.Avoid.insert(Agent);
+    JobTask.NextPlacement = Now.Steady + this->Options.OnlyAgentRetryInterval;
+  }
   this->schedulePlacement(Target);
 }
 
@@ -289,6 +291,7 @@
   bool WorkerAtFault = JobTask.Stalled || IsStopConfirmed;
   if (WorkerAtFault) {
     JobTask.Avoid.insert(Agent);
+    JobTask.NextPlacement = Now.Steady + this->Options.OnlyAgentRetryInterval;
     if (this->Workers.onFailure(Agent, Now.Steady))
       ++this->Counters.Ejections;
   }
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -121,6 +121,12 @@
   ShedderOptions Shedder;
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
+  /// How long a task waits for the only agent that may take it, while control
+  /// counts that agent as alive: two probes of an unreachable agent.
+  std::chrono::milliseconds OnlyAgentTimeout{1000};
+  /// Delay before a task that its only agent could not run is placed there
+  /// again.
+  std::chrono::milliseconds OnlyAgentRetryInterval{100};
   OpenStartRecordOptions OpenStarts;
   OpenStartRelayOptions OpenStartRelay;
   /// Name of this entry in the member table.
@@ -244,6 +250,11 @@
     /// incarnation of such a worker has promised nothing: a slow worker would
     /// otherwise cost its callers their jobs.
     std::set<std::string> Stopped;
+    /// Since when the only agent that may take it has not been able to;
+    /// TimePoint::max() if it does not wait for one.
+    TimePoint AwaitsAgentSince = TimePoint::max();
+    /// When it may be placed at its only agent again.
+    TimePoint NextPlacement = TimePoint::min();
   };
   enum class JobPhase { Running, GivingUp, Answered };
   /// One submission of a job and its deadline.
@@ -268,6 +279,8 @@
     std::uint32_t PlacementRetries = 0;
     /// Number of tasks that wait for offers.
     std::uint32_t AwaitingOffers = 0;
+    /// Whether a task waits for the only agent that may take it.
+    bool AwaitsAgent = false;
     /// Number of waiting tasks for which agents have already been asked to
     /// offer capacity.
     std::uint32_t OffersRequested = 0;
@@ -344,6 +357,13 @@
   /// avoids or, if it has an open start at an agent, all others.
   std::set<std::string> excludedAgents(const Job &Target, std::uint32_t Index,
                                        Instant Now) const;
+  /// Whether a task waits for the only agent that may take it: one that control
+  /// counts as alive and that is expected back within OnlyAgentTimeout.
+  bool mustAwaitAgent(const Job &Target, std::uint32_t Index,
+                      Instant Now) const;
+  /// Places the tasks of a job that waited for their only agent, if one of them
+  /// need not wait any more.
+  void placeAwaitingAgent(Job &Target, Instant Now);
   /// Places all unplaced tasks of a job, or gives it up if that is impossible.
   void place(Job &Target, Instant Now);
   /// Gives up a job whose deadline has passed or whose callers have
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -36,13 +36,49 @@
       Target.Request.Id, Index, Now.Steady, JobTask.Stopped);
   if (Choice.IsFree)
     return JobTask.Avoid;
-  std::set<std::string> Excluded = JobTask.Avoid;
+  // The only agent left may run it even after it has failed to.
+  std::set<std::string> Excluded;
   for (const auto &[Agent, Worker] : this->Workers.workers())
     if (Agent != Choice.Agent)
       Excluded.insert(Agent);
   return Excluded;
 }
 
+bool LeaseCoordinator::mustAwaitAgent(const Job &Target, std::uint32_t Index,
+                                      Instant Now) const {
+  const Task &JobTask = Target.Tasks[Index];
+  OpenStartRecord::Choice Choice = this->OpenStarts.choiceFor(
+      Target.Request.Id, Index, Now.Steady, JobTask.Stopped);
+  if (Choice.IsFree)
+    return false;
+  const LeasedWorker *Only = this->Workers.find(Choice.Agent);
+  if (Only == nullptr || !Only->Alive)
+    return false;
+  if (Now.Steady < JobTask.NextPlacement)
+    return true;
+  bool HasWaited =
+      JobTask.AwaitsAgentSince != TimePoint::max() &&
+      Now.Steady - JobTask.AwaitsAgentSince >= this->Options.OnlyAgentTimeout;
+  return !HasWaited &&
+         !this->Workers.hasEligibleWorker(
+             Target.Request, this->excludedAgents(Target, Index, Now),
+             Now.Steady);
+}
+
+void LeaseCoordinator::placeAwaitingAgent(Job &Target, Instant Now) {
+  if (!Target.AwaitsAgent)
+    return;
+  for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
+    const Task &JobTask = Target.Tasks[I];
+    bool Awaited = JobTask.Phase == TaskPhase::Unplaced &&
+                   JobTask.AwaitsAgentSince != TimePoint::max();
+    if (Awaited && !this->mustAwaitAgent(Target, I, Now)) {
+      this->schedulePlacement(Target);
+      return;
+    }
+  }
+}
+
 void LeaseCoordinator::place(Job &Target, Instant Now) {
   if (this->endIfUnwanted(Target, Now))
     return;
@@ -51,14 +87,20 @@
   // Tasks that must avoid the same agents are placed together.
   std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
   bool Allowed = true;
+  Target.AwaitsAgent = false;
   for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
-    const Task &JobTask = Target.Tasks[I];
+    Task &JobTask = Target.Tasks[I];
     if (JobTask.Phase != TaskPhase::Unplaced)
       continue;
     // The task waits here until it is known whether the workers lost under it
     // have crashed.
     if (this->Crashes.verdict(Target.Request.Id, I) == CrashVerdict::OnHold)
       continue;
+    if (this->mustAwaitAgent(Target, I, Now)) {
+      Target.AwaitsAgent = true;
+      JobTask.AwaitsAgentSince = std::min(JobTask.AwaitsAgentSince, Now.Steady);
+      continue;
+    }
     Groups[this->excludedAgents(Target, I, Now)].push_back(I);
     Allowed = Allowed && JobTask.Attempt < this->Options.MaxPlacements;
   }
@@ -131,6 +173,7 @@
   JobTask.StartAnswered = false;
   JobTask.PlacedAt = Now.Steady;
   JobTask.MissingSince = TimePoint::max();
+  JobTask.AwaitsAgentSince = TimePoint::max();
   ++Target.OutstandingCount;
   this->Contacts[JobTask.Agent].ActiveOrders.insert(JobTask.Order);
   this->Workers.onSent(JobTask.Agent, Target.Request.Needs);
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -454,6 +454,7 @@
     if (Known->Phase != JobPhase::Running)
       continue;
     this->stopStalled(*Known, Now);
+    this->placeAwaitingAgent(*Known, Now);
     if (Known->AwaitingOffers > 0 && Now.Steady >= Known->OffersDeadline) {
       Known->OffersTimedOut = true;
       this->Log.decision("offers_over",
--- a/entry/worker_table.cpp
+++ b/entry/worker_table.cpp
@@ -238,6 +238,11 @@
   return Found == this->Workers.end() ? nullptr : &Found->second;
 }
 
+const LeasedWorker *WorkerTable::find(const std::string &Agent) const {
+  auto Found = this->Workers.find(Agent);
+  return Found == this->Workers.end() ? nullptr : &Found->second;
+}
+
 bool WorkerTable::canTake(const LeasedWorker &Worker,
                           const LeasedJobRequest &Job, TimePoint Now) const {
   // The agent would refuse a task sent with an older stamp; it is being probed
--- a/entry/worker_table.h
+++ b/entry/worker_table.h
@@ -154,6 +154,7 @@
                   TimePoint Now) const;
 
   LeasedWorker *find(const std::string &Agent);
+  const LeasedWorker *find(const std::string &Agent) const;
   const std::map<std::string, LeasedWorker> &workers() const {
     return this->Workers;
   }
--- a/tests/entry/open_start_record_test.cpp
+++ b/tests/entry/open_start_record_test.cpp
@@ -238,6 +238,81 @@
   STRCMP_EQUAL(First.c_str(), Sink.Dispatches[1].first.c_str());
 }
 
+// Guards against an answer 504 to a resubmission that arrives just before the
+// successor of a killed agent is heard from.
+TEST(OpenStartPlacementTest, ATaskWaitsForItsOnlyAgentWhileItMayComeBack) {
+  constexpr std::uint64_t Successor = AgentIncarnation + 1;
+  struct Row {
+    const char *Job;
+    /// What control says of the agent while the task waits.
+    peer::MemberState State;
+    bool IsHeard;
+    Duration Passed;
+    std::size_t Dispatches;
+    std::size_t Answers;
+  };
+  const Row Rows[] = {
+      {"heard from", peer::MEMBER_ALIVE, true, 0ms, 1, 0},
+      {"not heard from yet", peer::MEMBER_ALIVE, false, 999ms, 0, 0},
+      {"not heard from in time", peer::MEMBER_ALIVE, false, 1000ms, 0, 1},
+      {"lost by control", peer::MEMBER_LOST, false, 0ms, 0, 1},
+      {"leaving", peer::MEMBER_LEAVING, false, 0ms, 0, 1},
+  };
+  for (const Row &Row : Rows) {
+    CoordinatorSink NewSink;
+    CoordinatorAnswers NewAnswers;
+    LeaseCoordinator New(spreadOptions(), NewSink, NewAnswers);
+    auto Announce = [&](const char *Name, std::uint64_t Incarnation,
+                        peer::MemberState State) {
+      peer::Member Member;
+      Member.set_name(Name);
+      Member.set_role(peer::ROLE_AGENT);
+      Member.set_incarnation(Incarnation);
+      Member.set_address("10.0.0.1:1");
+      Member.set_pool("pool");
+      Member.mutable_room()->set_cpu_milli(4000);
+      Member.mutable_room()->set_memory_mb(1000);
+      Member.set_state(State);
+      New.onMember(Member, Now);
+    };
+    auto Report = [&](const char *Name, peer::WorkerLoad Load) {
+      peer::Message Message;
+      Load.set_stamp(++Stamp);
+      *Message.mutable_worker_load() = std::move(Load);
+      New.onMessage({Name, "10.0.0.1:1"}, Message, Now);
+    };
+    for (const char *Name : {"a", "b"}) {
+      Announce(Name, AgentIncarnation, peer::MEMBER_ALIVE);
+      Report(Name, reportOf());
+    }
+    peer::WorkerLoad Open = reportOf();
+    addOpenStart(Open, Row.Job, 0, 1);
+    Report("a", Open);
+    // The successor has announced itself to control, and has not been probed.
+    Announce("a", Successor, peer::MEMBER_ALIVE);
+    New.submit(patientRequest(1, Row.Job), 1, Now);
+    LONGS_EQUAL_TEXT(0, NewSink.Dispatches.size(), Row.Job);
+    LONGS_EQUAL_TEXT(0, NewAnswers.Answers.size(), Row.Job);
+    if (Row.State != peer::MEMBER_ALIVE)
+      Announce("a", Successor, Row.State);
+    Instant Start = Now;
+    Now.Steady += Row.Passed;
+    if (Row.IsHeard) {
+      peer::WorkerLoad Load = reportOf();
+      Load.set_incarnation(Successor);
+      Report("a", Load);
+    }
+    for (int I = 0; I < 2; ++I)
+      New.tick(Now);
+    LONGS_EQUAL_TEXT(Row.Dispatches, NewSink.Dispatches.size(), Row.Job);
+    LONGS_EQUAL_TEXT(Row.Answers, NewAnswers.Answers.size(), Row.Job);
+    if (Row.Answers > 0)
+      CHECK_TEXT(NewAnswers.Answers[0].second.End == LeasedEnd::Unknown,
+                 Row.Job);
+    Now = Start;
+  }
+}
+
 // The late start may still run, although no placement of this submission has.
 TEST(OpenStartPlacementTest, AJobWithAnOpenStartIsNotSaidToHaveNotRun) {
   addAgentThatKeepsId("a");
