A run whose starts stay unanswered is awaited, not stopped and placed elsewhere

Not placing it elsewhere had cost callers of a slow worker their jobs: each retry was stopped like the first.

Cause: a confirmed stop is a promise of one incarnation, but was taken for an end of the run.

Change, only where a worker may restart under its id: the agent does not stop a run whose starts stay without a reply. It sends the start again under the same run number, which a worker executes at most once, until the worker replies to one or lists the run; with the same token, as a slow worker would refuse each start as overtaken, and with a hold call that extends the lease. A run counts as stalled only from when it has begun. A task with an open start stays at its agent, also after a confirmed stop.

MaxLostStarts follows the number of starts that a run now sends.

Price: a task whose worker never executes its starts waits until its caller's deadline instead of running elsewhere.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -283,8 +283,12 @@
   bool Matches = Found != this->Tasks.end() &&
                  Found->second.Owner.Node == From.Node &&
                  Found->second.State == Phase::Running;
-  if (Matches && millisBetween(Found->second.Started, Now.Steady) >
-                     static_cast<std::int64_t>(Stop.longer_than_ms())) {
+  if (!Matches)
+    return;
+  std::optional<TimePoint> Since =
+      this->Session.runningSince({Id.Job, Id.Index, Found->second.Run});
+  if (Since && millisBetween(*Since, Now.Steady) >
+                   static_cast<std::int64_t>(Stop.longer_than_ms())) {
     Found->second.Stalled = true;
     this->dropTask(Id, peer::REFUSAL_STOPPED, "stalled", Now);
   }
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -125,6 +125,7 @@
   void onWorkerReady(Instant Now) override;
   void onWorkerSilent(Instant Now) override;
   void onStartOpen(const RunKey &Run, Instant Now) override;
+  void onStartsUnanswered(const RunKey &Run, Instant Now) override;
   TimePoint maxWorkerLeaseEnd(Instant Now) const override;
   TimePoint lastRunEnd(const RunKey &Run) const override;
 
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -345,6 +345,10 @@
   this->reportOpenStarts(Now);
 }
 
+void LeaseKeeper::onStartsUnanswered(const RunKey &, Instant) {
+  ++this->FailuresInRow;
+}
+
 void LeaseKeeper::reportOpenStarts(Instant Now) {
   for (const PeerRef &Entry : this->Open.dueReports(Now.Steady))
     this->sendLoad(Entry, Now);
--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -217,8 +217,7 @@
   }
   if (Reply.Refusal == WorkerRefusal::None) {
     Known.StartAnswered = true;
-    if (Known.State == Phase::Starting)
-      Known.State = Phase::Running;
+    setBegun(Known, Now);
     return;
   }
   if (Reply.Refusal == WorkerRefusal::Fenced &&
@@ -235,7 +234,9 @@
                                 const WorkerReply &Reply, Instant Now) {
   ++Known.StartsLost;
   this->recordLostCall(Now);
-  this->advanceToken(Now);
+  // A slow worker would refuse each further start as overtaken.
+  if (Known.StartsLost <= this->Options.MaxStartAttempts)
+    this->advanceToken(Now);
   this->Log.decision("start_unanswered", {{"job", Key.Job},
                                           {"task", Key.Index},
                                           {"run", Key.Run},
@@ -244,14 +245,42 @@
                                           {"problem", Reply.Problem}});
   if (Known.State != Phase::Starting)
     return;
+  bool IsLast = Known.StartsLost == this->Options.MaxStartAttempts;
+  bool MayBeLate = Known.StartsLost >= this->Options.MaxStartAttempts &&
+                   this->canReturnUnderItsId();
+  if (MayBeLate) {
+    Known.NextStart =
+        IsLast ? Now.Steady : Now.Steady + this->Options.StartRetryInterval;
+    if (IsLast)
+      this->Events.onStartsUnanswered(Key, Now);
+    return;
+  }
   // The process may have been suspended since the start was sent.
-  if (Known.StartsLost < this->Options.MaxStartAttempts &&
-      this->canSendStart(Now))
+  if (!IsLast && this->canSendStart(Now))
     this->sendStart(Key, Known, Now);
   else
     this->sendStop(Key, Known, Now);
 }
 
+void WorkerSession::setBegun(Run &Known, Instant Now) {
+  Known.KnownSince = std::min(Known.KnownSince, Now.Steady);
+  Known.NextStart = TimePoint::max();
+  if (Known.State == Phase::Starting)
+    Known.State = Phase::Running;
+}
+
+std::optional<TimePoint> WorkerSession::runningSince(const RunKey &Key) const {
+  auto Found = this->Runs.find(Key);
+  if (Found == this->Runs.end())
+    return std::nullopt;
+  const Run &Known = Found->second;
+  if (!this->canReturnUnderItsId())
+    return Known.StartTime;
+  if (Known.KnownSince == TimePoint::max())
+    return std::nullopt;
+  return Known.KnownSince;
+}
+
 void WorkerSession::onStopReply(const WorkerIncarnation &Worker,
                                 const RunKey &Key, const WorkerReply &Reply,
                                 Instant Now) {
@@ -372,7 +401,7 @@
   this->UnansweredHoldsInRow = 0;
   this->LapsedWhileSilent.clear();
   this->logUnreadableRows(Reply, Now);
-  this->markListedRuns(Reply);
+  this->markListedRuns(Reply, Now);
   this->processEnds(Reply, Now);
   this->resolveUnreadableEnds(Reply, Now);
   auto MaxWait = std::chrono::milliseconds::max();
@@ -389,11 +418,15 @@
     this->sendHold(std::min(this->holdWait(Now), MaxWait), Now);
 }
 
-void WorkerSession::markListedRuns(const WorkerReply &Reply) {
+void WorkerSession::markListedRuns(const WorkerReply &Reply, Instant Now) {
   for (const RunKey &Key : Reply.Running) {
     auto Found = this->Runs.find(Key);
-    if (Found != this->Runs.end())
-      Found->second.Listed = true;
+    if (Found == this->Runs.end())
+      continue;
+    Found->second.Listed = true;
+    // Elsewhere a start is repeated until the worker replies to it.
+    if (this->canReturnUnderItsId())
+      setBegun(Found->second, Now);
   }
 }
 
@@ -557,9 +590,27 @@
     }
     this->lapseAllRuns(Now);
   }
+  this->repeatStarts(Now);
   this->tickRuns(Now);
 }
 
+void WorkerSession::repeatStarts(Instant Now) {
+  if (this->LastHoldFailed)
+    return;
+  bool Repeats = false;
+  for (auto &[Key, Known] : this->Runs) {
+    bool Due = Known.State == Phase::Starting && Now.Steady >= Known.NextStart;
+    if (!Due || !this->canSendStart(Now))
+      continue;
+    Known.NextStart = TimePoint::max();
+    this->sendStart(Key, Known, Now);
+    Repeats = true;
+  }
+  // The starts so far may not have extended the lease, which a late one needs.
+  if (Repeats)
+    this->sendHold({}, Now);
+}
+
 void WorkerSession::tickRuns(Instant Now) {
   std::vector<RunKey> Stopped;
   for (auto &[Key, Known] : this->Runs) {
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -8,6 +8,11 @@
 /// worker has confirmed the stop. From then on the worker refuses that run,
 /// however late a start arrives.
 ///
+/// A worker that may restart under its id makes no such promise: its next
+/// incarnation knows of no stop. There the run is not stopped, so that its task
+/// need not be placed elsewhere while the worker may still begin it; its start
+/// is sent again until the worker replies to it or lists the run.
+///
 /// Single-threaded; uses no sockets and no clock of its own.
 ///
 //===----------------------------------------------------------------------===//
@@ -42,6 +47,8 @@
   /// How often a start is sent before its run is stopped. If half of the calls
   /// are lost, one start in eight stays without a reply after three attempts.
   std::uint32_t MaxStartAttempts = 3;
+  /// Delay before a further start where the run is not stopped after that many.
+  std::chrono::milliseconds StartRetryInterval{250};
   /// How long a hold call may wait after a call stayed without a reply, so that
   /// the loss of another reply delays the report of an end for a shorter time.
   std::chrono::milliseconds HoldWaitAfterLoss{40};
@@ -125,6 +132,9 @@
   /// Called when a start stayed without a reply at a worker that may restart
   /// under its id.
   virtual void onStartOpen(const RunKey &Run, Instant Now) {}
+  /// Called when SessionOptions::MaxStartAttempts starts of a run stayed
+  /// without a reply and the run is not stopped.
+  virtual void onStartsUnanswered(const RunKey &Run, Instant Now) {}
   /// \returns until when all runs may continue. The worker's lease is never
   /// extended beyond this time, so that the runs end then even if the agent
   /// dies or its stops are lost.
@@ -186,6 +196,10 @@
   /// Whether the run was started and no start of it can be executed any more:
   /// the only one sent has been answered.
   bool isStartAnswered(const RunKey &Run) const;
+  /// \returns since when the run has been at work as far as is known; nothing
+  /// while its worker, which may restart under its id, has neither replied to a
+  /// start of it nor listed it.
+  std::optional<TimePoint> runningSince(const RunKey &Run) const;
   /// Whether the worker has become ready and its last hold call succeeded;
   /// otherwise the worker may be gone.
   bool isResponsive() const { return this->Ready && !this->LastHoldFailed; }
@@ -214,10 +228,16 @@
     std::uint32_t StartsLost = 0;
     /// Token of the last start.
     std::uint64_t StartToken = 0;
+    /// When its start is sent again although MaxStartAttempts stayed without a
+    /// reply.
+    TimePoint NextStart = TimePoint::max();
     TimePoint NextStop = TimePoint::min();
     /// When a stop was first confirmed.
     TimePoint StopConfirmedAt = TimePoint::max();
     TimePoint StartTime;
+    /// When the worker first replied to a start that it has executed, or listed
+    /// the run.
+    TimePoint KnownSince = TimePoint::max();
     /// Set when the run was missing from the worker's list while some ends
     /// could not be parsed. The run is then stopped; a confirmed stop proves
     /// that it has ended.
@@ -256,6 +276,8 @@
   void sendStart(const RunKey &Key, Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
+  /// Records that the worker has begun the run.
+  static void setBegun(Run &Known, Instant Now);
   void recordClock(const WorkerReply &Reply, Instant Now);
   /// Checks whether a reply comes from the incarnation on which runs lapsed.
   void explainLapse(const WorkerReply &Reply, Instant Now);
@@ -289,6 +311,9 @@
   void renewIfDue(Instant Now);
   void sendStop(const RunKey &Key, Run &Known, Instant Now);
   void onHoldFailed(const WorkerReply &Reply, Instant Now);
+  /// Sends the starts again that stayed without a reply and whose runs are not
+  /// stopped.
+  void repeatStarts(Instant Now);
   void tickRuns(Instant Now);
   void lapseAllRuns(Instant Now);
   /// Reports the runs that were active when the current incarnation ended, if
@@ -300,7 +325,7 @@
     return !this->SilentSince || StartTime <= *this->SilentSince;
   }
   void recordLostCall(Instant Now);
-  void markListedRuns(const WorkerReply &Reply);
+  void markListedRuns(const WorkerReply &Reply, Instant Now);
   void processEnds(const WorkerReply &Reply, Instant Now);
   /// Settles the runs whose ends stay unreadable from what else is known about
   /// them.
--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -285,10 +285,8 @@
   this->settle(Target, JobTask, TaskPhase::Unplaced);
   // This worker looks the least loaded, so without this the task would be sent
   // there again.
-  bool IsStopConfirmed = Update.refusal() == peer::REFUSAL_WORKER;
-  if (IsStopConfirmed)
-    JobTask.Stopped.insert(Agent);
-  bool WorkerAtFault = JobTask.Stalled || IsStopConfirmed;
+  bool WorkerAtFault =
+      JobTask.Stalled || Update.refusal() == peer::REFUSAL_WORKER;
   if (WorkerAtFault) {
     JobTask.Avoid.insert(Agent);
     JobTask.NextPlacement = Now.Steady + this->Options.OnlyAgentRetryInterval;
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -245,11 +245,6 @@
     TimePoint MissingSince = TimePoint::max();
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
-    /// Agents whose workers have confirmed in this submission that they refuse
-    /// a late start of the task. It may be placed elsewhere, although another
-    /// incarnation of such a worker has promised nothing: a slow worker would
-    /// otherwise cost its callers their jobs.
-    std::set<std::string> Stopped;
     /// Since when the only agent that may take it has not been able to;
     /// TimePoint::max() if it does not wait for one.
     TimePoint AwaitsAgentSince = TimePoint::max();
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -31,11 +31,10 @@
 std::set<std::string> LeaseCoordinator::excludedAgents(const Job &Target,
                                                        std::uint32_t Index,
                                                        Instant Now) const {
-  const Task &JobTask = Target.Tasks[Index];
-  OpenStartRecord::Choice Choice = this->OpenStarts.choiceFor(
-      Target.Request.Id, Index, Now.Steady, JobTask.Stopped);
+  OpenStartRecord::Choice Choice =
+      this->OpenStarts.choiceFor(Target.Request.Id, Index, Now.Steady);
   if (Choice.IsFree)
-    return JobTask.Avoid;
+    return Target.Tasks[Index].Avoid;
   // The only agent left may run it even after it has failed to.
   std::set<std::string> Excluded;
   for (const auto &[Agent, Worker] : this->Workers.workers())
@@ -47,8 +46,8 @@
 bool LeaseCoordinator::mustAwaitAgent(const Job &Target, std::uint32_t Index,
                                       Instant Now) const {
   const Task &JobTask = Target.Tasks[Index];
-  OpenStartRecord::Choice Choice = this->OpenStarts.choiceFor(
-      Target.Request.Id, Index, Now.Steady, JobTask.Stopped);
+  OpenStartRecord::Choice Choice =
+      this->OpenStarts.choiceFor(Target.Request.Id, Index, Now.Steady);
   if (Choice.IsFree)
     return false;
   const LeasedWorker *Only = this->Workers.find(Choice.Agent);
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -120,10 +120,9 @@
   return Same ? Found->second.LastNumber : 0;
 }
 
-OpenStartRecord::Choice
-OpenStartRecord::choiceFor(const std::string &Job, std::uint32_t Index,
-                           TimePoint Now,
-                           const std::set<std::string> &Stopped) const {
+OpenStartRecord::Choice OpenStartRecord::choiceFor(const std::string &Job,
+                                                   std::uint32_t Index,
+                                                   TimePoint Now) const {
   Choice Found;
   if (this->Tasks.empty())
     return Found;
@@ -131,7 +130,7 @@
   if (Task == this->Tasks.end())
     return Found;
   for (const auto &[Agent, Open] : Task->second) {
-    if (Now >= Open.Until || Stopped.contains(Agent))
+    if (Now >= Open.Until)
       continue;
     bool MayTake = Found.IsFree && Open.Starts <= this->Options.MaxLostStarts;
     Found = {/*IsFree=*/false, MayTake ? Agent : ""};
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -39,8 +39,8 @@
   std::chrono::milliseconds StartupWait{5000};
   /// A task that has lost more starts than this at an agent is not placed there
   /// again while one of them is open: each further one would extend that time.
-  /// As many as one run may lose.
-  std::size_t MaxLostStarts = 3;
+  /// About as many as a run may lose before its job's deadline.
+  std::size_t MaxLostStarts = 12;
   /// Maximum number of tasks remembered.
   std::size_t MaxTasks = 20000;
 };
@@ -85,9 +85,8 @@
     /// The only agent that may take it; empty if none may.
     std::string Agent;
   };
-  /// \param Stopped Agents whose open starts of the task do not count.
-  Choice choiceFor(const std::string &Job, std::uint32_t Index, TimePoint Now,
-                   const std::set<std::string> &Stopped = {}) const;
+  Choice choiceFor(const std::string &Job, std::uint32_t Index,
+                   TimePoint Now) const;
   /// Whether a task of the job has an open start.
   bool hasOpenStart(const std::string &Job, TimePoint Now) const;
   /// Whether starts from before this record began may be open at agents that
--- a/tests/agent/open_starts_test.cpp
+++ b/tests/agent/open_starts_test.cpp
@@ -197,3 +197,37 @@
   Keeper.session().onHoldReply({WorkerId, 5}, Reply, Now);
   CHECK(Sink.Load.worker_ready());
 }
+
+// The time until a late start begins the run is not the run's own.
+TEST(OpenStartReportsTest, ARunThatHasNotBegunHasNotStalled) {
+  constexpr std::chrono::milliseconds Limit{200};
+  attachWith(5);
+  loseStart(5);
+  peer::Message Stop;
+  Stop.mutable_leased_stop()->set_job("j");
+  Stop.mutable_leased_stop()->set_longer_than_ms(Limit.count());
+  pass(Keeper, Limit + 50ms);
+  Keeper.onMessage(EntryA, Stop, Now);
+  LONGS_EQUAL(0, Port.Stops.size());
+  Keeper.session().onStartReply({WorkerId, 5}, Port.Starts.back().Run,
+                                plainReply(), Now);
+  Keeper.onMessage(EntryA, Stop, Now);
+  LONGS_EQUAL(0, Port.Stops.size());
+  pass(Keeper, Limit + 50ms);
+  Keeper.onMessage(EntryA, Stop, Now);
+  LONGS_EQUAL(1, Port.Stops.size());
+}
+
+// Entries place other tasks elsewhere, although the run is not stopped.
+TEST(OpenStartReportsTest, AWorkerThatLeavesStartsUnansweredHasFailed) {
+  attachWith(5);
+  loseStart(5);
+  RunKey Run = Port.Starts.back().Run;
+  std::uint32_t Attempts = SessionOptions().MaxStartAttempts;
+  for (std::uint32_t I = 2; I <= Attempts; ++I) {
+    LONGS_EQUAL(0, Sink.Load.failures_in_row());
+    Keeper.session().onStartReply({WorkerId, 5}, Run, WorkerReply(), Now);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+  }
+  LONGS_EQUAL(1, Sink.Load.failures_in_row());
+}
--- a/tests/agent/session_recorders.h
+++ b/tests/agent/session_recorders.h
@@ -50,6 +50,9 @@
   }
   void onWorkerReady(Instant) override { ++this->Ready; }
   void onWorkerSilent(Instant) override { ++this->Silent; }
+  void onStartsUnanswered(const RunKey &, Instant) override {
+    ++this->StartsUnanswered;
+  }
   TimePoint maxWorkerLeaseEnd(Instant) const override { return this->EndBy; }
   TimePoint lastRunEnd(const RunKey &) const override {
     return this->LastRunEnd;
@@ -64,6 +67,7 @@
   int Attached = 0;
   int Ready = 0;
   int Silent = 0;
+  std::size_t StartsUnanswered = 0;
 };
 
 } // namespace yardwheel
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -321,6 +321,60 @@
   }
 }
 
+// Guards against a second placement of a task that the next incarnation may
+// still begin: a confirmed stop does not hold there.
+TEST(WorkerIncarnationTest,
+     ARunWithLostStartsIsAwaitedAtAWorkerThatKeepsItsId) {
+  struct Row {
+    const char *Name;
+    std::optional<std::uint64_t> StartUnixMs;
+    std::size_t Starts;
+    bool IsStopped;
+    std::size_t StartsUnanswered;
+  };
+  const Row Rows[] = {{"it may return under its id", FirstStartMs, 5, false, 1},
+                      {"its next incarnation has another id", {}, 3, true, 0}};
+  for (const Row &Row : Rows) {
+    Port = RecordingPort();
+    Events = RecordingEvents();
+    WorkerSession Fresh(Options, Port, Events);
+    Fresh.onProfile(profileOf(Row.StartUnixMs, 1), Now);
+    WorkerIncarnation Worker = Port.workerIncarnation();
+    Fresh.onHoldReply(Worker, replyOf(Row.StartUnixMs), Now);
+    Fresh.start(Run, "spec", Now);
+    for (std::size_t I = 0; I < 4; ++I) {
+      Fresh.onStartReply(Worker, Run, WorkerReply(), Now);
+      Fresh.tick(Now);
+    }
+    std::uint64_t Token = Port.Starts.back().FencingToken;
+    Now.Steady += Options.StartRetryInterval;
+    Fresh.tick(Now);
+    LONGS_EQUAL_TEXT(Row.Starts, Port.Starts.size(), Row.Name);
+    CHECK_EQUAL_TEXT(Row.IsStopped, !Port.Stops.empty(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.StartsUnanswered, Events.StartsUnanswered, Row.Name);
+    // A start that the worker executes late must not be overtaken by the next.
+    CHECK_TEXT(Port.Starts.back().FencingToken == Token, Row.Name);
+    for (const StartCall &Sent : Port.Starts)
+      CHECK_TEXT(Sent.Run == Run, Row.Name);
+  }
+}
+
+TEST(WorkerIncarnationTest, ARunThatTheWorkerListsIsNotStartedAgain) {
+  attachFirst();
+  Session.start(Run, "spec", Now);
+  for (std::uint32_t I = 0; I <= Options.MaxStartAttempts; ++I) {
+    Session.onStartReply(First, Run, WorkerReply(), Now);
+    Session.tick(Now);
+  }
+  std::size_t Sent = Port.Starts.size();
+  CHECK_FALSE(Session.runningSince(Run).has_value());
+  listInFirst(Run);
+  CHECK(Session.runningSince(Run) == Now.Steady);
+  pass(Options.StartRetryInterval);
+  LONGS_EQUAL(Sent, Port.Starts.size());
+  LONGS_EQUAL(0, Port.Stops.size());
+}
+
 // Guards against a run in the next incarnation that the entry counts as ended:
 // an agent that was suspended handles the time-out of a start call before the
 // end of the task's lease.
