A stalled task is not left to the agent at which it stalled

A task with an open start may be placed only at that start's agent.

Change: the agent at which the task has stalled may not take it again, as before the runs with unanswered starts were awaited, so its caller is told at once.

Result: OpenStartPlacementTest.AStalledTaskIsNotLeftToItsOnlyAgent is new.

--- a/entry/lease_coordinator.cpp
+++ b/entry/lease_coordinator.cpp
@@ -287,6 +287,8 @@
   // there again.
   bool WorkerAtFault =
       JobTask.Stalled || Update.refusal() == peer::REFUSAL_WORKER;
+  if (JobTask.Stalled)
+    JobTask.StalledAt.insert(Agent);
   if (WorkerAtFault) {
     JobTask.Avoid.insert(Agent);
     JobTask.NextPlacement = Now.Steady + this->Options.OnlyAgentRetryInterval;
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -248,6 +248,8 @@
     /// Since when the only agent that may take it has not been able to;
     /// TimePoint::max() if it does not wait for one.
     TimePoint AwaitsAgentSince = TimePoint::max();
+    /// Agents at which it has stalled.
+    std::set<std::string> StalledAt;
     /// When it may be placed at its only agent again.
     TimePoint NextPlacement = TimePoint::min();
   };
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -35,8 +35,8 @@
       this->OpenStarts.choiceFor(Target.Request.Id, Index, Now.Steady);
   if (Choice.IsFree)
     return Target.Tasks[Index].Avoid;
-  // The only agent left may run it even after it has failed to.
-  std::set<std::string> Excluded;
+  // The only agent left may take it although it has refused it before.
+  std::set<std::string> Excluded = Target.Tasks[Index].StalledAt;
   for (const auto &[Agent, Worker] : this->Workers.workers())
     if (Agent != Choice.Agent)
       Excluded.insert(Agent);
@@ -51,7 +51,8 @@
   if (Choice.IsFree)
     return false;
   const LeasedWorker *Only = this->Workers.find(Choice.Agent);
-  if (Only == nullptr || !Only->Alive)
+  if (Only == nullptr || !Only->Alive ||
+      JobTask.StalledAt.contains(Choice.Agent))
     return false;
   if (Now.Steady < JobTask.NextPlacement)
     return true;
--- a/tests/entry/open_start_record_test.cpp
+++ b/tests/entry/open_start_record_test.cpp
@@ -268,6 +268,26 @@
     LeaseCoordinator New(spreadOptions(), NewSink, NewAnswers);
     auto Announce = [&](const char *Name, std::uint64_t Incarnation,
                         peer::MemberState State) {
+// It would probably stall there again until its caller's deadline.
+TEST(OpenStartPlacementTest, AStalledTaskIsNotLeftToItsOnlyAgent) {
+  addAgentThatKeepsId("a");
+  addAgentThatKeepsId("b");
+  Coordinator.submit(patientRequest(1), 1, Now);
+  openStartAt(Sink.Dispatches.at(0).first);
+  Duration Step = CoordinatorOptions().RenewalInterval;
+  while (Sink.StallStops.empty() && Now.Steady < TimePoint(2h)) {
+    Now.Steady += Step;
+    for (const char *Agent : {"a", "b"})
+      report(Agent, reportOf());
+    Coordinator.tick(Now);
+  }
+  openStartAt(Sink.Dispatches[0].first);
+  answer(0, peer::LEASED_ENDED_EARLY);
+  Coordinator.tick(Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
+
       peer::Member Member;
       Member.set_name(Name);
       Member.set_role(peer::ROLE_AGENT);
