A new entry places tasks only while all agents have lately reported

The limit of 5 s on the wait played no part.

Change: for 15 s, the time for which a start may be open, an entry that has just started places tasks only while each agent that is alive has reported this within the last second, and asks idle agents every 400 ms. Before the first reports of all it refuses jobs, as before; later a job waits up to 1 s. Only where workers announce a start time.

World: the first incarnations of emulated entries have no predecessor, so that the rule does not hold in the first 15 s of each scenario.

"The wait is over" follows the longer wait.

--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -27,6 +27,7 @@
   ++this->Incarnation;
   CoordinatorOptions Options = this->Options.Coordinator;
   Options.Name = this->Name;
+  Options.OpenStarts.HasPredecessor = this->Incarnation > 1;
   Options.FirstOrder += (this->Incarnation - 1) * OrdersPerIncarnation;
   Options.Seed += this->Incarnation - 1;
   this->Coordinator = std::make_unique<LeaseCoordinator>(Options, *this, *this);
--- a/entry/lease_coordinator.h
+++ b/entry/lease_coordinator.h
@@ -49,6 +49,9 @@
   /// were discovered together would all be probed in one tick, which stalls an
   /// entry with a tenth of a core for a quarter of a second.
   double MinIdleProbeShare = 0.75;
+  /// Interval between load probes to such an agent while this entry, which has
+  /// just started, depends on recent reports.
+  std::chrono::milliseconds StartupProbeInterval{400};
   /// Interval between probes to an unreachable or suspect agent.
   std::chrono::milliseconds UnreachableProbeInterval{500};
   /// Interval between renewals that ask an agent to list the tasks it holds for
@@ -245,11 +248,11 @@
     TimePoint MissingSince = TimePoint::max();
     std::uint32_t Failures = 0;
     std::set<std::string> Avoid;
+    /// Agents at which it has stalled.
+    std::set<std::string> StalledAt;
     /// Since when the only agent that may take it has not been able to;
     /// TimePoint::max() if it does not wait for one.
     TimePoint AwaitsAgentSince = TimePoint::max();
-    /// Agents at which it has stalled.
-    std::set<std::string> StalledAt;
     /// When it may be placed at its only agent again.
     TimePoint NextPlacement = TimePoint::min();
   };
@@ -278,6 +281,9 @@
     std::uint32_t AwaitingOffers = 0;
     /// Whether a task waits for the only agent that may take it.
     bool AwaitsAgent = false;
+    /// Since when its tasks wait until this entry, which has just started,
+    /// knows of all open starts; TimePoint::max() if they do not.
+    TimePoint AwaitsAllSince = TimePoint::max();
     /// Number of waiting tasks for which agents have already been asked to
     /// offer capacity.
     std::uint32_t OffersRequested = 0;
@@ -358,8 +364,12 @@
   /// counts as alive and that is expected back within OnlyAgentTimeout.
   bool mustAwaitAgent(const Job &Target, std::uint32_t Index,
                       Instant Now) const;
-  /// Places the tasks of a job that waited for their only agent, if one of them
-  /// need not wait any more.
+  /// Keeps the tasks of a job here while this entry, which has just started,
+  /// may not know of all open starts, and gives the job up after
+  /// OnlyAgentTimeout. \returns whether nothing may be placed now.
+  bool holdAtStartup(Job &Target, Instant Now);
+  /// Places the tasks of a job that waited for agents, if one of them need not
+  /// wait any more.
   void placeAwaitingAgent(Job &Target, Instant Now);
   /// Places all unplaced tasks of a job, or gives it up if that is impossible.
   void place(Job &Target, Instant Now);
@@ -497,6 +507,10 @@
   OpenStartRelay Relay{this->Options.OpenStartRelay, this->Options.FirstOrder};
   /// Whether agents have yet to report whether starts are open there.
   bool AwaitsAgents = false;
+  /// Whether this entry, which has just started, depends on such reports.
+  bool MayMissOpenStarts = false;
+  /// Whether it has had such reports of all agents at once.
+  bool HasKnownOpenStarts = false;
   TimePoint NextSweep = TimePoint::min();
   /// Jobs with tasks that are to be placed again.
   std::set<std::string> JobsToPlace;
--- a/entry/lease_coordinator_intake.cpp
+++ b/entry/lease_coordinator_intake.cpp
@@ -107,27 +107,29 @@
 }
 
 void LeaseCoordinator::updateAwaitsAgents(Instant Now) {
-  bool Awaits = false;
-  if (this->OpenStarts.mayMissOpenStarts(Now.Steady)) {
-    Awaits =
-        !std::ranges::all_of(this->Workers.workers(), [this](const auto &Item) {
-          const auto &[Agent, Worker] = Item;
-          return !Worker.Alive || this->OpenStarts.hasSettled(Agent);
-        });
-    if (!Awaits)
-      this->OpenStarts.setComplete();
-  }
-  if (Awaits != this->AwaitsAgents)
-    this->Log.decision(
-        "open_starts_known",
-        {{"known", !Awaits}, {"agents", this->Workers.workers().size()}});
+  this->MayMissOpenStarts = this->OpenStarts.mayMissOpenStarts(Now.Steady);
+  auto HasSettled = [&](const auto &Item) {
+    const auto &[Agent, Worker] = Item;
+    return !Worker.Alive || this->OpenStarts.hasSettled(Agent, Now.Steady);
+  };
+  bool Awaits = this->MayMissOpenStarts &&
+                !std::ranges::all_of(this->Workers.workers(), HasSettled);
+  this->HasKnownOpenStarts =
+      this->HasKnownOpenStarts || (this->MayMissOpenStarts && !Awaits);
+  if (Awaits == this->AwaitsAgents)
+    return;
+  this->Log.decision(
+      "open_starts_known",
+      {{"known", !Awaits}, {"agents", this->Workers.workers().size()}});
   this->AwaitsAgents = Awaits;
 }
 
 bool LeaseCoordinator::refuseAtStartup(const LeasedJobRequest &Request,
                                        LeaseTicket Waiter, Instant Now) {
   this->updateAwaitsAgents(Now);
-  if (!this->AwaitsAgents)
+  // An agent that falls silent later mostly comes back soon, so that the job
+  // waits for it.
+  if (!this->AwaitsAgents || this->HasKnownOpenStarts)
     return false;
   bool MayHaveRun = this->mayHaveRun(Request.Id, Now);
   ++(MayHaveRun ? this->Counters.Unknown : this->Counters.NotRun);
--- a/entry/lease_coordinator_offers.cpp
+++ b/entry/lease_coordinator_offers.cpp
@@ -75,7 +75,7 @@
   bool Wanted = Target != nullptr && Target->Phase == JobPhase::Running &&
                 Worker != nullptr && Worker->isReachable() &&
                 Worker->Incarnation == Offer.load().incarnation() &&
-                !this->endIfUnwanted(*Target, Now);
+                !this->AwaitsAgents && !this->endIfUnwanted(*Target, Now);
   std::map<std::string, peer::LeasedDispatch> Batch;
   std::uint32_t Accepted = 0;
   for (std::uint32_t I = 0; Wanted && I < Target->Tasks.size(); ++I) {
--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -65,7 +65,29 @@
              Now.Steady);
 }
 
+bool LeaseCoordinator::holdAtStartup(Job &Target, Instant Now) {
+  bool HasUnplaced = std::ranges::any_of(Target.Tasks, [](const Task &Known) {
+    return Known.Phase == TaskPhase::Unplaced;
+  });
+  if (!this->AwaitsAgents || !HasUnplaced) {
+    Target.AwaitsAllSince = TimePoint::max();
+    return false;
+  }
+  Target.AwaitsAllSince = std::min(Target.AwaitsAllSince, Now.Steady);
+  if (Now.Steady - Target.AwaitsAllSince >= this->Options.OnlyAgentTimeout)
+    this->giveUp(Target,
+                 {LeasedEnd::NotRun, "place", "",
+                  "upstreams have not reported yet after a start",
+                  this->Options.RetryAfter},
+                 Now);
+  return true;
+}
+
 void LeaseCoordinator::placeAwaitingAgent(Job &Target, Instant Now) {
+  bool AwaitsAll = Target.AwaitsAllSince != TimePoint::max();
+  if (AwaitsAll && (!this->AwaitsAgents || Now.Steady - Target.AwaitsAllSince >=
+                                               this->Options.OnlyAgentTimeout))
+    this->schedulePlacement(Target);
   if (!Target.AwaitsAgent)
     return;
   for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
@@ -84,6 +106,8 @@
     return;
   Target.MayHaveRun = Target.MayHaveRun || this->OpenStarts.hasOpenStart(
                                                Target.Request.Id, Now.Steady);
+  if (this->holdAtStartup(Target, Now))
+    return;
   // Tasks that must avoid the same agents are placed together.
   std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
   bool Allowed = true;
--- a/entry/lease_coordinator_watch.cpp
+++ b/entry/lease_coordinator_watch.cpp
@@ -365,6 +365,8 @@
   std::chrono::milliseconds Pause = Worker.Unreachable || Worker.Suspect
                                         ? this->Options.UnreachableProbeInterval
                                         : AgentContact.IdleProbeDelay;
+  if (this->MayMissOpenStarts)
+    Pause = std::min(Pause, this->Options.StartupProbeInterval);
   return Now.Steady - std::max(AgentContact.LastRenewalAt, Worker.LastHeard) >=
          Pause;
 }
--- a/entry/open_start_record.cpp
+++ b/entry/open_start_record.cpp
@@ -13,10 +13,12 @@
     this->KeepingId.insert(Agent);
   bool IsSettled = !Load.without_worker() &&
                    (Load.worker_ready() || !Load.worker_keeps_id());
-  if (IsSettled)
-    this->Settled.insert(Agent);
-  else
+  if (IsSettled) {
+    this->Settled[Agent] = Now;
+  } else {
+    this->Settled.erase(Agent);
     this->HasUnsettled = true;
+  }
   if (Load.open_starts_size() == 0)
     return false;
   Reports &Known = this->Agents[Agent];
@@ -151,9 +153,16 @@
 bool OpenStartRecord::mayMissOpenStarts(TimePoint Now) {
   if (!this->Started)
     this->Started = Now;
-  this->Complete =
-      this->Complete || Now - *this->Started >= this->Options.StartupWait;
-  return !this->Complete && this->WorkersKeepId.value_or(this->HasUnsettled);
+  bool MayMiss = this->Options.HasPredecessor &&
+                 Now - *this->Started < this->Options.StartupWait;
+  return MayMiss && this->WorkersKeepId.value_or(this->HasUnsettled);
+}
+
+bool OpenStartRecord::hasSettled(const std::string &Agent,
+                                 TimePoint Now) const {
+  auto Found = this->Settled.find(Agent);
+  return Found != this->Settled.end() &&
+         Now - Found->second < this->Options.SettledTimeout;
 }
 
 void OpenStartRecord::sweep(TimePoint Now) {
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -8,9 +8,11 @@
 /// late start might begin a second run of it.
 ///
 /// An entry that has just started knows of no open starts, and an agent that
-/// has restarted cannot report those of before. Such an entry accepts no jobs
-/// until each agent that control lists as alive has reported that its worker
-/// refuses earlier starts, or until StartupWait is over.
+/// has restarted cannot report those of before. Until StartupWait is over, such
+/// an entry places tasks only while each agent that control lists as alive has
+/// lately reported that its worker refuses earlier starts. A worker that
+/// restarts once more does not refuse them, and its agent may be unable to
+/// report that.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_ENTRY_OPEN_START_RECORD_H
@@ -34,9 +36,13 @@
 struct OpenStartRecordOptions {
   /// Upper limit of the time for which an agent may report a start as open.
   std::chrono::milliseconds MaxCallDelay{15000};
-  /// How long an entry that has just started waits for reports at most. Agents
-  /// that restart together with it take some seconds.
-  std::chrono::milliseconds StartupWait{5000};
+  /// For how long after its start an entry may miss open starts: as long as
+  /// MaxCallDelay.
+  std::chrono::milliseconds StartupWait{15000};
+  /// How long the report of an agent counts during that time.
+  std::chrono::milliseconds SettledTimeout{1000};
+  /// Whether an earlier process of this entry may have placed tasks.
+  bool HasPredecessor = true;
   /// A task that has lost more starts than this at an agent is not placed there
   /// again while one of them is open: each further one would extend that time.
   /// About as many as a run may lose before its job's deadline.
@@ -92,13 +98,9 @@
   /// Whether starts from before this record began may be open at agents that
   /// have not settled.
   bool mayMissOpenStarts(TimePoint Now);
-  /// Whether the agent has reported that its worker refuses the starts of
-  /// before this record began.
-  bool hasSettled(const std::string &Agent) const {
-    return this->Settled.contains(Agent);
-  }
-  /// Records that all agents have settled.
-  void setComplete() { this->Complete = true; }
+  /// Whether the agent has lately reported that its worker refuses the starts
+  /// of before this record began.
+  bool hasSettled(const std::string &Agent, TimePoint Now) const;
   void sweep(TimePoint Now);
 
 private:
@@ -133,15 +135,15 @@
   std::map<std::string, Reports> Relays;
   /// Agents whose workers may restart under their ids.
   std::set<std::string> KeepingId;
-  /// Agents that have reported a worker without unknown open starts.
-  std::set<std::string> Settled;
+  /// When agents last reported a worker without unknown open starts; those that
+  /// have reported another since are not in it.
+  std::map<std::string, TimePoint> Settled;
   /// Whether any worker may restart under its id; empty until an agent has
   /// reported its worker.
   std::optional<bool> WorkersKeepId;
   /// Whether an agent has reported that it has not settled.
   bool HasUnsettled = false;
   std::optional<TimePoint> Started;
-  bool Complete = false;
 };
 
 } // namespace yardwheel
--- a/tests/entry/late_start_test.cpp
+++ b/tests/entry/late_start_test.cpp
@@ -529,7 +529,7 @@
 
 TEST_GROUP(LateStartTest){};
 
-/// Orders of events in which runs still overlap.
+/// Orders of events around a confirmed stop.
 TEST_GROUP(KnownLateStartTest){};
 
 // A late start must not begin a run in a later incarnation of the worker while
--- a/tests/entry/lease_fuzz_test.cpp
+++ b/tests/entry/lease_fuzz_test.cpp
@@ -130,6 +130,7 @@
          Options.World.WorkersKeepId = true;
          Options.PowerLoss = Options.World.Seed % 2 == 0;
          Options.World.Keeper.OpenStarts.MaxCallDelay = 0ms;
+         Options.World.Coordinator.OpenStarts.MaxCallDelay = 0ms;
          Options.World.Coordinator.OpenStarts.StartupWait = 0ms;
        }},
   };
--- a/tests/entry/open_start_record_test.cpp
+++ b/tests/entry/open_start_record_test.cpp
@@ -32,6 +32,20 @@
   Row->set_number(Number);
 }
 
+peer::Member memberOf(const char *Agent, std::uint64_t Incarnation,
+                      peer::MemberState State) {
+  peer::Member Member;
+  Member.set_name(Agent);
+  Member.set_role(peer::ROLE_AGENT);
+  Member.set_incarnation(Incarnation);
+  Member.set_address("10.0.0.1:1");
+  Member.set_pool("pool");
+  Member.mutable_room()->set_cpu_milli(4000);
+  Member.mutable_room()->set_memory_mb(1000);
+  Member.set_state(State);
+  return Member;
+}
+
 } // namespace
 
 TEST_GROUP(OpenStartRecordTest) {
@@ -106,6 +120,7 @@
     bool MayMiss;
     bool Settled;
   };
+  const OpenStartRecordOptions Options;
   const Row Rows[] = {
       {"no report", {}, 0ms, false, false},
       {"a worker that keeps its id", {reportOf()}, 0ms, true, true},
@@ -117,7 +132,17 @@
        0ms,
        false,
        true},
-      {"the wait is over", {reportOf(false)}, 5s, false, false},
+      {"it has been called, then not",
+       {reportOf(), reportOf(false)},
+       0ms,
+       true,
+       false},
+      {"its report is old", {reportOf()}, Options.SettledTimeout, true, false},
+      {"the wait is over",
+       {reportOf(false)},
+       Options.StartupWait,
+       false,
+       false},
   };
   for (const Row &Row : Rows) {
     OpenStartRecord New;
@@ -126,7 +151,8 @@
       New.onLoad("a", Report, Now);
     CHECK_EQUAL_TEXT(Row.MayMiss, New.mayMissOpenStarts(Now + Row.Passed),
                      Row.Name);
-    CHECK_EQUAL_TEXT(Row.Settled, New.hasSettled("a"), Row.Name);
+    CHECK_EQUAL_TEXT(Row.Settled, New.hasSettled("a", Now + Row.Passed),
+                     Row.Name);
   }
 }
 
@@ -242,6 +268,26 @@
   }
 }
 
+// It would probably stall there again until its caller's deadline.
+TEST(OpenStartPlacementTest, AStalledTaskIsNotLeftToItsOnlyAgent) {
+  addAgentThatKeepsId("a");
+  addAgentThatKeepsId("b");
+  Coordinator.submit(patientRequest(1), 1, Now);
+  openStartAt(Sink.Dispatches.at(0).first);
+  Duration Step = CoordinatorOptions().RenewalInterval;
+  while (Sink.StallStops.empty() && Now.Steady < TimePoint(2h)) {
+    Now.Steady += Step;
+    for (const char *Agent : {"a", "b"})
+      report(Agent, reportOf());
+    Coordinator.tick(Now);
+  }
+  openStartAt(Sink.Dispatches[0].first);
+  answer(0, peer::LEASED_ENDED_EARLY);
+  Coordinator.tick(Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
+
 // Guards against an answer 504 to a resubmission that arrives just before the
 // successor of a killed agent is heard from.
 TEST(OpenStartPlacementTest, ATaskWaitsForItsOnlyAgentWhileItMayComeBack) {
@@ -265,39 +311,12 @@
   for (const Row &Row : Rows) {
     CoordinatorSink NewSink;
     CoordinatorAnswers NewAnswers;
-    LeaseCoordinator New(spreadOptions(), NewSink, NewAnswers);
+    CoordinatorOptions Options = spreadOptions();
+    Options.OpenStarts.HasPredecessor = false;
+    LeaseCoordinator New(Options, NewSink, NewAnswers);
     auto Announce = [&](const char *Name, std::uint64_t Incarnation,
                         peer::MemberState State) {
-// It would probably stall there again until its caller's deadline.
-TEST(OpenStartPlacementTest, AStalledTaskIsNotLeftToItsOnlyAgent) {
-  addAgentThatKeepsId("a");
-  addAgentThatKeepsId("b");
-  Coordinator.submit(patientRequest(1), 1, Now);
-  openStartAt(Sink.Dispatches.at(0).first);
-  Duration Step = CoordinatorOptions().RenewalInterval;
-  while (Sink.StallStops.empty() && Now.Steady < TimePoint(2h)) {
-    Now.Steady += Step;
-    for (const char *Agent : {"a", "b"})
-      report(Agent, reportOf());
-    Coordinator.tick(Now);
-  }
-  openStartAt(Sink.Dispatches[0].first);
-  answer(0, peer::LEASED_ENDED_EARLY);
-  Coordinator.tick(Now);
-  LONGS_EQUAL(1, Sink.Dispatches.size());
-  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
-}
-
-      peer::Member Member;
-      Member.set_name(Name);
-      Member.set_role(peer::ROLE_AGENT);
-      Member.set_incarnation(Incarnation);
-      Member.set_address("10.0.0.1:1");
-      Member.set_pool("pool");
-      Member.mutable_room()->set_cpu_milli(4000);
-      Member.mutable_room()->set_memory_mb(1000);
-      Member.set_state(State);
-      New.onMember(Member, Now);
+      New.onMember(memberOf(Name, Incarnation, State), Now);
     };
     auto Report = [&](const char *Name, peer::WorkerLoad Load) {
       peer::Message Message;
@@ -400,3 +419,59 @@
   LONGS_EQUAL(1, Sink.Dispatches.size());
   CHECK(Coordinator.hasWorkers());
 }
+
+// Guards against a late start in a worker that restarts once more while its
+// agent cannot report it: nobody has told this entry of the start.
+TEST(OpenStartPlacementTest, AnEntryThatHasJustStartedNeedsRecentReports) {
+  const OpenStartRecordOptions Options;
+  struct Row {
+    const char *Job;
+    /// What the second agent reports while the job waits, if anything.
+    std::optional<peer::WorkerLoad> Report;
+    Duration Passed;
+    std::size_t Dispatches;
+    std::size_t Answers;
+  };
+  const Row Rows[] = {
+      {"silent", std::nullopt, 900ms, 0, 0},
+      {"settled", reportOf(), 900ms, 1, 0},
+      {"not settled", reportOf(false), 900ms, 0, 0},
+      {"silent for too long", std::nullopt, 1000ms, 0, 1},
+      {"the entry is old enough", std::nullopt, Options.StartupWait, 1, 0},
+  };
+  for (const Row &Row : Rows) {
+    CoordinatorSink NewSink;
+    CoordinatorAnswers NewAnswers;
+    LeaseCoordinator New(spreadOptions(), NewSink, NewAnswers);
+    Instant At = Now;
+    auto Report = [&](const char *Name, peer::WorkerLoad Load) {
+      peer::Message Message;
+      Load.set_stamp(++Stamp);
+      *Message.mutable_worker_load() = std::move(Load);
+      New.onMessage({Name, "10.0.0.1:1"}, Message, At);
+    };
+    for (const char *Name : {"a", "b"}) {
+      New.onMember(memberOf(Name, AgentIncarnation, peer::MEMBER_ALIVE), At);
+      Report(Name, reportOf());
+    }
+    New.tick(At);
+    At.Steady += Options.SettledTimeout;
+    Report("a", reportOf());
+    LeasedJobRequest Request = patientRequest(1, Row.Job);
+    Request.Deadline = 1min;
+    New.submit(Request, 1, At);
+    LONGS_EQUAL_TEXT(0, NewSink.Dispatches.size(), Row.Job);
+    LONGS_EQUAL_TEXT(0, NewAnswers.Answers.size(), Row.Job);
+    At.Steady += Row.Passed;
+    Report("a", reportOf());
+    if (Row.Report)
+      Report("b", *Row.Report);
+    for (int I = 0; I < 3; ++I)
+      New.tick(At);
+    LONGS_EQUAL_TEXT(Row.Dispatches, NewSink.Dispatches.size(), Row.Job);
+    LONGS_EQUAL_TEXT(Row.Answers, NewAnswers.Answers.size(), Row.Job);
+    if (Row.Answers > 0)
+      CHECK_TEXT(NewAnswers.Answers[0].second.End == LeasedEnd::NotRun,
+                 Row.Job);
+  }
+}
