The next run of a task has a higher token than lost starts of the last

Found by a review: starts of an awaited run are sent with the same token, and after its end the task's next run began with that token too.

Also, a start that is refused because the token was advanced while it was on its way is sent again, where it stopped the awaited run.

--- a/agent/worker_session.cpp
+++ b/agent/worker_session.cpp
@@ -149,6 +149,7 @@
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
   this->Token = std::max(this->Token + 1, UnixMs);
   this->TokenAdvancedAt = Now.Steady;
+  this->OpenAtToken.clear();
 }
 
 bool WorkerSession::hasTokenSettled(Instant Now) const {
@@ -170,6 +171,9 @@
 
 void WorkerSession::start(const RunKey &Key, const std::string &Spec,
                           Instant Now) {
+  // A late start of an earlier run must not begin it beside this one.
+  if (this->OpenAtToken.contains({Key.Job, Key.Index}))
+    this->advanceToken(Now);
   Run &New = this->Runs[Key];
   New = Run();
   New.Spec = Spec;
@@ -223,6 +227,11 @@
   if (Reply.Refusal == WorkerRefusal::Fenced &&
       (Known.StartToken == this->Token || this->hasTokenSettled(Now)))
     this->raiseToken(Now);
+  // The token may have been advanced while the start was on its way.
+  if (Reply.Refusal == WorkerRefusal::Fenced && this->isAwaited(Known)) {
+    Known.NextStart = Now.Steady + this->Options.StartRetryInterval;
+    return;
+  }
   if (Known.StartsLost == 0)
     this->refuse(Key, Reply.Refusal, Now);
   // An earlier start may have started the run, or may still do so.
@@ -237,6 +246,8 @@
   // A slow worker would refuse each further start as overtaken.
   if (Known.StartsLost <= this->Options.MaxStartAttempts)
     this->advanceToken(Now);
+  else
+    this->OpenAtToken.insert({Key.Job, Key.Index});
   this->Log.decision("start_unanswered", {{"job", Key.Job},
                                           {"task", Key.Index},
                                           {"run", Key.Run},
@@ -245,23 +256,29 @@
                                           {"problem", Reply.Problem}});
   if (Known.State != Phase::Starting)
     return;
-  bool IsLast = Known.StartsLost == this->Options.MaxStartAttempts;
-  bool MayBeLate = Known.StartsLost >= this->Options.MaxStartAttempts &&
-                   this->canReturnUnderItsId();
-  if (MayBeLate) {
-    Known.NextStart =
-        IsLast ? Now.Steady : Now.Steady + this->Options.StartRetryInterval;
-    if (IsLast)
+  if (this->isAwaited(Known)) {
+    bool IsFirstTime = Known.StartsLost == this->Options.MaxStartAttempts;
+    Known.NextStart = IsFirstTime
+                          ? Now.Steady
+                          : Now.Steady + this->Options.StartRetryInterval;
+    if (IsFirstTime)
       this->Events.onStartsUnanswered(Key, Now);
     return;
   }
   // The process may have been suspended since the start was sent.
-  if (!IsLast && this->canSendStart(Now))
+  if (Known.StartsLost < this->Options.MaxStartAttempts &&
+      this->canSendStart(Now))
     this->sendStart(Key, Known, Now);
   else
     this->sendStop(Key, Known, Now);
 }
 
+bool WorkerSession::isAwaited(const Run &Known) const {
+  return Known.State == Phase::Starting &&
+         Known.StartsLost >= this->Options.MaxStartAttempts &&
+         this->canReturnUnderItsId();
+}
+
 void WorkerSession::setBegun(Run &Known, Instant Now) {
   Known.KnownSince = std::min(Known.KnownSince, Now.Steady);
   Known.NextStart = TimePoint::max();
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -44,10 +44,11 @@
   /// The same until the runs of an earlier agent have ended, which takes a
   /// worker some tens of milliseconds.
   std::chrono::milliseconds FirstHoldWait{20};
-  /// How often a start is sent before its run is stopped. If half of the calls
+  /// How often a start is sent before its run is stopped or, at a worker that
+  /// may restart under its id, awaited. If half of the calls
   /// are lost, one start in eight stays without a reply after three attempts.
   std::uint32_t MaxStartAttempts = 3;
-  /// Delay before a further start where the run is not stopped after that many.
+  /// Delay before a further start of an awaited run.
   std::chrono::milliseconds StartRetryInterval{250};
   /// How long a hold call may wait after a call stayed without a reply, so that
   /// the loss of another reply delays the report of an end for a shorter time.
@@ -276,6 +277,9 @@
   void sendStart(const RunKey &Key, Run &Known, Instant Now);
   void onStartLost(const RunKey &Key, Run &Known, const WorkerReply &Reply,
                    Instant Now);
+  /// Whether the run is not stopped although MaxStartAttempts starts of it
+  /// stayed without a reply.
+  bool isAwaited(const Run &Known) const;
   /// Records that the worker has begun the run.
   static void setBegun(Run &Known, Instant Now);
   void recordClock(const WorkerReply &Reply, Instant Now);
@@ -356,6 +360,8 @@
   /// new one would have no agent until it announces itself again.
   std::deque<WorkerProfile> Candidates;
   std::uint64_t Token = 0;
+  /// Tasks of which a start with this token stayed without a reply.
+  std::set<std::pair<std::string, std::uint32_t>> OpenAtToken;
   /// When the token was last advanced.
   TimePoint TokenAdvancedAt = TimePoint::min();
   /// The last reading of the worker's clock, and our time when it arrived.
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -195,6 +195,7 @@
   std::uint64_t UnixMs = static_cast<std::uint64_t>(toUnixMillis(Now.Wall));
   this->Token = std::max(this->Token + 1, UnixMs);
   this->TokenAdvancedAt = TimePoint::min();
+  this->OpenAtToken.clear();
   this->Log.decision("worker_attached", {{"worker", New.Id},
                                          {"born", New.StartUnixMs.value_or(0)},
                                          {"address", New.Address},
--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -378,6 +378,55 @@
   LONGS_EQUAL(0, Port.Stops.size());
 }
 
+// Guards against a late start of a run that has ended beside the task's next
+// run, in an incarnation whose first call is the start of the latter.
+TEST(WorkerIncarnationTest, TheNextRunHasAHigherTokenThanTheLostStarts) {
+  attachFirst();
+  // The wall clock must not be what raises the token.
+  Now.Wall -= 1h;
+  Session.start(Run, "spec", Now);
+  for (std::uint32_t I = 0; I < Options.MaxStartAttempts + 2; ++I) {
+    Session.onStartReply(First, Run, WorkerReply(), Now);
+    pass(Options.StartRetryInterval);
+  }
+  std::uint64_t Lost = Port.Starts.back().FencingToken;
+  Session.stop(Run, Now);
+  Session.onStopReply(First, Run, replyOf(FirstStartMs), Now);
+  pass(Options.MaxStopDuration);
+  RunKey Next{Run.Job, Run.Index, Run.Run + 1};
+  Session.start(Next, "spec", Now);
+  CHECK(Port.Starts.back().Run == Next);
+  CHECK(Port.Starts.back().FencingToken > Lost);
+}
+
+// The loss of another run's start advances the token meanwhile.
+TEST(WorkerIncarnationTest, AnAwaitedRunIsNotStoppedByARefusedToken) {
+  attachFirst();
+  Session.start(Run, "spec", Now);
+  for (std::uint32_t I = 0; I < Options.MaxStartAttempts; ++I)
+    Session.onStartReply(First, Run, WorkerReply(), Now);
+  pass(1ms);
+  std::size_t Sent = Port.Starts.size();
+  Session.onStartReply(First, Run, replyOf({}, WorkerRefusal::Fenced), Now);
+  LONGS_EQUAL(0, Port.Stops.size());
+  pass(Options.StartRetryInterval);
+  LONGS_EQUAL(Sent + 1, Port.Starts.size());
+}
+
+TEST(WorkerIncarnationTest, NoStartIsSentAgainAfterAFailedHoldCall) {
+  attachFirst();
+  Session.start(Run, "spec", Now);
+  for (std::uint32_t I = 0; I < Options.MaxStartAttempts; ++I)
+    Session.onStartReply(First, Run, WorkerReply(), Now);
+  Session.onHoldReply(First, WorkerReply(), Now);
+  std::size_t Sent = Port.Starts.size();
+  pass(1ms);
+  LONGS_EQUAL(Sent, Port.Starts.size());
+  Session.onHoldReply(First, replyOf(FirstStartMs), Now);
+  pass(1ms);
+  LONGS_EQUAL(Sent + 1, Port.Starts.size());
+}
+
 // Guards against a run in the next incarnation that the entry counts as ended:
 // an agent that was suspended handles the time-out of a start call before the
 // end of the task's lease.
--- a/tests/entry/late_start_test.cpp
+++ b/tests/entry/late_start_test.cpp
@@ -399,6 +399,44 @@
      {{1000ms, loseCalls}, {1100ms, restartWorker}, {4500ms, restoreCalls}}},
 };
 
+const std::deque<std::optional<Duration>> OneLateManyLost = {
+    3000ms, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}};
+const std::deque<std::optional<Duration>> ManyLate(11, 3000ms);
+
+/// All starts of an awaited run stay without a reply for seconds.
+const Row AwaitedRows[] = {
+    {"awaited run: agent is frozen, other starts are lost",
+     OneLateManyLost,
+     Second::Placement,
+     {{1000ms, freezeAgent}, {1100ms, restartWorker}, {6000ms, thawAgent}}},
+    {"awaited run: agent is killed, other starts are lost",
+     OneLateManyLost,
+     Second::Placement,
+     {{1000ms, killAgent}, {1100ms, restartWorker}, {3500ms, restartAgent}}},
+    {"awaited run: agent is frozen, all starts are late",
+     ManyLate,
+     Second::Placement,
+     {{1000ms, freezeAgent}, {1100ms, restartWorker}, {6000ms, thawAgent}}},
+    {"awaited run: agent is killed, all starts are late",
+     ManyLate,
+     Second::Placement,
+     {{1000ms, killAgent}, {1100ms, restartWorker}, {3500ms, restartAgent}}},
+    {"awaited run: caller disconnects, agent leaves",
+     ManyLate,
+     Second::Submission,
+     {{1000ms, disconnect},
+      {1500ms, restartWorker},
+      {1500ms, announceLeaving}}},
+    {"awaited run: entry is killed, agent frozen and leaving",
+     ManyLate,
+     Second::Submission,
+     {{1000ms, killEntry},
+      {1500ms, restartWorker},
+      {2000ms, freezeAgent},
+      {2200ms, announceLeaving},
+      {6000ms, thawAgent}}},
+};
+
 /// The entry at which the job is resubmitted does not hear from the agent that
 /// a start has stayed without a reply.
 const Row UnknownRows[] = {
@@ -541,6 +579,14 @@
   STRCMP_EQUAL("", Overlaps.c_str());
 }
 
+// The agent sends such a start again and again, and stops no run.
+TEST(LateStartTest, NoRunOverlapsOneThatIsAwaited) {
+  std::string Overlaps;
+  for (const Row &Row : AwaitedRows)
+    Overlaps += overlapsIn(Row);
+  STRCMP_EQUAL("", Overlaps.c_str());
+}
+
 // A lease that was asked for on the clock of the old incarnation must not
 // outlast, on the clock of the next one, what the entry counts on.
 TEST(LateStartTest, NoLeaseOfANextIncarnationOutlastsTheCallersDelay) {
