A run with unanswered starts counts as one failure of its worker

It was counted when its starts had stayed without a reply, and again when it was stopped, so that two such runs reached the limit at which entries eject a worker.

--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -158,6 +158,8 @@
     TimePoint Started;
     /// Set if the entry had the run stopped because it made no progress.
     bool Stalled = false;
+    /// Whether it counts as a failure already, as its starts stayed unanswered.
+    bool IsFailureCounted = false;
   };
   /// Identifies a placement by the entry's name and the entry's order number.
   struct Placement {
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -79,7 +79,7 @@
     ++this->Counters.EndedEarly;
   bool WorkerAtFault = Outcome == RunOutcome::Failed ||
                        Outcome == RunOutcome::Unanswered || TheTask.Stalled;
-  if (WorkerAtFault)
+  if (WorkerAtFault && !TheTask.IsFailureCounted)
     ++this->FailuresInRow;
 }
 
@@ -345,8 +345,10 @@
   this->reportOpenStarts(Now);
 }
 
-void LeaseKeeper::onStartsUnanswered(const RunKey &, Instant) {
+void LeaseKeeper::onStartsUnanswered(const RunKey &Run, Instant) {
   ++this->FailuresInRow;
+  if (Task *Known = this->findTask(Run))
+    Known->IsFailureCounted = true;
 }
 
 void LeaseKeeper::reportOpenStarts(Instant Now) {
--- a/tests/agent/open_starts_test.cpp
+++ b/tests/agent/open_starts_test.cpp
@@ -230,4 +230,13 @@
     Keeper.onMessage(EntryA, renewal(stamp()), Now);
   }
   LONGS_EQUAL(1, Sink.Load.failures_in_row());
+  // Its end is not another failure.
+  peer::Message Stop;
+  Stop.mutable_leased_stop()->set_job("j");
+  Keeper.onMessage(EntryA, Stop, Now);
+  Keeper.session().onStopReply({WorkerId, 5}, Run, plainReply(), Now);
+  pass(Keeper, SessionOptions().MaxStopDuration);
+  LONGS_EQUAL(1, Sink.Updates.size());
+  Keeper.onMessage(EntryA, renewal(stamp()), Now);
+  LONGS_EQUAL(1, Sink.Load.failures_in_row());
 }
