A task that has stopped waiting for its agent causes no further placements

By reading, found by a review: a task that waited for its only agent and then waits for offers, or for a crash report, kept its job being placed on each tick while another task of the job still waited, for up to 1 s. No test shows it.

--- a/entry/lease_coordinator_placement.cpp
+++ b/entry/lease_coordinator_placement.cpp
@@ -116,13 +116,15 @@
     Task &JobTask = Target.Tasks[I];
     if (JobTask.Phase != TaskPhase::Unplaced)
       continue;
+    TimePoint AwaitsAgentSince = std::min(JobTask.AwaitsAgentSince, Now.Steady);
+    bool MustAwait = this->mustAwaitAgent(Target, I, Now);
+    JobTask.AwaitsAgentSince = MustAwait ? AwaitsAgentSince : TimePoint::max();
     // The task waits here until it is known whether the workers lost under it
     // have crashed.
     if (this->Crashes.verdict(Target.Request.Id, I) == CrashVerdict::OnHold)
       continue;
-    if (this->mustAwaitAgent(Target, I, Now)) {
+    if (MustAwait) {
       Target.AwaitsAgent = true;
-      JobTask.AwaitsAgentSince = std::min(JobTask.AwaitsAgentSince, Now.Steady);
       continue;
     }
     Groups[this->excludedAgents(Target, I, Now)].push_back(I);
--- a/entry/open_start_record.h
+++ b/entry/open_start_record.h
@@ -45,7 +45,7 @@
   bool HasPredecessor = true;
   /// A task that has lost more starts than this at an agent is not placed there
   /// again while one of them is open: each further one would extend that time.
-  /// About as many as a run may lose before its job's deadline.
+  /// As many as a run loses in about 3 s.
   std::size_t MaxLostStarts = 12;
   /// Maximum number of tasks remembered.
   std::size_t MaxTasks = 20000;
