--- a/tests/agent/worker_incarnation_test.cpp
+++ b/tests/agent/worker_incarnation_test.cpp
@@ -323,8 +323,7 @@
 
 // Guards against a second placement of a task that the next incarnation may
 // still begin: a confirmed stop does not hold there.
-TEST(WorkerIncarnationTest,
-     ARunWithLostStartsIsAwaitedAtAWorkerThatKeepsItsId) {
+TEST(WorkerIncarnationTest, ARunWithLostStartsIsAwaited) {
   struct Row {
     const char *Name;
     std::optional<std::uint64_t> StartUnixMs;
