Coordination of best-effort jobs is a folder of its own

Cause: the coordinator stands in entry/, above agent/. A second host of it would turn the order of the folders round. Change: coordinator, worker table, open starts, crash record, load shedder and their tests are moved to coordination/, below entry/ and agent/. No line of logic changed; not built yet on this commit.

--- a/entry/crash_record.cpp
+++ b/coordination/crash_record.cpp
@@ -1,4 +1,4 @@
-#include "entry/crash_record.h"
+#include "coordination/crash_record.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/entry/crash_record.h
+++ b/coordination/crash_record.h
@@ -1,4 +1,4 @@
-//===- entry/crash_record.h - Tasks that crash workers ----------*- C++ -*-===//
+//===- coordination/crash_record.h - Tasks that crash workers ---*- C++ -*-===//
 ///
 /// \file
 /// Counts the workers that were lost while running a task, and decides whether
@@ -14,8 +14,8 @@
 /// the agent may have found no crash, or its process may have restarted.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_CRASH_RECORD_H
-#define YARDWHEEL_ENTRY_CRASH_RECORD_H
+#ifndef YARDWHEEL_COORDINATION_CRASH_RECORD_H
+#define YARDWHEEL_COORDINATION_CRASH_RECORD_H
 
 #include "core/clock.h"
 #include "protocol/peer.pb.h"
--- a/entry/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/entry/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -1,4 +1,4 @@
-//===- entry/lease_coordinator.h - Runs best-effort jobs --------*- C++ -*-===//
+//===- coordination/lease_coordinator.h - Runs best-effort jobs -*- C++ -*-===//
 ///
 /// \file
 /// Coordinates the best-effort jobs that this entry has accepted: places their
@@ -10,20 +10,20 @@
 /// time.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_LEASE_COORDINATOR_H
-#define YARDWHEEL_ENTRY_LEASE_COORDINATOR_H
+#ifndef YARDWHEEL_COORDINATION_LEASE_COORDINATOR_H
+#define YARDWHEEL_COORDINATION_LEASE_COORDINATOR_H
 
+#include "coordination/crash_record.h"
+#include "coordination/lease_metrics.h"
+#include "coordination/leased_job.h"
+#include "coordination/load_shedder.h"
+#include "coordination/open_start_record.h"
+#include "coordination/open_start_relay.h"
+#include "coordination/recent_ids.h"
+#include "coordination/worker_table.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
 #include "dispatch/waiting_rule.h"
-#include "entry/crash_record.h"
-#include "entry/lease_metrics.h"
-#include "entry/leased_job.h"
-#include "entry/load_shedder.h"
-#include "entry/open_start_record.h"
-#include "entry/open_start_relay.h"
-#include "entry/recent_ids.h"
-#include "entry/worker_table.h"
 
 #include <map>
 #include <memory>
--- a/entry/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -1,6 +1,6 @@
 //===- LeaseCoordinator: accepts and withdraws jobs -----------------------===//
 
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/entry/lease_coordinator_offers.cpp
+++ b/coordination/lease_coordinator_offers.cpp
@@ -1,6 +1,6 @@
 //===- LeaseCoordinator: tasks that wait for offers of agents -------------===//
 
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/entry/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -1,6 +1,6 @@
 //===- LeaseCoordinator: places and dispatches tasks ----------------------===//
 
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/entry/lease_coordinator_watch.cpp
+++ b/coordination/lease_coordinator_watch.cpp
@@ -1,6 +1,6 @@
 //===- LeaseCoordinator: agent liveness, leases and timeouts --------------===//
 
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/entry/lease_metrics.cpp
+++ b/coordination/lease_metrics.cpp
@@ -1,4 +1,4 @@
-#include "entry/lease_metrics.h"
+#include "coordination/lease_metrics.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/entry/lease_metrics.h
+++ b/coordination/lease_metrics.h
@@ -1,4 +1,4 @@
-//===- entry/lease_metrics.h - Metrics of best-effort jobs ------*- C++ -*-===//
+//===- coordination/lease_metrics.h - Metrics of leased jobs ----*- C++ -*-===//
 ///
 /// \file
 /// Response times and slowdowns of best-effort jobs by route, and how they
@@ -6,11 +6,11 @@
 /// text to other threads.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_LEASE_METRICS_H
-#define YARDWHEEL_ENTRY_LEASE_METRICS_H
+#ifndef YARDWHEEL_COORDINATION_LEASE_METRICS_H
+#define YARDWHEEL_COORDINATION_LEASE_METRICS_H
 
+#include "coordination/leased_job.h"
 #include "core/log_histogram.h"
-#include "entry/leased_job.h"
 
 #include <chrono>
 #include <map>
--- a/entry/leased_job.cpp
+++ b/coordination/leased_job.cpp
@@ -1,4 +1,4 @@
-#include "entry/leased_job.h"
+#include "coordination/leased_job.h"
 
 namespace yardwheel {
 
--- a/entry/leased_job.h
+++ b/coordination/leased_job.h
@@ -1,4 +1,4 @@
-//===- entry/leased_job.h - Best-effort jobs at an entry --------*- C++ -*-===//
+//===- coordination/leased_job.h - Best-effort jobs at an entry -*- C++ -*-===//
 ///
 /// \file
 /// A best-effort job is one step of identical tasks. It is never persisted: the
@@ -6,8 +6,8 @@
 /// entry renews its leases at their agents.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_LEASED_JOB_H
-#define YARDWHEEL_ENTRY_LEASED_JOB_H
+#ifndef YARDWHEEL_COORDINATION_LEASED_JOB_H
+#define YARDWHEEL_COORDINATION_LEASED_JOB_H
 
 #include "core/clock.h"
 #include "protocol/peer.pb.h"
--- a/entry/load_shedder.cpp
+++ b/coordination/load_shedder.cpp
@@ -1,4 +1,4 @@
-#include "entry/load_shedder.h"
+#include "coordination/load_shedder.h"
 
 #include <algorithm>
 #include <cmath>
--- a/entry/load_shedder.h
+++ b/coordination/load_shedder.h
@@ -1,4 +1,4 @@
-//===- entry/load_shedder.h - Load shedding by route ------------*- C++ -*-===//
+//===- coordination/load_shedder.h - Load shedding by route -----*- C++ -*-===//
 ///
 /// \file
 /// While upstreams are overloaded, every job that is accepted delays the
@@ -13,8 +13,8 @@
 /// with the most work is also worth the most.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_LOAD_SHEDDER_H
-#define YARDWHEEL_ENTRY_LOAD_SHEDDER_H
+#ifndef YARDWHEEL_COORDINATION_LOAD_SHEDDER_H
+#define YARDWHEEL_COORDINATION_LOAD_SHEDDER_H
 
 #include "core/clock.h"
 
--- a/entry/open_start_record.cpp
+++ b/coordination/open_start_record.cpp
@@ -1,4 +1,4 @@
-#include "entry/open_start_record.h"
+#include "coordination/open_start_record.h"
 
 #include <algorithm>
 
--- a/entry/open_start_record.h
+++ b/coordination/open_start_record.h
@@ -1,4 +1,4 @@
-//===- entry/open_start_record.h - Starts without a reply -------*- C++ -*-===//
+//===- coordination/open_start_record.h - Unanswered starts ----*- C++ -*-===//
 ///
 /// \file
 /// Remembers the open starts that agents report: starts without a reply, which
@@ -15,8 +15,8 @@
 /// report that.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_OPEN_START_RECORD_H
-#define YARDWHEEL_ENTRY_OPEN_START_RECORD_H
+#ifndef YARDWHEEL_COORDINATION_OPEN_START_RECORD_H
+#define YARDWHEEL_COORDINATION_OPEN_START_RECORD_H
 
 #include "core/clock.h"
 #include "core/logger.h"
--- a/entry/open_start_relay.cpp
+++ b/coordination/open_start_relay.cpp
@@ -1,4 +1,4 @@
-#include "entry/open_start_relay.h"
+#include "coordination/open_start_relay.h"
 
 #include <algorithm>
 
--- a/entry/open_start_relay.h
+++ b/coordination/open_start_relay.h
@@ -1,4 +1,4 @@
-//===- entry/open_start_relay.h - Tells entries of open starts --*- C++ -*-===//
+//===- coordination/open_start_relay.h - Relay of open starts --*- C++ -*-===//
 ///
 /// \file
 /// Tells the other entries of open starts that they may not have heard of from
@@ -10,8 +10,8 @@
 /// Single-threaded; uses no sockets and no clock of its own.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_OPEN_START_RELAY_H
-#define YARDWHEEL_ENTRY_OPEN_START_RELAY_H
+#ifndef YARDWHEEL_COORDINATION_OPEN_START_RELAY_H
+#define YARDWHEEL_COORDINATION_OPEN_START_RELAY_H
 
 #include "core/clock.h"
 #include "core/logger.h"
--- a/entry/recent_ids.h
+++ b/coordination/recent_ids.h
@@ -1,12 +1,12 @@
-//===- entry/recent_ids.h - Recently accepted jobs --------------*- C++ -*-===//
+//===- coordination/recent_ids.h - Recently accepted jobs -------*- C++ -*-===//
 ///
 /// \file
 /// Remembers for a few seconds which jobs this entry has accepted. A caller
 /// that submits one of them again must not be told that it hasn't run.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_RECENT_IDS_H
-#define YARDWHEEL_ENTRY_RECENT_IDS_H
+#ifndef YARDWHEEL_COORDINATION_RECENT_IDS_H
+#define YARDWHEEL_COORDINATION_RECENT_IDS_H
 
 #include "core/clock.h"
 
--- a/entry/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -1,4 +1,4 @@
-#include "entry/worker_table.h"
+#include "coordination/worker_table.h"
 
 #include "protocol/task_needs.h"
 
--- a/entry/worker_table.h
+++ b/coordination/worker_table.h
@@ -1,4 +1,4 @@
-//===- entry/worker_table.h - An entry's leased workers ---------*- C++ -*-===//
+//===- coordination/worker_table.h - An entry's leased workers --*- C++ -*-===//
 ///
 /// \file
 /// Tracks the agents that run leased tasks, as this entry sees them: the
@@ -7,15 +7,15 @@
 /// for a job's tasks.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_ENTRY_WORKER_TABLE_H
-#define YARDWHEEL_ENTRY_WORKER_TABLE_H
+#ifndef YARDWHEEL_COORDINATION_WORKER_TABLE_H
+#define YARDWHEEL_COORDINATION_WORKER_TABLE_H
 
+#include "coordination/leased_job.h"
 #include "core/clock.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
 #include "dispatch/load_forecast.h"
 #include "dispatch/placement.h"
-#include "entry/leased_job.h"
 
 #include <map>
 #include <memory>
--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -9,11 +9,11 @@
 #ifndef YARDWHEEL_EMULATOR_LEASED_ENTRY_H
 #define YARDWHEEL_EMULATOR_LEASED_ENTRY_H
 
+#include "coordination/lease_coordinator.h"
 #include "emulator/run_register.h"
 #include "emulator/virtual_processor.h"
 #include "emulator/virtual_world.h"
 #include "entry/admission_rule.h"
-#include "entry/lease_coordinator.h"
 
 #include <functional>
 #include <map>
--- a/tests/agent/worker_room_test.cpp
+++ b/tests/agent/worker_room_test.cpp
@@ -7,7 +7,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "entry/worker_table.h"
+#include "coordination/worker_table.h"
 #include "tests/agent/keeper_fixture.h"
 
 #include <fmt/format.h>
--- a/tests/entry/coordinator_agents_test.cpp
+++ b/tests/coordination/coordinator_agents_test.cpp
@@ -1,6 +1,6 @@
 //===- Agents that leave, restart, stop answering or are renewed ----------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
--- a/tests/entry/coordinator_fixture.h
+++ b/tests/coordination/coordinator_fixture.h
@@ -1,14 +1,14 @@
-//===- tests/entry/coordinator_fixture.h - Test fixture ---------*- C++ -*-===//
+//===- tests/coordination/coordinator_fixture.h - Test fixture --*- C++ -*-===//
 ///
 /// \file
 /// A coordinator, methods that act for its agents, and recorders of its
 /// messages and answers.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef YARDWHEEL_TESTS_ENTRY_COORDINATOR_FIXTURE_H
-#define YARDWHEEL_TESTS_ENTRY_COORDINATOR_FIXTURE_H
+#ifndef YARDWHEEL_TESTS_COORDINATION_COORDINATOR_FIXTURE_H
+#define YARDWHEEL_TESTS_COORDINATION_COORDINATOR_FIXTURE_H
 
-#include "entry/lease_coordinator.h"
+#include "coordination/lease_coordinator.h"
 
 #include <algorithm>
 
--- a/tests/entry/coordinator_lists_test.cpp
+++ b/tests/coordination/coordinator_lists_test.cpp
@@ -1,6 +1,6 @@
 //===- Lists of held orders that agents send to an entry ------------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 #include <functional>
 
--- a/tests/entry/coordinator_placement_test.cpp
+++ b/tests/coordination/coordinator_placement_test.cpp
@@ -1,6 +1,6 @@
 //===- Where tasks are placed, wait, are moved and are shed ---------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
--- a/tests/entry/evacuated_workers_test.cpp
+++ b/tests/coordination/evacuated_workers_test.cpp
@@ -1,6 +1,6 @@
 //===- Placement while data centres are evacuated -------------------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
--- a/tests/entry/joined_callers_test.cpp
+++ b/tests/coordination/joined_callers_test.cpp
@@ -1,6 +1,6 @@
 //===- Jobs with several callers, some of which disconnect ----------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
--- a/tests/entry/lease_coordinator_test.cpp
+++ b/tests/coordination/lease_coordinator_test.cpp
@@ -1,6 +1,6 @@
 //===- Jobs that a coordinator accepts, answers and gives up --------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
--- a/tests/entry/open_start_record_test.cpp
+++ b/tests/coordination/open_start_record_test.cpp
@@ -1,8 +1,8 @@
 // Tests where a task with an open start may be placed, and when an entry that
 // has just started accepts jobs.
 
-#include "entry/open_start_record.h"
-#include "tests/entry/coordinator_fixture.h"
+#include "coordination/open_start_record.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 // Must be included last: it redefines new.
 #include <CppUTest/TestHarness.h>
--- a/tests/entry/open_start_relay_test.cpp
+++ b/tests/coordination/open_start_relay_test.cpp
@@ -1,8 +1,8 @@
 // Tests what an entry tells the others of the starts that may be open at agents
 // which it has lost, and what they do with it.
 
-#include "entry/open_start_relay.h"
-#include "tests/entry/coordinator_fixture.h"
+#include "coordination/open_start_relay.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 // Must be included last: it redefines new.
 #include <CppUTest/TestHarness.h>
--- a/tests/entry/placement_leases_test.cpp
+++ b/tests/coordination/placement_leases_test.cpp
@@ -2,7 +2,7 @@
 // that is not named expires at its agent, so that no message of an entry
 // prolongs a run of a job that it has already answered.
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 #include <functional>
 
--- a/tests/entry/recent_ids_test.cpp
+++ b/tests/coordination/recent_ids_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/recent_ids.h"
+#include "coordination/recent_ids.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/entry/unreported_crash_test.cpp
+++ b/tests/coordination/unreported_crash_test.cpp
@@ -6,7 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "tests/entry/coordinator_fixture.h"
+#include "tests/coordination/coordinator_fixture.h"
 
 #include <functional>
 
--- a/tests/entry/worker_table_test.cpp
+++ b/tests/coordination/worker_table_test.cpp
@@ -10,7 +10,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "entry/worker_table.h"
+#include "coordination/worker_table.h"
 
 #include <cstdint>
 #include <fmt/format.h>
--- a/tests/entry/long_job.h
+++ b/tests/entry/long_job.h
@@ -8,7 +8,7 @@
 #ifndef YARDWHEEL_TESTS_ENTRY_LONG_JOB_H
 #define YARDWHEEL_TESTS_ENTRY_LONG_JOB_H
 
-#include "entry/leased_job.h"
+#include "coordination/leased_job.h"
 
 #include <chrono>
 
