Delegation: an entry that is short hands jobs to agents (off)

Cause: entries have 0.12 cores and refuse at their intake while agents beside them use a tenth of 0.15. Admission is a list of checks; the coordinator is one implementation of JobIntake.

--- /dev/null
+++ b/coordination/delegation_rule.h
@@ -0,0 +1,92 @@
+//===- coordination/delegation_rule.h - When jobs are delegated -*- C++ -*-===//
+///
+/// \file
+/// Decides which share of its jobs an entry delegates, and to how many agents.
+///
+/// Load pattern: the callers of a data centre ask for more of their entries'
+/// processor time than these have, for seconds, while the processors of the
+/// agents beside them are nearly idle. A delegated job costs its entry a
+/// fraction of one that it coordinates, and the agent the rest.
+///
+/// Each delegate needs a view of the whole pool, which costs time to build and
+/// messages to keep. Delegates are therefore prepared before they are needed,
+/// and kept for some time after.
+///
+//===----------------------------------------------------------------------===//
+#ifndef YARDWHEEL_COORDINATION_DELEGATION_RULE_H
+#define YARDWHEEL_COORDINATION_DELEGATION_RULE_H
+
+#include "core/clock.h"
+
+#include <cstdint>
+
+namespace yardwheel {
+
+struct DelegationRuleOptions {
+  /// Most delegates of an entry; none if 0.
+  std::uint32_t MaxDelegates = 0;
+  /// Share of its processor time at which an entry prepares delegates. Half of
+  /// what it can serve, as a wave of callers doubles the load within seconds.
+  double PrepareAt = 0.35;
+  /// Share below which an entry no longer needs them.
+  double ReleaseBelow = 0.2;
+  /// How long it has to stay below. Longer than a wave of callers.
+  std::chrono::milliseconds ReleaseAfter{15000};
+  /// Share of its processor time that an entry keeps to. Above it, requests
+  /// begin to wait for each other.
+  double HighLoad = 0.6;
+  /// Share below which it takes jobs back. Well below HighLoad, so that taking
+  /// some back does not bring it there.
+  double LowLoad = 0.4;
+  /// A wait of new work at the entry that shows a shortage by itself.
+  std::chrono::milliseconds HighWait{15};
+  /// Interval between changes of the delegated share.
+  std::chrono::milliseconds AdjustInterval{100};
+  /// How much more is delegated at a time; all within half a second, as a burst
+  /// comes at once.
+  double RaiseStep = 0.25;
+  /// How much less is delegated at a time.
+  double LowerStep = 0.05;
+  /// Load of the least busy delegate, as a share of its processor time, at
+  /// which one more is used.
+  double MaxDelegateLoad = 0.6;
+};
+
+/// What an entry knows of its own load.
+struct EntryLoad {
+  /// Used share of the processor time that the process may use.
+  double ProcessorShare = 0;
+  /// How long new work is expected to wait.
+  Duration ExpectedWait{0};
+  /// How many delegates are ready.
+  std::uint32_t ReadyDelegates = 0;
+  /// Used share of the processor time of the least busy one.
+  double DelegateShare = 0;
+};
+
+class DelegationRule {
+public:
+  explicit DelegationRule(DelegationRuleOptions Options) : Options(Options) {}
+
+  /// Records the load. Must be called with each tick.
+  void update(const EntryLoad &Load, TimePoint Now);
+
+  /// Returns how many delegates are to be ready.
+  std::uint32_t wantedDelegates() const { return this->Wanted; }
+  /// Returns the share of new jobs to delegate, from 0 to 1.
+  double share() const { return this->Share; }
+
+private:
+  void updateWanted(const EntryLoad &Load, TimePoint Now);
+
+  DelegationRuleOptions Options;
+  std::uint32_t Wanted = 0;
+  double Share = 0;
+  TimePoint NextAdjustment = TimePoint::min();
+  /// When the load was last high enough to keep delegates.
+  TimePoint LastNeeded = TimePoint::min();
+};
+
+} // namespace yardwheel
+
+#endif
--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -7,9 +7,11 @@
 LeaseCoordinator::LeaseCoordinator(const CoordinatorOptions &Options,
                                    PeerSink &Sink, LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
-      Workers(Options.Workers, Options.Seed), Shedder(Options.Shedder),
-      Waits(Options.Waiting), Random(Options.Seed),
-      RecentlyRan(Options.RunRetention), LastOrder(Options.FirstOrder) {}
+      Workers(Options.Workers, Options.Seed), Waits(Options.Waiting),
+      Random(Options.Seed), RecentlyRan(Options.RunRetention),
+      LastOrder(Options.FirstOrder) {
+  this->Checks.push_back(std::make_unique<OverloadCheck>(Options.Shedder));
+}
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -30,7 +32,7 @@
 void LeaseCoordinator::onMember(const peer::Member &Member, Instant Now) {
   if (Member.role() == peer::ROLE_ENTRY && Member.name() != this->Options.Name)
     this->Relay.onMember(Member);
-  if (Member.role() != peer::ROLE_AGENT)
+  if (Member.role() != peer::ROLE_AGENT || Member.name() == this->Options.Name)
     return;
   bool Lost = Member.state() == peer::MEMBER_LOST;
   const LeasedWorker *Known = this->Workers.find(Member.name());
@@ -407,25 +409,6 @@
   Target.Phase = JobPhase::Answered;
   if (Answer.End != LeasedEnd::Completed)
     this->relayOpenStarts(Target.Request.Id, Now);
-  switch (Answer.End) {
-  case LeasedEnd::Completed:
-    ++this->Counters.Completed;
-    if (Now.Steady - Target.AcceptedAt > Target.Request.Objective) {
-      ++this->Counters.CompletedLate;
-      if (this->LastBehind >= Target.AcceptedAt)
-        ++this->Counters.LateWhileBehind;
-    }
-    break;
-  case LeasedEnd::Failed:
-    ++this->Counters.Failed;
-    break;
-  case LeasedEnd::NotRun:
-    ++this->Counters.NotRun;
-    break;
-  case LeasedEnd::Unknown:
-    ++this->Counters.Unknown;
-    break;
-  }
   this->Log.decision("job_ended",
                      {{"job", Target.Request.Id},
                       {"route", Target.Request.Route},
@@ -440,15 +423,39 @@
                       {"placements_out", Target.OutstandingCount},
                       {"tasks", Target.Tasks.size()},
                       {"done", Target.DoneCount}});
-  this->Metrics.onEnded(Target.Request.Route, Answer.End,
-                        Now.Steady - Target.AcceptedAt,
-                        Target.Request.Objective);
+  this->countEnd(Target.Request, Answer, Target.AcceptedAt, Now);
   std::vector<Caller> Callers = std::move(Target.Callers);
   this->WaitingCallers -= Callers.size();
   for (const Caller &Answered : Callers)
     this->Answers.onLeasedAnswer(Answered.Ticket, Answer);
 }
 
+void LeaseCoordinator::countEnd(const LeasedJobRequest &Request,
+                                const LeasedAnswer &Answer,
+                                TimePoint AcceptedAt, Instant Now) {
+  switch (Answer.End) {
+  case LeasedEnd::Completed:
+    ++this->Counters.Completed;
+    if (Now.Steady - AcceptedAt > Request.Objective) {
+      ++this->Counters.CompletedLate;
+      if (this->LastBehind >= AcceptedAt)
+        ++this->Counters.LateWhileBehind;
+    }
+    break;
+  case LeasedEnd::Failed:
+    ++this->Counters.Failed;
+    break;
+  case LeasedEnd::NotRun:
+    ++this->Counters.NotRun;
+    break;
+  case LeasedEnd::Unknown:
+    ++this->Counters.Unknown;
+    break;
+  }
+  this->Metrics.onEnded(Request.Route, Answer.End, Now.Steady - AcceptedAt,
+                        Request.Objective);
+}
+
 void LeaseCoordinator::forgetIfSettled(const std::string &Id, Instant Now) {
   auto Found = this->Jobs.find(Id);
   if (Found == this->Jobs.end())
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -13,10 +13,11 @@
 #ifndef YARDWHEEL_COORDINATION_LEASE_COORDINATOR_H
 #define YARDWHEEL_COORDINATION_LEASE_COORDINATOR_H
 
+#include "coordination/admission_check.h"
 #include "coordination/crash_record.h"
+#include "coordination/job_intake.h"
 #include "coordination/lease_metrics.h"
 #include "coordination/leased_job.h"
-#include "coordination/load_shedder.h"
 #include "coordination/open_start_record.h"
 #include "coordination/open_start_relay.h"
 #include "coordination/recent_ids.h"
@@ -135,7 +136,12 @@
   std::chrono::milliseconds OnlyAgentRetryInterval{100};
   OpenStartRecordOptions OpenStarts;
   OpenStartRelayOptions OpenStartRelay;
-  /// Name of this entry in the member table.
+  /// Leases of a job whose answer sink has not vouched for it within this time
+  /// are not renewed. Half of the agents' lease: a renewal that counts from an
+  /// older time would hardly extend it.
+  std::chrono::milliseconds MaxVouchAge{400};
+  /// Name of this process in the member table. A coordinator at an agent places
+  /// no tasks at that agent.
   std::string Name;
   std::uint64_t Seed = 1;
   /// Placements of this incarnation of the entry get numbers above this one,
@@ -152,6 +158,13 @@
   /// Whether the caller's connection is still open according to the operating
   /// system. A process that was stalled may not have read the close yet.
   virtual bool hasCaller(LeaseTicket Ticket) const { return true; }
+  /// When the caller was last known to wait for its job. A process that serves
+  /// its callers itself knows it at any time; one that coordinates for another
+  /// process knows it from that one's last message. All leases of the job's
+  /// runs count from then.
+  virtual TimePoint vouchedAt(LeaseTicket Ticket, TimePoint Now) const {
+    return Now;
+  }
 };
 
 struct CoordinatorCounters {
@@ -175,22 +188,18 @@
   std::uint64_t LateWhileBehind = 0;
 };
 
-class LeaseCoordinator {
+class LeaseCoordinator final : public JobIntake {
 public:
   LeaseCoordinator(const CoordinatorOptions &Options, PeerSink &Sink,
                    LeasedAnswerSink &Answers);
 
-  /// Accepts or refuses a job, or joins one that is in progress. The answer
-  /// goes to the sink, possibly during this call.
-  void submit(LeasedJobRequest Request, LeaseTicket Waiter, Instant Now);
-  /// Removes a caller that has disconnected. The job is cancelled if no other
-  /// caller waits for it.
+  void submit(LeasedJobRequest Request, LeaseTicket Waiter,
+              Instant Now) override;
   void withdraw(const std::string &Id, LeaseTicket Waiter,
-                const std::string &Reason, Instant Now);
-  /// Cancels the job for all of its callers.
-  void cancel(const std::string &Id, const std::string &Reason, Instant Now);
-  /// Cancels all jobs, at shutdown.
-  void cancelAll(const std::string &Reason, Instant Now);
+                const std::string &Reason, Instant Now) override;
+  void cancel(const std::string &Id, const std::string &Reason,
+              Instant Now) override;
+  void cancelAll(const std::string &Reason, Instant Now) override;
   /// Handles a change in the member table of control.
   void onMember(const peer::Member &Member, Instant Now);
   /// Sets the data centres that are being evacuated: nothing new is placed
@@ -208,24 +217,28 @@
   /// to earlier messages may have arrived without having been read.
   void tick(Instant Now, TimePoint LastBehind);
   void tick(Instant Now) { this->tick(Now, TimePoint::min()); }
-  /// Records when this process was last behind on its input. Must be called
-  /// before any input that may have waited is handled: it ends jobs whose
-  /// callers have disconnected meanwhile, before a message renews their leases
-  /// at agents.
-  void noteBehind(TimePoint NewLastBehind, Instant Now);
+  /// Ends jobs whose callers have disconnected while this process was behind,
+  /// before a message renews their leases at agents.
+  void noteBehind(TimePoint NewLastBehind, Instant Now) override;
 
-  /// Whether a job with this id is in progress at this entry.
-  bool isRunning(const std::string &Id) const {
+  bool isRunning(const std::string &Id) const override {
     return this->Jobs.contains(Id);
   }
-  /// Whether a resubmission of this job would join the runs in progress and
-  /// start no new ones.
-  bool mayJoin(const std::string &Id) const;
-  /// Number of jobs of a route that have not started as far as this entry
-  /// knows.
-  std::uint32_t pending(const std::string &Route) const;
-  /// Number of submissions that wait for an answer.
-  std::size_t inFlight() const { return this->WaitingCallers; }
+  bool mayJoin(const std::string &Id) const override;
+  std::uint32_t pending(const std::string &Route) const override;
+  std::size_t inFlight() const override { return this->WaitingCallers; }
+  /// Whether an earlier submission may have run, or may still begin to.
+  bool mayHaveRun(const std::string &Id, Instant Now) const;
+  /// Records that a job may have run which was coordinated elsewhere.
+  void noteRun(const std::string &Id, Instant Now) {
+    this->RecentlyRan.add(Id, Now.Steady);
+  }
+  /// Counts the end of a job that was coordinated here or for this
+  /// process elsewhere.
+  void countEnd(const LeasedJobRequest &Request, const LeasedAnswer &Answer,
+                TimePoint AcceptedAt, Instant Now);
+  /// Whether a worker may restart under its id, as far as known.
+  bool mayWorkersKeepIds() const { return this->OpenStarts.keepsAnyId(); }
   /// Whether jobs can be placed: a worker is reachable, and this entry knows
   /// which tasks may have open starts. Otherwise every job is refused.
   bool hasWorkers() const {
@@ -332,10 +345,10 @@
     TimePoint GiveUpOldTasksAt = TimePoint::max();
     /// When messages to the agent were last resent.
     TimePoint LastResendAt = TimePoint::min();
-    /// Numbers of the placements whose jobs are still running; only these are
-    /// named in renewals. The leases of answered jobs must expire, also at an
-    /// agent whose messages do not arrive.
-    std::set<std::uint64_t> ActiveOrders;
+    /// Numbers of the placements whose jobs are still running, with these jobs;
+    /// only these are named in renewals. The leases of answered jobs must
+    /// expire, also at an agent whose messages do not arrive.
+    std::map<std::uint64_t, const Job *> ActiveOrders;
     /// Placements that were given up when the agent was lost, by number. The
     /// agent may still hold them.
     struct GivenUpOrder {
@@ -358,17 +371,15 @@
   /// \returns false, and does nothing, if it is the only caller.
   bool removeCaller(std::vector<Caller> &Callers, LeaseTicket Waiter,
                     const std::string &Reason);
-  /// Refuses the job if workers have too little free capacity. \returns whether
-  /// it was refused.
-  bool shedIfOverloaded(const LeasedJobRequest &Request, LeaseTicket Waiter,
-                        Instant Now);
+  /// Refuses the job if an admission check does. \returns whether it was
+  /// refused.
+  bool refuseIfUnservable(const LeasedJobRequest &Request, LeaseTicket Waiter,
+                          Instant Now);
   /// Refuses the job if its tasks may have open starts that this entry, which
   /// has just started, does not know of. \returns whether it was refused.
   bool refuseAtStartup(const LeasedJobRequest &Request, LeaseTicket Waiter,
                        Instant Now);
   void updateAwaitsAgents(Instant Now);
-  /// Whether an earlier submission may have run, or may still begin to.
-  bool mayHaveRun(const std::string &Id, Instant Now) const;
   /// \returns the agents that a task must not be placed at: those that it
   /// avoids or, if it has an open start at an agent, all others.
   std::set<std::string> excludedAgents(const Job &Target, std::uint32_t Index,
@@ -504,6 +515,18 @@
                     Instant Now) const;
   void sendRenewal(const LeasedWorker &Worker, Contact &AgentContact,
                    Instant Now);
+  /// Returns when one of the callers of a job was last known to wait for it.
+  TimePoint vouchedAt(const Job &Target, Instant Now) const;
+  /// Placements to name in a message, and the time from which their leases
+  /// count.
+  struct NamedOrders {
+    std::vector<std::uint64_t> Orders;
+    TimePoint Since;
+  };
+  /// Returns the active placements at an agent with numbers below \p Below
+  /// that were vouched for at \p Since or later.
+  NamedOrders namedOrders(const Contact &AgentContact, std::uint64_t Below,
+                          TimePoint Since, Instant Now) const;
   std::chrono::milliseconds drawIdleProbeDelay();
   void tickJobs(Instant Now);
   std::chrono::milliseconds stallLimit(const Job &Target) const;
@@ -518,7 +541,7 @@
   PeerSink &Sink;
   LeasedAnswerSink &Answers;
   WorkerTable Workers;
-  LoadShedder Shedder;
+  AdmissionChecks Checks;
   WaitingRule Waits;
   std::mt19937_64 Random;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -26,7 +26,7 @@
     return;
   }
   if (this->refuseAtStartup(Request, Waiter, Now) ||
-      this->shedIfOverloaded(Request, Waiter, Now))
+      this->refuseIfUnservable(Request, Waiter, Now))
     return;
   ++this->WaitingCallers;
   TimePoint Until = Now.Steady + Request.Deadline;
@@ -143,33 +143,37 @@
   return true;
 }
 
-bool LeaseCoordinator::shedIfOverloaded(const LeasedJobRequest &Request,
-                                        LeaseTicket Waiter, Instant Now) {
-  double CoreMilliseconds =
-      static_cast<double>(Request.Needs.cpu_milli()) * Request.TaskCount *
-      static_cast<double>(Request.Estimate.count()) / 1000;
-  this->Shedder.onJobSubmitted(Request.Route, Request.Priority,
-                               CoreMilliseconds, Now.Steady);
-  double Pressure =
-      this->Workers.pressure(Request, this->awaitingCpu(), Now.Steady);
-  this->Shedder.onPressure(Pressure, Now.Steady);
-  double Limit = this->Shedder.limitFor(Request.Route, Now.Steady);
-  if (Pressure < Limit)
+bool LeaseCoordinator::refuseIfUnservable(const LeasedJobRequest &Request,
+                                          LeaseTicket Waiter, Instant Now) {
+  AdmissionQuery Query{
+      Request, this->Workers,
+      this->Workers.pressure(Request, this->awaitingCpu(), Now.Steady)};
+  for (const auto &Check : this->Checks)
+    Check->onSubmitted(Query, Now);
+  std::optional<AdmissionRefusal> Refusal;
+  for (const auto &Check : this->Checks)
+    if (Refusal = Check->check(Query, Now); Refusal)
+      break;
+  if (!Refusal)
     return false;
   bool MayHaveRun = this->mayHaveRun(Request.Id, Now);
   ++this->Counters.JobsShed;
   ++(MayHaveRun ? this->Counters.Unknown : this->Counters.NotRun);
   constexpr int Percent = 100;
-  this->Log.decision("job_shed",
-                     {{"job", Request.Id},
-                      {"route", Request.Route},
-                      {"taken_percent", static_cast<int>(Pressure * Percent)},
-                      {"limit_percent", static_cast<int>(Limit * Percent)},
-                      {"tasks", Request.TaskCount}});
+  this->Log.decision(
+      "job_shed",
+      {{"job", Request.Id},
+       {"route", Request.Route},
+       {"rule", Refusal->Rule},
+       {"taken_percent", static_cast<int>(Query.Pressure * Percent)},
+       {"limit_percent", static_cast<int>(Refusal->Limit * Percent)},
+       {"tasks", Request.TaskCount}});
   LeasedEnd End = MayHaveRun ? LeasedEnd::Unknown : LeasedEnd::NotRun;
+  std::chrono::milliseconds RetryAfter = Refusal->RetryAfter.count() > 0
+                                             ? Refusal->RetryAfter
+                                             : this->Options.RetryAfter;
   this->Answers.onLeasedAnswer(Waiter,
-                               {End, "admit", "", "upstreams are short of room",
-                                this->Options.RetryAfter});
+                               {End, "admit", "", Refusal->Reason, RetryAfter});
   return true;
 }
 
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -221,7 +221,7 @@
   JobTask.MissingSince = TimePoint::max();
   JobTask.AwaitsAgentSince = TimePoint::max();
   ++Target.OutstandingCount;
-  this->Contacts[JobTask.Agent].ActiveOrders.insert(JobTask.Order);
+  this->Contacts[JobTask.Agent].ActiveOrders[JobTask.Order] = &Target;
   this->Workers.onSent(JobTask.Agent, Target.Request.Needs);
   peer::LeasedTask *Order = Batch[JobTask.Agent].add_tasks();
   Order->set_index(Index);
@@ -249,11 +249,11 @@
   const LeasedJobRequest &Request = Target.Request;
   auto StartBy = slackOf(Target, Now);
   std::chrono::milliseconds GiveUp(millisBetween(Now.Steady, Target.GiveUpAt));
+  TimePoint Vouched = this->vouchedAt(Target, Now);
   for (auto &[Agent, Order] : Batch) {
     LeasedWorker *Worker = this->Workers.find(Agent);
     Order.set_job(Request.Id);
     Order.set_agent_incarnation(Worker->Incarnation);
-    Order.set_stamp(Worker->stampAt(Now.Steady));
     Order.set_spec(Request.Spec);
     *Order.mutable_needs() = Request.Needs;
     Order.set_start_by_ms(static_cast<std::int32_t>(StartBy.count()));
@@ -263,9 +263,14 @@
     // The tasks of this dispatch have the highest order numbers so far; only
     // the earlier ones are renewed.
     Contact &AgentContact = this->Contacts[Agent];
-    auto Earlier =
-        AgentContact.ActiveOrders.lower_bound(Order.tasks(0).order());
-    Order.mutable_renewed()->Add(AgentContact.ActiveOrders.begin(), Earlier);
+    NamedOrders Renewed =
+        this->namedOrders(AgentContact, Order.tasks(0).order(), Vouched, Now);
+    Order.mutable_renewed()->Add(Renewed.Orders.begin(), Renewed.Orders.end());
+    Order.set_stamp(Worker->stampAt(Vouched));
+    // All leases at the agent but those of jobs that were vouched for earlier.
+    bool RenewsAll =
+        Renewed.Orders.size() + static_cast<std::size_t>(Order.tasks_size()) ==
+        AgentContact.ActiveOrders.size();
     this->Counters.TasksSent += Order.tasks_size();
     this->Log.decision(
         "dispatched",
@@ -279,8 +284,8 @@
     peer::Message Message;
     *Message.mutable_leased_dispatch() = std::move(Order);
     this->Sink.send(Worker->Agent, std::move(Message));
-    // The dispatch renews all leases at the agent.
-    AgentContact.NextRenewal = Now.Steady + this->Options.RenewalInterval;
+    if (RenewsAll)
+      AgentContact.NextRenewal = Now.Steady + this->Options.RenewalInterval;
     AgentContact.FirstDispatchAt =
         std::min(AgentContact.FirstDispatchAt, Now.Steady);
   }
--- a/coordination/lease_coordinator_watch.cpp
+++ b/coordination/lease_coordinator_watch.cpp
@@ -3,6 +3,7 @@
 #include "coordination/lease_coordinator.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yardwheel {
 
@@ -109,7 +110,7 @@
   }
   if (Again->tasks_size() == 0)
     return;
-  Again->set_stamp(Worker.stampAt(Now.Steady));
+  Again->set_stamp(Worker.stampAt(this->vouchedAt(*Target, Now)));
   auto Passed = static_cast<std::int32_t>(Age.count());
   Again->set_start_by_ms(Lost.start_by_ms() - Passed);
   Again->set_give_up_ms(Lost.give_up_ms() - Passed);
@@ -393,14 +394,40 @@
   peer::Message Message;
   peer::LeaseRenewal *Renewal = Message.mutable_lease_renewal();
   Renewal->set_agent_incarnation(Worker.Incarnation);
-  Renewal->set_stamp(Worker.stampAt(Now.Steady));
-  Renewal->mutable_orders()->Add(AgentContact.ActiveOrders.begin(),
-                                 AgentContact.ActiveOrders.end());
+  NamedOrders Renewed =
+      this->namedOrders(AgentContact, std::numeric_limits<std::uint64_t>::max(),
+                        Now.Steady - this->Options.MaxVouchAge, Now);
+  Renewal->set_stamp(Worker.stampAt(Renewed.Since));
+  Renewal->mutable_orders()->Add(Renewed.Orders.begin(), Renewed.Orders.end());
   Renewal->set_open_starts_seen(
       this->OpenStarts.acknowledged(Worker.Agent.Node, Worker.Incarnation));
   this->Sink.send(Worker.Agent, std::move(Message));
 }
 
+TimePoint LeaseCoordinator::vouchedAt(const Job &Target, Instant Now) const {
+  TimePoint Newest = TimePoint::min();
+  for (const Caller &Known : Target.Callers)
+    Newest =
+        std::max(Newest, this->Answers.vouchedAt(Known.Ticket, Now.Steady));
+  return Newest;
+}
+
+LeaseCoordinator::NamedOrders
+LeaseCoordinator::namedOrders(const Contact &AgentContact, std::uint64_t Below,
+                              TimePoint Since, Instant Now) const {
+  NamedOrders Named{{}, Now.Steady};
+  for (const auto &[Order, Target] : AgentContact.ActiveOrders) {
+    if (Order >= Below)
+      break;
+    TimePoint Vouched = this->vouchedAt(*Target, Now);
+    if (Vouched < Since)
+      continue;
+    Named.Orders.push_back(Order);
+    Named.Since = std::min(Named.Since, Vouched);
+  }
+  return Named;
+}
+
 std::chrono::milliseconds
 LeaseCoordinator::stallLimit(const Job &Target) const {
   bool Known = Target.LongestDone.count() > 0;
--- a/coordination/leased_job.h
+++ b/coordination/leased_job.h
@@ -46,6 +46,8 @@
   std::chrono::milliseconds Objective{};
   /// Time from the submission after which the caller no longer waits.
   std::chrono::milliseconds Deadline{};
+  /// Where the caller is; empty if it is not known.
+  std::string DataCentre;
 };
 
 enum class LeasedEnd {
--- a/coordination/open_start_record.h
+++ b/coordination/open_start_record.h
@@ -80,6 +80,8 @@
   bool keepsId(const std::string &Agent) const {
     return this->KeepingId.contains(Agent);
   }
+  /// Whether any agent's worker may.
+  bool keepsAnyId() const { return !this->KeepingId.empty(); }
   /// \returns the highest number among the open starts that this incarnation
   /// of the agent has reported; 0 if there are none.
   std::uint64_t acknowledged(const std::string &Agent,
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -1,5 +1,6 @@
 #include "coordination/worker_table.h"
 
+#include "coordination/clock_stamp.h"
 #include "protocol/task_needs.h"
 
 #include <algorithm>
@@ -11,13 +12,6 @@
 
 constexpr std::uint32_t Percent = 100;
 
-/// Upper bound on the drift between the steady clocks of two hosts, as a share
-/// of the elapsed time. Computer clocks usually stay within a thousandth.
-constexpr std::int64_t ClockDriftPercent = 2;
-/// A stamp older than this isn't extrapolated; the agent is probed for a new
-/// one.
-constexpr std::chrono::milliseconds MaxStampAge{5000};
-
 /// Maximum load of other entries that a worker may report, as a multiple of its
 /// capacity: running tasks and a queue. A higher value is an error of its
 /// agent. It must neither make the whole pool look overloaded nor overflow the
@@ -33,15 +27,8 @@
 
 } // namespace
 
-std::uint64_t LeasedWorker::stampAt(TimePoint Now) const {
-  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Now - this->StampReceived);
-  if (this->Stamp == 0 || Age.count() <= 0)
-    return this->Stamp;
-  Age = std::min(Age, MaxStampAge);
-  constexpr std::int64_t Whole = Percent;
-  return this->Stamp + static_cast<std::uint64_t>(
-                           Age.count() * (Whole - ClockDriftPercent) / Whole);
+std::uint64_t LeasedWorker::stampAt(TimePoint When) const {
+  return extrapolateStamp(this->Stamp, this->StampReceived, When);
 }
 
 bool WorkerTable::update(const peer::Member &Member, TimePoint Now) {
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -54,11 +54,11 @@
 
 /// An agent and its worker, as this entry sees them.
 struct LeasedWorker {
-  /// Returns a lower bound of the agent's clock at \p Now, extrapolated from
-  /// the newest stamp received. A message that is delayed on its way carries
-  /// the time at which it was sent, so it extends a lease no further than a
-  /// message that was just answered.
-  std::uint64_t stampAt(TimePoint Now) const;
+  /// Returns a lower bound of the agent's clock at \p When, extrapolated from
+  /// the newest stamp received, which may be older or newer. A message that is
+  /// delayed on its way carries the time at which it was sent, so it extends a
+  /// lease no further than a message that was just answered.
+  std::uint64_t stampAt(TimePoint When) const;
   /// Whether this entry has heard from the agent and may send it tasks. An
   /// agent that is registered at control isn't necessarily reachable from this
   /// entry.
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -1,6 +1,8 @@
 //===- An agent whose worker runs tasks under leases ----------------------===//
 
 #include "agent/lease_keeper.h"
+#include "coordination/delegate.h"
+#include "core/processor_meter.h"
 #include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
@@ -44,8 +46,11 @@
     this->Node.links().setRevision(this->Catalog.revision());
     this->Keeper.setEvacuated(
         this->Catalog.view()->Evacuated.contains(this->Plan.DataCentre), Now);
+    this->Coordination.setEvacuated(this->Catalog.view()->Evacuated);
+  }
+  void onMember(const peer::Member &Member, Instant Now) override {
+    this->Coordination.onMember(Member, Now);
   }
-  void onMember(const peer::Member &, Instant) override {}
   void onNewerIncarnation(std::uint64_t Known, Instant Now) override;
 
   void onStart(const WorkerIncarnation &Worker, const RunKey &Run,
@@ -57,14 +62,20 @@
   void onAnnounced(const WorkerProfile &Profile) override;
   void onDeregistered(const WorkerIncarnation &Worker) override;
 
+  /// Handles a message of an entry or of another agent.
+  void onMessage(const PeerRef &From, const peer::Message &Message,
+                 Instant Now);
+
 private:
   KeeperOptions keeperOptions() const;
+  DelegateOptions delegateOptions() const;
   void applyProfile(const WorkerProfile &Profile, Instant Now);
   /// Announces a new worker incarnation, changed resources or a shutdown to
   /// control.
   void announceChanges(Instant Now);
   void receive(const peer::Envelope &Envelope, Instant Now);
   void tick(Instant Now);
+  void tickCoordination(Instant Now);
   void publishMetrics(Instant Now);
   void stop();
 
@@ -91,6 +102,10 @@
   LinkNode Node;
   platform::WorkerClient Client;
   LeaseKeeper Keeper;
+  /// Jobs that this agent coordinates for entries.
+  Delegate Coordination;
+  /// Used on the loop's thread only.
+  ProcessorMeter Processor;
   Announcer Announce;
   std::shared_ptr<platform::AnnouncementHandler> Gate;
   HttpServer WorkerServer;
@@ -102,6 +117,8 @@
                        {}, this->Source, LeaseTick),
       Client({}, *this),
       Keeper(this->keeperOptions(), this->Node.links(), this->Client),
+      Coordination(this->delegateOptions(), this->Node.links()),
+      Processor(Plan.ProcessorLimit),
       Announce(planAnnouncer(Plan),
                planMember(Plan, peer::ROLE_AGENT, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
@@ -115,6 +132,9 @@
                     },
                     [this](const Undelivered &Lost, Instant Now) {
                       this->Keeper.onUndelivered(Lost, Now);
+                      this->Coordination.noteBehind(
+                          this->Node.loop().lastBehind(), Now);
+                      this->Coordination.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("agent_started", {{"node", Plan.Node},
                                        {"worker", Plan.ControlListen},
@@ -133,8 +153,24 @@
   return Options;
 }
 
+DelegateOptions LeaseAgentProcess::delegateOptions() const {
+  DelegateOptions Options;
+  Options.Incarnation = this->Incarnation;
+  Options.Coordinator = planCoordinator(this->Plan, this->Incarnation);
+  return Options;
+}
+
 void LeaseAgentProcess::receive(const peer::Envelope &Envelope, Instant Now) {
-  deliver(Envelope, this->Announce, this->Keeper, Now);
+  this->Coordination.noteBehind(this->Node.loop().lastBehind(), Now);
+  deliver(Envelope, this->Announce, *this, Now);
+  this->Coordination.placeScheduled(Now);
+}
+
+void LeaseAgentProcess::onMessage(const PeerRef &From,
+                                  const peer::Message &Message, Instant Now) {
+  this->Keeper.onMessage(From, Message, Now);
+  if (this->Plan.CoordinatesForEntries)
+    this->Coordination.onMessage(From, Message, Now);
 }
 
 void LeaseAgentProcess::tick(Instant Now) {
@@ -143,7 +179,18 @@
   if (this->Keeper.session().hasWorker())
     this->Announce.tick(Now);
   this->Keeper.tick(Now);
-  this->Idle.store(this->Keeper.isLeaving() && this->Keeper.isIdle());
+  this->tickCoordination(Now);
+  this->Idle.store(this->Keeper.isLeaving() && this->Keeper.isIdle() &&
+                   this->Coordination.isIdle());
+}
+
+void LeaseAgentProcess::tickCoordination(Instant Now) {
+  bool IsActive = this->Coordination.isActive(Now.Steady);
+  this->Announce.setWantsMembers(IsActive);
+  if (IsActive && this->Processor.isDue(Now.Steady))
+    this->Processor.sample(this->Node.processorTime(), Now.Steady);
+  this->Coordination.tick(this->Processor.share(),
+                          this->Node.loop().lastBehind(), Now);
 }
 
 // ---- The worker ----
@@ -230,6 +277,7 @@
 void LeaseAgentProcess::drain() {
   this->Node.loop().post([this](Instant Now) {
     this->Keeper.shutDown(Now);
+    this->Coordination.leave();
     this->announceChanges(Now);
   });
   bool Done = waitUntil(this->Plan.Times.ShutdownGrace - 2 * FlushTime,
@@ -258,6 +306,13 @@
       metricLine("yardwheel_entry_leases_lapsed_total", Counts.LeasesLapsed);
   Text += metricLine("yardwheel_announcements_refused_total",
                      this->Gate->refused());
+  const DelegateCounters &Delegated = this->Coordination.counters();
+  Text +=
+      metricLine("yardwheel_delegated_jobs_accepted_total", Delegated.Accepted);
+  Text +=
+      metricLine("yardwheel_delegated_jobs_declined_total", Delegated.Declined);
+  Text += metricLine("yardwheel_delegated_jobs_abandoned_total",
+                     Delegated.Abandoned);
   Text += metricLine("yardwheel_evacuated", this->Keeper.isEvacuated() ? 1 : 0);
   Text += metricLine("yardwheel_tasks_queued", this->Keeper.queued());
   Text += metricLine("yardwheel_worker_ready",
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -1,5 +1,7 @@
 //===- An entry that coordinates best-effort jobs under leases ------------===//
 
+#include "coordination/delegating_intake.h"
+#include "core/processor_meter.h"
 #include "entry/drain_watch.h"
 #include "entry/readiness.h"
 #include "http/metrics_page.h"
@@ -27,11 +29,6 @@
 /// Time for a caller on a lossy link to send a complete request.
 constexpr std::chrono::milliseconds CallerTimeout{10000};
 
-/// Upper bound on placements per microsecond, the unit of incarnations. It is
-/// far above the real rate, so that no two incarnations use the same order
-/// number.
-constexpr std::uint64_t MaxOrdersPerMicrosecond = 1000;
-
 class LeaseEntryProcess final : public Process, AnnouncerEvents {
 public:
   explicit LeaseEntryProcess(const NodePlan &Plan);
@@ -46,8 +43,12 @@
   void onMember(const peer::Member &Member, Instant Now) override;
   void onNewerIncarnation(std::uint64_t Known, Instant Now) override;
 
+  /// Handles a message of an agent.
+  void onMessage(const PeerRef &From, const peer::Message &Message,
+                 Instant Now);
+
 private:
-  CoordinatorOptions coordinatorOptions() const;
+  DelegationOptions delegationOptions() const;
   void receive(const peer::Envelope &Envelope, Instant Now);
   void tick(Instant Now);
   void logTableState(Instant Now);
@@ -83,6 +84,9 @@
   std::shared_ptr<platform::CallerHandler> Gate;
   std::shared_ptr<platform::HealthHandler> Health;
   LeaseCoordinator Coordinator;
+  DelegatingIntake Intake;
+  /// Used on the loop's thread only.
+  ProcessorMeter Processor;
   Announcer Announce;
   HttpServer CallerServer;
   HttpServer HealthServer;
@@ -98,12 +102,16 @@
       Health(std::make_shared<platform::HealthHandler>(
           [this] { return this->Node.loop().lastIdle(); }, this->Source,
           this->Load)),
-      Coordinator(this->coordinatorOptions(), this->Node.links(), *this->Gate),
+      Coordinator(planCoordinator(Plan, this->Incarnation), this->Node.links(),
+                  *this->Gate),
+      Intake(this->delegationOptions(), this->Coordinator, this->Node.links(),
+             *this->Gate),
+      Processor(Plan.ProcessorLimit),
       Announce(planEntryAnnouncer(Plan),
                planMember(Plan, peer::ROLE_ENTRY, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
       CallerServer(
-          (this->Gate->connect(this->Node.loop(), this->Coordinator),
+          (this->Gate->connect(this->Node.loop(), this->Intake),
            HttpServerOptions{.Listen = Plan.CallerListen,
                              .Threads = 1,
                              .MaxBodyBytes = MaxBodyBytes,
@@ -118,31 +126,36 @@
                       this->receive(Envelope, Now);
                     },
                     [this](const Undelivered &Lost, Instant Now) {
-                      this->Coordinator.noteBehind(
-                          this->Node.loop().lastBehind(), Now);
+                      this->Intake.noteBehind(this->Node.loop().lastBehind(),
+                                              Now);
                       this->Coordinator.onUndelivered(Lost, Now);
+                      this->Intake.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("entry_started", {{"node", Plan.Node},
                                        {"callers", Plan.CallerListen},
                                        {"incarnation", this->Incarnation}});
 }
 
-CoordinatorOptions LeaseEntryProcess::coordinatorOptions() const {
-  CoordinatorOptions Options;
-  Options.Seed = this->Incarnation;
+DelegationOptions LeaseEntryProcess::delegationOptions() const {
+  DelegationOptions Options;
+  Options.Rule.MaxDelegates = this->Plan.MaxDelegates;
   Options.Name = this->Plan.Node;
-  Options.FirstOrder = this->Incarnation * MaxOrdersPerMicrosecond;
-  Options.RenewalInterval = CoordinatorRenewal;
-  Options.Shedder.Values = this->Plan.RouteValues;
+  Options.DataCentre = this->Plan.DataCentre;
   return Options;
 }
 
 void LeaseEntryProcess::receive(const peer::Envelope &Envelope, Instant Now) {
-  this->Coordinator.noteBehind(this->Node.loop().lastBehind(), Now);
-  deliver(Envelope, this->Announce, this->Coordinator, Now);
+  this->Intake.noteBehind(this->Node.loop().lastBehind(), Now);
+  deliver(Envelope, this->Announce, *this, Now);
   this->Coordinator.placeScheduled(Now);
 }
 
+void LeaseEntryProcess::onMessage(const PeerRef &From,
+                                  const peer::Message &Message, Instant Now) {
+  this->Coordinator.onMessage(From, Message, Now);
+  this->Intake.onMessage(From, Message, Now);
+}
+
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
   this->Table.tick(Now.Steady);
@@ -150,8 +163,15 @@
       Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
+  if (this->Plan.MaxDelegates > 0) {
+    if (this->Processor.isDue(Now.Steady))
+      this->Processor.sample(this->Node.processorTime(), Now.Steady);
+    this->Intake.tick({.ProcessorShare = this->Processor.share(),
+                       .ExpectedWait = this->Node.loop().expectedWait()},
+                      this->Node.loop().lastBehind(), Now);
+  }
   this->updateReadiness(Now);
-  this->InFlight.store(this->Coordinator.inFlight());
+  this->InFlight.store(this->Intake.inFlight());
 }
 
 void LeaseEntryProcess::updateReadiness(Instant Now) {
@@ -225,6 +245,7 @@
 
 void LeaseEntryProcess::onMember(const peer::Member &Member, Instant Now) {
   this->Coordinator.onMember(Member, Now);
+  this->Intake.onMember(Member, Now);
 }
 
 void LeaseEntryProcess::onNewerIncarnation(std::uint64_t Known, Instant Now) {
@@ -265,7 +286,7 @@
     // Callers are told that the outcome is unknown instead of losing their
     // connections without a response.
     this->Node.loop().post([this](Instant Now) {
-      this->Coordinator.cancelAll("this process ends", Now);
+      this->Intake.cancelAll("this process ends", Now);
     });
     waitUntil(CancelTime, AllAnswered);
   }
@@ -298,7 +319,19 @@
                      Counts.PlacementsDiverted);
   Text += metricLine("yardwheel_upstreams_evacuated",
                      this->Coordinator.workerTable().countEvacuated());
-  Text += metricLine("yardwheel_jobs_in_flight", this->Coordinator.inFlight());
+  Text += metricLine("yardwheel_jobs_in_flight", this->Intake.inFlight());
+  const DelegationCounters &Delegation = this->Intake.counters();
+  constexpr double Percent = 100;
+  Text += metricLine("yardwheel_jobs_delegated_total", Delegation.Delegated);
+  Text += metricLine("yardwheel_delegated_jobs_completed_total",
+                     Delegation.Completed);
+  Text += metricLine("yardwheel_delegated_jobs_declined_total",
+                     Delegation.Declined);
+  Text += metricLine("yardwheel_delegated_jobs_lost_total", Delegation.Lost);
+  Text +=
+      metricLine("yardwheel_delegates_ready", this->Intake.readyDelegates());
+  Text += metricLine("yardwheel_delegated_share_percent",
+                     static_cast<int>(Percent * this->Intake.share()));
   Text += metricLine("yardwheel_route_table_version",
                      this->Catalog.view()->Routes.version());
   TableStatus Table =
@@ -327,6 +360,7 @@
                       {"submissions", this->Gate->submissions()},
                       {"refused_behind", this->Gate->refusedBehind()},
                       {"refused_late", this->Gate->refusedLate()},
+                      {"delegated", this->Intake.counters().Delegated},
                       {"completed", Counts.Completed},
                       {"completed_late", Counts.CompletedLate},
                       {"late_while_behind", Counts.LateWhileBehind}});
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -2,6 +2,7 @@
 #ifndef YARDWHEEL_MAIN_LEASE_WIRING_H
 #define YARDWHEEL_MAIN_LEASE_WIRING_H
 
+#include "coordination/lease_coordinator.h"
 #include "entry/table_lease.h"
 #include "http/http_server.h"
 #include "main/wiring.h"
@@ -44,6 +45,23 @@
 /// than half of the agents' lease, so that one lost message ends no lease.
 constexpr std::chrono::milliseconds CoordinatorRenewal{300};
 
+/// Upper bound on placements per microsecond, the unit of incarnations. It is
+/// far above the real rate, so that no two incarnations use the same order
+/// number.
+constexpr std::uint64_t MaxOrdersPerMicrosecond = 1000;
+
+/// Returns the options of a coordinator in this incarnation of a process.
+inline CoordinatorOptions planCoordinator(const NodePlan &Plan,
+                                          std::uint64_t Incarnation) {
+  CoordinatorOptions Options;
+  Options.Seed = Incarnation;
+  Options.Name = Plan.Node;
+  Options.FirstOrder = Incarnation * MaxOrdersPerMicrosecond;
+  Options.RenewalInterval = CoordinatorRenewal;
+  Options.Shedder.Values = Plan.RouteValues;
+  return Options;
+}
+
 /// Interval between updates of a process's metrics page; the platform reads it
 /// less often.
 constexpr std::chrono::milliseconds MetricsInterval{2000};
@@ -108,6 +126,7 @@
   Self.set_address(Plan.LinkListen);
   Self.set_data_centre(Plan.DataCentre);
   Self.set_state(peer::MEMBER_ALIVE);
+  Self.set_coordinates(Role == peer::ROLE_AGENT && Plan.CoordinatesForEntries);
   return Self;
 }
 
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -34,6 +34,14 @@
               "earns by the priority of its queue, like 0=10,1=4,2=7.5. Routes "
               "that earn least are shed first. Empty: not known.");
 
+DEFINE_uint32(delegates, 0,
+              "With --platform, at entries: the most agents that coordinate "
+              "jobs for this entry while it is short of processor time. 0: "
+              "none.");
+DEFINE_bool(coordinates, false,
+            "With --platform, at agents: coordinate jobs for entries that are "
+            "short of processor time.");
+
 namespace {
 
 using namespace yardwheel;
@@ -144,6 +152,8 @@
   FileWatch Settings(platform::settingsPath());
   NodePlan Plan = platform::readNodeSettings();
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
+  Plan.MaxDelegates = FLAGS_delegates;
+  Plan.CoordinatesForEntries = FLAGS_coordinates;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
 
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -72,6 +72,18 @@
              this->Options.Interval / MaxEarlyHeartbeatsPerInterval;
 }
 
+void Announcer::setWantsMembers(bool Wants) {
+  if (Wants == this->WantsMembers)
+    return;
+  this->WantsMembers = Wants;
+  if (!Wants)
+    return;
+  this->TableTerm = 0;
+  this->TableVersion = 0;
+  this->MembersOmittedUpTo = this->Sequence;
+  this->NextHeartbeat = TimePoint::min();
+}
+
 void Announcer::update(const std::function<void(peer::Member &)> &Change,
                        Instant Now) {
   Change(this->Self);
@@ -98,6 +110,7 @@
   Request->set_table_term(this->TableTerm);
   Request->set_table_version(this->TableVersion);
   Request->set_sequence(++this->Sequence);
+  Request->set_wants_members(this->WantsMembers);
   this->Sink.send(this->Search.target(), std::move(Message));
   this->Search.onRequestSent(this->Sequence, Now.Steady);
 }
@@ -141,7 +154,10 @@
     return;
   if (Reply.has_catalog() && this->Catalog.merge(Reply.catalog()))
     this->Events.onCatalog(Now);
-  if (Reply.has_members())
+  bool HasMembers =
+      Reply.has_members() && (this->MembersOmittedUpTo == 0 ||
+                              Reply.sequence() > this->MembersOmittedUpTo);
+  if (HasMembers)
     this->applyMembers(Reply.members(), Now);
   if (!IsReply) {
     this->Search.onUnsolicitedReply(Now.Steady);
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -76,6 +76,9 @@
   }
   /// Adds control replicas that may be asked.
   void addControls(const std::vector<PeerRef> &Added);
+  /// Sets whether an agent is to be told the member table; entries are always.
+  /// The table is asked for as a whole at once.
+  void setWantsMembers(bool Wants);
   /// Applies \p Change to the state of this node and announces it at once.
   void update(const std::function<void(peer::Member &)> &Change, Instant Now);
 
@@ -110,6 +113,9 @@
   std::uint64_t TableTerm = 0;
   std::uint64_t TableVersion = 0;
   std::uint64_t Sequence = 0;
+  bool WantsMembers = false;
+  /// Replies to heartbeats up to this one leave the members out.
+  std::uint64_t MembersOmittedUpTo = 0;
   ControlSearch Search;
   TimePoint NextHeartbeat = TimePoint::min();
   TimePoint LastHeartbeat = TimePoint::min();
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -58,13 +58,18 @@
   return AnyLost;
 }
 
+bool MemberRegistry::omitsMembers(const peer::Heartbeat &Request) {
+  return Request.member().role() == peer::ROLE_AGENT &&
+         !Request.wants_members();
+}
+
 peer::MemberUpdate
 MemberRegistry::updateFor(const peer::Heartbeat &Request) const {
   peer::MemberUpdate Update;
   Update.set_term(this->Term);
   Update.set_version(this->Version);
   Update.set_full(Request.table_term() != this->Term);
-  if (Request.member().role() == peer::ROLE_AGENT)
+  if (omitsMembers(Request))
     return Update;
   std::uint64_t Since = Update.full() ? 0 : Request.table_version();
   for (const auto &[Name, Target] : this->Entries)
@@ -77,7 +82,7 @@
 MemberRegistry::partialFor(const peer::Heartbeat &Request) const {
   peer::MemberUpdate Update;
   Update.set_partial(true);
-  if (Request.member().role() == peer::ROLE_AGENT)
+  if (omitsMembers(Request))
     return Update;
   for (const auto &[Name, Target] : this->Entries)
     *Update.add_members() = Target.Member;
--- a/membership/member_registry.h
+++ b/membership/member_registry.h
@@ -37,8 +37,8 @@
 
   /// Returns the members that have changed since the table version that the
   /// heartbeat reports, or all members if it reports a table of another term.
-  /// Agents receive no members, since they reply to any peer. Must only be
-  /// called on a settled table.
+  /// Agents receive no members unless they ask for them, since they reply to
+  /// any peer. Must only be called on a settled table.
   peer::MemberUpdate updateFor(const peer::Heartbeat &Request) const;
   /// Returns the members known so far, for a table that is not settled yet.
   peer::MemberUpdate partialFor(const peer::Heartbeat &Request) const;
@@ -56,6 +56,8 @@
   std::uint64_t version() const { return this->Version; }
 
 private:
+  /// Whether the sender of a heartbeat is told of no members.
+  static bool omitsMembers(const peer::Heartbeat &Request);
   /// Gives a changed member the next table version.
   void bumpVersion(Entry &Target);
 
