Delegation goes by the share of time in which the loop is busy

Change: the loop's waiter adds up how long it waited for events; the busy share replaces the share of a stated processor limit, which nothing needs any more.

--- a/coordination/delegate.h
+++ b/coordination/delegate.h
@@ -68,8 +68,8 @@
   void noteBehind(TimePoint LastBehind, Instant Now);
   /// Places what became unplaced. Must be called after each batch of messages.
   void placeScheduled(Instant Now);
-  /// \param ProcessorShare Used share of the processor time that this process
-  /// may use.
+  /// \param ProcessorShare Share of the time in which this process's loop is
+  /// busy.
   void tick(double ProcessorShare, TimePoint LastBehind, Instant Now);
   /// Declines all further jobs; those in progress go on.
   void leave() { this->Leaving = true; }
--- a/coordination/delegation_rule.h
+++ b/coordination/delegation_rule.h
@@ -54,13 +54,13 @@
 
 /// What an entry knows of its own load.
 struct EntryLoad {
-  /// Used share of the processor time that the process may use.
+  /// Share of the time in which the process's loop is busy.
   double ProcessorShare = 0;
   /// How long new work is expected to wait.
   Duration ExpectedWait{0};
   /// How many delegates are ready.
   std::uint32_t ReadyDelegates = 0;
-  /// Used share of the processor time of the least busy one.
+  /// The same of the least busy one.
   double DelegateShare = 0;
 };
 
--- a/core/processor_meter.cpp
+++ b/core/busy_meter.cpp
@@ -1,4 +1,6 @@
-#include "core/processor_meter.h"
+#include "core/busy_meter.h"
+
+#include <algorithm>
 
 namespace yardwheel {
 
@@ -11,14 +13,17 @@
 
 } // namespace
 
-void ProcessorMeter::sample(Duration Used, TimePoint Now) {
-  std::chrono::duration<double> Spent = Used - this->LastUsed;
+void BusyMeter::sample(Duration Waited, TimePoint Now) {
+  if (Now < this->NextSample)
+    return;
+  std::chrono::duration<double> Idle = Waited - this->LastWaited;
   std::chrono::duration<double> Passed = Now - this->LastSample;
-  if (this->HasSample && Passed.count() > 0)
-    this->Share +=
-        SampleWeight * (Spent / (Passed * this->Limit) - this->Share);
+  if (this->HasSample && Passed.count() > 0) {
+    double Busy = std::clamp(1 - Idle / Passed, 0.0, 1.0);
+    this->Share += SampleWeight * (Busy - this->Share);
+  }
   this->HasSample = true;
-  this->LastUsed = Used;
+  this->LastWaited = Waited;
   this->LastSample = Now;
   this->NextSample = Now + SampleInterval;
 }
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -2,7 +2,7 @@
 
 #include "agent/lease_keeper.h"
 #include "coordination/delegate.h"
-#include "core/processor_meter.h"
+#include "core/busy_meter.h"
 #include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
@@ -105,7 +105,7 @@
   /// Jobs that this agent coordinates for entries.
   Delegate Coordination;
   /// Used on the loop's thread only.
-  ProcessorMeter Processor;
+  BusyMeter Busy;
   Announcer Announce;
   std::shared_ptr<platform::AnnouncementHandler> Gate;
   HttpServer WorkerServer;
@@ -118,7 +118,6 @@
       Client({}, *this),
       Keeper(this->keeperOptions(), this->Node.links(), this->Client),
       Coordination(this->delegateOptions(), this->Node.links()),
-      Processor(Plan.ProcessorLimit),
       Announce(planAnnouncer(Plan),
                planMember(Plan, peer::ROLE_AGENT, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
@@ -187,10 +186,10 @@
 void LeaseAgentProcess::tickCoordination(Instant Now) {
   bool IsActive = this->Coordination.isActive(Now.Steady);
   this->Announce.setWantsMembers(IsActive);
-  if (IsActive && this->Processor.isDue(Now.Steady))
-    this->Processor.sample(this->Node.processorTime(), Now.Steady);
-  this->Coordination.tick(this->Processor.share(),
-                          this->Node.loop().lastBehind(), Now);
+  if (IsActive)
+    this->Busy.sample(this->Node.loop().waitedTime(), Now.Steady);
+  this->Coordination.tick(this->Busy.share(), this->Node.loop().lastBehind(),
+                          Now);
 }
 
 // ---- The worker ----
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -1,7 +1,7 @@
 //===- An entry that coordinates best-effort jobs under leases ------------===//
 
 #include "coordination/delegating_intake.h"
-#include "core/processor_meter.h"
+#include "core/busy_meter.h"
 #include "entry/drain_watch.h"
 #include "entry/readiness.h"
 #include "http/metrics_page.h"
@@ -86,7 +86,7 @@
   LeaseCoordinator Coordinator;
   DelegatingIntake Intake;
   /// Used on the loop's thread only.
-  ProcessorMeter Processor;
+  BusyMeter Busy;
   Announcer Announce;
   HttpServer CallerServer;
   HttpServer HealthServer;
@@ -106,7 +106,6 @@
                   *this->Gate),
       Intake(this->delegationOptions(), this->Coordinator, this->Node.links(),
              *this->Gate),
-      Processor(Plan.ProcessorLimit),
       Announce(planEntryAnnouncer(Plan),
                planMember(Plan, peer::ROLE_ENTRY, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
@@ -164,9 +163,8 @@
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
   if (this->Plan.MaxDelegates > 0) {
-    if (this->Processor.isDue(Now.Steady))
-      this->Processor.sample(this->Node.processorTime(), Now.Steady);
-    this->Intake.tick({.ProcessorShare = this->Processor.share(),
+    this->Busy.sample(this->Node.loop().waitedTime(), Now.Steady);
+    this->Intake.tick({.ProcessorShare = this->Busy.share(),
                        .ExpectedWait = this->Node.loop().expectedWait()},
                       this->Node.loop().lastBehind(), Now);
   }
@@ -321,7 +319,6 @@
                      this->Coordinator.workerTable().countEvacuated());
   Text += metricLine("yardwheel_jobs_in_flight", this->Intake.inFlight());
   const DelegationCounters &Delegation = this->Intake.counters();
-  constexpr double Percent = 100;
   Text += metricLine("yardwheel_jobs_delegated_total", Delegation.Delegated);
   Text += metricLine("yardwheel_delegated_jobs_completed_total",
                      Delegation.Completed);
@@ -331,7 +328,7 @@
   Text +=
       metricLine("yardwheel_delegates_ready", this->Intake.readyDelegates());
   Text += metricLine("yardwheel_delegated_share_percent",
-                     static_cast<int>(Percent * this->Intake.share()));
+                     asPercent(this->Intake.share()));
   Text += metricLine("yardwheel_route_table_version",
                      this->Catalog.view()->Routes.version());
   TableStatus Table =
@@ -360,6 +357,7 @@
                       {"submissions", this->Gate->submissions()},
                       {"refused_behind", this->Gate->refusedBehind()},
                       {"refused_late", this->Gate->refusedLate()},
+                      {"busy_percent", asPercent(this->Busy.share())},
                       {"delegated", this->Intake.counters().Delegated},
                       {"completed", Counts.Completed},
                       {"completed_late", Counts.CompletedLate},
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -71,6 +71,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
 
+/// Returns a share as a whole percentage.
+inline int asPercent(double Share) {
+  constexpr double Percent = 100;
+  return static_cast<int>(Percent * Share);
+}
+
 /// Returns the metric lines common to all roles, which end each metrics page.
 std::string describeProcess(LinkNode &Node, const HttpServer &Server);
 
--- a/transport/completion_waiter.cpp
+++ b/transport/completion_waiter.cpp
@@ -19,24 +19,34 @@
 
 bool CompletionWaiter::wait(Duration MaxWait) {
   // Uses the monotonic clock, since the wall clock may jump.
-  return this->handleNext(
+  BootClock::time_point Began = BootClock::now();
+  bool Ok = false;
+  CompletionTag *Tag = this->next(
       gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
-                   gpr_time_from_micros(MaxWait.count(), GPR_TIMESPAN)));
+                   gpr_time_from_micros(MaxWait.count(), GPR_TIMESPAN)),
+      Ok);
+  this->Waited +=
+      std::chrono::duration_cast<Duration>(BootClock::now() - Began);
+  if (Tag != nullptr)
+    Tag->onCompletion(Ok);
+  return Tag == nullptr;
 }
 
 bool CompletionWaiter::poll() {
   // The present time would be rounded up, and this thread might sleep.
-  return this->handleNext(gpr_inf_past(GPR_CLOCK_MONOTONIC));
+  bool Ok = false;
+  CompletionTag *Tag = this->next(gpr_inf_past(GPR_CLOCK_MONOTONIC), Ok);
+  if (Tag != nullptr)
+    Tag->onCompletion(Ok);
+  return Tag == nullptr;
 }
 
-bool CompletionWaiter::handleNext(gpr_timespec Deadline) {
+CompletionTag *CompletionWaiter::next(gpr_timespec Deadline, bool &Ok) {
   void *Tag = nullptr;
-  bool Ok = false;
   auto Status = this->Queue->AsyncNext(&Tag, &Ok, Deadline);
-  if (Status != grpc::CompletionQueue::GOT_EVENT)
-    return true;
-  static_cast<CompletionTag *>(Tag)->onCompletion(Ok);
-  return false;
+  return Status == grpc::CompletionQueue::GOT_EVENT
+             ? static_cast<CompletionTag *>(Tag)
+             : nullptr;
 }
 
 void CompletionWaiter::wake() {
--- a/transport/completion_waiter.h
+++ b/transport/completion_waiter.h
@@ -38,6 +38,7 @@
 
   bool wait(Duration MaxWait) override;
   bool poll() override;
+  Duration waited() const override { return this->Waited; }
   void wake() override;
   /// Completes all operations. No loop may be waiting, and all users of the
   /// queue must have been shut down or released.
@@ -54,11 +55,11 @@
     std::atomic<bool> Pending{false};
   };
 
-  /// Handles one event, waiting for it until \p Deadline. \returns whether none
-  /// came.
-  bool handleNext(gpr_timespec Deadline);
+  /// Waits for an event until \p Deadline. \returns null if none came.
+  CompletionTag *next(gpr_timespec Deadline, bool &Ok);
 
   std::unique_ptr<grpc::CompletionQueue> Queue;
+  Duration Waited{0};
   WakeTag WakeUp;
   grpc::Alarm Alarm;
   bool IsShutDown = false;
--- a/transport/event_loop.h
+++ b/transport/event_loop.h
@@ -69,6 +69,9 @@
   /// Returns the total time in which the loop was behind. Thread-safe.
   Duration behindTime() const { return Duration(this->BehindMicros.load()); }
   const LoopMeter &meter() const { return this->Meter; }
+  /// Returns the total time in which the loop waited for events. For the loop's
+  /// thread only.
+  Duration waitedTime() const { return this->Waiter.waited(); }
 
 private:
   /// A period in which the loop was never idle.
--- a/transport/loop_waiter.h
+++ b/transport/loop_waiter.h
@@ -18,6 +18,10 @@
   /// was found; there may be some that a further call finds.
   virtual bool poll() = 0;
 
+  /// Returns the total time spent in wait() before an event came; 0 if it is
+  /// not measured.
+  virtual Duration waited() const { return Duration{0}; }
+
   /// Ends the current wait, or the next one. Thread-safe.
   virtual void wake() = 0;
 };
