--- a/coordination/delegation_rule.cpp
+++ b/coordination/delegation_rule.cpp
@@ -22,8 +22,10 @@
 }
 
 void DelegationRule::updateWanted(const EntryLoad &Load, TimePoint Now) {
-  bool IsNeeded = Load.ProcessorShare >= this->Options.PrepareAt ||
+  bool IsNeeded = !this->HasStarted ||
+                  Load.ProcessorShare >= this->Options.PrepareAt ||
                   Load.ExpectedWait >= this->Options.HighWait;
+  this->HasStarted = true;
   if (IsNeeded || Load.ProcessorShare >= this->Options.ReleaseBelow)
     this->LastNeeded = Now;
   if (IsNeeded && this->Wanted == 0)
--- a/coordination/delegation_rule.h
+++ b/coordination/delegation_rule.h
@@ -10,7 +10,8 @@
 ///
 /// Each delegate needs a view of the whole pool, which costs time to build and
 /// messages to keep. Delegates are therefore prepared before they are needed,
-/// and kept for some time after.
+/// and kept for some time after. An entry that has just started prepares one:
+/// after an outage all callers return at once.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_COORDINATION_DELEGATION_RULE_H
@@ -25,26 +26,26 @@
 struct DelegationRuleOptions {
   /// Most delegates of an entry; none if 0.
   std::uint32_t MaxDelegates = 0;
-  /// Share of its processor time at which an entry prepares delegates. Half of
-  /// what it can serve, as a wave of callers doubles the load within seconds.
-  double PrepareAt = 0.35;
-  /// Share below which an entry no longer needs them.
-  double ReleaseBelow = 0.2;
+  /// Busy share at which an entry prepares delegates. Less than half of
+  /// HighLoad, as a burst doubles the load before a delegate is ready.
+  double PrepareAt = 0.15;
+  /// Busy share below which an entry no longer needs them.
+  double ReleaseBelow = 0.08;
   /// How long it has to stay below. Longer than a wave of callers.
-  std::chrono::milliseconds ReleaseAfter{15000};
-  /// Share of its processor time that an entry keeps to. Above it, requests
-  /// begin to wait for each other.
-  double HighLoad = 0.6;
-  /// Share below which it takes jobs back. Well below HighLoad, so that taking
-  /// some back does not bring it there.
-  double LowLoad = 0.4;
+  std::chrono::milliseconds ReleaseAfter{30000};
+  /// Busy share that an entry keeps to. Other threads of the process need as
+  /// much again, so above it requests begin to wait for each other.
+  double HighLoad = 0.4;
+  /// Busy share below which it takes jobs back. Well below HighLoad, so that
+  /// taking some back does not bring it there.
+  double LowLoad = 0.25;
   /// A wait of new work at the entry that shows a shortage by itself.
   std::chrono::milliseconds HighWait{15};
   /// Interval between changes of the delegated share.
   std::chrono::milliseconds AdjustInterval{100};
-  /// How much more is delegated at a time; all within half a second, as a burst
-  /// comes at once.
-  double RaiseStep = 0.25;
+  /// How much more is delegated at a time; all within a quarter of a second, as
+  /// a burst comes at once.
+  double RaiseStep = 0.5;
   /// How much less is delegated at a time.
   double LowerStep = 0.05;
   /// Load of the least busy delegate, as a share of its processor time, at
@@ -82,6 +83,7 @@
   DelegationRuleOptions Options;
   std::uint32_t Wanted = 0;
   double Share = 0;
+  bool HasStarted = false;
   TimePoint NextAdjustment = TimePoint::min();
   /// When the load was last high enough to keep delegates.
   TimePoint LastNeeded = TimePoint::min();
