Log lines: refusals by route and second, delegated ends, agents' load

Cause: logs did not tell by route what an entry refuses before it is a job, how delegated jobs end, nor whether upstreams had room meanwhile. Behaviour is unchanged.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -419,6 +419,8 @@
   this->LastRuns[Id].Started = Now.Steady;
   this->reserveRoom(TheTask.Needs);
   ++this->Counters.Started;
+  if (TheTask.StartBy < Now.Steady)
+    ++this->Counters.StartedLate;
   this->Session.start({Id.Job, Id.Index, TheTask.Run}, TheTask.Spec, Now);
 }
 
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -74,6 +74,8 @@
 
 struct KeeperCounters {
   std::uint64_t Started = 0;
+  /// Tasks started too late to meet their objective.
+  std::uint64_t StartedLate = 0;
   std::uint64_t Done = 0;
   std::uint64_t Failed = 0;
   std::uint64_t EndedEarly = 0;
@@ -120,6 +122,8 @@
   WorkerSession &session() { return this->Session; }
   const KeeperCounters &counters() const { return this->Counters; }
   std::size_t queued() const { return this->Queue.size(); }
+  /// Returns the room taken by runs and by offers.
+  const peer::TaskNeeds &usedRoom() const { return this->UsedRoom; }
 
   void onRunRefused(const RunKey &Run, WorkerRefusal Cause,
                     Instant Now) override;
--- a/coordination/delegating_intake.cpp
+++ b/coordination/delegating_intake.cpp
@@ -427,6 +427,16 @@
   // run.
   if (Answer.End != LeasedEnd::NotRun)
     this->Local.noteRun(Id, Now);
+  this->Log.decision("delegated_job_ended",
+                     {{"job", Id},
+                      {"route", Ended.Request.Route},
+                      {"end", endName(Answer.End)},
+                      {"step", Answer.Step},
+                      {"peer", Answer.Peer},
+                      {"reason", Answer.Reason},
+                      {"delegate", Ended.Delegate},
+                      {"took_ms", millisBetween(Ended.AcceptedAt, Now.Steady)},
+                      {"objective_ms", Ended.Request.Objective.count()}});
   this->Local.countEnd(Ended.Request, Answer, Ended.AcceptedAt, Now);
   this->WaitingCallers -= Ended.Callers.size();
   for (const Caller &Waiting : Ended.Callers)
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -77,6 +77,8 @@
   void tick(Instant Now);
   void tickCoordination(Instant Now);
   void publishMetrics(Instant Now);
+  /// Logs how much of the worker's room is taken and what waits for it.
+  void logLoad();
   void stop();
 
   struct Announced {
@@ -137,6 +139,7 @@
                       this->Coordination.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("agent_started", {{"node", Plan.Node},
+                                       {"data_centre", Plan.DataCentre},
                                        {"worker", Plan.ControlListen},
                                        {"incarnation", this->Incarnation}});
 }
@@ -319,6 +322,26 @@
                      this->Keeper.session().isReady() ? 1 : 0);
   Text += describeProcess(this->Node, this->WorkerServer);
   this->Metrics->publish(std::move(Text));
+  this->logLoad();
+}
+
+void LeaseAgentProcess::logLoad() {
+  const KeeperCounters &Counts = this->Keeper.counters();
+  const peer::TaskNeeds &Used = this->Keeper.usedRoom();
+  const peer::TaskNeeds &Room = this->Keeper.session().profile().Room;
+  // Counts and times are totals since the start of the process.
+  this->Log.decision("agent_load",
+                     {{"node", this->Plan.Node},
+                      {"data_centre", this->Plan.DataCentre},
+                      {"limit_percent", asPercent(this->Plan.ProcessorLimit)},
+                      {"processor_ms", asMillis(this->Node.processorTime())},
+                      {"ready", this->Keeper.session().isReady()},
+                      {"room_cpu_milli", Room.cpu_milli()},
+                      {"used_cpu_milli", Used.cpu_milli()},
+                      {"queued", this->Keeper.queued()},
+                      {"started", Counts.Started},
+                      {"started_late", Counts.StartedLate},
+                      {"coordinated", this->Coordination.counters().Accepted}});
 }
 
 void LeaseAgentProcess::stop() {
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -132,6 +132,7 @@
                       this->Intake.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("entry_started", {{"node", Plan.Node},
+                                       {"data_centre", Plan.DataCentre},
                                        {"callers", Plan.CallerListen},
                                        {"incarnation", this->Incarnation}});
 }
@@ -158,6 +159,7 @@
 
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
+  this->Gate->logRefusals();
   this->Table.tick(Now.Steady);
   this->Announce.tick(
       Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
@@ -351,7 +353,10 @@
   };
   // All figures count from the start of the process.
   this->Log.decision("entry_load",
-                     {{"processor_ms", asMillis(this->Node.processorTime())},
+                     {{"node", this->Plan.Node},
+                      {"data_centre", this->Plan.DataCentre},
+                      {"limit_percent", asPercent(this->Plan.ProcessorLimit)},
+                      {"processor_ms", asMillis(this->Node.processorTime())},
                       {"loop_events_ms", MillisOf(LoopPart::Events)},
                       {"loop_work_ms", MillisOf(LoopPart::Work)},
                       {"loop_tick_ms", MillisOf(LoopPart::Tick)},
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -9,6 +9,8 @@
 #include "settings/node_plan.h"
 #include "transport/link_node.h"
 
+#include <cmath>
+
 namespace yardwheel {
 
 /// The cluster name of every process of a deployment. One name suffices because
@@ -71,6 +73,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
 
+/// Returns a share as a whole number of percent.
+inline int asPercent(double Share) {
+  constexpr double Percent = 100;
+  return static_cast<int>(std::lround(Share * Percent));
+}
+
 /// Returns the metric lines common to all roles, which end each metrics page.
 std::string describeProcess(LinkNode &Node, const HttpServer &Server);
 
--- a/tests/agent/keeper_updates_test.cpp
+++ b/tests/agent/keeper_updates_test.cpp
@@ -50,6 +50,28 @@
   }
 }
 
+TEST(KeeperUpdatesTest, CountsStartsThatMissTheirObjective) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds Waits;
+    std::uint64_t Late;
+  };
+  const Row Rows[] = {{"in time", 60ms, 0}, {"late", 140ms, 1}};
+  for (const Row &Case : Rows) {
+    Port.Starts.clear();
+    Ends = 0;
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    attach(Keeper, 1000);
+    Keeper.onMessage(EntryA, dispatch("j", stamp()), Now);
+    LONGS_EQUAL_TEXT(1000, Keeper.usedRoom().cpu_milli(), Case.Name);
+    Keeper.onMessage(EntryA, dispatch("k", stamp(), 1000, 100), Now);
+    pass(Keeper, Case.Waits);
+    end(Keeper, 0, RunOutcome::Done);
+    LONGS_EQUAL_TEXT(2, Keeper.counters().Started, Case.Name);
+    LONGS_EQUAL_TEXT(Case.Late, Keeper.counters().StartedLate, Case.Name);
+  }
+}
+
 TEST(KeeperUpdatesTest, LostUpdatesAreResentWhileTheEntryRenewsItsLease) {
   LeaseKeeper Keeper(optionsWith(true), Sink, Port);
   attach(Keeper);
