yardwheelctl lost: which decisions lost jobs

Cause: nobody could tell from the logs of a fleet which decisions cost value, and whether there was time or room elsewhere. Change: the command reads logs and prints the jobs lost by decision, route and data centre, what refusals rested on, and the loss over time. A job that is named counts once, by its last outcome. The plot is plain text, as the tool has no other.

--- a/tool/commands.h
+++ b/tool/commands.h
@@ -20,6 +20,7 @@
   ExitCode (*Run)(ApiClient &Client, const Arguments &Rest);
 };
 
+ExitCode showLost(ApiClient &Client, const Arguments &Rest);
 ExitCode checkSettings(ApiClient &Client, const Arguments &Rest);
 ExitCode printReference(ApiClient &Client, const Arguments &Rest);
 ExitCode applyTemplate(ApiClient &Client, const Arguments &Rest);
