--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -131,6 +131,7 @@
                       this->Intake.onUndelivered(Lost, Now);
                     }});
   this->Log.decision("entry_started", {{"node", Plan.Node},
+                                       {"data_centre", Plan.DataCentre},
                                        {"callers", Plan.CallerListen},
                                        {"incarnation", this->Incarnation}});
 }
@@ -157,13 +158,14 @@
 
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
+  this->Gate->logRefusals();
   this->Table.tick(Now.Steady);
   this->Announce.tick(
       Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
   this->logTableState(Now);
   this->Coordinator.tick(Now, this->Node.loop().lastBehind());
+  this->Busy.sample(this->Node.loop().waitedTime(), Now.Steady);
   if (this->Plan.MaxDelegates > 0) {
-    this->Busy.sample(this->Node.loop().waitedTime(), Now.Steady);
     this->Intake.tick({.ProcessorShare = this->Busy.share(),
                        .ExpectedWait = this->Node.loop().expectedWait()},
                       this->Node.loop().lastBehind(), Now);
@@ -348,7 +350,9 @@
   };
   // All figures count from the start of the process.
   this->Log.decision("entry_load",
-                     {{"processor_ms", asMillis(this->Node.processorTime())},
+                     {{"node", this->Plan.Node},
+                      {"data_centre", this->Plan.DataCentre},
+                      {"processor_ms", asMillis(this->Node.processorTime())},
                       {"loop_events_ms", MillisOf(LoopPart::Events)},
                       {"loop_work_ms", MillisOf(LoopPart::Work)},
                       {"loop_tick_ms", MillisOf(LoopPart::Tick)},
