Delegation: promises kept across pauses, restarts and late copies

An answer to a job of the last incarnation, which arrives at the same address, ended another job of the new one, with any outcome. - An entry that had stood still handed over a job, or sent it again, without asking whether its caller was still connected; it asked for all jobs with every message that it read instead. - A delegate forgot ended jobs after 5 s. A copy with a stamp that was carried on for 5 s and delayed by 0.4 s was taken a second time. - A delayed copy of a job that the delegate had run and forgotten was declined, and its entry took it for not run. - The first renewal that names a delegate's job came up to 500 ms after it, when the job's last word is too old to renew leases. - A job that only the upstream of the delegate's own agent may run was refused. - A repeated job was given its whole time again, and a caller that joined one with a later deadline was answered at the first caller's. - A withdrawal that overtook its job was dropped, and the job started.

Change: numbers count from the incarnation; callers are asked for before a renewal names their jobs, before a job is sent again and for a new one; jobs that have ended are remembered for 6 s, and a job that is declined later than 5 s after it was taken ends as unknown; the first renewal follows within 100 ms; what a delegate cannot place is placed by its entry; copies carry what is left of the time, and extend the deadline; a withdrawal is remembered.

--- a/coordination/delegate.cpp
+++ b/coordination/delegate.cpp
@@ -78,13 +78,19 @@
   if (Job.delegate_incarnation() != this->Options.Incarnation)
     return;
   JobKey Key = keyOf(From, Job.number());
-  if (this->Tickets.contains(Key))
+  TimePoint Vouched = timeOf(Job.stamp(), Now);
+  if (auto Known = this->Tickets.find(Key); Known != this->Tickets.end()) {
+    // Another caller of the job may wait longer.
+    if (!this->isDelayed(Vouched, Now))
+      this->Coordinator.extendDeadline(
+          Job.id(), Known->second,
+          Now.Steady + std::chrono::milliseconds(Job.deadline_ms()));
     return;
+  }
   if (auto Known = this->Ended.find(Key); Known != this->Ended.end()) {
     this->sendAnswer(From, Key, Known->second.Answer);
     return;
   }
-  TimePoint Vouched = timeOf(Job.stamp(), Now);
   std::string Why = this->declineReason(Vouched, Now);
   if (!Why.empty()) {
     ++this->Counters.Declined;
@@ -104,11 +110,15 @@
   this->Coordinator.submit(decodeDelegatedJob(Job), Ticket, Now);
 }
 
+bool Delegate::isDelayed(TimePoint Vouched, Instant Now) const {
+  return Vouched == TimePoint::min() ||
+         Now.Steady - Vouched > this->Options.MaxArrivalAge;
+}
+
 std::string Delegate::declineReason(TimePoint Vouched, Instant Now) const {
   if (this->Leaving)
     return "this process ends";
-  if (Vouched == TimePoint::min() ||
-      Now.Steady - Vouched > this->Options.MaxArrivalAge)
+  if (this->isDelayed(Vouched, Now))
     return "it was delayed on its way";
   if (!this->isReady(Now))
     return "too few upstreams are known yet";
@@ -162,9 +172,16 @@
 void Delegate::onWithdrawal(const PeerRef &From,
                             const peer::DelegationWithdrawal &Withdrawal,
                             Instant Now) {
-  auto Known = this->Tickets.find(keyOf(From, Withdrawal.number()));
-  if (Known == this->Tickets.end())
+  JobKey Key = keyOf(From, Withdrawal.number());
+  auto Known = this->Tickets.find(Key);
+  if (Known == this->Tickets.end()) {
+    // The job may arrive later than its withdrawal.
+    peer::DelegatedAnswer NotRun;
+    NotRun.set_end(peer::DELEGATED_NOT_RUN);
+    NotRun.set_number(Withdrawal.number());
+    this->Ended.try_emplace(Key, EndedJob{Now.Steady, std::move(NotRun)});
     return;
+  }
   // Copied: the withdrawal may answer at once, which removes the job.
   std::string Id = this->Running[Known->second].Id;
   this->Coordinator.withdraw(Id, Known->second, Withdrawal.reason(), Now);
--- a/coordination/delegate.h
+++ b/coordination/delegate.h
@@ -41,9 +41,9 @@
   /// A job that its entry has not vouched for within this time is cancelled.
   /// Some of the intervals at which an entry vouches.
   std::chrono::milliseconds AbandonAfter{600};
-  /// How long an ended or declined job is remembered. Longer than the time for
-  /// which an entry may send a job again.
-  std::chrono::milliseconds EndedRetention{5000};
+  /// How long an ended or declined job is remembered. Longer than MaxStampAge
+  /// and MaxArrivalAge together, so that no copy of it is accepted later.
+  std::chrono::milliseconds EndedRetention{6000};
   /// Share of the known agents that must be reachable before jobs are taken.
   double MinReachableShare = 0.8;
 };
@@ -111,6 +111,8 @@
                  Instant Now);
   void onWithdrawal(const PeerRef &From,
                     const peer::DelegationWithdrawal &Withdrawal, Instant Now);
+  /// Whether a job was on its way for longer than MaxArrivalAge.
+  bool isDelayed(TimePoint Vouched, Instant Now) const;
   /// Returns why a job is not taken; empty if it is.
   std::string declineReason(TimePoint Vouched, Instant Now) const;
   /// Whether enough agents are reachable and none may have runs that this
--- a/coordination/delegating_intake.cpp
+++ b/coordination/delegating_intake.cpp
@@ -2,7 +2,6 @@
 
 #include "coordination/clock_stamp.h"
 #include "coordination/delegated_job.h"
-#include "core/hash.h"
 
 #include <algorithm>
 
@@ -12,7 +11,7 @@
                                    LeaseCoordinator &Local, PeerSink &Sink,
                                    LeasedAnswerSink &Answers)
     : Options(Options), Local(Local), Sink(Sink), Answers(Answers),
-      Rule(Options.Rule) {}
+      Rule(Options.Rule), LastNumber(Options.FirstNumber) {}
 
 DelegatingIntake::Job *DelegatingIntake::find(const std::string &Id) {
   auto Found = this->Jobs.find(Id);
@@ -24,13 +23,14 @@
 void DelegatingIntake::submit(LeasedJobRequest Request, LeaseTicket Waiter,
                               Instant Now) {
   if (Job *Known = this->find(Request.Id)) {
-    Known->Callers.push_back({Waiter, Now.Steady + Request.Deadline});
-    ++this->WaitingCallers;
+    this->addCaller(*Known, {Waiter, Now.Steady + Request.Deadline}, Now);
     return;
   }
-  // Runs of an earlier submission are known to the local coordinator only.
+  // Runs of an earlier submission are known to the local coordinator only. It
+  // also ends a job whose caller has gone.
   bool IsLocal = this->Local.isRunning(Request.Id) ||
-                 this->Local.mayHaveRun(Request.Id, Now);
+                 this->Local.mayHaveRun(Request.Id, Now) ||
+                 this->hasDeparted(Waiter, Now);
   Contact *Target = IsLocal ? nullptr : this->chooseDelegate(Now);
   if (Target == nullptr)
     this->Local.submit(std::move(Request), Waiter, Now);
@@ -38,6 +38,22 @@
     this->delegate(std::move(Request), Waiter, *Target, Now);
 }
 
+bool DelegatingIntake::hasDeparted(LeaseTicket Waiter, Instant Now) const {
+  return this->isCatchingUp(Now) && !this->Answers.hasCaller(Waiter);
+}
+
+TimePoint DelegatingIntake::lastDeadline(const Job &Target) {
+  return std::ranges::max(Target.Callers, {}, &Caller::Deadline).Deadline;
+}
+
+void DelegatingIntake::addCaller(Job &Known, Caller Joined, Instant Now) {
+  bool WaitsLonger = Joined.Deadline > lastDeadline(Known);
+  Known.Callers.push_back(Joined);
+  ++this->WaitingCallers;
+  if (WaitsLonger)
+    this->sendJob(Known, this->Contacts[Known.Delegate], Now);
+}
+
 DelegatingIntake::Contact *DelegatingIntake::chooseDelegate(Instant Now) {
   if (this->Rule.share() <= 0)
     return nullptr;
@@ -82,6 +98,8 @@
   New.AcceptedAt = Now.Steady;
   New.SentAt = Now.Steady;
   Target.Jobs[New.Number] = Id;
+  Target.NextRenewal =
+      std::min(Target.NextRenewal, Now.Steady + this->Options.RenewalInterval);
   this->sendJob(New, Target, Now);
 }
 
@@ -89,7 +107,12 @@
                                Instant Now) {
   peer::Message Message;
   peer::DelegatedJob *Encoded = Message.mutable_delegated_job();
-  *Encoded = encodeDelegatedJob(Target.Request);
+  LeasedJobRequest Left = Target.Request;
+  Left.Deadline = std::chrono::floor<std::chrono::milliseconds>(
+      lastDeadline(Target) - Now.Steady);
+  Left.Objective -= std::chrono::ceil<std::chrono::milliseconds>(
+      Now.Steady - Target.AcceptedAt);
+  *Encoded = encodeDelegatedJob(Left);
   Encoded->set_number(Target.Number);
   Encoded->set_delegate_incarnation(Target.Incarnation);
   Encoded->set_stamp(extrapolateStamp(To.Stamp, To.StampReceived, Now.Steady));
@@ -143,19 +166,23 @@
 
 void DelegatingIntake::noteBehind(TimePoint NewLastBehind, Instant Now) {
   this->LastBehind = NewLastBehind;
-  if (this->isCatchingUp(Now)) {
-    std::vector<std::string> Left;
-    for (const auto &[Id, Known] : this->Jobs)
-      if (std::ranges::none_of(Known.Callers, [this](const Caller &Waiting) {
-            return this->Answers.hasCaller(Waiting.Ticket);
-          }))
-        Left.push_back(Id);
-    for (const std::string &Id : Left)
-      this->cancel(Id, "the caller has gone", Now);
-  }
   this->Local.noteBehind(NewLastBehind, Now);
 }
 
+void DelegatingIntake::withdrawDeparted(Contact &Target, Instant Now) {
+  if (!this->isCatchingUp(Now))
+    return;
+  std::vector<std::string> Departed;
+  for (const auto &[Number, Id] : Target.Jobs)
+    if (std::ranges::all_of(this->Jobs.at(Id).Callers,
+                            [&](const Caller &Waiting) {
+                              return this->hasDeparted(Waiting.Ticket, Now);
+                            }))
+      Departed.push_back(Id);
+  for (const std::string &Id : Departed)
+    this->cancel(Id, "the caller has gone", Now);
+}
+
 bool DelegatingIntake::isRunning(const std::string &Id) const {
   return this->Jobs.contains(Id) || this->Local.isRunning(Id);
 }
@@ -182,131 +209,6 @@
       }));
 }
 
-// ---- Delegates ----
-
-void DelegatingIntake::onMember(const peer::Member &Member, Instant Now) {
-  bool IsCandidate = Member.role() == peer::ROLE_AGENT &&
-                     Member.coordinates() &&
-                     Member.data_centre() == this->Options.DataCentre;
-  if (!IsCandidate && !this->Contacts.contains(Member.name()))
-    return;
-  Contact &Target = this->Contacts[Member.name()];
-  Target.Agent = {Member.name(), Member.address()};
-  Target.Alive = IsCandidate && Member.state() == peer::MEMBER_ALIVE;
-  // A lost agent may be cut off from control alone; its silence here tells.
-}
-
-std::vector<DelegatingIntake::Contact *>
-DelegatingIntake::wantedContacts(Instant Now) {
-  std::vector<std::pair<std::uint64_t, Contact *>> Ranked;
-  for (auto &[Name, Target] : this->Contacts)
-    if (Target.Alive && Now.Steady >= Target.PausedUntil)
-      Ranked.emplace_back(stableHash(this->Options.Name + "/" + Name), &Target);
-  std::ranges::sort(Ranked, {}, &std::pair<std::uint64_t, Contact *>::first);
-  std::vector<Contact *> Wanted;
-  for (const auto &[Rank, Target] : Ranked)
-    if (Wanted.size() < this->Rule.wantedDelegates())
-      Wanted.push_back(Target);
-  return Wanted;
-}
-
-void DelegatingIntake::tick(const EntryLoad &OwnLoad, TimePoint NewLastBehind,
-                            Instant Now) {
-  this->LastBehind = NewLastBehind;
-  EntryLoad Known = OwnLoad;
-  double LeastBusy = 1;
-  for (const std::string &Name : this->LastWanted) {
-    const Contact &Target = this->Contacts[Name];
-    if (!this->isUsable(Target, Now))
-      continue;
-    ++Known.ReadyDelegates;
-    LeastBusy = std::min(LeastBusy, Target.ProcessorShare);
-  }
-  Known.DelegateShare = Known.ReadyDelegates > 0 ? LeastBusy : 0;
-  double ShareBefore = this->Rule.share();
-  this->Rule.update(Known, Now.Steady);
-  if ((ShareBefore > 0) != (this->Rule.share() > 0))
-    this->Log.decision(
-        "delegation",
-        {{"active", this->Rule.share() > 0},
-         {"wanted_delegates", this->Rule.wantedDelegates()},
-         {"ready_delegates", Known.ReadyDelegates},
-         {"processor_percent", static_cast<int>(OwnLoad.ProcessorShare * 100)},
-         {"wait_us", OwnLoad.ExpectedWait.count()}});
-  this->LastWanted.clear();
-  for (const Contact *Target : this->wantedContacts(Now))
-    this->LastWanted.insert(Target->Agent.Node);
-  this->endOverdue(Now);
-  this->renewDue(Now);
-}
-
-void DelegatingIntake::renewDue(Instant Now) {
-  std::vector<Contact *> Lost;
-  for (auto &[Name, Target] : this->Contacts) {
-    bool HasJobs = !Target.Jobs.empty();
-    if (!HasJobs && !this->LastWanted.contains(Name)) {
-      Target.UnansweredSince = TimePoint::max();
-      Target.Ready = false;
-      continue;
-    }
-    // The reply may have arrived without having been read.
-    if (Target.UnansweredSince <= this->LastBehind)
-      Target.UnansweredSince = TimePoint::max();
-    Duration Silence = Target.UnansweredSince == TimePoint::max()
-                           ? Duration{0}
-                           : Now.Steady - Target.UnansweredSince;
-    if (HasJobs && Silence > this->Options.LossTimeout)
-      Lost.push_back(&Target);
-    else if (HasJobs && Silence > this->Options.ReconnectTimeout)
-      this->Sink.reconnect(Target.Agent);
-    if (Now.Steady >= Target.NextRenewal)
-      this->sendRenewal(Target, Now);
-  }
-  for (Contact *Target : Lost)
-    this->loseDelegate(*Target, "it left renewals unanswered", Now);
-}
-
-void DelegatingIntake::sendRenewal(Contact &Target, Instant Now) {
-  Target.NextRenewal =
-      Now.Steady + (Target.Jobs.empty() ? this->Options.IdleInterval
-                                        : this->Options.RenewalInterval);
-  Target.UnansweredSince = std::min(Target.UnansweredSince, Now.Steady);
-  peer::Message Message;
-  peer::DelegationRenewal *Renewal = Message.mutable_delegation_renewal();
-  Renewal->set_stamp(
-      extrapolateStamp(Target.Stamp, Target.StampReceived, Now.Steady));
-  for (const auto &[Number, Id] : Target.Jobs)
-    Renewal->add_numbers(Number);
-  this->Sink.send(Target.Agent, std::move(Message));
-}
-
-void DelegatingIntake::sendWithdrawal(const Job &Target,
-                                      const std::string &Reason) {
-  peer::Message Message;
-  peer::DelegationWithdrawal *Withdrawal =
-      Message.mutable_delegation_withdrawal();
-  Withdrawal->set_number(Target.Number);
-  Withdrawal->set_reason(Reason);
-  this->Sink.send(this->Contacts[Target.Delegate].Agent, std::move(Message));
-}
-
-void DelegatingIntake::loseDelegate(Contact &Target, const std::string &Reason,
-                                    Instant Now) {
-  this->Log.decision("delegate_lost", {{"agent", Target.Agent.Node},
-                                       {"reason", Reason},
-                                       {"jobs", Target.Jobs.size()}});
-  Target.PausedUntil = Now.Steady + this->Options.LossPause;
-  Target.Ready = false;
-  Target.UnansweredSince = TimePoint::max();
-  std::map<std::uint64_t, std::string> Given = Target.Jobs;
-  for (const auto &[Number, Id] : Given) {
-    ++this->Counters.Lost;
-    this->sendWithdrawal(this->Jobs.at(Id), Reason);
-    this->finish(Id, {LeasedEnd::Unknown, "run", Target.Agent.Node, Reason, {}},
-                 Now);
-  }
-}
-
 // ---- Messages ----
 
 void DelegatingIntake::onMessage(const PeerRef &From,
@@ -391,6 +293,16 @@
     ++this->Counters.Declined;
     // Declined by a state that its next status reports.
     Target->Ready = false;
+    if (Now.Steady - this->Jobs.at(Id).AcceptedAt <=
+        this->Options.MaxDeclineAge)
+      this->takeBack(this->remove(Id), Now);
+    else
+      this->finish(Id, decodeDelegatedAnswer(Answer), Now);
+    return;
+  }
+  // A delegate leaves out the upstream of its own agent, which may be the only
+  // one that may take the job.
+  if (Answer.end() == peer::DELEGATED_NOT_RUN && Answer.step() == PlaceStep) {
     this->takeBack(this->remove(Id), Now);
     return;
   }
@@ -399,7 +311,7 @@
   this->finish(Id, decodeDelegatedAnswer(Answer), Now);
 }
 
-void DelegatingIntake::takeBack(Job Target, Instant Now) {
+void DelegatingIntake::takeBack(const Job &Target, Instant Now) {
   auto Used = std::chrono::ceil<std::chrono::milliseconds>(Now.Steady -
                                                            Target.AcceptedAt);
   this->WaitingCallers -= Target.Callers.size();
@@ -436,9 +348,7 @@
 void DelegatingIntake::endOverdue(Instant Now) {
   std::vector<std::string> Overdue;
   for (const auto &[Id, Known] : this->Jobs)
-    if (std::ranges::all_of(Known.Callers, [Now](const Caller &Waiting) {
-          return Now.Steady >= Waiting.Deadline;
-        }))
+    if (Now.Steady >= lastDeadline(Known))
       Overdue.push_back(Id);
   for (const std::string &Id : Overdue) {
     constexpr const char *Reason = "the caller's deadline has passed";
@@ -451,6 +361,7 @@
   auto Found = this->Contacts.find(Lost.To.Node);
   if (Found == this->Contacts.end())
     return;
+  this->withdrawDeparted(Found->second, Now);
   for (const peer::Message &Message : Lost.Envelope->messages()) {
     if (!Message.has_delegated_job())
       continue;
--- a/coordination/delegating_intake.h
+++ b/coordination/delegating_intake.h
@@ -31,6 +31,10 @@
   /// The data centre and the name of this entry.
   std::string DataCentre;
   std::string Name;
+  /// Jobs that this incarnation of the entry delegates get numbers above this
+  /// one, which is above all numbers of earlier incarnations: their answers may
+  /// still arrive.
+  std::uint64_t FirstNumber = 0;
   /// Interval between renewals to a delegate with jobs. Short, as the leases of
   /// all runs count from it.
   std::chrono::milliseconds RenewalInterval{100};
@@ -48,6 +52,10 @@
   std::chrono::milliseconds LossPause{2000};
   /// A job younger than this may still be on its way to its delegate.
   std::chrono::milliseconds MaxTransitTime{1000};
+  /// A declined job that was accepted longer ago may have run: its delegate
+  /// forgets the jobs that have ended. Less than
+  /// DelegateOptions::EndedRetention.
+  std::chrono::milliseconds MaxDeclineAge{5000};
   /// For this long after the process was behind on its input, silence is not
   /// held against delegates.
   std::chrono::milliseconds CatchUpPeriod{1000};
@@ -73,8 +81,8 @@
   void cancel(const std::string &Id, const std::string &Reason,
               Instant Now) override;
   void cancelAll(const std::string &Reason, Instant Now) override;
-  /// Withdraws delegated jobs whose callers have disconnected while this
-  /// process was behind, before it vouches for them again.
+  /// Delegated jobs whose callers have disconnected while this process was
+  /// behind are withdrawn before it vouches for them again.
   void noteBehind(TimePoint LastBehind, Instant Now) override;
   bool isRunning(const std::string &Id) const override;
   bool mayJoin(const std::string &Id) const override;
@@ -85,7 +93,7 @@
   void onMember(const peer::Member &Member, Instant Now);
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
-  /// Sends jobs that may not have arrived once more.
+  /// Sends jobs that may not have arrived once more, under their numbers.
   void onUndelivered(const Undelivered &Lost, Instant Now);
   void tick(const EntryLoad &OwnLoad, TimePoint LastBehind, Instant Now);
 
@@ -133,6 +141,14 @@
   };
 
   Job *find(const std::string &Id);
+  /// Whether a caller has disconnected while this process was behind.
+  bool hasDeparted(LeaseTicket Waiter, Instant Now) const;
+  /// Withdraws the jobs of a delegate whose callers have all disconnected while
+  /// this process was behind.
+  void withdrawDeparted(Contact &Target, Instant Now);
+  void addCaller(Job &Known, Caller Joined, Instant Now);
+  /// Returns the latest deadline of a job's callers.
+  static TimePoint lastDeadline(const Job &Target);
   /// Returns the delegate for the next job, or null if it is not delegated.
   Contact *chooseDelegate(Instant Now);
   /// Whether a job may be sent to it now.
@@ -152,8 +168,8 @@
   /// Records that a delegate was heard from. \returns null if it is not known,
   /// or the message is of an earlier incarnation.
   Contact *hear(const PeerRef &From, std::uint64_t Stamp, Instant Now);
-  /// Coordinates a job here that its delegate has declined.
-  void takeBack(Job Target, Instant Now);
+  /// Coordinates a job here that its delegate has not run.
+  void takeBack(const Job &Target, Instant Now);
   /// Answers all callers of a job and forgets it.
   void finish(const std::string &Id, const LeasedAnswer &Answer, Instant Now);
   /// Removes a job from the records. \returns the job.
@@ -176,7 +192,7 @@
   /// What is left to delegate of the jobs so far, in jobs.
   double Owed = 0;
   std::size_t WaitingCallers = 0;
-  std::uint64_t LastNumber = 0;
+  std::uint64_t LastNumber;
   TimePoint LastBehind = TimePoint::min();
   DelegationCounters Counters;
 };
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -197,6 +197,9 @@
               Instant Now) override;
   void withdraw(const std::string &Id, LeaseTicket Waiter,
                 const std::string &Reason, Instant Now) override;
+  /// Lets a caller wait for its job until \p Until if that is later.
+  void extendDeadline(const std::string &Id, LeaseTicket Waiter,
+                      TimePoint Until);
   void cancel(const std::string &Id, const std::string &Reason,
               Instant Now) override;
   void cancelAll(const std::string &Reason, Instant Now) override;
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -177,6 +177,23 @@
   return true;
 }
 
+void LeaseCoordinator::extendDeadline(const std::string &Id, LeaseTicket Waiter,
+                                      TimePoint Until) {
+  Job *Known = this->find(Id);
+  if (Known == nullptr)
+    return;
+  auto Extend = [&](std::vector<Caller> &Callers) {
+    for (Caller &Waiting : Callers)
+      if (Waiting.Ticket == Waiter)
+        Waiting.Deadline = std::max(Waiting.Deadline, Until);
+  };
+  if (Known->NextSubmission)
+    Extend(Known->NextSubmission->Callers);
+  Extend(Known->Callers);
+  if (Known->Phase == JobPhase::Running)
+    Known->GiveUpAt = lastDeadline(Known->Callers);
+}
+
 void LeaseCoordinator::cancel(const std::string &Id, const std::string &Reason,
                               Instant Now) {
   Job *Known = this->find(Id);
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -163,7 +163,7 @@
     for (const peer::LeasedTask &Order : Unsent.tasks())
       this->settle(Target, Target.Tasks[Order.index()], TaskPhase::Over);
   this->giveUp(Target,
-               {LeasedEnd::NotRun, "place", "", this->whyUnplaceable(Target),
+               {LeasedEnd::NotRun, PlaceStep, "", this->whyUnplaceable(Target),
                 this->Options.RetryAfter},
                Now);
 }
--- a/coordination/leased_job.h
+++ b/coordination/leased_job.h
@@ -61,6 +61,9 @@
   Unknown,
 };
 
+/// Step of the answer to a job that no worker may take.
+inline constexpr const char *PlaceStep = "place";
+
 /// Returns the name of an end as used in logs and metrics.
 const char *endName(LeasedEnd End);
 
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -140,6 +140,7 @@
   DelegationOptions Options;
   Options.Rule.MaxDelegates = this->Plan.MaxDelegates;
   Options.Name = this->Plan.Node;
+  Options.FirstNumber = this->Incarnation * MaxOrdersPerMicrosecond;
   Options.DataCentre = this->Plan.DataCentre;
   return Options;
 }
--- /dev/null
+++ b/tests/coordination/delegating_intake_test.cpp
@@ -0,0 +1,550 @@
+//===- An entry that hands jobs to agents ---------------------------------===//
+
+#include "coordination/delegating_intake.h"
+#include "tests/coordination/coordinator_fixture.h"
+
+#include <functional>
+#include <optional>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Incarnation = 7;
+/// How far the delegate's clock is ahead of the entry's.
+constexpr std::uint64_t ClockAhead = 7000000;
+
+class DelegationSink final : public PeerSink {
+public:
+  void send(const PeerRef &To, peer::Message Message) override {
+    if (Message.has_delegated_job())
+      this->Jobs.push_back({To.Node, Message.delegated_job()});
+    else if (Message.has_delegation_renewal())
+      this->Renewals.push_back({To.Node, Message.delegation_renewal()});
+    else if (Message.has_delegation_withdrawal())
+      this->Withdrawn.push_back(Message.delegation_withdrawal().number());
+  }
+  void reconnect(const PeerRef &) override { ++this->Reconnects; }
+  std::vector<std::pair<std::string, peer::DelegatedJob>> Jobs;
+  std::vector<std::pair<std::string, peer::DelegationRenewal>> Renewals;
+  std::vector<std::uint64_t> Withdrawn;
+  int Reconnects = 0;
+};
+
+/// All jobs are delegated as soon as an agent is ready.
+DelegationOptions delegateAll(std::uint32_t MaxDelegates = 1) {
+  DelegationOptions Options;
+  Options.Rule.MaxDelegates = MaxDelegates;
+  Options.Rule.PrepareAt = 0;
+  Options.Rule.HighLoad = 0;
+  Options.Rule.RaiseStep = 1;
+  Options.DataCentre = "dc";
+  Options.Name = "entry";
+  return Options;
+}
+
+} // namespace
+
+TEST_GROUP_BASE(DelegatingIntakeTest, CoordinatorFixture) {
+  DelegationSink Given;
+  std::optional<DelegatingIntake> Intake{std::in_place, delegateAll(),
+                                         Coordinator, Given, Answers};
+  std::uint64_t DelegateIncarnation = Incarnation;
+  /// Whether the delegate answers renewals.
+  bool Replies = true;
+  bool IsReady = true;
+  std::size_t RepliedTo = 0;
+
+  PeerRef delegateRef() const {
+    return {"d", "10.0.0.2:1", DelegateIncarnation};
+  }
+  void announceDelegate(const std::string &Name, bool Coordinates = true,
+                        const std::string &DataCentre = "dc",
+                        peer::MemberState State = peer::MEMBER_ALIVE) {
+    peer::Member Member;
+    Member.set_name(Name);
+    Member.set_role(peer::ROLE_AGENT);
+    Member.set_state(State);
+    Member.set_address("10.0.0.2:1");
+    Member.set_data_centre(DataCentre);
+    Member.set_coordinates(Coordinates);
+    Intake->onMember(Member, Now);
+  }
+  std::uint64_t stampNow() const {
+    return ClockAhead +
+           static_cast<std::uint64_t>(millisBetween(TimePoint(), Now.Steady));
+  }
+  void reply(const std::vector<std::uint64_t> &Numbers) {
+    peer::Message Message;
+    peer::DelegationStatus *Status = Message.mutable_delegation_status();
+    Status->set_stamp(stampNow());
+    Status->set_ready(IsReady);
+    for (std::uint64_t Number : Numbers)
+      Status->add_numbers(Number);
+    Intake->onMessage(delegateRef(), Message, Now);
+  }
+  void replyToRenewals() {
+    for (; RepliedTo < Given.Renewals.size(); ++RepliedTo)
+      if (Replies) {
+        const auto &Numbers = Given.Renewals[RepliedTo].second.numbers();
+        this->reply({Numbers.begin(), Numbers.end()});
+      }
+  }
+  void run(std::chrono::milliseconds Time) {
+    for (auto Step = 0ms; Step < Time; Step += 20ms) {
+      Now.Steady += 20ms;
+      Intake->tick({}, TimePoint::min(), Now);
+      this->replyToRenewals();
+    }
+  }
+  void end(std::uint64_t Number, peer::DelegatedEnd End,
+           const std::string &Step = "") {
+    peer::Message Message;
+    peer::DelegatedAnswer *Answer = Message.mutable_delegated_answer();
+    Answer->set_number(Number);
+    Answer->set_stamp(stampNow());
+    Answer->set_end(End);
+    Answer->set_step(Step);
+    Intake->onMessage(delegateRef(), Message, Now);
+  }
+  /// The entry has a delegate, and an upstream that it reaches itself.
+  void prepare() {
+    addAgent("a");
+    announceDelegate("d");
+    run(600ms);
+    reportLoad("a");
+  }
+  /// Starts over, with \p Options.
+  void restart(const DelegationOptions &Options) {
+    Intake.emplace(Options, Coordinator, Given, Answers);
+    Given = DelegationSink();
+    Answers.Answers.clear();
+    Sink.Dispatches.clear();
+    RepliedTo = 0;
+    Replies = true;
+    IsReady = true;
+    DelegateIncarnation = Incarnation;
+  }
+  LeasedEnd endOf(std::size_t Which) const {
+    return Answers.Answers.at(Which).second.End;
+  }
+  std::size_t delegatedJobs() const { return Given.Jobs.size(); }
+  void failDelegation(const peer::DelegatedJob &Job,
+                      std::chrono::milliseconds Age) {
+    auto Sent = std::make_shared<peer::Envelope>();
+    *Sent->add_messages()->mutable_delegated_job() = Job;
+    Intake->onUndelivered({{"d", "10.0.0.2:1"}, Now.Steady - Age, Sent}, Now);
+  }
+};
+
+TEST(DelegatingIntakeTest, OnlyAReadyAgentOfItsDataCentreGetsJobs) {
+  struct Row {
+    const char *Name;
+    std::function<void()> Prepare;
+    bool IsDelegated;
+  };
+  const Row Rows[] = {
+      {"ready", [&] { announceDelegate("d"); }, true},
+      {"not ready",
+       [&] {
+         IsReady = false;
+         announceDelegate("d");
+       },
+       false},
+      {"not heard from",
+       [&] {
+         Replies = false;
+         announceDelegate("d");
+       },
+       false},
+      {"another data centre", [&] { announceDelegate("d", true, "far"); },
+       false},
+      {"coordinates nothing", [&] { announceDelegate("d", false); }, false},
+      {"leaves",
+       [&] {
+         announceDelegate("d");
+         run(600ms);
+         announceDelegate("d", true, "dc", peer::MEMBER_LEAVING);
+       },
+       false},
+      {"lost",
+       [&] {
+         announceDelegate("d");
+         run(600ms);
+         announceDelegate("d", true, "dc", peer::MEMBER_LOST);
+       },
+       false},
+  };
+  int Id = 0;
+  for (const Row &Row : Rows) {
+    restart(delegateAll());
+    addAgent("a", 64000);
+    Row.Prepare();
+    run(600ms);
+    reportLoad("a");
+    Intake->submit(request(1, std::to_string(++Id).c_str()), 1, Now);
+    LONGS_EQUAL_TEXT(Row.IsDelegated ? 1 : 0, delegatedJobs(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.IsDelegated ? 0 : 1, Sink.Dispatches.size(), Row.Name);
+  }
+}
+
+TEST(DelegatingIntakeTest, NothingIsDelegatedWhereWorkersKeepTheirIds) {
+  prepare();
+  peer::Message Load;
+  Load.mutable_worker_load()->set_incarnation(AgentIncarnation);
+  Load.mutable_worker_load()->set_stamp(++this->Stamp);
+  Load.mutable_worker_load()->set_worker_keeps_id(true);
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  Intake->submit(request(1), 1, Now);
+  LONGS_EQUAL(0, delegatedJobs());
+}
+
+TEST(DelegatingIntakeTest, AllCallersOfAJobGetItsAnswer) {
+  struct Row {
+    peer::DelegatedEnd Reported;
+    LeasedEnd Told;
+    /// Whether a resubmission may be delegated.
+    bool MayBeDelegated;
+  };
+  const Row Rows[] = {
+      {peer::DELEGATED_COMPLETED, LeasedEnd::Completed, false},
+      {peer::DELEGATED_FAILED, LeasedEnd::Failed, false},
+      {peer::DELEGATED_NOT_RUN, LeasedEnd::NotRun, true},
+      {peer::DELEGATED_UNKNOWN, LeasedEnd::Unknown, false},
+  };
+  prepare();
+  int Id = 0;
+  for (const Row &Row : Rows) {
+    Answers.Answers.clear();
+    Given.Jobs.clear();
+    std::string Name = std::to_string(++Id);
+    Intake->submit(request(1, Name.c_str()), 1, Now);
+    Intake->submit(request(1, Name.c_str()), 2, Now);
+    LONGS_EQUAL(1, delegatedJobs());
+    LONGS_EQUAL(2, Intake->inFlight());
+    CHECK(Intake->mayJoin(Name));
+    end(Given.Jobs[0].second.number(), Row.Reported);
+    LONGS_EQUAL(2, Answers.Answers.size());
+    CHECK(endOf(0) == Row.Told && endOf(1) == Row.Told);
+    LONGS_EQUAL(0, Intake->inFlight());
+    // The same answer once more.
+    end(Given.Jobs[0].second.number(), Row.Reported);
+    LONGS_EQUAL(2, Answers.Answers.size());
+    Intake->submit(request(1, Name.c_str()), 3, Now);
+    LONGS_EQUAL(Row.MayBeDelegated ? 2 : 1, delegatedJobs());
+    run(20ms);
+    Intake->cancel(Name, "end of the row", Now);
+  }
+}
+
+TEST(DelegatingIntakeTest, AJobIsWithdrawnWithItsLastCaller) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  Intake->submit(request(1), 2, Now);
+  Intake->withdraw("j", 1, "gone", Now);
+  LONGS_EQUAL(1, Answers.countOf(1));
+  LONGS_EQUAL(0, Given.Withdrawn.size());
+  Intake->withdraw("j", 2, "gone", Now);
+  LONGS_EQUAL(1, Given.Withdrawn.size());
+  LONGS_EQUAL(1, Answers.countOf(2));
+  CHECK(!Intake->isRunning("j"));
+  // It is not vouched for any more.
+  Given.Renewals.clear();
+  run(600ms);
+  for (const auto &[To, Renewal] : Given.Renewals)
+    LONGS_EQUAL(0, Renewal.numbers_size());
+  // Where it may have run is known here only.
+  Intake->submit(request(1), 3, Now);
+  LONGS_EQUAL(1, delegatedJobs());
+}
+
+TEST(DelegatingIntakeTest, ACallerThatJoinsMayWaitLonger) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  run(1000ms);
+  Intake->submit(request(1), 2, Now);
+  LONGS_EQUAL(2, delegatedJobs());
+  const peer::DelegatedJob &Again = Given.Jobs[1].second;
+  LONGS_EQUAL(Given.Jobs[0].second.number(), Again.number());
+  LONGS_EQUAL(1500, Again.deadline_ms());
+  run(1000ms);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  run(600ms);
+  LONGS_EQUAL(2, Answers.Answers.size());
+  LONGS_EQUAL(1, Given.Withdrawn.size());
+}
+
+TEST(DelegatingIntakeTest, ADeclinedJobIsCoordinatedHere) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  Intake->submit(request(1), 2, Now);
+  run(100ms);
+  reportLoad("a");
+  end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  // What is left of its time.
+  LONGS_EQUAL(1400, Sink.Dispatches[0].second.give_up_ms());
+  LONGS_EQUAL(0, Answers.Answers.size());
+  LONGS_EQUAL(2, Intake->inFlight());
+  answer(0, peer::LEASED_DONE);
+  LONGS_EQUAL(2, Answers.Answers.size());
+  // Its delegate gets no jobs before it has said that it is ready.
+  Intake->submit(request(1, "k"), 3, Now);
+  LONGS_EQUAL(1, delegatedJobs());
+}
+
+// A delegate forgets which jobs have ended, and may have run an earlier copy.
+TEST(DelegatingIntakeTest, AnOldJobThatIsDeclinedMayHaveRun) {
+  prepare();
+  LeasedJobRequest Long = request(1);
+  Long.Deadline = 20s;
+  Intake->submit(Long, 1, Now);
+  run(5100ms);
+  reportLoad("a");
+  end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
+  LONGS_EQUAL(0, Sink.Dispatches.size());
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+}
+
+// A delegate places nothing at the upstream of its own agent.
+TEST(DelegatingIntakeTest, AJobThatItsDelegateCannotPlaceIsPlacedHere) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  end(Given.Jobs[0].second.number(), peer::DELEGATED_NOT_RUN, "place");
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  LONGS_EQUAL(0, Answers.Answers.size());
+  Intake->submit(request(1, "k"), 2, Now);
+  end(Given.Jobs[1].second.number(), peer::DELEGATED_NOT_RUN, "admit");
+  CHECK(onlyAnswer().End == LeasedEnd::NotRun);
+}
+
+TEST(DelegatingIntakeTest, AnUndeliveredJobIsSentAgainUnderItsNumber) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  run(300ms);
+  failDelegation(Given.Jobs[0].second, 300ms);
+  LONGS_EQUAL(2, delegatedJobs());
+  const peer::DelegatedJob &Again = Given.Jobs[1].second;
+  LONGS_EQUAL(Given.Jobs[0].second.number(), Again.number());
+  CHECK(Again.stamp() > Given.Jobs[0].second.stamp());
+  LONGS_EQUAL(Incarnation, Again.delegate_incarnation());
+  LONGS_EQUAL(1200, Again.deadline_ms());
+  // Not once it is over.
+  end(Again.number(), peer::DELEGATED_COMPLETED);
+  failDelegation(Again, 300ms);
+  LONGS_EQUAL(2, delegatedJobs());
+}
+
+TEST(DelegatingIntakeTest, JobsOfALostDelegateAreUnknown) {
+  struct Row {
+    const char *Name;
+    std::function<void()> Lose;
+    bool IsLost;
+  };
+  const Row Rows[] = {
+      {"silent",
+       [&] {
+         Replies = false;
+         run(800ms);
+       },
+       true},
+      {"silent for a moment",
+       [&] {
+         Replies = false;
+         run(500ms);
+         Replies = true;
+         run(1000ms);
+       },
+       false},
+      {"restarted",
+       [&] {
+         ++DelegateIncarnation;
+         reply({});
+       },
+       true},
+      {"a late word of an earlier incarnation",
+       [&] {
+         --DelegateIncarnation;
+         reply({});
+         ++DelegateIncarnation;
+       },
+       false},
+      {"no longer lists it",
+       [&] {
+         run(1100ms);
+         reply({});
+         Now.Steady += 100ms;
+         reply({});
+       },
+       true},
+      {"does not list it yet",
+       [&] {
+         reply({});
+         Now.Steady += 200ms;
+         reply({});
+       },
+       false},
+      {"control has lost it, and it is heard here",
+       [&] {
+         announceDelegate("d", true, "dc", peer::MEMBER_LOST);
+         run(1000ms);
+       },
+       false},
+  };
+  int Id = 0;
+  for (const Row &Row : Rows) {
+    restart(delegateAll());
+    prepare();
+    std::string Name = std::to_string(++Id);
+    LeasedJobRequest Long = request(1, Name.c_str());
+    Long.Deadline = 20s;
+    Intake->submit(Long, 1, Now);
+    LONGS_EQUAL_TEXT(1, delegatedJobs(), Row.Name);
+    Row.Lose();
+    LONGS_EQUAL_TEXT(Row.IsLost ? 1 : 0, Answers.Answers.size(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.IsLost ? 1 : 0, Intake->counters().Lost, Row.Name);
+    if (Row.IsLost)
+      CHECK_TEXT(endOf(0) == LeasedEnd::Unknown, Row.Name);
+    // The answer to a job that is over changes nothing.
+    end(Given.Jobs[0].second.number(), peer::DELEGATED_COMPLETED);
+    LONGS_EQUAL_TEXT(1, Answers.Answers.size(), Row.Name);
+  }
+}
+
+TEST(DelegatingIntakeTest, AnEarlierIncarnationSaysNothingOfTheDelegate) {
+  prepare();
+  --DelegateIncarnation;
+  IsReady = false;
+  reply({});
+  Intake->submit(request(1), 1, Now);
+  LONGS_EQUAL(1, delegatedJobs());
+}
+
+TEST(DelegatingIntakeTest, JobsEndAtTheirDeadlineOrWithTheProcess) {
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  run(1480ms);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  run(20ms);
+  CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+  LONGS_EQUAL(1, Given.Withdrawn.size());
+  Answers.Answers.clear();
+  Intake->submit(request(1, "k"), 2, Now);
+  Intake->submit(request(1, "l"), 3, Now);
+  Intake->cancelAll("it ends", Now);
+  LONGS_EQUAL(1, Answers.countOf(2));
+  LONGS_EQUAL(1, Answers.countOf(3));
+  LONGS_EQUAL(3, Given.Withdrawn.size());
+}
+
+// An answer to a job of an earlier incarnation of this entry may still arrive.
+TEST(DelegatingIntakeTest, NumbersAreNotUsedByTwoIncarnations) {
+  DelegationOptions Next = delegateAll();
+  Next.FirstNumber = 1000;
+  prepare();
+  Intake->submit(request(1), 1, Now);
+  std::uint64_t Earlier = Given.Jobs[0].second.number();
+  restart(Next);
+  prepare();
+  Intake->submit(request(1, "k"), 2, Now);
+  LONGS_EQUAL(1, delegatedJobs());
+  end(Earlier, peer::DELEGATED_NOT_RUN);
+  LONGS_EQUAL(0, Answers.Answers.size());
+  LONGS_EQUAL(1001, Given.Jobs[0].second.number());
+}
+
+// A caller that has gone may have handed its job to another entry. A process
+// that stood still sends nothing for its job, be it new or not.
+TEST(DelegatingIntakeTest, NothingIsSentForCallersThatHaveLeftDuringAPause) {
+  struct Row {
+    const char *Name;
+    std::function<void()> Continue;
+  };
+  const Row Rows[] = {
+      {"a renewal is due", [&] { Intake->tick({}, Now.Steady, Now); }},
+      {"the job may not have arrived",
+       [&] { failDelegation(Given.Jobs[0].second, 300ms); }},
+  };
+  int Id = 0;
+  for (const Row &Row : Rows) {
+    restart(delegateAll());
+    prepare();
+    std::string Name = std::to_string(++Id);
+    Intake->submit(request(1, Name.c_str()), 1, Now);
+    Given.Renewals.clear();
+    Now.Steady += 1s;
+    Answers.CallersConnected = false;
+    Intake->noteBehind(Now.Steady, Now);
+    Intake->submit(request(1, "new"), 2, Now);
+    LONGS_EQUAL_TEXT(1, delegatedJobs(), Row.Name);
+    LONGS_EQUAL_TEXT(1, Answers.countOf(2), Row.Name);
+    Row.Continue();
+    LONGS_EQUAL_TEXT(1, delegatedJobs(), Row.Name);
+    LONGS_EQUAL_TEXT(1, Answers.countOf(1), Row.Name);
+    LONGS_EQUAL_TEXT(1, Given.Withdrawn.size(), Row.Name);
+    for (const auto &[To, Renewal] : Given.Renewals)
+      LONGS_EQUAL_TEXT(0, Renewal.numbers_size(), Row.Name);
+    Answers.CallersConnected = true;
+  }
+}
+
+// Until the first renewal that names a job, its runs depend on the message that
+// handed it over.
+TEST(DelegatingIntakeTest, TheFirstJobOfADelegateIsVouchedForSoon) {
+  prepare();
+  std::size_t Before = Given.Renewals.size();
+  while (Given.Renewals.size() == Before)
+    run(20ms);
+  Intake->submit(request(1), 1, Now);
+  Given.Renewals.clear();
+  RepliedTo = 0;
+  run(120ms);
+  LONGS_EQUAL(1, Given.Renewals.size());
+  LONGS_EQUAL(1, Given.Renewals[0].second.numbers_size());
+}
+
+// Renewals carry a lower bound of the delegate's clock when they are made.
+TEST(DelegatingIntakeTest, ARenewalIsNotNewerThanTheDelegatesClock) {
+  prepare();
+  LeasedJobRequest Long = request(1);
+  Long.Deadline = 20s;
+  Intake->submit(Long, 1, Now);
+  CHECK(Given.Jobs[0].second.stamp() <= stampNow());
+  std::size_t Checked = Given.Renewals.size();
+  for (int Step = 0; Step < 100; ++Step) {
+    run(20ms);
+    for (; Checked < Given.Renewals.size(); ++Checked) {
+      const peer::DelegationRenewal &Renewal = Given.Renewals[Checked].second;
+      LONGS_EQUAL(1, Renewal.numbers_size());
+      CHECK(Renewal.stamp() <= stampNow());
+      CHECK(Renewal.stamp() + 20 >= stampNow());
+    }
+  }
+}
+
+TEST(DelegatingIntakeTest, JobsAreSpreadOverReadyDelegates) {
+  restart(delegateAll(2));
+  prepare();
+  announceDelegate("e");
+  announceDelegate("f");
+  // Another delegate is used once the first one is busy.
+  for (int Step = 0; Step < 20; ++Step) {
+    run(100ms);
+    for (const char *Name : {"d", "e", "f"}) {
+      peer::Message Message;
+      Message.mutable_delegation_status()->set_stamp(stampNow());
+      Message.mutable_delegation_status()->set_ready(true);
+      Message.mutable_delegation_status()->set_busy_percent(90);
+      Intake->onMessage({Name, "10.0.0.2:1", Incarnation}, Message, Now);
+    }
+  }
+  std::map<std::string, int> Jobs;
+  for (LeaseTicket Ticket = 1; Ticket <= 10; ++Ticket)
+    Intake->submit(request(1, std::to_string(Ticket).c_str()), Ticket, Now);
+  for (const auto &[To, Job] : Given.Jobs)
+    ++Jobs[To];
+  LONGS_EQUAL(2, Jobs.size());
+  for (const auto &[To, Count] : Jobs)
+    LONGS_EQUAL(5, Count);
+}
