Dispatches carry route, priority and data centre where asked

An agent that orders its waiting tasks knew nothing of their queues. Older agents ignore them. By default nothing changes on the wire.

--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -140,6 +140,9 @@
   /// are not renewed. Half of the agents' lease: a renewal that counts from an
   /// older time would hardly extend it.
   std::chrono::milliseconds MaxVouchAge{400};
+  /// Whether dispatches carry the job's route, its priority and the data centre
+  /// of its callers, so that agents start urgent tasks first.
+  bool SendsPriority = false;
   /// Name of this process in the member table. A coordinator at an agent places
   /// no tasks at that agent.
   std::string Name;
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -260,6 +260,11 @@
     Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
     Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
     Order.set_suspect(this->isKeptApart(Target, Order));
+    if (this->Options.SendsPriority) {
+      Order.set_route(Request.Route);
+      Order.set_priority(Request.Priority);
+      Order.set_data_centre(Request.DataCentre);
+    }
     // The tasks of this dispatch have the highest order numbers so far; only
     // the earlier ones are renewed.
     Contact &AgentContact = this->Contacts[Agent];
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -34,6 +34,10 @@
               "earns by the priority of its queue, like 0=10,1=4,2=7.5. Routes "
               "that earn least are shed first. Empty: not known.");
 
+DEFINE_bool(queue_priority, false,
+            "With --platform, at entries and at agents that coordinate jobs: "
+            "agents start waiting tasks of a more urgent queue first.");
+
 DEFINE_uint32(delegates, 0,
               "With --platform, at entries: the most agents that coordinate "
               "jobs for this entry while it is short of processor time. 0: "
@@ -152,6 +156,7 @@
   FileWatch Settings(platform::settingsPath());
   NodePlan Plan = platform::readNodeSettings();
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
+  Plan.UsesQueuePriority = FLAGS_queue_priority;
   Plan.MaxDelegates = FLAGS_delegates;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -62,6 +62,8 @@
   /// What a core-second of a route earns, by its queue priority, as an operator
   /// states it; empty if it is not known.
   std::map<std::uint32_t, double> RouteValues;
+  /// Whether agents start tasks of more urgent queues first.
+  bool UsesQueuePriority = false;
   /// Processors that this process may use; 0 if there is no limit.
   double ProcessorLimit = 0;
   /// Most agents that coordinate jobs for this entry while it is short of
--- a/tests/coordination/coordinator_fixture.h
+++ b/tests/coordination/coordinator_fixture.h
@@ -88,7 +88,13 @@
 
 /// Base class of the coordinator's test groups.
 class CoordinatorFixture : public Utest {
+public:
+  CoordinatorFixture() = default;
+
 protected:
+  explicit CoordinatorFixture(const CoordinatorOptions &Options)
+      : Coordinator(Options, this->Sink, this->Answers) {}
+
   CoordinatorSink Sink;
   CoordinatorAnswers Answers;
   LeaseCoordinator Coordinator{spreadOptions(), Sink, Answers};
--- a/tests/coordination/coordinator_placement_test.cpp
+++ b/tests/coordination/coordinator_placement_test.cpp
@@ -334,3 +334,47 @@
   LONGS_EQUAL(1, Sink.Dispatches.size());
   CHECK(onlyAnswer().End == LeasedEnd::Unknown);
 }
+
+namespace {
+
+CoordinatorOptions priorityOptions() {
+  CoordinatorOptions Options = spreadOptions();
+  Options.SendsPriority = true;
+  return Options;
+}
+
+class PriorityFixture : public CoordinatorFixture {
+protected:
+  PriorityFixture() : CoordinatorFixture(priorityOptions()) {}
+  LeasedJobRequest lessUrgentRequest() {
+    LeasedJobRequest Request = this->request(1);
+    Request.Priority = 2;
+    Request.DataCentre = "west";
+    return Request;
+  }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(QueuePriorityTest, PriorityFixture){};
+
+TEST(QueuePriorityTest, DispatchesCarryRoutePriorityAndDataCentre) {
+  addAgent("a");
+  Coordinator.submit(lessUrgentRequest(), 1, Now);
+  const peer::LeasedDispatch &Dispatch = Sink.Dispatches.at(0).second;
+  STRCMP_EQUAL("r", Dispatch.route().c_str());
+  LONGS_EQUAL(2, Dispatch.priority());
+  STRCMP_EQUAL("west", Dispatch.data_centre().c_str());
+}
+
+TEST(CoordinatorPlacementTest, DispatchesCarryNoPriorityByDefault) {
+  addAgent("a");
+  LeasedJobRequest Request = request(1);
+  Request.Priority = 2;
+  Request.DataCentre = "west";
+  Coordinator.submit(Request, 1, Now);
+  const peer::LeasedDispatch &Dispatch = Sink.Dispatches.at(0).second;
+  STRCMP_EQUAL("", Dispatch.route().c_str());
+  LONGS_EQUAL(0, Dispatch.priority());
+  STRCMP_EQUAL("", Dispatch.data_centre().c_str());
+}
