Jobs that cannot end before their deadline are refused at once

A job that could only end after its caller's deadline was taken, waited and ran in part for nobody. With room for all its tasks, or while no task has ended in the pool, nothing is refused.

Tests: lease_entry.

--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -11,6 +11,8 @@
       Random(Options.Seed), RecentlyRan(Options.RunRetention),
       LastOrder(Options.FirstOrder) {
   this->Checks.push_back(std::make_unique<OverloadCheck>(Options.Shedder));
+  this->Checks.push_back(
+      std::make_unique<DeadlineCheck>(Options.Deadlines, this->Drain));
 }
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
@@ -200,6 +202,8 @@
   Target.LongestDone = std::max(Target.LongestDone, Ran);
   ++Target.DoneCount;
   this->Workers.onSuccess(Agent, Ran);
+  this->Drain.onTaskEnded(Target.Request.Pool, Target.Request.Needs.cpu_milli(),
+                          Ran);
 }
 
 bool LeaseCoordinator::provesNotStarted(const Task &JobTask,
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -15,6 +15,7 @@
 
 #include "coordination/admission_check.h"
 #include "coordination/crash_record.h"
+#include "coordination/deadline_check.h"
 #include "coordination/job_intake.h"
 #include "coordination/lease_metrics.h"
 #include "coordination/leased_job.h"
@@ -126,6 +127,7 @@
   std::chrono::milliseconds StartupRetryAfter{300};
   WorkerTableOptions Workers;
   ShedderOptions Shedder;
+  DeadlineCheckOptions Deadlines;
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
   /// How long a task waits for the only agent that may take it, while control
@@ -544,6 +546,7 @@
   PeerSink &Sink;
   LeasedAnswerSink &Answers;
   WorkerTable Workers;
+  DrainForecast Drain;
   AdmissionChecks Checks;
   WaitingRule Waits;
   std::mt19937_64 Random;
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -38,6 +38,11 @@
             "With --platform, at entries and at agents that coordinate jobs: "
             "agents start waiting tasks of a more urgent queue first.");
 
+DEFINE_bool(refuse_hopeless, false,
+            "With --platform, at entries and at agents that coordinate jobs: "
+            "refuse a job at once if it is expected to end after its caller's "
+            "deadline.");
+
 DEFINE_uint32(delegates, 0,
               "With --platform, at entries: the most agents that coordinate "
               "jobs for this entry while it is short of processor time. 0: "
@@ -156,6 +161,7 @@
   FileWatch Settings(platform::settingsPath());
   NodePlan Plan = platform::readNodeSettings();
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
+  Plan.RefusesHopelessJobs = FLAGS_refuse_hopeless;
   Plan.UsesQueuePriority = FLAGS_queue_priority;
   Plan.MaxDelegates = FLAGS_delegates;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -64,6 +64,8 @@
   std::map<std::uint32_t, double> RouteValues;
   /// Whether agents start tasks of more urgent queues first.
   bool UsesQueuePriority = false;
+  /// Whether jobs that cannot end before their deadline are refused at once.
+  bool RefusesHopelessJobs = false;
   /// Processors that this process may use; 0 if there is no limit.
   double ProcessorLimit = 0;
   /// Most agents that coordinate jobs for this entry while it is short of
