Retry-After says when a refused job is expected to be taken

All refused callers were told to return after one second, so that what was refused in a burst came back as one and was refused again. RetryAdvice tells a caller when the work beyond its route's limit has drained, behind the jobs that were told to return before it: each reserves the time in which a quarter of what is served here equals what it asks for. Delays are kept between 300 and 2000 ms and extended by up to a quarter at random. The coordinator uses it for all jobs refused or given up under load, the entry for submissions refused for want of its own time, by the expected wait of its loop.

--- a/coordination/deadline_check.cpp
+++ b/coordination/deadline_check.cpp
@@ -9,8 +9,7 @@
 std::optional<AdmissionRefusal>
 DeadlineCheck::check(const AdmissionQuery &Query, Instant Now) {
   const LeasedJobRequest &Request = Query.Request;
-  constexpr double Full = 1;
-  if (!this->Options.Enabled || Query.Pressure <= Full)
+  if (!this->Options.Enabled || Query.Pressure <= FullPressure)
     return std::nullopt;
   // The job's own tasks, without those that wait at this process.
   std::uint64_t OwnMilliCores =
@@ -19,7 +18,7 @@
       std::max(Query.Pressure,
                Query.Workers.pressure(Request, OwnMilliCores, Now.Steady));
   std::optional<std::chrono::milliseconds> Wait =
-      this->Drain.timeToDrain(Request.Pool, Pressure, Full);
+      this->Drain.timeToDrain(Request.Pool, Pressure, FullPressure);
   if (!Wait)
     return std::nullopt;
   std::chrono::duration<double, std::milli> EarliestEnd =
@@ -27,7 +26,7 @@
   if (EarliestEnd <= Request.Deadline)
     return std::nullopt;
   return AdmissionRefusal{
-      "deadline", "it would end after its deadline", Full, {}};
+      "deadline", "it would end after its deadline", FullPressure, {}};
 }
 
 } // namespace yardwheel
--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -8,8 +8,8 @@
                                    PeerSink &Sink, LeasedAnswerSink &Answers)
     : Options(Options), Sink(Sink), Answers(Answers),
       Workers(Options.Workers, Options.Seed), Waits(Options.Waiting),
-      Random(Options.Seed), RecentlyRan(Options.RunRetention),
-      LastOrder(Options.FirstOrder) {
+      Random(Options.Seed), Retries(Options.Retries, Options.Seed),
+      RecentlyRan(Options.RunRetention), LastOrder(Options.FirstOrder) {
   this->Checks.push_back(std::make_unique<OverloadCheck>(Options.Shedder));
   this->Checks.push_back(
       std::make_unique<DeadlineCheck>(Options.Deadlines, this->Drain));
@@ -167,7 +167,7 @@
     return;
   switch (Update.event()) {
   case peer::LEASED_DONE:
-    this->onTaskDone(*Target, Agent, Update);
+    this->onTaskDone(*Target, Agent, Update, Now);
     this->settle(*Target, JobTask, TaskPhase::Done);
     break;
   case peer::LEASED_NOT_STARTED:
@@ -195,7 +195,8 @@
 }
 
 void LeaseCoordinator::onTaskDone(Job &Target, const std::string &Agent,
-                                  const peer::LeasedUpdate &Update) {
+                                  const peer::LeasedUpdate &Update,
+                                  Instant Now) {
   auto Ran = std::chrono::ceil<std::chrono::milliseconds>(
       std::chrono::microseconds(Update.service_us()));
   Target.MayHaveRun = true;
@@ -204,6 +205,9 @@
   this->Workers.onSuccess(Agent, Ran);
   this->Drain.onTaskEnded(Target.Request.Pool, Target.Request.Needs.cpu_milli(),
                           Ran);
+  double Work = static_cast<double>(Target.Request.Needs.cpu_milli()) *
+                static_cast<double>(Ran.count());
+  this->Retries.onServed(Target.Request.Pool, Work, Now.Steady);
 }
 
 bool LeaseCoordinator::provesNotStarted(const Task &JobTask,
@@ -246,7 +250,7 @@
   if (Update.refusal() == peer::REFUSAL_TOO_LATE) {
     this->giveUp(Target,
                  {LeasedEnd::NotRun, "start", Agent, Update.reason(),
-                  this->Options.RetryAfter},
+                  this->adviseRetry(Target.Request, Now)},
                  Now);
     return;
   }
@@ -349,6 +353,28 @@
   this->schedulePlacement(Target);
 }
 
+std::chrono::milliseconds
+LeaseCoordinator::adviseRetry(const LeasedJobRequest &Request, double Pressure,
+                              double Limit, Instant Now) {
+  // No worker may take the job, however little load there is.
+  if (Pressure <= 0)
+    return this->Options.RetryAfter;
+  std::chrono::milliseconds Wait =
+      this->Drain.timeToDrain(Request.Pool, Pressure, Limit)
+          .value_or(std::chrono::milliseconds(0));
+  double Work = static_cast<double>(Request.Needs.cpu_milli()) *
+                Request.TaskCount *
+                static_cast<double>(Request.Estimate.count());
+  return this->Retries.advise(Request.Pool, Wait, Work, Now.Steady);
+}
+
+std::chrono::milliseconds
+LeaseCoordinator::adviseRetry(const LeasedJobRequest &Request, Instant Now) {
+  double Pressure =
+      this->Workers.pressure(Request, this->awaitingCpu(), Now.Steady);
+  return this->adviseRetry(Request, Pressure, FullPressure, Now);
+}
+
 void LeaseCoordinator::settle(Job &Target, Task &JobTask, TaskPhase Next) {
   this->Workers.onSettled(JobTask.Agent, Target.Request.Needs);
   this->Contacts[JobTask.Agent].ActiveOrders.erase(JobTask.Order);
@@ -405,7 +431,7 @@
   if (Answer.End != LeasedEnd::Failed)
     Answer.End = NothingRan ? LeasedEnd::NotRun : LeasedEnd::Unknown;
   if (Answer.End == LeasedEnd::NotRun && Answer.RetryAfter.count() == 0)
-    Answer.RetryAfter = this->Options.RetryAfter;
+    Answer.RetryAfter = this->adviseRetry(Target.Request, Now);
   this->finish(Target, std::move(Answer), Now);
 }
 
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -22,6 +22,7 @@
 #include "coordination/open_start_record.h"
 #include "coordination/open_start_relay.h"
 #include "coordination/recent_ids.h"
+#include "coordination/retry_advice.h"
 #include "coordination/worker_table.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
@@ -119,8 +120,9 @@
   /// How long the fact that a job has run is kept: longer than its caller takes
   /// to resubmit it.
   std::chrono::milliseconds RunRetention{5000};
-  /// Retry delay sent to the caller of a job that was refused for lack of
-  /// capacity. About the time in which a full worker finishes its tasks.
+  RetryAdviceOptions Retries;
+  /// Retry delay sent to the caller of a job that was refused for another
+  /// reason than load, such as that no worker may take it.
   std::chrono::milliseconds RetryAfter{1000};
   /// Retry delay sent to callers while this entry may not know of all open
   /// starts. Agents that run report within some round trips.
@@ -431,6 +433,14 @@
   /// workers. \returns whether it was.
   bool rejectCrashingJob(const LeasedJobRequest &Request,
                          const std::vector<Caller> &Callers);
+  /// Returns the retry delay for a job that is refused or given up before it
+  /// has run. \param Limit The pressure below which it is taken.
+  std::chrono::milliseconds adviseRetry(const LeasedJobRequest &Request,
+                                        double Pressure, double Limit,
+                                        Instant Now);
+  /// Like the above, for a job that is taken while there is room.
+  std::chrono::milliseconds adviseRetry(const LeasedJobRequest &Request,
+                                        Instant Now);
   /// Keeps tasks at this entry and asks agents to offer capacity for them.
   void awaitOffers(Job &Target, const std::set<std::string> &Avoid,
                    std::uint32_t Tasks, Instant Now);
@@ -479,7 +489,7 @@
   static bool provesNotStarted(const Task &JobTask,
                                const peer::LeasedUpdate &Update);
   void onTaskDone(Job &Target, const std::string &Agent,
-                  const peer::LeasedUpdate &Update);
+                  const peer::LeasedUpdate &Update, Instant Now);
   void onNotStarted(Job &Target, Task &JobTask, const std::string &Agent,
                     const peer::LeasedUpdate &Update, Instant Now);
   void onEndedEarly(Job &Target, Task &JobTask, const std::string &Agent,
@@ -550,6 +560,7 @@
   AdmissionChecks Checks;
   WaitingRule Waits;
   std::mt19937_64 Random;
+  RetryAdvice Retries;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   /// Jobs that may have run and are no longer in progress.
   RecentIds RecentlyRan;
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -169,9 +169,11 @@
        {"limit_percent", static_cast<int>(Refusal->Limit * Percent)},
        {"tasks", Request.TaskCount}});
   LeasedEnd End = MayHaveRun ? LeasedEnd::Unknown : LeasedEnd::NotRun;
-  std::chrono::milliseconds RetryAfter = Refusal->RetryAfter.count() > 0
-                                             ? Refusal->RetryAfter
-                                             : this->Options.RetryAfter;
+  double Limit = Refusal->Limit > 0 ? Refusal->Limit : FullPressure;
+  std::chrono::milliseconds RetryAfter =
+      Refusal->RetryAfter.count() > 0
+          ? Refusal->RetryAfter
+          : this->adviseRetry(Request, Query.Pressure, Limit, Now);
   this->Answers.onLeasedAnswer(Waiter,
                                {End, "admit", "", Refusal->Reason, RetryAfter});
   return true;
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -164,7 +164,7 @@
       this->settle(Target, Target.Tasks[Order.index()], TaskPhase::Over);
   this->giveUp(Target,
                {LeasedEnd::NotRun, "place", "", this->whyUnplaceable(Target),
-                this->Options.RetryAfter},
+                this->adviseRetry(Target.Request, Now)},
                Now);
 }
 
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -26,6 +26,9 @@
 
 namespace yardwheel {
 
+/// The ratio of used to total processor time at which tasks begin to wait.
+inline constexpr double FullPressure = 1;
+
 struct WorkerTableOptions {
   /// Consecutive failures after which a worker is ejected and gets no new
   /// tasks.
--- a/tests/coordination/coordinator_placement_test.cpp
+++ b/tests/coordination/coordinator_placement_test.cpp
@@ -378,3 +378,24 @@
   LONGS_EQUAL(0, Dispatch.priority());
   STRCMP_EQUAL("", Dispatch.data_centre().c_str());
 }
+
+// Each refused job is told to return after those that were refused before it.
+TEST(CoordinatorPlacementTest, RefusedJobsAreToldToReturnOneAfterAnother) {
+  addAgent("a", 4000);
+  Coordinator.submit(patientRequest(1, "ended"), 1, Now);
+  answer(0, peer::LEASED_DONE);
+  Coordinator.submit(patientRequest(16, "taken"), 2, Now);
+  Answers.Answers.clear();
+  const RetryAdviceOptions Options;
+  for (LeaseTicket Ticket = 10; Ticket < 20; ++Ticket)
+    Coordinator.submit(
+        patientRequest(1, ("j" + std::to_string(Ticket)).c_str()), Ticket, Now);
+  LONGS_EQUAL(10, Answers.Answers.size());
+  for (const auto &[Ticket, Answer] : Answers.Answers) {
+    CHECK(Answer.End == LeasedEnd::NotRun);
+    CHECK(Answer.RetryAfter >= Options.MinDelay);
+    CHECK(Answer.RetryAfter <= Options.MaxDelay);
+  }
+  CHECK(Answers.Answers.back().second.RetryAfter >
+        Answers.Answers.front().second.RetryAfter);
+}
