--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -15,12 +15,14 @@
 
 #include "coordination/admission_check.h"
 #include "coordination/crash_record.h"
+#include "coordination/deadline_check.h"
 #include "coordination/job_intake.h"
 #include "coordination/lease_metrics.h"
 #include "coordination/leased_job.h"
 #include "coordination/open_start_record.h"
 #include "coordination/open_start_relay.h"
 #include "coordination/recent_ids.h"
+#include "coordination/retry_advice.h"
 #include "coordination/worker_table.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
@@ -118,14 +120,16 @@
   /// How long the fact that a job has run is kept: longer than its caller takes
   /// to resubmit it.
   std::chrono::milliseconds RunRetention{5000};
-  /// Retry delay sent to the caller of a job that was refused for lack of
-  /// capacity. About the time in which a full worker finishes its tasks.
+  RetryAdviceOptions Retries;
+  /// Retry delay sent to the caller of a job that was refused for another
+  /// reason than load, such as that no worker may take it.
   std::chrono::milliseconds RetryAfter{1000};
   /// Retry delay sent to callers while this entry may not know of all open
   /// starts. Agents that run report within some round trips.
   std::chrono::milliseconds StartupRetryAfter{300};
   WorkerTableOptions Workers;
   ShedderOptions Shedder;
+  DeadlineCheckOptions Deadlines;
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
   /// How long a task waits for the only agent that may take it, while control
@@ -140,6 +144,9 @@
   /// are not renewed. Half of the agents' lease: a renewal that counts from an
   /// older time would hardly extend it.
   std::chrono::milliseconds MaxVouchAge{400};
+  /// Whether dispatches carry the job's route, its priority and the data centre
+  /// of its callers, so that agents start urgent tasks first.
+  bool SendsPriority = false;
   /// Name of this process in the member table. A coordinator at an agent places
   /// no tasks at that agent.
   std::string Name;
@@ -429,6 +436,14 @@
   /// workers. \returns whether it was.
   bool rejectCrashingJob(const LeasedJobRequest &Request,
                          const std::vector<Caller> &Callers);
+  /// Returns the retry delay for a job that is refused or given up before it
+  /// has run. \param Limit The pressure below which it is taken.
+  std::chrono::milliseconds adviseRetry(const LeasedJobRequest &Request,
+                                        double Pressure, double Limit,
+                                        Instant Now);
+  /// Like the above, for a job that is taken while there is room.
+  std::chrono::milliseconds adviseRetry(const LeasedJobRequest &Request,
+                                        Instant Now);
   /// Keeps tasks at this entry and asks agents to offer capacity for them.
   void awaitOffers(Job &Target, const std::set<std::string> &Avoid,
                    std::uint32_t Tasks, Instant Now);
@@ -477,7 +492,7 @@
   static bool provesNotStarted(const Task &JobTask,
                                const peer::LeasedUpdate &Update);
   void onTaskDone(Job &Target, const std::string &Agent,
-                  const peer::LeasedUpdate &Update);
+                  const peer::LeasedUpdate &Update, Instant Now);
   void onNotStarted(Job &Target, Task &JobTask, const std::string &Agent,
                     const peer::LeasedUpdate &Update, Instant Now);
   void onEndedEarly(Job &Target, Task &JobTask, const std::string &Agent,
@@ -544,9 +559,11 @@
   PeerSink &Sink;
   LeasedAnswerSink &Answers;
   WorkerTable Workers;
+  DrainForecast Drain;
   AdmissionChecks Checks;
   WaitingRule Waits;
   std::mt19937_64 Random;
+  RetryAdvice Retries;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   /// Jobs that may have run and are no longer in progress.
   RecentIds RecentlyRan;
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -164,7 +164,7 @@
       this->settle(Target, Target.Tasks[Order.index()], TaskPhase::Over);
   this->giveUp(Target,
                {LeasedEnd::NotRun, PlaceStep, "", this->whyUnplaceable(Target),
-                this->Options.RetryAfter},
+                this->adviseRetry(Target.Request, Now)},
                Now);
 }
 
@@ -260,6 +260,11 @@
     Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
     Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
     Order.set_suspect(this->isKeptApart(Target, Order));
+    if (this->Options.SendsPriority) {
+      Order.set_route(Request.Route);
+      Order.set_priority(Request.Priority);
+      Order.set_data_centre(Request.DataCentre);
+    }
     // The tasks of this dispatch have the highest order numbers so far; only
     // the earlier ones are renewed.
     Contact &AgentContact = this->Contacts[Agent];
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -62,6 +62,10 @@
   /// What a core-second of a route earns, by its queue priority, as an operator
   /// states it; empty if it is not known.
   std::map<std::uint32_t, double> RouteValues;
+  /// Whether agents start tasks of more urgent queues first.
+  bool UsesQueuePriority = false;
+  /// Whether jobs that cannot end before their deadline are refused at once.
+  bool RefusesHopelessJobs = false;
   /// Most agents that coordinate jobs for this entry while it is short of
   /// processor time; 0 if none may.
   std::uint32_t MaxDelegates = 0;
