Control adds up the demand of all entries

Cause: an entry sees the demand of its own callers only, and cannot tell who asks for more than usual over all hosts. Change: entries put their demand into heartbeats. Nothing is sent while no entry reports demand.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -9,8 +9,8 @@
 ControlService::ControlService(ControlOptions Options, LogStorage &Storage,
                                PeerSink &Sink, Instant Now)
     : Options(std::move(Options)), Sink(Sink), Members(this->Options.Lease),
-      Groups(this->Options.Groups), Replicas(this->Options.Replicas),
-      Started(Now.Steady), CurrentTime(Now) {
+      Demand(this->Options.Lease), Groups(this->Options.Groups),
+      Replicas(this->Options.Replicas), Started(Now.Steady), CurrentTime(Now) {
   this->Raft = std::make_unique<RaftNode>(this->Options.Raft, Storage, *this,
                                           Now.Steady);
   this->Raft->requireFormat(this->State.requiredLogFormat());
@@ -230,6 +230,7 @@
     this->refuseHeartbeat(Pending);
     return;
   }
+  this->Demand.onHeartbeat(Pending.Heartbeat, Now.Steady);
   if (this->Members.onHeartbeat(Pending.Heartbeat, Now.Steady))
     this->IsPushPending = true;
   this->PendingHeartbeats.push_back(std::move(Pending));
@@ -283,6 +284,9 @@
     *Reply->mutable_members() = this->Members.updateFor(Heartbeat);
   else
     *Reply->mutable_members() = this->Members.partialFor(Heartbeat);
+  // Changes that are pushed unasked go without the demand.
+  if (Sequence != 0)
+    this->Demand.addTo(*Reply, Heartbeat, this->CurrentTime.Steady);
   this->Sink.send(To, std::move(Message));
 }
 
@@ -316,6 +320,7 @@
 void ControlService::onLeadershipChange(bool Leads) {
   if (Leads) {
     this->Members.reset(this->Raft->term(), this->CurrentTime.Steady);
+    this->Demand.reset(this->CurrentTime.Steady);
     return;
   }
   this->failReads();
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -17,6 +17,7 @@
 #include "control/replica_manager.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
+#include "membership/demand_sums.h"
 #include "membership/member_registry.h"
 
 #include <functional>
@@ -157,6 +158,7 @@
   PeerSink &Sink;
   Catalog State;
   MemberRegistry Members;
+  DemandSums Demand;
   HolderGroupManager Groups;
   ReplicaManager Replicas;
   TimePoint Started;
--- a/membership/announcer.cpp
+++ b/membership/announcer.cpp
@@ -111,6 +111,7 @@
   Request->set_table_version(this->TableVersion);
   Request->set_sequence(++this->Sequence);
   Request->set_wants_members(this->WantsMembers);
+  Request->mutable_demand()->Assign(this->Demand.begin(), this->Demand.end());
   this->Sink.send(this->Search.target(), std::move(Message));
   this->Search.onRequestSent(this->Sequence, Now.Steady);
 }
@@ -168,6 +169,10 @@
   // because a quorum confirmed it.
   std::optional<TimePoint> Sent =
       this->Search.onConfirmed(Reply.sequence(), Now.Steady);
+  if (Sent && !Reply.demand().empty())
+    this->Events.onDemand(
+        {Reply.demand().begin(), Reply.demand().end()},
+        *Sent - std::chrono::milliseconds(Reply.demand_age_ms()), Now);
   // A catalog update that does not apply to the one held here was not merged.
   bool IsUpToDate = Reply.catalog().revision() <= this->Catalog.revision();
   if (Sent && IsUpToDate)
--- a/membership/announcer.h
+++ b/membership/announcer.h
@@ -41,6 +41,10 @@
   /// ended incarnation until it announces itself with a higher one.
   /// \param Known The highest incarnation that control knows.
   virtual void onNewerIncarnation(std::uint64_t Known, Instant Now) {}
+  /// Control has told what the callers of all entries ask for.
+  /// \param Measured Time before which no part of the sums was measured.
+  virtual void onDemand(const std::vector<peer::RouteDemand> &Sums,
+                        TimePoint Measured, Instant Now) {}
 };
 
 struct AnnouncerOptions {
@@ -79,6 +83,10 @@
   /// Sets whether an agent is to be told the member table; entries are always.
   /// The table is asked for as a whole at once.
   void setWantsMembers(bool Wants);
+  /// Sets what the callers of this entry ask for, for the next heartbeats.
+  void setDemand(std::vector<peer::RouteDemand> NewDemand) {
+    this->Demand = std::move(NewDemand);
+  }
   /// Applies \p Change to the state of this node and announces it at once.
   void update(const std::function<void(peer::Member &)> &Change, Instant Now);
 
@@ -116,6 +124,7 @@
   bool WantsMembers = false;
   /// Replies to heartbeats up to this one leave the members out.
   std::uint64_t MembersOmittedUpTo = 0;
+  std::vector<peer::RouteDemand> Demand;
   ControlSearch Search;
   TimePoint NextHeartbeat = TimePoint::min();
   TimePoint LastHeartbeat = TimePoint::min();
--- a/tests/membership/announcer_test.cpp
+++ b/tests/membership/announcer_test.cpp
@@ -9,14 +9,16 @@
 
 class RecordingSink final : public PeerSink {
 public:
-  void send(const PeerRef &To, peer::Message) override {
+  void send(const PeerRef &To, peer::Message Message) override {
     ++this->Sent;
     this->LastTo = To.Node;
+    this->LastHeartbeat = Message.heartbeat();
   }
   void reconnect(const PeerRef &To) override { this->Reconnected = To.Node; }
   std::string Reconnected;
   int Sent = 0;
   std::string LastTo;
+  peer::Heartbeat LastHeartbeat;
 };
 
 class RecordingEvents final : public AnnouncerEvents {
@@ -29,6 +31,13 @@
   void onNewerIncarnation(std::uint64_t Known, Instant) override {
     this->NewerIncarnation = Known;
   }
+  void onDemand(const std::vector<peer::RouteDemand> &Sums, TimePoint Measured,
+                Instant) override {
+    this->Sums = Sums;
+    this->Measured = Measured;
+  }
+  std::vector<peer::RouteDemand> Sums;
+  TimePoint Measured = TimePoint::min();
   std::uint64_t NewerIncarnation = 0;
   TimePoint Confirmed = TimePoint::min();
   int Catalogs = 0;
@@ -290,3 +299,32 @@
   STRCMP_EQUAL("heard", Events.Last.name().c_str());
   CHECK(Events.Last.state() == peer::MEMBER_ALIVE);
 }
+
+TEST(AnnouncerTest, ReportsDemandAndPassesOnTheSumsWithTheirAge) {
+  Announcer Announce(Options, Self, Catalog, Sink, Events);
+  Announce.tick(Now);
+  CHECK(Sink.LastHeartbeat.demand().empty());
+  Announce.onReply(reply(1, 5), Now);
+  CHECK(Events.Sums.empty());
+  peer::RouteDemand Row;
+  Row.set_route("r");
+  Row.set_cpu_milli(700);
+  Announce.setDemand({Row});
+  advance(1000ms);
+  Announce.tick(Now);
+  LONGS_EQUAL(1, Sink.LastHeartbeat.demand_size());
+  LONGS_EQUAL(700, Sink.LastHeartbeat.demand(0).cpu_milli());
+  TimePoint Asked = Now.Steady;
+  advance(200ms);
+  peer::HeartbeatReply Reply = reply(2, 5);
+  *Reply.add_demand() = Row;
+  Reply.set_demand_age_ms(300);
+  Announce.onReply(Reply, Now);
+  LONGS_EQUAL(1, Events.Sums.size());
+  // The reply may have been sent at any time since the request.
+  CHECK(Events.Measured == Asked - 300ms);
+  // A duplicate is no news.
+  Events.Sums.clear();
+  Announce.onReply(Reply, Now);
+  CHECK(Events.Sums.empty());
+}
