Shares of callers of a full pool (off)

Cause: when one class or data centre asks for twice its usual work, the rule for an overloaded pool refuses whoever earns least, whether or not it has caused the shortage. Change: ShareCheck is asked in place of the rule for an overloaded pool, and asks it in turn. While the pool is full and somebody is beyond its share, jobs of those pairs are refused by a deficit counter; the others are refused only from MaxRouteLimit on.

--- a/coordination/admission_check.cpp
+++ b/coordination/admission_check.cpp
@@ -4,12 +4,8 @@
 
 void OverloadCheck::onSubmitted(const AdmissionQuery &Query, Instant Now) {
   const LeasedJobRequest &Request = Query.Request;
-  constexpr double MillisPerSecond = 1000;
-  double CoreMilliseconds =
-      static_cast<double>(Request.Needs.cpu_milli()) * Request.TaskCount *
-      static_cast<double>(Request.Estimate.count()) / MillisPerSecond;
   this->Shedder.onJobSubmitted(Request.Route, Request.Priority,
-                               CoreMilliseconds, Now.Steady);
+                               Request.coreMilliseconds(), Now.Steady);
   this->Shedder.onPressure(Query.Pressure, Now.Steady);
 }
 
--- a/coordination/admission_check.h
+++ b/coordination/admission_check.h
@@ -49,6 +49,8 @@
   virtual ~AdmissionCheck() = default;
   /// Records a submitted job, whether or not it is refused.
   virtual void onSubmitted(const AdmissionQuery &Query, Instant Now) {}
+  /// Records a job that was handed to another process, which decides on it.
+  virtual void onDelegated(const LeasedJobRequest &Request, Instant Now) {}
   /// Returns why the job is refused, or nothing if this rule takes it.
   virtual std::optional<AdmissionRefusal> check(const AdmissionQuery &Query,
                                                 Instant Now) = 0;
--- a/coordination/delegate.h
+++ b/coordination/delegate.h
@@ -60,6 +60,12 @@
 
   void onMember(const peer::Member &Member, Instant Now);
   void setEvacuated(const std::set<std::string> &DataCentres);
+  /// Handles what the callers of all entries ask for, as control tells it.
+  void onDemand(const std::vector<peer::RouteDemand> &Sums, TimePoint Measured,
+                Instant Now) {
+    if (ShareCheck *Shares = this->Coordinator.shares())
+      Shares->onSums(Sums, Measured, Now);
+  }
   void onMessage(const PeerRef &From, const peer::Message &Message,
                  Instant Now);
   void onUndelivered(const Undelivered &Lost, Instant Now);
--- a/coordination/delegating_intake.cpp
+++ b/coordination/delegating_intake.cpp
@@ -71,6 +71,7 @@
 void DelegatingIntake::delegate(LeasedJobRequest Request, LeaseTicket Waiter,
                                 Contact &Target, Instant Now) {
   ++this->Counters.Delegated;
+  this->Local.noteDelegated(Request, Now);
   ++this->WaitingCallers;
   std::string Id = Request.Id;
   Job &New = this->Jobs[Id];
--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -10,7 +10,15 @@
       Workers(Options.Workers, Options.Seed), Waits(Options.Waiting),
       Random(Options.Seed), RecentlyRan(Options.RunRetention),
       LastOrder(Options.FirstOrder) {
-  this->Checks.push_back(std::make_unique<OverloadCheck>(Options.Shedder));
+  auto Overload = std::make_unique<OverloadCheck>(Options.Shedder);
+  if (!Options.Shares) {
+    this->Checks.push_back(std::move(Overload));
+    return;
+  }
+  auto Check =
+      std::make_unique<ShareCheck>(*Options.Shares, std::move(Overload));
+  this->Shares = Check.get();
+  this->Checks.push_back(std::move(Check));
 }
 
 LeaseCoordinator::Job *LeaseCoordinator::find(const std::string &Id) {
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -21,6 +21,7 @@
 #include "coordination/open_start_record.h"
 #include "coordination/open_start_relay.h"
 #include "coordination/recent_ids.h"
+#include "coordination/share_check.h"
 #include "coordination/worker_table.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
@@ -126,6 +127,8 @@
   std::chrono::milliseconds StartupRetryAfter{300};
   WorkerTableOptions Workers;
   ShedderOptions Shedder;
+  /// Shares of callers while the pool is full; none are kept if not set.
+  std::optional<ShareOptions> Shares;
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
   /// How long a task waits for the only agent that may take it, while control
@@ -233,6 +236,10 @@
   void noteRun(const std::string &Id, Instant Now) {
     this->RecentlyRan.add(Id, Now.Steady);
   }
+  /// Records that a submitted job is coordinated elsewhere.
+  void noteDelegated(const LeasedJobRequest &Request, Instant Now);
+  /// Returns the check of the shares; null if none are kept.
+  ShareCheck *shares() { return this->Shares; }
   /// Counts the end of a job that was coordinated here or for this
   /// process elsewhere.
   void countEnd(const LeasedJobRequest &Request, const LeasedAnswer &Answer,
@@ -542,6 +549,8 @@
   LeasedAnswerSink &Answers;
   WorkerTable Workers;
   AdmissionChecks Checks;
+  /// One of the checks, or null.
+  ShareCheck *Shares = nullptr;
   WaitingRule Waits;
   std::mt19937_64 Random;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -177,6 +177,12 @@
   return true;
 }
 
+void LeaseCoordinator::noteDelegated(const LeasedJobRequest &Request,
+                                     Instant Now) {
+  for (const auto &Check : this->Checks)
+    Check->onDelegated(Request, Now);
+}
+
 void LeaseCoordinator::cancel(const std::string &Id, const std::string &Reason,
                               Instant Now) {
   Job *Known = this->find(Id);
--- a/coordination/leased_job.cpp
+++ b/coordination/leased_job.cpp
@@ -2,6 +2,12 @@
 
 namespace yardwheel {
 
+double LeasedJobRequest::coreMilliseconds() const {
+  constexpr double MillisPerSecond = 1000;
+  return static_cast<double>(this->Needs.cpu_milli()) * this->TaskCount *
+         static_cast<double>(this->Estimate.count()) / MillisPerSecond;
+}
+
 const char *endName(LeasedEnd End) {
   switch (End) {
   case LeasedEnd::Completed:
--- a/coordination/leased_job.h
+++ b/coordination/leased_job.h
@@ -48,6 +48,9 @@
   std::chrono::milliseconds Deadline{};
   /// Where the caller is; empty if it is not known.
   std::string DataCentre;
+
+  /// Returns the declared work of all tasks, as processor time.
+  double coreMilliseconds() const;
 };
 
 enum class LeasedEnd {
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -52,6 +52,10 @@
     this->Coordination.onMember(Member, Now);
   }
   void onNewerIncarnation(std::uint64_t Known, Instant Now) override;
+  void onDemand(const std::vector<peer::RouteDemand> &Sums, TimePoint Measured,
+                Instant Now) override {
+    this->Coordination.onDemand(Sums, Measured, Now);
+  }
 
   void onStart(const WorkerIncarnation &Worker, const RunKey &Run,
                WorkerReply Reply) override;
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -29,6 +29,10 @@
 /// Time for a caller on a lossy link to send a complete request.
 constexpr std::chrono::milliseconds CallerTimeout{10000};
 
+/// Interval at which the reported demand is renewed. A part of the heartbeat's,
+/// so that what is sent is recent.
+constexpr std::chrono::milliseconds DemandReportInterval{100};
+
 class LeaseEntryProcess final : public Process, AnnouncerEvents {
 public:
   explicit LeaseEntryProcess(const NodePlan &Plan);
@@ -42,6 +46,8 @@
   void onCatalog(Instant Now) override;
   void onMember(const peer::Member &Member, Instant Now) override;
   void onNewerIncarnation(std::uint64_t Known, Instant Now) override;
+  void onDemand(const std::vector<peer::RouteDemand> &Sums, TimePoint Measured,
+                Instant Now) override;
 
   /// Handles a message of an agent.
   void onMessage(const PeerRef &From, const peer::Message &Message,
@@ -54,6 +60,8 @@
   void logTableState(Instant Now);
   void updateReadiness(Instant Now);
   void publishMetrics(Instant Now);
+  /// Passes the demand of this entry's callers on for the next heartbeat.
+  void reportDemand(Instant Now);
   /// Logs what the processor time went into, and what was lost while it was
   /// short.
   void logLoad();
@@ -62,6 +70,7 @@
   NodePlan Plan;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
+  TimePoint NextDemandReport = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
   Logger Log{"entry"};
   SystemClock Source;
@@ -98,7 +107,8 @@
                        {}, this->Source, LeaseTick),
       Table(planTableLease(Plan)),
       Gate(std::make_shared<platform::CallerHandler>(
-          this->Catalog, this->Source, this->Load, this->Table)),
+          this->Catalog, this->Source, this->Load, this->Table,
+          Plan.KeepsShares ? Plan.DataCentre : "")),
       Health(std::make_shared<platform::HealthHandler>(
           [this] { return this->Node.loop().lastIdle(); }, this->Source,
           this->Load)),
@@ -159,6 +169,7 @@
 void LeaseEntryProcess::tick(Instant Now) {
   this->publishMetrics(Now);
   this->Table.tick(Now.Steady);
+  this->reportDemand(Now);
   this->Announce.tick(
       Now, {this->Node.loop().lastIdle(), this->Node.loop().lastBehind()});
   this->logTableState(Now);
@@ -254,6 +265,20 @@
       [Known](peer::Member &Self) { Self.set_incarnation(Known + 1); }, Now);
 }
 
+void LeaseEntryProcess::onDemand(const std::vector<peer::RouteDemand> &Sums,
+                                 TimePoint Measured, Instant Now) {
+  if (ShareCheck *Shares = this->Coordinator.shares())
+    Shares->onSums(Sums, Measured, Now);
+}
+
+void LeaseEntryProcess::reportDemand(Instant Now) {
+  ShareCheck *Shares = this->Coordinator.shares();
+  if (Shares == nullptr || Now.Steady < this->NextDemandReport)
+    return;
+  this->NextDemandReport = Now.Steady + DemandReportInterval;
+  this->Announce.setDemand(Shares->report(Now));
+}
+
 void LeaseEntryProcess::reload() {
   reloadSeeds(this->Node.loop(), this->Log,
               [this](const auto &Seeds) { this->Announce.addControls(Seeds); });
@@ -338,6 +363,8 @@
       this->Table.status(Now.Steady, this->Node.loop().lastIdle());
   if (Table.Age)
     Text += metricLine("yardwheel_route_table_age_ms", Table.Age->count());
+  if (const ShareCheck *Shares = this->Coordinator.shares())
+    Text += Shares->text(Now);
   Text += this->Gate->describeRefusals();
   Text += describeProcess(this->Node, this->CallerServer);
   this->Metrics->publish(std::move(Text));
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -59,6 +59,11 @@
   Options.FirstOrder = Incarnation * MaxOrdersPerMicrosecond;
   Options.RenewalInterval = CoordinatorRenewal;
   Options.Shedder.Values = Plan.RouteValues;
+  if (Plan.KeepsShares) {
+    Options.Shares.emplace();
+    Options.Shares->MaxPressure = Options.Shedder.MaxRouteLimit;
+    Options.Shares->UsesOwnDemand = Plan.Role == NodeRole::Entry;
+  }
   return Options;
 }
 
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -41,6 +41,10 @@
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
+DEFINE_bool(shares, false,
+            "With --platform, at entries and agents: while a pool is full, "
+            "refuse first those routes and data centres that ask for more than "
+            "their usual share of it.");
 
 namespace {
 
@@ -154,6 +158,7 @@
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
   Plan.MaxDelegates = FLAGS_delegates;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
+  Plan.KeepsShares = FLAGS_shares;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
 
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -69,6 +69,8 @@
   std::uint32_t MaxDelegates = 0;
   /// Whether this agent coordinates jobs for entries.
   bool CoordinatesForEntries = false;
+  /// Whether callers have shares of a full pool.
+  bool KeepsShares = false;
 };
 
 } // namespace yardwheel
