--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -424,7 +424,7 @@
   this->notePassedOver(TheTask, Now);
   this->reserveRoom(TheTask.Needs);
   ++this->Counters.Started;
-  if (TheTask.StartBy < Now.Steady)
+  if (TheTask.Waiting.isLate(Now.Steady))
     ++this->Counters.StartedLate;
   this->Session.start({Id.Job, Id.Index, TheTask.Run}, TheTask.Spec, Now);
 }
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -23,6 +23,7 @@
 #include "coordination/open_start_relay.h"
 #include "coordination/recent_ids.h"
 #include "coordination/retry_advice.h"
+#include "coordination/share_check.h"
 #include "coordination/worker_table.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
@@ -130,6 +131,8 @@
   WorkerTableOptions Workers;
   ShedderOptions Shedder;
   DeadlineCheckOptions Deadlines;
+  /// Shares of callers while the pool is full; none are kept if not set.
+  std::optional<ShareOptions> Shares;
   WaitingOptions Waiting;
   CrashRecordOptions Crashes;
   /// How long a task waits for the only agent that may take it, while control
@@ -243,6 +246,10 @@
   void noteRun(const std::string &Id, Instant Now) {
     this->RecentlyRan.add(Id, Now.Steady);
   }
+  /// Records that a submitted job is coordinated elsewhere.
+  void noteDelegated(const LeasedJobRequest &Request, Instant Now);
+  /// Returns the check of the shares; null if none are kept.
+  ShareCheck *shares() { return this->Shares; }
   /// Counts the end of a job that was coordinated here or for this
   /// process elsewhere.
   void countEnd(const LeasedJobRequest &Request, const LeasedAnswer &Answer,
@@ -561,6 +568,8 @@
   WorkerTable Workers;
   DrainForecast Drain;
   AdmissionChecks Checks;
+  /// One of the checks, or null.
+  ShareCheck *Shares = nullptr;
   WaitingRule Waits;
   std::mt19937_64 Random;
   RetryAdvice Retries;
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -196,6 +196,12 @@
     Known->GiveUpAt = lastDeadline(Known->Callers);
 }
 
+void LeaseCoordinator::noteDelegated(const LeasedJobRequest &Request,
+                                     Instant Now) {
+  for (const auto &Check : this->Checks)
+    Check->onDelegated(Request, Now);
+}
+
 void LeaseCoordinator::cancel(const std::string &Id, const std::string &Reason,
                               Instant Now) {
   Job *Known = this->find(Id);
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -63,6 +63,11 @@
   Options.Shedder.Values = Plan.RouteValues;
   Options.Deadlines.Enabled = Plan.RefusesHopelessJobs;
   Options.SendsPriority = Plan.UsesQueuePriority;
+  if (Plan.KeepsShares) {
+    Options.Shares.emplace();
+    Options.Shares->MaxPressure = Options.Shedder.MaxRouteLimit;
+    Options.Shares->UsesOwnDemand = Plan.Role == NodeRole::Entry;
+  }
   return Options;
 }
 
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -50,6 +50,10 @@
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
+DEFINE_bool(shares, false,
+            "With --platform, at entries and agents: while a pool is full, "
+            "refuse first those routes and data centres that ask for more than "
+            "their usual share of it.");
 
 namespace {
 
@@ -165,6 +169,7 @@
   Plan.UsesQueuePriority = FLAGS_queue_priority;
   Plan.MaxDelegates = FLAGS_delegates;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
+  Plan.KeepsShares = FLAGS_shares;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
 
