Delegation in the lease fuzz test: delegates crash, freeze, are cut and restart

Cause: delegation was tested on whole deployments only. Change: agents of the emulator host a delegate and entries the filter that delegates, off by default. DelegatedFuzzTest draws scenarios with a share of one half or all jobs, and cuts links between agents as well, in one direction or both. A rule of the delegate can be disabled for the test of planted faults.

--- a/coordination/delegate.cpp
+++ b/coordination/delegate.cpp
@@ -254,6 +254,8 @@
 }
 
 TimePoint Delegate::vouchedAt(LeaseTicket Ticket, TimePoint Now) const {
+  if (!this->Options.LeasesCountFromEntry)
+    return Now;
   auto Known = this->Running.find(Ticket);
   return Known == this->Running.end() ? TimePoint::min()
                                       : Known->second.Vouched;
--- a/coordination/delegate.h
+++ b/coordination/delegate.h
@@ -46,6 +46,8 @@
   std::chrono::milliseconds EndedRetention{6000};
   /// Share of the known agents that must be reachable before jobs are taken.
   double MinReachableShare = 0.8;
+  /// Disabled only by tests that show what goes wrong without the rule.
+  bool LeasesCountFromEntry = true;
 };
 
 struct DelegateCounters {
--- a/emulator/leased_agent.cpp
+++ b/emulator/leased_agent.cpp
@@ -19,6 +19,11 @@
 /// an agent. Every worker restart that a process sees takes a number too, so
 /// the difference is larger than their count.
 constexpr std::uint64_t IncarnationStep = 1000;
+/// A process that was not idle for this long counts as behind.
+constexpr std::chrono::milliseconds BehindThreshold{100};
+/// Range of order numbers of one incarnation; far above the number of its
+/// placements.
+constexpr std::uint64_t OrdersPerIncarnation = 1000000;
 
 } // namespace
 
@@ -69,13 +74,64 @@
       Options, this->World.sinkOf(this->Name), *this);
   this->World.start(this->Name,
                     [this](const PeerRef &From, const peer::Message &Message) {
-                      this->Keeper->onMessage(From, Message, this->now());
+                      this->receive(From, Message);
                     });
   this->World.onSendFailed(this->Name, [this](const Undelivered &Lost) {
     this->Keeper->onUndelivered(Lost, this->now());
+    if (this->Coordination) {
+      this->Coordination->noteBehind(this->lastBehind(), this->now());
+      this->Coordination->onUndelivered(Lost, this->now());
+    }
+  });
+  this->World.every(this->Name, this->Options.Tick, [this] { this->tick(); });
+  if (this->Options.Coordinates)
+    this->startDelegate();
+}
+
+void LeasedAgent::startDelegate() {
+  DelegateOptions Options = this->Options.Delegation;
+  Options.Incarnation = this->World.incarnation(this->Name);
+  Options.Coordinator.Name = this->Name;
+  Options.Coordinator.OpenStarts.HasPredecessor = this->Incarnation > 1;
+  Options.Coordinator.FirstOrder +=
+      (this->Incarnation - 1) * OrdersPerIncarnation;
+  Options.Coordinator.Seed = this->Options.Seed + this->Incarnation;
+  this->LastTick = this->now().Steady;
+  this->LastBehind = TimePoint::min();
+  this->Coordination =
+      std::make_unique<Delegate>(Options, this->World.sinkOf(this->Name));
+}
+
+TimePoint LeasedAgent::lastBehind() const {
+  TimePoint Now = this->now().Steady;
+  return Now - this->LastTick > BehindThreshold ? Now : this->LastBehind;
+}
+
+void LeasedAgent::receive(const PeerRef &From, const peer::Message &Message) {
+  Instant Now = this->now();
+  this->Keeper->onMessage(From, Message, Now);
+  if (!this->Coordination)
+    return;
+  this->Coordination->noteBehind(this->lastBehind(), Now);
+  this->Coordination->onMessage(From, Message, Now);
+  this->Coordination->placeScheduled(Now);
+}
+
+void LeasedAgent::tick() {
+  Instant Now = this->now();
+  this->Keeper->tick(Now);
+  if (!this->Coordination)
+    return;
+  this->Coordination->tick(/*ProcessorShare=*/0, this->lastBehind(), Now);
+  this->LastBehind = this->lastBehind();
+  this->LastTick = Now.Steady;
+}
+
+void LeasedAgent::announceMember(const peer::Member &Member) {
+  this->World.runOn(this->Name, [this, Member] {
+    if (this->Coordination)
+      this->Coordination->onMember(Member, this->now());
   });
-  this->World.every(this->Name, this->Options.Tick,
-                    [this] { this->Keeper->tick(this->now()); });
 }
 
 void LeasedAgent::announceWorker() {
@@ -96,6 +152,7 @@
   Member.mutable_room()->set_cpu_milli(this->Options.Worker.CapacityMilliCores);
   Member.mutable_room()->set_memory_mb(UINT32_MAX);
   Member.set_state(peer::MEMBER_ALIVE);
+  Member.set_coordinates(this->Options.Coordinates);
   return Member;
 }
 
--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -1,7 +1,8 @@
 //===- emulator/leased_agent.h - An agent in virtual time -------*- C++ -*-===//
 ///
 /// \file
-/// The lease keeper of an agent, as in production, and the worker beside it.
+/// The lease keeper of an agent and, if it coordinates jobs for entries, its
+/// delegate, as in production, and the worker beside them.
 /// The worker outlives the agent's process; calls to it may be lost, or
 /// executed seconds late.
 ///
@@ -10,6 +11,7 @@
 #define YARDWHEEL_EMULATOR_LEASED_AGENT_H
 
 #include "agent/lease_keeper.h"
+#include "coordination/delegate.h"
 #include "emulator/virtual_worker.h"
 
 #include <deque>
@@ -38,6 +40,9 @@
   KeeperOptions Keeper;
   VirtualWorkerOptions Worker;
   std::uint64_t Seed = 1;
+  /// Whether it coordinates jobs for entries.
+  bool Coordinates = false;
+  DelegateOptions Delegation;
 };
 
 class LeasedAgent final : public WorkerPort {
@@ -48,6 +53,9 @@
   const std::string &name() const { return this->Name; }
   /// Returns the agent's member record, as control sends it to entries.
   peer::Member member() const;
+  /// Tells the agent of another agent or of an entry, as control does where it
+  /// coordinates jobs.
+  void announceMember(const peer::Member &Member);
   /// Starts a new incarnation of the process after a kill. The worker has kept
   /// running, and announces itself again within a second.
   void restart();
@@ -83,6 +91,11 @@
 
   Instant now() const;
   void startIncarnation();
+  void startDelegate();
+  /// Returns when this process was last behind, as its loop sees it.
+  TimePoint lastBehind() const;
+  void receive(const PeerRef &From, const peer::Message &Message);
+  void tick();
   /// Announces the worker to this agent, now and every second.
   void announceWorker();
   CallFate drawCallFate();
@@ -110,6 +123,10 @@
   std::deque<std::optional<Duration>> PlannedStarts;
   std::vector<WorkerReply> PlannedStartReplies;
   std::unique_ptr<LeaseKeeper> Keeper;
+  /// Null unless it coordinates jobs.
+  std::unique_ptr<Delegate> Coordination;
+  TimePoint LastTick;
+  TimePoint LastBehind = TimePoint::min();
 };
 
 } // namespace yardwheel
--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -31,6 +31,11 @@
   Options.FirstOrder += (this->Incarnation - 1) * OrdersPerIncarnation;
   Options.Seed += this->Incarnation - 1;
   this->Coordinator = std::make_unique<LeaseCoordinator>(Options, *this, *this);
+  DelegationOptions Delegation = this->Options.Delegation;
+  Delegation.Name = this->Name;
+  Delegation.FirstNumber = this->Incarnation * OrdersPerIncarnation;
+  this->Intake = std::make_unique<DelegatingIntake>(
+      Delegation, *this->Coordinator, *this, *this);
   this->LastIdle = this->World.now().Steady;
   this->LastBehind = TimePoint::min();
   this->World.start(this->Name, [this](const PeerRef &From,
@@ -38,8 +43,9 @@
     this->runWhenFree([this, From, Message] { this->receive(From, Message); });
   });
   this->World.onSendFailed(this->Name, [this](const Undelivered &Lost) {
-    this->Coordinator->noteBehind(this->lastBehind(), this->World.now());
+    this->Intake->noteBehind(this->lastBehind(), this->World.now());
     this->Coordinator->onUndelivered(Lost, this->World.now());
+    this->Intake->onUndelivered(Lost, this->World.now());
   });
   this->World.every(this->Name, this->Options.Tick, [this] { this->tick(); });
 }
@@ -78,14 +84,26 @@
 
 void LeasedEntry::tick() {
   this->Coordinator->tick(this->World.now(), this->lastBehind());
+  if (this->Options.Delegation.Rule.MaxDelegates > 0)
+    this->tickDelegation();
   this->LastBehind = this->lastBehind();
   this->LastIdle = this->Processor.lastIdle();
 }
 
+void LeasedEntry::tickDelegation() {
+  Instant Now = this->World.now();
+  if (this->Meter.isDue(Now.Steady))
+    this->Meter.sample(this->Processor.busy(), Now.Steady);
+  this->Intake->tick({.ProcessorShare = this->Meter.share(),
+                      .ExpectedWait = this->Processor.expectedWait()},
+                     this->lastBehind(), Now);
+}
+
 void LeasedEntry::receive(const PeerRef &From, const peer::Message &Message) {
   Instant Now = this->World.now();
-  this->Coordinator->noteBehind(this->lastBehind(), Now);
+  this->Intake->noteBehind(this->lastBehind(), Now);
   this->Coordinator->onMessage(From, Message, Now);
+  this->Intake->onMessage(From, Message, Now);
   this->Coordinator->placeScheduled(Now);
 }
 
@@ -100,6 +118,7 @@
 void LeasedEntry::announceAgent(const peer::Member &Agent) {
   this->World.runOn(this->Name, [this, Agent] {
     this->Coordinator->onMember(Agent, this->World.now());
+    this->Intake->onMember(Agent, this->World.now());
   });
 }
 
@@ -165,8 +184,8 @@
   this->handOver([this, Which, Job] {
     Instant Now = this->World.now();
     this->Unanswered[Which] = Job.Id;
-    this->Coordinator->noteBehind(this->lastBehind(), Now);
-    this->Coordinator->submit(Job, Which, Now);
+    this->Intake->noteBehind(this->lastBehind(), Now);
+    this->Intake->submit(Job, Which, Now);
   });
 }
 
@@ -202,8 +221,8 @@
         return;
       // The coordinator answers immediately, which erases the entry found.
       std::string Job = Found->second;
-      this->Coordinator->withdraw(Job, Which, "the caller has gone",
-                                  this->World.now());
+      this->Intake->withdraw(Job, Which, "the caller has gone",
+                             this->World.now());
     });
   });
 }
--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -1,7 +1,8 @@
 //===- emulator/leased_entry.h - An entry in virtual time -------*- C++ -*-===//
 ///
 /// \file
-/// The lease coordinator of an entry, as in production, behind a gate that
+/// The lease coordinator of an entry and the filter that delegates some of its
+/// jobs, as in production, behind a gate that
 /// accepts callers' requests the same way as the real one: one thread reads a
 /// request and hands it over to the event loop.
 ///
@@ -9,7 +10,8 @@
 #ifndef YARDWHEEL_EMULATOR_LEASED_ENTRY_H
 #define YARDWHEEL_EMULATOR_LEASED_ENTRY_H
 
-#include "coordination/lease_coordinator.h"
+#include "coordination/delegating_intake.h"
+#include "core/processor_meter.h"
 #include "emulator/run_register.h"
 #include "emulator/virtual_processor.h"
 #include "emulator/virtual_world.h"
@@ -26,6 +28,8 @@
 
 struct LeasedEntryOptions {
   CoordinatorOptions Coordinator;
+  /// Nothing is delegated unless Rule.MaxDelegates is set.
+  DelegationOptions Delegation;
   /// Interval between the ticks of the process.
   std::chrono::milliseconds Tick{20};
   /// Processor time for each message that the entry sends or receives,
@@ -69,6 +73,9 @@
   const CoordinatorCounters &counters() const {
     return this->Coordinator->counters();
   }
+  const DelegationCounters &delegation() const {
+    return this->Intake->counters();
+  }
   Duration busy() const { return this->Processor.busy(); }
   /// Returns the number of submissions that were read and not answered yet.
   std::size_t unanswered() const { return this->Unanswered.size(); }
@@ -84,6 +91,8 @@
   std::function<void()> onThisIncarnation(std::function<void()> Action);
   void receive(const PeerRef &From, const peer::Message &Message);
   void tick();
+  /// Delegates and takes back jobs according to the load.
+  void tickDelegation();
   /// Returns when this process was last behind, as its loop sees it.
   TimePoint lastBehind() const;
   /// Hands over to the loop what another thread has read.
@@ -98,10 +107,12 @@
   std::string Name;
   LeasedEntryOptions Options;
   VirtualProcessor Processor;
+  ProcessorMeter Meter{/*Limit=*/1};
   AdmissionRule Admission{AdmissionOptions()};
   PeerSink &Sink;
   std::uint64_t Incarnation = 0;
   std::unique_ptr<LeaseCoordinator> Coordinator;
+  std::unique_ptr<DelegatingIntake> Intake;
   TimePoint LastIdle;
   TimePoint LastBehind = TimePoint::min();
   TimePoint LastHandOver = TimePoint::min();
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -21,6 +21,7 @@
   LeasedEntryOptions Own;
   Own.Coordinator = Options.Coordinator;
   Own.Coordinator.Seed = Options.Seed + Which;
+  Own.Delegation = Options.Delegation;
   Own.Tick = Options.Tick;
   Own.MessageCost = Options.EntryMessageCost;
   Own.HandOverDelay = Options.EntryHandOverDelay;
@@ -34,6 +35,8 @@
   Own.Pool = PoolName;
   Own.Tick = Options.Tick;
   Own.Keeper = Options.Keeper;
+  Own.Coordinates = Options.delegates();
+  Own.Delegation = Options.Delegate;
   Own.Worker.RestartAfter = Options.RestartAfter;
   Own.Worker.KeepsId = Options.WorkersKeepId;
   Own.Worker.CapacityMilliCores =
@@ -45,7 +48,7 @@
 } // namespace
 
 LeasedWorld::LeasedWorld(const LeasedWorldOptions &Options)
-    : World(Options.Seed) {
+    : Options(Options), World(Options.Seed) {
   for (std::size_t I = 0; I < Options.Agents; ++I)
     this->Agents.push_back(std::make_unique<LeasedAgent>(
         this->World, this->Runs, fmt::format("agent-{}", I),
@@ -62,6 +65,9 @@
     Names.insert(this->Entries[I]->name());
   }
   this->World.separateDraws(std::move(Names));
+  if (Options.delegates())
+    for (const auto &Agent : this->Agents)
+      this->announceMembersTo(*Agent);
   // Each entry asks each agent once before the load begins.
   this->World.run(Options.WarmUp);
   this->LoadStart = this->World.now().Steady;
@@ -105,6 +111,19 @@
                         [&Other = *Other, Member = Restarted.member()] {
                           Other.announceEntry(Member);
                         });
+  if (this->Options.delegates())
+    for (const auto &Agent : this->Agents)
+      this->World.after(EntryUpdateDelay,
+                        [&Agent = *Agent, Member = Restarted.member()] {
+                          Agent.announceMember(Member);
+                        });
+}
+
+void LeasedWorld::announceMembersTo(LeasedAgent &Target) {
+  for (const auto &Other : this->Agents)
+    Target.announceMember(Other->member());
+  for (const auto &Entry : this->Entries)
+    Target.announceMember(Entry->member());
 }
 
 void LeasedWorld::announceEntriesTo(std::size_t Which) {
@@ -124,6 +143,14 @@
       Entry.announceAgent(Member);
     });
   }
+  if (!this->Options.delegates())
+    return;
+  this->announceMembersTo(Agent);
+  for (const auto &Other : this->Agents)
+    this->World.after(EntryUpdateDelay,
+                      [&Other = *Other, Member = Agent.member()] {
+                        Other.announceMember(Member);
+                      });
 }
 
 EntryEffort LeasedWorld::effort() const {
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -30,6 +30,10 @@
   std::vector<std::uint32_t> CapacitiesMilliCores = {64000};
   CoordinatorOptions Coordinator;
   KeeperOptions Keeper;
+  /// Delegation of jobs to agents; off unless Rule.MaxDelegates is set.
+  DelegationOptions Delegation;
+  DelegateOptions Delegate;
+  bool delegates() const { return this->Delegation.Rule.MaxDelegates > 0; }
   /// Interval between the ticks of each process.
   std::chrono::milliseconds Tick{20};
   /// Processor time of an entry for each message that it sends or receives,
@@ -117,10 +121,13 @@
   TimePoint loadStart() const { return this->LoadStart; }
 
 private:
+  /// Announces all agents and entries to an agent that coordinates jobs.
+  void announceMembersTo(LeasedAgent &Target);
   /// Announces all other entries to an entry.
   void announceEntriesTo(std::size_t Which);
   void onEnded(const std::string &Route, bool InTime, LeasedEnd End);
 
+  LeasedWorldOptions Options;
   VirtualWorld World;
   RunRegister Runs;
   TimePoint LoadStart;
--- a/emulator/virtual_world.cpp
+++ b/emulator/virtual_world.cpp
@@ -88,6 +88,10 @@
     this->after(Duration(0), std::move(Each.Action));
 }
 
+std::uint64_t VirtualWorld::incarnation(const std::string &Node) const {
+  return this->Nodes.at(Node).Incarnation;
+}
+
 bool VirtualWorld::isUp(const std::string &Name) const {
   auto Found = this->Nodes.find(Name);
   return Found != this->Nodes.end() && Found->second.Up;
--- a/emulator/virtual_world.h
+++ b/emulator/virtual_world.h
@@ -73,6 +73,8 @@
   void freeze(const std::string &Node);
   void thaw(const std::string &Node, ThawOrder Order = ThawOrder::AsHeld);
   bool isUp(const std::string &Node) const;
+  /// Returns the incarnation that a node's messages carry now.
+  std::uint64_t incarnation(const std::string &Node) const;
 
   /// Cuts all links between \p Node and other nodes.
   void isolate(const std::string &Node) { this->Isolated.insert(Node); }
--- a/tests/entry/lease_fuzz_test.cpp
+++ b/tests/entry/lease_fuzz_test.cpp
@@ -148,6 +148,67 @@
   }
 }
 
+TEST_GROUP(DelegatedFuzzTest){};
+
+// Agents coordinate jobs for entries, and crash, freeze, restart and are cut
+// off like all other processes.
+TEST(DelegatedFuzzTest, NoRunsOverlapWhenAgentsCoordinate) {
+  SeedRange Seeds = seedRange(DefaultSeeds);
+  std::uint64_t Completed = 0;
+  std::uint64_t Jobs = 0;
+  std::uint64_t Delegated = 0;
+  std::uint32_t Bad = 0;
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
+    LeaseScenario Scenario(LeaseScenario::delegatedOptions(Seed));
+    std::string Found = Scenario.run();
+    Completed += Scenario.completed();
+    Jobs += Scenario.jobs();
+    Delegated += Scenario.delegated();
+    if (Found.empty())
+      continue;
+    ++Bad;
+    UT_PRINT(
+        fmt::format("seed {}: {}{}", Seed, Found, Scenario.describe()).c_str());
+  }
+  UT_PRINT(fmt::format("{} of {} jobs completed, {} delegated", Completed, Jobs,
+                       Delegated)
+               .c_str());
+  LONGS_EQUAL(0, Bad);
+  CHECK(Completed * 100 >= Jobs * 98);
+  // Jobs are submitted again, and entries that restart begin to count anew.
+  CHECK(Delegated * 2 >= Jobs);
+}
+
+// Disables one rule of delegation at a time and expects a violation.
+TEST(DelegatedFuzzTest, PlantedFaultsOfDelegationAreFound) {
+  struct Row {
+    const char *Name;
+    void (*Plant)(LeaseScenarioOptions &Options);
+  };
+  const Row Rows[] = {
+      {"a delegate's messages carry its own time",
+       [](LeaseScenarioOptions &Options) {
+         Options.World.Delegate.LeasesCountFromEntry = false;
+       }},
+      {"a delegate forgets the jobs that have ended",
+       [](LeaseScenarioOptions &Options) {
+         Options.World.Delegate.EndedRetention = 0ms;
+       }},
+  };
+  for (const Row &Row : Rows) {
+    std::uint64_t FoundAt = 0;
+    for (std::uint64_t Seed = 1; FoundAt == 0 && Seed <= PlantedSeeds; ++Seed) {
+      LeaseScenarioOptions Options = LeaseScenario::delegatedOptions(Seed);
+      Row.Plant(Options);
+      LeaseScenario Scenario(Options);
+      Scenario.run();
+      if (Scenario.overlappingRuns() > 0)
+        FoundAt = Seed;
+    }
+    CHECK_TEXT(FoundAt > 0, Row.Name);
+  }
+}
+
 TEST_GROUP(UnknownStartFuzzTest){};
 
 // The entry that places the task again does not know of the open start, as all
--- a/tests/entry/lease_scenario.cpp
+++ b/tests/entry/lease_scenario.cpp
@@ -39,6 +39,21 @@
   return Options;
 }
 
+LeaseScenarioOptions LeaseScenario::delegatedOptions(std::uint64_t Seed) {
+  LeaseScenarioOptions Options = LeaseScenario::options(Seed);
+  Options.World.Agents = 3 + Seed % 2;
+  // Delegates are in use from the start, whatever the load, and all or half of
+  // the jobs are delegated.
+  DelegationRuleOptions &Rule = Options.World.Delegation.Rule;
+  Rule.MaxDelegates = 1 + Seed % 2;
+  Rule.PrepareAt = 0;
+  Rule.HighLoad = 0;
+  Rule.RaiseStep = Seed % 3 == 0 ? 0.5 : 1;
+  Rule.AdjustInterval = Seed % 3 == 0 ? 1h : 100ms;
+  Options.World.WarmUp = 800ms;
+  return Options;
+}
+
 LeaseScenario::LeaseScenario(const LeaseScenarioOptions &Options)
     : Random(Options.World.Seed), Options(Options), World(Options.World) {
   this->World.world().setFilter([this](const PeerRef &From, const PeerRef &To,
@@ -88,6 +103,10 @@
 }
 
 void LeaseScenario::causeFault(const Focus &Target) {
+  if (this->Options.World.delegates() && this->Random() % 5 == 0) {
+    this->blockAgents(Target);
+    return;
+  }
   switch (this->Random() % 8) {
   case 0:
   case 1:
@@ -129,6 +148,24 @@
     }
 }
 
+void LeaseScenario::blockAgents(const Focus &Target) {
+  std::size_t Agent = this->pickAgent(Target);
+  std::size_t Only = this->Random() % this->World.agents();
+  bool IsOnlyOne = this->Random() % 2 == 0;
+  bool ToOthers = this->Random() % 3 != 0;
+  bool FromOthers = !ToOthers || this->Random() % 2 == 0;
+  bool IsDelayed = this->Random() % 3 == 0;
+  std::chrono::milliseconds Length = this->draw(200ms, 4s);
+  for (std::size_t Other = 0; Other < this->World.agents(); ++Other) {
+    if (Other == Agent || (IsOnlyOne && Other != Only))
+      continue;
+    if (ToOthers)
+      this->blockLink({agentName(Agent), agentName(Other)}, IsDelayed, Length);
+    if (FromOthers)
+      this->blockLink({agentName(Other), agentName(Agent)}, IsDelayed, Length);
+  }
+}
+
 void LeaseScenario::blockLink(const Link &Direction, bool IsDelayed,
                               std::chrono::milliseconds Length) {
   this->logFault(fmt::format("{} to {} blocked for {} ms{}", Direction.first,
@@ -296,6 +333,13 @@
   return this->findings();
 }
 
+std::uint64_t LeaseScenario::delegated() const {
+  std::uint64_t Jobs = 0;
+  for (std::size_t E = 0; E < this->World.entries(); ++E)
+    Jobs += this->World.entry(E).delegation().Delegated;
+  return Jobs;
+}
+
 std::uint32_t LeaseScenario::completed() const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(this->Callers, [](const auto &Caller) {
--- a/tests/entry/lease_scenario.h
+++ b/tests/entry/lease_scenario.h
@@ -33,6 +33,8 @@
 public:
   /// Returns the options of the callers and processes for \p Seed.
   static LeaseScenarioOptions options(std::uint64_t Seed);
+  /// Like options(), with agents that coordinate all or some of the jobs.
+  static LeaseScenarioOptions delegatedOptions(std::uint64_t Seed);
 
   explicit LeaseScenario(const LeaseScenarioOptions &Options);
 
@@ -45,6 +47,8 @@
     return static_cast<std::uint32_t>(this->Callers.size());
   }
   std::uint32_t completed() const;
+  /// Number of jobs that the present incarnations of the entries delegated.
+  std::uint64_t delegated() const;
   /// Number of jobs that were given up as crashing, in scenarios with worker
   /// crashes.
   std::uint32_t givenUpAsCrashing() const;
@@ -67,6 +71,9 @@
   void planCluster();
   void causeFault(const Focus &Target);
   void blockLinks(const Focus &Target);
+  /// Blocks links between an agent and others, in scenarios in which agents
+  /// coordinate jobs.
+  void blockAgents(const Focus &Target);
   void blockLink(const Link &Direction, bool IsDelayed,
                  std::chrono::milliseconds Length);
   void freeze(const Focus &Target);
