The last attempt of a task avoids workers that have failed of late

A further failure of a task with one attempt left fails its whole job, and the least loaded worker is often one that fails what it starts. Such a task now goes to a worker without failures since its last success, neither ejected nor on trial, if one may take it. What counts as an attempt is unchanged.

--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -391,6 +391,12 @@
   /// avoids or, if it has an open start at an agent, all others.
   std::set<std::string> excludedAgents(const Job &Target, std::uint32_t Index,
                                        Instant Now) const;
+  /// Returns \p Excluded and, if the task has one attempt left, the agents
+  /// whose workers have failed of late, unless no other worker is eligible.
+  std::set<std::string> withFailingAgents(const Job &Target,
+                                          std::uint32_t Index,
+                                          std::set<std::string> Excluded,
+                                          Instant Now) const;
   /// Whether a task waits for the only agent that may take it: one that control
   /// counts as alive and that is expected back within OnlyAgentTimeout.
   bool mustAwaitAgent(const Job &Target, std::uint32_t Index,
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -43,6 +43,25 @@
   return Excluded;
 }
 
+std::set<std::string>
+LeaseCoordinator::withFailingAgents(const Job &Target, std::uint32_t Index,
+                                    std::set<std::string> Excluded,
+                                    Instant Now) const {
+  // A further failure fails the whole job.
+  bool IsLastAttempt =
+      Target.Tasks[Index].Failures + 1 >= Target.Request.MaxAttempts;
+  if (!IsLastAttempt)
+    return Excluded;
+  std::set<std::string> WithFailing = this->Workers.agentsWithFailures();
+  if (WithFailing.empty())
+    return Excluded;
+  WithFailing.insert(Excluded.begin(), Excluded.end());
+  return this->Workers.hasEligibleWorker(Target.Request, WithFailing,
+                                         Now.Steady)
+             ? WithFailing
+             : Excluded;
+}
+
 bool LeaseCoordinator::mustAwaitAgent(const Job &Target, std::uint32_t Index,
                                       Instant Now) const {
   const Task &JobTask = Target.Tasks[Index];
@@ -147,7 +166,9 @@
       Target.AwaitsAgent = true;
       continue;
     }
-    Groups[this->excludedAgents(Target, I, Now)].push_back(I);
+    Groups[this->withFailingAgents(Target, I,
+                                   this->excludedAgents(Target, I, Now), Now)]
+        .push_back(I);
     Allowed = Allowed && JobTask.Attempt < this->Options.MaxPlacements;
   }
   Target.AwaitingOffers = 0;
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -397,6 +397,14 @@
   return Drawn;
 }
 
+std::set<std::string> WorkerTable::agentsWithFailures() const {
+  std::set<std::string> Agents;
+  for (const auto &[Name, Worker] : this->Workers)
+    if (Worker.FailuresInRow > 0 || Worker.Ejected || Worker.OnTrial)
+      Agents.insert(Name);
+  return Agents;
+}
+
 bool WorkerTable::hasEligibleWorker(const LeasedJobRequest &Job,
                                     const std::set<std::string> &Avoid,
                                     TimePoint Now) const {
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -190,6 +190,10 @@
   sampleWorkers(const LeasedJobRequest &Job, const std::set<std::string> &Avoid,
                 std::size_t Count, TimePoint Now);
 
+  /// Returns the agents whose workers have failed since their last success, or
+  /// are ejected or on trial.
+  std::set<std::string> agentsWithFailures() const;
+
   /// Whether any worker is eligible for a task of the job.
   bool hasEligibleWorker(const LeasedJobRequest &Job,
                          const std::set<std::string> &Avoid,
--- a/tests/coordination/coordinator_placement_test.cpp
+++ b/tests/coordination/coordinator_placement_test.cpp
@@ -399,3 +399,50 @@
   CHECK(Answers.Answers.back().second.RetryAfter >
         Answers.Answers.front().second.RetryAfter);
 }
+
+namespace {
+
+class FailingWorkerBench final : public CoordinatorFixture {
+public:
+  /// Returns where a job of one task is placed if one worker is idle but has
+  /// failed, and another one that has not failed has more tasks.
+  std::string placeJob(std::uint32_t MaxAttempts, bool HasOther) {
+    addAgent("other", 4000);
+    Coordinator.submit(patientRequest(3, "taken"), 1, Now);
+    addAgent("failing", 4000);
+    LeasedJobRequest Failed = patientRequest(1, "failed");
+    Failed.MaxAttempts = 1;
+    Coordinator.submit(Failed, 2, Now);
+    STRCMP_EQUAL("failing", Sink.Dispatches.back().first.c_str());
+    answer(Sink.Dispatches.size() - 1, peer::LEASED_FAILED);
+    if (!HasOther)
+      setState("other", peer::MEMBER_LEAVING);
+    LeasedJobRequest Request = patientRequest(1, "placed");
+    Request.MaxAttempts = MaxAttempts;
+    Coordinator.submit(Request, 3, Now);
+    STRCMP_EQUAL("placed", Sink.Dispatches.back().second.job().c_str());
+    return Sink.Dispatches.back().first;
+  }
+};
+
+} // namespace
+
+TEST(CoordinatorPlacementTest, TheLastAttemptGoesToAWorkerWithoutFailures) {
+  struct Row {
+    const char *Name;
+    std::uint32_t MaxAttempts;
+    bool HasOther;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"two attempts left", 2, true, "failing"},
+      {"the last attempt", 1, true, "other"},
+      {"the last attempt, no other worker", 1, false, "failing"},
+  };
+  for (const Row &Row : Rows) {
+    FailingWorkerBench Bench;
+    STRCMP_EQUAL_TEXT(Row.Expected,
+                      Bench.placeJob(Row.MaxAttempts, Row.HasOther).c_str(),
+                      Row.Name);
+  }
+}
