--- a/emulator/mixed_load.cpp
+++ b/emulator/mixed_load.cpp
@@ -13,7 +13,6 @@
 /// Allowance.
 constexpr double LateFactor = 1.6;
 constexpr std::chrono::milliseconds LateAllowance{60};
-constexpr std::chrono::milliseconds Deadline{6000};
 /// Time after the load, in which the last accepted jobs end.
 constexpr std::chrono::milliseconds DrainTime{7000};
 /// The value of a late answer, relative to one in time.
@@ -62,7 +61,7 @@
   Request.Estimate = times(Mean, Declared.draw(Random));
   Request.MaxAttempts = 3;
   Request.Objective = times(Request.Estimate, LateFactor) + LateAllowance;
-  Request.Deadline = Deadline;
+  Request.Deadline = Options.Deadline;
   return Drawn;
 }
 
--- a/emulator/mixed_load.h
+++ b/emulator/mixed_load.h
@@ -68,6 +68,8 @@
   /// mean load and others none.
   std::size_t Callers = 0;
   std::chrono::milliseconds Lasts{12000};
+  /// How long a caller waits for its answer.
+  std::chrono::milliseconds Deadline{6000};
   /// Spread of widths and mean lengths between jobs, of lengths within a job,
   /// and of declared lengths: each the standard deviation of the logarithm.
   double JobSpread = 0.4;
--- a/tests/entry/lease_overload_test.cpp
+++ b/tests/entry/lease_overload_test.cpp
@@ -96,17 +96,27 @@
 
 namespace {
 
+void addOutcome(RouteOutcome &Total, const RouteOutcome &Seen) {
+  Total.Submitted += Seen.Submitted;
+  Total.InTime += Seen.InTime;
+  Total.Late += Seen.Late;
+  Total.Refused += Seen.Refused;
+  Total.Failed += Seen.Failed;
+}
+
 /// Adds the outcomes of a run, by route.
 void addOutcomes(std::map<std::string, RouteOutcome> &Sum,
                  const std::map<std::string, RouteOutcome> &Run) {
-  for (const auto &[Route, Seen] : Run) {
-    RouteOutcome &Total = Sum[Route];
-    Total.Submitted += Seen.Submitted;
-    Total.InTime += Seen.InTime;
-    Total.Late += Seen.Late;
-    Total.Refused += Seen.Refused;
-    Total.Failed += Seen.Failed;
-  }
+  for (const auto &[Route, Seen] : Run)
+    addOutcome(Sum[Route], Seen);
+}
+
+/// Returns the outcomes of all routes together.
+RouteOutcome totalOf(const std::map<std::string, RouteOutcome> &Run) {
+  RouteOutcome Total;
+  for (const auto &[Route, Seen] : Run)
+    addOutcome(Total, Seen);
+  return Total;
 }
 
 } // namespace
@@ -153,3 +163,28 @@
     CHECK_TEXT(LongWith >= LongWithout - MaxLongLoss, Text.c_str());
   }
 }
+
+// More than half as much again as there is room for, without limits by route:
+// what waits grows until jobs are given up at their deadlines.
+TEST(LeaseOverloadTest, HopelessJobsAreRefusedInsteadOfGivenUp) {
+  for (std::uint64_t Seed : {1, 2, 3}) {
+    MixedLoadOptions Options;
+    Options.Factor = 1.7;
+    Options.Deadline = 600ms;
+    Options.World.Seed = Seed;
+    ShedderOptions &Shedder = Options.World.Coordinator.Shedder;
+    Shedder.CheapestRouteLimit = 100;
+    Shedder.SustainedLimit = 100;
+    Shedder.MaxRouteLimit = 100;
+    RouteOutcome Without = totalOf(runMixedLoad(Options).Routes);
+    Options.World.Coordinator.Deadlines.Enabled = true;
+    RouteOutcome With = totalOf(runMixedLoad(Options).Routes);
+    std::string Text =
+        fmt::format("seed {}: {} given up and {} completed, {} and {} without",
+                    Seed, With.Failed, With.InTime + With.Late, Without.Failed,
+                    Without.InTime + Without.Late);
+    CHECK_TEXT(With.Failed < Without.Failed, Text.c_str());
+    CHECK_TEXT(With.InTime + With.Late >= Without.InTime + Without.Late,
+               Text.c_str());
+  }
+}
