The soak delegates jobs to agents that fail

Cause: delegation had no run on real processes under faults. Workers announce no start time then, as nothing is delegated where they do, so restarts under an id are off. All earlier checks apply, and one more: some job was delegated.

--- a/coordination/delegation_rule.cpp
+++ b/coordination/delegation_rule.cpp
@@ -4,6 +4,18 @@
 
 namespace yardwheel {
 
+DelegationRuleOptions delegationRuleAt(double HighLoad,
+                                       std::uint32_t MaxDelegates) {
+  DelegationRuleOptions Options;
+  double Ratio = HighLoad / Options.HighLoad;
+  Options.MaxDelegates = MaxDelegates;
+  Options.HighLoad = HighLoad;
+  Options.PrepareAt *= Ratio;
+  Options.ReleaseBelow *= Ratio;
+  Options.LowLoad *= Ratio;
+  return Options;
+}
+
 void DelegationRule::update(const EntryLoad &Load, TimePoint Now) {
   if (this->Options.MaxDelegates == 0 || Now < this->NextAdjustment)
     return;
--- a/coordination/delegation_rule.h
+++ b/coordination/delegation_rule.h
@@ -52,6 +52,11 @@
   double MaxDelegateLoad = 0.6;
 };
 
+/// Returns options with which an entry delegates from a share \p HighLoad of
+/// its processor time on, and with the other shares in proportion.
+DelegationRuleOptions delegationRuleAt(double HighLoad,
+                                       std::uint32_t MaxDelegates);
+
 /// What an entry knows of its own load.
 struct EntryLoad {
   /// Used share of the processor time that the process may use.
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -139,7 +139,8 @@
 
 DelegationOptions LeaseEntryProcess::delegationOptions() const {
   DelegationOptions Options;
-  Options.Rule.MaxDelegates = this->Plan.MaxDelegates;
+  Options.Rule =
+      delegationRuleAt(this->Plan.DelegateAtShare, this->Plan.MaxDelegates);
   Options.Name = this->Plan.Node;
   Options.DataCentre = this->Plan.DataCentre;
   return Options;
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -38,6 +38,10 @@
               "With --platform, at entries: the most agents that coordinate "
               "jobs for this entry while it is short of processor time. 0: "
               "none.");
+DEFINE_uint32(delegate_at, 60,
+              "With --platform, at entries with --delegates: the percentage of "
+              "its processor time at which this entry delegates jobs. 0: "
+              "whenever a delegate is ready.");
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
@@ -153,6 +157,8 @@
   NodePlan Plan = platform::readNodeSettings();
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
   Plan.MaxDelegates = FLAGS_delegates;
+  constexpr double Percent = 100;
+  Plan.DelegateAtShare = FLAGS_delegate_at / Percent;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -67,6 +67,8 @@
   /// Most agents that coordinate jobs for this entry while it is short of
   /// processor time; 0 if none may.
   std::uint32_t MaxDelegates = 0;
+  /// Share of its processor time at which this entry delegates jobs.
+  double DelegateAtShare = 0.6;
   /// Whether this agent coordinates jobs for entries.
   bool CoordinatesForEntries = false;
 };
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -91,7 +91,15 @@
 }
 
 pid_t PlatformCluster::launch(const std::string &Name,
-                              const std::string &Settings) {
+                              const std::string &Settings,
+                              const std::vector<std::string> &Flags) {
+  std::vector<std::string> Words = {Daemon, "--platform"};
+  Words.insert(Words.end(), Flags.begin(), Flags.end());
+  std::vector<char *> Pointers;
+  Pointers.reserve(Words.size() + 1);
+  for (std::string &Word : Words)
+    Pointers.push_back(Word.data());
+  Pointers.push_back(nullptr);
   std::string Path = fmt::format("{}/{}.json", this->Folder, Name);
   this->rewrite(Name, Settings);
   std::string Log = fmt::format("{}/{}.log", this->Folder, Name);
@@ -106,7 +114,7 @@
     // closed them.
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::setenv("YARDWHEEL_SETTINGS", Path.c_str(), 1);
-    ::execl(Daemon.c_str(), Daemon.c_str(), "--platform", nullptr);
+    ::execv(Daemon.c_str(), Pointers.data());
     ::_exit(127);
   }
   this->Running[Name] = Child;
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <sys/types.h>
+#include <vector>
 
 namespace yardwheel {
 
@@ -42,7 +43,8 @@
   void rewrite(const std::string &Name, const std::string &Settings) const;
   /// Returns the log from the first "reloaded" decision on; empty without one.
   std::string reloads(const std::string &Name) const;
-  pid_t launch(const std::string &Name, const std::string &Settings);
+  pid_t launch(const std::string &Name, const std::string &Settings,
+               const std::vector<std::string> &Flags = {});
   /// Starts three control replicas, two entries and two agents with workers,
   /// and waits until the entries use both workers. \throws std::runtime_error
   /// if they do not within the timeout.
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -78,9 +78,28 @@
   return Body.dump();
 }
 
+std::vector<std::string> SoakFleet::flags(int Host) const {
+  bool IsEntry = Host < SoakFirstAgent;
+  int Index = Host - (IsEntry ? SoakFirstEntry : SoakFirstAgent);
+  if (!this->Options.Delegation || Host >= SoakFirstControl ||
+      !isDelegating(Index))
+    return {};
+  if (IsEntry)
+    return {"--delegates", "2", "--delegate_at", "0"};
+  return {"--coordinates"};
+}
+
+int SoakFleet::countAtEntries(const std::string &Decision) const {
+  int Count = 0;
+  for (int I = 0; I < this->Options.Entries; ++I)
+    Count +=
+        this->Cluster.count(this->Nodes.at(SoakFirstEntry + I).Name, Decision);
+  return Count;
+}
+
 void SoakFleet::start(int Host) {
   Node &Known = this->Nodes.at(Host);
-  this->Cluster.launch(Known.Name, this->settings(Host));
+  this->Cluster.launch(Known.Name, this->settings(Host), this->flags(Host));
   Known.Up = true;
   Known.Terminating = false;
   this->Findings.note("started " + Known.Name);
@@ -93,6 +112,7 @@
   Worker.Id = fmt::format("i-{}-{}", Host, ++this->Lives);
   Worker.Listen = this->Cluster.at(Host, WorkerOffset);
   Worker.Agent = this->Cluster.at(Host, OperatorOffset);
+  Worker.AnnouncesBorn = !this->Options.Delegation;
   this->Cluster.Workers[Host] =
       std::make_unique<PlatformWorker>(Worker, this->Cluster.Recorder);
 }
--- a/tests/system/soak_fleet.h
+++ b/tests/system/soak_fleet.h
@@ -47,6 +47,8 @@
   std::vector<std::string> operatorAddresses() const;
   /// Connections between nodes that pass a proxy, so far.
   int proxied() const;
+  /// How often the entries have logged a decision.
+  int countAtEntries(const std::string &Decision) const;
   RunRecorder &recorder() { return this->Cluster.Recorder; }
   SoakFindings &findings() { return this->Findings; }
 
@@ -66,6 +68,7 @@
 
   void addNodes(const char *Prefix, const char *Serves, int First, int Count);
   std::string settings(int Host);
+  std::vector<std::string> flags(int Host) const;
   void start(int Host);
   void startWorker(int Host);
   void kill(int Host);
--- a/tests/system/soak_main.cpp
+++ b/tests/system/soak_main.cpp
@@ -134,6 +134,8 @@
       this->reportOverlap(Task);
     if (this->Fleet.proxied() == 0)
       Findings.add("no connection between nodes passes a proxy");
+    if (this->Options.Delegation && this->delegated() == 0)
+      Findings.add("no job was delegated");
   }
 
   void reportOverlap(const std::string &Task) {
@@ -153,16 +155,23 @@
     this->Fleet.findings().add("two runs of " + Task + " at one time" + Runs);
   }
 
+  /// Returns the number of delegated jobs that have ended.
+  int delegated() const {
+    return this->Fleet.countAtEntries("delegated_job_ended");
+  }
+
   void report(std::size_t Faults) {
     fmt::print("seed {}: {} findings; {} faults, {} jobs, {} completed, {} "
                "hand-ins, {} not run, {} unknown, {} without an answer, {} "
-               "starts, {} configurations, {} proxied connections\n",
+               "starts, {} configurations, {} proxied connections, {} "
+               "delegated, {} delegates lost\n",
                this->Options.Seed, this->Fleet.findings().count(), Faults,
                this->Shared.Jobs.load(), this->Shared.Completed.load(),
                this->Shared.HandIns.load(), this->Shared.NotRun.load(),
                this->Shared.Unknown.load(), this->Shared.Cut.load(),
                this->Fleet.recorder().starts(), this->Operator.acknowledged(),
-               this->Fleet.proxied());
+               this->Fleet.proxied(), this->delegated(),
+               this->Fleet.countAtEntries("delegate_lost"));
     std::fflush(stdout);
   }
 
@@ -184,6 +193,8 @@
       Given.Options.Length = std::chrono::seconds(std::stoi(Value));
     else if (Name == "--restarts" && (Value == "yes" || Value == "no"))
       Given.Options.Restarts = Value == "yes";
+    else if (Name == "--delegation" && (Value == "yes" || Value == "no"))
+      Given.Options.Delegation = Value == "yes";
     else if (Name == "--count")
       Given.Count = std::stoi(Value);
     else if (Name == "--scale" && (Value == "small" || Value == "large")) {
@@ -194,6 +205,9 @@
     } else
       return false;
   }
+  // Nothing is delegated where workers start again under their ids.
+  if (Given.Options.Delegation)
+    Given.Options.Restarts = false;
   return Count % 2 == 1;
 }
 
@@ -203,7 +217,7 @@
   Arguments Given;
   if (!parse(Count, Words, Given)) {
     std::cerr << "expected --seed N, --count N, --seconds S, --scale "
-                 "small|large, --restarts yes|no\n";
+                 "small|large, --restarts yes|no, --delegation yes|no\n";
     return 2;
   }
   curl_global_init(CURL_GLOBAL_ALL);
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -18,6 +18,12 @@
 constexpr int MaxRestartPauseMs = 2500;
 constexpr int MaxDownMs = 2000;
 constexpr int ShortDownMs = 50;
+/// Between two faults of agents that coordinate jobs, and how long one lasts.
+/// Some are shorter and some longer than the silence with which a delegate is
+/// lost.
+constexpr int MaxDelegatePauseMs = 2000;
+constexpr int MaxDelegateFaultMs = 1500;
+constexpr std::uint64_t DelegateSeed = 0x5eedULL << 32U;
 
 const char *nameOf(SoakFaultKind Kind) {
   switch (Kind) {
@@ -108,7 +114,29 @@
     return Fault;
   }
 
+  SoakFault nextOfDelegate(milliseconds At) {
+    constexpr SoakFaultKind Usual[] = {
+        SoakFaultKind::Kill, SoakFaultKind::Freeze, SoakFaultKind::Terminate,
+        SoakFaultKind::LinkHold, SoakFaultKind::LinkReset};
+    SoakFault Fault;
+    Fault.At = At;
+    Fault.Kind = Usual[this->pick(0, std::size(Usual) - 1)];
+    Fault.Host = SoakFirstAgent + this->delegating(this->Options.Agents);
+    Fault.For = milliseconds(this->pick(1, MaxDelegateFaultMs));
+    if (Fault.Kind == SoakFaultKind::LinkHold) {
+      Fault.From = SoakFirstEntry + this->delegating(this->Options.Entries);
+      Fault.Back = this->pick(0, 1) == 0;
+      Fault.Delay = milliseconds(this->pick(20, 900));
+    }
+    return Fault;
+  }
+
 private:
+  /// Returns the number of a node that has part in delegation, of this many.
+  int delegating(int Count) {
+    int Index = this->pick(0, Count - 1);
+    return isDelegating(Index) ? Index : Index - 1;
+  }
   const KindRow &pickKind() {
     std::vector<double> Weights;
     for (const KindRow &Row : Kinds)
@@ -147,6 +175,20 @@
   std::mt19937_64 Random;
 };
 
+/// Adds faults of one source, drawn from a seed of their own, so that the other
+/// faults are the same with and without them.
+void addFaults(SoakOptions Options, std::uint64_t Seed, int LongestPauseMs,
+               SoakFault (Planner::*Next)(milliseconds At),
+               std::vector<SoakFault> &Faults) {
+  Options.Seed = Seed;
+  Planner Plan(Options);
+  milliseconds At(Plan.pick(0, LongestPauseMs));
+  while (At < Options.Length) {
+    Faults.push_back((Plan.*Next)(At));
+    At += milliseconds(Plan.pick(0, LongestPauseMs));
+  }
+}
+
 } // namespace
 
 std::string describe(const SoakFault &Fault) {
@@ -168,16 +210,12 @@
     }
     At += milliseconds(Plan.pick(0, MaxPauseMs));
   }
-  if (!Options.Restarts)
-    return Faults;
-  SoakOptions Other = Options;
-  Other.Seed = ~Options.Seed;
-  Planner Restarts(Other);
-  At = milliseconds(Restarts.pick(0, MaxRestartPauseMs));
-  while (At < Options.Length) {
-    Faults.push_back(Restarts.nextRestart(At));
-    At += milliseconds(Restarts.pick(0, MaxRestartPauseMs));
-  }
+  if (Options.Restarts)
+    addFaults(Options, ~Options.Seed, MaxRestartPauseMs, &Planner::nextRestart,
+              Faults);
+  if (Options.Delegation)
+    addFaults(Options, Options.Seed ^ DelegateSeed, MaxDelegatePauseMs,
+              &Planner::nextOfDelegate, Faults);
   std::ranges::stable_sort(Faults, {}, &SoakFault::At);
   return Faults;
 }
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -25,6 +25,10 @@
   /// Whether workers start again under their ids beside the other faults, whose
   /// plan is the same with and without.
   bool Restarts = true;
+  /// Whether half of the entries delegate all jobs that they can, with further
+  /// faults at the agents that coordinate these. Workers then don't announce
+  /// start times, as nothing is delegated where they do; Restarts must be off.
+  bool Delegation = false;
 };
 
 enum class SoakFaultKind {
@@ -65,6 +69,9 @@
 constexpr int SoakFirstAgent = 111;
 constexpr int SoakFirstControl = 121;
 
+/// Whether entry or agent number \p Index, from 0, has part in delegation.
+constexpr bool isDelegating(int Index) { return Index % 2 == 0; }
+
 std::string describe(const SoakFault &Fault);
 std::vector<SoakFault> planFaults(const SoakOptions &Options);
 
