--- a/coordination/delegation_rule.h
+++ b/coordination/delegation_rule.h
@@ -53,6 +53,11 @@
   double MaxDelegateLoad = 0.6;
 };
 
+/// Returns options with which an entry delegates from a share \p HighLoad of
+/// its processor time on, and with the other shares in proportion.
+DelegationRuleOptions delegationRuleAt(double HighLoad,
+                                       std::uint32_t MaxDelegates);
+
 /// What an entry knows of its own load.
 struct EntryLoad {
   /// Share of the time in which the process's loop is busy.
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -47,6 +47,10 @@
               "With --platform, at entries: the most agents that coordinate "
               "jobs for this entry while it is short of processor time. 0: "
               "none.");
+DEFINE_uint32(delegate_at, 40,
+              "With --platform, at entries with --delegates: the percentage of "
+              "the time in which its loop is busy at which this entry delegates "
+              "jobs. 0: whenever a delegate is ready.");
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
@@ -168,6 +172,8 @@
   Plan.RefusesHopelessJobs = FLAGS_refuse_hopeless;
   Plan.UsesQueuePriority = FLAGS_queue_priority;
   Plan.MaxDelegates = FLAGS_delegates;
+  constexpr double Percent = 100;
+  Plan.DelegateAtShare = FLAGS_delegate_at / Percent;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   Plan.KeepsShares = FLAGS_shares;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -69,6 +69,9 @@
   /// Most agents that coordinate jobs for this entry while it is short of
   /// processor time; 0 if none may.
   std::uint32_t MaxDelegates = 0;
+  /// Share of the time in which this entry's loop is busy at which the entry
+  /// delegates jobs.
+  double DelegateAtShare = 0.4;
   /// Whether this agent coordinates jobs for entries.
   bool CoordinatesForEntries = false;
   /// Whether callers have shares of a full pool.
