The factor away from a rack is the platform's

Cause: the factor by which a run away from its preferred rack takes longer was a constant, 1.5; deployments state others (remoteFactor). Change: bounds.remoteFactor is read into NodePlan::OffRackFactor (1.5 where it is not stated) and used for placement.

--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -59,6 +59,7 @@
   Options.FirstOrder = Incarnation * MaxOrdersPerMicrosecond;
   Options.RenewalInterval = CoordinatorRenewal;
   Options.Shedder.Values = Plan.RouteValues;
+  Options.Workers.OffRackFactor = Plan.OffRackFactor;
   return Options;
 }
 
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -36,6 +36,10 @@
   std::chrono::milliseconds ShutdownGrace{6000};
 };
 
+/// Factor by which a run outside its preferred rack takes longer, on hosts
+/// that do not state one.
+constexpr double DefaultOffRackFactor = 1.5;
+
 struct NodePlan {
   std::string Node;
   NodeRole Role = NodeRole::Entry;
@@ -59,6 +63,8 @@
   /// Number of hosts with a disk that may be lost at once.
   std::uint32_t ToleratedLosses = 1;
   DeploymentTimes Times;
+  /// Factor by which a run outside its preferred rack takes longer.
+  double OffRackFactor = DefaultOffRackFactor;
   /// What a core-second of a route earns, by its queue priority, as an operator
   /// states it; empty if it is not known.
   std::map<std::uint32_t, double> RouteValues;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -188,10 +188,32 @@
                  {"/bounds/stopMs", -1, "bounds.stopMs"},
                  {"/bounds/graceS", "6", "bounds.graceS"},
                  {"/bounds/configApplyMs", "x", "bounds.configApplyMs"},
+                 {"/bounds/remoteFactor", 0.9, "bounds.remoteFactor"},
+                 {"/bounds/remoteFactor", "2", "bounds.remoteFactor"},
                  {"/faultTolerance/machines", -1, "faultTolerance.machines"}},
                 [](const std::string &Body) { parseNodeSettings(Body); });
 }
 
+TEST(CodecTest, TheFactorAwayFromARackIsTheStatedOne) {
+  struct Row {
+    const char *Name;
+    json Bounds;
+    double Factor;
+  };
+  const Row Rows[] = {{"not stated", json::object(), 1.5},
+                      {"no difference", {{"remoteFactor", 1}}, 1},
+                      {"stated", {{"remoteFactor", 2.5}}, 2.5}};
+  for (const Row &Row : Rows) {
+    json Body = settingsBody();
+    Body["bounds"] = Row.Bounds;
+    DOUBLES_EQUAL_TEXT(Row.Factor, parseNodeSettings(Body.dump()).OffRackFactor,
+                       1e-9, Row.Name);
+  }
+  json Body = settingsBody();
+  Body.erase("bounds");
+  DOUBLES_EQUAL(1.5, parseNodeSettings(Body.dump()).OffRackFactor, 1e-9);
+}
+
 TEST(CodecTest, SettingsAreDecodedWhole) {
   json Body = settingsBody();
   Body["serves"] = {"control"};
