Cold and leaving workers are placed on by their times left

Cause: coldLeftMs and remainingMs of an announcement were checked and dropped. Change: both are decoded into WorkerProfile, told with the load (cold_left_ms, left_ms) and used. While a worker is cold it is the last choice: no factor is stated for it, so others that can start a task go first. A task whose declared run time exceeds the time that the worker lasts is not placed there. Leaving agents take no tasks, as before. Measured: tests platform, dispatch, lease_board, lease_agent, lease_entry and worker_room pass.

--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -267,6 +267,8 @@
   /// task update carries a load and a crash may list many tasks.
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
                            bool WithAllCrashes = false) const;
+  /// Adds how much longer the worker is cold, and lasts, to a load report.
+  void addTimesLeft(peer::WorkerLoad &Load, Instant Now) const;
   /// Sends a load report to each entry that is to learn of open starts now.
   void reportOpenStarts(Instant Now);
   void sendLoad(const PeerRef &Entry, Instant Now);
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -350,11 +350,21 @@
     // off.
     Load.set_worker_ready(this->Session.isReady() &&
                           this->Session.hasSurvivedSilence());
+    this->addTimesLeft(Load, Now);
   }
   this->Open.list(Entry, Now.Steady, Load);
   return Load;
 }
 
+void LeaseKeeper::addTimesLeft(peer::WorkerLoad &Load, Instant Now) const {
+  Load.set_cold_left_ms(
+      static_cast<std::uint32_t>(this->Session.coldLeft(Now).count()));
+  // 0 says nothing, so the last moment is rounded up.
+  if (auto Left = this->Session.timeLeft(Now))
+    Load.set_left_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(Left->count(), 1)));
+}
+
 // ---- Open starts ----
 
 void LeaseKeeper::onStartOpen(const RunKey &Run, Instant Now) {
--- a/agent/worker_port.h
+++ b/agent/worker_port.h
@@ -66,6 +66,11 @@
   peer::TaskNeeds Room;
   std::set<std::string> Labels;
   bool Draining = false;
+  /// How much longer the worker is slow after its start.
+  std::chrono::milliseconds ColdLeft{};
+  /// How much longer the worker lasts at least, if it is about to leave and
+  /// states it.
+  std::optional<std::chrono::milliseconds> TimeLeft;
   /// Increases with each announcement of the same incarnation.
   std::uint64_t Sequence = 0;
   WorkerTime Clock{};
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -168,6 +168,11 @@
     return this->Ready && this->Answering && this->Announced;
   }
   const WorkerProfile &profile() const { return *this->Profile; }
+  /// \returns how much longer the worker is slow after its start.
+  std::chrono::milliseconds coldLeft(Instant Now) const;
+  /// \returns how much longer the worker lasts at least; nothing while it does
+  /// not state an end.
+  std::optional<std::chrono::milliseconds> timeLeft(Instant Now) const;
 
   void start(const RunKey &Run, const std::string &Spec, Instant Now);
   void stop(const RunKey &Run, Instant Now);
@@ -268,6 +273,8 @@
   /// Reports the ends of runs started for the previous incarnation with this
   /// id, once the current one has none of them.
   void settleInheritedRuns(Instant Now);
+  /// Records until when an announcement says that the worker is slow or lasts.
+  void recordTimesLeft(const WorkerProfile &New, Instant Now);
   void addCandidate(const WorkerProfile &New);
   /// Handles a later announcement of the current incarnation.
   void updateProfile(const WorkerProfile &New, Instant Now);
@@ -355,6 +362,10 @@
   WorkerPort &Port;
   SessionEvents &Events;
   std::optional<WorkerProfile> Profile;
+  /// Until when the current incarnation is slow after its start, and until when
+  /// it lasts at least.
+  TimePoint ColdUntil = TimePoint::min();
+  TimePoint LastsUntil = TimePoint::max();
   /// Incarnations that were announced while the current one seemed alive. All
   /// are kept: if a late announcement replaced that of the new incarnation, the
   /// new one would have no agent until it announces itself again.
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -38,6 +38,7 @@
 void WorkerSession::completeProfile(const WorkerProfile &New, Instant Now) {
   this->Announced = true;
   this->Profile = New;
+  this->recordTimesLeft(New, Now);
   this->Port.attach(New);
   this->Log.decision("worker_announced", {{"worker", New.Id},
                                           {"born", New.StartUnixMs.value_or(0)},
@@ -54,6 +55,7 @@
   if (New.Sequence <= this->Profile->Sequence)
     return;
   this->Profile->Sequence = New.Sequence;
+  this->recordTimesLeft(New, Now);
   peer::TaskNeeds Was = this->Profile->Room;
   if (isSameNeeds(Was, New.Room))
     return;
@@ -69,6 +71,25 @@
   this->Events.onRoomChanged(Now);
 }
 
+void WorkerSession::recordTimesLeft(const WorkerProfile &New, Instant Now) {
+  this->ColdUntil = Now.Steady + New.ColdLeft;
+  this->LastsUntil =
+      New.TimeLeft ? Now.Steady + *New.TimeLeft : TimePoint::max();
+}
+
+std::chrono::milliseconds WorkerSession::coldLeft(Instant Now) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(this->ColdUntil, Now.Steady) - Now.Steady);
+}
+
+std::optional<std::chrono::milliseconds>
+WorkerSession::timeLeft(Instant Now) const {
+  if (this->LastsUntil == TimePoint::max())
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(this->LastsUntil, Now.Steady) - Now.Steady);
+}
+
 void WorkerSession::addCandidate(const WorkerProfile &New) {
   auto IsNew = [&](const WorkerProfile &Known) {
     return isSameIncarnation(Known.workerIncarnation(),
@@ -101,6 +122,8 @@
     Next.StartUnixMs = Reply.StartUnixMs;
     Next.Sequence = 0;
     Next.Draining = false;
+    Next.ColdLeft = {};
+    Next.TimeLeft.reset();
   }
   if (Reply.Clock)
     Next.Clock = *Reply.Clock;
@@ -170,6 +193,7 @@
   this->reportCrash(Now);
   bool SharesId = this->Profile && this->Profile->Id == New.Id;
   this->Profile = New;
+  this->recordTimesLeft(New, Now);
   this->Announced = true;
   this->ClockReading = New.Clock;
   this->ClockReadingTime = Now.Steady;
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -114,6 +114,10 @@
   this->setOthersMilliCores(*Target, Load.others_cpu_milli());
   if (Target->Capacity.cpu_milli() > 0)
     this->Forecasts[Target->Pool].onReport(reportedShareOf(*Target), Now);
+  Target->ColdUntil = Now + std::chrono::milliseconds(Load.cold_left_ms());
+  Target->LastsUntil = Load.left_ms() == 0
+                           ? TimePoint::max()
+                           : Now + std::chrono::milliseconds(Load.left_ms());
   if (Load.leaving())
     Target->Alive = false;
   this->applyReportedFailures(*Target, Load.failures_in_row(), Now);
@@ -269,6 +273,8 @@
     return false;
   if (Worker.Ejected && Now < Worker.EjectedUntil)
     return false;
+  if (Worker.LastsUntil - Now < Job.Estimate)
+    return false;
   bool NeedsTrial = Worker.Ejected || Worker.OnTrial;
   return !NeedsTrial || Worker.OwnTasks == 0;
 }
@@ -346,6 +352,7 @@
       !Job.PreferredRack.empty() && !Worker.Labels.contains(Job.PreferredRack);
   if (OffRack)
     Target.RunTimeFactor = this->Options.OffRackFactor;
+  Target.LastChoice = Now < Worker.ColdUntil;
   return Target;
 }
 
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -101,6 +101,10 @@
   std::uint32_t OwnMilliCores = 0;
   std::uint32_t OwnTasks = 0;
 
+  /// Until when it is slow after its start, and until when it lasts at least.
+  TimePoint ColdUntil = TimePoint::min();
+  TimePoint LastsUntil = TimePoint::max();
+
   std::uint32_t FailuresInRow = 0;
   bool Ejected = false;
   /// Readmitted after an ejection; gets one task at a time until one succeeds.
--- a/dispatch/packed_placement.cpp
+++ b/dispatch/packed_placement.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-bool PackedPlacement::assignAll(ShareCounter &Counter, std::size_t Targets,
+bool PackedPlacement::assignAll(ShareCounter &Counter,
+                                const std::vector<std::size_t> &Among,
                                 std::mt19937_64 &Random) {
   std::vector<std::size_t> Fitting;
-  for (std::size_t I = 0; I < Targets; ++I)
+  for (std::size_t I : Among)
     if (Counter.tasksSureToStart(I) >= Counter.remaining())
       Fitting.push_back(I);
   if (Fitting.empty())
@@ -35,15 +36,16 @@
   return true;
 }
 
-bool PackedPlacement::fillLargest(ShareCounter &Counter, std::size_t Targets,
+bool PackedPlacement::fillLargest(ShareCounter &Counter,
+                                  const std::vector<std::size_t> &Among,
                                   std::mt19937_64 &Random) {
   std::uint32_t MaxStarting = 0;
-  for (std::size_t I = 0; I < Targets; ++I)
+  for (std::size_t I : Among)
     MaxStarting = std::max(MaxStarting, Counter.tasksSureToStart(I));
   if (MaxStarting == 0)
     return false;
   std::vector<std::size_t> Largest;
-  for (std::size_t I = 0; I < Targets; ++I)
+  for (std::size_t I : Among)
     if (Counter.tasksSureToStart(I) == MaxStarting)
       Largest.push_back(I);
   Counter.assign(pick(Largest, Random), MaxStarting);
@@ -55,9 +57,15 @@
                         std::vector<PlacementTarget> Targets,
                         std::mt19937_64 &Random) const {
   ShareCounter Counter(Demand, Targets, Random);
+  std::vector<std::size_t> Preferred;
+  std::vector<std::size_t> Avoided;
+  for (std::size_t I = 0; I < Targets.size(); ++I)
+    (Counter.isAvoided(I) ? Avoided : Preferred).push_back(I);
   while (Counter.remaining() > 0) {
-    bool Assigned = assignAll(Counter, Targets.size(), Random) ||
-                    fillLargest(Counter, Targets.size(), Random) ||
+    bool Assigned = assignAll(Counter, Preferred, Random) ||
+                    fillLargest(Counter, Preferred, Random) ||
+                    assignAll(Counter, Avoided, Random) ||
+                    fillLargest(Counter, Avoided, Random) ||
                     Counter.assignOneToCheapest();
     if (!Assigned)
       break;
--- a/dispatch/packed_placement.h
+++ b/dispatch/packed_placement.h
@@ -26,13 +26,16 @@
                                      std::mt19937_64 &Random) const override;
 
 private:
-  /// Assigns all remaining tasks to one target that can start them immediately,
-  /// the better of two selected at random. \returns whether there is one.
-  static bool assignAll(ShareCounter &Counter, std::size_t Targets,
+  /// Assigns all remaining tasks to one of these targets that can start them
+  /// immediately, the better of two selected at random. \returns whether there
+  /// is one.
+  static bool assignAll(ShareCounter &Counter,
+                        const std::vector<std::size_t> &Among,
                         std::mt19937_64 &Random);
-  /// Fills the target that can start the most tasks immediately. \returns
-  /// whether any can start one.
-  static bool fillLargest(ShareCounter &Counter, std::size_t Targets,
+  /// Fills the one of these targets that can start the most tasks immediately.
+  /// \returns whether any can start one.
+  static bool fillLargest(ShareCounter &Counter,
+                          const std::vector<std::size_t> &Among,
                           std::mt19937_64 &Random);
 };
 
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -33,6 +33,9 @@
   double RunTimeFactor = 1;
   /// Standard deviation of the actual load around LoadMilliCores.
   std::uint32_t DeviationMilliCores = 0;
+  /// Whether a task starts here only if no other target can start it now, for
+  /// example because the worker is slow by an unknown factor after its start.
+  bool LastChoice = false;
 };
 
 struct PlacementDemand {
--- a/dispatch/share_counter.h
+++ b/dispatch/share_counter.h
@@ -14,6 +14,10 @@
 
   std::uint32_t remaining() const { return this->Remaining; }
 
+  /// Whether a task is placed on the target only if no other can start it now.
+  bool isAvoided(std::size_t Index) const {
+    return this->Targets[Index].LastChoice;
+  }
   /// Returns the number of tasks that are expected to start immediately on a
   /// target.
   std::uint32_t tasksStartingNow(std::size_t Index) const;
--- a/tests/agent/keeper_updates_test.cpp
+++ b/tests/agent/keeper_updates_test.cpp
@@ -224,3 +224,33 @@
   Keeper.onMessage(EntryB, interest("urgent", 1, 80), Now);
   LONGS_EQUAL(0, Sink.Offers.size());
 }
+
+TEST(KeeperUpdatesTest, LoadReportsCarryTheTimesLeftOfTheWorker) {
+  struct Row {
+    const char *Name;
+    std::chrono::milliseconds Cold;
+    std::optional<std::chrono::milliseconds> Left;
+    std::chrono::milliseconds Passed;
+    std::uint32_t ColdLeftMs;
+    std::uint32_t LeftMs;
+  };
+  const Row Rows[] = {{"nothing stated", 0ms, std::nullopt, 0ms, 0, 0},
+                      {"cold", 300ms, std::nullopt, 0ms, 300, 0},
+                      {"less cold", 300ms, std::nullopt, 100ms, 200, 0},
+                      {"warm again", 300ms, std::nullopt, 400ms, 0, 0},
+                      {"about to leave", 0ms, 500ms, 100ms, 0, 400},
+                      {"about to end", 0ms, 100ms, 200ms, 0, 1}};
+  for (const Row &Row : Rows) {
+    LeaseKeeper Keeper(optionsWith(true), Sink, Port);
+    WorkerProfile Profile;
+    Profile.Id = WorkerId;
+    Profile.Room.set_cpu_milli(4000);
+    Profile.ColdLeft = Row.Cold;
+    Profile.TimeLeft = Row.Left;
+    Keeper.onProfile(Profile, Now);
+    pass(Keeper, Row.Passed);
+    Keeper.onMessage(EntryA, renewal(stamp()), Now);
+    LONGS_EQUAL_TEXT(Row.ColdLeftMs, Sink.Load.cold_left_ms(), Row.Name);
+    LONGS_EQUAL_TEXT(Row.LeftMs, Sink.Load.left_ms(), Row.Name);
+  }
+}
--- a/tests/coordination/worker_table_test.cpp
+++ b/tests/coordination/worker_table_test.cpp
@@ -78,3 +78,51 @@
       CHECK_TEXT(Share.Worker != Table.find("overstated"), Row.Name);
   }
 }
+
+TEST(WorkerTableTest, AWorkerTakesOnlyTasksThatEndWhileItLasts) {
+  struct Row {
+    const char *Name;
+    std::uint32_t LeftMs;
+    std::chrono::milliseconds Estimate;
+    bool Takes;
+  };
+  const Row Rows[] = {{"no end stated", 0, 900ms, true},
+                      {"ends before", 1000, 900ms, true},
+                      {"ends after", 500, 900ms, false},
+                      {"nearly over", 1, 60ms, false}};
+  for (const Row &Row : Rows) {
+    WorkerTable Table(WorkerTableOptions(), 1);
+    addWorker(Table, "w", 0);
+    peer::WorkerLoad Load;
+    Load.set_incarnation(Incarnation);
+    Load.set_stamp(2);
+    Load.set_left_ms(Row.LeftMs);
+    Table.onLoadReport("w", Load, Now);
+    LeasedJobRequest Job = job();
+    Job.Estimate = Row.Estimate;
+    CHECK_TEXT(Table.hasEligibleWorker(Job, {}, Now) == Row.Takes, Row.Name);
+    CHECK_TEXT(Table.divide(Job, 1, {}, {}, false, Now).empty() != Row.Takes,
+               Row.Name);
+  }
+}
+
+TEST(WorkerTableTest, AColdWorkerIsTheLastChoiceWhileItIsCold) {
+  WorkerTable Table(WorkerTableOptions(), 1);
+  addWorker(Table, "cold", 0);
+  addWorker(Table, "warm", 1000);
+  peer::WorkerLoad Load;
+  Load.set_incarnation(Incarnation);
+  Load.set_stamp(2);
+  Load.set_cold_left_ms(400);
+  Table.onLoadReport("cold", Load, Now);
+  const LeasedWorker *Cold = Table.find("cold");
+  for (int I = 0; I < 20; ++I)
+    for (const WorkerShare &Share : Table.divide(job(), 1, {}, {}, false, Now))
+      CHECK(Share.Worker != Cold);
+  bool IsUsed = false;
+  for (int I = 0; I < 20; ++I)
+    for (const WorkerShare &Share :
+         Table.divide(job(), 1, {}, {}, false, Now + 400ms))
+      IsUsed = IsUsed || Share.Worker == Cold;
+  CHECK(IsUsed);
+}
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -17,6 +17,7 @@
   std::uint32_t MaxTasks = UINT32_MAX;
   double RunTimeFactor = 1;
   std::uint32_t DeviationMilliCores = 0;
+  bool LastChoice = false;
 };
 
 std::vector<PlacementTarget> targetsOf(const std::vector<Worker> &Workers) {
@@ -25,7 +26,8 @@
   for (const Worker &Known : Workers)
     Targets.push_back({Targets.size(), Known.CapacityMilliCores,
                        Known.LoadMilliCores, Known.MaxTasks,
-                       Known.RunTimeFactor, Known.DeviationMilliCores});
+                       Known.RunTimeFactor, Known.DeviationMilliCores,
+                       Known.LastChoice});
   return Targets;
 }
 
@@ -104,6 +106,34 @@
   }
 }
 
+TEST(PlacementTest, ATargetOfLastChoiceStartsOnlyWhatOthersCannot) {
+  constexpr std::uint32_t Any = UINT32_MAX;
+  struct Row {
+    const char *Name;
+    std::vector<Worker> Workers;
+    std::uint32_t Tasks;
+    /// Number of tasks on the first worker, which is the one of last choice.
+    std::uint32_t OnFirst;
+  };
+  const Row Rows[] = {
+      {"another fits", {{9000, 0, Any, 1, 0, true}, {4000, 2000}}, 2, 0},
+      {"others fit together",
+       {{9000, 0, Any, 1, 0, true}, {4000, 2000}, {4000, 3000}},
+       3,
+       0},
+      {"others fit in part", {{9000, 0, Any, 1, 0, true}, {4000, 2000}}, 5, 3},
+      {"others are full", {{9000, 0, Any, 1, 0, true}, {4000, 4000}}, 2, 2}};
+  auto Packed = makePlacement("packed");
+  for (const Row &Row : Rows) {
+    std::uint32_t OnFirst = 0;
+    for (const PlacementShare &Share :
+         Packed->divide({Row.Tasks, 1000}, targetsOf(Row.Workers), Random))
+      if (Share.Worker == 0)
+        OnFirst += Share.Tasks;
+    LONGS_EQUAL_TEXT(Row.OnFirst, OnFirst, Row.Name);
+  }
+}
+
 TEST(PlacementTest, ASpreadJobUsesAsManyWorkersAsItHasTasks) {
   auto Spread = makePlacement("spread");
   std::vector<PlacementShare> Shares = Spread->divide(
--- a/tests/platform/announcement_test.cpp
+++ b/tests/platform/announcement_test.cpp
@@ -2,7 +2,9 @@
 
 #include "platform/announcement_handler.h"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -253,3 +255,26 @@
   LONGS_EQUAL(4, Target.Left.size());
   LONGS_EQUAL(6, Gate.refused());
 }
+
+TEST(AnnouncementTest, TheTimesLeftAreDecoded) {
+  struct Row {
+    const char *Pointer;
+    json Value;
+    std::chrono::milliseconds ColdLeft;
+    std::optional<std::chrono::milliseconds> TimeLeft;
+  };
+  using std::chrono::milliseconds;
+  const Row Rows[] = {
+      {"/coldLeftMs", Missing, milliseconds(0), std::nullopt},
+      {"/coldLeftMs", 1200, milliseconds(1200), std::nullopt},
+      {"/remainingMs", 0, milliseconds(0), milliseconds(0)},
+      {"/remainingMs", 2500, milliseconds(0), milliseconds(2500)},
+      {"/remainingMs", 4611686018427387904, milliseconds(0),
+       std::chrono::hours(24)}};
+  for (const Row &Row : Rows) {
+    Target.Profiles.clear();
+    CHECK(call(changed({Row.Pointer, Row.Value})) == HttpStatus::Ok);
+    CHECK(Target.Profiles[0].ColdLeft == Row.ColdLeft);
+    CHECK(Target.Profiles[0].TimeLeft == Row.TimeLeft);
+  }
+}
