Agents tell how long tasks take on their worker

Cause: run times fed one mean a pool; nothing told that one worker takes longer for the same task. Change: WorkerPace keeps the ratio of observed to declared run times of the last 24 jobs with done tasks, each job once, since a declared time is off by as much for all tasks of a job. The median is told with the load (run_time_permille) from 12 jobs on. It starts over with each incarnation; failed, stalled and cold runs do not count; a job counts for 10 s. The wait of a new task, the queue's work divided by the room, is told as start_delay_ms.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -20,7 +20,8 @@
 LeaseKeeper::LeaseKeeper(KeeperOptions Options, PeerSink &Sink,
                          WorkerPort &Port)
     : Options(Options), Sink(Sink), Session(Options.Session, Port, *this),
-      Offers(Options.OfferTimeout), Open(Options.OpenStarts) {}
+      Offers(Options.OfferTimeout), Open(Options.OpenStarts),
+      Pace(Options.Pace) {}
 
 std::uint64_t LeaseKeeper::stampAt(Instant Now) {
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -52,6 +53,7 @@
   this->HadWorker = true;
   this->WasLeavingAtAttach = this->Leaving;
   this->FailuresInRow = 0;
+  this->Pace.reset();
   this->Leaving = this->ShuttingDown;
   this->leaveIfDraining(Now);
 }
@@ -205,6 +207,7 @@
   New.Spec = Dispatch.spec();
   New.Suspect = Dispatch.suspect();
   New.Needs = Dispatch.needs();
+  New.Estimate = std::chrono::milliseconds(Dispatch.estimate_ms());
   New.Arrived = Now.Steady;
   New.StartBy = Now.Steady + std::chrono::milliseconds(Dispatch.start_by_ms());
   New.GiveUpAt = Now.Steady + std::chrono::milliseconds(Dispatch.give_up_ms());
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -15,6 +15,7 @@
 
 #include "agent/offer_queue.h"
 #include "agent/open_starts.h"
+#include "agent/worker_pace.h"
 #include "agent/worker_session.h"
 #include "core/clock.h"
 #include "core/logger.h"
@@ -60,6 +61,7 @@
   /// trips between data centres.
   std::chrono::milliseconds OfferTimeout{20};
   OpenStartOptions OpenStarts;
+  WorkerPaceOptions Pace;
   SessionOptions Session;
   /// How long a worker crash is included in every load report, so that all
   /// entries that have tasks here learn of it at once.
@@ -155,6 +157,8 @@
     TimePoint LeaseEnd;
     std::string Spec;
     peer::TaskNeeds Needs;
+    /// Declared run time.
+    std::chrono::milliseconds Estimate{};
     /// Latest start with which the task still meets its objective.
     TimePoint StartBy;
     /// When the task is rejected if it is still queued.
@@ -249,6 +253,8 @@
   void reserveRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &TheTask, RunOutcome Outcome);
+  /// Records the run time of a task that is done.
+  void measurePace(const TaskId &Id, const Task &TheTask, Instant Now);
   void releaseRoom(const peer::TaskNeeds &Needs);
 
   void sendUpdate(const TaskId &Id, const Task &TheTask,
@@ -267,6 +273,9 @@
   /// task update carries a load and a crash may list many tasks.
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
                            bool WithAllCrashes = false) const;
+  /// Returns how long a task that arrives now is expected to wait for its
+  /// start: the work of the queue, divided by the room.
+  std::chrono::milliseconds startDelay() const;
   /// Adds how much longer the worker is cold, and lasts, to a load report.
   void addTimesLeft(peer::WorkerLoad &Load, Instant Now) const;
   /// Sends a load report to each entry that is to learn of open starts now.
@@ -311,6 +320,7 @@
   std::deque<Crash> Crashes;
   OfferQueue Offers;
   OpenStarts Open;
+  WorkerPace Pace;
   /// Room taken by runs and by offers.
   peer::TaskNeeds UsedRoom;
   TimePoint NoRoomUntil = TimePoint::min();
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -85,6 +85,15 @@
     ++this->FailuresInRow;
 }
 
+void LeaseKeeper::measurePace(const TaskId &Id, const Task &TheTask,
+                              Instant Now) {
+  // The pace of a cold worker says nothing about the time after.
+  if (TheTask.Stalled || this->Session.coldLeft(Now).count() > 0)
+    return;
+  this->Pace.onDone(Id.Job, Now.Steady - TheTask.Started, TheTask.Estimate,
+                    Now.Steady);
+}
+
 void LeaseKeeper::onRunEnded(const RunKey &Run, RunOutcome Outcome,
                              Instant Now) {
   Task *TheTask = this->findTask(Run);
@@ -98,6 +107,8 @@
   else if (Outcome == RunOutcome::Failed)
     Event = peer::LEASED_FAILED;
   this->countEnd(*TheTask, Outcome);
+  if (Outcome == RunOutcome::Done)
+    this->measurePace(Id, *TheTask, Now);
   this->Log.decision(
       "run_ended",
       {{"job", Run.Job},
@@ -343,6 +354,7 @@
   if (this->Session.hasWorker())
     *Load.mutable_room() = this->Session.profile().Room;
   Load.set_failures_in_row(this->FailuresInRow);
+  Load.set_run_time_permille(this->Pace.permille(Now.Steady));
   Load.set_without_worker(!this->Session.hasWorker());
   if (this->Session.hasWorker()) {
     Load.set_worker_keeps_id(this->Session.profile().StartUnixMs.has_value());
@@ -351,11 +363,30 @@
     Load.set_worker_ready(this->Session.isReady() &&
                           this->Session.hasSurvivedSilence());
     this->addTimesLeft(Load, Now);
+    Load.set_start_delay_ms(
+        static_cast<std::uint32_t>(this->startDelay().count()));
   }
   this->Open.list(Entry, Now.Steady, Load);
   return Load;
 }
 
+std::chrono::milliseconds LeaseKeeper::startDelay() const {
+  std::uint32_t RoomMilliCores = this->Session.profile().Room.cpu_milli();
+  if (this->Queue.empty() || RoomMilliCores == 0)
+    return {};
+  std::chrono::duration<double, std::milli> Work{};
+  for (const TaskId &Id : this->Queue) {
+    const Task &Waiting = this->Tasks.at(Id);
+    Work += std::chrono::duration<double, std::milli>(Waiting.Estimate) *
+            Waiting.Needs.cpu_milli();
+  }
+  // Declared times are the caller's; a wrong one must not exceed the field.
+  constexpr std::chrono::duration<double, std::milli> MaxDelay =
+      std::chrono::minutes(10);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::min(Work / RoomMilliCores, MaxDelay));
+}
+
 void LeaseKeeper::addTimesLeft(peer::WorkerLoad &Load, Instant Now) const {
   Load.set_cold_left_ms(
       static_cast<std::uint32_t>(this->Session.coldLeft(Now).count()));
