Packed placement predicts where tasks end

Cause: a target's run-time factor only weighed its load, so a task with little time left was started on a slow worker beside free usual ones. Change: a demand may state the usual run time of a task and the time left. Among targets with different factors, a task starts where it ends in time even if it takes half as long again, then where it ends in time, then waits where it ends in time after the wait that the target tells; only what ends late everywhere starts anywhere. Tasks that may wait for offers are left unplaced instead. Measured: test dispatch passes.

--- a/dispatch/packed_placement.cpp
+++ b/dispatch/packed_placement.cpp
@@ -58,15 +58,24 @@
                         std::mt19937_64 &Random) const {
   ShareCounter Counter(Demand, Targets, Random);
   std::vector<std::size_t> Preferred;
+  std::vector<std::size_t> Risky;
   std::vector<std::size_t> Avoided;
   for (std::size_t I = 0; I < Targets.size(); ++I)
-    (Counter.isAvoided(I) ? Avoided : Preferred).push_back(I);
+    (Counter.isAvoided(I) ? Avoided
+     : Counter.isRisky(I) ? Risky
+                          : Preferred)
+        .push_back(I);
   while (Counter.remaining() > 0) {
     bool Assigned = assignAll(Counter, Preferred, Random) ||
                     fillLargest(Counter, Preferred, Random) ||
-                    assignAll(Counter, Avoided, Random) ||
-                    fillLargest(Counter, Avoided, Random) ||
-                    Counter.assignOneToCheapest();
+                    assignAll(Counter, Risky, Random) ||
+                    fillLargest(Counter, Risky, Random) ||
+                    Counter.queueInTime();
+    if (!Assigned && Counter.paysToWait())
+      break;
+    Assigned = Assigned || assignAll(Counter, Avoided, Random) ||
+               fillLargest(Counter, Avoided, Random) ||
+               Counter.assignOneToCheapest();
     if (!Assigned)
       break;
   }
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -10,6 +10,7 @@
 #ifndef YARDWHEEL_DISPATCH_PLACEMENT_H
 #define YARDWHEEL_DISPATCH_PLACEMENT_H
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -36,6 +37,8 @@
   /// Whether a task starts here only if no other target can start it now, for
   /// example because the worker is slow by an unknown factor after its start.
   bool LastChoice = false;
+  /// How long a task that arrives while the worker is full waits for its start.
+  std::chrono::milliseconds StartDelay{};
 };
 
 struct PlacementDemand {
@@ -44,6 +47,10 @@
   std::uint32_t CpuMilliCores = 0;
   /// Whether to place only tasks that are expected to start immediately.
   bool OnlyStartingNow = false;
+  /// Expected run time of a task where the run-time factor is 1, and the time
+  /// in which it has to end. Without a run time, ends are not predicted.
+  std::chrono::milliseconds RunTime{};
+  std::chrono::milliseconds TimeLeft{};
 };
 
 /// The tasks that are placed on one worker.
--- a/dispatch/share_counter.cpp
+++ b/dispatch/share_counter.cpp
@@ -19,6 +19,8 @@
 /// expected one. Enough for entries to choose differently; with a whole
 /// deviation, the noise drowns out what is known.
 constexpr double SampledDeviations = 0.2;
+/// Factor by which declared run times are commonly too short.
+constexpr double DeclaredMargin = 1.5;
 
 } // namespace
 
@@ -27,6 +29,11 @@
                            std::mt19937_64 &Random)
     : Demand(Demand), Targets(Targets), Assigned(Targets.size(), 0),
       Remaining(Demand.Tasks), Random(Random) {
+  bool IsUneven =
+      std::ranges::any_of(Targets, [](const PlacementTarget &Target) {
+        return Target.RunTimeFactor != 1;
+      });
+  this->PredictsEnds = Demand.RunTime.count() > 0 && IsUneven;
   std::normal_distribution<double> Deviations(0, SampledDeviations);
   this->SampledOffsets.reserve(Targets.size());
   for (const PlacementTarget &Target : Targets)
@@ -68,6 +75,43 @@
          Target.RunTimeFactor;
 }
 
+std::chrono::duration<double> ShareCounter::runTimeAt(std::size_t Index) const {
+  return std::chrono::duration<double>(this->Demand.RunTime) *
+         this->Targets[Index].RunTimeFactor;
+}
+
+std::chrono::duration<double> ShareCounter::waitAt(std::size_t Index) const {
+  if (this->tasksStartingNow(Index) > 0)
+    return {};
+  const PlacementTarget &Target = this->Targets[Index];
+  // What is assigned here beyond the capacity waits as well.
+  double Capacity = std::max<double>(Target.CapacityMilliCores, 1);
+  double Load =
+      static_cast<double>(Target.LoadMilliCores) + this->Demand.CpuMilliCores;
+  return Target.StartDelay +
+         this->runTimeAt(Index) * std::max(Load / Capacity - 1, 0.0);
+}
+
+bool ShareCounter::endsLate(std::size_t Index) const {
+  return this->PredictsEnds &&
+         this->waitAt(Index) + this->runTimeAt(Index) > this->Demand.TimeLeft;
+}
+
+bool ShareCounter::isRisky(std::size_t Index) const {
+  return this->PredictsEnds && this->Targets[Index].RunTimeFactor > 1 &&
+         this->waitAt(Index) + this->runTimeAt(Index) * DeclaredMargin >
+             this->Demand.TimeLeft;
+}
+
+bool ShareCounter::paysToWait() const {
+  if (!this->PredictsEnds || !this->Demand.OnlyStartingNow)
+    return false;
+  for (std::size_t I = 0; I < this->Targets.size(); ++I)
+    if (this->runTimeAt(I) <= this->Demand.TimeLeft)
+      return true;
+  return false;
+}
+
 void ShareCounter::assign(std::size_t Index, std::uint32_t Tasks) {
   PlacementTarget &Target = this->Targets[Index];
   Target.LoadMilliCores += Tasks * this->Demand.CpuMilliCores;
@@ -76,14 +120,23 @@
   this->Remaining -= Tasks;
 }
 
+bool ShareCounter::queueInTime() {
+  return this->PredictsEnds && this->assignOneToCheapest(/*OnlyInTime=*/true);
+}
+
 bool ShareCounter::assignOneToCheapest() {
+  return this->assignOneToCheapest(/*OnlyInTime=*/false);
+}
+
+bool ShareCounter::assignOneToCheapest(bool OnlyInTime) {
   std::uniform_real_distribution<double> Jitter(0, TieBreakJitter);
   std::size_t Best = 0;
   double Least = std::numeric_limits<double>::infinity();
   for (std::size_t I = 0; I < this->Targets.size(); ++I) {
     bool Excluded =
         this->Targets[I].MaxTasks == 0 ||
-        (this->Demand.OnlyStartingNow && this->tasksStartingNow(I) == 0);
+        (this->Demand.OnlyStartingNow && this->tasksStartingNow(I) == 0) ||
+        (OnlyInTime && this->isAvoided(I));
     if (Excluded)
       continue;
     double Cost = this->costAt(I) + Jitter(this->Random);
