Placement uses the learned speeds of workers

Cause: workers of a pool take unequal time for the same task, always or for some seconds, and entries placed tasks on them as on equal ones. Change: the table divides the ratio that a worker tells by the pool's median into the run-time factor of its targets, between 0.25 and 4. Up to 1.5 in either direction a worker counts as usual, so that equal pools are placed on as before. Placements and requests for offers state the declared run time, corrected by the pool's median, and the time left until the objective. A change of a worker's speed is logged (upstream_speed), and yardwheel_upstreams_with_own_speed counts such workers. A slow worker that reports no failures isn't ejected, a failing one is whatever it tells.

--- a/coordination/lease_coordinator_offers.cpp
+++ b/coordination/lease_coordinator_offers.cpp
@@ -37,8 +37,8 @@
   if (New == 0)
     return;
   for (const LeasedWorker *Worker : this->Workers.sampleWorkers(
-           Target.Request, Avoid, this->Waits.workersToQuery(New),
-           Now.Steady)) {
+           Target.Request, Avoid, this->Waits.workersToQuery(New), Now.Steady,
+           Slack + Target.Request.Estimate)) {
     peer::Message Message;
     peer::LeasedInterest *Interest = Message.mutable_leased_interest();
     Interest->set_job(Target.Request.Id);
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -186,7 +186,8 @@
   auto Wanted = StaleLoads ? 0U : static_cast<std::uint32_t>(Indexes.size());
   std::size_t Next = 0;
   for (const WorkerShare &Share : this->Workers.divide(
-           Target.Request, Wanted, Avoid, Placed, Awaits, Now.Steady)) {
+           Target.Request, Wanted, Avoid, Placed, Awaits, Now.Steady,
+           slackOf(Target, Now) + Target.Request.Estimate)) {
     bool MayAskElsewhere =
         Share.StartsNow &&
         Target.PlacementRetries < this->Options.MaxRefusableRetries;
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -25,6 +25,13 @@
          Worker.Capacity.cpu_milli();
 }
 
+/// Returns the expected run time of a task on the pool's usual worker.
+std::chrono::milliseconds usualRunTime(const LeasedJobRequest &Job,
+                                       const RunTimeFactors &PoolSpeeds) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Job.Estimate * PoolSpeeds.usualRatio());
+}
+
 } // namespace
 
 std::uint64_t LeasedWorker::stampAt(TimePoint When) const {
@@ -114,6 +121,8 @@
   this->setOthersMilliCores(*Target, Load.others_cpu_milli());
   if (Target->Capacity.cpu_milli() > 0)
     this->Forecasts[Target->Pool].onReport(reportedShareOf(*Target), Now);
+  Target->RunTimePermille = Load.run_time_permille();
+  Target->StartDelay = std::chrono::milliseconds(Load.start_delay_ms());
   Target->ColdUntil = Now + std::chrono::milliseconds(Load.cold_left_ms());
   Target->LastsUntil = Load.left_ms() == 0
                            ? TimePoint::max()
@@ -173,6 +182,13 @@
       }));
 }
 
+std::size_t WorkerTable::countWithOwnSpeed() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Workers, [](const auto &Item) {
+        return Item.second.Alive && Item.second.HasOwnSpeed;
+      }));
+}
+
 void WorkerTable::onSent(const std::string &Agent,
                          const peer::TaskNeeds &Needs) {
   if (LeasedWorker *Target = this->find(Agent)) {
@@ -331,9 +347,35 @@
   return PoolForecast->at(Reported, Now - Worker.StampReceived);
 }
 
+const RunTimeFactors &WorkerTable::speedsFor(const std::string &Pool,
+                                             TimePoint Now) {
+  RunTimeFactors &Known =
+      this->Speeds.try_emplace(Pool, this->Options.RunTimes).first->second;
+  if (!this->Options.UseRunTimes || !Known.isDue(Now))
+    return Known;
+  std::vector<std::uint32_t> Permilles;
+  for (const auto &[Name, Worker] : this->Workers)
+    if (Worker.Pool == Pool && Worker.Alive && Worker.RunTimePermille > 0)
+      Permilles.push_back(Worker.RunTimePermille);
+  Known.update(std::move(Permilles), Now);
+  for (auto &[Name, Worker] : this->Workers) {
+    double Factor = Known.factorOf(Worker.RunTimePermille);
+    if (Worker.Pool != Pool || Worker.HasOwnSpeed == (Factor != 1))
+      continue;
+    Worker.HasOwnSpeed = Factor != 1;
+    this->Log.decision("upstream_speed",
+                       {{"agent", Name},
+                        {"run_time_factor", Factor},
+                        {"told_permille", Worker.RunTimePermille},
+                        {"usual_ratio", Known.usualRatio()}});
+  }
+  return Known;
+}
+
 PlacementTarget WorkerTable::targetFor(const LeasedWorker &Worker,
                                        const LeasedJobRequest &Job,
                                        const LoadForecast *PoolForecast,
+                                       const RunTimeFactors &Speeds,
                                        TimePoint Now) const {
   PlacementTarget Target;
   Target.CapacityMilliCores = Worker.Capacity.cpu_milli();
@@ -350,8 +392,10 @@
     Target.MaxTasks = 1;
   bool OffRack =
       !Job.PreferredRack.empty() && !Worker.Labels.contains(Job.PreferredRack);
+  Target.RunTimeFactor = Speeds.factorOf(Worker.RunTimePermille);
   if (OffRack)
-    Target.RunTimeFactor = this->Options.OffRackFactor;
+    Target.RunTimeFactor *= this->Options.OffRackFactor;
+  Target.StartDelay = Worker.StartDelay;
   Target.LastChoice = Now < Worker.ColdUntil;
   return Target;
 }
@@ -360,24 +404,33 @@
 WorkerTable::divide(const LeasedJobRequest &Job, std::uint32_t Tasks,
                     const std::set<std::string> &Avoid,
                     const std::map<std::string, std::uint32_t> &Placed,
-                    bool OnlyStartingNow, TimePoint Now) {
+                    bool OnlyStartingNow, TimePoint Now,
+                    std::chrono::milliseconds TimeLeft) {
   const LoadForecast *PoolForecast = this->forecastFor(Job.Pool);
+  const RunTimeFactors &PoolSpeeds = this->speedsFor(Job.Pool, Now);
   std::vector<LeasedWorker *> Candidates;
   std::vector<PlacementTarget> Targets;
+  bool IsUneven = false;
   for (auto &[Name, Worker] : this->Workers) {
     if (!this->canTake(Worker, Job, Now) || Avoid.contains(Name))
       continue;
-    PlacementTarget Target = this->targetFor(Worker, Job, PoolForecast, Now);
+    PlacementTarget Target =
+        this->targetFor(Worker, Job, PoolForecast, PoolSpeeds, Now);
     Target.Worker = Candidates.size();
     if (auto Already = Placed.find(Name); Already != Placed.end())
       Target.MaxTasks -= std::min(Target.MaxTasks, Already->second);
+    IsUneven = IsUneven || PoolSpeeds.factorOf(Worker.RunTimePermille) != 1;
     Candidates.push_back(&Worker);
     Targets.push_back(Target);
   }
+  PlacementDemand Demand{Tasks, Job.Needs.cpu_milli(), OnlyStartingNow};
+  if (IsUneven && TimeLeft.count() > 0) {
+    Demand.RunTime = usualRunTime(Job, PoolSpeeds);
+    Demand.TimeLeft = TimeLeft;
+  }
   std::vector<WorkerShare> Shares;
   for (const PlacementShare &Share : this->PlacementPolicy->divide(
-           {Tasks, Job.Needs.cpu_milli(), OnlyStartingNow}, std::move(Targets),
-           this->Random)) {
+           Demand, std::move(Targets), this->Random)) {
     LeasedWorker *Chosen = Candidates[Share.Worker];
     if (Chosen->Ejected) {
       Chosen->Ejected = false;
@@ -388,16 +441,23 @@
   return Shares;
 }
 
-std::vector<const LeasedWorker *>
-WorkerTable::sampleWorkers(const LeasedJobRequest &Job,
-                           const std::set<std::string> &Avoid,
-                           std::size_t Count, TimePoint Now) {
+std::vector<const LeasedWorker *> WorkerTable::sampleWorkers(
+    const LeasedJobRequest &Job, const std::set<std::string> &Avoid,
+    std::size_t Count, TimePoint Now, std::chrono::milliseconds TimeLeft) {
+  const RunTimeFactors &PoolSpeeds = this->speedsFor(Job.Pool, Now);
+  std::chrono::milliseconds RunTime = usualRunTime(Job, PoolSpeeds);
+  auto EndsLate = [&](const LeasedWorker *Worker) {
+    double Factor = PoolSpeeds.factorOf(Worker->RunTimePermille);
+    return TimeLeft.count() > 0 && Factor != 1 && RunTime * Factor > TimeLeft;
+  };
   std::vector<const LeasedWorker *> Eligible;
   for (const auto &[Name, Worker] : this->Workers) {
     bool NeedsTrial = Worker.Ejected || Worker.OnTrial;
     if (!NeedsTrial && !Avoid.contains(Name) && this->canTake(Worker, Job, Now))
       Eligible.push_back(&Worker);
   }
+  if (!std::ranges::all_of(Eligible, EndsLate))
+    std::erase_if(Eligible, EndsLate);
   std::vector<const LeasedWorker *> Drawn;
   std::sample(Eligible.begin(), Eligible.end(), std::back_inserter(Drawn),
               Count, this->Random);
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -16,6 +16,7 @@
 #include "core/peer_sink.h"
 #include "dispatch/load_forecast.h"
 #include "dispatch/placement.h"
+#include "dispatch/run_time_factors.h"
 
 #include <map>
 #include <memory>
@@ -50,6 +51,10 @@
   /// off only for comparison: the last report then counts as the current load,
   /// however old it is.
   bool UseForecasts = true;
+  /// Whether the run times that workers tell are used. Switched off only for
+  /// comparison: all workers then count as equally fast.
+  bool UseRunTimes = true;
+  RunTimeFactorOptions RunTimes;
 };
 
 /// An agent and its worker, as this entry sees them.
@@ -101,6 +106,14 @@
   std::uint32_t OwnMilliCores = 0;
   std::uint32_t OwnTasks = 0;
 
+  /// Ratio of observed to declared run times that it tells, in thousandths; 0
+  /// if it is not known.
+  std::uint32_t RunTimePermille = 0;
+  /// Whether its tasks take notably longer or shorter than on the pool's usual
+  /// worker.
+  bool HasOwnSpeed = false;
+  /// How long a task that arrives waits for its start, as last reported.
+  std::chrono::milliseconds StartDelay{};
   /// Until when it is slow after its start, and until when it lasts at least.
   TimePoint ColdUntil = TimePoint::min();
   TimePoint LastsUntil = TimePoint::max();
@@ -158,6 +171,10 @@
   /// evacuation; of all pools if \p Pool is empty.
   std::size_t countEvacuated(const std::string &Pool = {}) const;
 
+  /// Returns the number of workers that are slower or faster than the usual one
+  /// of their pool.
+  std::size_t countWithOwnSpeed() const;
+
   /// Whether at least one agent is reachable.
   bool hasReachable() const;
 
@@ -178,18 +195,22 @@
   /// \param Avoid Agents that have refused or failed these tasks. \param Placed
   /// Number of the job's tasks that each agent already has. \param
   /// OnlyStartingNow Whether to place only tasks that are expected to start
-  /// immediately.
+  /// immediately. \param TimeLeft Time until the job counts as late; zero if it
+  /// does not matter.
   std::vector<WorkerShare>
   divide(const LeasedJobRequest &Job, std::uint32_t Tasks,
          const std::set<std::string> &Avoid,
          const std::map<std::string, std::uint32_t> &Placed,
-         bool OnlyStartingNow, TimePoint Now);
+         bool OnlyStartingNow, TimePoint Now,
+         std::chrono::milliseconds TimeLeft = {});
 
   /// Returns up to \p Count workers that are eligible for the job, selected at
-  /// random. Workers that are ejected or on trial are left out.
+  /// random. Workers that are ejected or on trial are left out, and those on
+  /// which a task would end late, unless it would on all.
   std::vector<const LeasedWorker *>
   sampleWorkers(const LeasedJobRequest &Job, const std::set<std::string> &Avoid,
-                std::size_t Count, TimePoint Now);
+                std::size_t Count, TimePoint Now,
+                std::chrono::milliseconds TimeLeft = {});
 
   /// Whether any worker is eligible for a task of the job.
   bool hasEligibleWorker(const LeasedJobRequest &Job,
@@ -203,10 +224,14 @@
   bool canTake(const LeasedWorker &Worker, const LeasedJobRequest &Job,
                TimePoint Now) const;
   /// \param PoolForecast Forecast of the worker's pool, from forecastFor().
+  /// \param Speeds Factors of the worker's pool, from speedsFor().
   PlacementTarget targetFor(const LeasedWorker &Worker,
                             const LeasedJobRequest &Job,
                             const LoadForecast *PoolForecast,
-                            TimePoint Now) const;
+                            const RunTimeFactors &Speeds, TimePoint Now) const;
+  /// Returns the run-time factors of a pool, which are the same for all workers
+  /// if run times are not used.
+  const RunTimeFactors &speedsFor(const std::string &Pool, TimePoint Now);
   /// Returns null if there are no reports from the pool or forecasts are off.
   const LoadForecast *forecastFor(const std::string &Pool) const;
   /// Returns the expected load of other entries on the worker at \p Now.
@@ -232,6 +257,7 @@
   std::set<std::string> EvacuatedDataCentres;
   /// Keyed by pool.
   std::map<std::string, LoadForecast> Forecasts;
+  std::map<std::string, RunTimeFactors> Speeds;
   Logger Log{"board"};
 };
 
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -319,6 +319,8 @@
                      Counts.PlacementsDiverted);
   Text += metricLine("yardwheel_upstreams_evacuated",
                      this->Coordinator.workerTable().countEvacuated());
+  Text += metricLine("yardwheel_upstreams_with_own_speed",
+                     this->Coordinator.workerTable().countWithOwnSpeed());
   Text += metricLine("yardwheel_jobs_in_flight", this->Intake.inFlight());
   const DelegationCounters &Delegation = this->Intake.counters();
   constexpr double Percent = 100;
--- a/tests/coordination/worker_table_test.cpp
+++ b/tests/coordination/worker_table_test.cpp
@@ -126,3 +126,104 @@
       IsUsed = IsUsed || Share.Worker == Cold;
   CHECK(IsUsed);
 }
+
+TEST_GROUP(WorkerSpeedTest) {
+  WorkerTable Table{WorkerTableOptions(), 1};
+  std::uint64_t Stamp = 1;
+
+  /// Adds a worker that tells a ratio of run times, and failures in a row.
+  void addTelling(const std::string &Name, std::uint32_t Permille,
+                  std::uint32_t Failures = 0) {
+    addWorker(Table, Name, 0);
+    report(Name, Permille, Failures, Now);
+  }
+  void report(const std::string &Name, std::uint32_t Permille,
+              std::uint32_t Failures, TimePoint At) {
+    peer::WorkerLoad Load;
+    Load.set_incarnation(Incarnation);
+    Load.set_stamp(++Stamp);
+    Load.set_run_time_permille(Permille);
+    Load.set_failures_in_row(Failures);
+    Table.onLoadReport(Name, Load, At);
+  }
+  /// Returns the number of 100 tasks placed on a worker, one at a time.
+  int tasksOn(const std::string &Name, std::chrono::milliseconds Estimate,
+              std::chrono::milliseconds TimeLeft, TimePoint At) {
+    LeasedJobRequest Job = job();
+    Job.Estimate = Estimate;
+    int Count = 0;
+    for (int I = 0; I < 100; ++I)
+      for (const WorkerShare &Share :
+           Table.divide(Job, 1, {}, {}, false, At, TimeLeft))
+        if (Share.Worker == Table.find(Name))
+          ++Count;
+    return Count;
+  }
+};
+
+TEST(WorkerSpeedTest, ASlowWorkerGetsTheTasksThatEndInTimeThere) {
+  for (int I = 0; I < 3; ++I)
+    addTelling(fmt::format("usual-{}", I), 1200);
+  addTelling("slow", 3600);
+  addTelling("silent", 0);
+  LONGS_EQUAL(0, tasksOn("slow", 900ms, 1500ms, Now));
+  LONGS_EQUAL(1, Table.countWithOwnSpeed());
+  CHECK(tasksOn("silent", 900ms, 1500ms, Now) > 0);
+  // It is sound: it is not ejected, and gets tasks if it is alone.
+  CHECK_FALSE(Table.find("slow")->Ejected);
+  for (int I = 0; I < 3; ++I)
+    Table.setUnreachable(fmt::format("usual-{}", I));
+  Table.setUnreachable("silent");
+  LONGS_EQUAL(100, tasksOn("slow", 900ms, 1500ms, Now));
+}
+
+TEST(WorkerSpeedTest, AWorkerThatIsNoLongerSlowIsUsedAgain) {
+  for (int I = 0; I < 3; ++I)
+    addTelling(fmt::format("usual-{}", I), 1000);
+  addTelling("slow", 3000);
+  LONGS_EQUAL(0, tasksOn("slow", 900ms, 1500ms, Now));
+  TimePoint Later = Now + 100ms;
+  report("slow", 0, 0, Later);
+  CHECK(tasksOn("slow", 900ms, 1500ms, Later) > 0);
+}
+
+TEST(WorkerSpeedTest, AFailingWorkerIsEjectedWhateverItsSpeed) {
+  for (std::uint32_t Permille : {0, 1000, 3000}) {
+    for (int I = 0; I < 3; ++I)
+      addTelling(fmt::format("usual-{}", I), 1000);
+    addTelling("failing", Permille, 3);
+    CHECK(Table.find("failing")->Ejected);
+    report("failing", 0, 0, Now);
+  }
+}
+
+// Noise below the threshold must change no placement.
+TEST(WorkerSpeedTest, NearlyEqualWorkersArePlacedOnAsEqualOnes) {
+  WorkerTable Equal(WorkerTableOptions(), 1);
+  std::uint32_t Permille = 800;
+  for (int I = 0; I < 8; ++I) {
+    std::string Name = fmt::format("w-{}", I);
+    addWorker(Equal, Name, 500);
+    addWorker(Table, Name, 500);
+    peer::WorkerLoad Load;
+    Load.set_incarnation(Incarnation);
+    Load.set_stamp(2);
+    Load.set_others_cpu_milli(500);
+    Equal.onLoadReport(Name, Load, Now);
+    Load.set_run_time_permille(Permille += 50);
+    Table.onLoadReport(Name, Load, Now);
+  }
+  LeasedJobRequest Job = job();
+  Job.Estimate = 900ms;
+  for (int I = 0; I < 200; ++I) {
+    auto Tasks = static_cast<std::uint32_t>(1 + I % 9);
+    auto Expected = Equal.divide(Job, Tasks, {}, {}, false, Now);
+    auto Seen = Table.divide(Job, Tasks, {}, {}, false, Now, 1000ms);
+    LONGS_EQUAL(Expected.size(), Seen.size());
+    for (std::size_t J = 0; J < Seen.size(); ++J) {
+      LONGS_EQUAL(Expected[J].Tasks, Seen[J].Tasks);
+      STRCMP_EQUAL(Expected[J].Worker->Agent.Node.c_str(),
+                   Seen[J].Worker->Agent.Node.c_str());
+    }
+  }
+}
