--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -65,6 +65,8 @@
   const std::vector<WorkerReply> &plannedStartReplies() const {
     return this->PlannedStartReplies;
   }
+  /// Makes tasks that start from now on take longer by a factor.
+  void setRunTimeFactor(double New) { this->Worker.setRunTimeFactor(New); }
   /// Crashes the worker; a new incarnation starts after \p RestartAfter. The
   /// last announcement of the old one arrives once more after \p Late.
   void crashWorker(std::chrono::milliseconds RestartAfter,
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -38,6 +38,8 @@
   Own.Worker.KeepsId = Options.WorkersKeepId;
   Own.Worker.CapacityMilliCores =
       Options.CapacitiesMilliCores[Which % Options.CapacitiesMilliCores.size()];
+  Own.Worker.RunTimeFactor =
+      Options.RunTimeFactors[Which % Options.RunTimeFactors.size()];
   Own.Seed = Options.Seed * Options.Agents + Which;
   return Own;
 }
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -28,6 +28,8 @@
   std::size_t Agents = 9;
   /// Capacities of the workers, assigned in turn, in thousandths of a core.
   std::vector<std::uint32_t> CapacitiesMilliCores = {64000};
+  /// Factors by which tasks take longer on the workers, assigned in turn.
+  std::vector<double> RunTimeFactors = {1};
   CoordinatorOptions Coordinator;
   KeeperOptions Keeper;
   /// Interval between the ticks of each process.
--- a/emulator/mixed_load.cpp
+++ b/emulator/mixed_load.cpp
@@ -175,6 +175,11 @@
           });
     }
   }
+  for (const SpeedChange &Change : Options.SpeedChanges)
+    World.world().after(Change.At, [&World, Change] {
+      for (std::size_t I = 0; I < Change.Workers; ++I)
+        World.agent(I).setRunTimeFactor(Change.RunTimeFactor);
+    });
   World.world().run(Options.Lasts);
   EntryEffort Effort = World.effort();
   World.world().run(DrainTime);
--- a/emulator/mixed_load.h
+++ b/emulator/mixed_load.h
@@ -55,12 +55,22 @@
   double Factor = 1;
 };
 
+/// A change of the speed of some workers during the load.
+struct SpeedChange {
+  std::chrono::milliseconds At{};
+  /// Concerns the workers from the first up to this number.
+  std::size_t Workers = 0;
+  /// Factor by which their tasks take longer from then on.
+  double RunTimeFactor = 1;
+};
+
 struct MixedLoadOptions {
   LeasedWorldOptions World;
   std::vector<JobKind> Kinds = mixedKinds();
   /// Factor by which the rates of the kinds are multiplied.
   double Factor = 1;
   std::vector<LoadBurst> Bursts;
+  std::vector<SpeedChange> SpeedChanges;
   /// Mean processor time that a task needs, in thousandths of a core.
   std::uint32_t MeanTaskCpu = 6200;
   /// Number of callers; each submits all its jobs to one random entry. 0 draws
--- a/emulator/virtual_worker.cpp
+++ b/emulator/virtual_worker.cpp
@@ -245,11 +245,13 @@
     return;
   }
   this->scheduleLapse();
-  this->World.after(Read.Length,
-                    [this, Key, Incarnation = this->LastIncarnation] {
-                      if (this->Up && Incarnation == this->LastIncarnation)
-                        this->end(Key, RunOutcome::Done);
-                    });
+  auto Length = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Read.Length) *
+      this->Options.RunTimeFactor);
+  this->World.after(Length, [this, Key, Incarnation = this->LastIncarnation] {
+    if (this->Up && Incarnation == this->LastIncarnation)
+      this->end(Key, RunOutcome::Done);
+  });
 }
 
 void VirtualWorker::end(const RunKey &Key, RunOutcome How) {
--- a/emulator/virtual_worker.h
+++ b/emulator/virtual_worker.h
@@ -40,6 +40,8 @@
   /// Time from a crash until the worker starts again, as a new incarnation.
   std::chrono::milliseconds RestartAfter{2500};
   std::uint32_t CapacityMilliCores = 64000;
+  /// Factor by which every task takes longer than its spec says.
+  double RunTimeFactor = 1;
   /// All incarnations have the same id, and announce their start time.
   bool KeepsId = false;
 };
@@ -66,6 +68,9 @@
   WorkerReply stop(const std::string &Id, const StopCall &Call);
   /// Replies once a run has ended, or when the call's wait is over.
   void hold(const std::string &Id, const HoldCall &Call, Answer Reply);
+  /// Changes VirtualWorkerOptions::RunTimeFactor for tasks that start from now
+  /// on.
+  void setRunTimeFactor(double New) { this->Options.RunTimeFactor = New; }
   /// Ends all runs; the worker restarts after a delay as a new incarnation.
   void crash();
   void crash(std::chrono::milliseconds RestartAfter);
