--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -16,6 +16,7 @@
 #include "agent/offer_queue.h"
 #include "agent/open_starts.h"
 #include "agent/start_order.h"
+#include "agent/worker_pace.h"
 #include "agent/worker_session.h"
 #include "core/clock.h"
 #include "core/logger.h"
@@ -62,6 +63,7 @@
   std::chrono::milliseconds OfferTimeout{20};
   OpenStartOptions OpenStarts;
   StartOrderOptions StartOrder;
+  WorkerPaceOptions Pace;
   SessionOptions Session;
   /// How long a worker crash is included in every load report, so that all
   /// entries that have tasks here learn of it at once.
@@ -161,6 +163,8 @@
     TimePoint LeaseEnd;
     std::string Spec;
     peer::TaskNeeds Needs;
+    /// Declared run time.
+    std::chrono::milliseconds Estimate{};
     /// What its place in the queue depends on.
     WaitingTask Waiting;
     /// When the task is rejected if it is still queued.
@@ -256,6 +260,8 @@
   void reserveRoom(const peer::TaskNeeds &Needs);
   std::uint64_t nextRun(const TaskId &Id, std::uint32_t Attempt, Instant Now);
   void countEnd(const Task &TheTask, RunOutcome Outcome);
+  /// Records the run time of a task that is done.
+  void measurePace(const TaskId &Id, const Task &TheTask, Instant Now);
   void releaseRoom(const peer::TaskNeeds &Needs);
 
   void sendUpdate(const TaskId &Id, const Task &TheTask,
@@ -274,6 +280,11 @@
   /// task update carries a load and a crash may list many tasks.
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
                            bool WithAllCrashes = false) const;
+  /// Returns how long a task that arrives now is expected to wait for its
+  /// start: the work of the queue, divided by the room.
+  std::chrono::milliseconds startDelay() const;
+  /// Adds how much longer the worker is cold, and lasts, to a load report.
+  void addTimesLeft(peer::WorkerLoad &Load, Instant Now) const;
   /// Sends a load report to each entry that is to learn of open starts now.
   void reportOpenStarts(Instant Now);
   void sendLoad(const PeerRef &Entry, Instant Now);
@@ -316,6 +327,7 @@
   std::deque<Crash> Crashes;
   OfferQueue Offers;
   OpenStarts Open;
+  WorkerPace Pace;
   StartOrder Order;
   /// Room taken by runs and by offers.
   peer::TaskNeeds UsedRoom;
--- a/emulator/leased_entry.cpp
+++ b/emulator/leased_entry.cpp
@@ -92,8 +92,8 @@
 
 void LeasedEntry::tickDelegation() {
   Instant Now = this->World.now();
-  if (this->Meter.isDue(Now.Steady))
-    this->Meter.sample(this->Processor.busy(), Now.Steady);
+  this->Meter.sample(Now.Steady.time_since_epoch() - this->Processor.busy(),
+                     Now.Steady);
   this->Intake->tick({.ProcessorShare = this->Meter.share(),
                       .ExpectedWait = this->Processor.expectedWait()},
                      this->lastBehind(), Now);
--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -11,7 +11,7 @@
 #define YARDWHEEL_EMULATOR_LEASED_ENTRY_H
 
 #include "coordination/delegating_intake.h"
-#include "core/processor_meter.h"
+#include "core/busy_meter.h"
 #include "emulator/run_register.h"
 #include "emulator/virtual_processor.h"
 #include "emulator/virtual_world.h"
@@ -107,7 +107,7 @@
   std::string Name;
   LeasedEntryOptions Options;
   VirtualProcessor Processor;
-  ProcessorMeter Meter{/*Limit=*/1};
+  BusyMeter Meter;
   AdmissionRule Admission{AdmissionOptions()};
   PeerSink &Sink;
   std::uint64_t Incarnation = 0;
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -68,6 +68,7 @@
     Options.Shares->MaxPressure = Options.Shedder.MaxRouteLimit;
     Options.Shares->UsesOwnDemand = Plan.Role == NodeRole::Entry;
   }
+  Options.Workers.OffRackFactor = Plan.OffRackFactor;
   return Options;
 }
 
