--- a/tests/coordination/delegating_intake_test.cpp
+++ b/tests/coordination/delegating_intake_test.cpp
@@ -91,7 +91,7 @@
         this->reply({Numbers.begin(), Numbers.end()});
       }
   }
-  void run(std::chrono::milliseconds Time) {
+  void runFor(std::chrono::milliseconds Time) {
     for (auto Step = 0ms; Step < Time; Step += 20ms) {
       Now.Steady += 20ms;
       Intake->tick({}, TimePoint::min(), Now);
@@ -112,7 +112,7 @@
   void prepare() {
     addAgent("a");
     announceDelegate("d");
-    run(600ms);
+    runFor(600ms);
     reportLoad("a");
   }
   /// Starts over, with \p Options.
@@ -164,14 +164,14 @@
       {"leaves",
        [&] {
          announceDelegate("d");
-         run(600ms);
+         runFor(600ms);
          announceDelegate("d", true, "dc", peer::MEMBER_LEAVING);
        },
        false},
       {"lost",
        [&] {
          announceDelegate("d");
-         run(600ms);
+         runFor(600ms);
          announceDelegate("d", true, "dc", peer::MEMBER_LOST);
        },
        false},
@@ -181,7 +181,7 @@
     restart(delegateAll());
     addAgent("a", 64000);
     Row.Prepare();
-    run(600ms);
+    runFor(600ms);
     reportLoad("a");
     Intake->submit(request(1, std::to_string(++Id).c_str()), 1, Now);
     LONGS_EQUAL_TEXT(Row.IsDelegated ? 1 : 0, delegatedJobs(), Row.Name);
@@ -233,7 +233,7 @@
     LONGS_EQUAL(2, Answers.Answers.size());
     Intake->submit(request(1, Name.c_str()), 3, Now);
     LONGS_EQUAL(Row.MayBeDelegated ? 2 : 1, delegatedJobs());
-    run(20ms);
+    runFor(20ms);
     Intake->cancel(Name, "end of the row", Now);
   }
 }
@@ -251,7 +251,7 @@
   CHECK(!Intake->isRunning("j"));
   // It is not vouched for any more.
   Given.Renewals.clear();
-  run(600ms);
+  runFor(600ms);
   for (const auto &[To, Renewal] : Given.Renewals)
     LONGS_EQUAL(0, Renewal.numbers_size());
   // Where it may have run is known here only.
@@ -262,15 +262,15 @@
 TEST(DelegatingIntakeTest, ACallerThatJoinsMayWaitLonger) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(1000ms);
+  runFor(1000ms);
   Intake->submit(request(1), 2, Now);
   LONGS_EQUAL(2, delegatedJobs());
   const peer::DelegatedJob &Again = Given.Jobs[1].second;
   LONGS_EQUAL(Given.Jobs[0].second.number(), Again.number());
   LONGS_EQUAL(1500, Again.deadline_ms());
-  run(1000ms);
+  runFor(1000ms);
   LONGS_EQUAL(0, Answers.Answers.size());
-  run(600ms);
+  runFor(600ms);
   LONGS_EQUAL(2, Answers.Answers.size());
   LONGS_EQUAL(1, Given.Withdrawn.size());
 }
@@ -279,7 +279,7 @@
   prepare();
   Intake->submit(request(1), 1, Now);
   Intake->submit(request(1), 2, Now);
-  run(100ms);
+  runFor(100ms);
   reportLoad("a");
   end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
   LONGS_EQUAL(1, Sink.Dispatches.size());
@@ -300,7 +300,7 @@
   LeasedJobRequest Long = request(1);
   Long.Deadline = 20s;
   Intake->submit(Long, 1, Now);
-  run(5100ms);
+  runFor(5100ms);
   reportLoad("a");
   end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
   LONGS_EQUAL(0, Sink.Dispatches.size());
@@ -322,7 +322,7 @@
 TEST(DelegatingIntakeTest, AnUndeliveredJobIsSentAgainUnderItsNumber) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(300ms);
+  runFor(300ms);
   failDelegation(Given.Jobs[0].second, 300ms);
   LONGS_EQUAL(2, delegatedJobs());
   const peer::DelegatedJob &Again = Given.Jobs[1].second;
@@ -346,15 +346,15 @@
       {"silent",
        [&] {
          Replies = false;
-         run(800ms);
+         runFor(800ms);
        },
        true},
       {"silent for a moment",
        [&] {
          Replies = false;
-         run(500ms);
+         runFor(500ms);
          Replies = true;
-         run(1000ms);
+         runFor(1000ms);
        },
        false},
       {"restarted",
@@ -372,7 +372,7 @@
        false},
       {"no longer lists it",
        [&] {
-         run(1100ms);
+         runFor(1100ms);
          reply({});
          Now.Steady += 100ms;
          reply({});
@@ -388,7 +388,7 @@
       {"control has lost it, and it is heard here",
        [&] {
          announceDelegate("d", true, "dc", peer::MEMBER_LOST);
-         run(1000ms);
+         runFor(1000ms);
        },
        false},
   };
@@ -424,9 +424,9 @@
 TEST(DelegatingIntakeTest, JobsEndAtTheirDeadlineOrWithTheProcess) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(1480ms);
+  runFor(1480ms);
   LONGS_EQUAL(0, Answers.Answers.size());
-  run(20ms);
+  runFor(20ms);
   CHECK(onlyAnswer().End == LeasedEnd::Unknown);
   LONGS_EQUAL(1, Given.Withdrawn.size());
   Answers.Answers.clear();
@@ -495,11 +495,11 @@
   prepare();
   std::size_t Before = Given.Renewals.size();
   while (Given.Renewals.size() == Before)
-    run(20ms);
+    runFor(20ms);
   Intake->submit(request(1), 1, Now);
   Given.Renewals.clear();
   RepliedTo = 0;
-  run(120ms);
+  runFor(120ms);
   LONGS_EQUAL(1, Given.Renewals.size());
   LONGS_EQUAL(1, Given.Renewals[0].second.numbers_size());
 }
@@ -513,7 +513,7 @@
   CHECK(Given.Jobs[0].second.stamp() <= stampNow());
   std::size_t Checked = Given.Renewals.size();
   for (int Step = 0; Step < 100; ++Step) {
-    run(20ms);
+    runFor(20ms);
     for (; Checked < Given.Renewals.size(); ++Checked) {
       const peer::DelegationRenewal &Renewal = Given.Renewals[Checked].second;
       LONGS_EQUAL(1, Renewal.numbers_size());
@@ -530,7 +530,7 @@
   announceDelegate("f");
   // Another delegate is used once the first one is busy.
   for (int Step = 0; Step < 20; ++Step) {
-    run(100ms);
+    runFor(100ms);
     for (const char *Name : {"d", "e", "f"}) {
       peer::Message Message;
       Message.mutable_delegation_status()->set_stamp(stampNow());
