--- a/tests/coordination/delegating_intake_test.cpp
+++ b/tests/coordination/delegating_intake_test.cpp
@@ -1,142 +1,13 @@
 //===- An entry that hands jobs to agents ---------------------------------===//
 
-#include "coordination/delegating_intake.h"
-#include "tests/coordination/coordinator_fixture.h"
+#include "tests/coordination/delegation_fixture.h"
 
 #include <functional>
-#include <optional>
 
 using namespace yardwheel;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr std::uint64_t Incarnation = 7;
-/// How far the delegate's clock is ahead of the entry's.
-constexpr std::uint64_t ClockAhead = 7000000;
-
-class DelegationSink final : public PeerSink {
-public:
-  void send(const PeerRef &To, peer::Message Message) override {
-    if (Message.has_delegated_job())
-      this->Jobs.push_back({To.Node, Message.delegated_job()});
-    else if (Message.has_delegation_renewal())
-      this->Renewals.push_back({To.Node, Message.delegation_renewal()});
-    else if (Message.has_delegation_withdrawal())
-      this->Withdrawn.push_back(Message.delegation_withdrawal().number());
-  }
-  void reconnect(const PeerRef &) override { ++this->Reconnects; }
-  std::vector<std::pair<std::string, peer::DelegatedJob>> Jobs;
-  std::vector<std::pair<std::string, peer::DelegationRenewal>> Renewals;
-  std::vector<std::uint64_t> Withdrawn;
-  int Reconnects = 0;
-};
-
-/// All jobs are delegated as soon as an agent is ready.
-DelegationOptions delegateAll(std::uint32_t MaxDelegates = 1) {
-  DelegationOptions Options;
-  Options.Rule.MaxDelegates = MaxDelegates;
-  Options.Rule.PrepareAt = 0;
-  Options.Rule.HighLoad = 0;
-  Options.Rule.RaiseStep = 1;
-  Options.DataCentre = "dc";
-  Options.Name = "entry";
-  return Options;
-}
-
-} // namespace
-
-TEST_GROUP_BASE(DelegatingIntakeTest, CoordinatorFixture) {
-  DelegationSink Given;
-  std::optional<DelegatingIntake> Intake{std::in_place, delegateAll(),
-                                         Coordinator, Given, Answers};
-  std::uint64_t DelegateIncarnation = Incarnation;
-  /// Whether the delegate answers renewals.
-  bool Replies = true;
-  bool IsReady = true;
-  std::size_t RepliedTo = 0;
-
-  PeerRef delegateRef() const {
-    return {"d", "10.0.0.2:1", DelegateIncarnation};
-  }
-  void announceDelegate(const std::string &Name, bool Coordinates = true,
-                        const std::string &DataCentre = "dc",
-                        peer::MemberState State = peer::MEMBER_ALIVE) {
-    peer::Member Member;
-    Member.set_name(Name);
-    Member.set_role(peer::ROLE_AGENT);
-    Member.set_state(State);
-    Member.set_address("10.0.0.2:1");
-    Member.set_data_centre(DataCentre);
-    Member.set_coordinates(Coordinates);
-    Intake->onMember(Member, Now);
-  }
-  std::uint64_t stampNow() const {
-    return ClockAhead +
-           static_cast<std::uint64_t>(millisBetween(TimePoint(), Now.Steady));
-  }
-  void reply(const std::vector<std::uint64_t> &Numbers) {
-    peer::Message Message;
-    peer::DelegationStatus *Status = Message.mutable_delegation_status();
-    Status->set_stamp(stampNow());
-    Status->set_ready(IsReady);
-    for (std::uint64_t Number : Numbers)
-      Status->add_numbers(Number);
-    Intake->onMessage(delegateRef(), Message, Now);
-  }
-  void replyToRenewals() {
-    for (; RepliedTo < Given.Renewals.size(); ++RepliedTo)
-      if (Replies) {
-        const auto &Numbers = Given.Renewals[RepliedTo].second.numbers();
-        this->reply({Numbers.begin(), Numbers.end()});
-      }
-  }
-  void run(std::chrono::milliseconds Time) {
-    for (auto Step = 0ms; Step < Time; Step += 20ms) {
-      Now.Steady += 20ms;
-      Intake->tick({}, TimePoint::min(), Now);
-      this->replyToRenewals();
-    }
-  }
-  void end(std::uint64_t Number, peer::DelegatedEnd End,
-           const std::string &Step = "") {
-    peer::Message Message;
-    peer::DelegatedAnswer *Answer = Message.mutable_delegated_answer();
-    Answer->set_number(Number);
-    Answer->set_stamp(stampNow());
-    Answer->set_end(End);
-    Answer->set_step(Step);
-    Intake->onMessage(delegateRef(), Message, Now);
-  }
-  /// The entry has a delegate, and an upstream that it reaches itself.
-  void prepare() {
-    addAgent("a");
-    announceDelegate("d");
-    run(600ms);
-    reportLoad("a");
-  }
-  /// Starts over, with \p Options.
-  void restart(const DelegationOptions &Options) {
-    Intake.emplace(Options, Coordinator, Given, Answers);
-    Given = DelegationSink();
-    Answers.Answers.clear();
-    Sink.Dispatches.clear();
-    RepliedTo = 0;
-    Replies = true;
-    IsReady = true;
-    DelegateIncarnation = Incarnation;
-  }
-  LeasedEnd endOf(std::size_t Which) const {
-    return Answers.Answers.at(Which).second.End;
-  }
-  std::size_t delegatedJobs() const { return Given.Jobs.size(); }
-  void failDelegation(const peer::DelegatedJob &Job,
-                      std::chrono::milliseconds Age) {
-    auto Sent = std::make_shared<peer::Envelope>();
-    *Sent->add_messages()->mutable_delegated_job() = Job;
-    Intake->onUndelivered({{"d", "10.0.0.2:1"}, Now.Steady - Age, Sent}, Now);
-  }
-};
+TEST_GROUP_BASE(DelegatingIntakeTest, DelegationFixture){};
 
 TEST(DelegatingIntakeTest, OnlyAReadyAgentOfItsDataCentreGetsJobs) {
   struct Row {
@@ -164,14 +35,14 @@
       {"leaves",
        [&] {
          announceDelegate("d");
-         run(600ms);
+         runFor(600ms);
          announceDelegate("d", true, "dc", peer::MEMBER_LEAVING);
        },
        false},
       {"lost",
        [&] {
          announceDelegate("d");
-         run(600ms);
+         runFor(600ms);
          announceDelegate("d", true, "dc", peer::MEMBER_LOST);
        },
        false},
@@ -181,7 +52,7 @@
     restart(delegateAll());
     addAgent("a", 64000);
     Row.Prepare();
-    run(600ms);
+    runFor(600ms);
     reportLoad("a");
     Intake->submit(request(1, std::to_string(++Id).c_str()), 1, Now);
     LONGS_EQUAL_TEXT(Row.IsDelegated ? 1 : 0, delegatedJobs(), Row.Name);
@@ -233,7 +104,7 @@
     LONGS_EQUAL(2, Answers.Answers.size());
     Intake->submit(request(1, Name.c_str()), 3, Now);
     LONGS_EQUAL(Row.MayBeDelegated ? 2 : 1, delegatedJobs());
-    run(20ms);
+    runFor(20ms);
     Intake->cancel(Name, "end of the row", Now);
   }
 }
@@ -251,7 +122,7 @@
   CHECK(!Intake->isRunning("j"));
   // It is not vouched for any more.
   Given.Renewals.clear();
-  run(600ms);
+  runFor(600ms);
   for (const auto &[To, Renewal] : Given.Renewals)
     LONGS_EQUAL(0, Renewal.numbers_size());
   // Where it may have run is known here only.
@@ -262,15 +133,15 @@
 TEST(DelegatingIntakeTest, ACallerThatJoinsMayWaitLonger) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(1000ms);
+  runFor(1000ms);
   Intake->submit(request(1), 2, Now);
   LONGS_EQUAL(2, delegatedJobs());
   const peer::DelegatedJob &Again = Given.Jobs[1].second;
   LONGS_EQUAL(Given.Jobs[0].second.number(), Again.number());
   LONGS_EQUAL(1500, Again.deadline_ms());
-  run(1000ms);
+  runFor(1000ms);
   LONGS_EQUAL(0, Answers.Answers.size());
-  run(600ms);
+  runFor(600ms);
   LONGS_EQUAL(2, Answers.Answers.size());
   LONGS_EQUAL(1, Given.Withdrawn.size());
 }
@@ -279,7 +150,7 @@
   prepare();
   Intake->submit(request(1), 1, Now);
   Intake->submit(request(1), 2, Now);
-  run(100ms);
+  runFor(100ms);
   reportLoad("a");
   end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
   LONGS_EQUAL(1, Sink.Dispatches.size());
@@ -300,7 +171,7 @@
   LeasedJobRequest Long = request(1);
   Long.Deadline = 20s;
   Intake->submit(Long, 1, Now);
-  run(5100ms);
+  runFor(5100ms);
   reportLoad("a");
   end(Given.Jobs[0].second.number(), peer::DELEGATED_DECLINED);
   LONGS_EQUAL(0, Sink.Dispatches.size());
@@ -322,13 +193,13 @@
 TEST(DelegatingIntakeTest, AnUndeliveredJobIsSentAgainUnderItsNumber) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(300ms);
+  runFor(300ms);
   failDelegation(Given.Jobs[0].second, 300ms);
   LONGS_EQUAL(2, delegatedJobs());
   const peer::DelegatedJob &Again = Given.Jobs[1].second;
   LONGS_EQUAL(Given.Jobs[0].second.number(), Again.number());
   CHECK(Again.stamp() > Given.Jobs[0].second.stamp());
-  LONGS_EQUAL(Incarnation, Again.delegate_incarnation());
+  LONGS_EQUAL(FirstIncarnation, Again.delegate_incarnation());
   LONGS_EQUAL(1200, Again.deadline_ms());
   // Not once it is over.
   end(Again.number(), peer::DELEGATED_COMPLETED);
@@ -346,15 +217,15 @@
       {"silent",
        [&] {
          Replies = false;
-         run(800ms);
+         runFor(800ms);
        },
        true},
       {"silent for a moment",
        [&] {
          Replies = false;
-         run(500ms);
+         runFor(500ms);
          Replies = true;
-         run(1000ms);
+         runFor(1000ms);
        },
        false},
       {"restarted",
@@ -372,7 +243,7 @@
        false},
       {"no longer lists it",
        [&] {
-         run(1100ms);
+         runFor(1100ms);
          reply({});
          Now.Steady += 100ms;
          reply({});
@@ -388,7 +259,7 @@
       {"control has lost it, and it is heard here",
        [&] {
          announceDelegate("d", true, "dc", peer::MEMBER_LOST);
-         run(1000ms);
+         runFor(1000ms);
        },
        false},
   };
@@ -424,9 +295,9 @@
 TEST(DelegatingIntakeTest, JobsEndAtTheirDeadlineOrWithTheProcess) {
   prepare();
   Intake->submit(request(1), 1, Now);
-  run(1480ms);
+  runFor(1480ms);
   LONGS_EQUAL(0, Answers.Answers.size());
-  run(20ms);
+  runFor(20ms);
   CHECK(onlyAnswer().End == LeasedEnd::Unknown);
   LONGS_EQUAL(1, Given.Withdrawn.size());
   Answers.Answers.clear();
@@ -495,11 +366,11 @@
   prepare();
   std::size_t Before = Given.Renewals.size();
   while (Given.Renewals.size() == Before)
-    run(20ms);
+    runFor(20ms);
   Intake->submit(request(1), 1, Now);
   Given.Renewals.clear();
   RepliedTo = 0;
-  run(120ms);
+  runFor(120ms);
   LONGS_EQUAL(1, Given.Renewals.size());
   LONGS_EQUAL(1, Given.Renewals[0].second.numbers_size());
 }
@@ -513,7 +384,7 @@
   CHECK(Given.Jobs[0].second.stamp() <= stampNow());
   std::size_t Checked = Given.Renewals.size();
   for (int Step = 0; Step < 100; ++Step) {
-    run(20ms);
+    runFor(20ms);
     for (; Checked < Given.Renewals.size(); ++Checked) {
       const peer::DelegationRenewal &Renewal = Given.Renewals[Checked].second;
       LONGS_EQUAL(1, Renewal.numbers_size());
@@ -530,13 +401,13 @@
   announceDelegate("f");
   // Another delegate is used once the first one is busy.
   for (int Step = 0; Step < 20; ++Step) {
-    run(100ms);
+    runFor(100ms);
     for (const char *Name : {"d", "e", "f"}) {
       peer::Message Message;
       Message.mutable_delegation_status()->set_stamp(stampNow());
       Message.mutable_delegation_status()->set_ready(true);
       Message.mutable_delegation_status()->set_busy_percent(90);
-      Intake->onMessage({Name, "10.0.0.2:1", Incarnation}, Message, Now);
+      Intake->onMessage({Name, "10.0.0.2:1", FirstIncarnation}, Message, Now);
     }
   }
   std::map<std::string, int> Jobs;
