Run times of a worker: the middle half of its last jobs counts

The median of 12 to 24 jobs strayed beyond the threshold of 1.5 on equal workers. Change: the mean of the middle half of 20 to 24 jobs, which varies less. The log line of a changed speed tells the ratios as integers.

--- a/agent/worker_pace.cpp
+++ b/agent/worker_pace.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <numeric>
 
 namespace yardwheel {
 
@@ -45,10 +46,13 @@
       Ratios[Fresh++] = this->Samples[I].ratio();
   if (Fresh == 0 || Fresh < this->Options.MinJobs)
     return 0;
-  auto *Middle = Ratios.begin() + Fresh / 2;
-  std::nth_element(Ratios.begin(), Middle, Ratios.begin() + Fresh);
+  std::sort(Ratios.begin(), Ratios.begin() + Fresh);
+  std::size_t Outside = Fresh / 4;
+  double Sum = std::accumulate(Ratios.begin() + Outside,
+                               Ratios.begin() + Fresh - Outside, 0.0);
+  double Mean = Sum / static_cast<double>(Fresh - 2 * Outside);
   return static_cast<std::uint32_t>(
-      std::lround(std::clamp(*Middle, MinRatio, MaxRatio) * WholePermille));
+      std::lround(std::clamp(Mean, MinRatio, MaxRatio) * WholePermille));
 }
 
 } // namespace yardwheel
--- a/agent/worker_pace.h
+++ b/agent/worker_pace.h
@@ -3,7 +3,8 @@
 /// \file
 /// Measures how long tasks take on a worker compared with their declared run
 /// times. Declared times are off by a factor that the tasks of a job share, so
-/// each job counts once; the median of the last jobs ignores stragglers.
+/// each job counts once; the mean of the middle half of the last jobs ignores
+/// stragglers, and varies less than their median.
 ///
 /// Load pattern: workers of one pool that take unequal time for the same task,
 /// always or for some seconds.
@@ -23,8 +24,8 @@
 
 struct WorkerPaceOptions {
   /// Number of jobs below which nothing is told. With declared times off by 40
-  /// %, the median of so many is off by 15 %.
-  std::size_t MinJobs = 12;
+  /// %, the mean of the middle half of so many is off by 10 %.
+  std::size_t MinJobs = 20;
   /// Time after which a job no longer counts, so that a worker that gets no
   /// tasks because it was slow is tried again.
   std::chrono::milliseconds MaxAge{10000};
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -360,14 +360,15 @@
   Known.update(std::move(Permilles), Now);
   for (auto &[Name, Worker] : this->Workers) {
     double Factor = Known.factorOf(Worker.RunTimePermille);
-    if (Worker.Pool != Pool || Worker.HasOwnSpeed == (Factor != 1))
+    bool HasOwnSpeed = Factor < 1 || Factor > 1;
+    if (Worker.Pool != Pool || Worker.HasOwnSpeed == HasOwnSpeed)
       continue;
-    Worker.HasOwnSpeed = Factor != 1;
+    Worker.HasOwnSpeed = HasOwnSpeed;
     this->Log.decision("upstream_speed",
                        {{"agent", Name},
-                        {"run_time_factor", Factor},
+                        {"own_speed", HasOwnSpeed},
                         {"told_permille", Worker.RunTimePermille},
-                        {"usual_ratio", Known.usualRatio()}});
+                        {"usual_permille", Known.usualPermille()}});
   }
   return Known;
 }
--- a/dispatch/run_time_factors.h
+++ b/dispatch/run_time_factors.h
@@ -19,7 +19,7 @@
 
 struct RunTimeFactorOptions {
   /// A worker counts as the pool's usual one up to this factor in either
-  /// direction. Three deviations of a ratio over the jobs that a worker counts,
+  /// direction. Four deviations of a ratio over the jobs that a worker counts,
   /// so that equal workers are not told apart by noise.
   double NoiseFactor = 1.5;
   /// Limits of a factor, so that an error neither attracts nor repels all
@@ -47,6 +47,9 @@
   /// pool's usual one. \param Permille The ratio that the worker tells; 0 if it
   /// is not known.
   double factorOf(std::uint32_t Permille) const;
+  /// Returns the ratio of the pool's usual worker in thousandths; 0 if it is
+  /// not known.
+  std::uint32_t usualPermille() const { return this->MedianPermille; }
   /// Returns the ratio of the pool's usual worker; 1 if it is not known.
   double usualRatio() const;
 
--- a/tests/agent/worker_pace_test.cpp
+++ b/tests/agent/worker_pace_test.cpp
@@ -26,7 +26,7 @@
   }
 };
 
-TEST(WorkerPaceTest, TheMedianOfTheLastJobsIsTold) {
+TEST(WorkerPaceTest, TheMiddleOfTheLastJobsIsTold) {
   struct Row {
     const char *Name;
     int Usual;
@@ -34,10 +34,11 @@
     std::uint32_t Permille;
   };
   const Row Rows[] = {{"none", 0, 0, 0},
-                      {"too few", 11, 0, 0},
-                      {"enough", 12, 0, 1000},
+                      {"too few", 19, 0, 0},
+                      {"enough", 20, 0, 1000},
                       {"some stragglers", 20, 4, 1000},
-                      {"turned slow", 24, 14, 3000},
+                      {"turning slow", 24, 12, 2000},
+                      {"turned slow", 24, 18, 3000},
                       {"long slow", 24, 100, 3000}};
   for (const Row &Row : Rows) {
     Pace.reset();
@@ -49,7 +50,7 @@
 
 // The declared time of a job is off by as much for all its tasks.
 TEST(WorkerPaceTest, TheTasksOfAJobCountOnce) {
-  finishJobs(14, Declared);
+  finishJobs(23, Declared);
   for (int I = 0; I < 100; ++I)
     Pace.onDone("wide", 5 * Declared, Declared, Now);
   LONGS_EQUAL(1000, Pace.permille(Now));
@@ -70,7 +71,7 @@
 
 TEST_GROUP_BASE(KeeperPaceTest, KeeperFixture) {
   static constexpr std::chrono::milliseconds RunTime = 200ms;
-  static constexpr int EnoughJobs = 12;
+  static constexpr int EnoughJobs = 20;
 
   /// Runs jobs of one task each, one after the other.
   void runJobs(LeaseKeeper & Keeper, int Count, RunOutcome Outcome,
