Run times of a worker: 18 jobs count

Change: 18 jobs count, and as many are needed. Measured: tests uneven_workers, lease_overload and lease_agent pass.

--- a/agent/worker_pace.h
+++ b/agent/worker_pace.h
@@ -24,8 +24,8 @@
 
 struct WorkerPaceOptions {
   /// Number of jobs below which nothing is told. With declared times off by 40
-  /// %, the mean of the middle half of so many is off by 10 %.
-  std::size_t MinJobs = 20;
+  /// %, the mean of the middle half of so many is off by 11 %.
+  std::size_t MinJobs = 18;
   /// Time after which a job no longer counts, so that a worker that gets no
   /// tasks because it was slow is tried again.
   std::chrono::milliseconds MaxAge{10000};
@@ -48,7 +48,7 @@
 private:
   /// Number of jobs that count. A worker that turns slow shows after half as
   /// many.
-  static constexpr std::size_t MaxJobs = 24;
+  static constexpr std::size_t MaxJobs = 18;
 
   struct Sample {
     std::size_t Job = 0;
--- a/dispatch/run_time_factors.h
+++ b/dispatch/run_time_factors.h
@@ -19,8 +19,8 @@
 
 struct RunTimeFactorOptions {
   /// A worker counts as the pool's usual one up to this factor in either
-  /// direction. Four deviations of a ratio over the jobs that a worker counts,
-  /// so that equal workers are not told apart by noise.
+  /// direction. More than three deviations of a ratio over the jobs that a
+  /// worker counts, so that equal workers are not told apart by noise.
   double NoiseFactor = 1.5;
   /// Limits of a factor, so that an error neither attracts nor repels all
   /// tasks.
