Jobs beyond a share are refused from a pressure of 1.05 on

Cause: while a pair beyond its share was taken as far as its share went, the pool stayed above full, and the jobs of the others were late. Change: from 1.05 on such pairs are refused, in place of asking the rule for an overloaded pool.

--- a/coordination/share_check.cpp
+++ b/coordination/share_check.cpp
@@ -55,7 +55,7 @@
 // ---- Division ----
 
 double ShareCheck::capacityOf(const WorkerTable &Workers,
-                              const std::string &Pool) const {
+                              const std::string &Pool) {
   double Capacity = 0;
   for (const auto &[Name, Worker] : Workers.workers())
     if (Worker.Pool == Pool && Worker.isReachable() && !Worker.Evacuated)
@@ -100,7 +100,7 @@
     auto Known = Made.Factors.find(Pair);
     bool IsLimited = Known != Made.Factors.end() && !std::isinf(Known->second);
     // Callers may have come from another entry, or just have been idle.
-    double Share = IsLimited ? Known->second * Claim.Demand : 0;
+    double Share = IsLimited ? Known->second * Claim.Demand : 0.0;
     Made.Tolerated[Pair] = std::max(Share, Claim.Guaranteed) * Seconds;
   }
   return Made;
@@ -143,7 +143,7 @@
   double Factor = Found == Present.Factors.end() ? Infinite : Found->second;
   double Work = Query.Request.coreMilliseconds();
   auto Known = Present.Tolerated.find(Pair);
-  double Tolerated = Known == Present.Tolerated.end() ? 0 : Known->second;
+  double Tolerated = Known == Present.Tolerated.end() ? 0.0 : Known->second;
   Account &Own = this->accountOf(Pair, Now.Steady);
   bool IsFull = Query.Pressure >= this->Options.FullPressure;
   if (!Present.IsExceeded) {
@@ -157,28 +157,37 @@
                              std::max(Tolerated, Lent));
     return this->Overload->check(Query, Now);
   }
-  bool IsWithin = Own.Balance >= 0;
+  bool IsBeyond = Factor < MaxNormalFactor;
+  bool IsTooFull = Query.Pressure >= this->Options.MaxExceededPressure;
+  bool IsWithin = Own.Balance >= 0 && !(IsBeyond && IsTooFull);
   Own.Balance += std::min(Factor * Work, std::max(Tolerated, Work));
   if (IsWithin)
     Own.Balance -= Work;
   Own.Balance = std::min(Own.Balance, Tolerated);
-  if (!IsWithin) {
-    ++Own.Refused;
-    this->logExceeded(Present, Query, Now.Steady);
-    return AdmissionRefusal{"share",
-                            "its callers ask for more than their share of the "
-                            "upstreams, which are full",
-                            this->Options.FullPressure,
-                            {}};
-  }
-  if (Factor < MaxNormalFactor)
-    return this->Overload->check(Query, Now);
+  if (!IsWithin)
+    return this->refuse(Own, Present, Query,
+                        IsBeyond && IsTooFull
+                            ? this->Options.MaxExceededPressure
+                            : this->Options.FullPressure,
+                        Now.Steady);
   if (Query.Pressure < this->Options.MaxPressure)
     return std::nullopt;
   return AdmissionRefusal{
       "overload", "upstreams are short of room", this->Options.MaxPressure, {}};
 }
 
+AdmissionRefusal ShareCheck::refuse(Account &Own, const Division &Present,
+                                    const AdmissionQuery &Query, double Limit,
+                                    TimePoint Now) {
+  ++Own.Refused;
+  this->logExceeded(Present, Query, Now);
+  return {"share",
+          "its callers ask for more than their share of the upstreams, which "
+          "are full",
+          Limit,
+          {}};
+}
+
 // ---- Reports ----
 
 void ShareCheck::logExceeded(const Division &Present,
--- a/coordination/share_check.h
+++ b/coordination/share_check.h
@@ -31,6 +31,9 @@
   PoolDemandOptions Demand;
   /// Ratio of used to total capacity from which on the pool counts as full.
   double FullPressure = 1;
+  /// The ratio from which on all jobs of those beyond their share are refused:
+  /// others wait behind each of them.
+  double MaxExceededPressure = 1.05;
   /// The ratio from which on jobs are refused although their callers are within
   /// their share.
   double MaxPressure = 2.2;
@@ -98,8 +101,12 @@
   void record(const LeasedJobRequest &Request, Instant Now);
   const Division &divide(const AdmissionQuery &Query, TimePoint Now);
   Division makeDivision(const AdmissionQuery &Query, TimePoint Now) const;
-  double capacityOf(const WorkerTable &Workers, const std::string &Pool) const;
+  static double capacityOf(const WorkerTable &Workers, const std::string &Pool);
   Account &accountOf(const DemandPair &Pair, TimePoint Now);
+  /// Returns the refusal of a job of a pair that is beyond its share.
+  AdmissionRefusal refuse(Account &Own, const Division &Present,
+                          const AdmissionQuery &Query, double Limit,
+                          TimePoint Now);
   void logExceeded(const Division &Present, const AdmissionQuery &Query,
                    TimePoint Now);
 
--- a/dispatch/share_division.h
+++ b/dispatch/share_division.h
@@ -17,9 +17,9 @@
 #ifndef YARDWHEEL_DISPATCH_SHARE_DIVISION_H
 #define YARDWHEEL_DISPATCH_SHARE_DIVISION_H
 
-#include <compare>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace yardwheel {
 
@@ -27,7 +27,11 @@
 struct DemandPair {
   std::string Route;
   std::string DataCentre;
-  auto operator<=>(const DemandPair &) const = default;
+  bool operator==(const DemandPair &Other) const = default;
+  bool operator<(const DemandPair &Other) const {
+    return std::tie(this->Route, this->DataCentre) <
+           std::tie(Other.Route, Other.DataCentre);
+  }
 };
 
 /// What a pair asks for, in thousandths of a core.
--- a/membership/demand_sums.cpp
+++ b/membership/demand_sums.cpp
@@ -64,6 +64,7 @@
   std::vector<
       std::pair<std::uint64_t, const std::pair<std::string, std::string> *>>
       Order;
+  Order.reserve(Sums.size());
   for (const auto &[Pair, CpuMilli] : Sums)
     Order.emplace_back(CpuMilli, &Pair);
   std::ranges::sort(Order, [](const auto &First, const auto &Second) {
