Replays of bursts with and without shares

Cause: shares have to be shown to protect those who do not burst. Change: the emulator exchanges demand as control does, distributes callers over data centres, loses entries, and counts outcomes by group.

--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -66,6 +66,7 @@
   bool hasCaller(LeaseTicket Ticket) const override;
   void send(const PeerRef &To, peer::Message Message) override;
 
+  LeaseCoordinator &coordinator() { return *this->Coordinator; }
   const CoordinatorCounters &counters() const {
     return this->Coordinator->counters();
   }
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -62,6 +62,9 @@
     Names.insert(this->Entries[I]->name());
   }
   this->World.separateDraws(std::move(Names));
+  if (Options.Coordinator.Shares)
+    this->Exchange =
+        std::make_unique<DemandExchange>(this->World, this->Entries);
   // Each entry asks each agent once before the load begins.
   this->World.run(Options.WarmUp);
   this->LoadStart = this->World.now().Steady;
@@ -81,16 +84,22 @@
 
 void LeasedWorld::submit(std::size_t Entry, LeasedJobRequest Job,
                          const std::vector<std::chrono::milliseconds> &Lengths,
-                         std::chrono::milliseconds LateAfter) {
+                         std::chrono::milliseconds LateAfter,
+                         std::vector<std::string> Groups) {
   std::string Route = Job.Route;
   ++this->Outcomes[Route].Submitted;
+  for (const std::string &Group : Groups)
+    ++this->GroupOutcomes[Group].Submitted;
   TimePoint Due = this->World.now().Steady + LateAfter;
-  this->submitJob(
-      Entry, std::move(Job), Lengths,
-      [this, Route, Due](const std::optional<LeasedAnswer> &Answer) {
-        bool InTime = this->World.now().Steady <= Due;
-        this->onEnded(Route, InTime, Answer ? Answer->End : LeasedEnd::Unknown);
-      });
+  this->submitJob(Entry, std::move(Job), Lengths,
+                  [this, Route, Groups = std::move(Groups),
+                   Due](const std::optional<LeasedAnswer> &Answer) {
+                    bool InTime = this->World.now().Steady <= Due;
+                    LeasedEnd End = Answer ? Answer->End : LeasedEnd::Unknown;
+                    count(this->Outcomes[Route], InTime, End);
+                    for (const std::string &Group : Groups)
+                      count(this->GroupOutcomes[Group], InTime, End);
+                  });
 }
 
 void LeasedWorld::restartEntry(std::size_t Which) {
@@ -139,9 +148,7 @@
   return Effort;
 }
 
-void LeasedWorld::onEnded(const std::string &Route, bool InTime,
-                          LeasedEnd End) {
-  RouteOutcome &Known = this->Outcomes[Route];
+void LeasedWorld::count(RouteOutcome &Known, bool InTime, LeasedEnd End) {
   if (End == LeasedEnd::NotRun)
     ++Known.Refused;
   else if (End != LeasedEnd::Completed)
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -10,6 +10,7 @@
 #ifndef YARDWHEEL_EMULATOR_LEASED_WORLD_H
 #define YARDWHEEL_EMULATOR_LEASED_WORLD_H
 
+#include "emulator/demand_exchange.h"
 #include "emulator/leased_agent.h"
 #include "emulator/leased_entry.h"
 #include "emulator/run_register.h"
@@ -86,10 +87,12 @@
 
   /// Submits a job to an entry and counts its outcome. Its tasks run for the
   /// times in \p Lengths, whatever the job declares. The caller counts an
-  /// answer as late after \p LateAfter.
+  /// answer as late after \p LateAfter. \param Groups Names under which the
+  /// outcome is counted as well.
   void submit(std::size_t Entry, LeasedJobRequest Job,
               const std::vector<std::chrono::milliseconds> &Lengths,
-              std::chrono::milliseconds LateAfter);
+              std::chrono::milliseconds LateAfter,
+              std::vector<std::string> Groups = {});
   /// Submits a job for a caller that handles the answer itself by
   /// \p OnAnswer.
   SubmissionId submitJob(std::size_t Entry, LeasedJobRequest Job,
@@ -107,6 +110,10 @@
   const std::map<std::string, RouteOutcome> &outcomes() const {
     return this->Outcomes;
   }
+  /// Returns the outcomes by group of jobs.
+  const std::map<std::string, RouteOutcome> &groupOutcomes() const {
+    return this->GroupOutcomes;
+  }
   EntryEffort effort() const;
   const RunRegister &runs() const { return this->Runs; }
   std::uint32_t overlappingRuns() const {
@@ -119,7 +126,7 @@
 private:
   /// Announces all other entries to an entry.
   void announceEntriesTo(std::size_t Which);
-  void onEnded(const std::string &Route, bool InTime, LeasedEnd End);
+  static void count(RouteOutcome &Target, bool InTime, LeasedEnd End);
 
   VirtualWorld World;
   RunRegister Runs;
@@ -128,6 +135,8 @@
   std::vector<std::unique_ptr<LeasedEntry>> Entries;
   std::vector<std::unique_ptr<LeasedAgent>> Agents;
   std::map<std::string, RouteOutcome> Outcomes;
+  std::map<std::string, RouteOutcome> GroupOutcomes;
+  std::unique_ptr<DemandExchange> Exchange;
 };
 
 } // namespace yardwheel
--- a/emulator/mixed_load.cpp
+++ b/emulator/mixed_load.cpp
@@ -68,16 +68,37 @@
 
 /// Returns the factor on the usual rate of a kind at a time of the load.
 double burstFactor(const MixedLoadOptions &Options, const JobKind &Kind,
+                   const std::string &DataCentre,
                    std::chrono::duration<double> At) {
   double Factor = 1;
   for (const LoadBurst &Burst : Options.Bursts) {
-    bool Applies = Burst.Route.empty() || Burst.Route == Kind.Route;
+    bool Applies = (Burst.Route.empty() || Burst.Route == Kind.Route) &&
+                   (Burst.DataCentre.empty() || Burst.DataCentre == DataCentre);
     if (Applies && At >= Burst.Begins && At < Burst.Begins + Burst.Lasts)
       Factor *= Burst.Factor;
   }
   return Factor;
 }
 
+/// Returns the groups of a job that is submitted at a time of the load.
+std::vector<std::string> groupsOf(const MixedLoadOptions &Options,
+                                  const JobKind &Kind,
+                                  const std::string &DataCentre,
+                                  std::chrono::duration<double> At) {
+  if (DataCentre.empty())
+    return {};
+  std::string Pair = fmt::format("{}@{}", Kind.Route, DataCentre);
+  std::vector<std::string> Groups{DataCentre, Pair};
+  bool InBurst =
+      std::ranges::any_of(Options.Bursts, [At](const LoadBurst &Burst) {
+        return At >= Burst.Begins && At < Burst.Begins + Burst.Lasts;
+      });
+  if (InBurst)
+    for (const std::string &Name : {std::string(Kind.Route), DataCentre, Pair})
+      Groups.push_back("burst " + Name);
+  return Groups;
+}
+
 /// Distributes the jobs over the entries.
 class EntryChoice {
 public:
@@ -87,7 +108,14 @@
       this->OfCaller.push_back(this->Any(Random));
   }
 
-  std::size_t draw(std::mt19937_64 &Random) {
+  /// \param Place The data centre among \p Places; 0 places if they do not
+  /// matter.
+  std::size_t draw(std::mt19937_64 &Random, std::size_t Place,
+                   std::size_t Places) {
+    if (Places > 0) {
+      std::size_t Count = (this->Any.max() - Place) / Places + 1;
+      return Place + Random() % Count * Places;
+    }
     if (this->OfCaller.empty())
       return this->Any(Random);
     std::uniform_int_distribution<std::size_t> Caller(0, this->OfCaller.size() -
@@ -100,6 +128,17 @@
   std::vector<std::size_t> OfCaller;
 };
 
+/// Returns an entry that is up, \p Where if possible and else the next one in
+/// steps of \p Step.
+std::size_t liveEntry(LeasedWorld &World, std::size_t Where, std::size_t Step) {
+  for (std::size_t I = 0; I < World.entries(); ++I) {
+    std::size_t Next = (Where + I * Step) % World.entries();
+    if (World.world().isUp(World.entry(Next).name()))
+      return Next;
+  }
+  return Where;
+}
+
 } // namespace
 
 const std::vector<JobKind> &mixedKinds() {
@@ -153,32 +192,48 @@
   LeasedWorld World(Options.World);
   World.world().setFaults(Options.Faults);
   std::mt19937_64 Random(Options.World.Seed);
+  for (const EntryLoss &Loss : Options.EntryLosses) {
+    World.world().after(Loss.Begins,
+                        [&World, Loss] { World.entry(Loss.Entry).kill(); });
+    World.world().after(Loss.Begins + Loss.Lasts,
+                        [&World, Loss] { World.restartEntry(Loss.Entry); });
+  }
   int Number = 0;
   EntryChoice Entry(Options, Random);
-  for (const JobKind &Kind : Options.Kinds) {
+  std::size_t Places = std::max<std::size_t>(Options.DataCentres, 1);
+  for (std::size_t I = 0; I < Options.Kinds.size() * Places; ++I) {
+    const JobKind &Kind = Options.Kinds[I / Places];
+    std::size_t Place = I % Places;
+    std::string DataCentre =
+        Options.DataCentres > 0 ? fmt::format("dc-{}", Place) : "";
     std::chrono::duration<double> At(0);
     while (true) {
-      double Rate =
-          Kind.PerSecond * Options.Factor * burstFactor(Options, Kind, At);
+      double Rate = Kind.PerSecond / static_cast<double>(Places) *
+                    Options.Factor * burstFactor(Options, Kind, DataCentre, At);
       std::exponential_distribution<double> Gap(Rate);
       At += std::chrono::duration<double>(Gap(Random));
       if (At >= Options.Lasts)
         break;
       DrawnJob Drawn = drawJob(Kind, ++Number, Options, Random);
+      Drawn.Request.DataCentre = DataCentre;
       std::chrono::milliseconds Longest =
           *std::max_element(Drawn.Lengths.begin(), Drawn.Lengths.end());
       World.world().after(
           std::chrono::duration_cast<Duration>(At),
-          [&World, Drawn, Where = Entry.draw(Random),
+          [&World, Drawn,
+           Where = Entry.draw(Random, Place, Options.DataCentres), Places,
+           Groups = groupsOf(Options, Kind, DataCentre, At),
            DueAfter = times(Longest, LateFactor) + LateAllowance] {
-            World.submit(Where, Drawn.Request, Drawn.Lengths, DueAfter);
+            World.submit(liveEntry(World, Where, Places), Drawn.Request,
+                         Drawn.Lengths, DueAfter, Groups);
           });
     }
   }
   World.world().run(Options.Lasts);
   EntryEffort Effort = World.effort();
   World.world().run(DrainTime);
-  return {World.outcomes(), World.overlappingRuns(), Effort};
+  return {World.outcomes(), World.groupOutcomes(), World.overlappingRuns(),
+          Effort};
 }
 
 double earnedShare(const std::map<std::string, RouteOutcome> &Routes,
@@ -196,11 +251,15 @@
   return Owed > 0 ? Earned / Owed : 0;
 }
 
+double creditOf(const RouteOutcome &Seen) {
+  return (Seen.InTime + LateCredit * Seen.Late) /
+         std::max<double>(Seen.Submitted, 1);
+}
+
 double meanCredit(const std::map<std::string, RouteOutcome> &Routes) {
   double Sum = 0;
   for (const auto &[Route, Seen] : Routes)
-    Sum += (Seen.InTime + LateCredit * Seen.Late) /
-           std::max<double>(Seen.Submitted, 1);
+    Sum += creditOf(Seen);
   return Routes.empty() ? 0 : Sum / static_cast<double>(Routes.size());
 }
 
--- a/emulator/mixed_load.h
+++ b/emulator/mixed_load.h
@@ -50,17 +50,31 @@
 struct LoadBurst {
   /// The kind of job that it concerns; all kinds if empty.
   std::string Route;
+  /// Where the callers are; everywhere if empty.
+  std::string DataCentre;
   std::chrono::milliseconds Begins{};
   std::chrono::milliseconds Lasts{};
   double Factor = 1;
 };
 
+/// An entry that is down for some time; its callers go to others in its data
+/// centre.
+struct EntryLoss {
+  std::size_t Entry = 0;
+  std::chrono::milliseconds Begins{};
+  std::chrono::milliseconds Lasts{};
+};
+
 struct MixedLoadOptions {
   LeasedWorldOptions World;
   std::vector<JobKind> Kinds = mixedKinds();
   /// Factor by which the rates of the kinds are multiplied.
   double Factor = 1;
   std::vector<LoadBurst> Bursts;
+  std::vector<EntryLoss> EntryLosses;
+  /// Number of data centres, to which the entries belong in turn; each has the
+  /// same number of callers. 0: the callers' data centre is not known.
+  std::size_t DataCentres = 0;
   /// Mean processor time that a task needs, in thousandths of a core.
   std::uint32_t MeanTaskCpu = 6200;
   /// Number of callers; each submits all its jobs to one random entry. 0 draws
@@ -84,6 +98,9 @@
 
 struct MixedOutcome {
   std::map<std::string, RouteOutcome> Routes;
+  /// By data centre, by route and data centre ("wide@dc-0"), and all of these
+  /// for the time of the bursts alone ("burst wide", "burst dc-0").
+  std::map<std::string, RouteOutcome> Groups;
   std::uint32_t OverlappingRuns = 0;
   EntryEffort Effort;
 };
@@ -91,6 +108,9 @@
 /// Runs the load and returns the outcomes of each kind.
 MixedOutcome runMixedLoad(const MixedLoadOptions &Options);
 
+/// Returns the mean credit of a job of one kind or data centre.
+double creditOf(const RouteOutcome &Seen);
+
 /// Returns the mean credit of a job, averaged over the kinds: a job answered in
 /// time earns 1, a late one a fifth.
 double meanCredit(const std::map<std::string, RouteOutcome> &Routes);
