--- a/emulator/leased_entry.h
+++ b/emulator/leased_entry.h
@@ -70,6 +70,7 @@
   bool hasCaller(LeaseTicket Ticket) const override;
   void send(const PeerRef &To, peer::Message Message) override;
 
+  LeaseCoordinator &coordinator() { return *this->Coordinator; }
   const CoordinatorCounters &counters() const {
     return this->Coordinator->counters();
   }
