--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -143,6 +143,28 @@
   return true;
 }
 
+std::chrono::milliseconds
+LeaseCoordinator::adviseRetry(const LeasedJobRequest &Request, double Pressure,
+                              double Limit, Instant Now) {
+  // No worker may take the job, however little load there is.
+  if (Pressure <= 0)
+    return this->Options.RetryAfter;
+  std::chrono::milliseconds Wait =
+      this->Drain.timeToDrain(Request.Pool, Pressure, Limit)
+          .value_or(std::chrono::milliseconds(0));
+  double Work = static_cast<double>(Request.Needs.cpu_milli()) *
+                Request.TaskCount *
+                static_cast<double>(Request.Estimate.count());
+  return this->Retries.advise(Request.Pool, Wait, Work, Now.Steady);
+}
+
+std::chrono::milliseconds
+LeaseCoordinator::adviseRetry(const LeasedJobRequest &Request, Instant Now) {
+  double Pressure =
+      this->Workers.pressure(Request, this->awaitingCpu(), Now.Steady);
+  return this->adviseRetry(Request, Pressure, FullPressure, Now);
+}
+
 bool LeaseCoordinator::refuseIfUnservable(const LeasedJobRequest &Request,
                                           LeaseTicket Waiter, Instant Now) {
   AdmissionQuery Query{
--- a/tests/agent/start_order_test.cpp
+++ b/tests/agent/start_order_test.cpp
@@ -86,10 +86,9 @@
   std::mt19937_64 Random(1);
   std::uniform_int_distribution<int> Slack(-100, 100);
   for (std::uint32_t Priority : {0U, 3U}) {
-    std::vector<WaitingTask> Tasks;
-    for (int I = 0; I < 300; ++I)
-      Tasks.push_back(
-          waiting(Priority, std::chrono::milliseconds(Slack(Random))));
+    std::vector<WaitingTask> Tasks(300);
+    for (WaitingTask &Task : Tasks)
+      Task = waiting(Priority, std::chrono::milliseconds(Slack(Random)));
     for (const WaitingTask &Started : Tasks)
       for (WaitingTask &Other : Tasks)
         Order.noteStarted(Started, Other, At - 2 * Bound);
--- a/tests/coordination/retry_advice_test.cpp
+++ b/tests/coordination/retry_advice_test.cpp
@@ -96,9 +96,9 @@
   };
   for (const Row &Row : Rows) {
     RetryAdvice Advice(Defaults, 1);
-    std::vector<std::chrono::milliseconds> Delays;
-    for (int I = 0; I < 200; ++I)
-      Delays.push_back(Advice.advise("pool", Row.Wait, 1, Now));
+    std::vector<std::chrono::milliseconds> Delays(200);
+    for (std::chrono::milliseconds &Delay : Delays)
+      Delay = Advice.advise("pool", Row.Wait, 1, Now);
     auto [Least, Most] = std::ranges::minmax(Delays);
     CHECK_TEXT(Least >= Row.Least && Most <= Row.Most, Row.Name);
     // The draw uses most of the range.
