--- a/coordination/share_check.cpp
+++ b/coordination/share_check.cpp
@@ -140,7 +140,9 @@
   const Division &Present = this->divide(Query, Now.Steady);
   DemandPair Pair = pairOf(Query.Request);
   auto Found = Present.Factors.find(Pair);
-  double Factor = Found == Present.Factors.end() ? Infinite : Found->second;
+  double Factor = Infinite;
+  if (Found != Present.Factors.end())
+    Factor = Found->second;
   double Work = Query.Request.coreMilliseconds();
   auto Known = Present.Tolerated.find(Pair);
   double Tolerated = Known == Present.Tolerated.end() ? 0.0 : Known->second;
