A test's method no longer hides one of the framework

Cause: the linter reports run() of share_check_test as hiding Utest::run(). Change: it is named submitJobs().

--- a/tests/coordination/share_check_test.cpp
+++ b/tests/coordination/share_check_test.cpp
@@ -77,7 +77,7 @@
   }
   /// Ten jobs of each pair a second, for a time.
   /// \returns the share of each pair's jobs that is taken.
-  std::map<DemandPair, double> run(
+  std::map<DemandPair, double> submitJobs(
       const std::map<DemandPair, double> &Demand, double Pressure,
       std::chrono::milliseconds Time, bool TellsSums = true) {
     std::map<DemandPair, double> Taken;
@@ -146,9 +146,9 @@
        {0, 0, 0}}};
   for (const Row &Row : Rows) {
     Check = makeCheck(true);
-    run({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 120000ms);
-    run(Row.Demand, Row.Pressure, 2000ms);
-    auto Taken = run(Row.Demand, Row.Pressure, 6000ms);
+    submitJobs({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 120000ms);
+    submitJobs(Row.Demand, Row.Pressure, 2000ms);
+    auto Taken = submitJobs(Row.Demand, Row.Pressure, 6000ms);
     std::size_t I = 0;
     for (const auto &[Pair, Share] : Taken)
       DOUBLES_EQUAL_TEXT(
@@ -159,15 +159,16 @@
 }
 
 TEST(ShareCheckTest, WhatIsLentIsGivenBackAtOnce) {
-  run({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 120000ms);
+  submitJobs({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 120000ms);
   // B and C are idle, and A borrows.
-  auto Borrowed = run({{A, 72000}, {B, 0}, {C, 0}}, 1.03, 5000ms);
+  auto Borrowed = submitJobs({{A, 72000}, {B, 0}, {C, 0}}, 1.03, 5000ms);
   CHECK(Borrowed[A] > 0.95);
-  auto Returned = run({{A, 72000}, {B, 30000}, {C, 30000}}, 1.03, 2000ms);
+  auto Returned =
+      submitJobs({{A, 72000}, {B, 30000}, {C, 30000}}, 1.03, 2000ms);
   DOUBLES_EQUAL(1, Returned[B], 0.001);
   DOUBLES_EQUAL(1, Returned[C], 0.001);
   // Soon the borrower has used what is tolerated, too.
-  Returned = run({{A, 72000}, {B, 30000}, {C, 30000}}, 1.03, 4000ms);
+  Returned = submitJobs({{A, 72000}, {B, 30000}, {C, 30000}}, 1.03, 4000ms);
   DOUBLES_EQUAL(1, Returned[B], 0.001);
   DOUBLES_EQUAL(1, Returned[C], 0.001);
   CHECK(Returned[A] < 0.55);
@@ -188,10 +189,11 @@
                       {"an agent, the pool further over", false, 1.5, 0, 0}};
   for (const Row &Row : Rows) {
     Check = makeCheck(Row.UsesOwnDemand);
-    run({{A, 30000}, {B, 30000}}, 0.9, 120000ms);
+    submitJobs({{A, 30000}, {B, 30000}}, 0.9, 120000ms);
     // The last sums become too old.
-    run({{A, 72000}, {B, 30000}}, 1.03, 4000ms, false);
-    auto Taken = run({{A, 72000}, {B, 30000}}, Row.Pressure, 4000ms, false);
+    submitJobs({{A, 72000}, {B, 30000}}, 1.03, 4000ms, false);
+    auto Taken =
+        submitJobs({{A, 72000}, {B, 30000}}, Row.Pressure, 4000ms, false);
     DOUBLES_EQUAL_TEXT(Row.TakenA, Taken[A], 0.1, Row.Name);
     DOUBLES_EQUAL_TEXT(Row.TakenB, Taken[B], 0.001, Row.Name);
   }
@@ -199,8 +201,8 @@
 
 // Half of the workers are lost: nobody's usual demand fits.
 TEST(ShareCheckTest, TheStandingRuleDecidesWhereUsualDemandDoesNotFit) {
-  run({{A, 60000}, {B, 60000}, {C, 60000}}, 0.9, 120000ms);
-  auto Taken = run({{A, 60000}, {B, 60000}, {C, 60000}}, 1.3, 4000ms);
+  submitJobs({{A, 60000}, {B, 60000}, {C, 60000}}, 0.9, 120000ms);
+  auto Taken = submitJobs({{A, 60000}, {B, 60000}, {C, 60000}}, 1.3, 4000ms);
   for (const auto &[Pair, Share] : Taken)
     DOUBLES_EQUAL(0, Share, 0.001);
   STRCMP_EQUAL("standing", LastRefusal->Rule);
@@ -220,8 +222,8 @@
 }
 
 TEST(ShareCheckTest, MetricsAreBounded) {
-  run({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 10000ms);
-  run({{A, 72000}, {B, 30000}, {C, 30000}}, 1.1, 5000ms);
+  submitJobs({{A, 30000}, {B, 30000}, {C, 30000}}, 0.9, 10000ms);
+  submitJobs({{A, 72000}, {B, 30000}, {C, 30000}}, 1.1, 5000ms);
   std::string Text = Check->text(Now);
   CHECK(
       Text.find("yardwheel_over_share{route=\"a\",data_centre=\"north\"} 1") !=
@@ -233,7 +235,7 @@
   std::map<DemandPair, double> Many;
   for (int I = 0; I < 200; ++I)
     Many[{fmt::format("r{}", I), "north"}] = 1000;
-  run(Many, 1.1, 1000ms);
+  submitJobs(Many, 1.1, 1000ms);
   std::string Long = Check->text(Now);
   LONGS_EQUAL(1 + 5 * 16, std::ranges::count(Long, '\n'));
 }
