Delegated jobs whose entry or delegate is killed, on real processes

Cause: the soak with delegation ended hardly any entry whose jobs a delegate had, and with three agents a delegate was seldom ready.

--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -76,7 +76,7 @@
                             const char *Serves) {
   json Body = this->settings(Name, Host, Serves);
   std::filesystem::create_directories(Body["dataDir"].get<std::string>());
-  this->launch(Name, Body.dump());
+  this->launch(Name, Body.dump(), this->Flags[Name]);
 }
 
 void PlatformCluster::rewrite(const std::string &Name,
@@ -150,6 +150,7 @@
 void PlatformCluster::addWorker(int Side, const char *Pool) {
   PlatformWorkerOptions Options;
   Options.Pool = Pool;
+  Options.AnnouncesBorn = this->AnnouncesBorn;
   Options.Id = fmt::format("i-{}", Side);
   Options.Listen = this->at(10 + Side, 5);
   Options.Agent = this->at(10 + Side, 3);
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -88,6 +88,10 @@
   /// Whether calls to workers pass through a proxy; set before workers are
   /// added.
   bool ProxyWorkers = false;
+  /// Whether workers announce start times; set before workers are added.
+  bool AnnouncesBorn = true;
+  /// Further flags of nodes, by name; set before these are started.
+  std::map<std::string, std::vector<std::string>> Flags;
   /// Whether settings, logs and data folders are kept after destruction.
   bool KeepFolder = false;
   RunRecorder Recorder;
--- a/tests/system/soak_main.cpp
+++ b/tests/system/soak_main.cpp
@@ -11,6 +11,7 @@
 #include "tests/system/soak_fleet.h"
 #include "tests/system/soak_operator.h"
 
+#include <algorithm>
 #include <curl/curl.h>
 #include <fmt/format.h>
 #include <iostream>
@@ -32,6 +33,7 @@
 constexpr int RecoveryTries = 40;
 constexpr auto RecoveryPause = 100ms;
 constexpr int ChangeAttempts = 300;
+constexpr int DelegationAgents = 6;
 
 struct Arguments {
   SoakOptions Options;
@@ -206,8 +208,11 @@
       return false;
   }
   // Nothing is delegated where workers start again under their ids.
-  if (Given.Options.Delegation)
+  if (Given.Options.Delegation) {
     Given.Options.Restarts = false;
+    // With fewer, a delegate that misses one of them takes no jobs.
+    Given.Options.Agents = std::max(Given.Options.Agents, DelegationAgents);
+  }
   return Count % 2 == 1;
 }
 
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -18,7 +18,8 @@
 constexpr int MaxRestartPauseMs = 2500;
 constexpr int MaxDownMs = 2000;
 constexpr int ShortDownMs = 50;
-/// Between two faults of agents that coordinate jobs, and how long one lasts.
+/// Between two faults of agents that coordinate jobs and of their entries, and
+/// how long one lasts.
 /// Some are shorter and some longer than the silence with which a delegate is
 /// lost.
 constexpr int MaxDelegatePauseMs = 2000;
@@ -121,10 +122,17 @@
     SoakFault Fault;
     Fault.At = At;
     Fault.Kind = Usual[this->pick(0, std::size(Usual) - 1)];
-    Fault.Host = SoakFirstAgent + this->delegating(this->Options.Agents);
+    // Where an entry dies, its delegates must stop what it no longer vouches
+    // for.
+    bool OfEntry = this->pick(0, 2) == 0;
+    Fault.Host = OfEntry
+                     ? SoakFirstEntry + this->delegating(this->Options.Entries)
+                     : SoakFirstAgent + this->delegating(this->Options.Agents);
     Fault.For = milliseconds(this->pick(1, MaxDelegateFaultMs));
     if (Fault.Kind == SoakFaultKind::LinkHold) {
-      Fault.From = SoakFirstEntry + this->delegating(this->Options.Entries);
+      Fault.From =
+          OfEntry ? SoakFirstAgent + this->delegating(this->Options.Agents)
+                  : SoakFirstEntry + this->delegating(this->Options.Entries);
       Fault.Back = this->pick(0, 1) == 0;
       Fault.Delay = milliseconds(this->pick(20, 900));
     }
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -26,8 +26,9 @@
   /// plan is the same with and without.
   bool Restarts = true;
   /// Whether half of the entries delegate all jobs that they can, with further
-  /// faults at the agents that coordinate these. Workers then don't announce
-  /// start times, as nothing is delegated where they do; Restarts must be off.
+  /// faults of these entries and of the agents that coordinate. Workers then
+  /// don't announce start times, as nothing is delegated where they do;
+  /// Restarts must be off.
   bool Delegation = false;
 };
 
