--- a/emulator/mixed_load.h
+++ b/emulator/mixed_load.h
@@ -50,11 +50,11 @@
 struct LoadBurst {
   /// The kind of job that it concerns; all kinds if empty.
   std::string Route;
-  /// Where the callers are; everywhere if empty.
-  std::string DataCentre;
   std::chrono::milliseconds Begins{};
   std::chrono::milliseconds Lasts{};
   double Factor = 1;
+  /// Where the callers are; everywhere if empty.
+  std::string DataCentre;
 };
 
 /// A change of the speed of some workers during the load.
--- a/tests/entry/share_replay_test.cpp
+++ b/tests/entry/share_replay_test.cpp
@@ -54,7 +54,7 @@
 constexpr double BurstFactor = 2.4;
 
 LoadBurst burst(const char *Route, const char *DataCentre) {
-  return {Route, DataCentre, BurstBegins, BurstLasts, BurstFactor};
+  return {Route, BurstBegins, BurstLasts, BurstFactor, DataCentre};
 }
 
 } // namespace
