--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -47,10 +47,11 @@
               "With --platform, at entries: the most agents that coordinate "
               "jobs for this entry while it is short of processor time. 0: "
               "none.");
-DEFINE_uint32(delegate_at, 40,
-              "With --platform, at entries with --delegates: the percentage of "
-              "the time in which its loop is busy at which this entry delegates "
-              "jobs. 0: whenever a delegate is ready.");
+DEFINE_uint32(
+    delegate_at, 40,
+    "With --platform, at entries with --delegates: the percentage of "
+    "the time in which its loop is busy at which this entry delegates "
+    "jobs. 0: whenever a delegate is ready.");
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
