--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -69,6 +69,7 @@
     Options.Shares->UsesOwnDemand = Plan.Role == NodeRole::Entry;
   }
   Options.Workers.OffRackFactor = Plan.OffRackFactor;
+  Options.Workers.UseRunTimes = Plan.LearnsSpeeds;
   return Options;
 }
 
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -52,6 +52,9 @@
     "With --platform, at entries with --delegates: the percentage of "
     "the time in which its loop is busy at which this entry delegates "
     "jobs. 0: whenever a delegate is ready.");
+DEFINE_bool(learned_speeds, false,
+            "With --platform, at entries and at agents that coordinate: place "
+            "tasks by how long upstreams are seen to take.");
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
@@ -177,6 +180,7 @@
   Plan.DelegateAtShare = FLAGS_delegate_at / Percent;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   Plan.KeepsShares = FLAGS_shares;
+  Plan.LearnsSpeeds = FLAGS_learned_speeds;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
 
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -80,6 +80,8 @@
   double DelegateAtShare = 0.4;
   /// Whether this agent coordinates jobs for entries.
   bool CoordinatesForEntries = false;
+  /// Whether tasks are placed by how long upstreams are seen to take.
+  bool LearnsSpeeds = false;
   /// Whether callers have shares of a full pool.
   bool KeepsShares = false;
 };
