--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -30,7 +30,8 @@
             "existing cluster, and end.");
 
 DEFINE_string(route_values, "",
-              "With --platform, at entries: what a core-second of a route "
+              "With --platform, at entries and at agents that coordinate: "
+              "what a core-second of a route "
               "earns by the priority of its queue, like 0=10,1=4,2=7.5. Routes "
               "that earn least are shed first. Empty: not known.");
 
