A delegate that is short of time itself gets no more jobs

Change: an entry sends no job to a delegate whose loop is busy for 0.85 of the time, and refuses at its own intake as before.

--- a/coordination/delegating_intake.cpp
+++ b/coordination/delegating_intake.cpp
@@ -77,6 +77,11 @@
 }
 
 bool DelegatingIntake::isUsable(const Contact &Target, Instant Now) const {
+  return this->isReady(Target, Now) &&
+         Target.ProcessorShare < this->Options.MaxDelegateBusyShare;
+}
+
+bool DelegatingIntake::isReady(const Contact &Target, Instant Now) const {
   bool IsSilent =
       Target.UnansweredSince != TimePoint::max() &&
       Now.Steady - Target.UnansweredSince > this->Options.SuspectTimeout;
--- a/coordination/delegating_intake.h
+++ b/coordination/delegating_intake.h
@@ -40,6 +40,9 @@
   std::chrono::milliseconds RenewalInterval{100};
   /// Interval between renewals that only keep a delegate ready.
   std::chrono::milliseconds IdleInterval{500};
+  /// A delegate whose loop is busier than this gets no jobs. It does not bound
+  /// the wait for its own loop, as an entry does for its callers.
+  double MaxDelegateBusyShare = 0.85;
   /// A delegate that leaves a renewal unanswered for this long gets no jobs.
   std::chrono::milliseconds SuspectTimeout{150};
   /// A delegate with jobs that leaves a renewal unanswered for this long is
@@ -151,6 +154,8 @@
   static TimePoint lastDeadline(const Job &Target);
   /// Returns the delegate for the next job, or null if it is not delegated.
   Contact *chooseDelegate(Instant Now);
+  /// Whether it replies and takes jobs.
+  bool isReady(const Contact &Target, Instant Now) const;
   /// Whether a job may be sent to it now.
   bool isUsable(const Contact &Target, Instant Now) const;
   /// Returns the agents that are to be ready, in the order of this entry's
--- a/coordination/delegating_intake_watch.cpp
+++ b/coordination/delegating_intake_watch.cpp
@@ -43,7 +43,7 @@
   double LeastBusy = 1;
   for (const std::string &Name : this->LastWanted) {
     const Contact &Target = this->Contacts[Name];
-    if (!this->isUsable(Target, Now))
+    if (!this->isReady(Target, Now))
       continue;
     ++Known.ReadyDelegates;
     LeastBusy = std::min(LeastBusy, Target.ProcessorShare);
