Jobs that have run in part pause instead of being given up

Agents keep such tasks apart up to the sixth placement only, and refusals of agents without a worker had used these up.

Change: after twelve placements a task of a job that has run in part pauses for 200 ms and may be placed twelve times again, until the job's deadline; a job of which nothing has run is refused at once, as before. Apart is counted in refusals by busy agents, not in placements.

--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -270,8 +270,10 @@
   // stamp and its current load.
   // A suspect task may have been refused because of another one there.
   bool IsSuspect = this->Crashes.isSuspect(Target.Request.Id, Update.index());
-  bool MayComeBack = Update.refusal() == peer::REFUSAL_STALE ||
-                     (Update.refusal() == peer::REFUSAL_BUSY && !IsSuspect);
+  bool IsBusy = Update.refusal() == peer::REFUSAL_BUSY;
+  JobTask.ApartRefusals += IsSuspect && IsBusy ? 1 : 0;
+  bool MayComeBack =
+      Update.refusal() == peer::REFUSAL_STALE || (IsBusy && !IsSuspect);
   if (!MayComeBack) {
     JobTask.Avoid.insert(Agent);
     JobTask.NextPlacement = Now.Steady + this->Options.OnlyAgentRetryInterval;
--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -104,17 +104,23 @@
   /// ended. Leaves time for the update that reports its end to be sent a second
   /// time.
   std::chrono::milliseconds MissingTimeout{500};
-  /// Maximum number of placements of a task; then its job is given up.
+  /// Maximum number of placements of a task without a pause. Then its job is
+  /// given up if nothing of it has run; otherwise the task pauses, since giving
+  /// up would throw away what has run.
   std::uint32_t MaxPlacements = 12;
+  /// How long such a task pauses. Longer than a busy agent takes to report that
+  /// it has lost its worker, short against the time until a worker is back.
+  std::chrono::milliseconds PlacementPause{200};
   /// Up to this number of placement retries of a job, a busy agent may refuse
   /// its tasks, so that another agent is tried; after that they wait in the
   /// queue of the agent that they are sent to. A refusal costs one round trip,
   /// whereas a queued task waits until another task ends; so several retries
   /// pay off at high load.
   std::uint32_t MaxRefusableRetries = 6;
-  /// Up to this placement of a task that may have crashed a worker, agents that
-  /// hold another such task refuse it. Half of MaxPlacements.
-  std::uint32_t MaxApartAttempts = 6;
+  /// A task that may have crashed a worker is refused by agents that hold
+  /// another such task until busy agents have refused it this often. Half of
+  /// MaxPlacements.
+  std::uint32_t MaxApartRefusals = 6;
   /// How long a job that is given up waits for proof that none of its tasks has
   /// started. Some round trips between data centres.
   std::chrono::milliseconds ProofTimeout{40};
@@ -290,6 +296,9 @@
     /// Since when its agent has not listed it; TimePoint::max() while it does.
     TimePoint MissingSince = TimePoint::max();
     std::uint32_t Failures = 0;
+    /// How often busy agents have refused it since it may have crashed a
+    /// worker.
+    std::uint32_t ApartRefusals = 0;
     std::set<std::string> Avoid;
     /// Agents at which it has stalled.
     std::set<std::string> StalledAt;
@@ -298,6 +307,10 @@
     TimePoint AwaitsAgentSince = TimePoint::max();
     /// When it may be placed at its only agent again.
     TimePoint NextPlacement = TimePoint::min();
+    /// Number of placements after which it pauses, or its job is given up.
+    std::uint32_t AttemptLimit = 0;
+    /// Until when it pauses; TimePoint::min() if it does not.
+    TimePoint PausedUntil = TimePoint::min();
   };
   enum class JobPhase { Running, GivingUp, Answered };
   /// One submission of a job and its deadline.
@@ -324,6 +337,8 @@
     std::uint32_t AwaitingOffers = 0;
     /// Whether a task waits for the only agent that may take it.
     bool AwaitsAgent = false;
+    /// Whether a task pauses after many placements.
+    bool HasPaused = false;
     /// Since when its tasks wait until this entry, which has just started,
     /// knows of all open starts; TimePoint::max() if they do not.
     TimePoint AwaitsAllSince = TimePoint::max();
@@ -418,6 +433,11 @@
   /// Places the tasks of a job that waited for agents, if one of them need not
   /// wait any more.
   void placeAwaitingAgent(Job &Target, Instant Now);
+  /// Lets a task pause that has been placed many times, if its job has run in
+  /// part. \returns whether it pauses.
+  bool pausePlacement(Job &Target, Task &JobTask, Instant Now);
+  /// Places the tasks of a job again whose pause is over.
+  void placePaused(Job &Target, Instant Now);
   /// Counts a placement for which an evacuation left out upstreams, and logs
   /// the first one.
   void noteDiverted(const Job &Target);
--- a/coordination/lease_coordinator_intake.cpp
+++ b/coordination/lease_coordinator_intake.cpp
@@ -46,6 +46,8 @@
     return;
   auto New = std::make_unique<Job>();
   New->Tasks.resize(Request.TaskCount);
+  for (Task &Known : New->Tasks)
+    Known.AttemptLimit = this->Options.MaxPlacements;
   New->AcceptedAt = Now.Steady;
   New->GiveUpAt = lastDeadline(Callers);
   // Runs of an earlier submission count as runs of the job.
--- a/coordination/lease_coordinator_offers.cpp
+++ b/coordination/lease_coordinator_offers.cpp
@@ -83,7 +83,7 @@
     const Task &JobTask = Target->Tasks[I];
     bool Fits = JobTask.Phase == TaskPhase::Unplaced &&
                 !this->excludedAgents(*Target, I, Now).contains(From.Node) &&
-                JobTask.Attempt < this->Options.MaxPlacements;
+                JobTask.Attempt < JobTask.AttemptLimit;
     if (!Fits || Accepted == Offer.tasks())
       continue;
     this->assign(*Target, I, *Worker, Now, Batch);
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -120,6 +120,39 @@
   }
 }
 
+void LeaseCoordinator::placePaused(Job &Target, Instant Now) {
+  if (!Target.HasPaused)
+    return;
+  bool IsDue = std::ranges::any_of(Target.Tasks, [&](const Task &Known) {
+    return Known.Phase == TaskPhase::Unplaced &&
+           Known.PausedUntil != TimePoint::min() &&
+           Now.Steady >= Known.PausedUntil;
+  });
+  if (IsDue)
+    this->schedulePlacement(Target);
+}
+
+bool LeaseCoordinator::pausePlacement(Job &Target, Task &JobTask, Instant Now) {
+  if (JobTask.PausedUntil != TimePoint::min()) {
+    Target.HasPaused = Now.Steady < JobTask.PausedUntil || Target.HasPaused;
+    if (Now.Steady < JobTask.PausedUntil)
+      return true;
+    // Workers that have refused it may be back.
+    JobTask.Avoid.clear();
+    JobTask.PausedUntil = TimePoint::min();
+    return false;
+  }
+  bool HasRun = Target.MayHaveRun || Target.OutstandingCount > 0;
+  if (JobTask.Attempt < JobTask.AttemptLimit || !HasRun)
+    return false;
+  JobTask.AttemptLimit = JobTask.Attempt + this->Options.MaxPlacements;
+  JobTask.PausedUntil = Now.Steady + this->Options.PlacementPause;
+  Target.HasPaused = true;
+  this->Log.decision("placement_paused", {{"job", Target.Request.Id},
+                                          {"placements", JobTask.Attempt}});
+  return true;
+}
+
 void LeaseCoordinator::noteDiverted(const Job &Target) {
   std::size_t LeftOut = this->Workers.countEvacuated(Target.Request.Pool);
   if (LeftOut == 0)
@@ -151,6 +184,7 @@
   std::map<std::set<std::string>, std::vector<std::uint32_t>> Groups;
   bool Allowed = true;
   Target.AwaitsAgent = false;
+  Target.HasPaused = false;
   for (std::uint32_t I = 0; I < Target.Tasks.size(); ++I) {
     Task &JobTask = Target.Tasks[I];
     if (JobTask.Phase != TaskPhase::Unplaced)
@@ -166,10 +200,12 @@
       Target.AwaitsAgent = true;
       continue;
     }
+    if (this->pausePlacement(Target, JobTask, Now))
+      continue;
     Groups[this->withFailingAgents(Target, I,
                                    this->excludedAgents(Target, I, Now), Now)]
         .push_back(I);
-    Allowed = Allowed && JobTask.Attempt < this->Options.MaxPlacements;
+    Allowed = Allowed && JobTask.Attempt < JobTask.AttemptLimit;
   }
   Target.AwaitingOffers = 0;
   std::map<std::string, peer::LeasedDispatch> Batch;
@@ -257,7 +293,8 @@
   for (const peer::LeasedTask &Order : Dispatch.tasks()) {
     // In a storm of crashes many workers hold such tasks; one that finds no
     // other worker is placed beside them.
-    if (Order.attempt() > this->Options.MaxApartAttempts)
+    if (Target.Tasks[Order.index()].ApartRefusals >=
+        this->Options.MaxApartRefusals)
       return false;
     HasSuspect =
         HasSuspect || this->Crashes.isSuspect(Target.Request.Id, Order.index());
--- a/coordination/lease_coordinator_watch.cpp
+++ b/coordination/lease_coordinator_watch.cpp
@@ -484,6 +484,7 @@
       continue;
     this->stopStalled(*Known, Now);
     this->placeAwaitingAgent(*Known, Now);
+    this->placePaused(*Known, Now);
     if (Known->AwaitingOffers > 0 && Now.Steady >= Known->OffersDeadline) {
       Known->OffersTimedOut = true;
       this->Log.decision("offers_over",
