Coordinators that start contact a few agents at a time, near ones first

Cause: an entry that starts connects to all agents of its pools in one round; at a tenth of a core that is half a second in which it serves nobody, and after an outage all callers return in it.

--- a/coordination/lease_coordinator.h
+++ b/coordination/lease_coordinator.h
@@ -16,6 +16,7 @@
 #include "coordination/admission_check.h"
 #include "coordination/crash_record.h"
 #include "coordination/deadline_check.h"
+#include "coordination/first_contacts.h"
 #include "coordination/job_intake.h"
 #include "coordination/lease_metrics.h"
 #include "coordination/leased_job.h"
@@ -56,6 +57,7 @@
   /// Interval between load probes to such an agent while this entry, which has
   /// just started, depends on recent reports.
   std::chrono::milliseconds StartupProbeInterval{400};
+  FirstContactOptions FirstContacts;
   /// Interval between probes to an unreachable or suspect agent.
   std::chrono::milliseconds UnreachableProbeInterval{500};
   /// Interval between renewals that ask an agent to list the tasks it holds for
@@ -558,6 +560,11 @@
   /// starts its held resubmission.
   void forgetIfSettled(const std::string &Id, Instant Now);
   void renewLeases(Instant Now);
+  /// Whether an agent awaits its turn to be contacted for the first time. If it
+  /// has not been heard from, it is added to \p Unheard.
+  bool awaitsFirstContact(const LeasedWorker &Worker,
+                          const Contact &AgentContact,
+                          std::vector<FirstContact> &Unheard) const;
   /// Whether a renewal to the agent has been unanswered for longer than \p
   /// Limit.
   static bool isUnanswered(const Contact &AgentContact,
--- a/coordination/lease_coordinator_watch.cpp
+++ b/coordination/lease_coordinator_watch.cpp
@@ -294,6 +294,7 @@
   std::vector<std::string> Restarted;
   std::vector<std::string> Lost;
   std::vector<PeerRef> ToReconnect;
+  std::vector<FirstContact> Unheard;
   // Both maps are ordered by agent name, so one pass over them suffices.
   // Looking up each agent on every tick was one of the largest single costs of
   // the entry (profiled with 66 agents).
@@ -311,6 +312,8 @@
     if (Next == this->Contacts.end() || Next->first != Agent)
       Next = this->Contacts.try_emplace(Next, Agent);
     Contact &AgentContact = Next->second;
+    if (this->awaitsFirstContact(Worker, AgentContact, Unheard))
+      continue;
     if (Now.Steady >= AgentContact.GiveUpOldTasksAt) {
       AgentContact.GiveUpOldTasksAt = TimePoint::max();
       Restarted.push_back(Agent);
@@ -333,6 +336,10 @@
     if (this->isRenewalDue(Worker, AgentContact, Now))
       this->sendRenewal(Worker, AgentContact, Now);
   }
+  for (const std::string &Agent :
+       chooseFirstContacts(Unheard, this->Options.FirstContacts,
+                           this->Options.Seed, Now.Steady))
+    this->sendRenewal(*this->Workers.find(Agent), this->Contacts[Agent], Now);
   // Messages that may not have arrived are reported as undelivered, and resent.
   for (const PeerRef &Agent : ToReconnect)
     this->Sink.reconnect(Agent);
@@ -352,6 +359,17 @@
   }
 }
 
+bool LeaseCoordinator::awaitsFirstContact(
+    const LeasedWorker &Worker, const Contact &AgentContact,
+    std::vector<FirstContact> &Unheard) const {
+  bool IsHeard = Worker.LastHeard != TimePoint();
+  if (this->Options.FirstContacts.MaxUnanswered == 0 || IsHeard)
+    return false;
+  Unheard.push_back(
+      {Worker.Agent.Node, Worker.DataCentre, AgentContact.LastRenewalAt});
+  return AgentContact.LastRenewalAt == TimePoint::min();
+}
+
 bool LeaseCoordinator::isRenewalDue(const LeasedWorker &Worker,
                                     const Contact &AgentContact,
                                     Instant Now) const {
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -68,6 +68,8 @@
     Options.Shares->MaxPressure = Options.Shedder.MaxRouteLimit;
     Options.Shares->UsesOwnDemand = Plan.Role == NodeRole::Entry;
   }
+  Options.FirstContacts.MaxUnanswered = Plan.MaxFirstContacts;
+  Options.FirstContacts.DataCentre = Plan.DataCentre;
   Options.Workers.OffRackFactor = Plan.OffRackFactor;
   Options.Workers.UseRunTimes = Plan.LearnsSpeeds;
   return Options;
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -59,6 +59,10 @@
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
+DEFINE_uint32(first_contacts, 0,
+              "With --platform, at entries and at agents that coordinate: "
+              "after a start, contact at most this many agents at once, those "
+              "of the own data centre first. 0: all at once.");
 DEFINE_bool(shares, false,
             "With --platform, at entries and agents: while a pool is full, "
             "refuse first those routes and data centres that ask for more than "
@@ -181,6 +185,7 @@
   Plan.DelegateAtShare = FLAGS_delegate_at / Percent;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   Plan.KeepsShares = FLAGS_shares;
+  Plan.MaxFirstContacts = FLAGS_first_contacts;
   Plan.LearnsSpeeds = FLAGS_learned_speeds;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
 }
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -82,6 +82,9 @@
   bool CoordinatesForEntries = false;
   /// Whether tasks are placed by how long upstreams are seen to take.
   bool LearnsSpeeds = false;
+  /// Most agents that a coordinator contacts for the first time at once; no
+  /// limit if 0.
+  std::uint32_t MaxFirstContacts = 0;
   /// Whether callers have shares of a full pool.
   bool KeepsShares = false;
 };
