Record files are read in one call each, and folders synced once at a start

Reading went in pieces of 8 KB, and each record file that was read synced its folder.

Change: a file is read in one call. Files that hold one record are only read; the folder is synced by the log's constructor before anything is acknowledged.

--- a/consensus/file_log_storage.cpp
+++ b/consensus/file_log_storage.cpp
@@ -22,9 +22,11 @@
   return (std::filesystem::path(Folder) / Name).string();
 }
 
-/// Reads a file that must hold exactly one record.
+/// Reads a file that must hold exactly one record. It may have been replaced
+/// without its folder having been synced since; RecordFile's constructor does
+/// that for the log beside it, before anything is acknowledged.
 std::string readSingleRecord(const std::string &Path) {
-  std::vector<std::string> Records = RecordFile(Path, writeToDisk).readAll();
+  std::vector<std::string> Records = readRecordFile(Path);
   if (Records.size() != 1)
     throw Error("storage", Path, "expected exactly one record");
   return Records.front();
--- a/consensus/record_file.cpp
+++ b/consensus/record_file.cpp
@@ -9,9 +9,8 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
-#include <sstream>
 #include <unistd.h>
+#include <utility>
 
 namespace yardwheel {
 
@@ -98,30 +97,37 @@
                      Data.end(), [](char C) { return C == '\0'; });
 }
 
-} // namespace
-
-ssize_t writeToDisk(int File, const void *Data, std::size_t Size) {
-  return ::write(File, Data, Size);
-}
-
-RecordFile::RecordFile(std::string Path, WriteFunction Write)
-    : Path(std::move(Path)), Write(std::move(Write)) {
-  this->File =
-      ::open(this->Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
-  if (this->File < 0)
-    throwSystemError(this->Path, "cannot open");
-  syncFolderOf(this->Path);
+/// Reads a file from its beginning in as few calls as possible: on a slow disk,
+/// each call may take as long as the data.
+std::string readWhole(int File, const std::string &Path) {
+  off_t End = ::lseek(File, 0, SEEK_END);
+  if (End < 0 || ::lseek(File, 0, SEEK_SET) < 0)
+    throwSystemError(Path, "cannot seek");
+  std::string Data(static_cast<std::size_t>(End), '\0');
+  std::size_t Done = 0;
+  while (Done < Data.size()) {
+    ssize_t Count = ::read(File, Data.data() + Done, Data.size() - Done);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0)
+      throwSystemError(Path, "cannot read");
+    if (Count == 0)
+      break;
+    Done += static_cast<std::size_t>(Count);
+  }
+  Data.resize(Done);
+  return Data;
 }
 
-RecordFile::~RecordFile() { ::close(this->File); }
-
-std::vector<std::string> RecordFile::readAll() {
-  std::ifstream Input(this->Path, std::ios::binary);
-  std::stringstream Buffer;
-  Buffer << Input.rdbuf();
-  std::string Data = Buffer.str();
+struct ParsedRecords {
   std::vector<std::string> Records;
-  std::uint64_t Offset = 0;
+  /// Bytes of the whole records; what follows is an incomplete one.
+  std::uint64_t Size = 0;
+};
+
+ParsedRecords parseRecords(const std::string &Data, const std::string &Path) {
+  ParsedRecords Parsed;
+  std::uint64_t &Offset = Parsed.Size;
   while (Offset < Data.size()) {
     std::uint64_t Left = Data.size() - Offset;
     // A crash can leave a short record, or zeros for data that was not written.
@@ -135,7 +141,7 @@
     if (!HeaderValid && HeaderIncomplete)
       break;
     if (!HeaderValid || Length > MaxRecordBytes)
-      throwCorrupt(this->Path, Offset);
+      throwCorrupt(Path, Offset);
     std::uint64_t RecordSize = HeaderBytes + Length + 1;
     if (Left < RecordSize || isAllZero(Data, Offset + RecordSize - 1))
       break;
@@ -144,18 +150,55 @@
         getNumber(Header + 2 * LengthBytes) == checksum(Content, Length) &&
         Content[Length] == EndMark;
     if (!ContentValid)
-      throwCorrupt(this->Path, Offset);
-    Records.emplace_back(Content, Length);
+      throwCorrupt(Path, Offset);
+    Parsed.Records.emplace_back(Content, Length);
     Offset += RecordSize;
   }
-  this->TornBytes = Data.size() - Offset;
-  this->Size = Offset;
-  if (::ftruncate(this->File, static_cast<off_t>(Offset)) != 0)
+  return Parsed;
+}
+
+} // namespace
+
+ssize_t writeToDisk(int File, const void *Data, std::size_t Size) {
+  return ::write(File, Data, Size);
+}
+
+RecordFile::RecordFile(std::string Path, WriteFunction Write)
+    : Path(std::move(Path)), Write(std::move(Write)) {
+  this->File =
+      ::open(this->Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+  if (this->File < 0)
+    throwSystemError(this->Path, "cannot open");
+  syncFolderOf(this->Path);
+}
+
+RecordFile::~RecordFile() { ::close(this->File); }
+
+std::vector<std::string> RecordFile::readAll() {
+  std::string Data = readWhole(this->File, this->Path);
+  ParsedRecords Parsed = parseRecords(Data, this->Path);
+  this->TornBytes = Data.size() - Parsed.Size;
+  this->Size = Parsed.Size;
+  if (::ftruncate(this->File, static_cast<off_t>(Parsed.Size)) != 0)
     throwSystemError(this->Path,
                      "cannot truncate the incomplete record at the end");
-  if (::lseek(this->File, static_cast<off_t>(Offset), SEEK_SET) < 0)
+  if (::lseek(this->File, static_cast<off_t>(Parsed.Size), SEEK_SET) < 0)
     throwSystemError(this->Path, "cannot seek");
-  return Records;
+  return std::move(Parsed.Records);
+}
+
+std::vector<std::string> readRecordFile(const std::string &Path) {
+  int File = ::open(Path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (File < 0)
+    throwSystemError(Path, "cannot open");
+  try {
+    std::string Data = readWhole(File, Path);
+    ::close(File);
+    return parseRecords(Data, Path).Records;
+  } catch (const Error &) {
+    ::close(File);
+    throw;
+  }
 }
 
 void RecordFile::requireUsable() const {
--- a/consensus/record_file.h
+++ b/consensus/record_file.h
@@ -57,6 +57,10 @@
   bool Unusable = false;
 };
 
+/// Reads all records of a file that nobody writes, and leaves it as it is.
+/// \throws Error if it cannot be read, or a record is corrupt.
+std::vector<std::string> readRecordFile(const std::string &Path);
+
 /// Atomically replaces the file at \p Path by one that holds \p Records, and
 /// syncs it.
 /// \throws Error if the file cannot be written or synced.
