Two-way links: replies go back on the connection that the peer has opened

Cause: two processes keep a connection for each direction. Connections are most of what a process does when it starts, and a suspected cause of control's memory at 300 hosts.

The soak with delegation and the test of real processes have it on at some of their processes and off at the others.

--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -120,7 +120,7 @@
 
 LeaseAgentProcess::LeaseAgentProcess(const NodePlan &Plan)
     : Plan(Plan), Node(planIdentity(Plan, peer::ROLE_AGENT, this->Incarnation),
-                       {}, this->Source, LeaseTick),
+                       planLinks(Plan), this->Source, LeaseTick),
       Client({}, *this),
       Keeper(this->keeperOptions(), this->Node.links(), this->Client),
       Coordination(this->delegateOptions(), this->Node.links()),
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -104,7 +104,7 @@
 
 LeaseEntryProcess::LeaseEntryProcess(const NodePlan &Plan)
     : Plan(Plan), Node(planIdentity(Plan, peer::ROLE_ENTRY, this->Incarnation),
-                       {}, this->Source, LeaseTick),
+                       planLinks(Plan), this->Source, LeaseTick),
       Table(planTableLease(Plan)),
       Gate(std::make_shared<platform::CallerHandler>(
           this->Catalog, this->Source, this->Load, this->Table,
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -101,6 +101,12 @@
   return {DeployedCluster, Role, Plan.Node, Plan.LinkListen, Incarnation};
 }
 
+inline LinkOptions planLinks(const NodePlan &Plan) {
+  LinkOptions Options;
+  Options.TwoWay = Plan.SharesLinks;
+  return Options;
+}
+
 /// Returns the seeds by address only: a replica's name is unknown until it
 /// sends a message.
 inline std::vector<PeerRef> seedPeers(const NodePlan &Plan) {
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -104,7 +104,7 @@
 SeededControlProcess::SeededControlProcess(const NodePlan &Plan)
     : Plan(Plan), Replica(loadOrCreateIdentity(Plan, this->Incarnation)),
       Storage(Plan.DataDir, DeployedCluster, this->Replica),
-      Node(this->identity(), {}, this->Source, LeaseTick),
+      Node(this->identity(), planLinks(Plan), this->Source, LeaseTick),
       Service(this->controlOptions(), this->Storage, this->Node.links(),
               this->Source.now()),
       OperatorServer({.Listen = Plan.ControlListen,
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -59,6 +59,9 @@
 DEFINE_bool(coordinates, false,
             "With --platform, at agents: coordinate jobs for entries that are "
             "short of processor time.");
+DEFINE_bool(two_way_links, false,
+            "With --platform: send envelopes back on the connections that "
+            "other processes have opened to this one.");
 DEFINE_uint32(first_contacts, 0,
               "With --platform, at entries and at agents that coordinate: "
               "after a start, contact at most this many agents at once, those "
@@ -185,6 +188,7 @@
   Plan.DelegateAtShare = FLAGS_delegate_at / Percent;
   Plan.CoordinatesForEntries = FLAGS_coordinates;
   Plan.KeepsShares = FLAGS_shares;
+  Plan.SharesLinks = FLAGS_two_way_links;
   Plan.MaxFirstContacts = FLAGS_first_contacts;
   Plan.LearnsSpeeds = FLAGS_learned_speeds;
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -82,6 +82,8 @@
   bool CoordinatesForEntries = false;
   /// Whether tasks are placed by how long upstreams are seen to take.
   bool LearnsSpeeds = false;
+  /// Whether both directions of two processes share a connection.
+  bool SharesLinks = false;
   /// Most agents that a coordinator contacts for the first time at once; no
   /// limit if 0.
   std::uint32_t MaxFirstContacts = 0;
--- a/tests/system/delegation_runs_test.cpp
+++ b/tests/system/delegation_runs_test.cpp
@@ -21,11 +21,15 @@
 
 /// Starts a fleet in which the first entry delegates all jobs to the first
 /// agent, and waits until it does.
-void startDelegating(PlatformCluster &Cluster) {
+/// \param TwoWayLinks Whether these two send replies on each other's streams.
+void startDelegating(PlatformCluster &Cluster, bool TwoWayLinks) {
   Cluster.AnnouncesBorn = false;
   Cluster.RouteTimeout = 20s;
   Cluster.Flags["front1"] = {"--delegates", "1", "--delegate_at", "0"};
   Cluster.Flags["side1"] = {"--coordinates"};
+  if (TwoWayLinks)
+    for (const char *Name : {"front1", "side1", "core1", "core2", "core3"})
+      Cluster.Flags[Name].emplace_back("--two_way_links");
   Cluster.startAll();
   int Jobs = 0;
   CHECK(waitFor([&] {
@@ -43,11 +47,16 @@
     const char *Killed;
     /// The entry that the job is submitted to again.
     int Next;
+    bool TwoWayLinks;
   };
-  const Row Rows[] = {{"front1", 2}, {"side1", 1}, {"side1", 2}};
+  const Row Rows[] = {{"front1", 2, false},
+                      {"side1", 1, false},
+                      {"side1", 2, false},
+                      {"front1", 2, true},
+                      {"side1", 1, true}};
   for (const Row &Case : Rows) {
     PlatformCluster Cluster;
-    startDelegating(Cluster);
+    startDelegating(Cluster, Case.TwoWayLinks);
     std::future<long> Call = std::async(std::launch::async, [&] {
       return Cluster.submit(1, JobId, Tasks, TaskMillis).Status;
     });
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -80,13 +80,24 @@
 
 std::vector<std::string> SoakFleet::flags(int Host) const {
   bool IsEntry = Host < SoakFirstAgent;
-  int Index = Host - (IsEntry ? SoakFirstEntry : SoakFirstAgent);
-  if (!this->Options.Delegation || Host >= SoakFirstControl ||
-      !isDelegating(Index))
+  bool IsControl = Host >= SoakFirstControl;
+  int Index = Host - (IsEntry     ? SoakFirstEntry
+                      : IsControl ? SoakFirstControl
+                                  : SoakFirstAgent);
+  // The others have these parts switched off, like an older build.
+  if (!this->Options.Delegation || !isDelegating(Index))
     return {};
+  if (IsControl)
+    return {"--two_way_links"};
   if (IsEntry)
-    return {"--delegates", "2", "--delegate_at", "0"};
-  return {"--coordinates"};
+    return {"--two_way_links",
+            "--first_contacts",
+            "2",
+            "--delegates",
+            "2",
+            "--delegate_at",
+            "0"};
+  return {"--two_way_links", "--first_contacts", "2", "--coordinates"};
 }
 
 int SoakFleet::countAtEntries(const std::string &Decision) const {
--- /dev/null
+++ b/transport/inbound_stream.cpp
@@ -0,0 +1,98 @@
+#include "transport/inbound_stream.h"
+
+namespace yardwheel {
+
+void InboundStream::await(peer::Link::AsyncService &Service,
+                          grpc::ServerCompletionQueue &Queue) {
+  this->Self = this->shared_from_this();
+  Service.RequestExchange(&this->Context, &this->Stream, &Queue, &Queue,
+                          this->AcceptedStep.tag());
+}
+
+void InboundStream::onAccepted(bool Ok) {
+  if (!Ok) {
+    this->Ended = true;
+    this->settle();
+    return;
+  }
+  this->Host.onAccepted();
+  this->Stream.Read(&this->Envelope, this->ReadStep.tag());
+}
+
+void InboundStream::onRead(bool Ok) {
+  if (!Ok) {
+    this->Ended = true;
+    this->Waiting.clear();
+    Events *Listener = this->Owner;
+    this->Owner = nullptr;
+    if (Listener != nullptr)
+      Listener->onEnded({grpc::StatusCode::CANCELLED, "closed by the peer"});
+    this->finishIfEnded();
+    return;
+  }
+  std::string Reason = this->Host.check(this->Envelope);
+  if (Reason.empty()) {
+    this->Host.onEnvelope(this->Envelope, this->shared_from_this());
+  } else {
+    this->Refusal = std::move(Reason);
+    this->writeNext();
+  }
+  this->Stream.Read(&this->Envelope, this->ReadStep.tag());
+}
+
+void InboundStream::attach(Events &NewOwner) {
+  this->WasAttached = true;
+  this->Owner = &NewOwner;
+}
+
+void InboundStream::write(std::shared_ptr<const peer::Envelope> Envelope) {
+  this->Waiting.push_back(std::move(Envelope));
+  this->writeNext();
+}
+
+void InboundStream::release() {
+  this->Owner = nullptr;
+  this->Waiting.clear();
+}
+
+void InboundStream::writeNext() {
+  if (this->Writing || this->Ended)
+    return;
+  this->WritesEnvelope = false;
+  this->Receipt.Clear();
+  if (!this->Refusal.empty()) {
+    this->Receipt.set_refusal(std::exchange(this->Refusal, {}));
+  } else if (!this->Waiting.empty()) {
+    *this->Receipt.mutable_envelope() = *this->Waiting.front();
+    this->Waiting.pop_front();
+    this->WritesEnvelope = true;
+  } else {
+    return;
+  }
+  this->Writing = true;
+  this->Stream.Write(this->Receipt, this->WrittenStep.tag());
+}
+
+void InboundStream::onWritten(bool Ok) {
+  this->Writing = false;
+  // After a failure, the pending read reports the end of the stream.
+  if (Ok && this->WritesEnvelope && this->Owner != nullptr)
+    this->Owner->onWritten();
+  if (Ok)
+    this->writeNext();
+  this->finishIfEnded();
+}
+
+void InboundStream::finishIfEnded() {
+  if (this->Ended && !this->Writing)
+    this->Stream.Finish(grpc::Status::OK, this->FinishedStep.tag());
+}
+
+void InboundStream::onFinished(bool) { this->settle(); }
+
+void InboundStream::settle() {
+  if (this->Pending == 0)
+    this->Self.reset();
+}
+
+} // namespace yardwheel
--- a/transport/link_node.h
+++ b/transport/link_node.h
@@ -10,10 +10,12 @@
 #define YARDWHEEL_TRANSPORT_LINK_NODE_H
 
 #include "core/clock.h"
+#include "core/logger.h"
 #include "transport/event_loop.h"
 #include "transport/link_pool.h"
 #include "transport/link_server.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 
@@ -45,11 +47,17 @@
   Duration processorTime() const { return this->Source.processTime(); }
 
 private:
-  void onEnvelope(const peer::Envelope &Envelope);
+  void onEnvelope(const peer::Envelope &Envelope,
+                  const std::shared_ptr<ReturnStream> &Back);
+  /// Handles an envelope that a peer has sent back on a stream of this process.
+  void onReturned(const peer::Envelope &Envelope);
 
   const Clock &Source;
+  LinkIdentity Self;
+  Logger Log{"link"};
   LinkNodeHandlers Handlers;
-  bool Running = false;
+  /// Read on the loop's thread while another one stops the node.
+  std::atomic<bool> Running{false};
   LinkServer Server;
   LinkPool Links;
   EventLoop Loop;
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -1,5 +1,7 @@
 #include "transport/link_pool.h"
 
+#include "transport/link_stream.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -39,6 +41,7 @@
       {"yardwheel_link_bytes_sent_total", Counters.BytesSent},
       {"yardwheel_link_envelopes_read_total", Counters.EnvelopesRead},
       {"yardwheel_link_streams_opened_total", Counters.StreamsOpened},
+      {"yardwheel_link_streams_shared_total", Counters.StreamsShared},
       {"yardwheel_link_envelopes_failed_total", Counters.Failed},
       {"yardwheel_link_messages_dropped_total", Counters.Dropped},
   };
@@ -99,6 +102,7 @@
   Envelope->set_number(++Target.LastNumber);
   Envelope->set_heard_stream(Target.ReceivedStream);
   Envelope->set_heard_number(Target.ReceivedNumber);
+  Envelope->set_reads_returns(this->Options.TwoWay && Target.IsOwnStream);
   ++this->Counters.EnvelopesSent;
   this->Counters.MessagesSent += Envelope->messages_size();
   this->Counters.BytesSent += Envelope->ByteSizeLong();
@@ -110,14 +114,24 @@
 }
 
 void LinkPool::open(Link &Target) {
-  ++this->Counters.StreamsOpened;
   Target.StreamId = ++this->LastStreamId;
   Target.LastNumber = 0;
   Target.OpenedAt = this->Source.now().Steady;
   Target.Refused = false;
-  Target.Stream =
+  std::shared_ptr<ReturnStream> Back = Target.Back.lock();
+  Target.Back.reset();
+  Target.IsOwnStream = !Back || !Back->mayAttach();
+  if (!Target.IsOwnStream) {
+    ++this->Counters.StreamsShared;
+    Back->attach(Target);
+    Target.Stream = std::move(Back);
+    return;
+  }
+  ++this->Counters.StreamsOpened;
+  auto Own =
       std::make_shared<LinkStream>(Target.Peer.Address, this->Queue, Target);
-  Target.Stream->open();
+  Own->open();
+  Target.Stream = std::move(Own);
 }
 
 void LinkPool::abandon(Link &Target) {
@@ -151,7 +165,8 @@
   this->abandon(Target);
 }
 
-void LinkPool::onRead(const peer::Envelope &Envelope, TimePoint Now) {
+void LinkPool::onRead(const peer::Envelope &Envelope, TimePoint Now,
+                      const std::shared_ptr<ReturnStream> &Back) {
   ++this->Counters.EnvelopesRead;
   if (Envelope.sender_address().empty())
     return;
@@ -166,6 +181,8 @@
     From.PeerIncarnation = Envelope.sender_incarnation();
     From.ReceivedStream = Envelope.stream();
     From.ReceivedNumber = Envelope.number();
+    if (this->Options.TwoWay && Envelope.reads_returns())
+      this->setBack(From, Back);
   }
   From.ReceivedAt = Now;
   if (Envelope.heard_stream() == From.StreamId)
@@ -174,6 +191,13 @@
       From.Unacked.pop_front();
 }
 
+void LinkPool::setBack(Link &From, const std::shared_ptr<ReturnStream> &Back) {
+  From.Back = Back;
+  // The peer has given up its earlier stream, which may be dead.
+  if (From.Stream && !From.IsOwnStream && From.Stream != Back)
+    this->abandon(From);
+}
+
 bool LinkPool::isSilent(const Link &Target, TimePoint Now,
                         TimePoint LastBehind) const {
   if (!Target.Stream || Target.Unacked.empty())
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -1,7 +1,9 @@
 //===- transport/link_pool.h - Sends envelopes to peers ---------*- C++ -*-===//
 ///
 /// \file
-/// Keeps one stream per address and sends envelopes over it. All messages that
+/// Keeps one stream per address and sends envelopes over it: a stream of its
+/// own, or with LinkOptions::TwoWay the one that the peer has opened, if there
+/// is one. All messages that
 /// are queued for a peer at a flush are sent in one envelope; none is delayed
 /// to wait for more (grouping of queued messages is an idea of
 /// "Weir: Batching"; its effect is in docs/design/transport.md).
@@ -17,7 +19,7 @@
 #include "core/clock.h"
 #include "core/logger.h"
 #include "core/peer_sink.h"
-#include "transport/link_stream.h"
+#include "transport/envelope_stream.h"
 
 #include <atomic>
 #include <chrono>
@@ -48,6 +50,8 @@
   std::atomic<std::uint64_t> BytesSent{0};
   std::atomic<std::uint64_t> EnvelopesRead{0};
   std::atomic<std::uint64_t> StreamsOpened{0};
+  /// Streams of peers used in place of own ones.
+  std::atomic<std::uint64_t> StreamsShared{0};
   /// Envelopes that may not have arrived.
   std::atomic<std::uint64_t> Failed{0};
   std::atomic<std::uint64_t> Dropped{0};
@@ -67,12 +71,16 @@
   /// The minimum time between two connections to a peer that leaves messages
   /// unanswered. It may be slow, and each connection costs it time.
   std::chrono::milliseconds MinReconnectInterval{250};
+  /// Whether both directions of two peers share a stream. Each stream is a
+  /// connection, and connections are most of the work of a process that starts.
+  bool TwoWay = false;
 };
 
 /// For the loop's thread only, except where stated otherwise.
 class LinkPool final : public PeerSink {
 public:
   using FailureHandler = std::function<void(const Undelivered &Lost)>;
+  using ReturnHandler = std::function<void(const peer::Envelope &Envelope)>;
 
   LinkPool(LinkIdentity Self, grpc::CompletionQueue &Queue, const Clock &Source,
            LinkOptions Options = {});
@@ -85,11 +93,18 @@
   /// Replaces dead streams and drops old unacknowledged envelopes.
   /// \param LastBehind The last time that this process was behind.
   void tick(TimePoint Now, TimePoint LastBehind);
-  /// Handles the acknowledgement in a peer's envelope.
-  void onRead(const peer::Envelope &Envelope, TimePoint Now);
+  /// Handles the acknowledgement in a peer's envelope. \param Back The way back
+  /// on the stream that it came on; null if this process has opened that one.
+  void onRead(const peer::Envelope &Envelope, TimePoint Now,
+              const std::shared_ptr<ReturnStream> &Back = nullptr);
   void setRevision(std::uint64_t NewRevision) { this->Revision = NewRevision; }
   /// Sets the handler for envelopes that may not have arrived.
   void onFailure(FailureHandler Handler) { this->Failure = std::move(Handler); }
+  /// Sets the handler for envelopes that come back on this process's streams.
+  /// To be called before the loop starts.
+  void onReturned(ReturnHandler Handler) {
+    this->Returned = std::move(Handler);
+  }
 
   /// Returns whether every envelope has been written to its connection or has
   /// failed. Thread-safe.
@@ -103,20 +118,27 @@
     std::shared_ptr<const peer::Envelope> Envelope;
   };
   /// The stream and the queue of one address.
-  class Link final : public LinkStream::Events {
+  class Link final : public EnvelopeStream::Events {
   public:
     explicit Link(LinkPool &Pool) : Pool(Pool) {}
     void onWritten() override { this->Pool.onWritten(*this); }
     void onRefused(const std::string &Reason) override {
       this->Pool.onRefused(*this, Reason);
     }
+    void onReturned(const peer::Envelope &Envelope) override {
+      this->Pool.Returned(Envelope);
+    }
     void onEnded(const grpc::Status &Why) override {
       this->Pool.onEnded(*this, Why);
     }
 
     LinkPool &Pool;
     PeerRef Peer;
-    std::shared_ptr<LinkStream> Stream;
+    std::shared_ptr<EnvelopeStream> Stream;
+    /// Whether this process has opened Stream.
+    bool IsOwnStream = false;
+    /// The way back on the newest stream that the peer has opened and reads.
+    std::weak_ptr<ReturnStream> Back;
     std::uint64_t StreamId = 0;
     std::uint64_t LastNumber = 0;
     TimePoint OpenedAt;
@@ -142,6 +164,8 @@
   void onEnded(Link &Target, const grpc::Status &Why);
   void transmit(Link &Target);
   void open(Link &Target);
+  /// Sets the way back to a peer on the stream that it uses now.
+  void setBack(Link &From, const std::shared_ptr<ReturnStream> &Back);
   /// Releases the stream and reports its unacknowledged envelopes.
   void abandon(Link &Target);
   bool isSilent(const Link &Target, TimePoint Now, TimePoint LastBehind) const;
@@ -152,6 +176,7 @@
   LinkOptions Options;
   Logger Log{"link"};
   FailureHandler Failure;
+  ReturnHandler Returned;
   std::uint64_t Revision = 0;
   std::uint64_t LastStreamId;
   std::map<std::string, Link> Links;
--- a/transport/link_server.h
+++ b/transport/link_server.h
@@ -9,7 +9,7 @@
 #ifndef YARDWHEEL_TRANSPORT_LINK_SERVER_H
 #define YARDWHEEL_TRANSPORT_LINK_SERVER_H
 
-#include "transport/completion_waiter.h"
+#include "transport/inbound_stream.h"
 #include "transport/link_pool.h"
 
 #include <functional>
@@ -21,14 +21,16 @@
 /// Returns why an envelope must be refused; empty if it is accepted.
 std::string refusalOf(const peer::Envelope &Envelope, const LinkIdentity &Self);
 
-class LinkServer {
+class LinkServer final : InboundStream::Server {
 public:
   /// Called for each accepted envelope, on the loop's thread.
-  using Handler = std::function<void(const peer::Envelope &)>;
+  /// \param Back The way back to the sender on the stream that it has opened.
+  using Handler = std::function<void(
+      const peer::Envelope &, const std::shared_ptr<ReturnStream> &Back)>;
 
   /// \throws Error if the address cannot be bound.
   explicit LinkServer(LinkIdentity Self);
-  ~LinkServer();
+  ~LinkServer() override;
 
   /// The waiter of the event loop; its queue also serves the node's streams.
   CompletionWaiter &waiter() { return *this->Waiter; }
@@ -39,7 +41,10 @@
   void stop();
 
 private:
-  class Inbound;
+  void onAccepted() override { this->accept(); }
+  std::string check(const peer::Envelope &Envelope) const override;
+  void onEnvelope(const peer::Envelope &Envelope,
+                  const std::shared_ptr<ReturnStream> &Back) override;
 
   /// Prepares to accept one more stream.
   void accept();
@@ -48,7 +53,7 @@
   Handler Receive;
   peer::Link::AsyncService Service;
   grpc::ServerCompletionQueue *Queue = nullptr;
-  std::unique_ptr<grpc::Server> Server;
+  std::unique_ptr<grpc::Server> Listener;
   std::unique_ptr<CompletionWaiter> Waiter;
 };
 
--- a/transport/link_stream.cpp
+++ b/transport/link_stream.cpp
@@ -20,6 +20,7 @@
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   Arguments.SetMaxSendMessageSize(MaxEnvelopeBytes);
+  Arguments.SetMaxReceiveMessageSize(MaxEnvelopeBytes);
   Arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   return Arguments;
 }
@@ -92,7 +93,10 @@
     this->finish();
     return;
   }
-  if (this->Owner != nullptr)
+  if (this->Owner != nullptr && this->Receipt.has_envelope())
+    this->Owner->onReturned(this->Receipt.envelope());
+  // The handler may have released the stream.
+  if (this->Owner != nullptr && !this->Receipt.refusal().empty())
     this->Owner->onRefused(this->Receipt.refusal());
   ++this->Pending;
   this->Call->Read(&this->Receipt, this->ReadStep.tag());
--- a/transport/link_stream.h
+++ b/transport/link_stream.h
@@ -1,47 +1,35 @@
 //===- transport/link_stream.h - Outgoing stream to a peer ------*- C++ -*-===//
 ///
 /// \file
-/// A gRPC stream that sends envelopes to one peer, driven by the event loop's
-/// thread. It ends at the first failure and is not reopened; its owner creates
-/// a new one.
+/// A gRPC stream that this process opens to one peer, driven by the event
+/// loop's thread. It ends at the first failure and is not reopened; its owner
+/// creates a new one.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_TRANSPORT_LINK_STREAM_H
 #define YARDWHEEL_TRANSPORT_LINK_STREAM_H
 
-#include "protocol/peer.grpc.pb.h"
 #include "transport/completion_waiter.h"
+#include "transport/envelope_stream.h"
 
 #include <deque>
-#include <functional>
 #include <memory>
 #include <string>
 
 namespace yardwheel {
 
-class LinkStream final : public std::enable_shared_from_this<LinkStream> {
+class LinkStream final : public EnvelopeStream,
+                         public std::enable_shared_from_this<LinkStream> {
 public:
-  /// Receives the events of a stream until release().
-  class Events {
-  public:
-    virtual ~Events() = default;
-    /// An envelope has been written to the connection.
-    virtual void onWritten() = 0;
-    virtual void onRefused(const std::string &Reason) = 0;
-    /// The stream has failed or was closed by the peer.
-    virtual void onEnded(const grpc::Status &Why) = 0;
-  };
-
   LinkStream(const std::string &Address, grpc::CompletionQueue &Queue,
              Events &Owner);
 
   /// Connects. To be called once, on an object owned by a shared pointer.
   void open();
-  void write(std::shared_ptr<const peer::Envelope> Envelope);
-  /// Cancels the stream. The owner receives no further events.
-  void release();
-  /// Returns the number of envelopes that wait to be written.
-  std::size_t waiting() const { return this->Waiting.size(); }
+  void write(std::shared_ptr<const peer::Envelope> Envelope) override;
+  /// Also cancels the stream.
+  void release() override;
+  std::size_t waiting() const override { return this->Waiting.size(); }
 
 private:
   /// Calls a member function when an operation has completed.
