--- a/coordination/delegation_rule.cpp
+++ b/coordination/delegation_rule.cpp
@@ -4,18 +4,11 @@
 
 namespace yardwheel {
 
-namespace {
-
-constexpr std::uint32_t WarmDelegates = 2;
-
-} // namespace
-
 DelegationRuleOptions delegationRuleAt(double HighLoad,
                                        std::uint32_t MaxDelegates) {
   DelegationRuleOptions Options;
   double Ratio = HighLoad / Options.HighLoad;
   Options.MaxDelegates = MaxDelegates;
-  Options.WarmDelegates = WarmDelegates;
   Options.HighLoad = HighLoad;
   Options.PrepareAt *= Ratio;
   Options.ReleaseBelow *= Ratio;
@@ -48,8 +41,7 @@
   if (IsNeeded || Load.ProcessorShare >= this->Options.ReleaseBelow)
     this->LastNeeded = Now;
   if (IsNeeded && this->Wanted == 0)
-    this->Wanted =
-        std::min(this->Options.WarmDelegates, this->Options.MaxDelegates);
+    this->Wanted = 1;
   // One that has just been asked has no view of the pool yet.
   bool DelegatesShort = Load.ReadyDelegates >= this->Wanted &&
                         Load.DelegateShare >= this->Options.MaxDelegateLoad;
--- a/coordination/delegation_rule.h
+++ b/coordination/delegation_rule.h
@@ -10,7 +10,7 @@
 ///
 /// Each delegate needs a view of the whole pool, which costs time to build and
 /// messages to keep. Delegates are therefore prepared before they are needed,
-/// and kept for some time after. An entry that has just started prepares some:
+/// and kept for some time after. An entry that has just started prepares one:
 /// after an outage all callers return at once.
 ///
 //===----------------------------------------------------------------------===//
@@ -26,8 +26,6 @@
 struct DelegationRuleOptions {
   /// Most delegates of an entry; none if 0.
   std::uint32_t MaxDelegates = 0;
-  /// How many delegates are prepared at first.
-  std::uint32_t WarmDelegates = 1;
   /// Busy share at which an entry prepares delegates. Less than half of
   /// HighLoad, as a burst doubles the load before a delegate is ready.
   double PrepareAt = 0.15;
@@ -56,9 +54,7 @@
 };
 
 /// Returns options with which an entry delegates from a share \p HighLoad of
-/// its processor time on, and with the other shares in proportion. It prepares
-/// two delegates together: a delegate has about the processor time of its
-/// entry, all of which a burst of twice that time would take at once.
+/// its processor time on, and with the other shares in proportion.
 DelegationRuleOptions delegationRuleAt(double HighLoad,
                                        std::uint32_t MaxDelegates);
 
