--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -81,9 +81,8 @@
 std::vector<std::string> SoakFleet::flags(int Host) const {
   bool IsEntry = Host < SoakFirstAgent;
   bool IsControl = Host >= SoakFirstControl;
-  int Index = Host - (IsEntry     ? SoakFirstEntry
-                      : IsControl ? SoakFirstControl
-                                  : SoakFirstAgent);
+  int First = IsControl ? SoakFirstControl : SoakFirstAgent;
+  int Index = Host - (IsEntry ? SoakFirstEntry : First);
   // The others have these parts switched off, like an older build.
   if (!this->Options.Delegation || !isDelegating(Index))
     return {};
--- a/transport/inbound_stream.cpp
+++ b/transport/inbound_stream.cpp
@@ -15,7 +15,7 @@
     this->settle();
     return;
   }
-  this->Host.onAccepted();
+  this->Server.onAccepted();
   this->Stream.Read(&this->Envelope, this->ReadStep.tag());
 }
 
@@ -30,9 +30,9 @@
     this->finishIfEnded();
     return;
   }
-  std::string Reason = this->Host.check(this->Envelope);
+  std::string Reason = this->Server.check(this->Envelope);
   if (Reason.empty()) {
-    this->Host.onEnvelope(this->Envelope, this->shared_from_this());
+    this->Server.onEnvelope(this->Envelope, this->shared_from_this());
   } else {
     this->Refusal = std::move(Reason);
     this->writeNext();
--- a/transport/inbound_stream.h
+++ b/transport/inbound_stream.h
@@ -21,10 +21,10 @@
 class InboundStream final : public ReturnStream,
                             public std::enable_shared_from_this<InboundStream> {
 public:
-  /// The server that accepts streams.
-  class Server {
+  /// Accepts streams and receives their envelopes.
+  class Receiver {
   public:
-    virtual ~Server() = default;
+    virtual ~Receiver() = default;
     /// A peer has opened a stream; the next one is to be awaited.
     virtual void onAccepted() = 0;
     /// \returns why the envelope is refused; empty if it is accepted.
@@ -34,7 +34,7 @@
                             const std::shared_ptr<ReturnStream> &Back) = 0;
   };
 
-  explicit InboundStream(Server &Owner) : Host(Owner) {}
+  explicit InboundStream(Receiver &Server) : Server(Server) {}
   /// Awaits a peer. To be called once, on an object owned by a shared pointer.
   void await(peer::Link::AsyncService &Service,
              grpc::ServerCompletionQueue &Queue);
@@ -83,7 +83,7 @@
   /// Lets go of this object once gRPC holds none of its tags.
   void settle();
 
-  Server &Host;
+  Receiver &Server;
   Events *Owner = nullptr;
   grpc::ServerContext Context;
   grpc::ServerAsyncReaderWriter<peer::Receipt, peer::Envelope> Stream{
--- a/transport/link_server.cpp
+++ b/transport/link_server.cpp
@@ -39,8 +39,8 @@
   std::unique_ptr<grpc::ServerCompletionQueue> Own =
       Builder.AddCompletionQueue();
   this->Queue = Own.get();
-  this->Listener = Builder.BuildAndStart();
-  if (!this->Listener || Port == 0)
+  this->Server = Builder.BuildAndStart();
+  if (!this->Server || Port == 0)
     throw Error("link server", this->Self.Address, "cannot be bound");
   this->Waiter = std::make_unique<CompletionWaiter>(std::move(Own));
   this->accept();
@@ -50,12 +50,12 @@
   this->stop();
   // gRPC requires this order.
   this->Waiter->shutDown();
-  this->Listener.reset();
+  this->Server.reset();
 }
 
 void LinkServer::accept() {
-  InboundStream::Server &Host = *this;
-  std::make_shared<InboundStream>(Host)->await(this->Service, *this->Queue);
+  InboundStream::Receiver &Target = *this;
+  std::make_shared<InboundStream>(Target)->await(this->Service, *this->Queue);
 }
 
 std::string LinkServer::check(const peer::Envelope &Envelope) const {
@@ -68,7 +68,7 @@
 }
 
 void LinkServer::stop() {
-  this->Listener->Shutdown(std::chrono::system_clock::now());
+  this->Server->Shutdown(std::chrono::system_clock::now());
 }
 
 } // namespace yardwheel
--- a/transport/link_server.h
+++ b/transport/link_server.h
@@ -21,7 +21,7 @@
 /// Returns why an envelope must be refused; empty if it is accepted.
 std::string refusalOf(const peer::Envelope &Envelope, const LinkIdentity &Self);
 
-class LinkServer final : InboundStream::Server {
+class LinkServer final : InboundStream::Receiver {
 public:
   /// Called for each accepted envelope, on the loop's thread.
   /// \param Back The way back to the sender on the stream that it has opened.
@@ -53,7 +53,7 @@
   Handler Receive;
   peer::Link::AsyncService Service;
   grpc::ServerCompletionQueue *Queue = nullptr;
-  std::unique_ptr<grpc::Server> Listener;
+  std::unique_ptr<grpc::Server> Server;
   std::unique_ptr<CompletionWaiter> Waiter;
 };
 
