--- a/tests/coordination/first_contacts_test.cpp
+++ b/tests/coordination/first_contacts_test.cpp
@@ -104,6 +104,7 @@
 TEST(FirstContactsTest, ProcessesBeginWithDifferentAgents) {
   std::vector<FirstContact> Unheard;
   constexpr int Agents = 60;
+  Unheard.reserve(Agents);
   for (int I = 0; I < Agents; ++I)
     Unheard.push_back({std::to_string(I), "near", Never});
   std::set<std::string> Chosen;
--- a/tests/coordination/placement_pause_test.cpp
+++ b/tests/coordination/placement_pause_test.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 TEST_GROUP_BASE(PlacementPauseTest, CoordinatorFixture) {
-  const CoordinatorOptions Options;
+  const CoordinatorOptions Options = CoordinatorOptions();
 
   /// Refuses the last dispatch until a task has been placed \p Times times.
   void refuseUntilPlaced(std::uint32_t Times) {
