--- a/consensus/raft_log.cpp
+++ b/consensus/raft_log.cpp
@@ -29,6 +29,13 @@
   return Result;
 }
 
+std::size_t RaftLog::bytes() const {
+  std::size_t Sum = this->Base.ByteSizeLong();
+  for (const peer::LogEntry &Entry : this->Entries)
+    Sum += Entry.ByteSizeLong();
+  return Sum;
+}
+
 void RaftLog::append(const peer::LogEntry &Entry) {
   this->Entries.push_back(Entry);
   if (Entry.has_replicas()) {
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -38,6 +38,8 @@
   void compact(const peer::Snapshot &Snapshot);
 
   const peer::Snapshot &snapshot() const { return this->Base; }
+  /// Returns the size of the entries and the snapshot in bytes, encoded.
+  std::size_t bytes() const;
   std::size_t size() const { return this->Entries.size(); }
   const peer::ReplicaSet &replicas() const { return this->Replicas; }
   /// Returns the index of the entry that set replicas(), or the snapshot's
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -138,6 +138,15 @@
   return Found->second.LastHeard;
 }
 
+std::vector<FollowerStatus> RaftNode::followers() const {
+  std::vector<FollowerStatus> Result;
+  if (!this->leads())
+    return Result;
+  for (const auto &[Name, Follower] : this->Followers)
+    Result.push_back({Name, Follower.Next, Follower.Match, Follower.LastHeard});
+  return Result;
+}
+
 std::string RaftNode::findOlderThan(std::uint32_t LogFormat) const {
   for (const auto &[Name, Follower] : this->Followers)
     if (Follower.LogFormat && *Follower.LogFormat < LogFormat)
--- a/consensus/raft_node.h
+++ b/consensus/raft_node.h
@@ -68,6 +68,16 @@
   virtual void onLeadershipChange(bool Leads) = 0;
 };
 
+/// What a leader knows of the replication to one follower.
+struct FollowerStatus {
+  std::string Name;
+  /// Index of the next entry to send.
+  std::uint64_t Next = 0;
+  /// Index of the last entry known to be stored by the follower.
+  std::uint64_t Match = 0;
+  TimePoint LastHeard;
+};
+
 enum class RaftRole { Follower, PreCandidate, Candidate, Leader };
 
 class RaftNode {
@@ -110,6 +120,8 @@
   /// On the leader: when a replica last replied, or nothing if \p Name is not a
   /// replica.
   std::optional<TimePoint> lastHeard(const std::string &Name) const;
+  /// On the leader: the replication to each follower; empty elsewhere.
+  std::vector<FollowerStatus> followers() const;
   /// On the leader: the name of a replica that has replied to this leader and
   /// cannot apply log entries of this format; empty if there is none.
   std::string findOlderThan(std::uint32_t LogFormat) const;
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/file_log_storage.h"
 #include "core/hash.h"
+#include "core/process_memory.h"
 #include "http/metrics_page.h"
 #include "main/lease_wiring.h"
 #include "main/process.h"
@@ -10,6 +11,7 @@
 #include "transport/link_node.h"
 
 #include <fmt/format.h>
+#include <ranges>
 
 namespace yardwheel {
 
@@ -20,6 +22,32 @@
 /// Shorter than the operators' timeout for a call with a large body.
 constexpr std::chrono::milliseconds ProposalTimeout{2000};
 constexpr std::uint64_t EntriesPerSnapshot = 200;
+/// Peers that a log line names.
+constexpr std::size_t MaxLoggedPeers = 4;
+constexpr std::size_t BytesPerKilobyte = 1024;
+
+/// Describes the peers for which the most is held in memory, for logs.
+std::string describeLoads(const std::vector<LinkLoad> &Loads) {
+  std::string Text;
+  for (const LinkLoad &Load : Loads | std::views::take(MaxLoggedPeers))
+    Text += fmt::format(
+        "{}{}: {} bytes in {} unacked, {} bytes in {} unwritten",
+        Text.empty() ? "" : "; ", Load.Peer.Address, Load.UnackedBytes,
+        Load.Unacked, Load.UnwrittenBytes, Load.Unwritten);
+  return Text;
+}
+
+/// Describes the replication to each follower, for logs; empty if this replica
+/// does not lead.
+std::string describeFollowers(const RaftNode &Raft, TimePoint Now) {
+  std::string Text;
+  for (const FollowerStatus &Follower : Raft.followers())
+    Text += fmt::format("{}{}: {} behind, heard {} ms ago",
+                        Text.empty() ? "" : "; ", Follower.Name,
+                        Raft.log().lastIndex() - Follower.Match,
+                        millisBetween(Follower.LastHeard, Now));
+  return Text;
+}
 
 /// Returns this replica's entry in the replica set. The address is permanent;
 /// the name is stored on the disk and lost with it.
@@ -83,6 +111,8 @@
   void receive(const peer::Envelope &Envelope, Instant Now);
   void tick(Instant Now);
   void publishMetrics(Instant Now);
+  /// Logs what this process holds in memory, and how far its followers are.
+  void logMemory(const std::vector<LinkLoad> &Loads, Instant Now) const;
   void stop();
 
   NodePlan Plan;
@@ -202,10 +232,37 @@
                      this->Service.catalog().routes().version());
   Text += metricLine("yardwheel_evacuations_active",
                      this->Service.catalog().activeEvacuations());
+  Text += metricLine("yardwheel_control_log_bytes", Raft.log().bytes());
+  std::vector<LinkLoad> Loads = this->Node.links().loads();
+  std::size_t Unacked = 0;
+  for (const LinkLoad &Load : Loads)
+    Unacked += Load.UnackedBytes;
+  Text += metricLine("yardwheel_link_unacked_bytes", Unacked);
+  Text += metricLine("yardwheel_resident_bytes", residentBytes());
+  this->logMemory(Loads, Now);
   Text += describeProcess(this->Node, this->OperatorServer);
   this->Metrics->publish(std::move(Text));
 }
 
+void SeededControlProcess::logMemory(const std::vector<LinkLoad> &Loads,
+                                     Instant Now) const {
+  const RaftNode &Raft = this->Service.raft();
+  const LinkCounters &Counters = this->Node.links().counters();
+  this->Log.decision("control_memory",
+                     {{"resident_kb", residentBytes() / BytesPerKilobyte},
+                      {"leads", Raft.leads()},
+                      {"links", describeLoads(Loads)},
+                      {"followers", describeFollowers(Raft, Now.Steady)},
+                      {"log_entries", Raft.log().size()},
+                      {"log_bytes", Raft.log().bytes()},
+                      {"members", this->Service.members().entries().size()},
+                      {"member_bytes", this->Service.members().bytes()},
+                      {"bytes_sent", Counters.BytesSent.load()},
+                      {"streams_opened", Counters.StreamsOpened.load()},
+                      {"streams_inbound", this->Node.inboundStreams()},
+                      {"behind_ms", asMillis(this->Node.loop().behindTime())}});
+}
+
 void SeededControlProcess::stop() {
   this->OperatorServer.stop();
   this->MetricsServer.stop();
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -89,6 +89,13 @@
   return Update;
 }
 
+std::size_t MemberRegistry::bytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Name, Target] : this->Entries)
+    Sum += Target.Member.ByteSizeLong();
+  return Sum;
+}
+
 const MemberRegistry::Entry *
 MemberRegistry::find(const std::string &Name) const {
   auto Found = this->Entries.find(Name);
--- a/membership/member_registry.h
+++ b/membership/member_registry.h
@@ -54,6 +54,8 @@
   const std::map<std::string, Entry> &entries() const { return this->Entries; }
   const Entry *find(const std::string &Name) const;
   std::uint64_t version() const { return this->Version; }
+  /// Returns the size of the members in bytes, encoded.
+  std::size_t bytes() const;
 
 private:
   /// Whether the sender of a heartbeat is told of no members.
--- a/transport/inbound_stream.cpp
+++ b/transport/inbound_stream.cpp
@@ -16,6 +16,7 @@
     return;
   }
   this->Server.onAccepted();
+  this->Accepted = true;
   this->Stream.Read(&this->Envelope, this->ReadStep.tag());
 }
 
@@ -91,8 +92,11 @@
 void InboundStream::onFinished(bool) { this->settle(); }
 
 void InboundStream::settle() {
-  if (this->Pending == 0)
-    this->Self.reset();
+  if (this->Pending > 0)
+    return;
+  if (std::exchange(this->Accepted, false))
+    this->Server.onClosed();
+  this->Self.reset();
 }
 
 } // namespace yardwheel
--- a/transport/inbound_stream.h
+++ b/transport/inbound_stream.h
@@ -27,6 +27,8 @@
     virtual ~Receiver() = default;
     /// A peer has opened a stream; the next one is to be awaited.
     virtual void onAccepted() = 0;
+    /// A stream that a peer had opened has ended.
+    virtual void onClosed() = 0;
     /// \returns why the envelope is refused; empty if it is accepted.
     virtual std::string check(const peer::Envelope &Envelope) const = 0;
     /// \param Back The way back to the sender.
@@ -93,6 +95,7 @@
   /// Reason of the last refusal that has not been sent.
   std::string Refusal;
   std::deque<std::shared_ptr<const peer::Envelope>> Waiting;
+  bool Accepted = false;
   bool WasAttached = false;
   bool Writing = false;
   /// What is being written is an envelope of the present owner.
--- a/transport/link_node.h
+++ b/transport/link_node.h
@@ -42,7 +42,11 @@
   void stop();
 
   LinkPool &links() { return this->Links; }
+  const LinkPool &links() const { return this->Links; }
   EventLoop &loop() { return this->Loop; }
+  const EventLoop &loop() const { return this->Loop; }
+  /// Returns the number of open streams of peers. For the loop's thread only.
+  std::size_t inboundStreams() const { return this->Server.streams(); }
   /// Returns the processor time of this process.
   Duration processorTime() const { return this->Source.processTime(); }
 
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -103,11 +103,12 @@
   Envelope->set_heard_stream(Target.ReceivedStream);
   Envelope->set_heard_number(Target.ReceivedNumber);
   Envelope->set_reads_returns(this->Options.TwoWay && Target.IsOwnStream);
+  std::size_t Bytes = Envelope->ByteSizeLong();
   ++this->Counters.EnvelopesSent;
   this->Counters.MessagesSent += Envelope->messages_size();
-  this->Counters.BytesSent += Envelope->ByteSizeLong();
+  this->Counters.BytesSent += Bytes;
   Target.Unacked.push_back(
-      {Target.LastNumber, this->Source.now().Steady, Envelope});
+      {Target.LastNumber, this->Source.now().Steady, Bytes, Envelope});
   ++Target.Unwritten;
   ++this->Unwritten;
   Target.Stream->write(std::move(Envelope));
@@ -225,6 +226,27 @@
   }
 }
 
+std::vector<LinkLoad> LinkPool::loads() const {
+  std::vector<LinkLoad> Loads;
+  for (const auto &[Address, Target] : this->Links) {
+    if (Target.Unacked.empty())
+      continue;
+    LinkLoad Load{.Peer = Target.Peer,
+                  .Unwritten = Target.Unwritten,
+                  .Unacked = Target.Unacked.size()};
+    // Envelopes are written in order, so the unwritten ones are the last.
+    std::size_t Written = Load.Unacked - std::min(Load.Unacked, Load.Unwritten);
+    for (std::size_t I = 0; I < Load.Unacked; ++I) {
+      Load.UnackedBytes += Target.Unacked[I].Bytes;
+      if (I >= Written)
+        Load.UnwrittenBytes += Target.Unacked[I].Bytes;
+    }
+    Loads.push_back(std::move(Load));
+  }
+  std::ranges::sort(Loads, std::ranges::greater(), &LinkLoad::UnackedBytes);
+  return Loads;
+}
+
 void LinkPool::onWritten(Link &Target) {
   if (Target.Unwritten == 0)
     return;
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -60,6 +60,17 @@
 /// The counters in Prometheus' text format.
 std::string describeCounters(const LinkCounters &Counters);
 
+/// What a process holds in memory for one peer.
+struct LinkLoad {
+  PeerRef Peer;
+  /// Envelopes that are not yet written to the connection.
+  std::size_t Unwritten = 0;
+  std::size_t UnwrittenBytes = 0;
+  /// Envelopes that are not yet acknowledged, including these.
+  std::size_t Unacked = 0;
+  std::size_t UnackedBytes = 0;
+};
+
 struct LinkOptions {
   /// A stream is considered dead if its peer still sends this long after an
   /// envelope was sent to it, but has not acknowledged that envelope. Many
@@ -110,11 +121,15 @@
   /// failed. Thread-safe.
   bool isIdle() const { return this->Unwritten.load() == 0; }
   const LinkCounters &counters() const { return this->Counters; }
+  /// Returns what is held for each peer, the most bytes first. Leaves out peers
+  /// for which nothing is held.
+  std::vector<LinkLoad> loads() const;
 
 private:
   struct Sent {
     std::uint64_t Number = 0;
     TimePoint At;
+    std::size_t Bytes = 0;
     std::shared_ptr<const peer::Envelope> Envelope;
   };
   /// The stream and the queue of one address.
--- a/transport/link_server.h
+++ b/transport/link_server.h
@@ -37,11 +37,19 @@
   /// Sets the handler. To be called before the loop starts.
   void onEnvelope(Handler Receive) { this->Receive = std::move(Receive); }
 
+  /// Returns the number of streams that peers have opened and that have not
+  /// ended. For the loop's thread only.
+  std::size_t streams() const { return this->Streams; }
+
   /// Refuses further envelopes. If the loop was started, it must still run.
   void stop();
 
 private:
-  void onAccepted() override { this->accept(); }
+  void onAccepted() override {
+    ++this->Streams;
+    this->accept();
+  }
+  void onClosed() override { --this->Streams; }
   std::string check(const peer::Envelope &Envelope) const override;
   void onEnvelope(const peer::Envelope &Envelope,
                   const std::shared_ptr<ReturnStream> &Back) override;
@@ -51,6 +59,7 @@
 
   LinkIdentity Self;
   Handler Receive;
+  std::size_t Streams = 0;
   peer::Link::AsyncService Service;
   grpc::ServerCompletionQueue *Queue = nullptr;
   std::unique_ptr<grpc::Server> Server;
