--- /dev/null
+++ b/tests/transport/link_memory_test.cpp
@@ -0,0 +1,64 @@
+//===- Memory held for peers ----------------------------------------------===//
+//
+// Regression test: control replicas ran out of memory. What waits for a peer
+// that does not read was limited to 2,000 envelopes, whatever their size.
+//
+//===----------------------------------------------------------------------===//
+
+#include "tests/support/silent_proxy.h"
+#include "tests/transport/test_node.h"
+
+#include <algorithm>
+#include <atomic>
+#include <fmt/format.h>
+
+// Included last, as it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LinkMemoryTest){};
+
+namespace {
+
+constexpr std::size_t MessageBytes = 500000;
+
+/// Sends a message of MessageBytes to a peer and sets \p Held to the most that
+/// was held for it.
+void sendLarge(TestNode &From, const char *To, const std::string &Address,
+               std::atomic<std::size_t> &Held) {
+  From.Node.loop().post([&, To, Address](Instant) {
+    peer::Message Message;
+    Message.mutable_raft()
+        ->mutable_append_request()
+        ->add_entries()
+        ->set_command(std::string(MessageBytes, 'x'));
+    From.Node.links().send({To, Address}, std::move(Message));
+    From.Node.links().flush();
+    for (const LinkLoad &Load : From.Node.links().loads())
+      if (Load.Peer.Address == Address)
+        Held.store(std::max(Held.load(), Load.UnackedBytes));
+    ++From.Sent;
+  });
+}
+
+} // namespace
+
+TEST(LinkMemoryTest, WhatIsHeldForAPeerThatDoesNotReadIsLimitedInBytes) {
+  constexpr int Messages = 200;
+  std::string Front = freeAddress();
+  TestNode Server("a", peer::ROLE_AGENT, freeAddress());
+  SilentProxy Proxy(Front, Server.Address);
+  TestNode Client("c", peer::ROLE_CONTROL, freeAddress());
+  Client.sendWhole("a", Front);
+  CHECK(waitFor([&] { return Server.Received.load() == 1; }));
+  Proxy.silence();
+  std::atomic<std::size_t> Held{0};
+  for (int I = 0; I < Messages; ++I)
+    sendLarge(Client, "a", Front, Held);
+  CHECK(waitFor([&] { return Client.Sent.load() > Messages; }));
+  CHECK_TEXT(Held.load() <= MaxEnvelopeBytes,
+             fmt::format("{} bytes held", Held.load()).c_str());
+  CHECK(Client.Node.links().counters().Dropped.load() > 0);
+}
