--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -28,9 +28,16 @@
   void send(const PeerRef &To, peer::Message Message) override {
     this->Inner.send({To.Address, To.Address}, std::move(Message));
   }
+  void reconnect(const PeerRef &To) override { ++this->Reconnects[To.Address]; }
+  /// Returns how often the connection to an address was replaced.
+  int reconnects(const std::string &Address) const {
+    auto Found = this->Reconnects.find(Address);
+    return Found == this->Reconnects.end() ? 0 : Found->second;
+  }
 
 private:
   PeerSink &Inner;
+  std::map<std::string, int> Reconnects;
 };
 
 class SeededCluster {
@@ -77,6 +84,8 @@
     });
   }
 
+  /// Returns the name of the replica that a host has now.
+  const std::string &nameAt(std::size_t Host) { return this->Hosts[Host].Name; }
   static std::string addressOf(std::size_t Host) {
     return fmt::format("host{}", Host);
   }
@@ -89,6 +98,11 @@
         return Host.Service.get();
     return nullptr;
   }
+  /// Returns how often \p Host has replaced its connection to \p Peer since it
+  /// was started.
+  int reconnects(std::size_t Host, std::size_t Peer) {
+    return this->Hosts[Host].Sink->reconnects(addressOf(Peer));
+  }
   ControlService &service(std::size_t Host) {
     return *this->Hosts[Host].Service;
   }
@@ -128,7 +142,7 @@
   struct Node {
     std::string Name;
     std::unique_ptr<MemoryLogStorage> Storage;
-    std::unique_ptr<PeerSink> Sink;
+    std::unique_ptr<AddressSink> Sink;
     std::unique_ptr<ControlService> Service;
   };
 
