FAULT: a replica that lags is sent each entry once, and links are limited in bytes

Cause: retransmission without evidence of a loss. Each heartbeat round resent all that a follower had not acknowledged, up to 200 entries of a whole route table each, and each quorum read starts a round: with 80 nodes up to 50 in a second. Each rejection was answered with the whole log, also when many were under way. What waited for a peer was limited by a number of envelopes, not by size. The same cause kept a replica that joined from catching up.

Change: at most one message with entries is under way to a follower, of 1 MB unless one entry alone is larger. It is repeated only when the follower has replied to a later round without having stored it, and then once in a heartbeat interval. Heartbeats carry no entries and name a common entry, so that only a probe can be rejected, and an old rejection moves nothing. Links hold at most 16 MB for a peer and 64 MB in all; a peer's share of these is never taken by others. Why it works: what is sent follows from what the follower has told, no longer from how often something else happens.

--- a/consensus/raft_log.cpp
+++ b/consensus/raft_log.cpp
@@ -20,12 +20,17 @@
   return this->Entries[Index - this->firstIndex()];
 }
 
-std::vector<peer::LogEntry> RaftLog::slice(std::uint64_t From,
-                                           std::size_t Max) const {
+std::vector<peer::LogEntry> RaftLog::slice(std::uint64_t From, std::size_t Max,
+                                           std::size_t MaxBytes) const {
   std::vector<peer::LogEntry> Result;
+  std::size_t Bytes = 0;
   for (std::uint64_t I = From; I <= this->lastIndex() && Result.size() < Max;
-       ++I)
+       ++I) {
+    Bytes += this->at(I).ByteSizeLong();
+    if (!Result.empty() && Bytes > MaxBytes)
+      break;
     Result.push_back(this->at(I));
+  }
   return Result;
 }
 
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -11,6 +11,7 @@
 #include "consensus/log_storage.h"
 
 #include <deque>
+#include <limits>
 #include <optional>
 
 namespace yardwheel {
@@ -28,8 +29,11 @@
   /// before the snapshot or after the last entry.
   std::optional<std::uint64_t> termAt(std::uint64_t Index) const;
   const peer::LogEntry &at(std::uint64_t Index) const;
-  /// Returns at most \p Max entries, starting at index \p From.
-  std::vector<peer::LogEntry> slice(std::uint64_t From, std::size_t Max) const;
+  /// Returns the entries from index \p From on: at most \p Max, and at most
+  /// \p MaxBytes unless the first one alone is larger.
+  std::vector<peer::LogEntry>
+  slice(std::uint64_t From, std::size_t Max,
+        std::size_t MaxBytes = std::numeric_limits<std::size_t>::max()) const;
 
   void append(const peer::LogEntry &Entry);
   void truncateFrom(std::uint64_t Index);
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -31,7 +31,7 @@
   if (this->leads()) {
     this->checkQuorum(Now);
     if (this->leads() && Now >= this->NextHeartbeat)
-      this->broadcast(/*Heartbeat=*/true, Now);
+      this->broadcast(Now);
     return;
   }
   if (Now < this->ElectionDeadline)
@@ -111,7 +111,7 @@
     return std::nullopt;
   this->Reads.push_back({++this->LastRead, this->Round + 1});
   std::uint64_t Number = this->LastRead;
-  this->broadcast(/*Heartbeat=*/true, Now);
+  this->broadcast(Now);
   this->finishReads();
   return Number;
 }
@@ -219,13 +219,16 @@
   this->ElectionDeadline = Now + Base + Extra;
 }
 
-void RaftNode::broadcast(bool Heartbeat, TimePoint Now) {
+std::chrono::milliseconds RaftNode::heartbeatInterval() const {
+  return this->Options.ElectionTimeout / HeartbeatsPerElectionTimeout;
+}
+
+void RaftNode::broadcast(TimePoint Now) {
   ++this->Round;
-  this->NextHeartbeat =
-      Now + this->Options.ElectionTimeout / HeartbeatsPerElectionTimeout;
+  this->NextHeartbeat = Now + this->heartbeatInterval();
   this->syncProgress(Now);
   for (const auto &[Name, Follower] : this->Followers)
-    this->sendTo(Name, /*FromMatch=*/Heartbeat);
+    this->sendTo(Name, Now);
 }
 
 } // namespace yardwheel
--- a/consensus/raft_node.h
+++ b/consensus/raft_node.h
@@ -117,7 +117,8 @@
   bool isVoter() const;
   /// On the leader: whether a replica holds all committed entries.
   bool isCaughtUp(const std::string &Name) const;
-  /// On the leader: when a replica last replied, or nothing if \p Name is not a
+  /// On the leader: when a replica last replied, or when it became a follower
+  /// of this leader if it has not replied since; nothing if \p Name is not a
   /// replica.
   std::optional<TimePoint> lastHeard(const std::string &Name) const;
   /// On the leader: the replication to each follower; empty elsewhere.
@@ -141,8 +142,13 @@
     std::uint64_t Next = 1;
     /// Index of the last entry known to be stored by the follower.
     std::uint64_t Match = 0;
-    /// The latest broadcast round that the follower has acknowledged.
+    /// The latest round that the follower has replied to.
     std::uint64_t AckedRound = 0;
+    /// The round, the time and the first index of the last message that carried
+    /// entries or a snapshot.
+    std::uint64_t SentRound = 0;
+    TimePoint SentAt = TimePoint::min();
+    std::uint64_t SentFrom = 0;
     TimePoint LastHeard;
     /// Nothing before its first reply to this leader.
     std::optional<std::uint32_t> LogFormat;
@@ -150,6 +156,7 @@
   struct PendingRead {
     std::uint64_t Number = 0;
     /// The broadcast round that a quorum must acknowledge.
+    /// Number of the latest messages. A follower gets one message of a round.
     std::uint64_t Round = 0;
   };
 
@@ -173,9 +180,17 @@
   void onInstallSnapshot(const peer::RaftMessage &Message, TimePoint Now);
   void storeEntries(const peer::AppendRequest &Append);
   void appendLocal(peer::LogEntry Entry, TimePoint Now);
-  void broadcast(bool Heartbeat, TimePoint Now);
-  void sendTo(const std::string &Name, bool FromMatch);
+  void broadcast(TimePoint Now);
+  /// Sends what the follower lacks, if that may be sent now, else a heartbeat.
+  void sendTo(const std::string &Name, TimePoint Now);
+  /// Whether entries may be sent to a follower. At most one message with
+  /// entries is under way to it, and it is sent again only once a reply to a
+  /// later message shows that it was lost.
+  bool maySendEntries(const Progress &Follower, TimePoint Now) const;
+  void sendEntries(const std::string &Name, Progress &Follower, TimePoint Now);
+  void sendHeartbeat(const std::string &Name, const Progress &Follower);
   void sendSnapshot(const std::string &Name);
+  std::chrono::milliseconds heartbeatInterval() const;
   void advanceCommit(TimePoint Now);
   void applyCommitted(TimePoint Now);
   void finishReads();
--- a/consensus/raft_replication.cpp
+++ b/consensus/raft_replication.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
+/// Limits of a message with entries, of which each follower has at most one
+/// under way. A single entry may exceed the second one.
 constexpr std::size_t MaxEntriesPerMessage = 200;
+constexpr std::size_t MaxEntryBytesPerMessage = 1048576;
 
 } // namespace
 
@@ -36,30 +39,64 @@
   if (this->Options.SyncBeforeReply)
     this->Storage.sync();
   this->Log.append(Entry);
-  this->broadcast(/*Heartbeat=*/false, Now);
+  this->broadcast(Now);
   this->advanceCommit(Now);
 }
 
-void RaftNode::sendTo(const std::string &Name, bool FromMatch) {
+void RaftNode::sendTo(const std::string &Name, TimePoint Now) {
   Progress &Follower = this->Followers.at(Name);
-  // A heartbeat resends unacknowledged entries, since they may have been lost.
-  std::uint64_t From =
-      FromMatch && Follower.Match > 0 ? Follower.Match + 1 : Follower.Next;
-  std::optional<std::uint64_t> PreviousTerm = this->Log.termAt(From - 1);
+  if (this->maySendEntries(Follower, Now))
+    this->sendEntries(Name, Follower, Now);
+  else
+    this->sendHeartbeat(Name, Follower);
+}
+
+bool RaftNode::maySendEntries(const Progress &Follower, TimePoint Now) const {
+  if (Follower.Match >= this->Log.lastIndex())
+    return false;
+  bool IsUnderWay = Follower.AckedRound < Follower.SentRound;
+  if (IsUnderWay)
+    return false;
+  // A follower that cannot store entries replies to heartbeats only.
+  bool IsRepeated = Follower.SentFrom == Follower.Next;
+  return !IsRepeated || Now - Follower.SentAt >= this->heartbeatInterval();
+}
+
+void RaftNode::sendEntries(const std::string &Name, Progress &Follower,
+                           TimePoint Now) {
+  Follower.SentRound = this->Round;
+  Follower.SentAt = Now;
+  Follower.SentFrom = Follower.Next;
+  std::uint64_t Previous = Follower.Next - 1;
+  std::optional<std::uint64_t> PreviousTerm = this->Log.termAt(Previous);
   if (!PreviousTerm) {
     this->sendSnapshot(Name);
     return;
   }
   peer::RaftMessage Message = this->messageTo(Name);
   peer::AppendRequest *Append = Message.mutable_append_request();
-  Append->set_previous_index(From - 1);
+  Append->set_previous_index(Previous);
   Append->set_previous_term(*PreviousTerm);
   Append->set_commit(this->Commit);
   Append->set_round(this->Round);
-  for (peer::LogEntry &Entry : this->Log.slice(From, MaxEntriesPerMessage))
+  for (peer::LogEntry &Entry : this->Log.slice(
+           Follower.Next, MaxEntriesPerMessage, MaxEntryBytesPerMessage))
     *Append->add_entries() = std::move(Entry);
-  Follower.Next = std::max(
-      Follower.Next, From + static_cast<std::uint64_t>(Append->entries_size()));
+  this->Events.send(std::move(Message));
+}
+
+void RaftNode::sendHeartbeat(const std::string &Name,
+                             const Progress &Follower) {
+  peer::RaftMessage Message = this->messageTo(Name);
+  peer::AppendRequest *Append = Message.mutable_append_request();
+  // Without a known common entry, the heartbeat names the start of the log, on
+  // which all replicas agree.
+  if (std::optional<std::uint64_t> Term = this->Log.termAt(Follower.Match)) {
+    Append->set_previous_index(Follower.Match);
+    Append->set_previous_term(*Term);
+  }
+  Append->set_commit(this->Commit);
+  Append->set_round(this->Round);
   this->Events.send(std::move(Message));
 }
 
@@ -148,20 +185,20 @@
   Follower.LogFormat = Reply.log_format();
   Follower.AckedRound = std::max(Follower.AckedRound, Reply.round());
   if (!Reply.success()) {
-    // The follower has lost entries that it acknowledged. Resending at once
-    // does not help; the next heartbeat is soon enough.
-    bool LostItsDisk = Reply.hint_index() < Follower.Match;
-    Follower.Next = std::max(Reply.hint_index() + 1, Follower.Match + 1);
-    if (!LostItsDisk)
-      this->sendTo(Message.from(), /*FromMatch=*/false);
-  } else {
-    Follower.Match = std::max(Follower.Match, Reply.match_index());
-    Follower.Next = std::max(Follower.Next, Follower.Match + 1);
+    // A reply to an earlier message says nothing about the present Next.
+    if (Reply.round() >= Follower.SentRound)
+      Follower.Next = std::max(Reply.hint_index() + 1, Follower.Match + 1);
+  } else if (Reply.match_index() > Follower.Match) {
+    Follower.Match = Reply.match_index();
+    Follower.Next = Follower.Match + 1;
     this->advanceCommit(Now);
-    // The missing entries did not fit into one message.
-    if (Follower.Match < this->Log.lastIndex() &&
-        Follower.Next <= this->Log.lastIndex())
-      this->sendTo(Message.from(), /*FromMatch=*/false);
+  }
+  // advanceCommit() may have ended the leadership or removed the follower.
+  Found = this->Followers.find(Message.from());
+  if (this->leads() && Found != this->Followers.end() &&
+      this->maySendEntries(Found->second, Now)) {
+    ++this->Round;
+    this->sendEntries(Message.from(), Found->second, Now);
   }
   this->finishReads();
 }
@@ -222,7 +259,7 @@
   if (this->leads() && Removed)
     this->becomeFollower(this->Hard.term(), "", Now);
   else if (this->leads())
-    this->broadcast(/*Heartbeat=*/false, Now);
+    this->broadcast(Now);
 }
 
 void RaftNode::applyCommitted(TimePoint) {
--- a/tests/transport/link_memory_test.cpp
+++ b/tests/transport/link_memory_test.cpp
@@ -62,3 +62,23 @@
              fmt::format("{} bytes held", Held.load()).c_str());
   CHECK(Client.Node.links().counters().Dropped.load() > 0);
 }
+
+TEST(LinkMemoryTest, APeerThatReadsIsServedWhileOthersHoldTheLimit) {
+  std::string Front = freeAddress();
+  LinkOptions Options;
+  Options.MaxHeldBytes = 5 * MessageBytes;
+  TestNode Silent("s", peer::ROLE_AGENT, freeAddress());
+  TestNode Reader("a", peer::ROLE_AGENT, freeAddress());
+  SilentProxy Proxy(Front, Silent.Address);
+  TestNode Client("c", peer::ROLE_CONTROL, freeAddress(), 1, Options);
+  Client.sendWhole("s", Front);
+  CHECK(waitFor([&] { return Silent.Received.load() == 1; }));
+  Proxy.silence();
+  std::atomic<std::size_t> Held{0};
+  for (int I = 0; I < 10; ++I)
+    sendLarge(Client, "s", Front, Held);
+  // Two messages to the other peer are within its share.
+  sendLarge(Client, "a", Reader.Address, Held);
+  sendLarge(Client, "a", Reader.Address, Held);
+  CHECK(waitFor([&] { return Reader.Received.load() == 2; }));
+}
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <ranges>
+#include <utility>
 
 namespace yardwheel {
 
@@ -85,8 +87,9 @@
 void LinkPool::transmit(Link &Target) {
   auto Envelope = std::make_shared<peer::Envelope>();
   Envelope->Swap(&Target.Queued);
-  Target.QueuedBytes = 0;
-  if (Target.Stream && Target.Stream->waiting() >= MaxQueuedEnvelopes) {
+  std::size_t QueuedBytes = std::exchange(Target.QueuedBytes, 0);
+  bool IsFull = Target.Stream && Target.Stream->waiting() >= MaxQueuedEnvelopes;
+  if (IsFull || !this->hasRoom(Target, QueuedBytes)) {
     this->Counters.Dropped += Envelope->messages_size();
     return;
   }
@@ -109,11 +112,31 @@
   this->Counters.BytesSent += Bytes;
   Target.Unacked.push_back(
       {Target.LastNumber, this->Source.now().Steady, Bytes, Envelope});
+  Target.UnackedBytes += Bytes;
+  this->HeldBytes += Bytes;
   ++Target.Unwritten;
   ++this->Unwritten;
   Target.Stream->write(std::move(Envelope));
 }
 
+bool LinkPool::hasRoom(const Link &Target, std::size_t Bytes) const {
+  if (Target.Unacked.empty())
+    return true;
+  std::size_t Held = Target.UnackedBytes + Bytes;
+  if (Held > this->Options.MaxHeldBytesPerPeer)
+    return false;
+  // Peers that do not read must not take the room of those that do.
+  bool IsWithinShare = Held <= this->Options.MaxHeldBytes / this->Links.size();
+  return IsWithinShare || this->HeldBytes + Bytes <= this->Options.MaxHeldBytes;
+}
+
+void LinkPool::forgetOldest(Link &Target) {
+  std::size_t Bytes = Target.Unacked.front().Bytes;
+  Target.UnackedBytes -= Bytes;
+  this->HeldBytes -= Bytes;
+  Target.Unacked.pop_front();
+}
+
 void LinkPool::open(Link &Target) {
   Target.StreamId = ++this->LastStreamId;
   Target.LastNumber = 0;
@@ -143,6 +166,7 @@
   Target.Unwritten = 0;
   std::deque<Sent> Lost;
   std::swap(Lost, Target.Unacked);
+  this->HeldBytes -= std::exchange(Target.UnackedBytes, 0);
   this->Counters.Failed += Lost.size();
   if (!this->Failure)
     return;
@@ -189,7 +213,7 @@
   if (Envelope.heard_stream() == From.StreamId)
     while (!From.Unacked.empty() &&
            From.Unacked.front().Number <= Envelope.heard_number())
-      From.Unacked.pop_front();
+      this->forgetOldest(From);
 }
 
 void LinkPool::setBack(Link &From, const std::shared_ptr<ReturnStream> &Back) {
@@ -222,7 +246,7 @@
     while (!Target.Unacked.empty() &&
            Target.Unwritten < Target.Unacked.size() &&
            Now - Target.Unacked.front().At > this->Options.UnackedRetention)
-      Target.Unacked.pop_front();
+      this->forgetOldest(Target);
   }
 }
 
@@ -233,14 +257,12 @@
       continue;
     LinkLoad Load{.Peer = Target.Peer,
                   .Unwritten = Target.Unwritten,
-                  .Unacked = Target.Unacked.size()};
+                  .Unacked = Target.Unacked.size(),
+                  .UnackedBytes = Target.UnackedBytes};
     // Envelopes are written in order, so the unwritten ones are the last.
-    std::size_t Written = Load.Unacked - std::min(Load.Unacked, Load.Unwritten);
-    for (std::size_t I = 0; I < Load.Unacked; ++I) {
-      Load.UnackedBytes += Target.Unacked[I].Bytes;
-      if (I >= Written)
-        Load.UnwrittenBytes += Target.Unacked[I].Bytes;
-    }
+    for (const Sent &Item : Target.Unacked | std::views::reverse |
+                                std::views::take(Target.Unwritten))
+      Load.UnwrittenBytes += Item.Bytes;
     Loads.push_back(std::move(Load));
   }
   std::ranges::sort(Loads, std::ranges::greater(), &LinkLoad::UnackedBytes);
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -82,6 +82,11 @@
   /// The minimum time between two connections to a peer that leaves messages
   /// unanswered. It may be slow, and each connection costs it time.
   std::chrono::milliseconds MinReconnectInterval{250};
+  /// The maximum size of what is held for one peer, and for all peers, until it
+  /// is acknowledged. What would exceed it is dropped, but each peer has its
+  /// share of the latter, and may always have one envelope under way.
+  std::size_t MaxHeldBytesPerPeer = 16777216;
+  std::size_t MaxHeldBytes = 67108864;
   /// Whether both directions of two peers share a stream. Each stream is a
   /// connection, and connections are most of the work of a process that starts.
   bool TwoWay = false;
@@ -161,6 +166,7 @@
     std::size_t QueuedBytes = 0;
     /// Sent on the current stream and not yet acknowledged.
     std::deque<Sent> Unacked;
+    std::size_t UnackedBytes = 0;
     /// The number of these that are not yet written to the connection.
     std::size_t Unwritten = 0;
     /// The newest envelope read from the peer, and its time. Its numbers are
@@ -181,6 +187,10 @@
   void open(Link &Target);
   /// Sets the way back to a peer on the stream that it uses now.
   void setBack(Link &From, const std::shared_ptr<ReturnStream> &Back);
+  /// Whether what is held for a peer leaves room for another envelope.
+  bool hasRoom(const Link &Target, std::size_t Bytes) const;
+  /// Forgets the oldest unacknowledged envelope.
+  void forgetOldest(Link &Target);
   /// Releases the stream and reports its unacknowledged envelopes.
   void abandon(Link &Target);
   bool isSilent(const Link &Target, TimePoint Now, TimePoint LastBehind) const;
@@ -199,6 +209,8 @@
   std::vector<Link *> PendingFlush;
   TimePoint NextCheck;
   std::atomic<std::size_t> Unwritten{0};
+  /// The sum of UnackedBytes of all links.
+  std::size_t HeldBytes = 0;
   LinkCounters Counters;
 };
 
