A change of the configuration is pushed once to each node

PushTest: 8 copies of the table for one node, red before; now 2, one of them the reply to a heartbeat that crossed the push.

Control notes which revision it has sent to an incarnation of a node, and pushes only what is newer. A node that has missed a push ignores the next one, as its base is missing, and gets all with the reply to its next heartbeat, which it sends at once when it hears of a newer revision.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -287,6 +287,8 @@
   // Changes that are pushed unasked go without the demand.
   if (Sequence != 0)
     this->Demand.addTo(*Reply, Heartbeat, this->CurrentTime.Steady);
+  this->Members.onRevisionSent(Heartbeat.member().name(),
+                               this->State.revision());
   this->Sink.send(To, std::move(Message));
 }
 
@@ -302,12 +304,14 @@
                      Entry.TableVersion >= this->Members.version());
     // A node that has not yet received its first configuration waits for the
     // confirmed reply to its heartbeat.
-    if (Entry.Revision == 0 ||
-        (Entry.Revision >= this->State.revision() && HasTable))
+    // Each change is pushed once. A node that has missed one ignores the later
+    // ones, and gets all of them with the reply to its next heartbeat.
+    std::uint64_t Sent = std::max(Entry.Revision, Entry.SentRevision);
+    if (Entry.Revision == 0 || (Sent >= this->State.revision() && HasTable))
       continue;
     peer::Heartbeat LastHeartbeat;
     *LastHeartbeat.mutable_member() = Entry.Member;
-    LastHeartbeat.set_revision(Entry.Revision);
+    LastHeartbeat.set_revision(Sent);
     LastHeartbeat.set_table_term(Entry.TableTerm);
     LastHeartbeat.set_table_version(Entry.TableVersion);
     this->replyTo({Name, Entry.Member.address()}, LastHeartbeat,
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/task_needs.h"
 
+#include <algorithm>
+
 namespace yardwheel {
 
 void MemberRegistry::reset(std::uint64_t NewTerm, TimePoint Now) {
@@ -33,6 +35,8 @@
   Target.Revision = SameIncarnation
                         ? std::max(Target.Revision, Request.revision())
                         : Request.revision();
+  if (!SameIncarnation)
+    Target.SentRevision = 0;
   Target.TableTerm = Request.table_term();
   Target.TableVersion = Request.table_version();
   bool Changed = !SameIncarnation ||
@@ -45,6 +49,13 @@
   return true;
 }
 
+void MemberRegistry::onRevisionSent(const std::string &Name,
+                                    std::uint64_t Revision) {
+  auto Found = this->Entries.find(Name);
+  if (Found != this->Entries.end())
+    Found->second.SentRevision = std::max(Found->second.SentRevision, Revision);
+}
+
 bool MemberRegistry::tick(TimePoint Now) {
   bool AnyLost = false;
   for (auto &[Name, Target] : this->Entries) {
--- a/membership/member_registry.h
+++ b/membership/member_registry.h
@@ -31,6 +31,8 @@
   /// Applies a heartbeat.
   /// \returns whether the member table changed.
   bool onHeartbeat(const peer::Heartbeat &Request, TimePoint Now);
+  /// Records the configuration revision that was sent to a member.
+  void onRevisionSent(const std::string &Name, std::uint64_t Revision);
   /// Marks members with an expired lease as lost.
   /// \returns whether there was any.
   bool tick(TimePoint Now);
@@ -48,6 +50,8 @@
     TimePoint LastHeard;
     /// The configuration revision that the member last reported.
     std::uint64_t Revision = 0;
+    /// The latest revision that was sent to this incarnation of the member.
+    std::uint64_t SentRevision = 0;
     std::uint64_t TableTerm = 0;
     std::uint64_t TableVersion = 0;
   };
