--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -258,6 +258,15 @@
   this->wait(Name);
 }
 
+std::size_t PlatformCluster::residentBytes(const std::string &Name) const {
+  std::ifstream File(fmt::format("/proc/{}/statm", this->Running.at(Name)));
+  std::size_t TotalPages = 0;
+  std::size_t ResidentPages = 0;
+  if (!(File >> TotalPages >> ResidentPages))
+    return 0;
+  return ResidentPages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void PlatformCluster::signal(const std::string &Name, int Number) {
   ::kill(this->Running.at(Name), Number);
 }
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -73,6 +73,8 @@
   long announce(int Side, const std::string &Id, const std::string &Body) const;
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number);
+  /// Returns the resident memory of a process in bytes; 0 if it has ended.
+  std::size_t residentBytes(const std::string &Name) const;
   int wait(const std::string &Name);
   /// \returns the exit code of a process, or 128 plus the number of the signal
   /// that ended it; nothing while it runs.
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds CutAfter = Grace * 5 / 6;
 constexpr milliseconds TakenWithin{3000};
 constexpr milliseconds StepEvery{5};
+/// How long a process that runs slowly runs and stands still, by turns.
+constexpr milliseconds SlowRuns{20};
+constexpr milliseconds SlowStands{200};
+constexpr milliseconds MeasureEvery{100};
 /// Ports by what they serve, after the cluster's first.
 constexpr int CallerOffset = 1;
 constexpr int OperatorOffset = 3;
@@ -74,6 +78,8 @@
     std::shuffle(Seeds.begin(), Seeds.end(), this->Random);
   Body["seeds"] = Seeds;
   Body["bootstrap"] = !this->Bootstrapped;
+  if (this->Options.ControlStorm)
+    Body["faultTolerance"]["machines"] = SoakWipedAtOnce;
   std::filesystem::create_directories(Body["dataDir"].get<std::string>());
   return Body.dump();
 }
@@ -155,6 +161,35 @@
   this->Cluster.signal(Known.Name, SIGSTOP);
 }
 
+void SoakFleet::wipe(int Host) {
+  Node &Known = this->Nodes.at(Host);
+  if (Known.Up)
+    this->kill(Host);
+  json Body = json::parse(this->settings(Host));
+  std::filesystem::remove_all(Body["dataDir"].get<std::string>());
+}
+
+void SoakFleet::stepSlow(int Host, Clock::time_point Now) {
+  Node &Known = this->Nodes.at(Host);
+  if (!Known.Up || Known.Frozen || Now < Known.NextTurn ||
+      Now >= Known.SlowUntil)
+    return;
+  this->freeze(Host, SlowStands);
+  Known.NextTurn = Known.WakeAt + SlowRuns;
+}
+
+void SoakFleet::measureMemory(Clock::time_point Now) {
+  if (!this->Options.ControlStorm || Now < this->NextMeasurement)
+    return;
+  this->NextMeasurement = Now + MeasureEvery;
+  for (int I = 0; I < this->Options.Controls; ++I) {
+    const Node &Known = this->Nodes.at(SoakFirstControl + I);
+    if (Known.Up)
+      this->PeakControlMemory = std::max(
+          this->PeakControlMemory, this->Cluster.residentBytes(Known.Name));
+  }
+}
+
 void SoakFleet::wake(int Host) {
   Node &Known = this->Nodes.at(Host);
   Known.Frozen = false;
@@ -230,6 +265,13 @@
     if (Known.Up)
       this->freeze(Fault.Host, Fault.For);
     break;
+  case SoakFaultKind::Wipe:
+    Known.Pause = Fault.For;
+    this->wipe(Fault.Host);
+    break;
+  case SoakFaultKind::Slow:
+    Known.SlowUntil = Clock::now() + Fault.For;
+    break;
   case SoakFaultKind::Terminate:
     Known.Pause = Fault.For;
     if (!Known.Up || Known.Terminating)
@@ -286,8 +328,11 @@
 
 void SoakFleet::step() {
   auto Now = Clock::now();
-  for (const auto &[Host, Known] : this->Nodes)
+  for (const auto &[Host, Known] : this->Nodes) {
     this->stepNode(Host, Now);
+    this->stepSlow(Host, Now);
+  }
+  this->measureMemory(Now);
   std::erase_if(this->LateStartsUntil, [&](const auto &Late) {
     if (Now < Late.second)
       return false;
@@ -306,6 +351,7 @@
     Late = Now;
   for (auto &[Host, Known] : this->Nodes) {
     Known.WakeAt = Now;
+    Known.SlowUntil = Now;
     Known.Pause = milliseconds(0);
     Known.StartAt = Now;
   }
--- a/tests/system/soak_fleet.h
+++ b/tests/system/soak_fleet.h
@@ -47,6 +47,9 @@
   std::vector<std::string> operatorAddresses() const;
   /// Connections between nodes that pass a proxy, so far.
   int proxied() const;
+  /// Returns the most memory in bytes that a control replica has used in a
+  /// storm.
+  std::size_t peakControlMemory() const { return this->PeakControlMemory; }
   /// How often the entries have logged a decision.
   int countAtEntries(const std::string &Decision) const;
   RunRecorder &recorder() { return this->Cluster.Recorder; }
@@ -62,6 +65,9 @@
     Clock::time_point StartAt;
     bool Frozen = false;
     Clock::time_point WakeAt;
+    /// While it runs slowly: when it is stopped or continued next.
+    Clock::time_point SlowUntil = Clock::time_point::min();
+    Clock::time_point NextTurn;
     /// The pause before its next start.
     std::chrono::milliseconds Pause{0};
   };
@@ -74,6 +80,11 @@
   void kill(int Host);
   void wake(int Host);
   void freeze(int Host, std::chrono::milliseconds For);
+  /// Kills a process and removes what it has stored.
+  void wipe(int Host);
+  /// Stops or continues a process that runs slowly.
+  void stepSlow(int Host, Clock::time_point Now);
+  void measureMemory(Clock::time_point Now);
   void replaceSettings(int Host, const std::string &Text);
   void changeSettings(int Host, bool Good);
   void applyToLink(const SoakFault &Fault);
@@ -90,6 +101,8 @@
   std::map<int, std::unique_ptr<SoakLink>> Links;
   std::map<int, Clock::time_point> LateStartsUntil;
   int Lives = 0;
+  Clock::time_point NextMeasurement;
+  std::size_t PeakControlMemory = 0;
   mutable std::mutex Mutex;
   std::map<int, std::vector<Clock::time_point>> Kills;
   std::map<int, std::vector<Clock::time_point>> Terminations;
--- a/tests/system/soak_main.cpp
+++ b/tests/system/soak_main.cpp
@@ -34,6 +34,11 @@
 constexpr auto RecoveryPause = 100ms;
 constexpr int ChangeAttempts = 300;
 constexpr int DelegationAgents = 6;
+/// Control replicas in a storm: they bear the loss of two disks at once.
+constexpr int StormControls = 5;
+/// What control may use at the size to design for.
+constexpr std::size_t MaxControlMemory = 268435456;
+constexpr std::size_t BytesPerMegabyte = 1048576;
 
 struct Arguments {
   SoakOptions Options;
@@ -55,7 +60,7 @@
                                          SoakFirstEntry + Entry, SentAt, CutAt);
                                    }},
         Operator(this->Fleet.operatorAddresses(), Host, Prefix, Options.Seed,
-                 this->Fleet.findings()),
+                 Options.ControlStorm, this->Fleet.findings()),
         Prober(this->Shared, Options.Seed, 0) {}
 
   /// \returns how much it has found.
@@ -138,6 +143,9 @@
       Findings.add("no connection between nodes passes a proxy");
     if (this->Options.Delegation && this->delegated() == 0)
       Findings.add("no job was delegated");
+    if (this->Fleet.peakControlMemory() > MaxControlMemory)
+      Findings.add(fmt::format("a control replica used {} MB",
+                               this->controlMegabytes()));
   }
 
   void reportOverlap(const std::string &Task) {
@@ -157,6 +165,9 @@
     this->Fleet.findings().add("two runs of " + Task + " at one time" + Runs);
   }
 
+  std::size_t controlMegabytes() const {
+    return this->Fleet.peakControlMemory() / BytesPerMegabyte;
+  }
   /// Returns the number of delegated jobs that have ended.
   int delegated() const {
     return this->Fleet.countAtEntries("delegated_job_ended");
@@ -166,14 +177,15 @@
     fmt::print("seed {}: {} findings; {} faults, {} jobs, {} completed, {} "
                "hand-ins, {} not run, {} unknown, {} without an answer, {} "
                "starts, {} configurations, {} proxied connections, {} "
-               "delegated, {} delegates lost\n",
+               "delegated, {} delegates lost, {} MB at most at control\n",
                this->Options.Seed, this->Fleet.findings().count(), Faults,
                this->Shared.Jobs.load(), this->Shared.Completed.load(),
                this->Shared.HandIns.load(), this->Shared.NotRun.load(),
                this->Shared.Unknown.load(), this->Shared.Cut.load(),
                this->Fleet.recorder().starts(), this->Operator.acknowledged(),
                this->Fleet.proxied(), this->delegated(),
-               this->Fleet.countAtEntries("delegate_lost"));
+               this->Fleet.countAtEntries("delegate_lost"),
+               this->controlMegabytes());
     std::fflush(stdout);
   }
 
@@ -197,6 +209,8 @@
       Given.Options.Restarts = Value == "yes";
     else if (Name == "--delegation" && (Value == "yes" || Value == "no"))
       Given.Options.Delegation = Value == "yes";
+    else if (Name == "--control_storm" && (Value == "yes" || Value == "no"))
+      Given.Options.ControlStorm = Value == "yes";
     else if (Name == "--count")
       Given.Count = std::stoi(Value);
     else if (Name == "--scale" && (Value == "small" || Value == "large")) {
@@ -207,6 +221,8 @@
     } else
       return false;
   }
+  if (Given.Options.ControlStorm)
+    Given.Options.Controls = StormControls;
   // Nothing is delegated where workers start again under their ids.
   if (Given.Options.Delegation) {
     Given.Options.Restarts = false;
@@ -222,7 +238,8 @@
   Arguments Given;
   if (!parse(Count, Words, Given)) {
     std::cerr << "expected --seed N, --count N, --seconds S, --scale "
-                 "small|large, --restarts yes|no, --delegation yes|no\n";
+                 "small|large, --restarts yes|no, --delegation yes|no, "
+                 "--control_storm yes|no\n";
     return 2;
   }
   curl_global_init(CURL_GLOBAL_ALL);
--- a/tests/system/soak_operator.cpp
+++ b/tests/system/soak_operator.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds AppliesWithin{2000};
 constexpr int Attempts = 8;
 constexpr int MaxPauseMs = 1000;
+constexpr int MaxStormPauseMs = 50;
+/// Routes without callers in a storm.
+constexpr int IdleRoutes = 40;
 /// Half a minute at least.
 constexpr int FinalReads = 300;
 
@@ -28,10 +31,11 @@
 } // namespace
 
 SoakOperator::SoakOperator(std::vector<std::string> Replicas, std::string Host,
-                           std::string Prefix, std::uint64_t Seed,
+                           std::string Prefix, std::uint64_t Seed, bool Storm,
                            SoakFindings &Findings)
     : Replicas(std::move(Replicas)), Host(std::move(Host)),
-      Prefix(std::move(Prefix)), Random(Seed), Findings(Findings) {}
+      Prefix(std::move(Prefix)), Random(Seed), Storm(Storm),
+      Findings(Findings) {}
 
 int SoakOperator::pick(int Low, int High) {
   return std::uniform_int_distribution<int>(Low, High)(this->Random);
@@ -63,6 +67,11 @@
     Route["pathPrefix"] = "/other/";
     Routes.push_back(Route);
   }
+  for (int I = 0; this->Storm && I < IdleRoutes; ++I) {
+    Route["name"] = fmt::format("idle-{}", I);
+    Route["pathPrefix"] = fmt::format("/idle-{}/", I);
+    Routes.push_back(Route);
+  }
   return {{"version", Version},
           {"routes", Routes},
           {"services", {{{"name", "pool"}}}}};
@@ -188,7 +197,8 @@
     }
     for (int I = 0; I < 3; ++I)
       this->read(this->anyReplica());
-    std::this_thread::sleep_for(milliseconds(this->pick(0, MaxPauseMs)));
+    int Longest = this->Storm ? MaxStormPauseMs : MaxPauseMs;
+    std::this_thread::sleep_for(milliseconds(this->pick(0, Longest)));
   }
 }
 
--- a/tests/system/soak_operator.h
+++ b/tests/system/soak_operator.h
@@ -26,9 +26,11 @@
 
 class SoakOperator {
 public:
-  /// \param Replicas Where they take an operator's calls.
+  /// \param Replicas Where they take an operator's calls. \param Storm Whether
+  /// configurations are large and come in quick succession.
   SoakOperator(std::vector<std::string> Replicas, std::string Host,
-               std::string Prefix, std::uint64_t Seed, SoakFindings &Findings);
+               std::string Prefix, std::uint64_t Seed, bool Storm,
+               SoakFindings &Findings);
 
   /// Sends the next valid configuration until it is acknowledged or refused, or
   /// \p Attempts are over. \returns whether it is acknowledged.
@@ -59,6 +61,7 @@
   std::string Host;
   std::string Prefix;
   std::mt19937_64 Random;
+  bool Storm;
   SoakFindings &Findings;
   std::uint64_t LastVersion = 0;
   mutable std::mutex Mutex;
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -25,6 +25,15 @@
 constexpr int MaxDelegatePauseMs = 2000;
 constexpr int MaxDelegateFaultMs = 1500;
 constexpr std::uint64_t DelegateSeed = 0x5eedULL << 32U;
+/// Between two faults of control replicas in a storm, and how long one lasts.
+/// Some outlast the silence after which a replica is replaced.
+constexpr int MaxControlPauseMs = 3000;
+constexpr int MaxControlFaultMs = 6000;
+/// How long a host is down that has lost its disk, and how long after it is
+/// back others may lose theirs.
+constexpr int MaxWipeMs = 2000;
+constexpr milliseconds CatchUpTime{6000};
+constexpr std::uint64_t ControlSeed = 0xc0deULL << 32U;
 
 const char *nameOf(SoakFaultKind Kind) {
   switch (Kind) {
@@ -52,6 +61,10 @@
     return "worker restart";
   case SoakFaultKind::LateStarts:
     return "late starts";
+  case SoakFaultKind::Wipe:
+    return "wipe";
+  case SoakFaultKind::Slow:
+    return "slow";
   }
   return "unknown";
 }
@@ -139,6 +152,37 @@
     return Fault;
   }
 
+  SoakFault nextOfControl(milliseconds At) {
+    SoakFault Fault;
+    Fault.At = At;
+    Fault.Kind =
+        this->pick(0, 1) == 0 ? SoakFaultKind::Freeze : SoakFaultKind::Slow;
+    Fault.Host = this->control();
+    Fault.For = milliseconds(this->pick(100, MaxControlFaultMs));
+    return Fault;
+  }
+
+  /// Adds losses of disks, of SoakWipedAtOnce hosts at most at a time.
+  void addWipes(std::vector<SoakFault> &Faults) {
+    std::vector<int> Hosts;
+    for (int I = 0; I < this->Options.Controls; ++I)
+      Hosts.push_back(SoakFirstControl + I);
+    milliseconds At(this->pick(0, MaxControlPauseMs));
+    while (At < this->Options.Length) {
+      std::ranges::shuffle(Hosts, this->Random);
+      int Count = this->pick(1, SoakWipedAtOnce);
+      for (int I = 0; I < Count; ++I) {
+        SoakFault Fault;
+        Fault.At = At + milliseconds(this->pick(0, MaxWipeMs));
+        Fault.Kind = SoakFaultKind::Wipe;
+        Fault.Host = Hosts[static_cast<std::size_t>(I)];
+        Fault.For = milliseconds(this->pick(0, MaxWipeMs));
+        Faults.push_back(Fault);
+      }
+      At += milliseconds(2 * MaxWipeMs) + CatchUpTime;
+    }
+  }
+
 private:
   /// Returns the number of a node that has part in delegation, of this many.
   int delegating(int Count) {
@@ -224,6 +268,13 @@
   if (Options.Delegation)
     addFaults(Options, Options.Seed ^ DelegateSeed, MaxDelegatePauseMs,
               &Planner::nextOfDelegate, Faults);
+  if (Options.ControlStorm) {
+    addFaults(Options, Options.Seed ^ ControlSeed, MaxControlPauseMs,
+              &Planner::nextOfControl, Faults);
+    SoakOptions Wipes = Options;
+    Wipes.Seed = ~(Options.Seed ^ ControlSeed);
+    Planner(Wipes).addWipes(Faults);
+  }
   std::ranges::stable_sort(Faults, {}, &SoakFault::At);
   return Faults;
 }
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -30,6 +30,9 @@
   /// don't announce start times, as nothing is delegated where they do;
   /// Restarts must be off.
   bool Delegation = false;
+  /// Whether control replicas also freeze, run slowly and lose their disks, two
+  /// at a time at most, while configurations come in quick succession.
+  bool ControlStorm = false;
 };
 
 enum class SoakFaultKind {
@@ -50,6 +53,10 @@
   WorkerRestart,
   /// A worker carries out starts late and without a reply.
   LateStarts,
+  /// A process is killed and its disk is lost.
+  Wipe,
+  /// A process is stopped and continued by turns.
+  Slow,
 };
 
 struct SoakFault {
@@ -73,6 +80,9 @@
 /// Whether entry or agent number \p Index, from 0, has part in delegation.
 constexpr bool isDelegating(int Index) { return Index % 2 == 0; }
 
+/// Control replicas of which a storm may take the disks at once.
+constexpr int SoakWipedAtOnce = 2;
+
 std::string describe(const SoakFault &Fault);
 std::vector<SoakFault> planFaults(const SoakOptions &Options);
 
