CONFIG: a busy entry replaces connections that have broken without notice

Cause: two judges of one silence. Silence of control counted as evidence that nobody leads as soon as the entry had read all of its input since; but a connection was replaced only if the entry had not been late by 100 ms for a whole second. An entry that is late now and then, as under load, thus never replaced connections that had broken without notice, for example in a cut, took the silence on them for the loss of control, and served its old table without end.

Change: both rest on the same fact, the last time at which all input had been read. What had come until then was seen; a reply that is missing then, and whose request is old enough, has not come. Why it works: a late process does not count what it has not read, as before, but being late once a second no longer hides a silence of many seconds. LinkPool::isSilent, which judges by what a peer sends, is unchanged.

--- a/membership/control_search.cpp
+++ b/membership/control_search.cpp
@@ -39,7 +39,6 @@
     this->SilenceCountsSince = Now;
   this->LastProgressCheck = Now;
   this->LastIdle = Input.LastIdle;
-  this->LastBehind = Input.LastBehind;
 }
 
 // ---- Selection of a replica ----
@@ -80,8 +79,8 @@
 void ControlSearch::searchIfLate(std::chrono::milliseconds Timeout,
                                  TimePoint Now) {
   std::optional<TimePoint> Oldest = this->oldestUnanswered();
-  // Its reply may be unread in this process.
-  if (Oldest && Now - std::max(*Oldest, this->LastBehind) >= Timeout)
+  // A reply that came after LastIdle may be unread in this process.
+  if (Oldest && this->LastIdle >= *Oldest + Timeout)
     this->advanceSearch("late", "", Now);
 }
 
@@ -102,9 +101,9 @@
   std::vector<PeerRef> Silent;
   for (const auto &[Sequence, Pending] : this->PendingRequests) {
     Replica &Target = this->Replicas[Pending.Replica];
-    // Its reply may be unread in this process.
-    TimePoint Since = std::max(Pending.Sent, this->LastBehind);
-    bool Late = Pending.Sent >= Target.ConnectedSince && Now - Since >= Timeout;
+    // A reply that came after LastIdle may be unread in this process.
+    bool Late = Pending.Sent >= Target.ConnectedSince &&
+                this->LastIdle >= Pending.Sent + Timeout;
     if (!Late)
       continue;
     Target.ConnectedSince = Now;
--- a/membership/control_search.h
+++ b/membership/control_search.h
@@ -142,7 +142,6 @@
   std::uint64_t SelectedAtSequence = 0;
   TimePoint LastProgressCheck = TimePoint::min();
   TimePoint LastIdle = TimePoint::min();
-  TimePoint LastBehind = TimePoint::min();
   /// Only requests sent since then count as evidence if they are unanswered.
   TimePoint SilenceCountsSince = TimePoint::min();
 };
--- a/tests/control/configured_node.h
+++ b/tests/control/configured_node.h
@@ -17,6 +17,28 @@
 
 namespace yardwheel {
 
+/// Sends over connections that can break without notice. What is sent over a
+/// broken one is lost until it is replaced.
+class BreakableSink final : public PeerSink {
+public:
+  explicit BreakableSink(PeerSink &Inner) : Inner(Inner) {}
+  void send(const PeerRef &To, peer::Message Message) override {
+    if (!this->isBroken(To.Address))
+      this->Inner.send(To, std::move(Message));
+  }
+  void reconnect(const PeerRef &To) override { this->Broken.erase(To.Address); }
+  void breakConnection(const std::string &Address) {
+    this->Broken.insert(Address);
+  }
+  bool isBroken(const std::string &Address) const {
+    return this->Broken.contains(Address);
+  }
+
+private:
+  PeerSink &Inner;
+  std::set<std::string> Broken;
+};
+
 class ConfiguredNode final : public AnnouncerEvents {
 public:
   static constexpr std::chrono::milliseconds Tick{20};
@@ -29,13 +51,14 @@
   ConfiguredNode(SeededCluster &Cluster, const std::string &Name,
                  peer::Role Role, bool ForgetsEvacuations = false)
       : Cluster(Cluster), Name(Name), ForgetsEvacuations(ForgetsEvacuations),
-        Sink(Cluster.World.sinkOf(Name)),
+        Sink(Cluster.World.sinkOf(Name)), Connections(this->Sink),
         HeartbeatAnnouncer(options(), memberFor(Name, Role), this->Catalog,
-                           this->Sink, *this) {
-    Cluster.World.start(Name,
-                        [this](const PeerRef &, const peer::Message &Message) {
-                          this->receive(Message.heartbeat_reply());
-                        });
+                           this->Connections, *this) {
+    Cluster.World.start(
+        Name, [this](const PeerRef &From, const peer::Message &Message) {
+          if (!this->Connections.isBroken(From.Node))
+            this->receive(Message.heartbeat_reply());
+        });
     Cluster.World.every(Name, Tick, [this] { this->tick(); });
   }
 
@@ -51,6 +74,14 @@
   }
   void onMember(const peer::Member &, Instant) override {}
 
+  /// Breaks the connection to a control host without notice.
+  void breakConnection(std::size_t Host) {
+    this->Connections.breakConnection(SeededCluster::addressOf(Host));
+  }
+  /// Sets whether this node is behind on its input again and again, though it
+  /// reads all of it in between.
+  void setBusy(bool Busy) { this->Busy = Busy; }
+
   TableState state() const {
     TimePoint Now = this->Cluster.World.now().Steady;
     return this->Lease.status(Now, Now).State;
@@ -96,7 +127,10 @@
   void tick() {
     Instant Now = this->Cluster.World.now();
     this->Lease.tick(Now.Steady);
-    this->HeartbeatAnnouncer.tick(Now);
+    InputProgress Input{.LastIdle = Now.Steady};
+    if (this->Busy)
+      Input.LastBehind = Now.Steady - Tick;
+    this->HeartbeatAnnouncer.tick(Now, Input);
   }
 
   SeededCluster &Cluster;
@@ -104,6 +138,8 @@
   bool ForgetsEvacuations;
   std::set<std::string> LastListed;
   AddressSink Sink;
+  BreakableSink Connections;
+  bool Busy = false;
   NodeCatalog Catalog;
   TableLease Lease{{.MaxAge = MaxTableAge}};
   Announcer HeartbeatAnnouncer;
--- a/tests/control/entry_table_test.cpp
+++ b/tests/control/entry_table_test.cpp
@@ -90,6 +90,19 @@
                                       EntryAddress);
   }
 
+  /// Breaks the entry's connections to control without notice, as a cut does
+  /// that has ended.
+  void breakEntryConnections() {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      this->Entry->breakConnection(Host);
+  }
+  void setEntryBusy() { this->Entry->setBusy(true); }
+  /// Forgets how long an old table was served and requests were refused.
+  void resetTimes() {
+    this->MaxStaleTime = Duration(0);
+    this->RefusingTime = Duration(0);
+  }
+
   void killAll() {
     for (std::size_t Host = 0; Host < Hosts; ++Host)
       this->Cluster.kill(Host);
@@ -238,3 +251,29 @@
     CHECK_TEXT(Scenario.MaxStaleTime.count() == 0, Found.c_str());
   }
 }
+
+// An entry whose loop is late again and again counted no silence of its peers
+// long enough to replace a connection, but did count it as the loss of control.
+// Its connections to control had broken without notice, and it kept serving an
+// old table.
+TEST(EntryTableTest, ABusyEntryReplacesBrokenConnections) {
+  // After this an entry that can reach control must serve the newest table.
+  constexpr Duration ContactTime = 4s;
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SplitScenario Scenario(Seed);
+    Scenario.setEntryBusy();
+    Scenario.runFor(2s);
+    Scenario.breakEntryConnections();
+    Scenario.runFor(ContactTime);
+    Scenario.resetTimes();
+    Scenario.runFor(6s);
+    std::string Found =
+        fmt::format("seed {}: an old table served {} ms too long, {}", Seed,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Scenario.MaxStaleTime)
+                        .count(),
+                    tableStateName(Scenario.StateWhenStale));
+    CHECK_TEXT(Scenario.MaxStaleTime.count() == 0, Found.c_str());
+    CHECK_TEXT(Scenario.RefusingTime.count() == 0, Found.c_str());
+  }
+}
