A busy leader replaces broken connections to its followers

It now goes by the last time at which it had read all of its input. SeededClusterTest.ABusyLeaderReplacesTheConnectionToASilentFollower, red before.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -199,12 +199,9 @@
 void ControlService::reconnectIfSilent(const PeerRef &Replica) {
   auto [Since, New] = this->UnansweredSince.try_emplace(
       Replica.Address, this->CurrentTime.Steady);
-  // Its answers may still be unread in this process, for example after a disk
-  // stall. Only the time since this process last caught up with its input
-  // counts.
-  TimePoint SilentSince = std::max(Since->second, this->LastBehind);
-  if (this->CurrentTime.Steady - SilentSince <
-      this->Options.Raft.ElectionTimeout)
+  // Answers that came after LastIdle may be unread in this process, for example
+  // after a disk stall.
+  if (this->LastIdle < Since->second + this->Options.Raft.ElectionTimeout)
     return;
   Since->second = this->CurrentTime.Steady;
   this->Sink.reconnect(Replica);
@@ -333,9 +330,9 @@
   this->PendingHeartbeats.clear();
 }
 
-void ControlService::tick(Instant Now, TimePoint NewLastBehind) {
+void ControlService::tick(Instant Now, std::optional<TimePoint> NewLastIdle) {
   this->CurrentTime = Now;
-  this->LastBehind = NewLastBehind;
+  this->LastIdle = NewLastIdle.value_or(Now.Steady);
   this->Raft->requireFormat(this->State.requiredLogFormat());
   this->Raft->tick(Now.Steady);
   this->tickProposals(Now.Steady);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,9 +97,9 @@
   void setSeeds(const std::vector<PeerRef> &Seeds) {
     this->Options.Seeds = Seeds;
   }
-  /// \param NewLastBehind Last time at which this process was behind on its
-  /// input.
-  void tick(Instant Now, TimePoint NewLastBehind = TimePoint::min());
+  /// \param NewLastIdle When this process had last read all of its input;
+  /// nothing if it always has.
+  void tick(Instant Now, std::optional<TimePoint> NewLastIdle = std::nullopt);
   /// Steps down from leadership before shutdown.
   void drain(Instant Now);
 
@@ -177,7 +178,7 @@
   std::map<std::uint64_t, PendingRead> Reads;
   std::uint64_t LastConfirmedRead = 0;
   Instant CurrentTime{};
-  TimePoint LastBehind = TimePoint::min();
+  TimePoint LastIdle = TimePoint::min();
   bool IsPushPending = false;
   bool IsGroupChangePending = false;
   std::unique_ptr<RaftNode> Raft;
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -189,7 +189,7 @@
 
 void SeededControlProcess::tick(Instant Now) {
   this->publishMetrics(Now);
-  this->Service.tick(Now, this->Node.loop().lastBehind());
+  this->Service.tick(Now, this->Node.loop().lastIdle());
   this->Node.links().setRevision(this->Service.catalog().revision());
   this->OpenProposals.store(this->Service.pendingProposals());
   const std::string &Leader = this->Service.raft().leader();
--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -80,7 +80,8 @@
         this->optionsFor(Host), *Target.Storage, *Target.Sink,
         this->World.now());
     this->World.every(Address, std::chrono::milliseconds(20), [this, Host] {
-      this->Hosts[Host].Service->tick(this->World.now());
+      Instant Now = this->World.now();
+      this->Hosts[Host].Service->tick(Now, Now.Steady - this->InputDelay);
     });
   }
 
@@ -135,6 +136,8 @@
   }
 
   VirtualWorld World;
+  /// How long ago the hosts had last read all of their input, at each tick.
+  Duration InputDelay{0};
   /// Log formats of hosts that run an older build.
   std::map<std::size_t, std::uint32_t> LogFormats;
 
--- a/tests/control/seeded_cluster_test.cpp
+++ b/tests/control/seeded_cluster_test.cpp
@@ -122,3 +122,22 @@
     }
   }
 }
+
+// A leader that was behind on its input again and again never replaced the
+// connection to a follower, though it read all of its input in between.
+TEST(SeededClusterTest, ABusyLeaderReplacesTheConnectionToASilentFollower) {
+  SeededCluster Cluster(12);
+  for (std::size_t Host = 0; Host < Seeds; ++Host)
+    Cluster.startEmpty(Host, /*First=*/true);
+  Cluster.run(5s);
+  Cluster.InputDelay = 20ms;
+  std::size_t Leader = 0;
+  while (&Cluster.service(Leader) != Cluster.leader())
+    ++Leader;
+  std::size_t Follower = (Leader + 1) % Seeds;
+  Cluster.World.freeze(SeededCluster::addressOf(Follower));
+  Cluster.run(3s);
+  CHECK(Cluster.reconnects(Leader, Follower) > 0);
+  // One that replies keeps its connection.
+  LONGS_EQUAL(0, Cluster.reconnects(Leader, (Leader + 2) % Seeds));
+}
