Soak: disks of control replicas are lost only within what is to be tolerated

Losses of control replicas that overlap with a lost disk are now limited to two hosts at once; without a lost disk any number may be lost. The check is unchanged.

--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <random>
 
 namespace yardwheel {
@@ -241,6 +242,47 @@
   }
 }
 
+/// Whether a fault of a control replica makes it count as lost.
+bool isLoss(const SoakFault &Fault) {
+  if (Fault.Host < SoakFirstControl)
+    return false;
+  switch (Fault.Kind) {
+  case SoakFaultKind::Kill:
+  case SoakFaultKind::Freeze:
+  case SoakFaultKind::Terminate:
+  case SoakFaultKind::Wipe:
+  case SoakFaultKind::Slow:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Drops losses of control replicas that would let more than SoakWipedAtOnce
+/// count as lost while one of them has lost its disk: without a quorum it
+/// cannot be replaced, and the next disks would be too many. Without a lost
+/// disk, any number may be lost. \p Faults are sorted by their time.
+void keepDisksWithinTolerance(std::vector<SoakFault> &Faults) {
+  std::map<int, milliseconds> LostUntil;
+  milliseconds WipedUntil(0);
+  std::erase_if(Faults, [&](const SoakFault &Fault) {
+    if (!isLoss(Fault))
+      return false;
+    std::erase_if(LostUntil, [&Fault](const auto &Item) {
+      return Item.second <= Fault.At;
+    });
+    bool IsWipe = Fault.Kind == SoakFaultKind::Wipe;
+    milliseconds Until = Fault.At + Fault.For + CatchUpTime;
+    std::size_t Others = LostUntil.size() - LostUntil.count(Fault.Host);
+    if ((IsWipe || Fault.At < WipedUntil) && Others >= SoakWipedAtOnce)
+      return true;
+    LostUntil[Fault.Host] = std::max(LostUntil[Fault.Host], Until);
+    if (IsWipe)
+      WipedUntil = std::max(WipedUntil, Until);
+    return false;
+  });
+}
+
 } // namespace
 
 std::string describe(const SoakFault &Fault) {
@@ -276,6 +318,8 @@
     Planner(Wipes).addWipes(Faults);
   }
   std::ranges::stable_sort(Faults, {}, &SoakFault::At);
+  if (Options.ControlStorm)
+    keepDisksWithinTolerance(Faults);
   return Faults;
 }
 
