A lost replica leaves the set only where the quorum stays as large

Two superseded voters of five were removed at once, also before a successor was ready. Until then two hosts of three could acknowledge a change, and the loss of their disks, which is to be borne, would lose it. A superseded voter now leaves only if the rest has the quorum of the full set, so five become four, never three. A learner may become a voter while the superseded replica of its host still is one, as that vote is never cast.

ReplicaLossTest notes a set of fewer than four voters: red before in all 20 pairs and in the random losses, green now.

--- a/control/replica_manager.cpp
+++ b/control/replica_manager.cpp
@@ -31,15 +31,6 @@
   return nullptr;
 }
 
-/// Returns whether there is a voter with this address. A host counts once, also
-/// while it has two names.
-bool hasVoterAt(const peer::ReplicaSet &Set, const std::string &Address) {
-  return std::any_of(Set.replicas().begin(), Set.replicas().end(),
-                     [&](const peer::Replica &Known) {
-                       return !Known.learner() && Known.address() == Address;
-                     });
-}
-
 std::size_t countAt(const peer::ReplicaSet &Set, const std::string &Address) {
   return static_cast<std::size_t>(std::count_if(
       Set.replicas().begin(), Set.replicas().end(),
@@ -52,6 +43,8 @@
       [](const peer::Replica &Known) { return !Known.learner(); }));
 }
 
+std::uint32_t quorumOf(std::uint32_t Voters) { return Voters / 2 + 1; }
+
 } // namespace
 
 void ReplicaManager::onJoinRequest(const peer::Replica &Joining,
@@ -81,13 +74,14 @@
   // Goes before all else: the set tolerates no fewer losses without a replica
   // that is lost for good, and other replicas must not leave in its place.
   if (const peer::Replica *Lost =
-          this->findSuperseded(Present, Raft, Self, Now))
+          this->findRemovableLoss(Present, Raft, Self, Now))
     return without(Present, Lost->name());
   if (const peer::Replica *Silent = this->findSilentLearner(Present, Raft, Now))
     return without(Present, Silent->name());
   if (auto Added = this->addJoiner(Present, Now))
     return Added;
-  const peer::Replica *Successor = this->findSuccessor(Present, Raft, Now);
+  const peer::Replica *Successor =
+      this->findSuccessor(Present, Raft, Self, Now);
   if (Successor == nullptr)
     return std::nullopt;
   if (voterCount(Present) < this->Options.Voters)
@@ -113,11 +107,15 @@
 }
 
 const peer::Replica *
-ReplicaManager::findSuperseded(const peer::ReplicaSet &Present,
-                               const RaftNode &Raft, const std::string &Self,
-                               TimePoint Now) const {
+ReplicaManager::findRemovableLoss(const peer::ReplicaSet &Present,
+                                  const RaftNode &Raft, const std::string &Self,
+                                  TimePoint Now) const {
+  // A quorum of fewer hosts could lose what it has acknowledged.
+  bool MayLoseVoter =
+      quorumOf(voterCount(Present) - 1) >= quorumOf(this->Options.Voters);
   for (const peer::Replica &Known : Present.replicas())
-    if (this->isSuperseded(Known, Present, Raft, Self, Now))
+    if ((Known.learner() || MayLoseVoter) &&
+        this->isSuperseded(Known, Present, Raft, Self, Now))
       return &Known;
   return nullptr;
 }
@@ -142,10 +140,19 @@
 
 const peer::Replica *
 ReplicaManager::findSuccessor(const peer::ReplicaSet &Present,
-                              const RaftNode &Raft, TimePoint Now) const {
+                              const RaftNode &Raft, const std::string &Self,
+                              TimePoint Now) const {
+  // A host has one vote, unless the other one can never be cast again.
+  auto MayVote = [&](const peer::Replica &Learner) {
+    return std::all_of(
+        Present.replicas().begin(), Present.replicas().end(),
+        [&](const peer::Replica &Other) {
+          return Other.learner() || Other.address() != Learner.address() ||
+                 this->isSuperseded(Other, Present, Raft, Self, Now);
+        });
+  };
   for (const peer::Replica &Known : Present.replicas())
-    if (Known.learner() && !hasVoterAt(Present, Known.address()) &&
-        Raft.isCaughtUp(Known.name()) &&
+    if (Known.learner() && MayVote(Known) && Raft.isCaughtUp(Known.name()) &&
         !isSilent(Raft, Known.name(), this->Options.JoinRequestTtl, Now))
       return &Known;
   return nullptr;
--- a/control/replica_manager.h
+++ b/control/replica_manager.h
@@ -53,17 +53,20 @@
 private:
   std::optional<peer::ReplicaSet> addJoiner(const peer::ReplicaSet &Present,
                                             TimePoint Now);
-  /// \returns a replica whose host has come back under another name. It can
-  /// never vote or store anything again.
-  const peer::Replica *findSuperseded(const peer::ReplicaSet &Present,
-                                      const RaftNode &Raft,
-                                      const std::string &Self,
-                                      TimePoint Now) const;
+  /// \returns a superseded replica without which the set is no worse off.
+  const peer::Replica *findRemovableLoss(const peer::ReplicaSet &Present,
+                                         const RaftNode &Raft,
+                                         const std::string &Self,
+                                         TimePoint Now) const;
+  /// Whether the host of a replica has come back under another name. Such a
+  /// replica can never vote or store anything again.
   bool isSuperseded(const peer::Replica &Old, const peer::ReplicaSet &Present,
                     const RaftNode &Raft, const std::string &Self,
                     TimePoint Now) const;
   const peer::Replica *findSuccessor(const peer::ReplicaSet &Present,
-                                     const RaftNode &Raft, TimePoint Now) const;
+                                     const RaftNode &Raft,
+                                     const std::string &Self,
+                                     TimePoint Now) const;
   const peer::Replica *findOutgoing(const peer::ReplicaSet &Present,
                                     const RaftNode &Raft,
                                     const std::string &Self,
--- a/tests/control/replica_loss_test.cpp
+++ b/tests/control/replica_loss_test.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr std::uint32_t Voters = 5;
+/// With fewer, two hosts could acknowledge a change, and both lose their disks.
+constexpr std::size_t MinVoters = 4;
 /// Hosts that may be lost at once.
 constexpr std::size_t MaxLosses = 2;
 /// A host counts as lost until this long after it is back.
@@ -186,6 +188,8 @@
       if (this->isKnownLost(Known, *Leader))
         Lost = Known.name();
     }
+    if (Present.size() < MinVoters && this->LastVoters.size() >= MinVoters)
+      this->note(fmt::format("there are only {} voters", Present.size()));
     for (const std::string &Name : this->LastVoters)
       if (!Present.contains(Name) && this->isPresent(Name) && !Lost.empty())
         this->note(fmt::format("{} was removed, and {}, which has lost its "
