--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -10,8 +10,8 @@
 #include "platform/node_settings.h"
 #include "transport/link_node.h"
 
+#include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
 
 namespace yardwheel {
 
@@ -29,11 +29,13 @@
 /// Describes the peers for which the most is held in memory, for logs.
 std::string describeLoads(const std::vector<LinkLoad> &Loads) {
   std::string Text;
-  for (const LinkLoad &Load : Loads | std::views::take(MaxLoggedPeers))
+  for (std::size_t I = 0; I < std::min(Loads.size(), MaxLoggedPeers); ++I) {
+    const LinkLoad &Load = Loads[I];
     Text += fmt::format(
         "{}{}: {} bytes in {} unacked, {} bytes in {} unwritten",
         Text.empty() ? "" : "; ", Load.Peer.Address, Load.UnackedBytes,
         Load.Unacked, Load.UnwrittenBytes, Load.Unwritten);
+  }
   return Text;
 }
 
--- a/tests/control/push_test.cpp
+++ b/tests/control/push_test.cpp
@@ -25,8 +25,7 @@
 class BusyAgent {
 public:
   BusyAgent(SeededCluster &Cluster, std::size_t Leader)
-      : Cluster(Cluster), Leader(Leader),
-        Sink(Cluster.World.sinkOf(AgentAddress)) {
+      : Leader(Leader), Sink(Cluster.World.sinkOf(AgentAddress)) {
     Cluster.World.start(AgentAddress,
                         [](const PeerRef &, const peer::Message &) {});
     Cluster.World.every(AgentAddress, ConfiguredNode::Tick,
@@ -50,7 +49,6 @@
                     std::move(Message));
   }
 
-  SeededCluster &Cluster;
   std::size_t Leader;
   AddressSink Sink;
   std::uint64_t Sequence = 0;
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
+#include <numeric>
 #include <random>
 
 namespace yardwheel {
@@ -165,9 +166,8 @@
 
   /// Adds losses of disks, of SoakWipedAtOnce hosts at most at a time.
   void addWipes(std::vector<SoakFault> &Faults) {
-    std::vector<int> Hosts;
-    for (int I = 0; I < this->Options.Controls; ++I)
-      Hosts.push_back(SoakFirstControl + I);
+    std::vector<int> Hosts(static_cast<std::size_t>(this->Options.Controls));
+    std::iota(Hosts.begin(), Hosts.end(), SoakFirstControl);
     milliseconds At(this->pick(0, MaxControlPauseMs));
     while (At < this->Options.Length) {
       std::ranges::shuffle(Hosts, this->Random);
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
 #include <utility>
 
 namespace yardwheel {
@@ -259,10 +258,11 @@
                   .Unwritten = Target.Unwritten,
                   .Unacked = Target.Unacked.size(),
                   .UnackedBytes = Target.UnackedBytes};
-    // Envelopes are written in order, so the unwritten ones are the last.
-    for (const Sent &Item : Target.Unacked | std::views::reverse |
-                                std::views::take(Target.Unwritten))
-      Load.UnwrittenBytes += Item.Bytes;
+    // Envelopes are written in order, so the unwritten ones are the last. One
+    // may be acknowledged before its completion is handled here.
+    std::size_t Written = Load.Unacked - std::min(Load.Unacked, Load.Unwritten);
+    for (std::size_t I = Written; I < Load.Unacked; ++I)
+      Load.UnwrittenBytes += Target.Unacked[I].Bytes;
     Loads.push_back(std::move(Load));
   }
   std::ranges::sort(Loads, std::ranges::greater(), &LinkLoad::UnackedBytes);
