--- a/review/support/fleet.cpp
+++ b/review/support/fleet.cpp
@@ -175,6 +175,7 @@
   std::ofstream(Path) << this->settings(Machine);
   std::string Log = fmt::format("{}/{}.log", this->Folder, Machine.Name);
   std::vector<char *> Arguments;
+  Arguments.reserve(Words.size() + 1);
   for (const std::string &Word : Words)
     Arguments.push_back(const_cast<char *>(Word.c_str()));
   Arguments.push_back(nullptr);
