Review case 1: planned work alone ends control for good

The same fault in a simpler order: two new control hosts are added and have 4.5 s, then two of the three old ones get SIGTERM, the second 2 s after the first has ended. No disk is lost. The three hosts that are left answer every read with 503 for 40 s and take no change, as two of three voters are hosts that were removed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,9 +1,9 @@
-//===- A host is replaced as planned; then another loses its disk ---------===//
+//===- Two control hosts are replaced as planned, one after the other -----===//
 //
-// Three control hosts, of which one may be lost at once. A fourth is added, has
-// catchUpS to catch up, and then one of the three is removed with SIGTERM. Two
-// seconds later the host that has just acknowledged a configuration loses its
-// disk and comes back with an empty one. No other host is lost meanwhile.
+// Three control hosts, of which one may be lost at once. Two new ones are added
+// and have catchUpS to catch up. Then two of the three are removed with
+// SIGTERM, the second one two seconds after the first has ended. Nothing else
+// happens.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,14 +21,14 @@
 
 namespace {
 
-constexpr int Removed = 23;
-constexpr int Added = 24;
-/// catchUpS, after which the new host counts as one that is not lost.
+/// The hosts that stay, that leave in this order, and their successors.
+constexpr int Kept = 21;
+const std::vector<int> Removed = {23, 22};
+const std::vector<int> Added = {24, 25};
+/// catchUpS, after which a new host counts as one that is not lost.
 constexpr std::chrono::milliseconds CatchUp{4000};
-/// From the removal of the old host to the loss of a disk.
-constexpr std::chrono::milliseconds BeforeLoss{2000};
-/// How long a machine that loses its disk is down.
-constexpr std::chrono::milliseconds DownTime{1500};
+/// From the end of a host that leaves to the SIGTERM of the next one.
+constexpr std::chrono::milliseconds BetweenHosts{2000};
 /// More than three times recoveryS.
 constexpr std::chrono::milliseconds ReadTime{40000};
 
@@ -61,33 +61,29 @@
 
 int run(Record &Seen) {
   Fleet Machines(Seen);
-  std::vector<int> Hosts = {21, 22, Removed};
+  std::vector<int> Hosts = {Kept, Removed[1], Removed[0]};
   for (int Host : Hosts)
     Machines.start(coreAt(Host, Hosts, /*Bootstrap=*/true));
   int Newest = 0;
   auto Replace = [&] {
-    int Host = replaceConfig(Machines, Hosts, Newest + 1, 12s, Seen);
-    Newest += Host == 0 ? 0 : 1;
-    return Host;
+    bool Taken = replaceConfig(Machines, Hosts, Newest + 1, 12s, Seen) != 0;
+    Newest += Taken ? 1 : 0;
+    return Taken;
   };
-  if (Replace() == 0)
+  if (!Replace())
     return 2;
-  // All hosts have been up for catchUpS.
   std::this_thread::sleep_for(CatchUp);
-  int Leader = Replace();
   if (hasTrouble()) {
-    Machines.start(coreAt(Added, {21, 22, Removed}, /*Bootstrap=*/false));
+    for (int Host : Added)
+      Machines.start(coreAt(Host, Hosts, /*Bootstrap=*/false));
     std::this_thread::sleep_for(CatchUp + 500ms);
-    Machines.terminate(fmt::format("core{}", Removed));
-    Hosts = {21, 22, Added};
-    std::this_thread::sleep_for(BeforeLoss);
-    Leader = Replace();
-    if (Leader == 0)
+    if (!Replace())
       return 2;
-    Machines.kill(fmt::format("core{}", Leader));
-    Machines.wipeDisk(fmt::format("core{}", Leader));
-    std::this_thread::sleep_for(DownTime);
-    Machines.start(coreAt(Leader, Hosts, /*Bootstrap=*/false));
+    for (int Host : Removed) {
+      Machines.terminate(fmt::format("core{}", Host));
+      std::this_thread::sleep_for(BetweenHosts);
+    }
+    Hosts = {Kept, Added[0], Added[1]};
   } else {
     std::this_thread::sleep_for(CatchUp);
     Replace();
