--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -24,8 +24,11 @@
 namespace {
 
 const std::vector<int> Cores = {21, 22, 23};
-const std::vector<int> Fronts = {1, 2};
-const std::vector<int> Sides = {11, 12};
+const std::vector<int> Fronts = {1, 2, 3};
+/// As many minions as on the sheet, of the kinds of the site file in turn.
+constexpr int SideCount = 11;
+constexpr int FirstSide = 31;
+const std::vector<std::string> Kinds = {"a", "a", "b"};
 /// The kind that all jobs of this case require.
 constexpr const char *Wanted = "a";
 constexpr const char *Other = "b";
@@ -40,6 +43,13 @@
           .Seeds = Cores};
 }
 
+/// Ids of jobs that require the wanted kind.
+constexpr const char *LabelledPrefix = "a11e";
+
+bool isLabelled(const std::string &Task) {
+  return Task.starts_with(LabelledPrefix);
+}
+
 class Scene {
 public:
   explicit Scene(Record &Seen) : Seen(Seen), Machines(Seen) {}
@@ -49,9 +59,9 @@
       this->Machines.start(machine("core", Host));
     for (int Host : Fronts)
       this->Machines.start(machine("front", Host));
-    for (int Host : Sides) {
-      this->Machines.start(machine("side", Host));
-      this->startMinion(Host, Wanted);
+    for (int I = 0; I < SideCount; ++I) {
+      this->Machines.start(machine("side", FirstSide + I));
+      this->startMinion(FirstSide + I, Kinds[I % Kinds.size()]);
     }
     if (replaceConfig(this->Machines, Cores, 1, 12s, this->Seen) == 0)
       return false;
@@ -61,7 +71,7 @@
     });
   }
 
-  void startMinion(int Side, const char *Kind) {
+  void startMinion(int Side, const std::string &Kind) {
     this->Minions[Side] = std::make_unique<Minion>(
         MinionOptions{.Id = fmt::format("i-{}-{}", Side, ++this->Incarnations),
                       .Kind = Kind,
@@ -71,10 +81,10 @@
   }
 
   void submit(int Front) {
-    std::string Id = fmt::format("{:016x}", 0xa000 + ++this->Jobs);
+    std::string Id = fmt::format("{}{:012x}", LabelledPrefix, ++this->Jobs);
     Response Answer =
         callHttp(this->Machines.address(Front, Port::Front), "POST",
-                 RoutePrefix + Id, describeJob(8, 100ms, 1600, Wanted), 2s,
+                 RoutePrefix + Id, describeJob(8, 60ms, 1600, Wanted), 2s,
                  {{"Host", RouteHost}, {"X-Yardwheel-Deadline-Ms", "1500"}});
     this->Seen.add(fmt::format("job {} that requires kind {} at front{}: {}",
                                Id, Wanted, Front, Answer.Status));
@@ -84,15 +94,15 @@
     if (hasTrouble()) {
       for (int Host : Cores)
         this->Machines.kill(fmt::format("core{}", Host));
-      this->Minions.erase(Sides[0]);
+      this->Minions.erase(FirstSide);
       std::this_thread::sleep_for(MinionDown);
-      this->startMinion(Sides[0], Other);
+      this->startMinion(FirstSide, Other);
     }
     auto Until = SteadyClock::now() + Outage;
     while (SteadyClock::now() < Until) {
       for (int Front : Fronts)
         this->submit(Front);
-      std::this_thread::sleep_for(200ms);
+      std::this_thread::sleep_for(100ms);
     }
     if (!hasTrouble())
       return;
@@ -109,7 +119,8 @@
     std::size_t Wrong = 0;
     for (const auto &[Side, Here] : this->Minions)
       if (Here->kind() != Wanted)
-        Wrong += Here->startedTasks().size();
+        Wrong += static_cast<std::size_t>(
+            std::ranges::count_if(Here->startedTasks(), isLabelled));
     return Wrong;
   }
 
--- a/review/support/minion.cpp
+++ b/review/support/minion.cpp
@@ -152,6 +152,7 @@
   std::uint64_t Number = this->Runs.at(Task).Number;
   this->EndedRuns[Task] = std::max(this->EndedRuns[Task], Number);
   this->Runs.erase(Task);
+  this->EndTimes.emplace_back(Task, SteadyClock::now());
   this->Ends.push_back(json::array({++this->LastEnd, Task, Number, How, ""}));
   this->Seen.add(fmt::format("run {} of {} ended on {}: {}", Number, Task,
                              this->Options.Id, How));
@@ -238,4 +239,16 @@
   return this->Runs.size();
 }
 
+std::size_t Minion::runsAfter(const std::string &Job,
+                              SteadyClock::time_point At) const {
+  std::scoped_lock Lock(this->Mutex);
+  auto Later = std::ranges::count_if(this->EndTimes, [&](const auto &End) {
+    return End.first.starts_with(Job) && End.second > At;
+  });
+  auto Present = std::ranges::count_if(this->Runs, [&](const auto &Item) {
+    return Item.first.starts_with(Job) && SteadyClock::now() > At;
+  });
+  return static_cast<std::size_t>(Later + Present);
+}
+
 } // namespace yardwheel::review
--- a/review/support/minion.h
+++ b/review/support/minion.h
@@ -20,6 +20,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace yardwheel::review {
@@ -47,6 +48,10 @@
   std::vector<std::string> startedTasks() const;
   /// Returns the number of runs at work.
   std::size_t running() const;
+  /// Returns how many runs of a job's tasks were at work after \p At: those
+  /// that ended later, and those that are still at work.
+  std::size_t runsAfter(const std::string &Job,
+                        SteadyClock::time_point At) const;
   const std::string &kind() const { return this->Options.Kind; }
 
 private:
@@ -87,6 +92,8 @@
   std::int64_t LeaseUntil = 0;
   std::vector<PendingHold> Holds;
   std::vector<std::string> Started;
+  /// When each run has ended, by the name of its task.
+  std::vector<std::pair<std::string, SteadyClock::time_point>> EndTimes;
   std::uint64_t Sequence = 0;
   std::atomic<bool> Stopping{false};
   std::unique_ptr<HttpServer> Server;
