Control replicas hand over their votes before they leave

Cause: a process that got SIGTERM only stepped down. Its replica stayed a voter until it had been silent for 4 s, counted anew from each election, and a learner that held the whole log was promoted only after an old voter had been removed. A second planned removal within that time left one of three voters.

Evidence: in the logs of a run on the untouched code no change of the set is proposed after the learners were added; the silence of the first host counts from the election 0.9 s after its SIGTERM; the second SIGTERM comes 1.3 s later.

Change: a replica that shuts down asks the leader to leave and votes until it is out of the set; the mark is part of the replicated set. A successor votes before the old voter is removed. Learners that have caught up become voters in pairs beyond the number that is needed, so that two hosts may also vanish without notice.

Why it works: whenever a process ends after SIGTERM, either a majority of the set is alive without it, or no learner could have taken its place, and then the first one that catches up replaces it without a wait.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -220,6 +220,14 @@
     this->onJoinRequest(Message.join_request(), Now);
     return;
   }
+  if (Message.has_leave_request()) {
+    this->onLeaveRequest(Message.leave_request(), Now);
+    return;
+  }
+  if (Message.has_leave_reply()) {
+    this->IsReleased = this->IsReleased || Message.leave_reply().may_stop();
+    return;
+  }
   if (!Message.has_heartbeat())
     return;
   PendingHeartbeat Pending{From, Message.heartbeat()};
@@ -336,7 +344,10 @@
   this->Raft->requireFormat(this->State.requiredLogFormat());
   this->Raft->tick(Now.Steady);
   this->tickProposals(Now.Steady);
-  this->tickJoin(Now);
+  if (this->IsLeaving)
+    this->tickLeave(Now);
+  else
+    this->tickJoin(Now);
   if (!this->Raft->leads())
     return;
   this->tickReplicas(Now);
@@ -370,12 +381,30 @@
     this->Replicas.onJoinRequest(Request.replica(), Now.Steady);
     return;
   }
-  const peer::Replica *Leader = this->leader();
-  if (Leader == nullptr || Leader->name() == Request.replica().name())
-    return;
   peer::Message Message;
   *Message.mutable_join_request() = Request;
-  this->Sink.send({Leader->name(), Leader->address()}, std::move(Message));
+  this->forwardToLeader(Message);
+}
+
+void ControlService::onLeaveRequest(const peer::LeaveRequest &Request,
+                                    Instant Now) {
+  peer::Message Message;
+  if (!this->Raft->leads()) {
+    *Message.mutable_leave_request() = Request;
+    this->forwardToLeader(Message);
+    return;
+  }
+  const peer::Replica &Leaving = Request.replica();
+  this->Replicas.onLeaveRequest(Leaving, Now.Steady);
+  Message.mutable_leave_reply()->set_may_stop(
+      this->Replicas.mayStop(*this->Raft, Leaving.name()));
+  this->Sink.send({Leaving.name(), Leaving.address()}, std::move(Message));
+}
+
+void ControlService::forwardToLeader(const peer::Message &Message) {
+  const peer::Replica *Leader = this->leader();
+  if (Leader != nullptr && Leader->name() != this->Options.Self.name())
+    this->Sink.send({Leader->name(), Leader->address()}, Message);
 }
 
 void ControlService::tickJoin(Instant Now) {
@@ -384,11 +413,9 @@
     return;
   this->NextJoin = Now.Steady + this->Options.JoinInterval;
   const peer::ReplicaSet &Present = this->Raft->log().replicas();
-  bool IsMember =
-      std::any_of(Present.replicas().begin(), Present.replicas().end(),
-                  [&](const peer::Replica &Known) {
-                    return Known.name() == this->Options.Self.name();
-                  });
+  // One that was leaving when it was last shut down is to stay now.
+  const peer::Replica *Self = this->findReplica(this->Options.Self.name());
+  bool IsMember = Self != nullptr && !Self->leaving();
   TimePoint Heard = std::max(this->Raft->lastLeaderContact(), this->Started);
   bool IsLeaderSilent = Now.Steady - Heard > this->Options.RejoinTimeout;
   if (IsMember && !IsLeaderSilent)
@@ -406,24 +433,63 @@
   }
 }
 
+void ControlService::tickLeave(Instant Now) {
+  if (Now.Steady < this->NextLeave || this->mayStop())
+    return;
+  this->NextLeave = Now.Steady + this->Options.LeaveInterval;
+  peer::LeaveRequest Request;
+  *Request.mutable_replica() = this->Options.Self;
+  if (this->Raft->leads()) {
+    this->Replicas.onLeaveRequest(this->Options.Self, Now.Steady);
+    return;
+  }
+  // Without a known leader, one of the others may know it.
+  const peer::Replica *Leader = this->leader();
+  for (const peer::Replica &Known : this->Raft->log().replicas().replicas()) {
+    bool IsAsked = Leader == nullptr || Leader->name() == Known.name();
+    if (!IsAsked || Known.name() == this->Options.Self.name())
+      continue;
+    peer::Message Message;
+    *Message.mutable_leave_request() = Request;
+    this->Sink.send({Known.name(), Known.address()}, std::move(Message));
+  }
+}
+
+bool ControlService::mayStop() const {
+  if (!this->IsLeaving)
+    return false;
+  bool HasSet = this->Raft->log().replicas().replicas_size() > 0;
+  if (this->Options.Replicas.Voters == 0 || !HasSet || this->IsReleased)
+    return true;
+  // A leader that has removed itself no longer leads.
+  const std::string &Self = this->Options.Self.name();
+  bool Decides = this->Raft->leads() || this->findReplica(Self) == nullptr;
+  return Decides && this->Replicas.mayStop(*this->Raft, Self);
+}
+
 void ControlService::tickReplicas(Instant Now) {
   if (this->IsReplicaChangePending)
     return;
-  std::optional<peer::ReplicaSet> Next =
-      this->Replicas.next(*this->Raft, this->Options.Raft.Name, Now.Steady);
+  std::optional<ReplicaChange> Next = this->Replicas.next(
+      *this->Raft, this->Options.Raft.Name, Now.Steady, this->LastIdle);
   if (!Next)
     return;
   std::string Names;
-  for (const peer::Replica &Known : Next->replicas())
-    Names += Known.name() + (Known.learner() ? "(learner) " : " ");
+  for (const peer::Replica &Known : Next->Set.replicas())
+    Names += Known.name() + (Known.learner() ? "(learner) " : "") +
+             (Known.leaving() ? "(leaving) " : "") + " ";
   this->IsReplicaChangePending = true;
-  this->proposeReplicas(*Next, Now, [this, Names](const ProposalOutcome &Done) {
-    this->IsReplicaChangePending = false;
-    if (Done.State == ProposalState::Applied)
-      this->Log.decision(
-          "replicas_changed",
-          {{"replicas", Names}, {"revision", Done.Result.revision()}});
-  });
+  this->proposeReplicas(
+      Next->Set, Now,
+      [this, Names, Change = *Next](const ProposalOutcome &Done) {
+        this->IsReplicaChangePending = false;
+        if (Done.State == ProposalState::Applied)
+          this->Log.decision("replicas_changed",
+                             {{"replica", Change.Replica},
+                              {"reason", Change.Reason},
+                              {"replicas", Names},
+                              {"revision", Done.Result.revision()}});
+      });
 }
 
 void ControlService::drain(Instant Now) {
@@ -432,8 +498,13 @@
 }
 
 const peer::Replica *ControlService::leader() const {
+  return this->findReplica(this->Raft->leader());
+}
+
+const peer::Replica *
+ControlService::findReplica(const std::string &Name) const {
   for (const peer::Replica &Known : this->Raft->log().replicas().replicas())
-    if (Known.name() == this->Raft->leader())
+    if (Known.name() == Name)
       return &Known;
   return nullptr;
 }
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -40,9 +40,10 @@
   /// Addresses to ask for admission in addition to the known replicas.
   std::vector<PeerRef> Seeds;
   std::chrono::milliseconds JoinInterval{500};
+  std::chrono::milliseconds LeaveInterval{100};
   /// A replica that has not heard from a leader for longer may have been
   /// removed and asks to join again. Must span several election timeouts.
-  std::chrono::milliseconds RejoinTimeout{3000};
+  std::chrono::milliseconds RejoinTimeout{2000};
 };
 
 enum class ProposalState {
@@ -100,6 +101,11 @@
   /// \param NewLastIdle When this process had last read all of its input;
   /// nothing if it always has.
   void tick(Instant Now, std::optional<TimePoint> NewLastIdle = std::nullopt);
+  /// Hands this replica's vote over to a learner before shutdown.
+  void leave() { this->IsLeaving = true; }
+  /// Whether leave() was called and the replica set no longer relies on this
+  /// replica, or cannot replace it.
+  bool mayStop() const;
   /// Steps down from leadership before shutdown.
   void drain(Instant Now);
 
@@ -149,7 +155,13 @@
   void tickGroups(Instant Now);
   void tickReplicas(Instant Now);
   void tickJoin(Instant Now);
+  void tickLeave(Instant Now);
   void onJoinRequest(const peer::JoinRequest &Request, Instant Now);
+  void onLeaveRequest(const peer::LeaveRequest &Request, Instant Now);
+  /// \returns null if the present set has no replica of this name.
+  const peer::Replica *findReplica(const std::string &Name) const;
+  /// Passes a message on to the leader, if another replica is known as such.
+  void forwardToLeader(const peer::Message &Message);
   void failReads();
   /// Opens a new connection to a replica that has not answered for an election
   /// timeout: the present connection may be broken without notice.
@@ -164,6 +176,10 @@
   ReplicaManager Replicas;
   TimePoint Started;
   TimePoint NextJoin = TimePoint::min();
+  TimePoint NextLeave = TimePoint::min();
+  bool IsLeaving = false;
+  /// The leader has replied that this replica may stop.
+  bool IsReleased = false;
   bool IsReplicaChangePending = false;
   Logger Log{"control"};
   std::map<std::string, std::string> Addresses;
--- a/control/replica_manager.cpp
+++ b/control/replica_manager.cpp
@@ -14,15 +14,29 @@
   return Rest;
 }
 
-peer::ReplicaSet promoted(const peer::ReplicaSet &Set,
-                          const std::string &Name) {
+/// Returns a copy of the set in which \p Change is applied to one replica.
+template <typename Function>
+peer::ReplicaSet with(const peer::ReplicaSet &Set, const std::string &Name,
+                      Function Change) {
   peer::ReplicaSet New = Set;
   for (peer::Replica &Known : *New.mutable_replicas())
     if (Known.name() == Name)
-      Known.set_learner(false);
+      Change(Known);
   return New;
 }
 
+peer::ReplicaSet withVote(const peer::ReplicaSet &Set, const std::string &Name,
+                          bool Votes) {
+  return with(Set, Name,
+              [&](peer::Replica &Known) { Known.set_learner(!Votes); });
+}
+
+peer::ReplicaSet withLeaving(const peer::ReplicaSet &Set,
+                             const std::string &Name, bool Leaving) {
+  return with(Set, Name,
+              [&](peer::Replica &Known) { Known.set_leaving(Leaving); });
+}
+
 const peer::Replica *find(const peer::ReplicaSet &Set,
                           const std::string &Name) {
   for (const peer::Replica &Known : Set.replicas())
@@ -50,141 +64,226 @@
 void ReplicaManager::onJoinRequest(const peer::Replica &Joining,
                                    TimePoint Now) {
   // Of two replicas of one address, one has lost its disk.
-  std::erase_if(this->PendingJoins, [&](const auto &Item) {
+  std::erase_if(this->Joins, [&](const auto &Item) {
     return Item.second.Replica.address() == Joining.address();
   });
-  this->PendingJoins[Joining.name()] = {Joining, Now};
+  this->Leaves.erase(Joining.name());
+  this->Joins[Joining.name()] = {Joining, Now};
+}
+
+void ReplicaManager::onLeaveRequest(const peer::Replica &Leaving,
+                                    TimePoint Now) {
+  this->Joins.erase(Leaving.name());
+  this->Leaves[Leaving.name()] = {Leaving, Now};
+}
+
+void ReplicaManager::dropExpired(PendingRequests &Requests,
+                                 TimePoint Now) const {
+  std::erase_if(Requests, [&](const auto &Item) {
+    return Now - Item.second.ReceivedAt > this->Options.RequestTtl;
+  });
 }
 
-bool ReplicaManager::isSilent(const RaftNode &Raft, const std::string &Name,
-                              std::chrono::milliseconds Limit, TimePoint Now) {
-  std::optional<TimePoint> Heard = Raft.lastHeard(Name);
-  return Heard && Now - *Heard > Limit;
+bool ReplicaManager::isSilent(const View &Seen, const std::string &Name,
+                              std::chrono::milliseconds Limit) {
+  std::optional<TimePoint> LastHeard = Seen.Raft.lastHeard(Name);
+  return LastHeard && Seen.Heard - *LastHeard > Limit;
 }
 
-std::optional<peer::ReplicaSet> ReplicaManager::next(const RaftNode &Raft,
-                                                     const std::string &Self,
-                                                     TimePoint Now) {
+std::optional<ReplicaChange> ReplicaManager::next(const RaftNode &Raft,
+                                                  const std::string &Self,
+                                                  TimePoint Now,
+                                                  TimePoint Heard) {
   if (this->Options.Voters == 0)
     return std::nullopt;
-  std::erase_if(this->PendingJoins, [&](const auto &Item) {
-    return Now - Item.second.ReceivedAt > this->Options.JoinRequestTtl;
-  });
+  this->dropExpired(this->Joins, Now);
+  this->dropExpired(this->Leaves, Now);
   const peer::ReplicaSet &Present = Raft.log().replicas();
+  View Seen{Raft, Self, std::min(Heard, Now), Present, voterCount(Present)};
   // Goes before all else: the set tolerates no fewer losses without a replica
   // that is lost for good, and other replicas must not leave in its place.
-  if (const peer::Replica *Lost =
-          this->findRemovableLoss(Present, Raft, Self, Now))
-    return without(Present, Lost->name());
-  if (const peer::Replica *Silent = this->findSilentLearner(Present, Raft, Now))
-    return without(Present, Silent->name());
-  if (auto Added = this->addJoiner(Present, Now))
+  if (const peer::Replica *Lost = this->findRemovableLoss(Seen))
+    return ReplicaChange{without(Present, Lost->name()), Lost->name(),
+                         "removed, has lost its disk"};
+  if (const peer::Replica *Silent = this->findSilentLearner(Seen))
+    return ReplicaChange{without(Present, Silent->name()), Silent->name(),
+                         "removed, a silent learner"};
+  if (auto Marked = this->markLeaving(Seen))
+    return Marked;
+  if (auto Added = this->addJoiner(Seen))
     return Added;
-  const peer::Replica *Successor =
-      this->findSuccessor(Present, Raft, Self, Now);
-  if (Successor == nullptr)
-    return std::nullopt;
-  if (voterCount(Present) < this->Options.Voters)
-    return promoted(Present, Successor->name());
-  const peer::Replica *Outgoing = this->findOutgoing(Present, Raft, Self, Now);
-  if (Outgoing == nullptr)
-    return std::nullopt;
-  return without(Present, Outgoing->name());
+  return this->changeSize(Seen);
+}
+
+bool ReplicaManager::mayStop(const RaftNode &Raft,
+                             const std::string &Name) const {
+  if (this->Options.Voters == 0)
+    return true;
+  if (Raft.log().replicasIndex() > Raft.commitIndex())
+    return false;
+  const peer::ReplicaSet &Present = Raft.log().replicas();
+  const peer::Replica *Known = find(Present, Name);
+  if (Known == nullptr)
+    return true;
+  bool IsSpare = voterCount(Present) > this->Options.Voters;
+  bool HasLearner =
+      std::ranges::any_of(Present.replicas(), &peer::Replica::learner);
+  return Known->leaving() && !IsSpare && !HasLearner;
+}
+
+std::optional<ReplicaChange>
+ReplicaManager::markLeaving(const View &Seen) const {
+  for (const auto &[Name, Request] : this->Leaves) {
+    const peer::Replica *Known = find(Seen.Present, Name);
+    if (Known == nullptr || Known->leaving())
+      continue;
+    if (Known->learner())
+      return ReplicaChange{without(Seen.Present, Name), Name,
+                           "removed, a learner that shuts down"};
+    return ReplicaChange{withLeaving(Seen.Present, Name, true), Name,
+                         "shuts down"};
+  }
+  return std::nullopt;
 }
 
-std::optional<peer::ReplicaSet>
-ReplicaManager::addJoiner(const peer::ReplicaSet &Present, TimePoint Now) {
-  for (const auto &[Name, Joining] : this->PendingJoins) {
-    if (find(Present, Name) != nullptr)
+std::optional<ReplicaChange> ReplicaManager::addJoiner(const View &Seen) const {
+  for (const auto &[Name, Request] : this->Joins) {
+    const peer::Replica *Known = find(Seen.Present, Name);
+    if (Known != nullptr && !Known->leaving())
       continue;
-    peer::ReplicaSet New = Present;
+    if (Known != nullptr)
+      return ReplicaChange{withLeaving(Seen.Present, Name, false), Name,
+                           "is back"};
+    peer::ReplicaSet New = Seen.Present;
     peer::Replica *Added = New.add_replicas();
-    *Added = Joining.Replica;
+    *Added = Request.Replica;
     Added->set_learner(true);
-    return New;
+    Added->set_leaving(false);
+    return ReplicaChange{New, Name, "added"};
   }
   return std::nullopt;
 }
 
-const peer::Replica *
-ReplicaManager::findRemovableLoss(const peer::ReplicaSet &Present,
-                                  const RaftNode &Raft, const std::string &Self,
-                                  TimePoint Now) const {
+std::optional<ReplicaChange>
+ReplicaManager::changeSize(const View &Seen) const {
+  const peer::Replica *Outgoing = this->findOutgoing(Seen);
+  bool IsSpare = Seen.Voters > this->Options.Voters;
+  if (Outgoing != nullptr && IsSpare)
+    return ReplicaChange{
+        without(Seen.Present, Outgoing->name()), Outgoing->name(),
+        Outgoing->leaving() ? "removed, shuts down" : "removed, silent"};
+  bool IsEven = Seen.Voters % 2 == 0;
+  std::vector<const peer::Replica *> Successors = this->findSuccessors(Seen);
+  bool IsWanted = Seen.Voters < this->Options.Voters || Outgoing != nullptr ||
+                  IsEven || Successors.size() > 1;
+  if (!Successors.empty() && IsWanted)
+    return ReplicaChange{
+        withVote(Seen.Present, Successors.front()->name(), /*Votes=*/true),
+        Successors.front()->name(), "promoted"};
+  if (!IsSpare || !IsEven || Outgoing != nullptr)
+    return std::nullopt;
+  if (const peer::Replica *Surplus = this->findSurplus(Seen))
+    return ReplicaChange{
+        withVote(Seen.Present, Surplus->name(), /*Votes=*/false),
+        Surplus->name(), "demoted"};
+  return std::nullopt;
+}
+
+const peer::Replica *ReplicaManager::findRemovableLoss(const View &Seen) const {
   // A quorum of fewer hosts could lose what it has acknowledged.
   bool MayLoseVoter =
-      quorumOf(voterCount(Present) - 1) >= quorumOf(this->Options.Voters);
-  for (const peer::Replica &Known : Present.replicas())
-    if ((Known.learner() || MayLoseVoter) &&
-        this->isSuperseded(Known, Present, Raft, Self, Now))
+      quorumOf(Seen.Voters - 1) >= quorumOf(this->Options.Voters);
+  for (const peer::Replica &Known : Seen.Present.replicas())
+    if ((Known.learner() || MayLoseVoter) && this->isSuperseded(Known, Seen))
       return &Known;
   return nullptr;
 }
 
 bool ReplicaManager::isSuperseded(const peer::Replica &Old,
-                                  const peer::ReplicaSet &Present,
-                                  const RaftNode &Raft, const std::string &Self,
-                                  TimePoint Now) const {
-  if (Old.name() == Self ||
-      !isSilent(Raft, Old.name(), this->Options.SupersededAfter, Now))
+                                  const View &Seen) const {
+  if (Old.name() == Seen.Self ||
+      !isSilent(Seen, Old.name(), this->Options.SupersededAfter))
     return false;
-  std::optional<TimePoint> LastReply = Raft.lastReply(Old.name());
+  std::optional<TimePoint> LastReply = Seen.Raft.lastReply(Old.name());
   return std::any_of(
-      Present.replicas().begin(), Present.replicas().end(),
+      Seen.Present.replicas().begin(), Seen.Present.replicas().end(),
       [&](const peer::Replica &Other) {
         if (Other.name() == Old.name() || Other.address() != Old.address())
           return false;
         // std::nullopt is less than any time.
-        return Other.name() == Self || Raft.lastReply(Other.name()) > LastReply;
+        return Other.name() == Seen.Self ||
+               Seen.Raft.lastReply(Other.name()) > LastReply;
       });
 }
 
-const peer::Replica *
-ReplicaManager::findSuccessor(const peer::ReplicaSet &Present,
-                              const RaftNode &Raft, const std::string &Self,
-                              TimePoint Now) const {
+bool ReplicaManager::mayVote(const peer::Replica &Learner,
+                             const View &Seen) const {
   // A host has one vote, unless the other one can never be cast again.
-  auto MayVote = [&](const peer::Replica &Learner) {
-    return std::all_of(
-        Present.replicas().begin(), Present.replicas().end(),
-        [&](const peer::Replica &Other) {
-          return Other.learner() || Other.address() != Learner.address() ||
-                 this->isSuperseded(Other, Present, Raft, Self, Now);
-        });
-  };
-  for (const peer::Replica &Known : Present.replicas())
-    if (Known.learner() && MayVote(Known) && Raft.isCaughtUp(Known.name()) &&
-        !isSilent(Raft, Known.name(), this->Options.JoinRequestTtl, Now))
-      return &Known;
-  return nullptr;
+  return std::all_of(Seen.Present.replicas().begin(),
+                     Seen.Present.replicas().end(),
+                     [&](const peer::Replica &Other) {
+                       return Other.learner() ||
+                              Other.address() != Learner.address() ||
+                              this->isSuperseded(Other, Seen);
+                     });
 }
 
-const peer::Replica *
-ReplicaManager::findOutgoing(const peer::ReplicaSet &Present,
-                             const RaftNode &Raft, const std::string &Self,
-                             TimePoint Now) const {
+std::vector<const peer::Replica *>
+ReplicaManager::findSuccessors(const View &Seen) const {
+  std::vector<const peer::Replica *> Successors;
+  for (const peer::Replica &Known : Seen.Present.replicas())
+    if (Known.learner() && this->mayVote(Known, Seen) &&
+        Seen.Raft.isCaughtUp(Known.name()) &&
+        !isSilent(Seen, Known.name(), this->Options.RequestTtl))
+      Successors.push_back(&Known);
+  return Successors;
+}
+
+const peer::Replica *ReplicaManager::findOutgoing(const View &Seen) const {
   const peer::Replica *Longest = nullptr;
-  for (const peer::Replica &Known : Present.replicas()) {
-    if (Known.learner() || Known.name() == Self)
+  const peer::Replica *Leaving = nullptr;
+  for (const peer::Replica &Known : Seen.Present.replicas()) {
+    if (Known.learner())
+      continue;
+    bool IsSelf = Known.name() == Seen.Self;
+    // The leader hands over its own vote last.
+    if (Known.leaving() && (Leaving == nullptr || !IsSelf))
+      Leaving = &Known;
+    if (IsSelf)
       continue;
-    bool Silent = isSilent(Raft, Known.name(), this->Options.ReplaceAfter, Now);
+    bool Silent = isSilent(Seen, Known.name(), this->Options.ReplaceAfter);
     // Another voter must not leave while this one may turn out to be lost.
-    if (countAt(Present, Known.address()) > 1)
+    if (countAt(Seen.Present, Known.address()) > 1)
       return Silent ? &Known : nullptr;
     if (!Silent)
       continue;
-    if (Longest == nullptr ||
-        Raft.lastHeard(Known.name()) < Raft.lastHeard(Longest->name()))
+    if (Longest == nullptr || Seen.Raft.lastHeard(Known.name()) <
+                                  Seen.Raft.lastHeard(Longest->name()))
+      Longest = &Known;
+  }
+  return Longest != nullptr ? Longest : Leaving;
+}
+
+const peer::Replica *ReplicaManager::findSurplus(const View &Seen) const {
+  const peer::Replica *Longest = nullptr;
+  for (const peer::Replica &Known : Seen.Present.replicas()) {
+    // A learner that catches up makes the size odd as well, and a voter whose
+    // host has another replica may turn out to be lost.
+    if (Known.learner() || countAt(Seen.Present, Known.address()) > 1)
+      return nullptr;
+    if (Known.name() == Seen.Self)
+      continue;
+    if (Longest == nullptr || Seen.Raft.lastHeard(Known.name()) <
+                                  Seen.Raft.lastHeard(Longest->name()))
       Longest = &Known;
   }
   return Longest;
 }
 
-const peer::Replica *
-ReplicaManager::findSilentLearner(const peer::ReplicaSet &Present,
-                                  const RaftNode &Raft, TimePoint Now) const {
-  for (const peer::Replica &Known : Present.replicas())
+const peer::Replica *ReplicaManager::findSilentLearner(const View &Seen) const {
+  for (const peer::Replica &Known : Seen.Present.replicas())
     if (Known.learner() &&
-        isSilent(Raft, Known.name(), this->Options.LearnerTimeout, Now))
+        isSilent(Seen, Known.name(), this->Options.LearnerTimeout))
       return &Known;
   return nullptr;
 }
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -22,6 +22,9 @@
 /// Shorter than the operators' timeout for a call with a large body.
 constexpr std::chrono::milliseconds ProposalTimeout{2000};
 constexpr std::uint64_t EntriesPerSnapshot = 200;
+/// Part of the shutdown grace, as a divisor, in which the vote of this replica
+/// is handed over. Leaves time for open proposals after it.
+constexpr int LeaveShareOfGrace = 3;
 /// Peers that a log line names.
 constexpr std::size_t MaxLoggedPeers = 4;
 constexpr std::size_t BytesPerKilobyte = 1024;
@@ -128,6 +131,7 @@
   LinkNode Node;
   ControlService Service;
   std::atomic<std::size_t> OpenProposals{0};
+  std::atomic<bool> MayStop{false};
   std::string LastLeader;
   HttpServer OperatorServer;
   HttpServer MetricsServer;
@@ -194,6 +198,7 @@
   this->Service.tick(Now, this->Node.loop().lastIdle());
   this->Node.links().setRevision(this->Service.catalog().revision());
   this->OpenProposals.store(this->Service.pendingProposals());
+  this->MayStop.store(this->Service.mayStop());
   const std::string &Leader = this->Service.raft().leader();
   if (Leader == this->LastLeader)
     return;
@@ -209,6 +214,13 @@
 }
 
 void SeededControlProcess::drain() {
+  this->Node.loop().post([this](Instant) { this->Service.leave(); });
+  bool HasLeft = waitUntil(this->Plan.Times.ShutdownGrace / LeaveShareOfGrace,
+                           [this] { return this->MayStop.load(); });
+  if (!HasLeft)
+    this->Log.warning("Control replica {} stops before its vote could be "
+                      "handed over.",
+                      this->Replica);
   waitUntil(ProposalTimeout,
             [this] { return this->OpenProposals.load() == 0; });
   this->Node.loop().post([this](Instant Now) { this->Service.drain(Now); });
--- /dev/null
+++ b/tests/control/replica_handover_test.cpp
@@ -0,0 +1,517 @@
+//===- Control hosts that are replaced, restarted and lost in any order ---===//
+//
+// Regression test: after two control hosts had been replaced as planned, 2 s
+// apart, the configuration could be neither read nor changed any more. A voter
+// that had shut down stayed one until it had been silent for 4 s, and its
+// successor, which held the whole log, did not vote until then.
+//
+//===----------------------------------------------------------------------===//
+
+#include "tests/control/seeded_cluster.h"
+#include "tests/support/seeds.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+#include <set>
+#include <vector>
+
+// Included last, as it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace yardwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A host counts as lost until this long after its start.
+constexpr Duration CatchUpTime = 4s;
+/// The configuration must be readable this long after the last loss has ended.
+constexpr Duration RecoveryTime = 12s;
+constexpr Duration Step = 20ms;
+
+/// Runs a cluster and notes what callers of control would see.
+class HandoverScenario {
+public:
+  HandoverScenario(std::uint64_t Seed, std::uint32_t Voters, std::size_t Hosts)
+      : Cluster(Seed, Voters), Voters(Voters) {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      this->Cluster.startEmpty(Host, /*First=*/true);
+    this->Cluster.run(8s);
+  }
+
+  /// \returns the host that leads, or the first one if there is none.
+  std::size_t leader(std::size_t Hosts) {
+    for (std::size_t Host = 0; Host < Hosts; ++Host)
+      if (&this->Cluster.service(Host) == this->Cluster.leader())
+        return Host;
+    return 0;
+  }
+  void replaceTable() {
+    if (this->Cluster.replace(this->Version + 1))
+      ++this->Version;
+  }
+  /// Notes if the last acknowledged table cannot be read, or cannot be changed.
+  void checkTable() {
+    ControlService *Leader = this->Cluster.leader();
+    bool Confirmed = false;
+    if (Leader != nullptr)
+      Leader->read(this->Cluster.World.now(),
+                   [&Confirmed](bool Result) { Confirmed = Result; });
+    this->Cluster.run(1s);
+    if (!Confirmed)
+      this->note("the table cannot be read");
+    else if (Leader->catalog().routes().version() < this->Version)
+      this->note("an acknowledged table is gone");
+    else if (!this->Cluster.replace(this->Version + 1))
+      this->note("the table cannot be changed");
+    else
+      ++this->Version;
+  }
+  /// Notes what is wrong with the replica set while none of its hosts is lost.
+  /// \param Living The hosts that run.
+  void checkVoters(const std::set<std::size_t> &Living) {
+    ControlService *Leader = this->Cluster.leader();
+    if (Leader == nullptr)
+      return;
+    std::set<std::string> Names;
+    for (std::size_t Host : Living)
+      Names.insert(this->Cluster.nameAt(Host));
+    std::set<std::string> Addresses;
+    for (const peer::Replica &Known :
+         Leader->raft().log().replicas().replicas()) {
+      if (Known.learner())
+        continue;
+      if (!Addresses.insert(Known.address()).second)
+        this->note(fmt::format("{} has two votes", Known.address()));
+      if (!Names.contains(Known.name()))
+        this->note(fmt::format("{}, a voter, is gone", Known.name()));
+      if (Known.leaving())
+        this->note(fmt::format("{}, which runs, is leaving", Known.name()));
+    }
+    if (Addresses.size() < this->Voters || Addresses.size() % 2 == 0)
+      this->note(fmt::format("there are {} voters", Addresses.size()));
+  }
+  void note(const std::string &What) { this->Found += What + "; "; }
+  const std::string &found() const { return this->Found; }
+
+  SeededCluster Cluster;
+
+private:
+  std::uint32_t Voters;
+  std::uint64_t Version = 0;
+  std::string Found;
+};
+
+/// One host of a RandomStory.
+struct StoryHost {
+  enum class State { Running, Stopping, Down, Cut, Removed };
+  State Now = State::Running;
+  /// When it counts as lost no longer, if it runs on.
+  TimePoint SoundAt;
+  /// Whether it takes the place of a host that has been or will be removed.
+  bool IsSpare = false;
+  /// What happens to it next, and when.
+  enum class Next { None, Start, StartEmpty, Reconnect, Remove };
+  Next Then = Next::None;
+  TimePoint ThenAt;
+};
+
+/// Hosts that join, restart, are cut off, lose their disks and are removed, in
+/// an order drawn from a seed in which no more than the tolerated number of
+/// hosts is lost at a time.
+class RandomStory {
+public:
+  RandomStory(std::uint64_t Seed, std::uint32_t Voters, std::size_t Hosts)
+      : Scenario(Seed, Voters, Hosts), Tolerated((Voters - 1) / 2),
+        Random(Seed), Hosts(Hosts) {}
+
+  void play(Duration Time) {
+    for (Duration Passed{0}; Passed < Time; Passed += Step) {
+      this->Scenario.Cluster.run(Step);
+      this->advance();
+      if (this->draw(AveragePause / Step) == 0)
+        this->act();
+    }
+    while (!this->isCalm()) {
+      this->Scenario.Cluster.run(Step);
+      this->advance();
+    }
+    this->Scenario.Cluster.run(RecoveryTime);
+    this->Scenario.checkTable();
+    std::set<std::size_t> Living;
+    for (std::size_t Host = 0; Host < this->Hosts.size(); ++Host)
+      if (this->Hosts[Host].Now == StoryHost::State::Running)
+        Living.insert(Host);
+    this->Scenario.checkVoters(Living);
+  }
+  const std::string &found() const { return this->Scenario.found(); }
+
+private:
+  static constexpr Duration AveragePause = 400ms;
+  /// Hosts that have not been removed.
+  static constexpr std::size_t MaxHosts = 9;
+
+  std::uint64_t draw(std::uint64_t Limit) { return this->Random() % Limit; }
+  Duration drawTime(std::chrono::milliseconds Limit) {
+    return std::chrono::milliseconds(
+        this->draw(static_cast<std::uint64_t>(Limit.count())));
+  }
+  TimePoint now() { return this->Scenario.Cluster.World.now().Steady; }
+
+  std::size_t lostHosts() {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->Hosts, [&](const StoryHost &Host) {
+          return Host.Now != StoryHost::State::Removed &&
+                 (Host.Now != StoryHost::State::Running ||
+                  this->now() < Host.SoundAt) &&
+                 !(Host.IsSpare && Host.Now == StoryHost::State::Running);
+        }));
+  }
+  /// \returns the number of removed hosts that still count as lost.
+  std::size_t recentRemovals() {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->Hosts, [&](const StoryHost &Host) {
+          return Host.Now == StoryHost::State::Removed &&
+                 this->now() < Host.SoundAt;
+        }));
+  }
+  bool mayLoseOneMore() {
+    return this->lostHosts() + this->recentRemovals() < this->Tolerated;
+  }
+  bool isCalm() {
+    return std::ranges::all_of(this->Hosts, [&](const StoryHost &Host) {
+      bool Rests = Host.Now == StoryHost::State::Running ||
+                   Host.Now == StoryHost::State::Removed;
+      return Rests && this->now() >= Host.SoundAt;
+    });
+  }
+
+  void act() {
+    constexpr std::uint64_t Actions = 8;
+    std::size_t Host = this->draw(this->Hosts.size());
+    StoryHost &Target = this->Hosts[Host];
+    bool Runs = Target.Now == StoryHost::State::Running;
+    switch (this->draw(Actions)) {
+    case 0:
+      this->addSpare();
+      return;
+    case 1:
+      this->losePower();
+      return;
+    case 2:
+    case 3:
+      if (Runs && !Target.IsSpare)
+        this->remove(Host, /*Announced=*/this->draw(2) == 0);
+      return;
+    case 4:
+      this->Scenario.replaceTable();
+      return;
+    default:
+      if (Runs && !Target.IsSpare && this->now() >= Target.SoundAt &&
+          this->mayLoseOneMore())
+        this->lose(Host);
+    }
+  }
+
+  void addSpare() {
+    auto Present = std::ranges::count_if(this->Hosts, [](const StoryHost &H) {
+      return H.Now != StoryHost::State::Removed;
+    });
+    if (static_cast<std::size_t>(Present) >= MaxHosts)
+      return;
+    this->updateSeeds();
+    this->Scenario.Cluster.startEmpty(this->Hosts.size(), /*First=*/false);
+    this->Hosts.push_back(
+        {.SoundAt = this->now() + CatchUpTime, .IsSpare = true});
+  }
+
+  /// A host that starts is told some of the hosts that there are.
+  void updateSeeds() {
+    std::vector<std::size_t> Known;
+    for (std::size_t Host = 0; Host < this->Hosts.size(); ++Host)
+      if (this->Hosts[Host].Now != StoryHost::State::Removed &&
+          Known.size() < SeededCluster::Seeds)
+        Known.push_back(Host);
+    this->Scenario.Cluster.SeedHosts = Known;
+  }
+
+  /// Removes a host for good if another one can take its place. What is
+  /// announced is out of the set when the process has ended; a host that
+  /// vanishes counts as lost until it can have been noticed.
+  void remove(std::size_t Host, bool Announced) {
+    auto Successor = std::ranges::find_if(this->Hosts, [&](const StoryHost &H) {
+      return H.IsSpare && H.Now == StoryHost::State::Running &&
+             this->now() >= H.SoundAt;
+    });
+    if (Successor == this->Hosts.end() ||
+        (!Announced && !this->mayLoseOneMore()))
+      return;
+    Successor->IsSpare = false;
+    StoryHost &Target = this->Hosts[Host];
+    if (Announced) {
+      this->Scenario.Cluster.beginShutdown(Host);
+      this->plan(Target, StoryHost::State::Stopping, StoryHost::Next::Remove,
+                 SeededCluster::HandoverTime);
+      return;
+    }
+    this->Scenario.Cluster.kill(Host);
+    Target.Now = StoryHost::State::Removed;
+    Target.SoundAt = this->now() + CatchUpTime;
+  }
+
+  void lose(std::size_t Host) {
+    constexpr std::uint64_t Kinds = 4;
+    StoryHost &Target = this->Hosts[Host];
+    Duration Time = this->drawTime(6000ms);
+    switch (this->draw(Kinds)) {
+    case 0:
+      this->Scenario.Cluster.kill(Host);
+      this->plan(Target, StoryHost::State::Down, StoryHost::Next::StartEmpty,
+                 Time);
+      return;
+    case 1:
+      this->Scenario.Cluster.World.isolate(SeededCluster::addressOf(Host));
+      this->plan(Target, StoryHost::State::Cut, StoryHost::Next::Reconnect,
+                 Time);
+      return;
+    case 2:
+      this->Scenario.Cluster.kill(Host);
+      break;
+    default:
+      this->Scenario.Cluster.shutDown(Host);
+    }
+    this->plan(Target, StoryHost::State::Down, StoryHost::Next::Start, Time);
+  }
+
+  /// All hosts lose power while none of them is lost.
+  void losePower() {
+    if (!this->isCalm())
+      return;
+    Duration Time = this->drawTime(3000ms);
+    for (std::size_t Host = 0; Host < this->Hosts.size(); ++Host) {
+      if (this->Hosts[Host].Now == StoryHost::State::Removed)
+        continue;
+      this->Scenario.Cluster.kill(Host);
+      this->plan(this->Hosts[Host], StoryHost::State::Down,
+                 StoryHost::Next::Start, Time + this->drawTime(300ms));
+    }
+  }
+
+  void plan(StoryHost &Host, StoryHost::State State, StoryHost::Next Then,
+            Duration After) {
+    Host.Now = State;
+    Host.Then = Then;
+    Host.ThenAt = this->now() + After;
+  }
+
+  /// Carries out what is due.
+  void advance() {
+    for (std::size_t I = 0; I < this->Hosts.size(); ++I) {
+      StoryHost &Host = this->Hosts[I];
+      bool IsDue = this->now() >= Host.ThenAt;
+      bool HasLeft = Host.Then == StoryHost::Next::Remove &&
+                     this->Scenario.Cluster.mayStop(I);
+      if (Host.Then == StoryHost::Next::None || (!IsDue && !HasLeft))
+        continue;
+      this->carryOut(I);
+    }
+  }
+
+  void carryOut(std::size_t Number) {
+    SeededCluster &Cluster = this->Scenario.Cluster;
+    StoryHost &Host = this->Hosts[Number];
+    this->updateSeeds();
+    Host.Now = StoryHost::State::Running;
+    switch (Host.Then) {
+    case StoryHost::Next::Start:
+      Cluster.start(Number);
+      break;
+    case StoryHost::Next::StartEmpty:
+      Cluster.startEmpty(Number, /*First=*/false);
+      break;
+    case StoryHost::Next::Reconnect:
+      Cluster.World.reconnect(SeededCluster::addressOf(Number));
+      break;
+    default:
+      Host.Now = StoryHost::State::Removed;
+      Cluster.stop(Number);
+    }
+    Host.Then = StoryHost::Next::None;
+    Host.SoundAt = this->now();
+    if (Host.Now == StoryHost::State::Running)
+      Host.SoundAt += CatchUpTime;
+  }
+
+  HandoverScenario Scenario;
+  std::size_t Tolerated;
+  std::mt19937_64 Random;
+  std::vector<StoryHost> Hosts;
+};
+
+/// Hosts that leave one after the other, and the pause between them.
+struct Replacement {
+  std::vector<std::size_t> Leaving;
+  Duration Pause;
+};
+
+} // namespace
+
+TEST_GROUP(ReplicaHandoverTest){};
+
+TEST(ReplicaHandoverTest, PlannedReplacementsOneAfterTheOtherKeepTheTable) {
+  const std::vector<Replacement> Table = {
+      {{0, 1}, 0ms},   {{1, 2}, 0ms},   {{2, 0}, 0ms},    {{0, 1}, 500ms},
+      {{1, 2}, 500ms}, {{2, 0}, 500ms}, {{0, 1}, 2s},     {{1, 2}, 2s},
+      {{2, 0}, 2s},    {{1, 0}, 2s},    {{2, 1}, 2s},     {{0, 2}, 2s},
+      {{0, 1, 2}, 2s}, {{2, 1, 0}, 2s}, {{1, 0, 2}, 0ms},
+  };
+  std::string Found;
+  for (std::size_t Row = 0; Row < Table.size(); ++Row) {
+    HandoverScenario Scenario(/*Seed=*/Row + 1, /*Voters=*/3, /*Hosts=*/3);
+    std::set<std::size_t> Living = {0, 1, 2};
+    for (std::size_t I = 0; I < Table[Row].Leaving.size(); ++I) {
+      Scenario.Cluster.startEmpty(3 + I, /*First=*/false);
+      Living.insert(3 + I);
+    }
+    Scenario.Cluster.run(CatchUpTime + 500ms);
+    Scenario.replaceTable();
+    for (std::size_t Host : Table[Row].Leaving) {
+      Scenario.Cluster.shutDown(Host);
+      Living.erase(Host);
+      Scenario.Cluster.run(Table[Row].Pause);
+    }
+    Scenario.Cluster.run(RecoveryTime);
+    Scenario.checkTable();
+    Scenario.checkVoters(Living);
+    if (!Scenario.found().empty())
+      Found += fmt::format("row {}: {}\n", Row, Scenario.found());
+  }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// A disk that is lost right after a planned replacement is the only loss.
+TEST(ReplicaHandoverTest, ADiskMayBeLostRightAfterAPlannedReplacement) {
+  std::string Found;
+  for (std::size_t Leaving = 0; Leaving < 3; ++Leaving)
+    for (std::size_t Wiped = 0; Wiped < 3; ++Wiped) {
+      if (Leaving == Wiped)
+        continue;
+      HandoverScenario Scenario(/*Seed=*/Leaving + 1, /*Voters=*/3,
+                                /*Hosts=*/3);
+      Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.Cluster.run(CatchUpTime);
+      Scenario.Cluster.shutDown(Leaving);
+      Scenario.replaceTable();
+      Scenario.Cluster.kill(Wiped);
+      Scenario.Cluster.run(1s);
+      Scenario.Cluster.startEmpty(Wiped, /*First=*/false);
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} leaves, {} wiped: {}\n", Leaving, Wiped,
+                             Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// Two of three hosts vanish at once, after their successors have caught up.
+TEST(ReplicaHandoverTest, TwoHostsMayVanishOnceTheirSuccessorsHaveCaughtUp) {
+  std::string Found;
+  for (std::size_t Kept = 0; Kept < 3; ++Kept) {
+    HandoverScenario Scenario(/*Seed=*/Kept + 1, /*Voters=*/3, /*Hosts=*/3);
+    Scenario.Cluster.startEmpty(3, /*First=*/false);
+    Scenario.Cluster.startEmpty(4, /*First=*/false);
+    Scenario.Cluster.run(CatchUpTime);
+    Scenario.replaceTable();
+    for (std::size_t Host = 0; Host < 3; ++Host)
+      if (Host != Kept)
+        Scenario.Cluster.kill(Host);
+    Scenario.Cluster.run(RecoveryTime);
+    Scenario.checkTable();
+    Scenario.checkVoters({Kept, 3, 4});
+    if (!Scenario.found().empty())
+      Found += fmt::format("{} kept: {}\n", Kept, Scenario.found());
+  }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// The old host vanishes first; its successor must have replaced it when it no
+// longer counts as lost.
+TEST(ReplicaHandoverTest, ALateSuccessorReplacesAVanishedHostInTime) {
+  std::string Found;
+  for (std::size_t Gone = 0; Gone < 3; ++Gone)
+    for (std::size_t Wiped = 0; Wiped < 3; ++Wiped) {
+      if (Gone == Wiped)
+        continue;
+      HandoverScenario Scenario(/*Seed=*/Gone + 1, /*Voters=*/3, /*Hosts=*/3);
+      Scenario.replaceTable();
+      Scenario.Cluster.kill(Gone);
+      Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.Cluster.run(CatchUpTime);
+      Scenario.Cluster.kill(Wiped);
+      Scenario.Cluster.startEmpty(Wiped, /*First=*/false);
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} gone, {} wiped: {}\n", Gone, Wiped,
+                             Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// Restarts in turn on the old disks, without and with learners beside them.
+TEST(ReplicaHandoverTest, RestartsInTurnKeepAllVotes) {
+  std::string Found;
+  for (std::size_t Hosts : {3, 4, 5})
+    for (Duration Pause : {Duration(0ms), Duration(2s)}) {
+      HandoverScenario Scenario(/*Seed=*/Hosts, /*Voters=*/3, Hosts);
+      std::set<std::size_t> Living;
+      for (std::size_t Host = 0; Host < Hosts; ++Host) {
+        Scenario.replaceTable();
+        Scenario.Cluster.shutDown(Host);
+        Scenario.Cluster.run(500ms);
+        Scenario.Cluster.start(Host);
+        Scenario.Cluster.run(Pause);
+        Living.insert(Host);
+      }
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      Scenario.checkVoters(Living);
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} hosts, pause {} ms: {}\n", Hosts,
+                             millisBetween(TimePoint(), TimePoint() + Pause),
+                             Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// A host that leaves while it is cut off stops all the same, and is replaced
+// once its successor has caught up.
+TEST(ReplicaHandoverTest, AHostThatLeavesWhileItIsCutOffIsReplaced) {
+  for (std::size_t Leaving = 0; Leaving < 3; ++Leaving) {
+    HandoverScenario Scenario(/*Seed=*/Leaving + 1, /*Voters=*/3, /*Hosts=*/4);
+    Scenario.Cluster.World.isolate(SeededCluster::addressOf(Leaving));
+    Scenario.Cluster.shutDown(Leaving);
+    Scenario.Cluster.run(CatchUpTime);
+    std::set<std::size_t> Living = {0, 1, 2, 3};
+    Living.erase(Leaving);
+    Scenario.checkTable();
+    Scenario.checkVoters(Living);
+    STRCMP_EQUAL("", Scenario.found().c_str());
+  }
+}
+
+TEST(ReplicaHandoverTest, RandomRemovalsJoinsRestartsAndLossesKeepTheTable) {
+  std::string Found;
+  constexpr std::uint64_t Seeds = 120;
+  SeedRange Range = seedRange(Seeds);
+  for (std::uint64_t Seed = Range.First; Seed <= Range.Last; ++Seed) {
+    std::uint32_t Voters = Seed % 3 == 0 ? 5 : 3;
+    RandomStory Story(Seed, Voters, Voters + Seed % 2);
+    Story.play(60s);
+    if (!Story.found().empty())
+      Found += fmt::format("seed {}: {}\n", Seed, Story.found());
+  }
+  STRCMP_EQUAL("", Found.c_str());
+}
--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -44,6 +44,11 @@
 public:
   /// Number of hosts whose addresses are known to all others.
   static constexpr std::size_t Seeds = 3;
+  /// How long a process that shuts down waits until its vote is handed over,
+  /// how often it checks, and how long it then sends on.
+  static constexpr Duration HandoverTime = std::chrono::seconds(2);
+  static constexpr Duration HandoverCheck = std::chrono::milliseconds(20);
+  static constexpr Duration FlushTime = std::chrono::milliseconds(200);
 
   explicit SeededCluster(std::uint64_t Seed, std::uint32_t Voters = 3)
       : World(Seed), Voters(Voters) {}
@@ -92,6 +97,26 @@
   }
   void kill(std::size_t Host) { this->World.kill(addressOf(Host)); }
   void run(Duration Time) { this->World.run(Time); }
+  /// Begins a shutdown; the host runs on until it is killed.
+  void beginShutdown(std::size_t Host) { this->Hosts[Host].Service->leave(); }
+  /// Whether a host whose shutdown has begun would stop by itself.
+  bool mayStop(std::size_t Host) {
+    return this->Hosts[Host].Service->mayStop();
+  }
+  /// Shuts a host down as its process does, which hands over its vote first.
+  void shutDown(std::size_t Host) {
+    this->beginShutdown(Host);
+    for (Duration Passed{0}; Passed < HandoverTime && !this->mayStop(Host);
+         Passed += HandoverCheck)
+      this->run(HandoverCheck);
+    this->stop(Host);
+  }
+  /// Ends a host whose shutdown has begun.
+  void stop(std::size_t Host) {
+    this->Hosts[Host].Service->drain(this->World.now());
+    this->run(FlushTime);
+    this->kill(Host);
+  }
 
   ControlService *leader() {
     for (auto &[Number, Host] : this->Hosts)
@@ -138,6 +163,8 @@
   VirtualWorld World;
   /// How long ago the hosts had last read all of their input, at each tick.
   Duration InputDelay{0};
+  /// The hosts whose addresses a host is told when it starts.
+  std::vector<std::size_t> SeedHosts = {0, 1, 2};
   /// Log formats of hosts that run an older build.
   std::map<std::size_t, std::uint32_t> LogFormats;
 
@@ -175,8 +202,8 @@
     Options.Groups.Groups = 0;
     Options.Replicas.Voters = this->Voters;
     Options.Self = replica(this->Hosts[Host].Name, Host);
-    for (std::size_t I = 0; I < Seeds; ++I)
-      Options.Seeds.push_back({"", addressOf(I)});
+    for (std::size_t Known : this->SeedHosts)
+      Options.Seeds.push_back({"", addressOf(Known)});
     return Options;
   }
 
