Agents check what a task requires of its worker

Cause: an entry took a new incarnation from a load report and kept the pool and labels of the earlier one until control told it better; and the agent, which knows its worker, was not told what the task requires, so that nobody checked.

Evidence: all wrong starts were dispatched 0.6 s and more after the entries had logged the new incarnation ("it has restarted"), to an agent that had attached the new worker by its own announcement 1 s before.

Change: dispatches and interests carry pool, label and limit, and the agent checks them on arrival, in its queue and before it offers room. A new incarnation gets nothing from an entry before its kind was told, by control or by the agent's first report; what was observed of the earlier one is dropped on either way.

Why it works: the check is made by the process that sends the start, against the announcement of the very incarnation that the start is for.

Three tests of CoordinatorAgentsTest let an agent restart and report neither room nor kind, which no agent does. Their reports now have both; one also checks that nothing is sent before, and that the agent is asked at once.

--- a/agent/lease_keeper.cpp
+++ b/agent/lease_keeper.cpp
@@ -1,5 +1,6 @@
 #include "agent/lease_keeper.h"
 
+#include "agent/refusals.h"
 #include "protocol/task_needs.h"
 
 #include <algorithm>
@@ -55,6 +56,8 @@
   this->FailuresInRow = 0;
   this->Pace.reset();
   this->Leaving = this->ShuttingDown;
+  this->Offers.clearInterests();
+  this->KindSentTo.clear();
   this->leaveIfDraining(Now);
 }
 
@@ -87,6 +90,8 @@
     peer::WorkerLoad *Load = Reply.mutable_worker_load();
     *Load = this->loadFor(From.Node, Now, /*WithAllCrashes=*/true);
     Load->set_lists_held(true);
+    if (Renewal.asks_kind())
+      this->addKind(*Load);
     for (const auto &[Id, Known] : this->Tasks) {
       if (Known.Owner.Node != From.Node)
         continue;
@@ -149,6 +154,7 @@
     bool Starts = Known != this->Tasks.end() &&
                   Known->second.State == Phase::Queued &&
                   Known->second.Order == Order.order() &&
+                  this->suits(Known->second.Requirement) &&
                   this->fits(Known->second.Needs) &&
                   this->hasLeaseToStart(Known->second, Now);
     if (!Starts)
@@ -179,8 +185,10 @@
   }
 }
 
-peer::LeasedRefusal LeaseKeeper::refusalFor(const TaskId &Id,
-                                            bool Fresh) const {
+peer::LeasedRefusal
+LeaseKeeper::refusalFor(const TaskId &Id,
+                        const peer::WorkerRequirement &Requirement,
+                        bool Fresh) const {
   if (!Fresh)
     return peer::REFUSAL_STALE;
   if (this->Leaving)
@@ -191,9 +199,43 @@
     return peer::REFUSAL_NO_WORKER;
   if (this->Tasks.contains(Id))
     return peer::REFUSAL_OTHER_OWNER;
+  if (!this->suits(Requirement) || this->hasAllTasks(Id.Job, Requirement))
+    return peer::REFUSAL_UNSUITABLE;
   return peer::REFUSAL_NONE;
 }
 
+bool LeaseKeeper::suits(const peer::WorkerRequirement &Requirement) const {
+  if (Requirement.pool().empty())
+    return true;
+  const WorkerProfile &Profile = this->Session.profile();
+  bool HasLabel = Requirement.label().empty() ||
+                  Profile.Labels.contains(Requirement.label());
+  return this->Session.hasAnnounced() && HasLabel &&
+         Profile.Pool == Requirement.pool();
+}
+
+bool LeaseKeeper::hasAllTasks(
+    const std::string &Job, const peer::WorkerRequirement &Requirement) const {
+  if (Requirement.max_tasks() == 0)
+    return false;
+  std::uint32_t Count = 0;
+  for (auto Known = this->Tasks.lower_bound({Job, 0});
+       Known != this->Tasks.end() && Known->first.Job == Job; ++Known)
+    ++Count;
+  return Count >= Requirement.max_tasks();
+}
+
+std::optional<peer::WorkerKind> LeaseKeeper::workerKind() const {
+  if (!this->Session.hasAnnounced())
+    return std::nullopt;
+  const WorkerProfile &Profile = this->Session.profile();
+  peer::WorkerKind Kind;
+  Kind.set_pool(Profile.Pool);
+  for (const std::string &Label : Profile.Labels)
+    Kind.add_labels(Label);
+  return Kind;
+}
+
 void LeaseKeeper::onOrder(const PeerRef &From,
                           const peer::LeasedDispatch &Dispatch,
                           const peer::LeasedTask &Order,
@@ -207,6 +249,7 @@
   New.Spec = Dispatch.spec();
   New.Suspect = Dispatch.suspect();
   New.Needs = Dispatch.needs();
+  New.Requirement = Dispatch.requirement();
   New.Estimate = std::chrono::milliseconds(Dispatch.estimate_ms());
   New.Arrived = Now.Steady;
   New.Waiting = {.Priority = Dispatch.priority(),
@@ -221,7 +264,7 @@
   if (Held || this->EndedPlacements.contains({From.Node, Order.order()}))
     return;
   bool Fresh = Left >= this->Options.EntryLease / 2;
-  peer::LeasedRefusal Refusal = this->refusalFor(Id, Fresh);
+  peer::LeasedRefusal Refusal = this->refusalFor(Id, New.Requirement, Fresh);
   // A task larger than the worker would block the head of the queue forever.
   if (Refusal == peer::REFUSAL_NONE &&
       !holdsNeeds(this->Session.profile().Room, New.Needs))
@@ -233,7 +276,9 @@
     Refusal = peer::REFUSAL_BUSY;
   if (Refusal != peer::REFUSAL_NONE) {
     ++this->Counters.Refused;
-    this->sendUpdate(Id, New, peer::LEASED_NOT_STARTED, Refusal, "", Now);
+    bool IsUnsuitable = Refusal == peer::REFUSAL_UNSUITABLE;
+    this->sendUpdate(Id, New, peer::LEASED_NOT_STARTED, Refusal,
+                     IsUnsuitable ? UnsuitableWorker : "", Now);
     return;
   }
   this->Tasks[Id] = std::move(New);
@@ -252,6 +297,8 @@
   bool IsCurrent = Request.agent_incarnation() == this->Options.Incarnation;
   if (!IsCurrent || !this->takesTasks())
     return;
+  if (this->Session.hasWorker() && !this->suits(Request.requirement()))
+    return;
   if (Request.tasks() == 0) {
     this->Offers.drop(From.Node, Request.job());
     return;
@@ -375,6 +422,7 @@
   if (Blocked)
     return;
   this->dropExpired(Now);
+  this->rejectUnsuitable(Now);
   std::vector<TaskId> Rest;
   bool Full = false;
   auto Interested = this->Offers.interests().begin();
@@ -402,6 +450,7 @@
 
 bool LeaseKeeper::canStartRuns(Instant Now) const {
   return this->Session.isReady() && !this->Session.isUnresponsive() &&
+         !this->Session.mayHaveRestarted() &&
          this->maxWorkerLeaseEnd(Now) - Now.Steady >=
              this->Options.MinWorkerLease &&
          this->Session.mayCarryLease(Now);
--- a/agent/lease_keeper.h
+++ b/agent/lease_keeper.h
@@ -25,6 +25,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -117,6 +118,9 @@
   /// and no new ones accepted, while running tasks continue.
   void setEvacuated(bool IsEvacuated, Instant Now);
 
+  /// \returns what the worker's current incarnation is; nothing while it has
+  /// not announced itself.
+  std::optional<peer::WorkerKind> workerKind() const;
   bool isEvacuated() const { return this->Evacuated; }
   bool isLeaving() const { return this->Leaving; }
   bool isIdle() const { return this->Tasks.empty(); }
@@ -163,6 +167,7 @@
     TimePoint LeaseEnd;
     std::string Spec;
     peer::TaskNeeds Needs;
+    peer::WorkerRequirement Requirement;
     /// Declared run time.
     std::chrono::milliseconds Estimate{};
     /// What its place in the queue depends on.
@@ -219,7 +224,15 @@
   /// Whether a task of another job is here that may have crashed a worker.
   bool holdsSuspectOfOther(const std::string &Job) const;
   /// \param Fresh Whether at least half of EntryLease remains.
-  peer::LeasedRefusal refusalFor(const TaskId &Id, bool Fresh) const;
+  peer::LeasedRefusal refusalFor(const TaskId &Id,
+                                 const peer::WorkerRequirement &Requirement,
+                                 bool Fresh) const;
+  /// Whether the worker is what a task requires. Coordinators that do not send
+  /// requirements are trusted.
+  bool suits(const peer::WorkerRequirement &Requirement) const;
+  /// Whether as many tasks of the job are here as one worker may have.
+  bool hasAllTasks(const std::string &Job,
+                   const peer::WorkerRequirement &Requirement) const;
   void onStop(const PeerRef &From, const peer::LeasedStop &Stop, Instant Now);
   void onInterest(const PeerRef &From, const peer::LeasedInterest &Request,
                   Instant Now);
@@ -235,6 +248,8 @@
                     Instant Now);
   /// Rejects queued tasks that would not even fit into an idle worker.
   void rejectOversized(Instant Now);
+  /// Rejects queued tasks that require another worker than the current one.
+  void rejectUnsuitable(Instant Now);
   /// Rejects the task if it is queued; stops its run if it is running.
   void dropTask(const TaskId &Id, peer::LeasedRefusal Cause,
                 const std::string &Reason, Instant Now);
@@ -279,12 +294,13 @@
   /// least every two seconds. Other messages omit older crashes, because every
   /// task update carries a load and a crash may list many tasks.
   peer::WorkerLoad loadFor(const std::string &Entry, Instant Now,
-                           bool WithAllCrashes = false) const;
+                           bool WithAllCrashes = false);
   /// Returns how long a task that arrives now is expected to wait for its
   /// start: the work of the queue, divided by the room.
   std::chrono::milliseconds startDelay() const;
   /// Adds how much longer the worker is cold, and lasts, to a load report.
   void addTimesLeft(peer::WorkerLoad &Load, Instant Now) const;
+  void addKind(peer::WorkerLoad &Load) const;
   /// Sends a load report to each entry that is to learn of open starts now.
   void reportOpenStarts(Instant Now);
   void sendLoad(const PeerRef &Entry, Instant Now);
@@ -334,6 +350,9 @@
   TimePoint NoRoomUntil = TimePoint::min();
   TimePoint NextRunSweep = TimePoint::min();
   TimePoint NextPlacementSweep = TimePoint::min();
+  /// Entries that were sent the present kind of the worker. One that did not
+  /// receive it asks.
+  std::set<std::string> KindSentTo;
   bool Leaving = false;
   bool ShuttingDown = false;
   bool Evacuated = false;
--- a/agent/lease_keeper_ends.cpp
+++ b/agent/lease_keeper_ends.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/lease_keeper.h"
 
+#include "agent/refusals.h"
 #include "protocol/task_needs.h"
 
 #include <algorithm>
@@ -178,6 +179,7 @@
 }
 
 void LeaseKeeper::onRoomChanged(Instant Now) {
+  this->KindSentTo.clear();
   if (!this->isOverfull()) {
     this->rejectOversized(Now);
     this->startFitting(Now);
@@ -251,6 +253,15 @@
       this->dropTask(Id, peer::REFUSAL_BUSY, "it is larger than the room", Now);
 }
 
+void LeaseKeeper::rejectUnsuitable(Instant Now) {
+  std::vector<TaskId> Unsuitable;
+  for (const TaskId &Id : this->Queue)
+    if (!this->suits(this->Tasks.at(Id).Requirement))
+      Unsuitable.push_back(Id);
+  for (const TaskId &Id : Unsuitable)
+    this->dropTask(Id, peer::REFUSAL_UNSUITABLE, UnsuitableWorker, Now);
+}
+
 void LeaseKeeper::shutDown(Instant Now) {
   this->ShuttingDown = true;
   this->leave("the agent shuts down", Now);
@@ -276,6 +287,8 @@
   if (TheTask.State != Phase::Queued)
     Update->set_service_us((Now.Steady - TheTask.Started).count());
   *Update->mutable_load() = this->loadFor(TheTask.Owner.Node, Now);
+  if (Refusal == peer::REFUSAL_UNSUITABLE)
+    this->addKind(*Update->mutable_load());
   this->EndedPlacements[{TheTask.Owner.Node, TheTask.Order}] = Now.Steady;
   if (Event == peer::LEASED_DONE && this->canBatch(Id, TheTask)) {
     UpdateBatch &Held = this->PendingUpdates[TheTask.Owner.Node];
@@ -337,7 +350,7 @@
 }
 
 peer::WorkerLoad LeaseKeeper::loadFor(const std::string &Entry, Instant Now,
-                                      bool WithAllCrashes) const {
+                                      bool WithAllCrashes) {
   peer::WorkerLoad Load;
   Load.set_incarnation(this->Options.Incarnation);
   Load.set_stamp(stampAt(Now));
@@ -366,6 +379,8 @@
     Load.set_start_delay_ms(
         static_cast<std::uint32_t>(this->startDelay().count()));
   }
+  if (this->Session.hasAnnounced() && this->KindSentTo.insert(Entry).second)
+    this->addKind(Load);
   this->Open.list(Entry, Now.Steady, Load);
   return Load;
 }
@@ -387,6 +402,11 @@
       std::min(Work / RoomMilliCores, MaxDelay));
 }
 
+void LeaseKeeper::addKind(peer::WorkerLoad &Load) const {
+  if (std::optional<peer::WorkerKind> Kind = this->workerKind())
+    *Load.mutable_kind() = *Kind;
+}
+
 void LeaseKeeper::addTimesLeft(peer::WorkerLoad &Load, Instant Now) const {
   Load.set_cold_left_ms(
       static_cast<std::uint32_t>(this->Session.coldLeft(Now).count()));
--- a/agent/refusals.h
+++ b/agent/refusals.h
@@ -17,6 +17,8 @@
     "the data centre is being evacuated";
 constexpr const char *Withdrawn = "withdrawn before its start";
 constexpr const char *UpstreamUnreachable = "the upstream refuses connections";
+constexpr const char *UnsuitableWorker =
+    "the worker is not what the task requires";
 constexpr const char *WasFrozen = "the agent was stopped while it waited";
 
 } // namespace yardwheel
--- a/agent/worker_session.h
+++ b/agent/worker_session.h
@@ -124,7 +124,8 @@
   /// had runs, which may be the cause. Comes before the next incarnation is
   /// attached.
   virtual void onWorkerCrashed(const std::vector<RunKey> &Runs, Instant Now) {}
-  /// Called when the worker's room has shrunk or grown.
+  /// Called when the worker's room has shrunk or grown, or when it has
+  /// announced that it is of another kind.
   virtual void onRoomChanged(Instant Now) {}
   /// Called when runs may be started on the worker's current incarnation.
   virtual void onWorkerReady(Instant Now) = 0;
@@ -168,6 +169,9 @@
     return this->Ready && this->Answering && this->Announced;
   }
   const WorkerProfile &profile() const { return *this->Profile; }
+  /// Whether the current incarnation has announced itself. If not, profile()
+  /// describes the one before it.
+  bool hasAnnounced() const { return this->Profile && this->Announced; }
   /// \returns how much longer the worker is slow after its start.
   std::chrono::milliseconds coldLeft(Instant Now) const;
   /// \returns how much longer the worker lasts at least; nothing while it does
@@ -217,6 +221,12 @@
   bool isSuspect(const RunKey &Run) const {
     return this->Suspects.contains(Run);
   }
+  /// Whether another incarnation, which may be of another kind, may have taken
+  /// this one's id: calls do not tell them apart, and the last hold call
+  /// failed.
+  bool mayHaveRestarted() const {
+    return this->canReturnUnderItsId() && this->LastHoldFailed;
+  }
   /// Whether so many hold calls in a row had no reply that a start would
   /// probably be lost too.
   bool isUnresponsive() const {
--- a/agent/worker_session_incarnations.cpp
+++ b/agent/worker_session_incarnations.cpp
@@ -57,9 +57,13 @@
   this->Profile->Sequence = New.Sequence;
   this->recordTimesLeft(New, Now);
   peer::TaskNeeds Was = this->Profile->Room;
-  if (isSameNeeds(Was, New.Room))
+  bool IsSameKind =
+      this->Profile->Pool == New.Pool && this->Profile->Labels == New.Labels;
+  if (IsSameKind && isSameNeeds(Was, New.Room))
     return;
   this->Profile->Room = New.Room;
+  this->Profile->Pool = New.Pool;
+  this->Profile->Labels = New.Labels;
   this->Log.decision("worker_room_changed",
                      {{"worker", New.Id},
                       {"sequence", New.Sequence},
@@ -67,6 +71,8 @@
                       {"cpu_milli", New.Room.cpu_milli()},
                       {"was_memory_mb", Was.memory_mb()},
                       {"memory_mb", New.Room.memory_mb()},
+                      {"pool", New.Pool},
+                      {"same_kind", IsSameKind},
                       {"runs", this->Runs.size()}});
   this->Events.onRoomChanged(Now);
 }
--- a/coordination/lease_coordinator.cpp
+++ b/coordination/lease_coordinator.cpp
@@ -95,11 +95,14 @@
   Contact &AgentContact = this->Contacts[Agent];
   AgentContact.UnansweredSince = TimePoint::max();
   AgentContact.FirstDispatchAt = TimePoint::max();
-  if (this->Workers.onLoadReport(Agent, Load, Now.Steady))
+  bool HasRestarted = this->Workers.onLoadReport(Agent, Load, Now.Steady);
+  if (HasRestarted)
     this->onRestarted(Agent, Now);
   LeasedWorker *Worker = this->Workers.find(Agent);
-  // The renewal acknowledges the report.
-  if (this->OpenStarts.onLoad(Agent, Load, Now.Steady) && Worker != nullptr)
+  bool IsReportOpen = this->OpenStarts.onLoad(Agent, Load, Now.Steady);
+  bool IsKindUnknown = HasRestarted && Worker->Pool.empty();
+  // The renewal acknowledges the report, and asks for the worker's kind.
+  if (Worker != nullptr && (IsReportOpen || IsKindUnknown))
     this->sendRenewal(*Worker, AgentContact, Now);
   for (const peer::OpenStart &Open : Load.open_starts()) {
     const Job *Target = this->find(Open.job());
--- a/coordination/lease_coordinator_offers.cpp
+++ b/coordination/lease_coordinator_offers.cpp
@@ -44,6 +44,7 @@
     Interest->set_job(Target.Request.Id);
     Interest->set_agent_incarnation(Worker->Incarnation);
     *Interest->mutable_needs() = Target.Request.Needs;
+    *Interest->mutable_requirement() = Target.Request.requirement();
     Interest->set_tasks(New);
     Interest->set_start_by_ms(static_cast<std::int32_t>(Slack.count()));
     this->Sink.send(Worker->Agent, std::move(Message));
@@ -76,6 +77,7 @@
                 Worker != nullptr && Worker->isReachable() &&
                 !Worker->Evacuated &&
                 Worker->Incarnation == Offer.load().incarnation() &&
+                WorkerTable::suits(*Worker, Target->Request) &&
                 !this->AwaitsAgents && !this->endIfUnwanted(*Target, Now);
   std::map<std::string, peer::LeasedDispatch> Batch;
   std::uint32_t Accepted = 0;
--- a/coordination/lease_coordinator_placement.cpp
+++ b/coordination/lease_coordinator_placement.cpp
@@ -315,6 +315,7 @@
     Order.set_agent_incarnation(Worker->Incarnation);
     Order.set_spec(Request.Spec);
     *Order.mutable_needs() = Request.Needs;
+    *Order.mutable_requirement() = Request.requirement();
     Order.set_start_by_ms(static_cast<std::int32_t>(StartBy.count()));
     Order.set_give_up_ms(static_cast<std::int32_t>(GiveUp.count()));
     Order.set_estimate_ms(static_cast<std::uint32_t>(Request.Estimate.count()));
--- a/coordination/lease_coordinator_watch.cpp
+++ b/coordination/lease_coordinator_watch.cpp
@@ -417,6 +417,7 @@
                         Now.Steady - this->Options.MaxVouchAge, Now);
   Renewal->set_stamp(Worker.stampAt(Renewed.Since));
   Renewal->mutable_orders()->Add(Renewed.Orders.begin(), Renewed.Orders.end());
+  Renewal->set_asks_kind(Worker.Pool.empty());
   Renewal->set_open_starts_seen(
       this->OpenStarts.acknowledged(Worker.Agent.Node, Worker.Incarnation));
   this->Sink.send(Worker.Agent, std::move(Message));
--- a/coordination/leased_job.cpp
+++ b/coordination/leased_job.cpp
@@ -2,6 +2,14 @@
 
 namespace yardwheel {
 
+peer::WorkerRequirement LeasedJobRequest::requirement() const {
+  peer::WorkerRequirement Requirement;
+  Requirement.set_pool(this->Pool);
+  Requirement.set_label(this->RequiredLabel);
+  Requirement.set_max_tasks(this->MaxPerWorker);
+  return Requirement;
+}
+
 double LeasedJobRequest::coreMilliseconds() const {
   constexpr double MillisPerSecond = 1000;
   return static_cast<double>(this->Needs.cpu_milli()) * this->TaskCount *
--- a/coordination/leased_job.h
+++ b/coordination/leased_job.h
@@ -49,6 +49,8 @@
   /// Where the caller is; empty if it is not known.
   std::string DataCentre;
 
+  /// Returns what agents check before they start a task.
+  peer::WorkerRequirement requirement() const;
   /// Returns the declared work of all tasks, as processor time.
   double coreMilliseconds() const;
 };
--- a/coordination/worker_table.cpp
+++ b/coordination/worker_table.cpp
@@ -32,6 +32,24 @@
       Job.Estimate * PoolSpeeds.usualRatio());
 }
 
+/// Returns what is known of a worker when only its new incarnation's number is:
+/// the host and what it still holds of this entry. The worker may be of another
+/// kind, and what was observed of the earlier one says nothing about it.
+LeasedWorker nextIncarnation(const LeasedWorker &Former,
+                             std::uint64_t Incarnation) {
+  LeasedWorker Next;
+  Next.Incarnation = Incarnation;
+  Next.Agent = Former.Agent;
+  Next.DataCentre = Former.DataCentre;
+  Next.Evacuated = Former.Evacuated;
+  Next.State = Former.State;
+  Next.OnlyReachableHere = Former.OnlyReachableHere;
+  // Tasks of the earlier incarnation count until each of them is settled.
+  Next.OwnMilliCores = Former.OwnMilliCores;
+  Next.OwnTasks = Former.OwnTasks;
+  return Next;
+}
+
 } // namespace
 
 std::uint64_t LeasedWorker::stampAt(TimePoint When) const {
@@ -46,12 +64,7 @@
   bool Replaced =
       Target.Incarnation != 0 && Member.incarnation() > Target.Incarnation;
   if (Member.incarnation() > Target.Incarnation) {
-    LeasedWorker New;
-    // Tasks of the earlier incarnation count until each of them is settled.
-    New.OwnMilliCores = Target.OwnMilliCores;
-    New.OwnTasks = Target.OwnTasks;
-    Target = New;
-    Target.Incarnation = Member.incarnation();
+    Target = nextIncarnation(Target, Member.incarnation());
     // The stamp was relayed by control, so it is older than its time of arrival
     // suggests.
     Target.Stamp = Member.freshness();
@@ -66,10 +79,13 @@
   }
   Target.OnlyReachableHere = false;
   Target.Agent = {Member.name(), Member.address()};
-  Target.Pool = Member.pool();
   Target.DataCentre = Member.data_centre();
   Target.Evacuated = this->EvacuatedDataCentres.contains(Target.DataCentre);
-  Target.Labels = {Member.labels().begin(), Member.labels().end()};
+  // The agent itself may have told the kind before control heard of it.
+  if (!Member.pool().empty()) {
+    Target.Pool = Member.pool();
+    Target.Labels = {Member.labels().begin(), Member.labels().end()};
+  }
   // A capacity reported by the agent itself is newer.
   if (!Target.CapacityReported)
     Target.Capacity = Member.room();
@@ -102,9 +118,7 @@
     return false;
   bool NewIncarnation = Load.incarnation() > Target->Incarnation;
   if (NewIncarnation) {
-    Target->Incarnation = Load.incarnation();
-    Target->Stamp = 0;
-    Target->CapacityReported = false;
+    *Target = nextIncarnation(*Target, Load.incarnation());
     Target->Alive = true;
   }
   Target->Unreachable = false;
@@ -118,8 +132,12 @@
     Target->Capacity = Load.room();
     Target->CapacityReported = true;
   }
+  if (Load.has_kind()) {
+    Target->Pool = Load.kind().pool();
+    Target->Labels = {Load.kind().labels().begin(), Load.kind().labels().end()};
+  }
   this->setOthersMilliCores(*Target, Load.others_cpu_milli());
-  if (Target->Capacity.cpu_milli() > 0)
+  if (!Target->Pool.empty() && Target->Capacity.cpu_milli() > 0)
     this->Forecasts[Target->Pool].onReport(reportedShareOf(*Target), Now);
   Target->RunTimePermille = Load.run_time_permille();
   Target->StartDelay = std::chrono::milliseconds(Load.start_delay_ms());
@@ -276,17 +294,22 @@
   return Found == this->Workers.end() ? nullptr : &Found->second;
 }
 
+bool WorkerTable::suits(const LeasedWorker &Worker,
+                        const LeasedJobRequest &Job) {
+  bool HasLabel =
+      Job.RequiredLabel.empty() || Worker.Labels.contains(Job.RequiredLabel);
+  return HasLabel && !Worker.Pool.empty() && Worker.Pool == Job.Pool;
+}
+
 bool WorkerTable::canTake(const LeasedWorker &Worker,
                           const LeasedJobRequest &Job, TimePoint Now) const {
   // The agent would refuse a task sent with an older stamp; it is being probed
   // for a new one.
   bool Fresh = Now - Worker.StampReceived < MaxStampAge;
-  bool Serves = Worker.isReachable() && !Worker.Evacuated && Fresh &&
-                Worker.Pool == Job.Pool;
+  bool Serves =
+      Worker.isReachable() && !Worker.Evacuated && Fresh && suits(Worker, Job);
   if (!Serves || !holdsNeeds(Worker.Capacity, Job.Needs))
     return false;
-  if (!Job.RequiredLabel.empty() && !Worker.Labels.contains(Job.RequiredLabel))
-    return false;
   if (Worker.Ejected && Now < Worker.EjectedUntil)
     return false;
   if (Worker.LastsUntil - Now < Job.Estimate)
--- a/coordination/worker_table.h
+++ b/coordination/worker_table.h
@@ -77,6 +77,8 @@
 
   PeerRef Agent;
   std::uint64_t Incarnation = 0;
+  /// Empty while it is not known what the worker of this incarnation is; it
+  /// gets no tasks then.
   std::string Pool;
   std::string DataCentre;
   /// Whether its data centre is being evacuated, so that it gets no new tasks.
@@ -152,11 +154,14 @@
   bool isLost(const LeasedWorker &Worker, TimePoint Now) const;
   void setLost(const std::string &Agent);
   /// Applies an agent's load report. Reports of an older incarnation are
-  /// ignored. Failures observed by other entries count like this entry's own.
-  /// \returns whether the report comes from an incarnation that was not known
-  /// yet.
+  /// ignored. The worker of a newer one may be of another kind, and gets no
+  /// tasks until control or the agent has told its kind. Failures observed by
+  /// other entries count like this entry's own. \returns whether the report
+  /// comes from an incarnation that was not known yet.
   bool onLoadReport(const std::string &Agent, const peer::WorkerLoad &Load,
                     TimePoint Now);
+  /// Whether the worker is known to be what the job requires.
+  static bool suits(const LeasedWorker &Worker, const LeasedJobRequest &Job);
   void setUnreachable(const std::string &Agent);
   void setSuspect(const std::string &Agent);
   /// Sets the data centres that are being evacuated. What was observed of the
--- a/emulator/leased_agent.cpp
+++ b/emulator/leased_agent.cpp
@@ -33,8 +33,10 @@
       Random(Options.Seed), Worker(World, Runs, this->Name + "-worker",
                                    Options.Pool, Options.Worker, Options.Seed) {
   this->Worker.onRestart([this] {
-    this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
-      this->Keeper->onProfile(Profile, this->now());
+    this->World.after(this->Options.AnnounceDelay, [this] {
+      this->World.runOn(this->Name, [this, Profile = this->Worker.announce()] {
+        this->Keeper->onProfile(Profile, this->now());
+      });
     });
   });
   this->startIncarnation();
@@ -148,7 +150,9 @@
   Member.set_role(peer::ROLE_AGENT);
   Member.set_incarnation(this->Keeper->incarnation());
   Member.set_address(this->Name);
-  Member.set_pool(this->Options.Pool);
+  Member.set_pool(this->Worker.profile().Pool);
+  for (const std::string &Label : this->Worker.profile().Labels)
+    Member.add_labels(Label);
   Member.mutable_room()->set_cpu_milli(this->Options.Worker.CapacityMilliCores);
   Member.mutable_room()->set_memory_mb(UINT32_MAX);
   Member.set_state(peer::MEMBER_ALIVE);
--- a/emulator/leased_agent.h
+++ b/emulator/leased_agent.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   std::chrono::milliseconds Tick{20};
   KeeperOptions Keeper;
   VirtualWorkerOptions Worker;
+  /// Time for which a worker that has restarted serves without an announcement.
+  Duration AnnounceDelay{0};
   std::uint64_t Seed = 1;
   /// Whether it coordinates jobs for entries.
   bool Coordinates = false;
@@ -75,6 +78,10 @@
   }
   /// Makes tasks that start from now on take longer by a factor.
   void setRunTimeFactor(double New) { this->Worker.setRunTimeFactor(New); }
+  /// Sets what the worker is from its next incarnation on.
+  void setNextWorkerKind(std::string Pool, std::set<std::string> Labels) {
+    this->Worker.setNextKind(std::move(Pool), std::move(Labels));
+  }
   /// Crashes the worker; a new incarnation starts after \p RestartAfter. The
   /// last announcement of the old one arrives once more after \p Late.
   void crashWorker(std::chrono::milliseconds RestartAfter,
--- a/emulator/leased_world.cpp
+++ b/emulator/leased_world.cpp
@@ -39,6 +39,8 @@
   Own.Delegation = Options.Delegate;
   Own.Worker.RestartAfter = Options.RestartAfter;
   Own.Worker.KeepsId = Options.WorkersKeepId;
+  Own.Worker.Labels = Options.Labels[Which % Options.Labels.size()];
+  Own.AnnounceDelay = Options.AnnounceDelay;
   Own.Worker.CapacityMilliCores =
       Options.CapacitiesMilliCores[Which % Options.CapacitiesMilliCores.size()];
   Own.Worker.RunTimeFactor =
@@ -86,6 +88,7 @@
   Job.Pool = PoolName;
   Job.TaskCount = static_cast<std::uint32_t>(Lengths.size());
   Job.Spec = specOf(Which, Lengths);
+  this->Runs.require(Job.Id, Job.requirement());
   this->Entries.at(Entry)->submitJob(Which, Job, std::move(OnAnswer));
   return Which;
 }
--- a/emulator/leased_world.h
+++ b/emulator/leased_world.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
   std::vector<std::uint32_t> CapacitiesMilliCores = {64000};
   /// Factors by which tasks take longer on the workers, assigned in turn.
   std::vector<double> RunTimeFactors = {1};
+  /// Labels of the workers, assigned in turn.
+  std::vector<std::set<std::string>> Labels = {{}};
+  /// Time for which a worker that has restarted serves without an announcement.
+  Duration AnnounceDelay{0};
   CoordinatorOptions Coordinator;
   KeeperOptions Keeper;
   /// Delegation of jobs to agents; off unless Rule.MaxDelegates is set.
--- a/emulator/run_register.cpp
+++ b/emulator/run_register.cpp
@@ -31,6 +31,20 @@
   }
 }
 
+void RunRegister::checkKind(const RunKey &Run, const WorkerProfile &Worker,
+                            std::size_t RunsOfJob) {
+  auto Found = this->Requirements.find(Run.Job);
+  if (Found == this->Requirements.end())
+    return;
+  const peer::WorkerRequirement &Needed = Found->second;
+  bool HasLabel =
+      Needed.label().empty() || Worker.Labels.contains(Needed.label());
+  bool IsWithinLimit =
+      Needed.max_tasks() == 0 || RunsOfJob <= Needed.max_tasks();
+  if (Worker.Pool != Needed.pool() || !HasLabel || !IsWithinLimit)
+    ++this->UnsuitableStarts;
+}
+
 void RunRegister::noteCrash(const RunKey &Cause) {
   CrashCount &Count = this->CrashCounts[{Cause.Job, Cause.Index}];
   if (Count.Crashes >= 3)
--- a/emulator/run_register.h
+++ b/emulator/run_register.h
@@ -40,12 +40,22 @@
              TimePoint Now);
   void end(const std::string &Worker, const RunKey &Run, const std::string &How,
            TimePoint Now);
+  /// Sets what the workers of a job's tasks must be.
+  void require(const std::string &Job, const peer::WorkerRequirement &Needed) {
+    this->Requirements[Job] = Needed;
+  }
+  /// Checks a start against what was required. \param RunsOfJob Runs of the job
+  /// on this worker, with this one.
+  void checkKind(const RunKey &Run, const WorkerProfile &Worker,
+                 std::size_t RunsOfJob);
   /// Records the start of a run that crashes its worker.
   void noteCrash(const RunKey &Cause);
 
   /// Counts the starts of a task while another run of it was alive, at any
   /// worker.
   std::uint32_t overlappingStarts() const { return this->OverlappingStarts; }
+  /// Counts the starts on workers that are not what the job requires.
+  std::uint32_t unsuitableStarts() const { return this->UnsuitableStarts; }
   /// Returns whether a run of this submission has ever begun.
   bool hasBegun(SubmissionId Which) const {
     return this->BegunSubmissions.contains(Which);
@@ -75,6 +85,9 @@
   std::set<SubmissionId> BegunSubmissions;
   std::map<TaskName, CrashCount> CrashCounts;
   std::uint32_t OverlappingStarts = 0;
+  /// By job.
+  std::map<std::string, peer::WorkerRequirement> Requirements;
+  std::uint32_t UnsuitableStarts = 0;
 };
 
 } // namespace yardwheel
--- a/emulator/virtual_worker.cpp
+++ b/emulator/virtual_worker.cpp
@@ -43,12 +43,13 @@
 
 VirtualWorker::VirtualWorker(VirtualWorld &World, RunRegister &Runs,
                              std::string Name, std::string Pool,
-                             VirtualWorkerOptions Options, std::uint64_t Seed)
+                             const VirtualWorkerOptions &Options,
+                             std::uint64_t Seed)
     : World(World), Runs(Runs), Name(std::move(Name)), Options(Options),
       Random(Seed), Started(World.now().Steady) {
   this->SlowPermille = static_cast<std::uint32_t>(
       this->Random() % (Options.MaxSlowPermille + 1));
-  this->Profile.Pool = std::move(Pool);
+  this->setNextKind(std::move(Pool), Options.Labels);
   this->Profile.Room.set_cpu_milli(Options.CapacityMilliCores);
   this->Profile.Room.set_memory_mb(UINT32_MAX);
   this->startIncarnation();
@@ -64,6 +65,8 @@
     this->Profile.StartUnixMs =
         static_cast<std::uint64_t>(toUnixMillis(this->World.now().Wall));
   this->Profile.Sequence = 0;
+  this->Profile.Pool = this->NextPool;
+  this->Profile.Labels = this->NextLabels;
   this->Started = this->World.now().Steady;
 }
 
@@ -239,6 +242,9 @@
   this->Alive[Key] = {};
   this->Runs.begin(this->IncarnationName, Key, Read.For,
                    this->World.now().Steady);
+  auto RunsOfJob = std::ranges::count_if(
+      this->Alive, [&](const auto &Item) { return Item.first.Job == Key.Job; });
+  this->Runs.checkKind(Key, this->Profile, static_cast<std::size_t>(RunsOfJob));
   if (Read.Length == CrashesWorker) {
     this->Runs.noteCrash(Key);
     this->crash();
--- a/emulator/virtual_worker.h
+++ b/emulator/virtual_worker.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
   std::uint32_t CapacityMilliCores = 64000;
   /// Factor by which every task takes longer than its spec says.
   double RunTimeFactor = 1;
+  std::set<std::string> Labels;
   /// All incarnations have the same id, and announce their start time.
   bool KeepsId = false;
 };
@@ -51,7 +53,7 @@
   using Answer = std::function<void(const WorkerReply &Reply)>;
 
   VirtualWorker(VirtualWorld &World, RunRegister &Runs, std::string Name,
-                std::string Pool, VirtualWorkerOptions Options,
+                std::string Pool, const VirtualWorkerOptions &Options,
                 std::uint64_t Seed);
 
   bool isUp() const { return this->Up; }
@@ -71,6 +73,12 @@
   /// Changes VirtualWorkerOptions::RunTimeFactor for tasks that start from now
   /// on.
   void setRunTimeFactor(double New) { this->Options.RunTimeFactor = New; }
+  /// Sets what the worker is from its next incarnation on.
+  void setNextKind(std::string Pool, std::set<std::string> Labels) {
+    this->NextPool = std::move(Pool);
+    this->NextLabels = std::move(Labels);
+  }
+  const WorkerProfile &profile() const { return this->Profile; }
   /// Ends all runs; the worker restarts after a delay as a new incarnation.
   void crash();
   void crash(std::chrono::milliseconds RestartAfter);
@@ -108,6 +116,8 @@
   WorkerProfile Profile;
   std::function<void()> Restarted;
   bool Up = true;
+  std::string NextPool;
+  std::set<std::string> NextLabels;
   std::uint64_t LastIncarnation = 1;
   /// Name of the current incarnation in the register of runs.
   std::string IncarnationName;
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -1,5 +1,6 @@
 //===- An agent whose worker runs tasks under leases ----------------------===//
 
+#include "agent/announced_worker.h"
 #include "agent/lease_keeper.h"
 #include "coordination/delegate.h"
 #include "core/busy_meter.h"
@@ -8,7 +9,6 @@
 #include "main/process.h"
 #include "platform/announcement_handler.h"
 #include "platform/worker_client.h"
-#include "protocol/task_needs.h"
 #include "transport/link_node.h"
 
 #include <optional>
@@ -85,19 +85,8 @@
   void logLoad();
   void stop();
 
-  struct Announced {
-    std::uint64_t Incarnation = 0;
-    bool Leaving = false;
-    peer::TaskNeeds Room;
-    bool operator==(const Announced &Other) const {
-      return this->Incarnation == Other.Incarnation &&
-             this->Leaving == Other.Leaving &&
-             isSameNeeds(this->Room, Other.Room);
-    }
-  };
-
   NodePlan Plan;
-  Announced LastAnnounced;
+  AnnouncedWorker LastAnnounced;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
@@ -214,22 +203,13 @@
 void LeaseAgentProcess::announceChanges(Instant Now) {
   if (!this->Keeper.session().hasWorker())
     return;
-  Announced Present{this->Keeper.incarnation(), this->Keeper.isLeaving(),
-                    this->Keeper.session().profile().Room};
+  AnnouncedWorker Present = AnnouncedWorker::of(this->Keeper);
   if (Present == this->LastAnnounced)
     return;
   this->LastAnnounced = Present;
-  const WorkerProfile &Profile = this->Keeper.session().profile();
   this->Announce.update(
       [&](peer::Member &Self) {
-        Self.set_incarnation(Present.Incarnation);
-        Self.set_state(Present.Leaving ? peer::MEMBER_LEAVING
-                                       : peer::MEMBER_ALIVE);
-        Self.set_pool(Profile.Pool);
-        *Self.mutable_room() = Profile.Room;
-        Self.clear_labels();
-        for (const std::string &Label : Profile.Labels)
-          Self.add_labels(Label);
+        Present.writeTo(Self);
         Self.set_freshness(LeaseKeeper::stampAt(Now));
       },
       Now);
--- a/membership/member_registry.cpp
+++ b/membership/member_registry.cpp
@@ -17,6 +17,16 @@
   Target.Member.set_version(++this->Version);
 }
 
+namespace {
+
+/// Whether the workers of two announcements serve the same pool and have the
+/// same labels.
+bool isSameKind(const peer::Member &A, const peer::Member &B) {
+  return A.pool() == B.pool() && std::ranges::equal(A.labels(), B.labels());
+}
+
+} // namespace
+
 bool MemberRegistry::onHeartbeat(const peer::Heartbeat &Request,
                                  TimePoint Now) {
   const peer::Member &Reported = Request.member();
@@ -41,7 +51,8 @@
   Target.TableVersion = Request.table_version();
   bool Changed = !SameIncarnation ||
                  Target.Member.state() != Reported.state() ||
-                 !isSameNeeds(Target.Member.room(), Reported.room());
+                 !isSameNeeds(Target.Member.room(), Reported.room()) ||
+                 !isSameKind(Target.Member, Reported);
   if (Rejoins || !Changed)
     return false;
   Target.Member = Reported;
--- a/tests/coordination/coordinator_agents_test.cpp
+++ b/tests/coordination/coordinator_agents_test.cpp
@@ -118,8 +118,15 @@
   Load.mutable_worker_load()->set_incarnation(AgentIncarnation + 1);
   Load.mutable_worker_load()->set_stamp(5);
   Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  // Its worker may be of another kind, which the agent is asked for at once.
+  LONGS_EQUAL(1, Sink.KindQuestions["a"]);
   advance(80ms);
   CHECK(onlyAnswer().End == LeasedEnd::Unknown);
+  Coordinator.submit(request(1, "i"), 3, Now);
+  LONGS_EQUAL(1, Sink.Dispatches.size());
+  describeWorker(*Load.mutable_worker_load());
+  Coordinator.onMessage({"a", "10.0.0.1:1"}, Load, Now);
+  advance(80ms);
   Coordinator.submit(request(1, "k"), 2, Now);
   LONGS_EQUAL(2, Sink.Dispatches.size());
   LONGS_EQUAL(AgentIncarnation + 1,
@@ -240,6 +247,7 @@
     Update->set_refusal(peer::REFUSAL_STALE);
     Update->mutable_load()->set_incarnation(AgentIncarnation + 1);
     Update->mutable_load()->set_stamp(5);
+    describeWorker(*Update->mutable_load());
     Coordinator.onMessage({"a", "10.0.0.1:1"}, Message, Now);
   }
   advance(100ms);
@@ -263,7 +271,7 @@
   std::uint64_t Newest = AgentIncarnation;
   for (const Row &Row : Rows) {
     addAgent("a");
-    reportLoad("a", Newest);
+    reportRestart("a", Newest);
     Coordinator.submit(request(2, "old"), 1, Now);
     ++Newest;
     if (Row.ByControl) {
@@ -278,7 +286,7 @@
       Member.mutable_room()->set_memory_mb(1000);
       Coordinator.onMember(Member, Now);
     }
-    reportLoad("a", Newest);
+    reportRestart("a", Newest);
     Coordinator.submit(request(1, "new"), 2, Now);
     advance(100ms);
     LONGS_EQUAL_TEXT(1, Coordinator.workerTable().workers().at("a").OwnTasks,
--- a/tests/coordination/coordinator_fixture.h
+++ b/tests/coordination/coordinator_fixture.h
@@ -30,6 +30,8 @@
       this->StoppedOrders = ordersOf(Message.leased_stop().orders());
     } else if (Message.has_lease_renewal()) {
       ++this->Renewals[To.Node];
+      if (Message.lease_renewal().asks_kind())
+        ++this->KindQuestions[To.Node];
       this->RenewedOrders[To.Node] = ordersOf(Message.lease_renewal().orders());
     } else if (Message.has_leased_interest())
       this->Interests.push_back({To.Node, Message.leased_interest()});
@@ -55,6 +57,8 @@
   std::vector<std::pair<std::string, peer::LeasedInterest>> Interests;
   std::map<std::string, int> DeclinedOffers;
   std::map<std::string, int> Renewals;
+  /// Renewals that asked for the kind of the worker.
+  std::map<std::string, int> KindQuestions;
   std::map<std::string, int> Reconnects;
   std::vector<std::pair<std::string, peer::OpenStartRelay>> Relays;
   std::map<std::string, peer::OpenStartRelayReply> RelayReplies;
@@ -113,6 +117,20 @@
     Load.mutable_worker_load()->set_stamp(++this->Stamp);
     Coordinator.onMessage({Name, "10.0.0.1:1"}, Load, Now);
   }
+  /// Describes the worker as the first report of an incarnation does.
+  static void describeWorker(peer::WorkerLoad &Load,
+                             std::uint32_t CpuMilli = 4000) {
+    Load.mutable_room()->set_cpu_milli(CpuMilli);
+    Load.mutable_room()->set_memory_mb(1000);
+    Load.mutable_kind()->set_pool("pool");
+  }
+  void reportRestart(const std::string &Name, std::uint64_t Incarnation) {
+    peer::Message Load;
+    Load.mutable_worker_load()->set_incarnation(Incarnation);
+    Load.mutable_worker_load()->set_stamp(++this->Stamp);
+    describeWorker(*Load.mutable_worker_load());
+    Coordinator.onMessage({Name, "10.0.0.1:1"}, Load, Now);
+  }
   void announceAgent(const std::string &Name, std::uint32_t CpuMilli = 4000,
                      const std::string &DataCentre = "") {
     peer::Member Member;
--- a/tests/coordination/worker_table_test.cpp
+++ b/tests/coordination/worker_table_test.cpp
@@ -237,3 +237,76 @@
     }
   }
 }
+
+// Regression test: tasks were placed on a worker by the labels and the pool of
+// its earlier incarnation.
+TEST(WorkerTableTest, AWorkerThatHasRestartedGetsNoTasksUntilItsKindIsKnown) {
+  enum class Source { None, Agent, Control };
+  struct Row {
+    const char *Name;
+    Source Teller;
+    const char *Pool;
+    const char *Label;
+    bool IsEligible;
+  };
+  const Row Rows[] = {
+      {"told by nobody", Source::None, "", "", false},
+      {"same, by the agent", Source::Agent, "pool", "a", true},
+      {"other label", Source::Agent, "pool", "b", false},
+      {"other pool", Source::Agent, "other", "a", false},
+      {"same, by control", Source::Control, "pool", "a", true},
+      {"other, by control", Source::Control, "pool", "b", false},
+      {"control knows no kind", Source::Control, "", "", false}};
+  for (const Row &Row : Rows) {
+    WorkerTable Table(WorkerTableOptions(), 1);
+    peer::Member Member;
+    Member.set_name("w");
+    Member.set_incarnation(Incarnation);
+    Member.set_state(peer::MEMBER_ALIVE);
+    Member.set_pool("pool");
+    Member.add_labels("a");
+    Member.mutable_room()->set_cpu_milli(CapacityMilliCores);
+    Table.update(Member, Now);
+    peer::WorkerLoad Load;
+    Load.set_incarnation(Incarnation);
+    Load.set_stamp(1);
+    *Load.mutable_room() = Member.room();
+    Table.onLoadReport("w", Load, Now);
+    LeasedJobRequest Job = job();
+    Job.RequiredLabel = "a";
+    CHECK_TEXT(Table.hasEligibleWorker(Job, {}, Now), Row.Name);
+
+    Load.set_incarnation(Incarnation + 1);
+    CHECK_TEXT(Table.onLoadReport("w", Load, Now), Row.Name);
+    CHECK_TEXT(!Table.hasEligibleWorker(Job, {}, Now), Row.Name);
+    if (Row.Teller == Source::Agent) {
+      Load.mutable_kind()->set_pool(Row.Pool);
+      Load.mutable_kind()->add_labels(Row.Label);
+      Table.onLoadReport("w", Load, Now);
+    } else if (Row.Teller == Source::Control) {
+      Member.set_incarnation(Incarnation + 1);
+      Member.set_pool(Row.Pool);
+      Member.set_labels(0, Row.Label);
+      Table.update(Member, Now);
+    }
+    LONGS_EQUAL_TEXT(Row.IsEligible, Table.hasEligibleWorker(Job, {}, Now),
+                     Row.Name);
+  }
+}
+
+TEST(WorkerTableTest, ControlDoesNotUndoTheKindThatTheAgentHasTold) {
+  WorkerTable Table(WorkerTableOptions(), 1);
+  addWorker(Table, "w", 0);
+  peer::WorkerLoad Load;
+  Load.set_incarnation(Incarnation + 1);
+  Load.set_stamp(1);
+  Load.mutable_room()->set_cpu_milli(CapacityMilliCores);
+  Load.mutable_kind()->set_pool("pool");
+  Table.onLoadReport("w", Load, Now);
+  peer::Member Member;
+  Member.set_name("w");
+  Member.set_incarnation(Incarnation + 1);
+  Member.set_state(peer::MEMBER_ALIVE);
+  Table.update(Member, Now);
+  CHECK(Table.hasEligibleWorker(job(), {}, Now));
+}
--- a/tests/membership/member_registry_test.cpp
+++ b/tests/membership/member_registry_test.cpp
@@ -91,3 +91,28 @@
     LONGS_EQUAL(Case.Members, Update.members_size());
   }
 }
+
+// Regression test: control kept, and passed on, the labels that a worker had
+// before it came back as another kind, as only its room was compared.
+TEST(MemberRegistryTest, AChangedKindOfWorkerIsTakenOver) {
+  struct Row {
+    const char *Pool;
+    const char *Label;
+    bool Changes;
+  };
+  // Each row continues from the state that the previous one left.
+  const Row Table[] = {{"pool", "a", true},
+                       {"pool", "a", false},
+                       {"pool", "b", true},
+                       {"other", "b", true}};
+  for (const Row &Case : Table) {
+    peer::Heartbeat Request = makeHeartbeat(5, peer::MEMBER_ALIVE);
+    Request.mutable_member()->set_pool(Case.Pool);
+    Request.mutable_member()->add_labels(Case.Label);
+    LONGS_EQUAL_TEXT(Case.Changes, Registry.onHeartbeat(Request, Start),
+                     Case.Label);
+    const peer::Member &Known = Registry.find("a1")->Member;
+    STRCMP_EQUAL(Case.Pool, Known.pool().c_str());
+    STRCMP_EQUAL(Case.Label, Known.labels(0).c_str());
+  }
+}
