--- a/tests/system/platform_worker.cpp
+++ b/tests/system/platform_worker.cpp
@@ -108,7 +108,7 @@
       {"state", this->Draining.load() ? "draining" : "ready"},
       {"capacity",
        {{"cpu", this->Options.CpuMilli}, {"memMb", 1000}, {"gpus", 0}}},
-      {"labels", {"a", "r1"}},
+      {"labels", {this->Options.Kind, "r1"}},
       {"clockMs", this->clockMs()},
       {"sequence", ++this->Sequence}};
   this->addBorn(Body);
@@ -148,10 +148,13 @@
   if (Number <= this->LastRuns[Task])
     return "old";
   this->LastRuns[Task] = Number;
-  auto Length =
-      std::chrono::milliseconds(std::stoi(Body.at("spec").get<std::string>()));
+  std::string Spec = Body.at("spec");
+  std::size_t End = 0;
+  auto Length = std::chrono::milliseconds(std::stoi(Spec, &End));
   this->Runs[Task] = {Number, Clock::now() + Length, 0};
   this->Recorder.onStart(Task, this->Options.Id);
+  if (End < Spec.size() && Spec.substr(End + 1) != this->Options.Kind)
+    this->Recorder.onUnsuitableStart(Task, this->Options.Id);
   ++this->Starts;
   return "";
 }
--- a/tests/system/platform_worker.h
+++ b/tests/system/platform_worker.h
@@ -7,7 +7,8 @@
 /// acknowledged. It can also leave start requests unanswered and execute them
 /// late.
 ///
-/// A task's spec is its duration in milliseconds.
+/// A task's spec is its duration in milliseconds, and the kind of worker that
+/// it requires, if it requires one.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_TESTS_SYSTEM_PLATFORM_WORKER_H
@@ -37,6 +38,8 @@
   /// Address at which its agent accepts announcements.
   std::string Agent;
   std::string Pool = "pool";
+  /// The label that tells its kind.
+  std::string Kind = "a";
   int CpuMilli = 4000;
   std::chrono::milliseconds HeartbeatInterval{300};
   std::chrono::milliseconds MaxLease{1000};
--- a/tests/system/run_recorder.cpp
+++ b/tests/system/run_recorder.cpp
@@ -65,4 +65,15 @@
   return Found;
 }
 
+void RunRecorder::onUnsuitableStart(const std::string &Task,
+                                    const std::string &Worker) {
+  std::lock_guard Lock(this->Mutex);
+  this->Unsuitable.push_back(Task + " on " + Worker);
+}
+
+std::vector<std::string> RunRecorder::unsuitableStarts() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Unsuitable;
+}
+
 } // namespace yardwheel
--- a/tests/system/run_recorder.h
+++ b/tests/system/run_recorder.h
@@ -39,6 +39,10 @@
   int overlaps() const { return this->Overlaps.load(); }
   int starts() const { return this->Starts.load(); }
   int alive() const;
+  /// Records a start on a worker that is not of the kind that was required.
+  void onUnsuitableStart(const std::string &Task, const std::string &Worker);
+  /// Returns a line for each of these starts.
+  std::vector<std::string> unsuitableStarts() const;
   /// Returns the tasks with two runs alive at the same time, according to their
   /// end times. Must be called when no run is alive.
   std::vector<std::string> overlappingTasks() const;
@@ -50,6 +54,7 @@
   mutable std::mutex Mutex;
   std::map<std::string, int> Alive;
   std::map<std::string, std::vector<RunSpan>> Spans;
+  std::vector<std::string> Unsuitable;
   std::atomic<int> Overlaps{0};
   std::atomic<int> Starts{0};
 };
--- a/tests/system/soak_caller.cpp
+++ b/tests/system/soak_caller.cpp
@@ -60,6 +60,12 @@
       {"spec", std::to_string(Millis)},
       {"bestEffort", true},
       {"phases", {{{"count", New.Tasks}, {"cpu", 500}, {"estMs", Estimate}}}}};
+  // The prober's jobs, which have to be served, run anywhere.
+  if (this->Shared.RequiresKinds && this->Number > 0 && this->pick(0, 1) == 0) {
+    const char *Kind = this->pick(0, 1) == 0 ? "a" : "b";
+    Body["phases"][0]["requiredLabel"] = Kind;
+    Body["spec"] = fmt::format("{} {}", Millis, Kind);
+  }
   New.Body = Body.dump();
   ++this->Shared.Jobs;
   return New;
--- a/tests/system/soak_caller.h
+++ b/tests/system/soak_caller.h
@@ -36,6 +36,8 @@
   std::function<bool(int Entry, RunSpan::TimePoint SentAt,
                      RunSpan::TimePoint CutAt)>
       MayCut;
+  /// Whether jobs require a kind of worker now and then.
+  bool RequiresKinds = false;
   std::atomic<bool> Over{false};
   std::atomic<int> Jobs{0};
   std::atomic<int> Completed{0};
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -42,7 +42,10 @@
 SoakFleet::SoakFleet(const SoakOptions &Options)
     : Options(Options), Findings(Options.Seed, this->Cluster.folder()),
       Random(Options.Seed) {
-  this->addNodes("core", "control", SoakFirstControl, Options.Controls);
+  this->addNodes("core", "control", SoakFirstControl,
+                 Options.Controls + Options.SpareControls);
+  for (int I = 0; I < Options.SpareControls; ++I)
+    this->Nodes.at(SoakFirstControl + Options.Controls + I).Present = false;
   this->addNodes("front", "front", SoakFirstEntry, Options.Entries);
   this->addNodes("side", "side", SoakFirstAgent, Options.Agents);
 }
@@ -62,18 +65,35 @@
   }
 }
 
+std::vector<int> SoakFleet::controlHosts() const {
+  std::vector<int> Hosts;
+  for (const auto &[Host, Known] : this->Nodes)
+    if (Host >= SoakFirstControl && Known.Present && !Known.Retires)
+      Hosts.push_back(Host);
+  return Hosts;
+}
+
+std::vector<std::size_t> SoakFleet::presentControls() const {
+  std::vector<std::size_t> Numbers;
+  for (int Host : this->controlHosts())
+    Numbers.push_back(static_cast<std::size_t>(Host - SoakFirstControl));
+  return Numbers;
+}
+
 std::string SoakFleet::settings(int Host) {
-  const Node &Known = this->Nodes.at(Host);
-  json Body = this->Cluster.settings(Known.Name, Host, Known.Serves);
+  const Node &Target = this->Nodes.at(Host);
+  json Body = this->Cluster.settings(Target.Name, Host, Target.Serves);
   bool Control = Host >= SoakFirstControl;
   std::vector<std::string> Seeds;
-  Seeds.reserve(static_cast<std::size_t>(this->Options.Controls));
+  std::vector<int> Known = this->controlHosts();
+  Known.resize(
+      std::min(Known.size(), static_cast<std::size_t>(this->Options.Controls)));
   // Replicas are known by the addresses of the seeds, so control's own are not
   // those of proxies.
-  for (int I = 0; I < this->Options.Controls; ++I)
-    Seeds.push_back(
-        this->Cluster.at(SoakFirstControl + I + (Control ? 0 : SoakProxyOffset),
-                         OperatorOffset));
+  Seeds.reserve(Known.size());
+  for (int Replica : Known)
+    Seeds.push_back(this->Cluster.at(Replica + (Control ? 0 : SoakProxyOffset),
+                                     OperatorOffset));
   if (this->Bootstrapped)
     std::shuffle(Seeds.begin(), Seeds.end(), this->Random);
   Body["seeds"] = Seeds;
@@ -129,13 +149,18 @@
   Worker.Listen = this->Cluster.at(Host, WorkerOffset);
   Worker.Agent = this->Cluster.at(Host, OperatorOffset);
   Worker.AnnouncesBorn = !this->Options.Delegation;
+  // Drawn only where it counts, so that plans of old seeds stay as they are.
+  if (this->Options.Replacements)
+    Worker.Kind =
+        std::uniform_int_distribution<int>(0, 1)(this->Random) == 0 ? "a" : "b";
   this->Cluster.Workers[Host] =
       std::make_unique<PlatformWorker>(Worker, this->Cluster.Recorder);
 }
 
 void SoakFleet::startAll() {
   for (const auto &[Host, Known] : this->Nodes)
-    this->start(Host);
+    if (Known.Present)
+      this->start(Host);
   for (int I = 0; I < this->Options.Agents; ++I)
     this->startWorker(SoakFirstAgent + I);
   this->Bootstrapped = true;
@@ -154,6 +179,26 @@
   this->Findings.note("killed " + Known.Name);
 }
 
+void SoakFleet::terminate(int Host) {
+  Node &Known = this->Nodes.at(Host);
+  Known.Terminating = true;
+  Known.KillAt = Clock::now() + Grace;
+  {
+    std::lock_guard Lock(this->Mutex);
+    this->Terminations[Host].push_back(Clock::now());
+  }
+  this->Cluster.signal(Known.Name, SIGTERM);
+}
+
+void SoakFleet::losePower(milliseconds For) {
+  for (int Host : this->controlHosts()) {
+    Node &Known = this->Nodes.at(Host);
+    Known.Pause = For;
+    if (Known.Up)
+      this->kill(Host);
+  }
+}
+
 void SoakFleet::freeze(int Host, milliseconds For) {
   Node &Known = this->Nodes.at(Host);
   Known.Frozen = true;
@@ -244,6 +289,14 @@
     this->startWorker(Fault.Host);
     return;
   }
+  if (Fault.Kind == SoakFaultKind::WorkerChange) {
+    this->Cluster.Workers.erase(Fault.Host);
+    this->LateStartsUntil.erase(Fault.Host);
+    this->WorkerStarts[Fault.Host] = Clock::now() + Fault.For;
+    return;
+  }
+  if (!this->Cluster.Workers.contains(Fault.Host))
+    return;
   if (Fault.Kind == SoakFaultKind::WorkerRestart) {
     this->Cluster.Workers.at(Fault.Host)->restart(Fault.For);
     return;
@@ -274,15 +327,22 @@
     break;
   case SoakFaultKind::Terminate:
     Known.Pause = Fault.For;
-    if (!Known.Up || Known.Terminating)
+    if (Known.Up && !Known.Terminating)
+      this->terminate(Fault.Host);
+    break;
+  case SoakFaultKind::Join:
+    Known.Present = true;
+    Known.StartAt = Clock::now();
+    break;
+  case SoakFaultKind::Retire:
+    // One that is lost at the time is not replaced.
+    if (!Known.Up || Known.Frozen || Known.Terminating)
       break;
-    Known.Terminating = true;
-    Known.KillAt = Clock::now() + Grace;
-    {
-      std::lock_guard Lock(this->Mutex);
-      this->Terminations[Fault.Host].push_back(Clock::now());
-    }
-    this->Cluster.signal(Known.Name, SIGTERM);
+    Known.Retires = true;
+    this->terminate(Fault.Host);
+    break;
+  case SoakFaultKind::PowerLoss:
+    this->losePower(Fault.For);
     break;
   case SoakFaultKind::Settings:
   case SoakFaultKind::BadSettings:
@@ -290,6 +350,7 @@
       this->changeSettings(Fault.Host, Fault.Kind == SoakFaultKind::Settings);
     break;
   case SoakFaultKind::WorkerCrash:
+  case SoakFaultKind::WorkerChange:
   case SoakFaultKind::WorkerRestart:
   case SoakFaultKind::LateStarts:
     this->applyToWorker(Fault);
@@ -316,7 +377,8 @@
   if (Known.Frozen && Now >= Known.WakeAt)
     this->wake(Host);
   if (!Known.Up) {
-    if (Now >= Known.StartAt)
+    Known.Present = Known.Present && !Known.Retires;
+    if (Known.Present && Now >= Known.StartAt)
       this->start(Host);
     return;
   }
@@ -326,6 +388,15 @@
     this->kill(Host);
 }
 
+void SoakFleet::stepWorkers(Clock::time_point Now) {
+  std::erase_if(this->WorkerStarts, [&](const auto &Start) {
+    if (Now < Start.second)
+      return false;
+    this->startWorker(Start.first);
+    return true;
+  });
+}
+
 void SoakFleet::step() {
   auto Now = Clock::now();
   for (const auto &[Host, Known] : this->Nodes) {
@@ -333,6 +404,7 @@
     this->stepSlow(Host, Now);
   }
   this->measureMemory(Now);
+  this->stepWorkers(Now);
   std::erase_if(this->LateStartsUntil, [&](const auto &Late) {
     if (Now < Late.second)
       return false;
@@ -355,14 +427,18 @@
     Known.Pause = milliseconds(0);
     Known.StartAt = Now;
   }
+  for (auto &[Host, StartAt] : this->WorkerStarts)
+    StartAt = Now;
   auto Settled = [](const auto &Item) {
-    return Item.second.Up && !Item.second.Terminating;
+    const Node &Known = Item.second;
+    return Known.Present ? Known.Up && !Known.Terminating : !Known.Up;
   };
   do
     this->step();
   while (!std::all_of(this->Nodes.begin(), this->Nodes.end(), Settled));
   for (const auto &[Host, Known] : this->Nodes)
-    this->replaceSettings(Host, this->settings(Host));
+    if (Known.Present)
+      this->replaceSettings(Host, this->settings(Host));
 }
 
 void SoakFleet::keepLogs(const std::vector<SoakFault> &Plan) {
@@ -397,8 +473,9 @@
 
 std::vector<std::string> SoakFleet::operatorAddresses() const {
   std::vector<std::string> Addresses;
-  Addresses.reserve(static_cast<std::size_t>(this->Options.Controls));
-  for (int I = 0; I < this->Options.Controls; ++I)
+  int Count = this->Options.Controls + this->Options.SpareControls;
+  Addresses.reserve(static_cast<std::size_t>(Count));
+  for (int I = 0; I < Count; ++I)
     Addresses.push_back(this->Cluster.at(SoakFirstControl + I, OperatorOffset));
   return Addresses;
 }
--- a/tests/system/soak_fleet.h
+++ b/tests/system/soak_fleet.h
@@ -45,6 +45,8 @@
               Clock::time_point CutAt) const;
   std::vector<std::string> callerAddresses() const;
   std::vector<std::string> operatorAddresses() const;
+  /// Returns which of operatorAddresses() are there now.
+  std::vector<std::size_t> presentControls() const;
   /// Connections between nodes that pass a proxy, so far.
   int proxied() const;
   /// Returns the most memory in bytes that a control replica has used in a
@@ -59,6 +61,9 @@
   struct Node {
     std::string Name;
     const char *Serves = "";
+    /// False before a spare host joins, and after a host has been retired.
+    bool Present = true;
+    bool Retires = false;
     bool Up = false;
     bool Terminating = false;
     Clock::time_point KillAt;
@@ -77,6 +82,12 @@
   std::vector<std::string> flags(int Host) const;
   void start(int Host);
   void startWorker(int Host);
+  /// Starts the workers that are due.
+  void stepWorkers(Clock::time_point Now);
+  void terminate(int Host);
+  void losePower(std::chrono::milliseconds For);
+  /// Returns the control hosts that are there, in the order of their numbers.
+  std::vector<int> controlHosts() const;
   void kill(int Host);
   void wake(int Host);
   void freeze(int Host, std::chrono::milliseconds For);
@@ -100,6 +111,8 @@
   std::map<int, Node> Nodes;
   std::map<int, std::unique_ptr<SoakLink>> Links;
   std::map<int, Clock::time_point> LateStartsUntil;
+  /// When workers that are gone have a successor, by the host of their agent.
+  std::map<int, Clock::time_point> WorkerStarts;
   int Lives = 0;
   Clock::time_point NextMeasurement;
   std::size_t PeakControlMemory = 0;
--- a/tests/system/soak_main.cpp
+++ b/tests/system/soak_main.cpp
@@ -36,6 +36,8 @@
 constexpr int DelegationAgents = 6;
 /// Control replicas in a storm: they bear the loss of two disks at once.
 constexpr int StormControls = 5;
+/// Control hosts that may join in a soak with replacements.
+constexpr int SpareControls = 6;
 /// What control may use at the size to design for.
 constexpr std::size_t MaxControlMemory = 268435456;
 constexpr std::size_t BytesPerMegabyte = 1048576;
@@ -58,7 +60,8 @@
                                    [this](int Entry, auto SentAt, auto CutAt) {
                                      return this->Fleet.mayCut(
                                          SoakFirstEntry + Entry, SentAt, CutAt);
-                                   }},
+                                   },
+                               .RequiresKinds = Options.Replacements},
         Operator(this->Fleet.operatorAddresses(), Host, Prefix, Options.Seed,
                  Options.ControlStorm, this->Fleet.findings()),
         Prober(this->Shared, Options.Seed, 0) {}
@@ -133,8 +136,10 @@
   }
 
   void checkEnd() {
-    this->Operator.readAll();
+    this->Operator.readAll(this->Fleet.presentControls());
     SoakFindings &Findings = this->Fleet.findings();
+    for (const std::string &Start : this->Fleet.recorder().unsuitableStarts())
+      Findings.add("a task started on another kind of worker: " + Start);
     if (!waitFor([this] { return this->Fleet.recorder().alive() == 0; }))
       Findings.add("runs go on that no caller waits for");
     for (const std::string &Task : this->Fleet.recorder().overlappingTasks())
@@ -211,6 +216,8 @@
       Given.Options.Delegation = Value == "yes";
     else if (Name == "--control_storm" && (Value == "yes" || Value == "no"))
       Given.Options.ControlStorm = Value == "yes";
+    else if (Name == "--replacements" && (Value == "yes" || Value == "no"))
+      Given.Options.Replacements = Value == "yes";
     else if (Name == "--count")
       Given.Count = std::stoi(Value);
     else if (Name == "--scale" && (Value == "small" || Value == "large")) {
@@ -223,6 +230,8 @@
   }
   if (Given.Options.ControlStorm)
     Given.Options.Controls = StormControls;
+  if (Given.Options.Replacements)
+    Given.Options.SpareControls = SpareControls;
   // Nothing is delegated where workers start again under their ids.
   if (Given.Options.Delegation) {
     Given.Options.Restarts = false;
@@ -239,7 +248,7 @@
   if (!parse(Count, Words, Given)) {
     std::cerr << "expected --seed N, --count N, --seconds S, --scale "
                  "small|large, --restarts yes|no, --delegation yes|no, "
-                 "--control_storm yes|no\n";
+                 "--control_storm yes|no, --replacements yes|no\n";
     return 2;
   }
   curl_global_init(CURL_GLOBAL_ALL);
--- a/tests/system/soak_operator.cpp
+++ b/tests/system/soak_operator.cpp
@@ -202,8 +202,8 @@
   }
 }
 
-void SoakOperator::readAll() {
-  for (std::size_t I = 0; I < this->Replicas.size(); ++I) {
+void SoakOperator::readAll(const std::vector<std::size_t> &Present) {
+  for (std::size_t I : Present) {
     int Left = FinalReads;
     while (!this->read(I) && --Left > 0)
       std::this_thread::sleep_for(RetryAfter);
--- a/tests/system/soak_operator.h
+++ b/tests/system/soak_operator.h
@@ -37,8 +37,9 @@
   bool change(int Attempts);
   /// Changes and reads until told to end.
   void run(const std::atomic<bool> &Over);
-  /// Reads at every replica until each has answered once.
-  void readAll();
+  /// Reads at these replicas, by their places among the addresses, until each
+  /// has answered once.
+  void readAll(const std::vector<std::size_t> &Present);
   int acknowledged() const;
 
 private:
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -36,6 +36,15 @@
 constexpr int MaxWipeMs = 2000;
 constexpr milliseconds CatchUpTime{6000};
 constexpr std::uint64_t ControlSeed = 0xc0deULL << 32U;
+/// From the start of a control host until another one may leave in its place,
+/// as in the settings.
+constexpr milliseconds SuccessorTime{4000};
+/// Between two planned removals of control hosts.
+constexpr int MaxRetirePauseMs = 2000;
+constexpr int MaxJoinsAtOnce = 2;
+constexpr int MinPowerLossMs = 500;
+constexpr int MaxPowerLossMs = 4000;
+constexpr std::uint64_t ReplacementSeed = 0x10bULL << 32U;
 
 const char *nameOf(SoakFaultKind Kind) {
   switch (Kind) {
@@ -67,6 +76,14 @@
     return "wipe";
   case SoakFaultKind::Slow:
     return "slow";
+  case SoakFaultKind::Join:
+    return "join";
+  case SoakFaultKind::Retire:
+    return "retire";
+  case SoakFaultKind::PowerLoss:
+    return "power loss";
+  case SoakFaultKind::WorkerChange:
+    return "worker change";
   }
   return "unknown";
 }
@@ -184,7 +201,51 @@
     }
   }
 
+  /// Adds planned replacements of control hosts, and losses of power of all
+  /// control hosts between them.
+  void addReplacements(std::vector<SoakFault> &Faults) {
+    int Next = SoakFirstControl + this->Options.Controls;
+    const int End = Next + this->Options.SpareControls;
+    std::vector<int> Old(static_cast<std::size_t>(this->Options.Controls));
+    std::iota(Old.begin(), Old.end(), SoakFirstControl);
+    milliseconds At(this->pick(0, MaxControlPauseMs));
+    while (At < this->Options.Length) {
+      if (Next == End || this->pick(0, 2) == 0) {
+        At = this->addPowerLoss(At, Faults);
+        continue;
+      }
+      std::ranges::shuffle(Old, this->Random);
+      int Count = std::min(this->pick(1, MaxJoinsAtOnce), End - Next);
+      milliseconds RetireAt = At + SuccessorTime;
+      for (int I = 0; I < Count; ++I) {
+        Faults.push_back({.At = At, .Kind = SoakFaultKind::Join, .Host = Next});
+        Faults.push_back({.At = RetireAt,
+                          .Kind = SoakFaultKind::Retire,
+                          .Host = Old[static_cast<std::size_t>(I)]});
+        RetireAt += milliseconds(this->pick(0, MaxRetirePauseMs));
+        Old[static_cast<std::size_t>(I)] = Next++;
+      }
+      At = RetireAt + milliseconds(this->pick(0, MaxControlPauseMs));
+    }
+  }
+
 private:
+  /// \returns when the loss no longer counts.
+  milliseconds addPowerLoss(milliseconds At, std::vector<SoakFault> &Faults) {
+    SoakFault Loss{
+        .At = At, .Kind = SoakFaultKind::PowerLoss, .Host = SoakFirstControl};
+    Loss.For = milliseconds(this->pick(MinPowerLossMs, MaxPowerLossMs));
+    Faults.push_back(Loss);
+    int Changes = this->pick(1, 2);
+    for (int I = 0; I < Changes; ++I) {
+      auto Length = static_cast<int>(Loss.For.count());
+      Faults.push_back({.At = At + milliseconds(this->pick(0, Length)),
+                        .Kind = SoakFaultKind::WorkerChange,
+                        .Host = this->agent(),
+                        .For = milliseconds(this->pick(0, MaxDownMs))});
+    }
+    return At + Loss.For + SuccessorTime;
+  }
   /// Returns the number of a node that has part in delegation, of this many.
   int delegating(int Count) {
     int Index = this->pick(0, Count - 1);
@@ -283,6 +344,33 @@
   });
 }
 
+/// Drops losses of single control replicas while another one, or all of them,
+/// count as lost. Those that are retired are not lost. \p Faults are sorted by
+/// their time.
+void keepOneControlLost(std::vector<SoakFault> &Faults) {
+  std::vector<SoakFault> PowerLosses;
+  std::ranges::copy_if(Faults, std::back_inserter(PowerLosses),
+                       [](const SoakFault &Fault) {
+                         return Fault.Kind == SoakFaultKind::PowerLoss;
+                       });
+  auto Overlaps = [](const SoakFault &One, const SoakFault &Other) {
+    return One.At <= Other.At + Other.For + SuccessorTime &&
+           Other.At <= One.At + One.For + SuccessorTime;
+  };
+  milliseconds LostUntil(0);
+  std::erase_if(Faults, [&](const SoakFault &Fault) {
+    if (!isLoss(Fault))
+      return false;
+    if (Fault.At < LostUntil ||
+        std::ranges::any_of(PowerLosses, [&](const SoakFault &Loss) {
+          return Overlaps(Fault, Loss);
+        }))
+      return true;
+    LostUntil = Fault.At + Fault.For + SuccessorTime;
+    return false;
+  });
+}
+
 } // namespace
 
 std::string describe(const SoakFault &Fault) {
@@ -317,9 +405,16 @@
     Wipes.Seed = ~(Options.Seed ^ ControlSeed);
     Planner(Wipes).addWipes(Faults);
   }
+  if (Options.Replacements) {
+    SoakOptions Changed = Options;
+    Changed.Seed = Options.Seed ^ ReplacementSeed;
+    Planner(Changed).addReplacements(Faults);
+  }
   std::ranges::stable_sort(Faults, {}, &SoakFault::At);
   if (Options.ControlStorm)
     keepDisksWithinTolerance(Faults);
+  if (Options.Replacements)
+    keepOneControlLost(Faults);
   return Faults;
 }
 
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -33,6 +33,11 @@
   /// Whether control replicas also freeze, run slowly and lose their disks, two
   /// at a time at most, while configurations come in quick succession.
   bool ControlStorm = false;
+  /// Whether control hosts are also replaced as planned, and control loses
+  /// power while workers come back as another kind. Jobs require kinds then.
+  bool Replacements = false;
+  /// Control hosts that join during the soak.
+  int SpareControls = 0;
 };
 
 enum class SoakFaultKind {
@@ -57,6 +62,14 @@
   Wipe,
   /// A process is stopped and continued by turns.
   Slow,
+  /// A spare control host starts with an empty disk.
+  Join,
+  /// A control host is stopped for good, with SIGTERM.
+  Retire,
+  /// All control hosts are killed and keep their disks.
+  PowerLoss,
+  /// A worker's life ends, and another of any kind begins.
+  WorkerChange,
 };
 
 struct SoakFault {
