Memory by holder, and the last words of a process

A process that was over its memory limit, or ended by an exception, left no line that says so: no process knew its limit, and the resident memory was not explained by what was counted (encoded bytes of the log and of the links).

Processes read their limits of memory and descriptors from the platform's settings. Metrics of every role give the limit, the resident memory, the heap in use and free, and the heap by holder, with a remainder, so that the lines add up. From a half of the limit on, each further eighth is logged with its holders. An exception that nobody catches, on any thread, and fatal signals are reported on standard error with the limits.

No logic changes.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -163,6 +163,19 @@
   this->HeartbeatsByRead.erase(Heartbeats);
 }
 
+std::size_t ControlService::heldHeartbeatBytes() const {
+  auto BytesOf = [](const std::vector<PendingHeartbeat> &Heartbeats) {
+    std::size_t Sum = 0;
+    for (const PendingHeartbeat &Pending : Heartbeats)
+      Sum += Pending.Heartbeat.ByteSizeLong();
+    return Sum;
+  };
+  std::size_t Sum = BytesOf(this->PendingHeartbeats);
+  for (const auto &[Number, Heartbeats] : this->HeartbeatsByRead)
+    Sum += BytesOf(Heartbeats);
+  return Sum;
+}
+
 void ControlService::failReads() {
   std::map<std::uint64_t, PendingRead> Ended;
   std::swap(Ended, this->Reads);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -116,6 +116,8 @@
   const RaftNode &raft() const { return *this->Raft; }
   /// \returns the known leader, or null if there is none.
   const peer::Replica *leader() const;
+  /// Returns the size of the heartbeats that are not answered yet, encoded.
+  std::size_t heldHeartbeatBytes() const;
   std::size_t pendingProposals() const { return this->Proposals.size(); }
 
   void send(peer::RaftMessage Message) override;
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -89,6 +89,7 @@
   AnnouncedWorker LastAnnounced;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
+  MemoryReport Memory{this->Plan.Limits.MemoryBytes};
   std::uint64_t Incarnation = newIncarnation();
   Logger Log{"agent"};
   SystemClock Source;
@@ -120,6 +121,7 @@
       WorkerServer({.Listen = Plan.ControlListen, .Threads = 1}, this->Gate),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
+  this->Memory.setBase();
   this->Node.start({[this](Instant Now) { this->tick(Now); },
                     [this](const peer::Envelope &Envelope, Instant Now) {
                       this->receive(Envelope, Now);
@@ -302,7 +304,10 @@
   Text += metricLine("yardwheel_tasks_queued", this->Keeper.queued());
   Text += metricLine("yardwheel_worker_ready",
                      this->Keeper.session().isReady() ? 1 : 0);
-  Text += describeProcess(this->Node, this->WorkerServer);
+  Text += describeProcess(
+      this->Node, this->WorkerServer, this->Memory,
+      {{"configuration", this->Catalog.view()->Routes.SpaceUsedLong()}},
+      this->Log);
   this->Metrics->publish(std::move(Text));
   this->logLoad();
 }
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -70,6 +70,7 @@
   NodePlan Plan;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
+  MemoryReport Memory{this->Plan.Limits.MemoryBytes};
   TimePoint NextDemandReport = TimePoint::min();
   std::uint64_t Incarnation = newIncarnation();
   Logger Log{"entry"};
@@ -130,6 +131,7 @@
       HealthServer({.Listen = Plan.HealthListen, .Threads = 1}, this->Health),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
+  this->Memory.setBase();
   this->Node.start({[this](Instant Now) { this->tick(Now); },
                     [this](const peer::Envelope &Envelope, Instant Now) {
                       this->receive(Envelope, Now);
@@ -369,7 +371,10 @@
   if (const ShareCheck *Shares = this->Coordinator.shares())
     Text += Shares->text(Now);
   Text += this->Gate->describeRefusals();
-  Text += describeProcess(this->Node, this->CallerServer);
+  Text += describeProcess(
+      this->Node, this->CallerServer, this->Memory,
+      {{"configuration", this->Catalog.view()->Routes.SpaceUsedLong()}},
+      this->Log);
   this->Metrics->publish(std::move(Text));
   this->logLoad();
 }
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -1,5 +1,6 @@
 #include "main/lease_wiring.h"
 
+#include "core/last_words.h"
 #include "core/logger.h"
 #include "http/metrics_page.h"
 #include "platform/node_settings.h"
@@ -18,8 +19,15 @@
   }
 }
 
-std::string describeProcess(LinkNode &Node, const HttpServer &Server) {
-  return metricLine("yardwheel_processor_ms_total",
+std::string describeProcess(LinkNode &Node, const HttpServer &Server,
+                            MemoryReport &Memory,
+                            std::vector<MemoryHolder> Holders,
+                            const Logger &Log) {
+  Holders.push_back({"links", Node.links().heapBytes()});
+  Memory.check(Holders, Log);
+  return Memory.metrics(Holders) +
+         metricLine("yardwheel_open_descriptors", openDescriptors()) +
+         metricLine("yardwheel_processor_ms_total",
                     asMillis(Node.processorTime())) +
          Node.loop().meter().describe() +
          metricLine("yardwheel_loop_behind_ms_total",
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -3,6 +3,7 @@
 #define YARDWHEEL_MAIN_LEASE_WIRING_H
 
 #include "coordination/lease_coordinator.h"
+#include "core/process_memory.h"
 #include "entry/table_lease.h"
 #include "http/http_server.h"
 #include "main/wiring.h"
@@ -90,8 +91,13 @@
   return static_cast<int>(std::lround(Share * Percent));
 }
 
-/// Returns the metric lines common to all roles, which end each metrics page.
-std::string describeProcess(LinkNode &Node, const HttpServer &Server);
+/// Returns the metric lines common to all roles, which end each metrics page,
+/// and logs the memory if it is high. \param Holders What the role holds beside
+/// its links and its configuration.
+std::string describeProcess(LinkNode &Node, const HttpServer &Server,
+                            MemoryReport &Memory,
+                            std::vector<MemoryHolder> Holders,
+                            const Logger &Log);
 
 /// Maximum size of a request body in bytes; any configuration or job fits.
 constexpr std::size_t MaxBodyBytes = 1048576;
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -27,7 +27,6 @@
 constexpr int LeaveShareOfGrace = 3;
 /// Peers that a log line names.
 constexpr std::size_t MaxLoggedPeers = 4;
-constexpr std::size_t BytesPerKilobyte = 1024;
 
 /// Describes the peers for which the most is held in memory, for logs.
 std::string describeLoads(const std::vector<LinkLoad> &Loads) {
@@ -118,11 +117,13 @@
   void publishMetrics(Instant Now);
   /// Logs what this process holds in memory, and how far its followers are.
   void logMemory(const std::vector<LinkLoad> &Loads, Instant Now) const;
+  std::vector<MemoryHolder> memoryHolders() const;
   void stop();
 
   NodePlan Plan;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
+  MemoryReport Memory{this->Plan.Limits.MemoryBytes};
   std::uint64_t Incarnation = newIncarnation();
   std::string Replica;
   Logger Log{"control"};
@@ -150,6 +151,7 @@
                          this->Node.loop(), this->Service, this->Replica)),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
+  this->Memory.setBase();
   this->Node.start({[this](Instant Now) { this->tick(Now); },
                     [this](const peer::Envelope &Envelope, Instant Now) {
                       this->receive(Envelope, Now);
@@ -252,18 +254,32 @@
   for (const LinkLoad &Load : Loads)
     Unacked += Load.UnackedBytes;
   Text += metricLine("yardwheel_link_unacked_bytes", Unacked);
-  Text += metricLine("yardwheel_resident_bytes", residentBytes());
   this->logMemory(Loads, Now);
-  Text += describeProcess(this->Node, this->OperatorServer);
+  Text += describeProcess(this->Node, this->OperatorServer, this->Memory,
+                          this->memoryHolders(), this->Log);
   this->Metrics->publish(std::move(Text));
 }
 
+std::vector<MemoryHolder> SeededControlProcess::memoryHolders() const {
+  const RaftLog &Log = this->Service.raft().log();
+  return {{"log", Log.bytes() - Log.snapshot().ByteSizeLong()},
+          {"snapshot", Log.snapshot().ByteSizeLong()},
+          {"configuration", this->Service.catalog().routes().SpaceUsedLong()},
+          {"members", this->Service.members().bytes()},
+          {"heartbeats", this->Service.heldHeartbeatBytes()}};
+}
+
 void SeededControlProcess::logMemory(const std::vector<LinkLoad> &Loads,
                                      Instant Now) const {
   const RaftNode &Raft = this->Service.raft();
   const LinkCounters &Counters = this->Node.links().counters();
+  HeapUse Heap = heapUse();
   this->Log.decision("control_memory",
                      {{"resident_kb", residentBytes() / BytesPerKilobyte},
+                      {"heap_used_kb", Heap.InUse / BytesPerKilobyte},
+                      {"heap_free_kb", Heap.Free / BytesPerKilobyte},
+                      {"work_waiting", this->Node.loop().workWaiting()},
+                      {"heartbeat_bytes", this->Service.heldHeartbeatBytes()},
                       {"leads", Raft.leads()},
                       {"links", describeLoads(Loads)},
                       {"followers", describeFollowers(Raft, Now.Steady)},
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -3,7 +3,9 @@
 #include "consensus/file_log_storage.h"
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/last_words.h"
 #include "core/logger.h"
+#include "core/process_memory.h"
 #include "main/process.h"
 #include "platform/node_settings.h"
 #include "settings/file_watch.h"
@@ -143,12 +145,16 @@
 
 /// Runs a role until a signal requests shutdown.
 /// \param Settings File watched for changes without a signal, or null.
+/// \param Limits What the host allows this process.
 int runUntilSignalled(const std::function<std::unique_ptr<Process>()> &Start,
-                      FileWatch *Settings) {
+                      FileWatch *Settings, const ProcessLimits &Limits) {
   Logger Log("daemon");
   sigset_t Signals = blockSignals();
   std::unique_ptr<Process> Role = Start();
-  Log.decision("started", {{"pid", getpid()}});
+  Log.decision("started",
+               {{"pid", getpid()},
+                {"memory_limit_kb", Limits.MemoryBytes / BytesPerKilobyte},
+                {"max_descriptors", Limits.MaxDescriptors}});
   while (true) {
     int Signal = waitForSignal(Signals);
     if (Signal != 0)
@@ -174,12 +180,14 @@
     prepareFolder(Values);
     return ExitOk;
   }
-  return runUntilSignalled([&] { return startRole(Values); }, nullptr);
+  return runUntilSignalled([&] { return startRole(Values); }, nullptr,
+                           ProcessLimits());
 }
 
 int runPlanned() {
   FileWatch Settings(platform::settingsPath());
   NodePlan Plan = platform::readNodeSettings();
+  installLastWords(Plan.Limits);
   Plan.RouteValues = parseRouteValues(FLAGS_route_values);
   Plan.RefusesHopelessJobs = FLAGS_refuse_hopeless;
   Plan.UsesQueuePriority = FLAGS_queue_priority;
@@ -191,7 +199,8 @@
   Plan.SharesLinks = FLAGS_two_way_links;
   Plan.MaxFirstContacts = FLAGS_first_contacts;
   Plan.LearnsSpeeds = FLAGS_learned_speeds;
-  return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings);
+  return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings,
+                           Plan.Limits);
 }
 
 } // namespace
@@ -204,6 +213,7 @@
   gflags::SetUsageMessage("yardwheeld --settings FILE [--init | --join]\n"
                           "yardwheeld --platform");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  installLastWords({});
   try {
     // Fail at startup if no clock counts time in suspension: leases would not
     // be reliable without one.
--- a/settings/node_plan.h
+++ b/settings/node_plan.h
@@ -10,6 +10,7 @@
 #ifndef YARDWHEEL_SETTINGS_NODE_PLAN_H
 #define YARDWHEEL_SETTINGS_NODE_PLAN_H
 
+#include "core/last_words.h"
 #include "settings/settings.h"
 
 #include <chrono>
@@ -40,6 +41,9 @@
 /// that do not state one.
 constexpr double DefaultOffRackFactor = 1.5;
 
+/// Memory limit assumed on hosts that do not state one, in bytes.
+constexpr std::size_t DefaultMemoryLimit = std::size_t{256} << 20;
+
 struct NodePlan {
   std::string Node;
   NodeRole Role = NodeRole::Entry;
@@ -63,6 +67,8 @@
   /// Number of hosts with a disk that may be lost at once.
   std::uint32_t ToleratedLosses = 1;
   DeploymentTimes Times;
+  /// What the host allows this process; it is ended if it exceeds the memory.
+  ProcessLimits Limits{.MemoryBytes = DefaultMemoryLimit};
   /// Factor by which a run outside its preferred rack takes longer.
   double OffRackFactor = DefaultOffRackFactor;
   /// What a core-second of a route earns, by its queue priority, as an operator
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -28,6 +28,7 @@
     "control":"10.1.0.13:83"},"portRange":[7720,7735],
     "seeds":["10.1.0.17:8166"],"bootstrap":true,"dataDir":"/data",
     "faultTolerance":{"machines":2},
+    "limits":{"memoryMb":260,"maxFds":4100},
     "bounds":{"retransmitMs":1300,"maxHoldMs":1000,"stopMs":50,"graceS":6,
     "configApplyMs":1900}})");
 }
@@ -190,6 +191,8 @@
                  {"/bounds/configApplyMs", "x", "bounds.configApplyMs"},
                  {"/bounds/remoteFactor", 0.9, "bounds.remoteFactor"},
                  {"/bounds/remoteFactor", "2", "bounds.remoteFactor"},
+                 {"/limits/memoryMb", 0, "limits.memoryMb"},
+                 {"/limits/maxFds", "x", "limits.maxFds"},
                  {"/faultTolerance/machines", -1, "faultTolerance.machines"}},
                 [](const std::string &Body) { parseNodeSettings(Body); });
 }
@@ -226,6 +229,11 @@
   LONGS_EQUAL(2, Plan.ToleratedLosses);
   LONGS_EQUAL(6000, Plan.Times.ShutdownGrace.count());
   LONGS_EQUAL(1900, Plan.Times.MaxConfigDelay.count());
+  CHECK(Plan.Limits.MemoryBytes == std::size_t{260} << 20);
+  LONGS_EQUAL(4100, Plan.Limits.MaxDescriptors);
+  Body.erase("limits");
+  CHECK(parseNodeSettings(Body.dump()).Limits.MemoryBytes ==
+        DefaultMemoryLimit);
   Body.erase("dataDir");
   STRCMP_CONTAINS("dataDir",
                   complaint([&] { parseNodeSettings(Body.dump()); }).c_str());
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -94,6 +94,11 @@
                       static_cast<std::int64_t>(this->Items.size()));
 }
 
+std::size_t EventLoop::workWaiting() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Items.size();
+}
+
 TimePoint EventLoop::lastBehind() const {
   TimePoint Now = this->Source.now().Steady;
   return Now - this->LastIdle.load() > BehindThreshold
--- a/transport/event_loop.h
+++ b/transport/event_loop.h
@@ -50,6 +50,9 @@
   /// Returns how long work that is posted now is expected to wait. Thread-safe.
   Duration expectedWait() const;
 
+  /// Returns the number of posted items that wait. Thread-safe.
+  std::size_t workWaiting() const;
+
   /// Returns when the loop last had nothing left to do. Thread-safe.
   TimePoint lastIdle() const { return this->LastIdle.load(); }
   /// Returns when the loop last began a round. Thread-safe.
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -44,6 +44,10 @@
 /// The maximum size of an envelope, sent or received, in bytes.
 constexpr int MaxEnvelopeBytes = 16777216;
 
+/// An upper bound of the memory for an encoded byte of an envelope: the message
+/// as an object, with its small fields and strings, and its encoding in gRPC.
+constexpr std::size_t HeapBytesPerEncodedByte = 4;
+
 struct LinkCounters {
   std::atomic<std::uint64_t> EnvelopesSent{0};
   std::atomic<std::uint64_t> MessagesSent{0};
@@ -129,6 +133,10 @@
   /// Returns what is held for each peer, the most bytes first. Leaves out peers
   /// for which nothing is held.
   std::vector<LinkLoad> loads() const;
+  /// Returns an estimate of the heap memory of all envelopes held.
+  std::size_t heapBytes() const {
+    return this->HeldBytes * HeapBytesPerEncodedByte;
+  }
 
 private:
   struct Sent {
