A replica's log is limited in bytes, and held once

What callers saw: control replicas over their memory limit, again at each start.

What followers cannot store was not limited at all.

--- a/consensus/file_log_storage.cpp
+++ b/consensus/file_log_storage.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 
+#include <algorithm>
 #include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -16,6 +17,7 @@
 constexpr const char *SnapshotName = "snapshot";
 constexpr const char *LogName = "log";
 constexpr const char *LockName = "lock";
+constexpr const char *DamagedName = "damaged";
 constexpr mode_t LockMode = 0600;
 
 std::string joinPath(const std::string &Folder, const char *Name) {
@@ -28,7 +30,7 @@
 std::string readSingleRecord(const std::string &Path) {
   std::vector<std::string> Records = readRecordFile(Path);
   if (Records.size() != 1)
-    throw Error("storage", Path, "expected exactly one record");
+    throw CorruptFile("storage", Path, "expected exactly one record");
   return Records.front();
 }
 
@@ -45,7 +47,7 @@
 }
 
 /// Applies one record of the log file to the state read so far.
-void replay(const peer::WalRecord &Record, StoredLog &Stored,
+void replay(peer::WalRecord &Record, StoredLog &Stored,
             const std::string &Path) {
   if (Record.has_hard_state()) {
     Stored.Hard = Record.hard_state();
@@ -64,9 +66,10 @@
   if (Index <= Stored.Snapshot.index())
     return;
   if (Index != Next)
-    throw Error("storage", Path,
-                fmt::format("expected log index {}, found {}", Next, Index));
-  Stored.Entries.push_back(Record.entry());
+    throw CorruptFile(
+        "storage", Path,
+        fmt::format("expected log index {}, found {}", Next, Index));
+  Stored.Entries.push_back(std::move(*Record.mutable_entry()));
 }
 
 } // namespace
@@ -86,7 +89,7 @@
     return std::nullopt;
   peer::Identity Read;
   if (!Read.ParseFromString(readSingleRecord(Path)))
-    throw Error("storage", Path, "the record is not a valid identity");
+    throw CorruptFile("storage", Path, "the record is not a valid identity");
   return Read;
 }
 
@@ -137,29 +140,33 @@
     return Read;
   }
   if (!Read.ParseFromString(readSingleRecord(Path)))
-    throw Error("storage", Path, "the record is not a valid snapshot");
+    throw CorruptFile("storage", Path, "the record is not a valid snapshot");
   return Read;
 }
 
 StoredLog FileLogStorage::load() {
   StoredLog Stored;
   Stored.Snapshot = this->readSnapshot();
-  for (const std::string &Content : this->Log->readAll()) {
+  this->Log->readAll([&](std::string_view Content) {
     peer::WalRecord Record;
-    if (!Record.ParseFromString(Content))
-      throw Error("storage", this->Log->path(),
-                  "a record is not a valid log record");
+    if (!Record.ParseFromArray(Content.data(),
+                               static_cast<int>(Content.size())))
+      throw CorruptFile("storage", this->Log->path(),
+                        "a record is not a valid log record");
     replay(Record, Stored, this->Log->path());
-  }
+  });
   return Stored;
 }
 
-void FileLogStorage::appendRecord(const peer::WalRecord &Record) {
-  this->Log->append({Record.SerializeAsString()});
+void FileLogStorage::write(std::vector<std::string> Records) {
+  if (this->Truncation)
+    Records.insert(Records.begin(), this->Truncation->SerializeAsString());
+  this->openedLog().append(Records);
+  this->Truncation.reset();
 }
 
 void FileLogStorage::saveHardState(const peer::HardState &State) {
-  this->appendRecord(hardStateRecord(State));
+  this->write({hardStateRecord(State).SerializeAsString()});
 }
 
 void FileLogStorage::append(const std::vector<peer::LogEntry> &Entries) {
@@ -167,13 +174,14 @@
   Records.reserve(Entries.size());
   for (const peer::LogEntry &Entry : Entries)
     Records.push_back(entryRecord(Entry).SerializeAsString());
-  this->Log->append(Records);
+  this->write(std::move(Records));
 }
 
 void FileLogStorage::truncateFrom(std::uint64_t Index) {
-  peer::WalRecord Record;
-  Record.set_truncate_from(Index);
-  this->appendRecord(Record);
+  // An earlier one that was not written yet may go further back.
+  if (this->Truncation)
+    Index = std::min(Index, this->Truncation->truncate_from());
+  this->Truncation.emplace().set_truncate_from(Index);
 }
 
 void FileLogStorage::saveSnapshot(const peer::Snapshot &Snapshot,
@@ -188,11 +196,39 @@
   Records.push_back(hardStateRecord(Hard).SerializeAsString());
   for (const peer::LogEntry &Entry : Rest)
     Records.push_back(entryRecord(Entry).SerializeAsString());
-  replaceRecordFile(this->pathOf(LogName), Records, this->Write);
-  this->Log = std::make_unique<RecordFile>(this->pathOf(LogName), this->Write);
-  this->Log->readAll();
+  std::string New =
+      writeRecordFile(this->pathOf(LogName), Records, this->Write);
+  // Once renamed, the present file is no longer the one in the folder, even if
+  // the folder cannot be synced.
+  this->Log.reset();
+  installRecordFile(New, this->pathOf(LogName));
+  this->Truncation.reset();
+  this->openedLog();
+}
+
+RecordFile &FileLogStorage::openedLog() {
+  if (this->Log)
+    return *this->Log;
+  auto Opened =
+      std::make_unique<RecordFile>(this->pathOf(LogName), this->Write);
+  Opened->readAll([](std::string_view) {});
+  this->Log = std::move(Opened);
+  return *this->Log;
+}
+
+void FileLogStorage::sync() {
+  if (this->Truncation)
+    this->write({});
+  this->openedLog().sync();
+}
+
+void setDamagedAside(const std::string &Folder) {
+  std::string Aside = joinPath(Folder, DamagedName);
+  std::filesystem::remove_all(Aside);
+  std::filesystem::create_directories(Aside);
+  for (const char *Name : {IdentityName, SnapshotName, LogName})
+    if (std::filesystem::exists(joinPath(Folder, Name)))
+      std::filesystem::rename(joinPath(Folder, Name), joinPath(Aside, Name));
 }
 
-void FileLogStorage::sync() { this->Log->sync(); }
-
 } // namespace yardwheel
--- a/consensus/file_log_storage.h
+++ b/consensus/file_log_storage.h
@@ -32,6 +32,11 @@
 /// \throws Error if the identity file is corrupt.
 std::optional<peer::Identity> findIdentity(const std::string &Folder);
 
+/// Moves the files of a folder that cannot be read into a folder inside it, in
+/// place of those moved there before. The folder then holds no identity.
+/// \throws std::filesystem::filesystem_error if they cannot be moved.
+void setDamagedAside(const std::string &Folder);
+
 class FileLogStorage final : public LogStorage {
 public:
   /// Opens and locks a data folder.
@@ -41,6 +46,7 @@
                  const std::string &Replica, WriteFunction Write = writeToDisk);
   ~FileLogStorage() override;
 
+  /// \throws CorruptFile if the files hold something else than what was synced.
   StoredLog load() override;
   void saveHardState(const peer::HardState &State) override;
   void append(const std::vector<peer::LogEntry> &Entries) override;
@@ -50,19 +56,29 @@
   void sync() override;
 
   /// Returns the number of bytes truncated from the end of the log file.
-  std::uint64_t tornBytes() const { return this->Log->tornBytes(); }
+  std::uint64_t tornBytes() const {
+    return this->Log ? this->Log->tornBytes() : 0;
+  }
 
 private:
   void lock();
   std::string pathOf(const char *Name) const;
-  void appendRecord(const peer::WalRecord &Record);
+  /// Appends records with a single write, after a truncation that is not
+  /// written yet. A crash keeps or loses writes since the last sync one by one,
+  /// and a lost one before a kept one would look like corruption.
+  void write(std::vector<std::string> Records);
   peer::Snapshot readSnapshot() const;
 
   std::string Folder;
   WriteFunction Write;
   int LockFile = -1;
   peer::Identity Identity;
+  /// Opens the log file again if replacing it has failed half-way.
+  RecordFile &openedLog();
+
   std::unique_ptr<RecordFile> Log;
+  /// Written together with what follows it.
+  std::optional<peer::WalRecord> Truncation;
 };
 
 } // namespace yardwheel
--- a/consensus/log_storage.h
+++ b/consensus/log_storage.h
@@ -11,6 +11,7 @@
 #include "protocol/peer.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 namespace yardwheel {
@@ -20,7 +21,7 @@
   peer::HardState Hard;
   peer::Snapshot Snapshot;
   /// Contiguous entries that follow the snapshot.
-  std::vector<peer::LogEntry> Entries;
+  std::deque<peer::LogEntry> Entries;
 };
 
 /// Stores a replica's log, hard state and snapshot. Every function throws
--- a/consensus/raft_log.cpp
+++ b/consensus/raft_log.cpp
@@ -1,10 +1,15 @@
 #include "consensus/raft_log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace yardwheel {
 
-void RaftLog::load(const StoredLog &Stored) {
-  this->Base = Stored.Snapshot;
-  this->Entries.assign(Stored.Entries.begin(), Stored.Entries.end());
+void RaftLog::load(StoredLog Stored) {
+  this->Base = std::move(Stored.Snapshot);
+  this->Entries = std::move(Stored.Entries);
+  this->SnapshotBytes = this->Base.ByteSizeLong();
+  this->EntryBytes = this->bytesFrom(this->firstIndex());
   this->updateReplicas();
 }
 
@@ -34,14 +39,16 @@
   return Result;
 }
 
-std::size_t RaftLog::bytes() const {
-  std::size_t Sum = this->Base.ByteSizeLong();
-  for (const peer::LogEntry &Entry : this->Entries)
-    Sum += Entry.ByteSizeLong();
+std::size_t RaftLog::bytesFrom(std::uint64_t From) const {
+  std::size_t Sum = 0;
+  for (std::uint64_t I = std::max(From, this->firstIndex());
+       I <= this->lastIndex(); ++I)
+    Sum += this->at(I).ByteSizeLong();
   return Sum;
 }
 
 void RaftLog::append(const peer::LogEntry &Entry) {
+  this->EntryBytes += Entry.ByteSizeLong();
   this->Entries.push_back(Entry);
   if (Entry.has_replicas()) {
     this->Replicas = Entry.replicas();
@@ -50,20 +57,34 @@
 }
 
 void RaftLog::truncateFrom(std::uint64_t Index) {
-  while (this->lastIndex() >= Index && !this->Entries.empty())
+  while (this->lastIndex() >= Index && !this->Entries.empty()) {
+    this->EntryBytes -= this->Entries.back().ByteSizeLong();
     this->Entries.pop_back();
+  }
   this->updateReplicas();
 }
 
-void RaftLog::compact(const peer::Snapshot &Snapshot) {
+bool RaftLog::continues(const peer::Snapshot &Snapshot) const {
   std::optional<std::uint64_t> Known = this->termAt(Snapshot.index());
-  bool Continues = Known && *Known == Snapshot.term();
-  if (!Continues)
+  return Known && *Known == Snapshot.term();
+}
+
+std::vector<peer::LogEntry>
+RaftLog::entriesAfter(const peer::Snapshot &Snapshot) const {
+  if (!this->continues(Snapshot))
+    return {};
+  return this->slice(Snapshot.index() + 1, this->size());
+}
+
+void RaftLog::compact(const peer::Snapshot &Snapshot) {
+  if (!this->continues(Snapshot))
     this->Entries.clear();
   while (!this->Entries.empty() &&
          this->Entries.front().index() <= Snapshot.index())
     this->Entries.pop_front();
   this->Base = Snapshot;
+  this->SnapshotBytes = this->Base.ByteSizeLong();
+  this->EntryBytes = this->bytesFrom(this->firstIndex());
   this->updateReplicas();
 }
 
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -18,7 +18,7 @@
 
 class RaftLog {
 public:
-  void load(const StoredLog &Stored);
+  void load(StoredLog Stored);
 
   std::uint64_t firstIndex() const { return this->Base.index() + 1; }
   std::uint64_t lastIndex() const {
@@ -37,13 +37,19 @@
 
   void append(const peer::LogEntry &Entry);
   void truncateFrom(std::uint64_t Index);
+  /// Returns the entries that compact() would keep.
+  std::vector<peer::LogEntry>
+  entriesAfter(const peer::Snapshot &Snapshot) const;
   /// Replaces all entries up to the snapshot's index by the snapshot. Also
   /// discards later entries if the log disagrees with the snapshot.
   void compact(const peer::Snapshot &Snapshot);
 
   const peer::Snapshot &snapshot() const { return this->Base; }
   /// Returns the size of the entries and the snapshot in bytes, encoded.
-  std::size_t bytes() const;
+  std::size_t bytes() const { return this->SnapshotBytes + this->EntryBytes; }
+  std::size_t snapshotBytes() const { return this->SnapshotBytes; }
+  /// Returns the size of the entries from index \p From on.
+  std::size_t bytesFrom(std::uint64_t From) const;
   std::size_t size() const { return this->Entries.size(); }
   const peer::ReplicaSet &replicas() const { return this->Replicas; }
   /// Returns the index of the entry that set replicas(), or the snapshot's
@@ -53,11 +59,15 @@
   peer::ReplicaSet replicasAt(std::uint64_t Index) const;
 
 private:
+  /// Whether the log agrees with a snapshot up to its index.
+  bool continues(const peer::Snapshot &Snapshot) const;
   /// Sets the effective replica set from the entries and the snapshot.
   void updateReplicas();
 
   peer::Snapshot Base;
   std::deque<peer::LogEntry> Entries;
+  std::size_t SnapshotBytes = 0;
+  std::size_t EntryBytes = 0;
   peer::ReplicaSet Replicas;
   std::uint64_t ReplicasIndex = 0;
 };
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -19,11 +19,12 @@
       Random(this->Options.Seed) {
   StoredLog Stored = this->Storage.load();
   this->Hard = Stored.Hard;
-  this->Log.load(Stored);
-  this->Commit = Stored.Snapshot.index();
-  this->Applied = Stored.Snapshot.index();
-  if (Stored.Snapshot.index() > 0)
-    this->Events.restoreState(Stored.Snapshot);
+  this->Log.load(std::move(Stored));
+  const peer::Snapshot &Snapshot = this->Log.snapshot();
+  this->Commit = Snapshot.index();
+  this->Applied = Snapshot.index();
+  if (Snapshot.index() > 0)
+    this->Events.restoreState(Snapshot);
   this->resetElectionDeadline(Now);
 }
 
@@ -86,7 +87,7 @@
 
 std::optional<std::uint64_t> RaftNode::propose(const std::string &Command,
                                                TimePoint Now) {
-  if (!this->leads())
+  if (!this->leads() || !this->hasRoom())
     return std::nullopt;
   peer::LogEntry Entry;
   Entry.set_command(Command);
@@ -94,6 +95,10 @@
   return this->Log.lastIndex();
 }
 
+bool RaftNode::hasRoom() const {
+  return this->Log.bytesFrom(this->Commit + 1) < this->Options.MaxLogBytes;
+}
+
 std::optional<std::uint64_t>
 RaftNode::proposeReplicas(const peer::ReplicaSet &Set, TimePoint Now) {
   bool Settled = this->Log.replicasIndex() <= this->Commit &&
--- a/consensus/raft_node.h
+++ b/consensus/raft_node.h
@@ -39,6 +39,10 @@
   int MaxEarlyCampaigns = 3;
   /// Applied entries after which a new snapshot is taken.
   std::uint64_t EntriesPerSnapshot = 1000;
+  /// Size in bytes of the applied entries after which a new snapshot is taken,
+  /// and of the entries that are not committed above which this replica, as
+  /// leader, accepts no further ones. A single entry may exceed it.
+  std::size_t MaxLogBytes = 4194304;
   /// The newest format of log entries that this replica can apply. Sent to the
   /// other replicas, of which some may run an older build.
   std::uint32_t LogFormat = 0;
@@ -90,10 +94,14 @@
   void step(const peer::RaftMessage &Message, TimePoint Now);
 
   /// Appends a command to the log.
-  /// \returns its index, or nothing if this replica is not the leader.
+  /// \returns its index, or nothing if this replica is not the leader or has no
+  /// room.
   /// \throws Error if it cannot be stored.
   std::optional<std::uint64_t> propose(const std::string &Command,
                                        TimePoint Now);
+  /// Whether another command may be proposed: the size of what is not committed
+  /// is limited.
+  bool hasRoom() const;
   /// Appends a replica set that differs from the current one in one replica.
   /// \returns its index, or nothing if this replica is not the leader or an
   /// earlier change is not committed yet.
@@ -199,6 +207,8 @@
   void applyCommitted(TimePoint Now);
   void finishReads();
   void maybeSnapshot();
+  /// Whether enough has been applied since the last snapshot for a new one.
+  bool isSnapshotDue() const;
   void syncProgress(TimePoint Now);
   std::uint64_t quorumValue(std::vector<std::uint64_t> Values) const;
 
--- a/consensus/raft_replication.cpp
+++ b/consensus/raft_replication.cpp
@@ -213,16 +213,13 @@
   this->resetElectionDeadline(Now);
   const peer::Snapshot &Snapshot = Message.install_snapshot().snapshot();
   if (Snapshot.index() > this->Commit) {
-    RaftLog Compacted = this->Log;
-    Compacted.compact(Snapshot);
     try {
-      this->Storage.saveSnapshot(
-          Snapshot, this->Hard,
-          Compacted.slice(Compacted.firstIndex(), Compacted.size()));
+      this->Storage.saveSnapshot(Snapshot, this->Hard,
+                                 this->Log.entriesAfter(Snapshot));
     } catch (const Error &) {
       return;
     }
-    this->Log = Compacted;
+    this->Log.compact(Snapshot);
     this->Commit = Snapshot.index();
     this->Applied = Snapshot.index();
     this->Events.restoreState(Snapshot);
@@ -270,26 +267,34 @@
   this->maybeSnapshot();
 }
 
+bool RaftNode::isSnapshotDue() const {
+  std::uint64_t Last = this->Log.snapshot().index();
+  if (this->Applied >= Last + this->Options.EntriesPerSnapshot)
+    return true;
+  // A snapshot that is itself larger than the limit must not be written for
+  // each entry.
+  std::size_t Allowed =
+      std::max(this->Options.MaxLogBytes, this->Log.snapshotBytes());
+  std::size_t Held = this->Log.bytes() - this->Log.snapshotBytes();
+  return Held >= Allowed &&
+         Held - this->Log.bytesFrom(this->Applied + 1) >= Allowed;
+}
+
 void RaftNode::maybeSnapshot() {
-  if (this->Applied <
-      this->Log.snapshot().index() + this->Options.EntriesPerSnapshot)
+  if (!this->isSnapshotDue())
     return;
   peer::Snapshot New;
   New.set_index(this->Applied);
   New.set_term(*this->Log.termAt(this->Applied));
   *New.mutable_replicas() = this->Log.replicasAt(this->Applied);
   New.set_state(this->Events.saveState());
-  RaftLog Compacted = this->Log;
-  Compacted.compact(New);
   try {
-    this->Storage.saveSnapshot(
-        New, this->Hard,
-        Compacted.slice(Compacted.firstIndex(), Compacted.size()));
+    this->Storage.saveSnapshot(New, this->Hard, this->Log.entriesAfter(New));
   } catch (const Error &) {
     // The log is not compacted; the next applied entry retries the snapshot.
     return;
   }
-  this->Log = std::move(Compacted);
+  this->Log.compact(New);
 }
 
 void RaftNode::finishReads() {
--- a/consensus/record_file.cpp
+++ b/consensus/record_file.cpp
@@ -62,10 +62,10 @@
 }
 
 [[noreturn]] void throwCorrupt(const std::string &Path, std::uint64_t Offset) {
-  throw Error("storage", Path,
-              fmt::format("record at offset {} is corrupt; replace the replica "
-                          "under a new name",
-                          Offset));
+  throw CorruptFile("storage", Path,
+                    fmt::format("record at offset {} is corrupt; replace the "
+                                "replica under a new name",
+                                Offset));
 }
 
 void writeAll(int File, const std::string &Data, const WriteFunction &Write,
@@ -92,69 +92,99 @@
     throwSystemError(Folder, "cannot sync the folder");
 }
 
-bool isAllZero(const std::string &Data, std::uint64_t From) {
-  return std::all_of(Data.begin() + static_cast<std::ptrdiff_t>(From),
-                     Data.end(), [](char C) { return C == '\0'; });
-}
+/// The content of a file, of which a part is in memory at a time.
+class FileWindow {
+public:
+  FileWindow(int File, std::string Path) : File(File), Path(std::move(Path)) {
+    off_t End = ::lseek(File, 0, SEEK_END);
+    if (End < 0)
+      throwSystemError(this->Path, "cannot seek");
+    this->Length = static_cast<std::uint64_t>(End);
+  }
 
-/// Reads a file from its beginning in as few calls as possible: on a slow disk,
-/// each call may take as long as the data.
-std::string readWhole(int File, const std::string &Path) {
-  off_t End = ::lseek(File, 0, SEEK_END);
-  if (End < 0 || ::lseek(File, 0, SEEK_SET) < 0)
-    throwSystemError(Path, "cannot seek");
-  std::string Data(static_cast<std::size_t>(End), '\0');
-  std::size_t Done = 0;
-  while (Done < Data.size()) {
-    ssize_t Count = ::read(File, Data.data() + Done, Data.size() - Done);
-    if (Count < 0 && errno == EINTR)
-      continue;
-    if (Count < 0)
-      throwSystemError(Path, "cannot read");
-    if (Count == 0)
-      break;
-    Done += static_cast<std::size_t>(Count);
+  std::uint64_t size() const { return this->Length; }
+  /// Returns bytes of the file, which are valid until the next call.
+  const char *at(std::uint64_t Offset, std::size_t Count) {
+    bool IsHeld = Offset >= this->Start &&
+                  Offset + Count <= this->Start + this->Held.size();
+    if (!IsHeld)
+      this->load(Offset, Count);
+    return this->Held.data() + (Offset - this->Start);
+  }
+  /// Returns whether the file holds nothing but zeros from an offset on.
+  bool isZeroFrom(std::uint64_t Offset) {
+    while (Offset < this->Length) {
+      std::size_t Count =
+          std::min<std::uint64_t>(ZeroCheckBytes, this->Length - Offset);
+      const char *Bytes = this->at(Offset, Count);
+      if (!std::all_of(Bytes, Bytes + Count, [](char C) { return C == '\0'; }))
+        return false;
+      Offset += Count;
+    }
+    return true;
+  }
+
+private:
+  /// What is read at once. On a slow disk, each call may take as long as the
+  /// data.
+  static constexpr std::size_t ChunkBytes = 4194304;
+  static constexpr std::size_t ZeroCheckBytes = 4096;
+
+  void load(std::uint64_t Offset, std::size_t Count) {
+    this->Start = Offset;
+    this->Held.resize(std::min<std::uint64_t>(std::max(Count, ChunkBytes),
+                                              this->Length - Offset));
+    std::size_t Done = 0;
+    while (Done < this->Held.size()) {
+      ssize_t Read =
+          ::pread(this->File, this->Held.data() + Done,
+                  this->Held.size() - Done, static_cast<off_t>(Offset + Done));
+      if (Read < 0 && errno == EINTR)
+        continue;
+      if (Read <= 0)
+        throwSystemError(this->Path, "cannot read");
+      Done += static_cast<std::size_t>(Read);
+    }
   }
-  Data.resize(Done);
-  return Data;
-}
 
-struct ParsedRecords {
-  std::vector<std::string> Records;
-  /// Bytes of the whole records; what follows is an incomplete one.
-  std::uint64_t Size = 0;
+  int File;
+  std::string Path;
+  std::uint64_t Length = 0;
+  std::uint64_t Start = 0;
+  std::string Held;
 };
 
-ParsedRecords parseRecords(const std::string &Data, const std::string &Path) {
-  ParsedRecords Parsed;
-  std::uint64_t &Offset = Parsed.Size;
-  while (Offset < Data.size()) {
-    std::uint64_t Left = Data.size() - Offset;
+/// Passes all whole records to \p Visit.
+/// \returns their size; what follows is an incomplete one.
+std::uint64_t parseRecords(FileWindow &File, const std::string &Path,
+                           const RecordVisitor &Visit) {
+  std::uint64_t Offset = 0;
+  while (Offset < File.size()) {
+    std::uint64_t Left = File.size() - Offset;
     // A crash can leave a short record, or zeros for data that was not written.
-    if (Left < HeaderBytes || isAllZero(Data, Offset))
+    if (Left < HeaderBytes || File.isZeroFrom(Offset))
       break;
-    const char *Header = Data.data() + Offset;
+    const char *Header = File.at(Offset, HeaderBytes);
     std::uint32_t Length = getNumber(Header);
+    std::uint32_t ContentSum = getNumber(Header + 2 * LengthBytes);
     bool HeaderValid =
         getNumber(Header + LengthBytes) == checksum(Header, LengthBytes);
-    bool HeaderIncomplete = isAllZero(Data, Offset + HeaderBytes);
-    if (!HeaderValid && HeaderIncomplete)
+    if (!HeaderValid && File.isZeroFrom(Offset + HeaderBytes))
       break;
     if (!HeaderValid || Length > MaxRecordBytes)
       throwCorrupt(Path, Offset);
     std::uint64_t RecordSize = HeaderBytes + Length + 1;
-    if (Left < RecordSize || isAllZero(Data, Offset + RecordSize - 1))
+    if (Left < RecordSize || File.isZeroFrom(Offset + RecordSize - 1))
       break;
-    const char *Content = Header + HeaderBytes;
+    const char *Content = File.at(Offset + HeaderBytes, Length + 1);
     bool ContentValid =
-        getNumber(Header + 2 * LengthBytes) == checksum(Content, Length) &&
-        Content[Length] == EndMark;
+        ContentSum == checksum(Content, Length) && Content[Length] == EndMark;
     if (!ContentValid)
       throwCorrupt(Path, Offset);
-    Parsed.Records.emplace_back(Content, Length);
+    Visit({Content, Length});
     Offset += RecordSize;
   }
-  return Parsed;
+  return Offset;
 }
 
 } // namespace
@@ -174,17 +204,20 @@
 
 RecordFile::~RecordFile() { ::close(this->File); }
 
-std::vector<std::string> RecordFile::readAll() {
-  std::string Data = readWhole(this->File, this->Path);
-  ParsedRecords Parsed = parseRecords(Data, this->Path);
-  this->TornBytes = Data.size() - Parsed.Size;
-  this->Size = Parsed.Size;
-  if (::ftruncate(this->File, static_cast<off_t>(Parsed.Size)) != 0)
+void RecordFile::readAll(const RecordVisitor &Visit) {
+  FileWindow Content(this->File, this->Path);
+  this->Size = parseRecords(Content, this->Path, Visit);
+  this->TornBytes = Content.size() - this->Size;
+  if (::lseek(this->File, static_cast<off_t>(this->Size), SEEK_SET) < 0)
+    throwSystemError(this->Path, "cannot seek");
+  if (this->TornBytes == 0)
+    return;
+  // Synced, or a crash could keep the next record and undo the truncation, so
+  // that the rest of the incomplete record would follow a whole one.
+  if (::ftruncate(this->File, static_cast<off_t>(this->Size)) != 0 ||
+      ::fsync(this->File) != 0)
     throwSystemError(this->Path,
                      "cannot truncate the incomplete record at the end");
-  if (::lseek(this->File, static_cast<off_t>(Parsed.Size), SEEK_SET) < 0)
-    throwSystemError(this->Path, "cannot seek");
-  return std::move(Parsed.Records);
 }
 
 std::vector<std::string> readRecordFile(const std::string &Path) {
@@ -192,9 +225,13 @@
   if (File < 0)
     throwSystemError(Path, "cannot open");
   try {
-    std::string Data = readWhole(File, Path);
+    std::vector<std::string> Records;
+    FileWindow Content(File, Path);
+    parseRecords(Content, Path, [&Records](std::string_view Found) {
+      Records.emplace_back(Found);
+    });
     ::close(File);
-    return parseRecords(Data, Path).Records;
+    return Records;
   } catch (const Error &) {
     ::close(File);
     throw;
@@ -218,6 +255,7 @@
     // Remove a partial write, so that the next record follows a whole one.
     bool Cut =
         ::ftruncate(this->File, static_cast<off_t>(this->Size)) == 0 &&
+        ::fsync(this->File) == 0 &&
         ::lseek(this->File, static_cast<off_t>(this->Size), SEEK_SET) >= 0;
     this->Unusable = !Cut;
     throw;
@@ -233,9 +271,9 @@
   throwSystemError(this->Path, "cannot sync");
 }
 
-void replaceRecordFile(const std::string &Path,
-                       const std::vector<std::string> &Records,
-                       const WriteFunction &Write) {
+std::string writeRecordFile(const std::string &Path,
+                            const std::vector<std::string> &Records,
+                            const WriteFunction &Write) {
   std::string Temporary = Path + ".new";
   int File = ::open(Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
                     FileMode);
@@ -252,9 +290,19 @@
     throw;
   }
   ::close(File);
-  if (::rename(Temporary.c_str(), Path.c_str()) != 0)
+  return Temporary;
+}
+
+void installRecordFile(const std::string &New, const std::string &Path) {
+  if (::rename(New.c_str(), Path.c_str()) != 0)
     throwSystemError(Path, "cannot replace");
   syncFolderOf(Path);
 }
 
+void replaceRecordFile(const std::string &Path,
+                       const std::vector<std::string> &Records,
+                       const WriteFunction &Write) {
+  installRecordFile(writeRecordFile(Path, Records, Write), Path);
+}
+
 } // namespace yardwheel
--- a/consensus/record_file.h
+++ b/consensus/record_file.h
@@ -10,9 +10,12 @@
 #ifndef YARDWHEEL_CONSENSUS_RECORD_FILE_H
 #define YARDWHEEL_CONSENSUS_RECORD_FILE_H
 
+#include "core/error.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -23,6 +26,15 @@
 using WriteFunction =
     std::function<ssize_t(int File, const void *Data, std::size_t Size)>;
 
+/// Receives the content of a record, which is valid during the call only.
+using RecordVisitor = std::function<void(std::string_view Content)>;
+
+/// A file holds something else than what was synced to it.
+class CorruptFile : public Error {
+public:
+  using Error::Error;
+};
+
 class RecordFile {
 public:
   RecordFile(std::string Path, WriteFunction Write);
@@ -30,9 +42,10 @@
   RecordFile(const RecordFile &) = delete;
   RecordFile &operator=(const RecordFile &) = delete;
 
-  /// Reads all records and truncates an incomplete record at the end.
-  /// \throws Error with the file and the offset if a record is corrupt.
-  std::vector<std::string> readAll();
+  /// Passes all records to \p Visit, one at a time, and truncates an incomplete
+  /// record at the end.
+  /// \throws CorruptFile if a record is corrupt.
+  void readAll(const RecordVisitor &Visit);
 
   /// Appends all of \p Contents, one record each, or none of them.
   /// \throws Error if they cannot be written; the file is then unchanged.
@@ -58,9 +71,20 @@
 };
 
 /// Reads all records of a file that nobody writes, and leaves it as it is.
-/// \throws Error if it cannot be read, or a record is corrupt.
+/// \throws Error if it cannot be read, CorruptFile if a record is corrupt.
 std::vector<std::string> readRecordFile(const std::string &Path);
 
+/// Writes and syncs a file that is to replace the one at \p Path.
+/// \returns its path.
+/// \throws Error if it cannot be written or synced.
+std::string writeRecordFile(const std::string &Path,
+                            const std::vector<std::string> &Records,
+                            const WriteFunction &Write);
+/// Atomically replaces the file at \p Path by one that writeRecordFile() has
+/// written. \throws Error if that cannot be made durable; either file may then
+/// be at \p Path.
+void installRecordFile(const std::string &New, const std::string &Path);
+
 /// Atomically replaces the file at \p Path by one that holds \p Records, and
 /// syncs it.
 /// \throws Error if the file cannot be written or synced.
--- a/control/control_documents.cpp
+++ b/control/control_documents.cpp
@@ -64,6 +64,8 @@
     return "unknown";
   case ProposalState::StorageFailed:
     return "storage_failed";
+  case ProposalState::Overloaded:
+    return "overloaded";
   case ProposalState::Unsupported:
     return "unsupported";
   case ProposalState::Applied:
--- a/control/control_http.cpp
+++ b/control/control_http.cpp
@@ -91,6 +91,7 @@
     return HttpStatus::GatewayTimeout;
   case ProposalState::NotLeader:
   case ProposalState::StorageFailed:
+  case ProposalState::Overloaded:
   case ProposalState::Unsupported:
     return HttpStatus::Unavailable;
   }
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -40,6 +40,10 @@
     Done({ProposalState::NotLeader, {}, "this replica does not lead"});
     return;
   }
+  if (!this->Raft->hasRoom()) {
+    Done({ProposalState::Overloaded, {}, "earlier changes wait for a quorum"});
+    return;
+  }
   // A single replica commits within Append(), so the handler must be registered
   // first.
   std::uint64_t Expected = this->Raft->log().lastIndex() + 1;
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -56,6 +56,8 @@
   Unknown,
   /// The log could not be written to disk; nothing was done.
   StorageFailed,
+  /// Too much is not committed yet; nothing was done.
+  Overloaded,
   /// A replica of an older build would lose the change; nothing was done.
   Unsupported,
 };
--- a/emulator/memory_log_storage.cpp
+++ b/emulator/memory_log_storage.cpp
@@ -33,7 +33,7 @@
   this->requireSpace();
   this->Written.Snapshot = Snapshot;
   this->Written.Hard = Hard;
-  this->Written.Entries = Rest;
+  this->Written.Entries.assign(Rest.begin(), Rest.end());
   this->sync();
 }
 
--- a/tests/consensus/raft_traffic_test.cpp
+++ b/tests/consensus/raft_traffic_test.cpp
@@ -11,6 +11,7 @@
 #include "transport/link_pool.h"
 
 #include <fmt/format.h>
+#include <limits>
 
 // Included last, as it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -95,6 +96,9 @@
   static RaftOptions options() {
     RaftOptions Options;
     Options.EntriesPerSnapshot = 200;
+    // The messages with entries are looked at, so the log has to keep them. The
+    // state of this cluster is the list of all commands, of any size.
+    Options.MaxLogBytes = std::numeric_limits<std::size_t>::max();
     return Options;
   }
   TimePoint now() { return this->Cluster.World.now().Steady; }
