What a crash leaves in the data folder does not end the next start

What callers saw: processes that end by themselves at every start.

Cause: a truncation and the entries after it were two writes under one sync. A loss of power may keep the second and lose the first, which leaves zeros before a whole record. A start took that for corruption, and ended, for good. Also, a truncation of a torn tail was not synced itself; and after a failed sync of the folder the log went on in a file that had been replaced, so that entries acknowledged later were gone at the next start (read in the code, not reproduced).

A replica whose files are corrupt all the same moves them aside and joins under a new name, as one that has lost its disk, and never with the bootstrap set.

--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -22,6 +22,9 @@
 /// Shorter than the operators' timeout for a call with a large body.
 constexpr std::chrono::milliseconds ProposalTimeout{2000};
 constexpr std::uint64_t EntriesPerSnapshot = 200;
+/// Part of the memory limit, as a divisor, that the log may take, and as much
+/// again for entries that are not committed.
+constexpr std::size_t LogShareOfMemory = 64;
 /// Part of the shutdown grace, as a divisor, in which the vote of this replica
 /// is handed over. Leaves time for open proposals after it.
 constexpr int LeaveShareOfGrace = 3;
@@ -177,6 +180,7 @@
   Options.Raft.Name = this->Replica;
   Options.Raft.ElectionTimeout = ElectionTimeout;
   Options.Raft.EntriesPerSnapshot = EntriesPerSnapshot;
+  Options.Raft.MaxLogBytes = this->Plan.Limits.MemoryBytes / LogShareOfMemory;
   Options.Raft.Seed = this->Incarnation;
   // Best-effort jobs need no claims, hence no holder groups.
   Options.Groups.Groups = 0;
@@ -302,7 +306,20 @@
 } // namespace
 
 std::unique_ptr<Process> startSeededControl(const NodePlan &Plan) {
-  return std::make_unique<SeededControlProcess>(Plan);
+  try {
+    return std::make_unique<SeededControlProcess>(Plan);
+  } catch (const CorruptFile &Problem) {
+    // Each further start would end in the same way. A replica that forgets its
+    // votes and entries must not return under its name: it joins as one whose
+    // disk was lost.
+    Logger("control").error("{}. The files are moved aside, and this replica "
+                            "joins with an empty log.",
+                            Problem.what());
+    setDamagedAside(Plan.DataDir);
+    NodePlan Joining = Plan;
+    Joining.Bootstrap = false;
+    return std::make_unique<SeededControlProcess>(Joining);
+  }
 }
 
 } // namespace yardwheel
--- a/tests/consensus/file_log_storage_test.cpp
+++ b/tests/consensus/file_log_storage_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
+#include <utility>
 
 using namespace yardwheel;
 
@@ -188,6 +189,98 @@
   LONGS_EQUAL(2, countLoadedEntries());
 }
 
+// Regression test: a replica could not be started again after a loss of power
+// that kept the second of two writes since the last sync, but not the first.
+TEST(FileLogStorageTest, ALostWriteBeforeAKeptOneIsNoCorruption) {
+  fill();
+  bool IsLost = true;
+  auto Write = [&IsLost](int File, const void *Data, std::size_t Size) {
+    std::string Zeros(Size, '\0');
+    bool Loses = std::exchange(IsLost, false);
+    return ::write(File, Loses ? Zeros.data() : Data, Size);
+  };
+  {
+    FileLogStorage Storage(Folder, "demo", "c1", Write);
+    Storage.load();
+    Storage.truncateFrom(3);
+    Storage.append({entry(3, "other")});
+  }
+  LONGS_EQUAL(3, countLoadedEntries());
+}
+
+TEST(FileLogStorageTest, ATruncationIsStoredWithTheEntriesAfterIt) {
+  fill();
+  {
+    FileLogStorage Storage(Folder, "demo", "c1");
+    Storage.load();
+    Storage.truncateFrom(2);
+    Storage.append({entry(2, "other")});
+    Storage.sync();
+  }
+  {
+    FileLogStorage Storage(Folder, "demo", "c1");
+    StoredLog Stored = Storage.load();
+    LONGS_EQUAL(2, Stored.Entries.size());
+    STRCMP_EQUAL("other", Stored.Entries[1].command().c_str());
+    Storage.truncateFrom(2);
+    Storage.sync();
+  }
+  LONGS_EQUAL(1, countLoadedEntries());
+}
+
+TEST(FileLogStorageTest, ADamagedReplicaCanBeMovedAsideAgainAndAgain) {
+  for (int I = 0; I < 2; ++I) {
+    fill();
+    std::string Damaged = readFile(path("log"));
+    Damaged[20] = static_cast<char>(Damaged[20] ^ 0x10);
+    writeFile(path("log"), Damaged);
+    CHECK_THROWS(CorruptFile, FileLogStorage(Folder, "demo", "c1").load());
+    setDamagedAside(Folder);
+    CHECK_FALSE(findIdentity(Folder).has_value());
+    STRCMP_EQUAL(Damaged.c_str(), readFile(path("damaged/log")).c_str());
+    peer::Identity Identity;
+    Identity.set_cluster("demo");
+    Identity.set_replica("c1");
+    initDataFolder(Folder, Identity);
+    LONGS_EQUAL(0, countLoadedEntries());
+  }
+}
+
+TEST(FileLogStorageTest, AFailedSnapshotLosesNoLaterEntries) {
+  struct Row {
+    /// The write that fails: that of the snapshot, or of the log after it.
+    int FailedWrite;
+    std::size_t Entries;
+  };
+  const Row Rows[] = {{0, 4}, {1, 2}};
+  for (const Row &Row : Rows) {
+    std::filesystem::remove(path("log"));
+    std::filesystem::remove(path("snapshot"));
+    fill();
+    int Writes = -1;
+    auto Write = [&](int File, const void *Data, std::size_t Size) {
+      if (Writes < 0 || Writes++ != Row.FailedWrite)
+        return ::write(File, Data, Size);
+      errno = ENOSPC;
+      return static_cast<ssize_t>(-1);
+    };
+    {
+      FileLogStorage Storage(Folder, "demo", "c1", Write);
+      Storage.load();
+      peer::Snapshot Snapshot;
+      Snapshot.set_index(2);
+      Snapshot.set_term(1);
+      Writes = 0;
+      CHECK_THROWS(Error,
+                   Storage.saveSnapshot(Snapshot, {}, {entry(3, "three")}));
+      Writes = -1;
+      Storage.append({entry(4, "later")});
+      Storage.sync();
+    }
+    LONGS_EQUAL(Row.Entries, countLoadedEntries());
+  }
+}
+
 TEST(FileLogStorageTest, RejectsOtherReplicasAndASecondProcess) {
   struct Row {
     const char *Cluster;
