--- a/core/peer_sink.h
+++ b/core/peer_sink.h
@@ -41,6 +41,10 @@
   virtual ~PeerSink() = default;
   /// Sends without blocking. The message may be lost, delayed or duplicated.
   virtual void send(const PeerRef &To, peer::Message Message) = 0;
+  /// Returns whether messages to the peer wait to be written, or this process
+  /// holds as much for its peers as it may. What a later message repeats should
+  /// then not be sent: it would be held as well, or dropped.
+  virtual bool isCongested(const PeerRef &) const { return false; }
   /// Reports that the peer has left messages unanswered. Its connection may be
   /// dead without having been reset, so later messages use a new one.
   virtual void reconnect(const PeerRef &) {}
--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -15,6 +15,7 @@
 
 #include <fmt/format.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -24,7 +25,15 @@
 /// Routes messages by address, since a replica's name may not be known yet.
 class AddressSink final : public PeerSink {
 public:
-  explicit AddressSink(PeerSink &Inner) : Inner(Inner) {}
+  using CongestionCheck = std::function<bool(const PeerRef &To)>;
+
+  /// \param Congested Whether the link to a peer is congested; none is if
+  /// empty.
+  explicit AddressSink(PeerSink &Inner, const CongestionCheck &Congested = {})
+      : Inner(Inner), Congested(Congested) {}
+  bool isCongested(const PeerRef &To) const override {
+    return this->Congested && this->Congested(To);
+  }
   void send(const PeerRef &To, peer::Message Message) override {
     this->Inner.send({To.Address, To.Address}, std::move(Message));
   }
@@ -37,6 +46,7 @@
 
 private:
   PeerSink &Inner;
+  CongestionCheck Congested;
   std::map<std::string, int> Reconnects;
 };
 
@@ -80,7 +90,8 @@
       Here.Service->onMessage(this->peerAt(From.Node), Message,
                               this->World.now());
     });
-    Target.Sink = std::make_unique<AddressSink>(this->World.sinkOf(Address));
+    Target.Sink = std::make_unique<AddressSink>(this->World.sinkOf(Address),
+                                                this->Congested);
     Target.Service = std::make_unique<ControlService>(
         this->optionsFor(Host), *Target.Storage, *Target.Sink,
         this->World.now());
@@ -161,6 +172,8 @@
   }
 
   VirtualWorld World;
+  /// The check of the links of hosts that start from now on.
+  AddressSink::CongestionCheck Congested;
   /// How long ago the hosts had last read all of their input, at each tick.
   Duration InputDelay{0};
   /// The hosts whose addresses a host is told when it starts.
