Control sends each node the newest tables once its link is free

What callers saw: control replicas over their memory limit; and leaders that were seconds behind, so that changes did not come into force.

Cause: transmission without regard to the receiver. Each change of the configuration or of the member table went to every node at once as a whole table, in an envelope of its own, also while the one before was still waiting, which it replaces entirely. Each heartbeat that had piled up was answered with another one. Memory: nodes x table x changes.

Change: tables go to a node only while nothing waits for it (PeerSink::isCongested), 2 MB in a round, and a new round begins once the leader has read its input. A node that has to wait is served in turn, with what is newest then. A reply without the tables names the revision that the node lacks, so that it does not take its own for confirmed. A node's heartbeats that pile up are answered once, and four reads at most wait for a quorum. The document of the configuration, half of a table, does not go to nodes, which have no use for it.

--- a/catalog/catalog.cpp
+++ b/catalog/catalog.cpp
@@ -200,12 +200,21 @@
   peer::ChangeResult Result = checkRouteReplacement(this->Routes, Body.table());
   bool Newer = Body.table().version() > this->Routes.version();
   if (Result.verdict() == peer::CHANGE_DONE && Newer) {
-    this->Routes = Body.table();
-    this->Routes.set_revision(this->Revision);
+    peer::RouteTable Table = Body.table();
+    Table.set_revision(this->Revision);
+    this->setRoutes(Table);
   }
   return Result;
 }
 
+void Catalog::setRoutes(const peer::RouteTable &Table) {
+  this->Routes = Table;
+  this->NodeRoutes = Table;
+  // Assigned, as a cleared text keeps its memory.
+  *this->NodeRoutes.mutable_document() = std::string();
+  this->NodeRoutes.clear_document();
+}
+
 peer::ChangeResult Catalog::setEvacuation(const peer::SetEvacuation &Body) {
   if (!isPlainKey(Body.data_centre()))
     return invalid("data centre: expected 1 to 128 letters, digits or -_.:");
@@ -257,6 +266,15 @@
 }
 
 peer::CatalogUpdate Catalog::updateSince(std::uint64_t Since) const {
+  return this->collect(Since, this->Routes);
+}
+
+peer::CatalogUpdate Catalog::nodeUpdateSince(std::uint64_t Since) const {
+  return this->collect(Since, this->NodeRoutes);
+}
+
+peer::CatalogUpdate Catalog::collect(std::uint64_t Since,
+                                     const peer::RouteTable &Table) const {
   peer::CatalogUpdate Update;
   Update.set_revision(this->Revision);
   Update.set_since(Since);
@@ -269,8 +287,8 @@
   for (const auto &[Number, Object] : this->Groups)
     if (Object.revision() > Since)
       *Update.add_groups() = Object;
-  if (this->Routes.revision() > Since)
-    *Update.mutable_routes() = this->Routes;
+  if (Table.revision() > Since)
+    *Update.mutable_routes() = Table;
   for (const auto &[DataCentre, Object] : this->Evacuations)
     if (Object.revision() > Since)
       *Update.add_evacuations() = Object;
@@ -320,7 +338,7 @@
     this->Workspaces[Object.name()] = Object;
   for (const peer::HolderGroup &Object : Loaded.objects().groups())
     this->Groups[Object.group()] = Object;
-  this->Routes = Loaded.objects().routes();
+  this->setRoutes(Loaded.objects().routes());
   for (const peer::Evacuation &Object : Loaded.objects().evacuations())
     this->Evacuations[Object.data_centre()] = Object;
   for (const peer::RememberedChange &Saved : Loaded.remembered()) {
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -47,6 +47,9 @@
   /// \returns all objects changed after revision \p Since; all objects if it
   /// is 0.
   peer::CatalogUpdate updateSince(std::uint64_t Since) const;
+  /// \returns the same without the document of the route table, which nodes
+  /// have no use for.
+  peer::CatalogUpdate nodeUpdateSince(std::uint64_t Since) const;
 
   const peer::Template *findTemplate(const std::string &Name) const;
   const peer::Workspace *findWorkspace(const std::string &Name) const;
@@ -71,6 +74,10 @@
   void loadSnapshot(const std::string &State);
 
 private:
+  /// \param Table The route table for the update.
+  peer::CatalogUpdate collect(std::uint64_t Since,
+                              const peer::RouteTable &Table) const;
+  void setRoutes(const peer::RouteTable &Table);
   peer::ChangeResult dispatch(const peer::Change &Change);
   peer::ChangeResult applyTemplate(const peer::SetTemplate &Body);
   peer::ChangeResult createWorkspace(const peer::CreateWorkspace &Body);
@@ -99,6 +106,8 @@
   std::map<std::string, peer::Workspace> Workspaces;
   std::map<std::uint32_t, peer::HolderGroup> Groups;
   peer::RouteTable Routes;
+  /// Routes without the document.
+  peer::RouteTable NodeRoutes;
   std::map<std::string, peer::Evacuation> Evacuations;
   std::map<std::string, Remembered> Results;
   std::deque<std::string> ResultOrder;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yardwheel {
 
@@ -168,15 +169,12 @@
 }
 
 std::size_t ControlService::heldHeartbeatBytes() const {
-  auto BytesOf = [](const std::vector<PendingHeartbeat> &Heartbeats) {
-    std::size_t Sum = 0;
+  std::size_t Sum = 0;
+  for (const auto &[Node, Pending] : this->PendingHeartbeats)
+    Sum += Pending.Heartbeat.ByteSizeLong();
+  for (const auto &[Number, Heartbeats] : this->HeartbeatsByRead)
     for (const PendingHeartbeat &Pending : Heartbeats)
       Sum += Pending.Heartbeat.ByteSizeLong();
-    return Sum;
-  };
-  std::size_t Sum = BytesOf(this->PendingHeartbeats);
-  for (const auto &[Number, Heartbeats] : this->HeartbeatsByRead)
-    Sum += BytesOf(Heartbeats);
   return Sum;
 }
 
@@ -255,7 +253,17 @@
   this->Demand.onHeartbeat(Pending.Heartbeat, Now.Steady);
   if (this->Members.onHeartbeat(Pending.Heartbeat, Now.Steady))
     this->IsPushPending = true;
-  this->PendingHeartbeats.push_back(std::move(Pending));
+  this->hold(std::move(Pending));
+}
+
+void ControlService::hold(PendingHeartbeat Pending) {
+  const std::string &Node = Pending.Heartbeat.member().name();
+  auto [Held, New] = this->PendingHeartbeats.try_emplace(Node);
+  auto Age = [](const peer::Heartbeat &Sent) {
+    return std::pair(Sent.member().incarnation(), Sent.sequence());
+  };
+  if (New || Age(Pending.Heartbeat) > Age(Held->second.Heartbeat))
+    Held->second = std::move(Pending);
 }
 
 void ControlService::refuseHeartbeat(const PendingHeartbeat &Pending) {
@@ -271,10 +279,13 @@
 }
 
 void ControlService::answerHeartbeats() {
-  if (this->PendingHeartbeats.empty())
+  if (this->PendingHeartbeats.empty() ||
+      this->HeartbeatsByRead.size() >= this->Options.MaxPendingReads)
     return;
   std::vector<PendingHeartbeat> Heartbeats;
-  std::swap(Heartbeats, this->PendingHeartbeats);
+  for (auto &[Node, Pending] : this->PendingHeartbeats)
+    Heartbeats.push_back(std::move(Pending));
+  this->PendingHeartbeats.clear();
   // One quorum round confirms all heartbeats received since the last one.
   std::optional<std::uint64_t> Number =
       this->Raft->read(this->CurrentTime.Steady);
@@ -300,45 +311,87 @@
           this->Members.find(Heartbeat.member().name()))
     Reply->set_known_incarnation(Known->Member.incarnation());
   *Reply->mutable_replicas() = this->Raft->log().replicas().replicas();
-  if (Heartbeat.revision() < this->State.revision())
-    *Reply->mutable_catalog() = this->State.updateSince(Heartbeat.revision());
-  if (this->Members.isSettled(this->CurrentTime.Steady))
-    *Reply->mutable_members() = this->Members.updateFor(Heartbeat);
-  else
-    *Reply->mutable_members() = this->Members.partialFor(Heartbeat);
+  if (this->maySendTables(To))
+    this->addTables(*Reply, Heartbeat);
+  else if (Heartbeat.revision() < this->State.revision()) {
+    // An update that builds on what the node lacks: it is not taken over, and
+    // the node does not take its own configuration for confirmed.
+    Reply->mutable_catalog()->set_revision(this->State.revision());
+    Reply->mutable_catalog()->set_since(this->State.revision());
+    this->Deferred.insert(Heartbeat.member().name());
+  }
   // Changes that are pushed unasked go without the demand.
   if (Sequence != 0)
     this->Demand.addTo(*Reply, Heartbeat, this->CurrentTime.Steady);
+  this->Sink.send(To, std::move(Message));
+}
+
+bool ControlService::maySendTables(const PeerRef &To) const {
+  return this->TableBytesLeft > 0 && !this->Sink.isCongested(To);
+}
+
+void ControlService::addTables(peer::HeartbeatReply &Reply,
+                               const peer::Heartbeat &Heartbeat) {
+  if (Heartbeat.revision() < this->State.revision())
+    *Reply.mutable_catalog() =
+        this->State.nodeUpdateSince(Heartbeat.revision());
+  if (this->Members.isSettled(this->CurrentTime.Steady))
+    *Reply.mutable_members() = this->Members.updateFor(Heartbeat);
+  else
+    *Reply.mutable_members() = this->Members.partialFor(Heartbeat);
+  std::size_t Bytes = Reply.ByteSizeLong();
+  this->TableBytesLeft -= std::min(this->TableBytesLeft, Bytes);
   this->Members.onRevisionSent(Heartbeat.member().name(),
                                this->State.revision());
-  this->Sink.send(To, std::move(Message));
 }
 
-void ControlService::push() {
-  if (!this->IsPushPending || !this->Raft->leads())
+void ControlService::beginRound(TimePoint Now) {
+  bool HasReadInput = this->LastIdle > this->RoundStart;
+  if (!HasReadInput && Now - this->RoundStart < this->Options.MaxRoundTime)
     return;
-  this->IsPushPending = false;
-  for (const auto &[Name, Entry] : this->Members.entries()) {
-    if (Entry.Member.state() == peer::MEMBER_LOST)
-      continue;
-    bool HasTable = Entry.Member.role() == peer::ROLE_AGENT ||
-                    (Entry.TableTerm == this->Raft->term() &&
-                     Entry.TableVersion >= this->Members.version());
-    // A node that has not yet received its first configuration waits for the
-    // confirmed reply to its heartbeat.
-    // Each change is pushed once. A node that has missed one ignores the later
-    // ones, and gets all of them with the reply to its next heartbeat.
-    std::uint64_t Sent = std::max(Entry.Revision, Entry.SentRevision);
-    if (Entry.Revision == 0 || (Sent >= this->State.revision() && HasTable))
-      continue;
-    peer::Heartbeat LastHeartbeat;
-    *LastHeartbeat.mutable_member() = Entry.Member;
-    LastHeartbeat.set_revision(Sent);
-    LastHeartbeat.set_table_term(Entry.TableTerm);
-    LastHeartbeat.set_table_version(Entry.TableVersion);
-    this->replyTo({Name, Entry.Member.address()}, LastHeartbeat,
-                  /*Sequence=*/0);
-  }
+  this->RoundStart = Now;
+  this->TableBytesLeft = this->Options.MaxTableBytesPerRound;
+}
+
+void ControlService::push() {
+  std::set<std::string> Due;
+  std::swap(Due, this->Deferred);
+  if (std::exchange(this->IsPushPending, false))
+    for (const auto &[Name, Entry] : this->Members.entries())
+      Due.insert(Name);
+  std::vector<std::string> Order(Due.upper_bound(this->LastServed), Due.end());
+  Order.insert(Order.end(), Due.begin(), Due.upper_bound(this->LastServed));
+  for (const std::string &Name : Order)
+    if (this->pushTo(Name))
+      this->Deferred.insert(Name);
+}
+
+bool ControlService::pushTo(const std::string &Name) {
+  const MemberRegistry::Entry *Entry = this->Members.find(Name);
+  // A node that has not yet received its first configuration waits for the
+  // confirmed reply to its heartbeat.
+  if (Entry == nullptr || Entry->Member.state() == peer::MEMBER_LOST ||
+      Entry->Revision == 0)
+    return false;
+  bool HasTable = Entry->Member.role() == peer::ROLE_AGENT ||
+                  (Entry->TableTerm == this->Raft->term() &&
+                   Entry->TableVersion >= this->Members.version());
+  // Each change is pushed once. A node that has missed one ignores the later
+  // ones, and gets all of them with the reply to its next heartbeat.
+  std::uint64_t Sent = std::max(Entry->Revision, Entry->SentRevision);
+  if (Sent >= this->State.revision() && HasTable)
+    return false;
+  PeerRef To{Name, Entry->Member.address()};
+  if (!this->maySendTables(To))
+    return true;
+  peer::Heartbeat LastHeartbeat;
+  *LastHeartbeat.mutable_member() = Entry->Member;
+  LastHeartbeat.set_revision(Sent);
+  LastHeartbeat.set_table_term(Entry->TableTerm);
+  LastHeartbeat.set_table_version(Entry->TableVersion);
+  this->replyTo(To, LastHeartbeat, /*Sequence=*/0);
+  this->LastServed = Name;
+  return false;
 }
 
 // ---- Timers and leadership ----
@@ -350,14 +403,16 @@
     return;
   }
   this->failReads();
-  for (const PendingHeartbeat &Pending : this->PendingHeartbeats)
+  for (const auto &[Node, Pending] : this->PendingHeartbeats)
     this->refuseHeartbeat(Pending);
   this->PendingHeartbeats.clear();
+  this->Deferred.clear();
 }
 
 void ControlService::tick(Instant Now, std::optional<TimePoint> NewLastIdle) {
   this->CurrentTime = Now;
   this->LastIdle = NewLastIdle.value_or(Now.Steady);
+  this->beginRound(Now.Steady);
   this->Raft->requireFormat(this->State.requiredLogFormat());
   this->Raft->tick(Now.Steady);
   this->tickProposals(Now.Steady);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,13 @@
   peer::Replica Self;
   /// Addresses to ask for admission in addition to the known replicas.
   std::vector<PeerRef> Seeds;
+  /// The size in bytes of the tables that are sent in one round. The next round
+  /// begins once this process has read all of its input, or after MaxRoundTime.
+  std::size_t MaxTableBytesPerRound = 2097152;
+  std::chrono::milliseconds MaxRoundTime{500};
+  /// Reads that may wait for a quorum at once; later heartbeats wait for one of
+  /// these to end.
+  std::size_t MaxPendingReads = 4;
   std::chrono::milliseconds JoinInterval{500};
   std::chrono::milliseconds LeaveInterval{100};
   /// A replica that has not heard from a leader for longer may have been
@@ -150,11 +158,22 @@
   void append(const AppendFunction &Append, Instant Now,
               const ChangeHandler &Done);
   void track(std::uint64_t Index, Instant Now, ChangeHandler Done);
+  /// Keeps a heartbeat until answerHeartbeats(), in place of an earlier one of
+  /// the same node.
+  void hold(PendingHeartbeat Pending);
   void answerHeartbeats();
   void refuseHeartbeat(const PendingHeartbeat &Pending);
   void replyTo(const PeerRef &To, const peer::Heartbeat &Heartbeat,
                std::uint64_t Sequence);
   void push();
+  /// Pushes what a node lacks. \returns whether it lacks something and has to
+  /// wait for it.
+  bool pushTo(const std::string &Name);
+  /// Whether the tables may be sent to a node now. Otherwise a later message
+  /// has the newest ones.
+  bool maySendTables(const PeerRef &To) const;
+  void addTables(peer::HeartbeatReply &Reply, const peer::Heartbeat &Heartbeat);
+  void beginRound(TimePoint Now);
   void tickProposals(TimePoint Now);
   void tickGroups(Instant Now);
   void tickReplicas(Instant Now);
@@ -192,7 +211,8 @@
   /// share a connection, and the one that has lost its disk never answers.
   std::map<std::string, TimePoint> UnansweredSince;
   std::map<std::uint64_t, Proposal> Proposals;
-  std::vector<PendingHeartbeat> PendingHeartbeats;
+  /// By node.
+  std::map<std::string, PendingHeartbeat> PendingHeartbeats;
   /// Heartbeats to be answered when the read with this number is confirmed.
   std::map<std::uint64_t, std::vector<PendingHeartbeat>> HeartbeatsByRead;
   std::map<std::uint64_t, PendingRead> Reads;
@@ -200,6 +220,12 @@
   Instant CurrentTime{};
   TimePoint LastIdle = TimePoint::min();
   bool IsPushPending = false;
+  /// Nodes that lack something that could not be sent to them yet, and the last
+  /// node that was served: the next round begins after it.
+  std::set<std::string> Deferred;
+  std::string LastServed;
+  TimePoint RoundStart = TimePoint::min();
+  std::size_t TableBytesLeft = 0;
   bool IsGroupChangePending = false;
   std::unique_ptr<RaftNode> Raft;
 };
