What a process holds for its peers follows from its memory limit

What callers saw: processes over their memory limit.

Cause: links held up to 64 MB for all peers and 16 MB for one, at every role alike, counted as encoded bytes. A parsed table of 800 routes takes 5.5 bytes of heap for an encoded one, and its encoding comes on top: 64 MB were more than the 384 MB of a control replica, and far more than the 160 and 128 MB of an entry and an agent. Envelopes that nobody would report as lost were kept until they were acknowledged, and streams kept what gRPC had already encoded.

Change: links take a quarter of the limit that the platform states, in heap bytes, half of that for one peer. What is queued within a round counts. A process without a handler for lost envelopes releases them once they are written. LinkPool tells when a peer, or the process, is congested, so that repeated messages leave half of the room to others.

Evidence: LinkMemoryTest has the limits of the three roles, the factor (6.5 measured by it, 7 assumed; with 4 it failed) and a peer that does not read.

--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -110,6 +110,7 @@
 inline LinkOptions planLinks(const NodePlan &Plan) {
   LinkOptions Options;
   Options.TwoWay = Plan.SharesLinks;
+  limitHeldBytes(Options, Plan.Limits.MemoryBytes);
   return Options;
 }
 
--- a/tests/transport/link_memory_test.cpp
+++ b/tests/transport/link_memory_test.cpp
@@ -82,3 +82,57 @@
   sendLarge(Client, "a", Reader.Address, Held);
   CHECK(waitFor([&] { return Reader.Received.load() == 2; }));
 }
+
+TEST(LinkMemoryTest, WhatIsHeldFollowsFromTheLimitOfTheProcess) {
+  constexpr std::size_t Megabyte = 1048576;
+  // Control, entries and agents of the larger deployments.
+  for (std::size_t Limit : {384 * Megabyte, 160 * Megabyte, 128 * Megabyte}) {
+    LinkOptions Options;
+    limitHeldBytes(Options, Limit);
+    CHECK(Options.MaxHeldBytes * HeapBytesPerEncodedByte <= Limit / 4);
+    CHECK(Options.MaxHeldBytesPerPeer < Options.MaxHeldBytes);
+  }
+}
+
+TEST(LinkMemoryTest, AnEncodedByteOfATableTakesNoMoreThanAssumed) {
+  peer::Envelope Envelope;
+  peer::RouteTable *Table = Envelope.add_messages()
+                                ->mutable_heartbeat_reply()
+                                ->mutable_catalog()
+                                ->mutable_routes();
+  for (int I = 0; I < 800; ++I) {
+    peer::Route *Route = Table->add_routes();
+    Route->set_name(fmt::format("r-{}", I));
+    Route->set_host(fmt::format("host{}.example", I));
+    Route->set_path_prefix(fmt::format("/p{}/", I));
+    Route->set_pool("bids");
+  }
+  std::size_t Encoded = Envelope.ByteSizeLong();
+  CHECK_TEXT(Envelope.SpaceUsedLong() + Encoded <=
+                 HeapBytesPerEncodedByte * Encoded,
+             fmt::format("{} bytes for {}", Envelope.SpaceUsedLong(), Encoded)
+                 .c_str());
+}
+
+TEST(LinkMemoryTest, APeerThatDoesNotReadIsCongested) {
+  std::string Front = freeAddress();
+  TestNode Server("a", peer::ROLE_AGENT, freeAddress());
+  SilentProxy Proxy(Front, Server.Address);
+  TestNode Client("c", peer::ROLE_CONTROL, freeAddress());
+  Client.sendWhole("a", Front);
+  CHECK(waitFor([&] { return Server.Received.load() == 1; }));
+  auto IsCongested = [&] {
+    std::atomic<int> Found{-1};
+    Client.Node.loop().post([&](Instant) {
+      Found = Client.Node.links().isCongested({"a", Front}) ? 1 : 0;
+    });
+    CHECK(waitFor([&] { return Found.load() >= 0; }));
+    return Found.load() == 1;
+  };
+  CHECK_FALSE(IsCongested());
+  Proxy.silence();
+  std::atomic<std::size_t> Held{0};
+  for (int I = 0; I < 20; ++I)
+    sendLarge(Client, "a", Front, Held);
+  CHECK(IsCongested());
+}
--- a/transport/inbound_stream.cpp
+++ b/transport/inbound_stream.cpp
@@ -60,18 +60,19 @@
   if (this->Writing || this->Ended)
     return;
   this->WritesEnvelope = false;
-  this->Receipt.Clear();
+  peer::Receipt Receipt;
   if (!this->Refusal.empty()) {
-    this->Receipt.set_refusal(std::exchange(this->Refusal, {}));
+    Receipt.set_refusal(std::exchange(this->Refusal, {}));
   } else if (!this->Waiting.empty()) {
-    *this->Receipt.mutable_envelope() = *this->Waiting.front();
+    *Receipt.mutable_envelope() = *this->Waiting.front();
     this->Waiting.pop_front();
     this->WritesEnvelope = true;
   } else {
     return;
   }
   this->Writing = true;
-  this->Stream.Write(this->Receipt, this->WrittenStep.tag());
+  // gRPC encodes it before it returns.
+  this->Stream.Write(Receipt, this->WrittenStep.tag());
 }
 
 void InboundStream::onWritten(bool Ok) {
--- a/transport/inbound_stream.h
+++ b/transport/inbound_stream.h
@@ -91,7 +91,6 @@
   grpc::ServerAsyncReaderWriter<peer::Receipt, peer::Envelope> Stream{
       &this->Context};
   peer::Envelope Envelope;
-  peer::Receipt Receipt;
   /// Reason of the last refusal that has not been sent.
   std::string Refusal;
   std::deque<std::shared_ptr<const peer::Envelope>> Waiting;
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -19,6 +19,13 @@
 
 } // namespace
 
+void limitHeldBytes(LinkOptions &Options, std::size_t MemoryLimit) {
+  Options.MaxHeldBytes =
+      MemoryLimit / LinkShareOfMemory / HeapBytesPerEncodedByte;
+  Options.MaxHeldBytesPerPeer =
+      std::min<std::size_t>(Options.MaxHeldBytes / 2, MaxEnvelopeBytes);
+}
+
 LinkPool::LinkPool(LinkIdentity Self, grpc::CompletionQueue &Queue,
                    const Clock &Source, LinkOptions Options)
     : Self(std::move(Self)), Queue(Queue), Source(Source), Options(Options),
@@ -69,7 +76,9 @@
   Target.Queued.set_recipient(To.Node);
   if (Target.Queued.messages_size() == 0)
     this->PendingFlush.push_back(&Target);
-  Target.QueuedBytes += Message.ByteSizeLong();
+  std::size_t Bytes = Message.ByteSizeLong();
+  Target.QueuedBytes += Bytes;
+  this->QueuedBytes += Bytes;
   *Target.Queued.add_messages() = std::move(Message);
   if (Target.QueuedBytes > EarlySendBytes)
     this->transmit(Target);
@@ -87,6 +96,7 @@
   auto Envelope = std::make_shared<peer::Envelope>();
   Envelope->Swap(&Target.Queued);
   std::size_t QueuedBytes = std::exchange(Target.QueuedBytes, 0);
+  this->QueuedBytes -= QueuedBytes;
   bool IsFull = Target.Stream && Target.Stream->waiting() >= MaxQueuedEnvelopes;
   if (IsFull || !this->hasRoom(Target, QueuedBytes)) {
     this->Counters.Dropped += Envelope->messages_size();
@@ -129,6 +139,14 @@
   return IsWithinShare || this->HeldBytes + Bytes <= this->Options.MaxHeldBytes;
 }
 
+bool LinkPool::isCongested(const PeerRef &To) const {
+  // The rest is left to messages that are not repeated.
+  if (this->HeldBytes + this->QueuedBytes > this->Options.MaxHeldBytes / 2)
+    return true;
+  auto Found = this->Links.find(To.Address);
+  return Found != this->Links.end() && Found->second.Unwritten > 0;
+}
+
 void LinkPool::forgetOldest(Link &Target) {
   std::size_t Bytes = Target.Unacked.front().Bytes;
   Target.UnackedBytes -= Bytes;
@@ -272,10 +290,23 @@
 void LinkPool::onWritten(Link &Target) {
   if (Target.Unwritten == 0)
     return;
+  this->releaseWritten(Target);
   --Target.Unwritten;
   --this->Unwritten;
 }
 
+void LinkPool::releaseWritten(Link &Target) {
+  // Envelopes are written in order, so the unwritten ones are the last. This
+  // one may have been acknowledged before.
+  if (this->Failure || Target.Unacked.size() < Target.Unwritten)
+    return;
+  Sent &Written = Target.Unacked[Target.Unacked.size() - Target.Unwritten];
+  std::size_t Bytes = std::exchange(Written.Bytes, 0);
+  Target.UnackedBytes -= Bytes;
+  this->HeldBytes -= Bytes;
+  Written.Envelope.reset();
+}
+
 void LinkPool::onRefused(Link &Target, const std::string &Reason) {
   if (Target.Refused)
     return;
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -46,7 +46,7 @@
 
 /// An upper bound of the memory for an encoded byte of an envelope: the message
 /// as an object, with its small fields and strings, and its encoding in gRPC.
-constexpr std::size_t HeapBytesPerEncodedByte = 4;
+constexpr std::size_t HeapBytesPerEncodedByte = 7;
 
 struct LinkCounters {
   std::atomic<std::uint64_t> EnvelopesSent{0};
@@ -75,6 +75,10 @@
   std::size_t UnackedBytes = 0;
 };
 
+/// The part of a process's memory limit, as a divisor, that envelopes for its
+/// peers may take.
+constexpr std::size_t LinkShareOfMemory = 4;
+
 struct LinkOptions {
   /// A stream is considered dead if its peer still sends this long after an
   /// envelope was sent to it, but has not acknowledged that envelope. Many
@@ -96,6 +100,10 @@
   bool TwoWay = false;
 };
 
+/// Sets the limits of what is held for peers from the memory limit of this
+/// process, in bytes.
+void limitHeldBytes(LinkOptions &Options, std::size_t MemoryLimit);
+
 /// For the loop's thread only, except where stated otherwise.
 class LinkPool final : public PeerSink {
 public:
@@ -108,6 +116,7 @@
 
   void send(const PeerRef &To, peer::Message Message) override;
   void reconnect(const PeerRef &To) override;
+  bool isCongested(const PeerRef &To) const override;
   /// Sends the messages queued since the last flush.
   void flush();
   /// Replaces dead streams and drops old unacknowledged envelopes.
@@ -135,7 +144,7 @@
   std::vector<LinkLoad> loads() const;
   /// Returns an estimate of the heap memory of all envelopes held.
   std::size_t heapBytes() const {
-    return this->HeldBytes * HeapBytesPerEncodedByte;
+    return (this->HeldBytes + this->QueuedBytes) * HeapBytesPerEncodedByte;
   }
 
 private:
@@ -197,6 +206,9 @@
   void setBack(Link &From, const std::shared_ptr<ReturnStream> &Back);
   /// Whether what is held for a peer leaves room for another envelope.
   bool hasRoom(const Link &Target, std::size_t Bytes) const;
+  /// Releases the memory of an envelope that was written, unless it would be
+  /// reported if its stream ended.
+  void releaseWritten(Link &Target);
   /// Forgets the oldest unacknowledged envelope.
   void forgetOldest(Link &Target);
   /// Releases the stream and reports its unacknowledged envelopes.
@@ -219,6 +231,8 @@
   std::atomic<std::size_t> Unwritten{0};
   /// The sum of UnackedBytes of all links.
   std::size_t HeldBytes = 0;
+  /// The sum of QueuedBytes of all links.
+  std::size_t QueuedBytes = 0;
   LinkCounters Counters;
 };
 
--- a/transport/link_stream.cpp
+++ b/transport/link_stream.cpp
@@ -55,10 +55,12 @@
   bool MayWrite = this->Started && !this->Failed && !this->Writing;
   if (!MayWrite || this->Waiting.empty())
     return;
-  this->Writing = std::move(this->Waiting.front());
+  this->Writing = true;
+  std::shared_ptr<const peer::Envelope> Next = std::move(this->Waiting.front());
   this->Waiting.pop_front();
   ++this->Pending;
-  this->Call->Write(*this->Writing, this->WrittenStep.tag());
+  // gRPC encodes it before it returns.
+  this->Call->Write(*Next, this->WrittenStep.tag());
 }
 
 void LinkStream::onStarted(bool Ok) {
@@ -77,7 +79,7 @@
 
 void LinkStream::onWritten(bool Ok) {
   --this->Pending;
-  this->Writing.reset();
+  this->Writing = false;
   // The pending read reports the failure.
   this->Failed = this->Failed || !Ok;
   if (Ok && this->Owner != nullptr)
--- a/transport/link_stream.h
+++ b/transport/link_stream.h
@@ -70,7 +70,7 @@
   peer::Receipt Receipt;
   grpc::Status Status;
   std::deque<std::shared_ptr<const peer::Envelope>> Waiting;
-  std::shared_ptr<const peer::Envelope> Writing;
+  bool Writing = false;
   bool Started = false;
   bool Failed = false;
   /// Operations whose tags gRPC holds. The object lives until all are returned.
