What callers and operators send is limited in all

Each connection of a server could hold a body of 1 MB, without a limit on their sum; a change of the configuration was held six times between its arrival and its answer, and proposed also after its operator had left.

Change: a server holds a 32nd of its process's memory limit in requests that are being read or wait for their answer, and answers 503 with Retry-After beyond. A stream of a peer that has opened a newer one is closed: a peer that loses its power never closes its own.

Evidence: HttpLimitsTest.WhatAllConnectionsHoldIsLimited (new; the option was not there before). The closing of replaced streams has no test of its own.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -31,11 +31,18 @@
 /// Sent to a caller that expects it before it sends the body.
 constexpr const char *ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// When a request is to be sent again that found no room. What waits is mostly
+/// answered by then.
+constexpr std::chrono::milliseconds NoRoomRetry{1000};
+
 /// Makes an answer of the server itself, independent of the handler's format.
 HttpAnswer plainAnswer(const ReadRefusal &Why) {
-  return {.Status = Why.Status,
-          .Body = Why.Reason + ".\n",
-          .ContentType = "text/plain"};
+  HttpAnswer Answer{.Status = Why.Status,
+                    .Body = Why.Reason + ".\n",
+                    .ContentType = "text/plain"};
+  if (Why.Status == HttpStatus::Unavailable)
+    Answer.RetryAfter = NoRoomRetry;
+  return Answer;
 }
 
 /// State shared by the connections and replies of a server, which may outlive
@@ -44,6 +51,7 @@
   explicit ServerState(const HttpServerOptions &Options)
       : Reading{.MaxBodyBytes = Options.MaxBodyBytes,
                 .Headers = Options.Headers},
+        MaxInputBytes(Options.MaxInputBytes),
         Timeouts{.Request = Options.HeaderTimeout,
                  .Idle = Options.IdleTimeout,
                  .Linger = LingerTimeout},
@@ -56,18 +64,47 @@
         }) {}
 
   const ReaderOptions Reading;
+  const std::size_t MaxInputBytes;
+  /// What all connections hold, and the requests that wait for their answer.
+  std::atomic<std::size_t> InputBytes{0};
   const ConnectionTimeouts Timeouts;
   AnswerWriter Answers;
   /// Declared last, as its thread uses the other members.
   ConnectionWatch Watch;
 };
 
+/// Counts a part of the server's input for as long as it exists.
+class InputShare {
+public:
+  explicit InputShare(std::shared_ptr<ServerState> Server)
+      : Server(std::move(Server)) {}
+  ~InputShare() { this->set(0); }
+  InputShare(const InputShare &) = delete;
+  InputShare &operator=(const InputShare &) = delete;
+
+  void set(std::size_t NewBytes) {
+    this->Server->InputBytes += NewBytes - this->Bytes;
+    this->Bytes = NewBytes;
+  }
+  bool hasRoomFor(std::size_t Added) const {
+    return this->Server->InputBytes.load() + Added <=
+           this->Server->MaxInputBytes;
+  }
+
+private:
+  std::shared_ptr<ServerState> Server;
+  std::size_t Bytes = 0;
+};
+
 /// The state of a connection, stored in the library's peer object and destroyed
 /// with it.
 struct ConnectionState {
-  ConnectionState(int Descriptor, const ServerState &Server)
-      : Reader(Server.Reading), Connection(std::make_shared<HttpConnection>(
-                                    Descriptor, Server.Timeouts)) {}
+  ConnectionState(int Descriptor, const std::shared_ptr<ServerState> &Server)
+      : Input(Server), Reader(Server->Reading),
+        Connection(
+            std::make_shared<HttpConnection>(Descriptor, Server->Timeouts)) {}
+  /// Declared first, as the reader uses the server's options.
+  InputShare Input;
   RequestReader Reader;
   std::shared_ptr<HttpConnection> Connection;
 };
@@ -85,9 +122,10 @@
   ConnectionReply(const AnswerForm &Form,
                   const std::shared_ptr<HttpConnection> &Connection,
                   std::uint64_t Sequence, bool IsLastInput,
-                  std::shared_ptr<ServerState> Server)
+                  std::size_t BodyBytes, std::shared_ptr<ServerState> Server)
       : Form(Form), Connection(Connection), Sequence(Sequence),
-        IsLastInput(IsLastInput), Server(std::move(Server)) {
+        IsLastInput(IsLastInput), Input(Server), Server(std::move(Server)) {
+    this->Input.set(BodyBytes);
     this->Server->Answers.counters().countRequest();
   }
 
@@ -135,6 +173,7 @@
   std::uint64_t Sequence;
   /// Whether no input after the request was read together with it.
   bool IsLastInput;
+  InputShare Input;
   std::shared_ptr<ServerState> Server;
   std::atomic<bool> Sent{false};
 };
@@ -156,7 +195,7 @@
     Peer->putData(ParserData,
                   std::make_shared<Pistache::Http::RequestParser>(0));
     Peer->setIdle(true);
-    auto New = std::make_shared<ConnectionState>(Peer->fd(), *this->Server);
+    auto New = std::make_shared<ConnectionState>(Peer->fd(), this->Server);
     Peer->putData(ConnectionStateKey, New);
     // No answer can be written without a descriptor, so the caller must learn
     // of it at once.
@@ -199,6 +238,12 @@
 private:
   void read(ConnectionState &Known, std::string_view Bytes, std::uint64_t Id) {
     RequestReader &Reader = Known.Reader;
+    if (!Known.Input.hasRoomFor(Bytes.size())) {
+      this->refuse(Known, {HttpStatus::Unavailable,
+                           "too many requests wait; this one has not run"});
+      Known.Input.set(0);
+      return;
+    }
     Reader.feed(Bytes);
     while (Known.Connection->takesRequests()) {
       std::optional<ReadRequest> Next = Reader.next();
@@ -209,6 +254,7 @@
     }
     if (Reader.refusal())
       this->refuse(Known, *Reader.refusal());
+    Known.Input.set(Reader.heldBytes());
   }
 
   void take(ConnectionState &Known, const ReadRequest &Next) {
@@ -227,7 +273,8 @@
       return;
     this->handle(Next.Request, std::make_shared<ConnectionReply>(
                                    Next.Form, Known.Connection, *Sequence,
-                                   !Known.Reader.hasMore(), this->Server));
+                                   !Known.Reader.hasMore(),
+                                   Next.Request.Body.size(), this->Server));
   }
 
   void handle(const HttpRequest &Request, std::shared_ptr<HttpReply> Reply) {
@@ -297,6 +344,10 @@
   return this->Inner->Server->Answers.counters();
 }
 
+std::size_t HttpServer::inputBytes() const {
+  return this->Inner->Server->InputBytes.load();
+}
+
 void HttpServer::stop() {
   if (!this->Inner->Running)
     return;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -49,6 +49,9 @@
   std::string Listen;
   std::uint32_t Threads = 2;
   std::size_t MaxBodyBytes = 1048576;
+  /// The limit of what all connections hold: requests that are being read or
+  /// wait for their answer, in bytes. Requests beyond it are refused.
+  std::size_t MaxInputBytes = 33554432;
   /// The timeout for a whole request, from its first byte, and for the first
   /// byte on a new connection.
   std::chrono::milliseconds HeaderTimeout{5000};
@@ -70,6 +73,8 @@
   void stop();
   /// Returns the counters of written answers. Thread-safe.
   const AnswerCounters &answers() const;
+  /// Returns what all connections hold, in bytes. Thread-safe.
+  std::size_t inputBytes() const;
 
 private:
   class Implementation;
--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -131,6 +131,11 @@
   return this->take();
 }
 
+std::size_t RequestReader::heldBytes() const {
+  return this->Unread.size() +
+         (this->Parser ? this->Parser->get().body().size() : 0);
+}
+
 bool RequestReader::lacksChunkedEnd() const {
   return this->Parser->is_header_done() && this->Parser->chunked() &&
          this->Unread.size() < MinChunkedEndBytes;
--- a/http/request_reader.h
+++ b/http/request_reader.h
@@ -57,6 +57,8 @@
   /// must be the connection's last.
   const std::optional<ReadRefusal> &refusal() const { return this->Refusal; }
 
+  /// Returns the size of the input that no request was returned for, in bytes.
+  std::size_t heldBytes() const;
   /// Returns whether a request has begun and is incomplete.
   bool isInRequest() const { return this->Parser.has_value(); }
   /// Returns whether there is input after the requests returned so far.
--- a/main/lease_agent_process.cpp
+++ b/main/lease_agent_process.cpp
@@ -118,7 +118,10 @@
                planMember(Plan, peer::ROLE_AGENT, this->Incarnation),
                this->Catalog, this->Node.links(), *this),
       Gate(std::make_shared<platform::AnnouncementHandler>(*this)),
-      WorkerServer({.Listen = Plan.ControlListen, .Threads = 1}, this->Gate),
+      WorkerServer({.Listen = Plan.ControlListen,
+                    .Threads = 1,
+                    .MaxInputBytes = planInput(Plan)},
+                   this->Gate),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
                     this->Metrics) {
   this->Memory.setBase();
--- a/main/lease_entry_process.cpp
+++ b/main/lease_entry_process.cpp
@@ -125,6 +125,7 @@
            HttpServerOptions{.Listen = Plan.CallerListen,
                              .Threads = 1,
                              .MaxBodyBytes = MaxBodyBytes,
+                             .MaxInputBytes = planInput(Plan),
                              .HeaderTimeout = CallerTimeout,
                              .Headers = platform::CallerHandler::headers()}),
           this->Gate),
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -24,6 +24,7 @@
                             std::vector<MemoryHolder> Holders,
                             const Logger &Log) {
   Holders.push_back({"links", Node.links().heapBytes()});
+  Holders.push_back({"requests", Server.inputBytes()});
   Memory.check(Holders, Log);
   return Memory.metrics(Holders) +
          metricLine("yardwheel_open_descriptors", openDescriptors()) +
--- a/main/lease_wiring.h
+++ b/main/lease_wiring.h
@@ -102,6 +102,14 @@
 /// Maximum size of a request body in bytes; any configuration or job fits.
 constexpr std::size_t MaxBodyBytes = 1048576;
 
+/// Part of the memory limit, as a divisor, that the bodies of requests may
+/// take. A configuration takes several times its body while it is read.
+constexpr std::size_t InputShareOfMemory = 32;
+
+inline std::size_t planInput(const NodePlan &Plan) {
+  return Plan.Limits.MemoryBytes / InputShareOfMemory;
+}
+
 inline LinkIdentity planIdentity(const NodePlan &Plan, peer::Role Role,
                                  std::uint64_t Incarnation) {
   return {DeployedCluster, Role, Plan.Node, Plan.LinkListen, Incarnation};
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -149,7 +149,8 @@
               this->Source.now()),
       OperatorServer({.Listen = Plan.ControlListen,
                       .Threads = 1,
-                      .MaxBodyBytes = MaxBodyBytes},
+                      .MaxBodyBytes = MaxBodyBytes,
+                      .MaxInputBytes = planInput(Plan)},
                      std::make_shared<platform::ConfigHandler>(
                          this->Node.loop(), this->Service, this->Replica)),
       MetricsServer({.Listen = Plan.MetricsListen, .Threads = 1},
--- a/tests/http/http_limits_test.cpp
+++ b/tests/http/http_limits_test.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr std::size_t BodyLimit = 1000;
+constexpr std::size_t InputLimit = 5 * BodyLimit;
 constexpr milliseconds Quiet{150};
 
 /// Keeps all replies until answerAll().
@@ -81,7 +82,8 @@
     this->Server.emplace(
         HttpServerOptions{.Listen = "127.0.0.1:" + std::to_string(this->Port),
                           .Threads = 1,
-                          .MaxBodyBytes = BodyLimit},
+                          .MaxBodyBytes = BodyLimit,
+                          .MaxInputBytes = InputLimit},
         this->Handler);
   }
   Caller connected() {
@@ -116,6 +118,31 @@
   CHECK(Client.seesEnd(Quiet));
 }
 
+// Regression test: nothing limited the bodies that all connections held.
+TEST(HttpLimitsTest, WhatAllConnectionsHoldIsLimited) {
+  constexpr std::size_t BodyBytes = 900;
+  const std::string Request =
+      "POST /a HTTP/1.1\r\nContent-Length: 900\r\n\r\n" +
+      std::string(BodyBytes, 'x');
+  std::vector<Caller> Held;
+  for (std::size_t I = 1; I <= InputLimit / BodyLimit; ++I) {
+    Held.push_back(this->connected());
+    Held.back().send(Request);
+    CHECK(this->waitFor([&] { return this->Handler->waiting() == I; }));
+    LONGS_EQUAL(I * BodyBytes, this->Server->inputBytes());
+  }
+  Caller Refused = this->connected();
+  Refused.send(Request);
+  std::string Text = Refused.read(std::string::npos, Quiet);
+  STRCMP_CONTAINS("HTTP/1.1 503 ", Text.c_str());
+  STRCMP_CONTAINS("Retry-After: 1", Text.c_str());
+  this->Handler->answerAll();
+  CHECK(this->waitFor([&] { return this->Server->inputBytes() == 0; }));
+  Caller Next = this->connected();
+  Next.send(Request);
+  CHECK(this->waitFor([&] { return this->Handler->waiting() == 1; }));
+}
+
 TEST(HttpLimitsTest, ARefusedCallerThatKeepsSendingIsReset) {
   constexpr std::size_t Part = 1000000;
   constexpr std::size_t MaxParts = 100;
--- a/transport/envelope_stream.h
+++ b/transport/envelope_stream.h
@@ -47,6 +47,8 @@
   virtual bool mayAttach() const = 0;
   /// Sets the owner, which may then send envelopes. To be called once.
   virtual void attach(Events &NewOwner) = 0;
+  /// Ends the stream, which the peer has replaced by another one.
+  virtual void close() = 0;
 };
 
 } // namespace yardwheel
--- a/transport/inbound_stream.h
+++ b/transport/inbound_stream.h
@@ -47,6 +47,7 @@
   std::size_t waiting() const override { return this->Waiting.size(); }
   bool mayAttach() const override { return !this->WasAttached && !this->Ended; }
   void attach(Events &NewOwner) override;
+  void close() override { this->Context.TryCancel(); }
 
 private:
   /// Calls a member function when an operation has completed.
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -234,7 +234,12 @@
 }
 
 void LinkPool::setBack(Link &From, const std::shared_ptr<ReturnStream> &Back) {
+  std::shared_ptr<ReturnStream> Old = From.Inbound.lock();
+  From.Inbound = Back;
   From.Back = Back;
+  // A peer that has lost its power does not end its stream.
+  if (Old && Old != Back)
+    Old->close();
   // The peer has given up its earlier stream, which may be dead.
   if (From.Stream && !From.IsOwnStream && From.Stream != Back)
     this->abandon(From);
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -176,6 +176,8 @@
     bool IsOwnStream = false;
     /// The way back on the newest stream that the peer has opened and reads.
     std::weak_ptr<ReturnStream> Back;
+    /// The same, also once it is attached.
+    std::weak_ptr<ReturnStream> Inbound;
     std::uint64_t StreamId = 0;
     std::uint64_t LastNumber = 0;
     TimePoint OpenedAt;
