A stream of a peer that is gone ends with its next one

Closes a stream only for a later stream of the same or a later incarnation: an envelope of an earlier one that was delayed must not end the present one's.

--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -267,8 +267,8 @@
 
 std::vector<MemoryHolder> SeededControlProcess::memoryHolders() const {
   const RaftLog &Log = this->Service.raft().log();
-  return {{"log", Log.bytes() - Log.snapshot().ByteSizeLong()},
-          {"snapshot", Log.snapshot().ByteSizeLong()},
+  return {{"log", Log.bytes() - Log.snapshotBytes()},
+          {"snapshot", Log.snapshotBytes()},
           {"configuration", this->Service.catalog().routes().SpaceUsedLong()},
           {"members", this->Service.members().bytes()},
           {"heartbeats", this->Service.heldHeartbeatBytes()}};
--- a/tests/transport/two_way_link_test.cpp
+++ b/tests/transport/two_way_link_test.cpp
@@ -205,3 +205,55 @@
   LONGS_EQUAL(1, Nodes.First.Received.load());
   LONGS_EQUAL(1, shared(Nodes.Second));
 }
+
+namespace {
+
+/// The way back on a stream that a peer has opened.
+class CountedStream final : public ReturnStream {
+public:
+  void write(std::shared_ptr<const peer::Envelope>) override {}
+  void release() override {}
+  std::size_t waiting() const override { return 0; }
+  bool mayAttach() const override { return true; }
+  void attach(Events &) override {}
+  void close() override { ++this->Closed; }
+
+  int Closed = 0;
+};
+
+} // namespace
+
+// Regression test: each start of a peer that had lost its power left a stream
+// of its earlier incarnation, for good.
+TEST(TwoWayLinkTest, AStreamOfAPeerThatIsGoneEndsWithItsNextOne) {
+  struct Row {
+    std::uint64_t Incarnation;
+    std::uint64_t Stream;
+    bool ClosesFirst;
+  };
+  // A later stream, a later process, and a delayed envelope of an earlier one.
+  const Row Rows[] = {{5, 2, true}, {6, 1, true}, {4, 2, false}};
+  for (const Row &Row : Rows) {
+    grpc::CompletionQueue Queue;
+    SystemClock Source;
+    LinkPool Pool({"test", peer::ROLE_AGENT, "a", "127.0.0.1:1", 1}, Queue,
+                  Source, twoWay(true));
+    auto First = std::make_shared<CountedStream>();
+    auto Next = std::make_shared<CountedStream>();
+    peer::Envelope Envelope;
+    Envelope.set_sender_address("127.0.0.1:2");
+    Envelope.set_reads_returns(true);
+    Envelope.set_number(1);
+    Envelope.set_sender_incarnation(5);
+    Envelope.set_stream(1);
+    Pool.onRead(Envelope, TimePoint{}, First);
+    Envelope.set_number(2);
+    Pool.onRead(Envelope, TimePoint{}, First);
+    Envelope.set_sender_incarnation(Row.Incarnation);
+    Envelope.set_stream(Row.Stream);
+    Pool.onRead(Envelope, TimePoint{}, Next);
+    LONGS_EQUAL(Row.ClosesFirst ? 1 : 0, First->Closed);
+    LONGS_EQUAL(0, Next->Closed);
+    Queue.Shutdown();
+  }
+}
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -220,6 +220,10 @@
                (Envelope.stream() == From.ReceivedStream &&
                 Envelope.number() > From.ReceivedNumber);
   if (Newer) {
+    // An envelope of an earlier incarnation that was delayed must not end the
+    // stream of the present one.
+    if (Envelope.sender_incarnation() >= From.PeerIncarnation)
+      this->closeReplaced(From, Back);
     From.PeerIncarnation = Envelope.sender_incarnation();
     From.ReceivedStream = Envelope.stream();
     From.ReceivedNumber = Envelope.number();
@@ -233,13 +237,18 @@
       this->forgetOldest(From);
 }
 
-void LinkPool::setBack(Link &From, const std::shared_ptr<ReturnStream> &Back) {
+void LinkPool::closeReplaced(Link &From,
+                             const std::shared_ptr<ReturnStream> &Newest) {
   std::shared_ptr<ReturnStream> Old = From.Inbound.lock();
+  if (!Newest || !Old || Old == Newest)
+    return;
+  // A peer that has lost its power does not end its streams.
+  Old->close();
+}
+
+void LinkPool::setBack(Link &From, const std::shared_ptr<ReturnStream> &Back) {
   From.Inbound = Back;
   From.Back = Back;
-  // A peer that has lost its power does not end its stream.
-  if (Old && Old != Back)
-    Old->close();
   // The peer has given up its earlier stream, which may be dead.
   if (From.Stream && !From.IsOwnStream && From.Stream != Back)
     this->abandon(From);
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -204,6 +204,8 @@
   void onEnded(Link &Target, const grpc::Status &Why);
   void transmit(Link &Target);
   void open(Link &Target);
+  /// Ends the stream that a peer has opened before \p Newest.
+  void closeReplaced(Link &From, const std::shared_ptr<ReturnStream> &Newest);
   /// Sets the way back to a peer on the stream that it uses now.
   void setBack(Link &From, const std::shared_ptr<ReturnStream> &Back);
   /// Whether what is held for a peer leaves room for another envelope.
