Control: the first round of tables begins with the process; descriptors are counted less often

The time of the first round was a minimum that a subtraction overflows. Descriptors are listed at every fifth update of the metrics: an entry has thousands.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -11,7 +11,9 @@
                                PeerSink &Sink, Instant Now)
     : Options(std::move(Options)), Sink(Sink), Members(this->Options.Lease),
       Demand(this->Options.Lease), Groups(this->Options.Groups),
-      Replicas(this->Options.Replicas), Started(Now.Steady), CurrentTime(Now) {
+      Replicas(this->Options.Replicas), Started(Now.Steady), CurrentTime(Now),
+      RoundStart(Now.Steady),
+      TableBytesLeft(this->Options.MaxTableBytesPerRound) {
   this->Raft = std::make_unique<RaftNode>(this->Options.Raft, Storage, *this,
                                           Now.Steady);
   this->Raft->requireFormat(this->State.requiredLogFormat());
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -172,7 +172,9 @@
   /// Whether the tables may be sent to a node now. Otherwise a later message
   /// has the newest ones.
   bool maySendTables(const PeerRef &To) const;
+  /// Adds what the sender of a heartbeat lacks to the reply.
   void addTables(peer::HeartbeatReply &Reply, const peer::Heartbeat &Heartbeat);
+  /// Begins the next round of tables if it is due.
   void beginRound(TimePoint Now);
   void tickProposals(TimePoint Now);
   void tickGroups(Instant Now);
@@ -224,8 +226,8 @@
   /// node that was served: the next round begins after it.
   std::set<std::string> Deferred;
   std::string LastServed;
-  TimePoint RoundStart = TimePoint::min();
-  std::size_t TableBytesLeft = 0;
+  TimePoint RoundStart;
+  std::size_t TableBytesLeft;
   bool IsGroupChangePending = false;
   std::unique_ptr<RaftNode> Raft;
 };
--- a/core/process_memory.cpp
+++ b/core/process_memory.cpp
@@ -1,5 +1,7 @@
 #include "core/process_memory.h"
 
+#include "core/last_words.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
@@ -14,6 +16,9 @@
 constexpr std::size_t LimitParts = 8;
 constexpr std::size_t FirstLoggedPart = 4;
 
+/// Descriptors are counted by listing them, of which an entry has thousands.
+constexpr int CallsPerDescriptorCount = 5;
+
 std::string describe(const std::vector<MemoryHolder> &Holders) {
   std::string Text;
   for (const MemoryHolder &Holder : Holders)
@@ -38,11 +43,15 @@
   return {.InUse = Info.uordblks + Info.hblkhd, .Free = Info.fordblks};
 }
 
-std::string
-MemoryReport::metrics(const std::vector<MemoryHolder> &Holders) const {
+std::string MemoryReport::metrics(const std::vector<MemoryHolder> &Holders) {
+  if (this->CallsUntilCount-- == 0) {
+    this->CallsUntilCount = CallsPerDescriptorCount - 1;
+    this->Descriptors = openDescriptors();
+  }
   HeapUse Heap = heapUse();
   std::string Text;
   Text += fmt::format("yardwheel_memory_limit_bytes {}\n", this->Limit);
+  Text += fmt::format("yardwheel_open_descriptors {}\n", this->Descriptors);
   Text += fmt::format("yardwheel_resident_bytes {}\n", residentBytes());
   Text += fmt::format("yardwheel_heap_used_bytes {}\n", Heap.InUse);
   Text += fmt::format("yardwheel_heap_free_bytes {}\n", Heap.Free);
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -241,7 +241,6 @@
     if (!Known.Input.hasRoomFor(Bytes.size())) {
       this->refuse(Known, {HttpStatus::Unavailable,
                            "too many requests wait; this one has not run"});
-      Known.Input.set(0);
       return;
     }
     Reader.feed(Bytes);
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -1,6 +1,5 @@
 #include "main/lease_wiring.h"
 
-#include "core/last_words.h"
 #include "core/logger.h"
 #include "http/metrics_page.h"
 #include "platform/node_settings.h"
@@ -27,7 +26,6 @@
   Holders.push_back({"requests", Server.inputBytes()});
   Memory.check(Holders, Log);
   return Memory.metrics(Holders) +
-         metricLine("yardwheel_open_descriptors", openDescriptors()) +
          metricLine("yardwheel_processor_ms_total",
                     asMillis(Node.processorTime())) +
          Node.loop().meter().describe() +
