Metrics count connections in place of listing descriptors

Listing the descriptors of an entry, of which it has thousands, takes some milliseconds, every 2 s of a share of 0.12 cores. Connections are counted as they open and close; descriptors are listed for the last words and for memory_high.

--- a/core/last_words.h
+++ b/core/last_words.h
@@ -20,7 +20,7 @@
 void installLastWords(const ProcessLimits &Limits);
 
 /// Returns the number of descriptors open in this process; 0 if the host does
-/// not tell.
+/// not tell. Lists them, which takes milliseconds for thousands.
 std::size_t openDescriptors();
 
 } // namespace yardwheel
--- a/core/process_memory.cpp
+++ b/core/process_memory.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t LimitParts = 8;
 constexpr std::size_t FirstLoggedPart = 4;
 
-/// Descriptors are counted by listing them, of which an entry has thousands.
-constexpr int CallsPerDescriptorCount = 5;
-
 std::string describe(const std::vector<MemoryHolder> &Holders) {
   std::string Text;
   for (const MemoryHolder &Holder : Holders)
@@ -43,15 +40,11 @@
   return {.InUse = Info.uordblks + Info.hblkhd, .Free = Info.fordblks};
 }
 
-std::string MemoryReport::metrics(const std::vector<MemoryHolder> &Holders) {
-  if (this->CallsUntilCount-- == 0) {
-    this->CallsUntilCount = CallsPerDescriptorCount - 1;
-    this->Descriptors = openDescriptors();
-  }
+std::string
+MemoryReport::metrics(const std::vector<MemoryHolder> &Holders) const {
   HeapUse Heap = heapUse();
   std::string Text;
   Text += fmt::format("yardwheel_memory_limit_bytes {}\n", this->Limit);
-  Text += fmt::format("yardwheel_open_descriptors {}\n", this->Descriptors);
   Text += fmt::format("yardwheel_resident_bytes {}\n", residentBytes());
   Text += fmt::format("yardwheel_heap_used_bytes {}\n", Heap.InUse);
   Text += fmt::format("yardwheel_heap_free_bytes {}\n", Heap.Free);
@@ -85,6 +78,7 @@
                                {"heap_used_kb", Heap.InUse / BytesPerKilobyte},
                                {"heap_free_kb", Heap.Free / BytesPerKilobyte},
                                {"base_kb", this->Base / BytesPerKilobyte},
+                               {"descriptors", openDescriptors()},
                                {"held", describe(Holders)}});
 }
 
--- a/core/process_memory.h
+++ b/core/process_memory.h
@@ -40,9 +40,8 @@
 
   /// Takes the heap in use now for that of an idle process.
   void setBase() { this->Base = heapUse().InUse; }
-  /// Describes the memory, and the open descriptors, in Prometheus' text
-  /// format.
-  std::string metrics(const std::vector<MemoryHolder> &Holders);
+  /// Describes the memory in Prometheus' text format.
+  std::string metrics(const std::vector<MemoryHolder> &Holders) const;
   /// Logs the memory each time it has grown by a further part of the limit,
   /// once a half of the limit is in use. The host ends a process at the limit
   /// without notice.
@@ -52,8 +51,6 @@
   std::size_t Limit;
   std::size_t Base = 0;
   std::size_t PartsLogged = 0;
-  std::size_t Descriptors = 0;
-  int CallsUntilCount = 0;
 };
 
 } // namespace yardwheel
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -67,6 +67,7 @@
   const std::size_t MaxInputBytes;
   /// What all connections hold, and the requests that wait for their answer.
   std::atomic<std::size_t> InputBytes{0};
+  std::atomic<std::size_t> Connections{0};
   const ConnectionTimeouts Timeouts;
   AnswerWriter Answers;
   /// Declared last, as its thread uses the other members.
@@ -102,11 +103,19 @@
   ConnectionState(int Descriptor, const std::shared_ptr<ServerState> &Server)
       : Input(Server), Reader(Server->Reading),
         Connection(
-            std::make_shared<HttpConnection>(Descriptor, Server->Timeouts)) {}
+            std::make_shared<HttpConnection>(Descriptor, Server->Timeouts)),
+        Server(Server) {
+    ++this->Server->Connections;
+  }
+  ~ConnectionState() { --this->Server->Connections; }
+  ConnectionState(const ConnectionState &) = delete;
+  ConnectionState &operator=(const ConnectionState &) = delete;
+
   /// Declared first, as the reader uses the server's options.
   InputShare Input;
   RequestReader Reader;
   std::shared_ptr<HttpConnection> Connection;
+  std::shared_ptr<ServerState> Server;
 };
 
 constexpr const char *ConnectionStateKey = "intake";
@@ -343,6 +352,10 @@
   return this->Inner->Server->Answers.counters();
 }
 
+std::size_t HttpServer::connections() const {
+  return this->Inner->Server->Connections.load();
+}
+
 std::size_t HttpServer::inputBytes() const {
   return this->Inner->Server->InputBytes.load();
 }
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -73,6 +73,9 @@
   void stop();
   /// Returns the counters of written answers. Thread-safe.
   const AnswerCounters &answers() const;
+  /// Returns the number of open connections, of which each takes two
+  /// descriptors. Thread-safe.
+  std::size_t connections() const;
   /// Returns what all connections hold, in bytes. Thread-safe.
   std::size_t inputBytes() const;
 
--- a/main/lease_wiring.cpp
+++ b/main/lease_wiring.cpp
@@ -26,6 +26,7 @@
   Holders.push_back({"requests", Server.inputBytes()});
   Memory.check(Holders, Log);
   return Memory.metrics(Holders) +
+         metricLine("yardwheel_http_connections", Server.connections()) +
          metricLine("yardwheel_processor_ms_total",
                     asMillis(Node.processorTime())) +
          Node.loop().meter().describe() +
--- a/tests/http/http_limits_test.cpp
+++ b/tests/http/http_limits_test.cpp
@@ -130,6 +130,7 @@
     Held.back().send(Request);
     CHECK(this->waitFor([&] { return this->Handler->waiting() == I; }));
     LONGS_EQUAL(I * BodyBytes, this->Server->inputBytes());
+    LONGS_EQUAL(I, this->Server->connections());
   }
   Caller Refused = this->connected();
   Refused.send(Request);
