Two-way links send back without a copy of each envelope

An envelope that went back on a peer's stream was copied into the message around it, which kept the memory of its largest one for as long as the stream lasted: a whole table for each node at control. It is lent to a message that lasts for the call. transport and link_memory pass.

--- a/transport/inbound_stream.cpp
+++ b/transport/inbound_stream.cpp
@@ -61,18 +61,23 @@
     return;
   this->WritesEnvelope = false;
   peer::Receipt Receipt;
+  std::shared_ptr<const peer::Envelope> Next;
   if (!this->Refusal.empty()) {
     Receipt.set_refusal(std::exchange(this->Refusal, {}));
   } else if (!this->Waiting.empty()) {
-    *Receipt.mutable_envelope() = *this->Waiting.front();
+    Next = std::move(this->Waiting.front());
     this->Waiting.pop_front();
+    // Lent without a copy: gRPC only encodes it, before Write() returns.
+    Receipt.unsafe_arena_set_allocated_envelope(
+        const_cast<peer::Envelope *>(Next.get()));
     this->WritesEnvelope = true;
   } else {
     return;
   }
   this->Writing = true;
-  // gRPC encodes it before it returns.
   this->Stream.Write(Receipt, this->WrittenStep.tag());
+  if (Next)
+    Receipt.unsafe_arena_release_envelope();
 }
 
 void InboundStream::onWritten(bool Ok) {
