--- a/review/third/cancelled_job.cpp
+++ b/review/third/cancelled_job.cpp
@@ -1,10 +1,12 @@
-//===- A job that is cancelled through another entry ----------------------===//
+//===- A best-effort job that is cancelled --------------------------------===//
 ///
 /// \file
-/// A client hands a best-effort job in at one entry and cancels it through
-/// another one, on which the platform has put the new connection. Once the
-/// cancelling has been acknowledged for cancel_ms, no task of the job may be
-/// started, and stopMs later none may run.
+/// A client hands a best-effort job in at one entry. In the first case it is
+/// cancelled through another entry, on which the platform has put the new
+/// connection. In the second it is cancelled where it runs, and sent again
+/// because the answer to its POST was 504. Once the cancelling has been
+/// acknowledged for cancel_ms, no task of the job may be started, and stopMs
+/// later none may run.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -33,6 +35,7 @@
 /// The pages' cancel_ms and stopMs.
 constexpr std::chrono::milliseconds CancelTime = 3000ms;
 constexpr std::chrono::milliseconds StopTime = 50ms;
+constexpr std::chrono::milliseconds RetransmitTime = 1300ms;
 /// For the threads of this program.
 constexpr std::chrono::milliseconds Slack = 100ms;
 
@@ -64,22 +67,26 @@
   return Started > 0 || Alive > 0;
 }
 
-int run(Record &Lines, bool Trouble, int CancelAt) {
+/// Hands the job in and writes down the answer. \returns its status.
+long handIn(const SmallDeployment &Deployment, Record &Lines) {
+  Lines.add(fmt::format("POST {} at front1: {} tasks of {} ms", Job, Tasks,
+                        TaskTime.count()));
+  HttpResult Answer = Deployment.call(
+      1, "POST", Job, SmallDeployment::job(Tasks, TaskTime), Deadline);
+  Lines.add(fmt::format("front1 answers POST: {} {}{}", Answer.Status,
+                        Answer.Body, Answer.Problem));
+  return Answer.Status;
+}
+
+int run(Record &Lines, bool Trouble, int CancelAt, bool IsSentAgain) {
   SmallDeployment Deployment(2, 2);
   if (!Deployment.start()) {
     Lines.add("the processes do not serve jobs");
     return NotRun;
   }
   RunRecorder &Runs = Deployment.cluster().Recorder;
-  Lines.add(fmt::format("POST {} at front1: {} tasks of {} ms", Job, Tasks,
-                        TaskTime.count()));
-  auto HandedIn = std::async(std::launch::async, [&] {
-    HttpResult Answer = Deployment.call(
-        1, "POST", Job, SmallDeployment::job(Tasks, TaskTime), Deadline);
-    Lines.add(fmt::format("front1 answers POST: {} {}{}", Answer.Status,
-                          Answer.Body, Answer.Problem));
-    return Answer.Status;
-  });
+  auto HandedIn =
+      std::async(std::launch::async, [&] { return handIn(Deployment, Lines); });
   if (!waitFor([&] { return Runs.alive() > 0; })) {
     Lines.add("the job does not begin");
     return NotRun;
@@ -97,6 +104,13 @@
     Cancelled = Clock::now();
   }
   long Status = HandedIn.get();
+  // The pages: after no response, a broken connection, a 502 or a 504, the job
+  // is sent again retransmitMs later.
+  bool AsksForMore = Status == 0 || Status == 502 || Status == 504;
+  if (Trouble && IsSentAgain && AsksForMore) {
+    std::this_thread::sleep_for(RetransmitTime);
+    handIn(Deployment, Lines);
+  }
   waitFor([&] { return Runs.alive() == 0; });
   bool IsBroken = breaksCancelling(Runs, Cancelled, Lines);
   if (!Trouble && Status != 200)
@@ -109,11 +123,12 @@
 int main(int Count, char **Words) {
   const char *Given = std::getenv("TROUBLE");
   bool Trouble = Given == nullptr || std::string(Given) != "0";
-  // For comparison: 1 cancels at the entry that took the job.
+  // 1 cancels at the entry that took the job.
   const char *At = std::getenv("CANCEL_AT");
   int CancelAt = At != nullptr && std::string(At) == "1" ? 1 : 2;
+  bool IsSentAgain = Count > 2 && std::string(Words[2]) == "again";
   Record Lines(Count > 1 ? Words[1] : "record.txt");
-  int Code = run(Lines, Trouble, CancelAt);
+  int Code = run(Lines, Trouble, CancelAt, IsSentAgain);
   Lines.add(Code == Broken ? "BROKEN" : Code == Held ? "held" : "not run");
   return Code;
 }
