Review case 11: a job is told completed that was never run

Shown by review/11/run.sh on real processes: clients of two queues hand in jobs under the same id at one entry. The second one joins the first one's job by its id alone and is answered 200, completed, with the first one's end; none of its ten tasks of its own is started (MIXED).

--- a/review/third/small_deployment.cpp
+++ b/review/third/small_deployment.cpp
@@ -188,7 +188,8 @@
 
 HttpResult SmallDeployment::call(int Entry, const char *Method,
                                  const std::string &Id, const std::string &Body,
-                                 std::chrono::milliseconds Deadline) const {
+                                 std::chrono::milliseconds Deadline,
+                                 int Queue) const {
   HttpResult Result;
   CURL *Handle = curl_easy_init();
   std::string Url =
@@ -196,6 +197,7 @@
   curl_slist *Headers = nullptr;
   for (const std::string &Line :
        {std::string("Content-Type: application/json"), std::string("Expect:"),
+        fmt::format("Host: {}", this->Cluster.ip(Queue > 0 ? Queue : Entry)),
         fmt::format("X-Yardwheel-Deadline-Ms: {}", Deadline.count())})
     Headers = curl_slist_append(Headers, Line.c_str());
   curl_easy_setopt(Handle, CURLOPT_URL, Url.c_str());
--- a/review/third/small_deployment.h
+++ b/review/third/small_deployment.h
@@ -39,9 +39,11 @@
   bool start();
   /// Calls an entry on a new connection.
   /// \param Deadline How long the client waits, which it states in the header.
+  /// \param Queue Which of the queues, each of which has a host of its own, the
+  /// call is for; the one with the entry's number if 0.
   HttpResult call(int Entry, const char *Method, const std::string &Id,
-                  const std::string &Body,
-                  std::chrono::milliseconds Deadline) const;
+                  const std::string &Body, std::chrono::milliseconds Deadline,
+                  int Queue = 0) const;
   /// Returns a best-effort job of one step.
   static std::string job(int Tasks, std::chrono::milliseconds Each);
   PlatformCluster &cluster() { return this->Cluster; }
