--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,5 +6,4 @@
 cmake -S . -B target/review-3 -DCMAKE_BUILD_TYPE=Release \
   -DYARDWHEEL_DAEMON_ONLY=ON \
   -DCMAKE_PROJECT_yardwheel_INCLUDE="$PWD/review/third/defer.cmake"
-cmake --build target/review-3 --target review_cancelled_job \
-  review_shared_id -j"$(nproc)"
+cmake --build target/review-3 --target review_shared_id -j"$(nproc)"
--- a/review/third/stand_ins.cmake
+++ b/review/third/stand_ins.cmake
@@ -1,7 +1,7 @@
 # Adds the stand-ins of the third review to the project's build; see
 # review/build-3.sh.
 set(third_tests ${CMAKE_SOURCE_DIR}/tests)
-foreach(name cancelled_job shared_id)
+foreach(name shared_id)
   add_executable(review_${name}
     ${CMAKE_SOURCE_DIR}/review/third/${name}.cpp
     ${CMAKE_SOURCE_DIR}/review/third/small_deployment.cpp
