--- a/review/third/shared_id.cpp
+++ b/review/third/shared_id.cpp
@@ -30,7 +30,8 @@
 constexpr std::chrono::milliseconds FirstTime = 1000ms;
 constexpr int SecondTasks = 10;
 constexpr std::chrono::milliseconds SecondTime = 100ms;
-constexpr std::chrono::milliseconds Deadline = 5000ms;
+/// The deadline on the sheet.
+constexpr std::chrono::milliseconds Deadline = 1500ms;
 
 HttpResult handIn(const SmallDeployment &Deployment, int Queue,
                   const std::string &Job, int Tasks,
