--- a/consensus/raft_election.cpp
+++ b/consensus/raft_election.cpp
@@ -26,7 +26,7 @@
   this->Role = Pre ? RaftRole::PreCandidate : RaftRole::Candidate;
   this->Leader.clear();
   this->Votes = {this->Options.Name};
-  for (const std::string &Name : this->voters()) {
+  for (const std::string &Name : this->countedVoters()) {
     if (Name == this->Options.Name)
       continue;
     peer::RaftMessage Message = this->messageTo(Name);
@@ -38,7 +38,7 @@
     Request->set_log_format(this->Options.LogFormat);
     this->Events.send(std::move(Message));
   }
-  if (!this->isQuorum(this->Votes))
+  if (!this->quorum().isReached(this->Votes))
     return;
   if (Pre)
     this->campaign(/*Pre=*/false, Now);
@@ -98,7 +98,7 @@
   if (this->Role != Expected || Message.term() != ExpectedTerm)
     return;
   this->Votes.insert(Message.from());
-  if (!this->isQuorum(this->Votes))
+  if (!this->quorum().isReached(this->Votes))
     return;
   if (Reply.pre())
     this->campaign(/*Pre=*/false, Now);
@@ -154,7 +154,7 @@
   for (const auto &[Name, Follower] : this->Followers)
     if (Now - Follower.LastHeard < 2 * this->Options.ElectionTimeout)
       Heard.insert(Name);
-  if (!this->isQuorum(Heard))
+  if (!this->quorum().isReached(Heard))
     this->becomeFollower(this->Hard.term(), "", Now);
 }
 
--- a/consensus/raft_log.cpp
+++ b/consensus/raft_log.cpp
@@ -1,5 +1,7 @@
 #include "consensus/raft_log.h"
 
+#include "consensus/quorum.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -50,10 +52,8 @@
 void RaftLog::append(const peer::LogEntry &Entry) {
   this->EntryBytes += Entry.ByteSizeLong();
   this->Entries.push_back(Entry);
-  if (Entry.has_replicas()) {
-    this->Replicas = Entry.replicas();
-    this->ReplicasIndex = Entry.index();
-  }
+  if (Entry.has_replicas())
+    this->setReplicas(Entry.replicas(), Entry.index());
 }
 
 void RaftLog::truncateFrom(std::uint64_t Index) {
@@ -89,16 +89,22 @@
 }
 
 void RaftLog::updateReplicas() {
-  for (auto Entry = this->Entries.rbegin(); Entry != this->Entries.rend();
-       ++Entry) {
-    if (!Entry->has_replicas())
-      continue;
-    this->Replicas = Entry->replicas();
-    this->ReplicasIndex = Entry->index();
-    return;
-  }
   this->Replicas = this->Base.replicas();
+  this->Previous = this->Base.replicas();
+  this->SameVoters = true;
   this->ReplicasIndex = this->Base.index();
+  for (const peer::LogEntry &Entry : this->Entries)
+    if (Entry.has_replicas())
+      this->setReplicas(Entry.replicas(), Entry.index());
+}
+
+void RaftLog::setReplicas(const peer::ReplicaSet &Set, std::uint64_t Index) {
+  // A replica that joins starts without a set.
+  bool IsFirst = this->Replicas.replicas().empty();
+  this->Previous = IsFirst ? Set : this->Replicas;
+  this->Replicas = Set;
+  this->ReplicasIndex = Index;
+  this->SameVoters = votersOf(this->Previous) == votersOf(this->Replicas);
 }
 
 peer::ReplicaSet RaftLog::replicasAt(std::uint64_t Index) const {
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -52,6 +52,11 @@
   std::size_t bytesFrom(std::uint64_t From) const;
   std::size_t size() const { return this->Entries.size(); }
   const peer::ReplicaSet &replicas() const { return this->Replicas; }
+  /// Returns the set that was effective before replicas(), or replicas() itself
+  /// if the log does not reach back to it.
+  const peer::ReplicaSet &previousReplicas() const { return this->Previous; }
+  /// Whether replicas() and previousReplicas() have the same voters.
+  bool hasSameVoters() const { return this->SameVoters; }
   /// Returns the index of the entry that set replicas(), or the snapshot's
   /// index if the set comes from the snapshot.
   std::uint64_t replicasIndex() const { return this->ReplicasIndex; }
@@ -61,14 +66,18 @@
 private:
   /// Whether the log agrees with a snapshot up to its index.
   bool continues(const peer::Snapshot &Snapshot) const;
-  /// Sets the effective replica set from the entries and the snapshot.
+  /// Sets the effective replica sets from the entries and the snapshot.
   void updateReplicas();
+  /// Makes a set the effective one.
+  void setReplicas(const peer::ReplicaSet &Set, std::uint64_t Index);
 
   peer::Snapshot Base;
   std::deque<peer::LogEntry> Entries;
   std::size_t SnapshotBytes = 0;
   std::size_t EntryBytes = 0;
   peer::ReplicaSet Replicas;
+  peer::ReplicaSet Previous;
+  bool SameVoters = true;
   std::uint64_t ReplicasIndex = 0;
 };
 
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -31,6 +31,8 @@
 void RaftNode::tick(TimePoint Now) {
   if (this->leads()) {
     this->checkQuorum(Now);
+    // Again, if it could not be stored before.
+    this->confirmReplicas(Now);
     if (this->leads() && Now >= this->NextHeartbeat)
       this->broadcast(Now);
     return;
@@ -51,6 +53,7 @@
   // The message is for a replica that used this address before.
   if (Message.to() != this->Options.Name)
     return;
+  this->recordLosses(Message);
   bool IsVote = Message.has_vote_request();
   bool PreReply = Message.has_vote_reply() && Message.vote_reply().pre();
   // A replica that has a live leader ignores vote requests of others, so that
@@ -102,6 +105,7 @@
 std::optional<std::uint64_t>
 RaftNode::proposeReplicas(const peer::ReplicaSet &Set, TimePoint Now) {
   bool Settled = this->Log.replicasIndex() <= this->Commit &&
+                 this->Log.hasSameVoters() &&
                  this->LeadershipIndex <= this->Commit;
   if (!this->leads() || !Settled)
     return std::nullopt;
@@ -173,29 +177,58 @@
   return nullptr;
 }
 
-std::vector<std::string> RaftNode::voters() const {
-  std::vector<std::string> Names;
-  for (const peer::Replica &Candidate : this->Log.replicas().replicas())
-    if (!Candidate.learner())
-      Names.push_back(Candidate.name());
-  return Names;
+bool RaftNode::countsFormerVoters() const {
+  return this->Options.CountFormerVoters && !this->Log.hasSameVoters() &&
+         this->Log.replicasIndex() > this->Commit;
+}
+
+std::set<std::string> RaftNode::countedVoters() const {
+  std::vector<std::string> Names = votersOf(this->Log.replicas());
+  std::set<std::string> Counted(Names.begin(), Names.end());
+  if (this->countsFormerVoters()) {
+    std::vector<std::string> Former = votersOf(this->Log.previousReplicas());
+    Counted.insert(Former.begin(), Former.end());
+  }
+  return Counted;
+}
+
+Quorum RaftNode::quorum() const {
+  Quorum Rule(this->Reports);
+  Rule.setReportsShared(!this->Options.RequireOwnReports);
+  Rule.require(votersOf(this->Log.replicas()));
+  if (this->countsFormerVoters())
+    Rule.require(votersOf(this->Log.previousReplicas()));
+  return Rule;
 }
 
-bool RaftNode::isQuorum(const std::set<std::string> &Names) const {
-  std::vector<std::string> Voters = this->voters();
-  auto Count =
-      std::count_if(Voters.begin(), Voters.end(), [&](const std::string &Name) {
-        return Names.contains(Name);
-      });
-  return static_cast<std::size_t>(Count) * 2 > Voters.size();
+bool RaftNode::noteLostDisk(const std::string &Name) {
+  this->dropOldReports();
+  if (Name == this->Options.Name || !this->countedVoters().contains(Name))
+    return false;
+  return this->Reports[this->Options.Name].insert(Name).second;
+}
+
+bool RaftNode::hasLostDisk(const std::string &Name) const {
+  auto Own = this->Reports.find(this->Options.Name);
+  return Own != this->Reports.end() && Own->second.contains(Name);
+}
+
+void RaftNode::recordLosses(const peer::RaftMessage &Message) {
+  for (const std::string &Name : Message.lost()) {
+    this->noteLostDisk(Name);
+    if (this->countedVoters().contains(Message.from()))
+      this->Reports[Message.from()].insert(Name);
+  }
 }
 
-std::uint64_t RaftNode::quorumValue(std::vector<std::uint64_t> Values) const {
-  if (Values.empty())
-    return 0;
-  // The largest value that a majority has reached.
-  std::sort(Values.begin(), Values.end());
-  return Values[(Values.size() - 1) / 2];
+void RaftNode::dropOldReports() {
+  std::set<std::string> Counted = this->countedVoters();
+  for (auto &[Name, Lost] : this->Reports)
+    std::erase_if(Lost, [&](const std::string &Replica) {
+      return !Counted.contains(Replica);
+    });
+  std::erase_if(this->Reports,
+                [](const auto &Item) { return Item.second.empty(); });
 }
 
 peer::RaftMessage RaftNode::messageTo(const std::string &Name) const {
@@ -203,6 +236,9 @@
   Message.set_from(this->Options.Name);
   Message.set_to(Name);
   Message.set_term(this->Hard.term());
+  auto Own = this->Reports.find(this->Options.Name);
+  if (Own != this->Reports.end())
+    Message.mutable_lost()->Assign(Own->second.begin(), Own->second.end());
   return Message;
 }
 
--- a/consensus/raft_node.h
+++ b/consensus/raft_node.h
@@ -4,7 +4,10 @@
 /// One replica of the Raft protocol as described in Ongaro's thesis: elections
 /// with pre-vote, a leader that steps down when it loses contact with a quorum
 /// (check quorum), reads confirmed by a quorum, snapshots, and replica set
-/// changes by one replica at a time, with learners.
+/// changes by one replica at a time, with learners. Beyond the thesis, half of
+/// an even number of voters is a quorum if another one is known to have lost
+/// its disk; therefore the former set is counted as well until a change of it
+/// is committed (consensus/quorum.h).
 ///
 /// Single-threaded. Uses no sockets and no clock: the caller passes messages
 /// and the current time. Persists its state through LogStorage.
@@ -14,6 +17,7 @@
 #define YARDWHEEL_CONSENSUS_RAFT_NODE_H
 
 #include "consensus/log_storage.h"
+#include "consensus/quorum.h"
 #include "consensus/raft_log.h"
 #include "core/clock.h"
 
@@ -48,10 +52,14 @@
   std::uint32_t LogFormat = 0;
   /// Seed of the random part of the election timeout.
   std::uint64_t Seed = 1;
-  /// These three are disabled only by tests that show why they are needed.
+  /// These are disabled only by tests that show why they are needed.
   bool PreVote = true;
   bool CheckQuorum = true;
   bool SyncBeforeReply = true;
+  /// Whether a change of the voters needs a quorum of the former ones.
+  bool CountFormerVoters = true;
+  /// Whether each member of a half has to report the lost disk itself.
+  bool RequireOwnReports = true;
 };
 
 /// The callbacks of RaftNode to its owner.
@@ -108,6 +116,11 @@
   /// \throws Error if it cannot be stored.
   std::optional<std::uint64_t> proposeReplicas(const peer::ReplicaSet &Set,
                                                TimePoint Now);
+  /// Records that the disk of a replica is lost for good: it can never vote or
+  /// store anything again.
+  /// \returns whether this was not known before.
+  bool noteLostDisk(const std::string &Name);
+  bool hasLostDisk(const std::string &Name) const;
   /// Requests a linearizable read.
   /// \returns the number that onReadReady() will receive, or nothing if this
   /// replica is not the leader.
@@ -210,10 +223,17 @@
   /// Whether enough has been applied since the last snapshot for a new one.
   bool isSnapshotDue() const;
   void syncProgress(TimePoint Now);
-  std::uint64_t quorumValue(std::vector<std::uint64_t> Values) const;
+  /// On the leader: appends the committed set once more if its voters are new,
+  /// so that the log shows that the former ones need not be counted any more.
+  void confirmReplicas(TimePoint Now);
 
-  bool isQuorum(const std::set<std::string> &Names) const;
-  std::vector<std::string> voters() const;
+  Quorum quorum() const;
+  void recordLosses(const peer::RaftMessage &Message);
+  /// Forgets reports by and on replicas that do not count any more.
+  void dropOldReports();
+  /// Returns the voters, including former ones that still have to be counted.
+  std::set<std::string> countedVoters() const;
+  bool countsFormerVoters() const;
   const peer::Replica *findReplica(const std::string &Name) const;
   peer::RaftMessage messageTo(const std::string &Name) const;
 
@@ -233,6 +253,8 @@
   TimePoint LastLeaderContact = TimePoint::min();
   TimePoint NextHeartbeat;
   std::set<std::string> Votes;
+  /// This replica's own reports are what it sends to the others.
+  LossReports Reports;
   std::map<std::string, Progress> Followers;
   std::uint64_t Round = 0;
   std::uint64_t LastRead = 0;
--- a/consensus/raft_replication.cpp
+++ b/consensus/raft_replication.cpp
@@ -18,18 +18,20 @@
 } // namespace
 
 void RaftNode::syncProgress(TimePoint Now) {
-  for (const peer::Replica &Candidate : this->Log.replicas().replicas()) {
-    if (Candidate.name() == this->Options.Name)
-      continue;
-    auto [Target, New] = this->Followers.try_emplace(Candidate.name());
+  // Former voters whose acknowledgement still counts are followers as well.
+  std::set<std::string> Wanted = this->countedVoters();
+  for (const peer::Replica &Known : this->Log.replicas().replicas())
+    Wanted.insert(Known.name());
+  Wanted.erase(this->Options.Name);
+  for (const std::string &Name : Wanted) {
+    auto [Target, New] = this->Followers.try_emplace(Name);
     if (!New)
       continue;
     Target->second.Next = this->Log.lastIndex() + 1;
     Target->second.LastHeard = Now;
   }
-  std::erase_if(this->Followers, [&](const auto &Item) {
-    return this->findReplica(Item.first) == nullptr;
-  });
+  std::erase_if(this->Followers,
+                [&](const auto &Item) { return !Wanted.contains(Item.first); });
 }
 
 void RaftNode::appendLocal(peer::LogEntry Entry, TimePoint Now) {
@@ -234,16 +236,11 @@
 }
 
 void RaftNode::advanceCommit(TimePoint Now) {
-  std::vector<std::uint64_t> Matches;
-  for (const std::string &Name : this->voters()) {
-    auto Follower = this->Followers.find(Name);
-    if (Name == this->Options.Name)
-      Matches.push_back(this->Log.lastIndex());
-    else
-      Matches.push_back(
-          Follower == this->Followers.end() ? 0 : Follower->second.Match);
-  }
-  std::uint64_t Reached = this->quorumValue(std::move(Matches));
+  std::map<std::string, std::uint64_t> Matches;
+  for (const auto &[Name, Follower] : this->Followers)
+    Matches[Name] = Follower.Match;
+  Matches[this->Options.Name] = this->Log.lastIndex();
+  std::uint64_t Reached = this->quorum().reachedValue(Matches);
   std::optional<std::uint64_t> Term = this->Log.termAt(Reached);
   // Only an entry of the leader's own term can be committed by counting
   // replicas.
@@ -252,6 +249,7 @@
   this->Commit = Reached;
   this->applyCommitted(Now);
   this->finishReads();
+  this->confirmReplicas(Now);
   bool Removed = this->Log.replicasIndex() <= this->Commit && !this->isVoter();
   if (this->leads() && Removed)
     this->becomeFollower(this->Hard.term(), "", Now);
@@ -259,6 +257,22 @@
     this->broadcast(Now);
 }
 
+void RaftNode::confirmReplicas(TimePoint Now) {
+  bool IsDue = this->leads() && !this->Log.hasSameVoters() &&
+               this->Log.replicasIndex() <= this->Commit &&
+               this->LeadershipIndex <= this->Commit;
+  if (!IsDue)
+    return;
+  peer::LogEntry Entry;
+  *Entry.mutable_replicas() = this->Log.replicas();
+  try {
+    this->appendLocal(std::move(Entry), Now);
+  } catch (const Error &) {
+    // tick() tries again.
+    return;
+  }
+}
+
 void RaftNode::applyCommitted(TimePoint) {
   while (this->Applied < this->Commit) {
     ++this->Applied;
@@ -301,16 +315,11 @@
   if (this->Reads.empty() || !this->leads() ||
       this->Commit < this->LeadershipIndex)
     return;
-  std::vector<std::uint64_t> Rounds;
-  for (const std::string &Name : this->voters()) {
-    auto Follower = this->Followers.find(Name);
-    if (Name == this->Options.Name)
-      Rounds.push_back(this->Round);
-    else
-      Rounds.push_back(
-          Follower == this->Followers.end() ? 0 : Follower->second.AckedRound);
-  }
-  std::uint64_t Confirmed = this->quorumValue(std::move(Rounds));
+  std::map<std::string, std::uint64_t> Rounds;
+  for (const auto &[Name, Follower] : this->Followers)
+    Rounds[Name] = Follower.AckedRound;
+  Rounds[this->Options.Name] = this->Round;
+  std::uint64_t Confirmed = this->quorum().reachedValue(Rounds);
   std::vector<std::uint64_t> Ready;
   std::erase_if(this->Reads, [&](const PendingRead &Read) {
     bool Done = Read.Round <= Confirmed;
--- a/control/control_http.cpp
+++ b/control/control_http.cpp
@@ -63,7 +63,8 @@
 peer::ReplicaSet editReplicas(const peer::ReplicaSet &Old,
                               const api::ReplicaChange &Document) {
   const api::ReplicaDocument &Given = Document.replica();
-  peer::ReplicaSet New;
+  peer::ReplicaSet New = Old;
+  New.clear_replicas();
   for (const peer::Replica &Known : Old.replicas()) {
     bool IsTarget = Known.name() == Given.name();
     if (IsTarget && Document.action() == "remove")
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -237,6 +237,10 @@
     this->onJoinRequest(Message.join_request(), Now);
     return;
   }
+  if (Message.has_disk_query()) {
+    this->onDiskQuery(From, Message.disk_query());
+    return;
+  }
   if (Message.has_leave_request()) {
     this->onLeaveRequest(Message.leave_request(), Now);
     return;
@@ -422,6 +426,7 @@
     this->tickLeave(Now);
   else
     this->tickJoin(Now);
+  this->tickDiskQueries(Now);
   if (!this->Raft->leads())
     return;
   this->tickReplicas(Now);
@@ -451,8 +456,9 @@
 
 void ControlService::onJoinRequest(const peer::JoinRequest &Request,
                                    Instant Now) {
+  this->checkPredecessors(Request);
   if (this->Raft->leads()) {
-    this->Replicas.onJoinRequest(Request.replica(), Now.Steady);
+    this->Replicas.onJoinRequest(Request, Now.Steady);
     return;
   }
   peer::Message Message;
@@ -460,6 +466,61 @@
   this->forwardToLeader(Message);
 }
 
+void ControlService::checkPredecessors(const peer::JoinRequest &Request) {
+  const peer::Replica &Joining = Request.replica();
+  std::vector<std::string> Unnamed;
+  for (const peer::Replica &Known : this->Raft->log().replicas().replicas()) {
+    if (Known.address() != Joining.address() || Known.name() == Joining.name())
+      continue;
+    if (std::ranges::count(Request.predecessors(), Known.name()) == 0)
+      Unnamed.push_back(Known.name());
+    else if (this->Raft->noteLostDisk(Known.name()))
+      this->Log.decision("disk_lost", {{"replica", Known.name()},
+                                       {"successor", Joining.name()}});
+  }
+  if (!Unnamed.empty())
+    this->sendDiskQuery({Joining.name(), Joining.address()}, Unnamed);
+}
+
+void ControlService::sendDiskQuery(const PeerRef &Host,
+                                   const std::vector<std::string> &Replicas) {
+  peer::Message Message;
+  Message.mutable_disk_query()->mutable_replicas()->Assign(Replicas.begin(),
+                                                           Replicas.end());
+  this->Sink.send(Host, std::move(Message));
+}
+
+void ControlService::onDiskQuery(const PeerRef &From,
+                                 const peer::DiskQuery &Query) {
+  bool HasOther = false;
+  for (const std::string &Name : Query.replicas()) {
+    if (Name == this->Options.Self.name())
+      continue;
+    this->Predecessors.insert(Name);
+    HasOther = true;
+  }
+  // A request to join would withdraw the request to leave.
+  if (!HasOther || this->IsLeaving)
+    return;
+  this->Askers[From.Address] = From;
+  this->Sink.send(From, this->joinRequest());
+}
+
+void ControlService::tickDiskQueries(Instant Now) {
+  bool IsManaged = this->Options.Replicas.Voters > 0;
+  bool HasLeader = this->Raft->leads() || this->leader() != nullptr;
+  if (!IsManaged || HasLeader || !this->Raft->isVoter() ||
+      Now.Steady < this->NextDiskQuery)
+    return;
+  this->NextDiskQuery = Now.Steady + this->Options.DiskQueryInterval;
+  std::map<std::string, std::vector<std::string>> Voters;
+  for (const peer::Replica &Known : this->Raft->log().replicas().replicas())
+    if (!Known.learner() && Known.name() != this->Options.Self.name())
+      Voters[Known.address()].push_back(Known.name());
+  for (const auto &[Address, Names] : Voters)
+    this->sendDiskQuery({"", Address}, Names);
+}
+
 void ControlService::onLeaveRequest(const peer::LeaveRequest &Request,
                                     Instant Now) {
   peer::Message Message;
@@ -490,21 +551,30 @@
   // One that was leaving when it was last shut down is to stay now.
   const peer::Replica *Self = this->findReplica(this->Options.Self.name());
   bool IsMember = Self != nullptr && !Self->leaving();
+  if (Self != nullptr)
+    this->Options.IsFirstStart = false;
   TimePoint Heard = std::max(this->Raft->lastLeaderContact(), this->Started);
   bool IsLeaderSilent = Now.Steady - Heard > this->Options.RejoinTimeout;
   if (IsMember && !IsLeaderSilent)
     return;
-  std::map<std::string, PeerRef> Targets;
+  std::map<std::string, PeerRef> Targets = this->Askers;
   for (const PeerRef &Seed : this->Options.Seeds)
     Targets[Seed.Address] = Seed;
   for (const peer::Replica &Known : Present.replicas())
     Targets[Known.address()] = {Known.name(), Known.address()};
   Targets.erase(this->Options.Self.address());
-  for (const auto &[Address, Target] : Targets) {
-    peer::Message Message;
-    *Message.mutable_join_request()->mutable_replica() = this->Options.Self;
-    this->Sink.send(Target, std::move(Message));
-  }
+  for (const auto &[Address, Target] : Targets)
+    this->Sink.send(Target, this->joinRequest());
+}
+
+peer::Message ControlService::joinRequest() const {
+  peer::Message Message;
+  peer::JoinRequest *Request = Message.mutable_join_request();
+  *Request->mutable_replica() = this->Options.Self;
+  Request->set_first_start(this->Options.IsFirstStart);
+  Request->mutable_predecessors()->Assign(this->Predecessors.begin(),
+                                          this->Predecessors.end());
+  return Message;
 }
 
 void ControlService::tickLeave(Instant Now) {
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -38,6 +38,8 @@
   ReplicaManagerOptions Replicas;
   /// This replica's name and addresses, sent in its requests to join.
   peer::Replica Self;
+  /// Whether this host takes part in the first start of the whole deployment.
+  bool IsFirstStart = false;
   /// Addresses to ask for admission in addition to the known replicas.
   std::vector<PeerRef> Seeds;
   /// The size in bytes of the tables that are sent in one round. The next round
@@ -49,6 +51,7 @@
   std::size_t MaxPendingReads = 4;
   std::chrono::milliseconds JoinInterval{500};
   std::chrono::milliseconds LeaveInterval{100};
+  std::chrono::milliseconds DiskQueryInterval{500};
   /// A replica that has not heard from a leader for longer may have been
   /// removed and asks to join again. Must span several election timeouts.
   std::chrono::milliseconds RejoinTimeout{2000};
@@ -182,6 +185,15 @@
   void tickJoin(Instant Now);
   void tickLeave(Instant Now);
   void onJoinRequest(const peer::JoinRequest &Request, Instant Now);
+  void onDiskQuery(const PeerRef &From, const peer::DiskQuery &Query);
+  /// Notes which replicas of the sender's address have lost their disks, and
+  /// asks about those that the request does not name.
+  void checkPredecessors(const peer::JoinRequest &Request);
+  /// Without a leader, asks the hosts of the other voters for their disks.
+  void tickDiskQueries(Instant Now);
+  void sendDiskQuery(const PeerRef &Host,
+                     const std::vector<std::string> &Replicas);
+  peer::Message joinRequest() const;
   void onLeaveRequest(const peer::LeaveRequest &Request, Instant Now);
   /// \returns null if the present set has no replica of this name.
   const peer::Replica *findReplica(const std::string &Name) const;
@@ -202,10 +214,16 @@
   TimePoint Started;
   TimePoint NextJoin = TimePoint::min();
   TimePoint NextLeave = TimePoint::min();
+  TimePoint NextDiskQuery = TimePoint::min();
   bool IsLeaving = false;
   /// The leader has replied that this replica may stop.
   bool IsReleased = false;
   bool IsReplicaChangePending = false;
+  /// Names that the replicas at this address had before this one.
+  std::set<std::string> Predecessors;
+  /// By address: replicas that have asked for the disks of this host. All seeds
+  /// may have lost theirs and know nobody else.
+  std::map<std::string, PeerRef> Askers;
   Logger Log{"control"};
   std::map<std::string, std::string> Addresses;
   /// By address: the time of the first message to a replica there since one
--- a/control/replica_manager.cpp
+++ b/control/replica_manager.cpp
@@ -1,13 +1,15 @@
 #include "control/replica_manager.h"
 
 #include <algorithm>
+#include <set>
 
 namespace yardwheel {
 
 namespace {
 
 peer::ReplicaSet without(const peer::ReplicaSet &Set, const std::string &Name) {
-  peer::ReplicaSet Rest;
+  peer::ReplicaSet Rest = Set;
+  Rest.clear_replicas();
   for (const peer::Replica &Known : Set.replicas())
     if (Known.name() != Name)
       *Rest.add_replicas() = Known;
@@ -51,6 +53,13 @@
       [&](const peer::Replica &Known) { return Known.address() == Address; }));
 }
 
+std::uint32_t hostCount(const peer::ReplicaSet &Set) {
+  std::set<std::string> Addresses;
+  for (const peer::Replica &Known : Set.replicas())
+    Addresses.insert(Known.address());
+  return static_cast<std::uint32_t>(Addresses.size());
+}
+
 std::uint32_t voterCount(const peer::ReplicaSet &Set) {
   return static_cast<std::uint32_t>(std::count_if(
       Set.replicas().begin(), Set.replicas().end(),
@@ -61,20 +70,21 @@
 
 } // namespace
 
-void ReplicaManager::onJoinRequest(const peer::Replica &Joining,
+void ReplicaManager::onJoinRequest(const peer::JoinRequest &Request,
                                    TimePoint Now) {
+  const peer::Replica &Joining = Request.replica();
   // Of two replicas of one address, one has lost its disk.
   std::erase_if(this->Joins, [&](const auto &Item) {
     return Item.second.Replica.address() == Joining.address();
   });
   this->Leaves.erase(Joining.name());
-  this->Joins[Joining.name()] = {Joining, Now};
+  this->Joins[Joining.name()] = {Joining, Now, Request.first_start()};
 }
 
 void ReplicaManager::onLeaveRequest(const peer::Replica &Leaving,
                                     TimePoint Now) {
   this->Joins.erase(Leaving.name());
-  this->Leaves[Leaving.name()] = {Leaving, Now};
+  this->Leaves[Leaving.name()] = {.Replica = Leaving, .ReceivedAt = Now};
 }
 
 void ReplicaManager::dropExpired(PendingRequests &Requests,
@@ -155,6 +165,11 @@
       return ReplicaChange{withLeaving(Seen.Present, Name, false), Name,
                            "is back"};
     peer::ReplicaSet New = Seen.Present;
+    // A set of an older build does not have the number.
+    if (New.initial_hosts() == 0)
+      New.set_initial_hosts(hostCount(New));
+    if (Request.IsFirstStart && countAt(New, Request.Replica.address()) == 0)
+      New.set_initial_hosts(New.initial_hosts() + 1);
     peer::Replica *Added = New.add_replicas();
     *Added = Request.Replica;
     Added->set_learner(true);
@@ -175,12 +190,12 @@
   bool IsEven = Seen.Voters % 2 == 0;
   std::vector<const peer::Replica *> Successors = this->findSuccessors(Seen);
   bool IsWanted = Seen.Voters < this->Options.Voters || Outgoing != nullptr ||
-                  IsEven || Successors.size() > 1;
+                  IsEven || Successors.size() > 1 || hasSuccessor(Seen.Present);
   if (!Successors.empty() && IsWanted)
     return ReplicaChange{
         withVote(Seen.Present, Successors.front()->name(), /*Votes=*/true),
         Successors.front()->name(), "promoted"};
-  if (!IsSpare || !IsEven || Outgoing != nullptr)
+  if (!IsSpare || !IsEven || Outgoing != nullptr || hasSuccessor(Seen.Present))
     return std::nullopt;
   if (const peer::Replica *Surplus = this->findSurplus(Seen))
     return ReplicaChange{
@@ -199,8 +214,14 @@
   return nullptr;
 }
 
+bool ReplicaManager::hasSuccessor(const peer::ReplicaSet &Set) {
+  return Set.initial_hosts() > 0 && hostCount(Set) > Set.initial_hosts();
+}
+
 bool ReplicaManager::isSuperseded(const peer::Replica &Old,
                                   const View &Seen) const {
+  if (Seen.Raft.hasLostDisk(Old.name()))
+    return true;
   if (Old.name() == Seen.Self ||
       !isSilent(Seen, Old.name(), this->Options.SupersededAfter))
     return false;
--- a/control/replica_manager.h
+++ b/control/replica_manager.h
@@ -2,12 +2,13 @@
 ///
 /// \file
 /// Decides, on the leader, how the replica set changes without an operator.
-/// Hosts that ask to join become learners. A learner that has caught up is
-/// promoted if there are too few voters, if a voter is to be replaced, or if
-/// the set remains of an odd size. A voter is removed if it has lost its disk,
-/// has been silent for too long or is shutting down. Each step changes one
-/// replica, and no voter is removed before its successor votes, unless its disk
-/// is lost.
+/// Hosts that ask to join become learners. The set tends to as many voters as
+/// have caught up, at least the target number. Beyond that it is of an odd
+/// size, unless there are more hosts than at the first start: one of them is a
+/// successor, which votes as long as any other host may vanish. A voter is
+/// removed if it has lost its disk, has been silent for too long or is shutting
+/// down. Each step changes one replica, and no voter is removed before its
+/// successor votes, unless its disk is lost.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef YARDWHEEL_CONTROL_REPLICA_MANAGER_H
@@ -57,7 +58,7 @@
 
   /// Records the request of a host to become a replica, or to stay one after it
   /// has asked to leave.
-  void onJoinRequest(const peer::Replica &Joining, TimePoint Now);
+  void onJoinRequest(const peer::JoinRequest &Joining, TimePoint Now);
   /// Records that the process of a replica is shutting down.
   void onLeaveRequest(const peer::Replica &Leaving, TimePoint Now);
 
@@ -83,9 +84,9 @@
 
   std::optional<ReplicaChange> markLeaving(const View &Seen) const;
   std::optional<ReplicaChange> addJoiner(const View &Seen) const;
-  /// \returns a step towards as many voters as are caught up, beyond
-  /// Options.Voters only in pairs: a set of even size tolerates no more losses
-  /// than one of a voter less, and no half of it can go on alone.
+  /// \returns a step towards as many voters as are caught up. Without a
+  /// successor, beyond Options.Voters only in pairs: no half of a set of even
+  /// size can go on alone when it is cut into halves.
   std::optional<ReplicaChange> changeSize(const View &Seen) const;
   /// \returns a superseded replica without which the set is no worse off.
   const peer::Replica *findRemovableLoss(const View &Seen) const;
@@ -102,12 +103,15 @@
   /// smaller by one.
   const peer::Replica *findSurplus(const View &Seen) const;
   const peer::Replica *findSilentLearner(const View &Seen) const;
+  /// Whether the set has more hosts than there were at the first start.
+  static bool hasSuccessor(const peer::ReplicaSet &Set);
   static bool isSilent(const View &Seen, const std::string &Name,
                        std::chrono::milliseconds Limit);
 
   struct PendingRequest {
     peer::Replica Replica;
     TimePoint ReceivedAt;
+    bool IsFirstStart = false;
   };
   /// By the name of the replica.
   using PendingRequests = std::map<std::string, PendingRequest>;
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -93,6 +93,8 @@
     First->set_address(Seed.Address);
     First->set_http_address(Seed.HttpAddress);
   }
+  Identity.mutable_bootstrap()->set_initial_hosts(
+      static_cast<std::uint32_t>(Plan.Seeds.size()));
   return Identity;
 }
 
@@ -189,6 +191,7 @@
   Options.ProposalTimeout = ProposalTimeout;
   Options.Replicas.Voters = 2 * this->Plan.ToleratedLosses + 1;
   Options.Self = selfOf(this->Plan, this->Replica);
+  Options.IsFirstStart = this->Plan.Bootstrap;
   Options.Seeds = seedPeers(this->Plan);
   return Options;
 }
--- a/tests/consensus/raft_cluster.cpp
+++ b/tests/consensus/raft_cluster.cpp
@@ -52,6 +52,12 @@
   this->start(Name);
 }
 
+void RaftCluster::loseDisk(const std::string &Name) {
+  this->World.kill(Name);
+  this->Nodes.erase(Name);
+  this->Disks.erase(Name);
+}
+
 std::optional<std::uint64_t> RaftCluster::propose(const std::string &Name,
                                                   const std::string &Command) {
   Node &Target = *this->Nodes.at(Name);
--- a/tests/consensus/raft_cluster.h
+++ b/tests/consensus/raft_cluster.h
@@ -32,6 +32,8 @@
   void restart(const std::string &Name);
   /// Starts a replica with an empty disk that is not in the replica set yet.
   void join(const std::string &Name);
+  /// Ends a replica for good, with its disk.
+  void loseDisk(const std::string &Name);
 
   /// Proposes a command at a replica.
   /// \returns its index, or nothing if the replica is down or not the leader.
--- a/tests/control/replica_handover_test.cpp
+++ b/tests/control/replica_handover_test.cpp
@@ -1,9 +1,11 @@
 //===- Control hosts that are replaced, restarted and lost in any order ---===//
 //
-// Regression test: after two control hosts had been replaced as planned, 2 s
-// apart, the configuration could be neither read nor changed any more. A voter
+// Regression tests. After two control hosts had been replaced as planned, 2 s
+// apart, the configuration could be neither read nor changed any more: a voter
 // that had shut down stayed one until it had been silent for 4 s, and its
-// successor, which held the whole log, did not vote until then.
+// successor, which held the whole log, did not vote until then. The same
+// happened when a host with a successor vanished without a word and another one
+// lost its disk before this was noticed.
 //
 //===----------------------------------------------------------------------===//
 
@@ -28,13 +30,15 @@
 constexpr Duration CatchUpTime = 4s;
 /// The configuration must be readable this long after the last loss has ended.
 constexpr Duration RecoveryTime = 12s;
+/// A learner that has vanished is removed within this time.
+constexpr Duration SilentLearnerTime = 16s;
 constexpr Duration Step = 20ms;
 
 /// Runs a cluster and notes what callers of control would see.
 class HandoverScenario {
 public:
   HandoverScenario(std::uint64_t Seed, std::uint32_t Voters, std::size_t Hosts)
-      : Cluster(Seed, Voters), Voters(Voters) {
+      : Cluster(Seed, Voters), FirstHosts(Hosts) {
     for (std::size_t Host = 0; Host < Hosts; ++Host)
       this->Cluster.startEmpty(Host, /*First=*/true);
     this->Cluster.run(8s);
@@ -51,6 +55,16 @@
     if (this->Cluster.replace(this->Version + 1))
       ++this->Version;
   }
+  /// Returns whether the leader's set has a replica at this host.
+  bool isMember(std::size_t Host) {
+    ControlService *Leader = this->Cluster.leader();
+    return Leader != nullptr &&
+           std::ranges::any_of(Leader->raft().log().replicas().replicas(),
+                               [&](const peer::Replica &Known) {
+                                 return Known.address() ==
+                                        SeededCluster::addressOf(Host);
+                               });
+  }
   /// Notes if the last acknowledged table cannot be read, or cannot be changed.
   void checkTable() {
     ControlService *Leader = this->Cluster.leader();
@@ -89,8 +103,15 @@
       if (Known.leaving())
         this->note(fmt::format("{}, which runs, is leaving", Known.name()));
     }
-    if (Addresses.size() < this->Voters || Addresses.size() % 2 == 0)
-      this->note(fmt::format("there are {} voters", Addresses.size()));
+    // All of them vote once there is a successor beside the first hosts. A set
+    // of an even size without one has no leader when it is cut into halves.
+    bool HasSuccessor = Living.size() > this->FirstHosts;
+    std::size_t Expected = Living.size();
+    if (!HasSuccessor && Expected % 2 == 0)
+      --Expected;
+    if (Addresses.size() != Expected)
+      this->note(fmt::format("there are {} voters in place of {}",
+                             Addresses.size(), Expected));
   }
   void note(const std::string &What) { this->Found += What + "; "; }
   const std::string &found() const { return this->Found; }
@@ -98,7 +119,7 @@
   SeededCluster Cluster;
 
 private:
-  std::uint32_t Voters;
+  std::size_t FirstHosts;
   std::uint64_t Version = 0;
   std::string Found;
 };
@@ -111,6 +132,8 @@
   TimePoint SoundAt;
   /// Whether it takes the place of a host that has been or will be removed.
   bool IsSpare = false;
+  /// Whether it went without a word and may still be in the set.
+  bool HasVanished = false;
   /// What happens to it next, and when.
   enum class Next { None, Start, StartEmpty, Reconnect, Remove };
   Next Then = Next::None;
@@ -124,7 +147,7 @@
 public:
   RandomStory(std::uint64_t Seed, std::uint32_t Voters, std::size_t Hosts)
       : Scenario(Seed, Voters, Hosts), Tolerated((Voters - 1) / 2),
-        Random(Seed), Hosts(Hosts) {}
+        Random(Seed), MaxHosts(Seed % 4 < 2 ? Hosts + 1 : 9), Hosts(Hosts) {}
 
   void play(Duration Time) {
     for (Duration Passed{0}; Passed < Time; Passed += Step) {
@@ -149,8 +172,9 @@
 
 private:
   static constexpr Duration AveragePause = 400ms;
-  /// Hosts that have not been removed.
-  static constexpr std::size_t MaxHosts = 9;
+  /// Ways in which one host is lost.
+  static constexpr std::uint64_t LossKinds = 4;
+  static constexpr std::uint64_t DiskLoss = 0;
 
   std::uint64_t draw(std::uint64_t Limit) { return this->Random() % Limit; }
   Duration drawTime(std::chrono::milliseconds Limit) {
@@ -168,16 +192,22 @@
                  !(Host.IsSpare && Host.Now == StoryHost::State::Running);
         }));
   }
-  /// \returns the number of removed hosts that still count as lost.
-  std::size_t recentRemovals() {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(this->Hosts, [&](const StoryHost &Host) {
-          return Host.Now == StoryHost::State::Removed &&
-                 this->now() < Host.SoundAt;
-        }));
-  }
-  bool mayLoseOneMore() {
-    return this->lostHosts() + this->recentRemovals() < this->Tolerated;
+  bool mayLoseOneMore() { return this->lostHosts() < this->Tolerated; }
+  /// Whether a host may go for good. While the set still has one that went
+  /// without a word, or one that is down, those that are left cannot be told
+  /// from one side of a split.
+  bool mayRemove(bool Announced) {
+    bool IsNoticed = std::ranges::none_of(
+        this->Hosts, [](const StoryHost &Host) { return Host.HasVanished; });
+    if (Announced || !IsNoticed)
+      return IsNoticed;
+    if (this->Scenario.Cluster.leader() == nullptr)
+      return false;
+    for (std::size_t Host = 0; Host < this->Hosts.size(); ++Host)
+      if (this->Hosts[Host].Now != StoryHost::State::Running &&
+          this->Scenario.isMember(Host))
+        return false;
+    return true;
   }
   bool isCalm() {
     return std::ranges::all_of(this->Hosts, [&](const StoryHost &Host) {
@@ -208,17 +238,21 @@
       this->Scenario.replaceTable();
       return;
     default:
-      if (Runs && !Target.IsSpare && this->now() >= Target.SoundAt &&
-          this->mayLoseOneMore())
-        this->lose(Host);
+      this->tryToLose(Host, this->draw(LossKinds));
     }
   }
+  void tryToLose(std::size_t Host, std::uint64_t Kind) {
+    StoryHost &Target = this->Hosts[Host];
+    if (Target.Now == StoryHost::State::Running && !Target.IsSpare &&
+        this->now() >= Target.SoundAt && this->mayLoseOneMore())
+      this->lose(Host, Kind);
+  }
 
   void addSpare() {
     auto Present = std::ranges::count_if(this->Hosts, [](const StoryHost &H) {
       return H.Now != StoryHost::State::Removed;
     });
-    if (static_cast<std::size_t>(Present) >= MaxHosts)
+    if (static_cast<std::size_t>(Present) >= this->MaxHosts)
       return;
     this->updateSeeds();
     this->Scenario.Cluster.startEmpty(this->Hosts.size(), /*First=*/false);
@@ -236,18 +270,25 @@
     this->Scenario.Cluster.SeedHosts = Known;
   }
 
-  /// Removes a host for good if another one can take its place. What is
-  /// announced is out of the set when the process has ended; a host that
-  /// vanishes counts as lost until it can have been noticed.
+  /// \returns the number of a spare that no longer counts as lost, or of no
+  /// host.
+  std::size_t findSuccessor(bool Announced) {
+    for (std::size_t I = 0; I < this->Hosts.size(); ++I)
+      if (this->Hosts[I].IsSpare &&
+          this->Hosts[I].Now == StoryHost::State::Running &&
+          this->now() >= this->Hosts[I].SoundAt &&
+          (Announced || this->Scenario.isMember(I)))
+        return I;
+    return this->Hosts.size();
+  }
+
+  /// Removes a host for good if another one can take its place. It does not
+  /// count as lost then, whether it goes with a word or without.
   void remove(std::size_t Host, bool Announced) {
-    auto Successor = std::ranges::find_if(this->Hosts, [&](const StoryHost &H) {
-      return H.IsSpare && H.Now == StoryHost::State::Running &&
-             this->now() >= H.SoundAt;
-    });
-    if (Successor == this->Hosts.end() ||
-        (!Announced && !this->mayLoseOneMore()))
+    std::size_t Successor = this->findSuccessor(Announced);
+    if (Successor == this->Hosts.size() || !this->mayRemove(Announced))
       return;
-    Successor->IsSpare = false;
+    this->Hosts[Successor].IsSpare = false;
     StoryHost &Target = this->Hosts[Host];
     if (Announced) {
       this->Scenario.Cluster.beginShutdown(Host);
@@ -257,15 +298,18 @@
     }
     this->Scenario.Cluster.kill(Host);
     Target.Now = StoryHost::State::Removed;
-    Target.SoundAt = this->now() + CatchUpTime;
+    Target.SoundAt = this->now();
+    Target.HasVanished = true;
+    // As many disks as may be lost can be lost in the same moment.
+    while (this->draw(2) == 0)
+      this->tryToLose(this->draw(this->Hosts.size()), DiskLoss);
   }
 
-  void lose(std::size_t Host) {
-    constexpr std::uint64_t Kinds = 4;
+  void lose(std::size_t Host, std::uint64_t Kind) {
     StoryHost &Target = this->Hosts[Host];
     Duration Time = this->drawTime(6000ms);
-    switch (this->draw(Kinds)) {
-    case 0:
+    switch (Kind) {
+    case DiskLoss:
       this->Scenario.Cluster.kill(Host);
       this->plan(Target, StoryHost::State::Down, StoryHost::Next::StartEmpty,
                  Time);
@@ -309,6 +353,8 @@
   void advance() {
     for (std::size_t I = 0; I < this->Hosts.size(); ++I) {
       StoryHost &Host = this->Hosts[I];
+      if (Host.HasVanished && this->Scenario.Cluster.leader() != nullptr)
+        Host.HasVanished = this->Scenario.isMember(I);
       bool IsDue = this->now() >= Host.ThenAt;
       bool HasLeft = Host.Then == StoryHost::Next::Remove &&
                      this->Scenario.Cluster.mayStop(I);
@@ -346,6 +392,8 @@
   HandoverScenario Scenario;
   std::size_t Tolerated;
   std::mt19937_64 Random;
+  /// Hosts that have not been removed.
+  std::size_t MaxHosts;
   std::vector<StoryHost> Hosts;
 };
 
@@ -436,6 +484,217 @@
   STRCMP_EQUAL("", Found.c_str());
 }
 
+namespace {
+
+/// What befalls the hosts that are left, after one has vanished and others have
+/// lost their disks.
+enum class Sequel { None, PowerLoss, DiskLostAgain, Twice };
+
+struct LostDiskOrder {
+  /// Hosts that may be lost at once, and hosts at the first start.
+  std::size_t Tolerated;
+  std::size_t Hosts;
+  /// From the removal of a host to the loss of the disks; negative if the disks
+  /// are lost first.
+  std::chrono::milliseconds Gap;
+  /// From the loss of a disk until its host is back.
+  std::chrono::milliseconds Outage;
+  Sequel Then;
+};
+
+/// Hosts of a row of the table, of which one vanishes next to a successor while
+/// others lose their disks.
+class LostDiskScenario {
+public:
+  LostDiskScenario(std::uint64_t Seed, const LostDiskOrder &Order)
+      : Order(Order),
+        Scenario(Seed, static_cast<std::uint32_t>(2 * Order.Tolerated + 1),
+                 Order.Hosts),
+        NextHost(Order.Hosts) {
+    for (std::size_t Host = 0; Host < Order.Hosts; ++Host)
+      this->Living.push_back(Host);
+  }
+
+  /// \param First Position of the host that vanishes; those after it lose their
+  /// disks.
+  std::string play(std::size_t First) {
+    this->playOnce(First);
+    if (this->Order.Then == Sequel::Twice) {
+      this->Scenario.Cluster.run(CatchUpTime);
+      this->playOnce(First);
+    }
+    this->Scenario.Cluster.run(RecoveryTime);
+    this->Scenario.checkTable();
+    this->Scenario.Cluster.run(SilentLearnerTime);
+    this->Scenario.checkVoters({this->Living.begin(), this->Living.end()});
+    return this->Scenario.found();
+  }
+
+private:
+  void playOnce(std::size_t First) {
+    SeededCluster &Cluster = this->Scenario.Cluster;
+    Cluster.SeedHosts = {this->Living[0], this->Living[1], this->Living[2]};
+    Cluster.startEmpty(this->NextHost, /*First=*/false);
+    Cluster.run(CatchUpTime);
+    this->Scenario.replaceTable();
+    std::size_t Gone = this->Living[First];
+    std::vector<std::size_t> Wiped;
+    for (std::size_t I = 1; I <= this->Order.Tolerated; ++I)
+      Wiped.push_back(this->Living[(First + I) % this->Living.size()]);
+    this->lose(Gone, Wiped);
+    if (this->Order.Then == Sequel::PowerLoss) {
+      Cluster.run(200ms);
+      for (std::size_t Host : this->Living)
+        Cluster.kill(Host);
+      Cluster.run(1s);
+      for (std::size_t Host : this->Living)
+        Cluster.start(Host);
+    }
+    if (this->Order.Then == Sequel::DiskLostAgain) {
+      Cluster.run(100ms);
+      this->wipe(Wiped);
+    }
+  }
+
+  void lose(std::size_t Gone, const std::vector<std::size_t> &Wiped) {
+    SeededCluster &Cluster = this->Scenario.Cluster;
+    if (this->Order.Gap < 0ms) {
+      this->wipe(Wiped);
+      Cluster.run(-this->Order.Gap);
+      this->remove(Gone);
+      return;
+    }
+    this->remove(Gone);
+    Cluster.run(this->Order.Gap);
+    this->wipe(Wiped);
+  }
+
+  /// Hosts that start later are told others.
+  void remove(std::size_t Gone) {
+    this->Scenario.Cluster.kill(Gone);
+    std::erase(this->Living, Gone);
+    this->Living.push_back(this->NextHost++);
+    this->Scenario.Cluster.SeedHosts = {this->Living[0], this->Living[1],
+                                        this->Living[2]};
+  }
+
+  void wipe(const std::vector<std::size_t> &Hosts) {
+    for (std::size_t Host : Hosts)
+      this->Scenario.Cluster.kill(Host);
+    this->Scenario.Cluster.run(this->Order.Outage);
+    for (std::size_t Host : Hosts)
+      this->Scenario.Cluster.startEmpty(Host, /*First=*/false);
+  }
+
+  LostDiskOrder Order;
+  HandoverScenario Scenario;
+  std::size_t NextHost;
+  std::vector<std::size_t> Living;
+};
+
+} // namespace
+
+// A host that has a successor vanishes without a word, and the disks that may
+// be lost are lost before, after or in the same moment.
+TEST(ReplicaHandoverTest, AHostMayVanishWhileOtherDisksAreLost) {
+  const std::vector<LostDiskOrder> Table = {
+      {1, 3, 0ms, 0ms, Sequel::None},
+      {1, 3, 300ms, 500ms, Sequel::None},
+      {1, 3, 1s, 500ms, Sequel::None},
+      {1, 3, 2500ms, 500ms, Sequel::None},
+      {1, 3, -100ms, 500ms, Sequel::None},
+      {1, 3, -700ms, 500ms, Sequel::None},
+      {1, 3, -2s, 500ms, Sequel::None},
+      {1, 3, 0ms, 3s, Sequel::None},
+      {1, 3, 1s, 500ms, Sequel::PowerLoss},
+      {1, 3, 1s, 500ms, Sequel::DiskLostAgain},
+      {1, 3, 1s, 500ms, Sequel::Twice},
+      {1, 4, 0ms, 500ms, Sequel::None},
+      {1, 4, 1s, 500ms, Sequel::Twice},
+      {2, 5, 0ms, 500ms, Sequel::None},
+      {2, 5, 1s, 500ms, Sequel::None},
+      {2, 5, -700ms, 500ms, Sequel::None},
+      {2, 5, 1s, 500ms, Sequel::PowerLoss},
+      {2, 5, 1s, 500ms, Sequel::DiskLostAgain},
+      {2, 5, 1s, 500ms, Sequel::Twice},
+      {2, 6, 0ms, 500ms, Sequel::None},
+  };
+  std::string Found;
+  for (std::size_t Row = 0; Row < Table.size(); ++Row)
+    for (std::size_t First = 0; First < Table[Row].Hosts; ++First) {
+      LostDiskScenario Scenario(/*Seed=*/Row + 1, Table[Row]);
+      std::string Result = Scenario.play(First);
+      if (!Result.empty())
+        Found += fmt::format("row {}, {} vanishes: {}\n", Row, First, Result);
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// A host that only restarts with its disk, or that froze and led, next to one
+// that has vanished or lost its disk.
+TEST(ReplicaHandoverTest, AHostThatReturnsWithItsDiskEndsTheWait) {
+  std::string Found;
+  for (std::size_t Gone = 0; Gone < 3; ++Gone)
+    for (Duration Outage : {Duration(500ms), Duration(6s)}) {
+      HandoverScenario Scenario(/*Seed=*/Gone + 1, /*Voters=*/3, /*Hosts=*/3);
+      std::size_t Restarted = (Gone + 1) % 3;
+      Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.Cluster.run(CatchUpTime);
+      Scenario.replaceTable();
+      Scenario.Cluster.kill(Gone);
+      Scenario.Cluster.kill(Restarted);
+      Scenario.Cluster.run(Outage);
+      Scenario.Cluster.start(Restarted);
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      std::set<std::size_t> Living = {0, 1, 2, 3};
+      Living.erase(Gone);
+      Scenario.checkVoters(Living);
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} gone: {}\n", Gone, Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// The frozen leader must neither show an older table nor acknowledge a change
+// once the others have gone on without it.
+TEST(ReplicaHandoverTest, AFrozenLeaderAcknowledgesNothingBesideItsSuccessors) {
+  HandoverScenario Scenario(/*Seed=*/1, /*Voters=*/3, /*Hosts=*/3);
+  Scenario.Cluster.startEmpty(3, /*First=*/false);
+  Scenario.Cluster.run(CatchUpTime);
+  Scenario.replaceTable();
+  std::size_t Frozen = Scenario.leader(4);
+  std::size_t Wiped = (Frozen + 1) % 3;
+  Scenario.Cluster.World.freeze(SeededCluster::addressOf(Frozen));
+  Scenario.Cluster.kill(Wiped);
+  Scenario.Cluster.run(500ms);
+  Scenario.Cluster.startEmpty(Wiped, /*First=*/false);
+  Scenario.Cluster.run(RecoveryTime);
+  bool IsReplaced = false;
+  for (std::size_t Host = 0; Host < 4; ++Host)
+    IsReplaced = IsReplaced || (Host != Frozen &&
+                                Scenario.Cluster.service(Host).raft().leads());
+  CHECK_TRUE(IsReplaced);
+  ControlService &Old = Scenario.Cluster.service(Frozen);
+  CHECK_TRUE(Old.raft().leads());
+  bool Shown = false;
+  Old.read(Scenario.Cluster.World.now(),
+           [&Shown](bool Confirmed) { Shown = Confirmed; });
+  bool Acknowledged = false;
+  peer::Change Change;
+  Change.mutable_replace_routes()->mutable_table()->set_version(1000);
+  Old.propose(Change, Scenario.Cluster.World.now(),
+              [&Acknowledged](const ProposalOutcome &Outcome) {
+                Acknowledged = Outcome.State == ProposalState::Applied;
+              });
+  Scenario.Cluster.World.thaw(SeededCluster::addressOf(Frozen));
+  Scenario.Cluster.run(RecoveryTime);
+  Scenario.checkTable();
+  CHECK_FALSE(Shown);
+  CHECK_FALSE(Acknowledged);
+  STRCMP_EQUAL("", Scenario.found().c_str());
+}
+
 // The old host vanishes first; its successor must have replaced it when it no
 // longer counts as lost.
 TEST(ReplicaHandoverTest, ALateSuccessorReplacesAVanishedHostInTime) {
--- a/tests/control/replica_loss_test.cpp
+++ b/tests/control/replica_loss_test.cpp
@@ -255,6 +255,33 @@
   STRCMP_EQUAL("", Found.c_str());
 }
 
+// A request that the old replica sent before it lost its disk looks like one of
+// a host that has just lost the disk of the new replica.
+TEST(ReplicaLossTest,
+     ALateRequestOfALostReplicaDoesNotReportItsSuccessorAsLost) {
+  constexpr std::size_t Wiped = 1;
+  SeededCluster Cluster(/*Seed=*/1, Voters);
+  for (std::size_t Host = 0; Host < Voters; ++Host)
+    Cluster.startEmpty(Host, /*First=*/true);
+  Cluster.run(8s);
+  peer::Message Late;
+  peer::Replica *Old = Late.mutable_join_request()->mutable_replica();
+  Old->set_name(Cluster.nameAt(Wiped));
+  Old->set_address(SeededCluster::addressOf(Wiped));
+  Cluster.kill(Wiped);
+  Cluster.run(1s);
+  Cluster.startEmpty(Wiped, /*First=*/false);
+  Cluster.run(CatchUpTime);
+  for (std::size_t Host = 0; Host < Voters; ++Host)
+    if (Host != Wiped)
+      Cluster.service(Host).onMessage({Old->name(), Old->address()}, Late,
+                                      Cluster.World.now());
+  Cluster.run(2s);
+  for (std::size_t Host = 0; Host < Voters; ++Host)
+    CHECK_FALSE(
+        Cluster.service(Host).raft().hasLostDisk(Cluster.nameAt(Wiped)));
+}
+
 // The lost replica has the address of the new one and never answers. The leader
 // replaced the connection to both every 500 ms, so that the new one did not
 // catch up for half a minute.
--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -70,10 +70,14 @@
     peer::ReplicaSet Bootstrap;
     for (std::size_t I = 0; IsFounder && I < Seeds; ++I)
       *Bootstrap.add_replicas() = replica(nameOf(I, 0), I);
+    if (IsFounder)
+      Bootstrap.set_initial_hosts(Seeds);
     Node &Target = this->Hosts[Host];
+    Target.IsFirstStart = First;
     Target.Name = nameOf(Host, IsFounder ? 0 : ++this->Generations);
     Target.Storage = std::make_unique<MemoryLogStorage>(Bootstrap);
     this->start(Host);
+    Target.IsFirstStart = false;
   }
 
   /// Starts a host with its existing disk.
@@ -184,6 +188,7 @@
 private:
   struct Node {
     std::string Name;
+    bool IsFirstStart = false;
     std::unique_ptr<MemoryLogStorage> Storage;
     std::unique_ptr<AddressSink> Sink;
     std::unique_ptr<ControlService> Service;
@@ -215,6 +220,7 @@
     Options.Groups.Groups = 0;
     Options.Replicas.Voters = this->Voters;
     Options.Self = replica(this->Hosts[Host].Name, Host);
+    Options.IsFirstStart = this->Hosts[Host].IsFirstStart;
     for (std::size_t Known : this->SeedHosts)
       Options.Seeds.push_back({"", addressOf(Known)});
     return Options;
