--- a/misc/soak.sh
+++ b/misc/soak.sh
@@ -12,8 +12,9 @@
 #              without such restarts (yes, no).
 #   --control_storm whether five control replicas freeze, run slowly and lose their
 #              disks while large configurations come in quick succession (yes, no).
-#   --replacements whether control hosts are replaced as planned, and control loses
-#              power while workers come back as another kind (yes, no).
+#   --replacements whether control hosts are replaced, as planned or as they vanish
+#              while another one loses its disk, and control loses power while
+#              workers come back as another kind (yes, no).
 # YARDWHEEL_BUILD names the build folder, if it is not "build".
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -341,6 +341,12 @@
     Known.Retires = true;
     this->terminate(Fault.Host);
     break;
+  case SoakFaultKind::Vanish:
+    if (!Known.Up || Known.Frozen || Known.Terminating)
+      break;
+    Known.Retires = true;
+    this->kill(Fault.Host);
+    break;
   case SoakFaultKind::PowerLoss:
     this->losePower(Fault.For);
     break;
--- a/tests/system/soak_plan.cpp
+++ b/tests/system/soak_plan.cpp
@@ -41,6 +41,11 @@
 constexpr milliseconds SuccessorTime{4000};
 /// Between two planned removals of control hosts.
 constexpr int MaxRetirePauseMs = 2000;
+/// From a host that vanishes to the loss of another one's disk.
+constexpr int MaxVanishGapMs = 2500;
+/// From a host that vanishes until it is out of the replica set, though another
+/// one is down meanwhile.
+constexpr milliseconds NoticeTime{8000};
 constexpr int MaxJoinsAtOnce = 2;
 constexpr int MinPowerLossMs = 500;
 constexpr int MaxPowerLossMs = 4000;
@@ -80,6 +85,8 @@
     return "join";
   case SoakFaultKind::Retire:
     return "retire";
+  case SoakFaultKind::Vanish:
+    return "vanish";
   case SoakFaultKind::PowerLoss:
     return "power loss";
   case SoakFaultKind::WorkerChange:
@@ -201,8 +208,8 @@
     }
   }
 
-  /// Adds planned replacements of control hosts, and losses of power of all
-  /// control hosts between them.
+  /// Adds replacements of control hosts, and losses of power of all control
+  /// hosts between them.
   void addReplacements(std::vector<SoakFault> &Faults) {
     int Next = SoakFirstControl + this->Options.Controls;
     const int End = Next + this->Options.SpareControls;
@@ -217,6 +224,13 @@
       std::ranges::shuffle(Old, this->Random);
       int Count = std::min(this->pick(1, MaxJoinsAtOnce), End - Next);
       milliseconds RetireAt = At + SuccessorTime;
+      if (Count == 1 && this->pick(0, 1) == 0) {
+        Faults.push_back({.At = At, .Kind = SoakFaultKind::Join, .Host = Next});
+        this->addVanished(RetireAt, Old[0], Old[1], Faults);
+        Old[0] = Next++;
+        At = RetireAt + NoticeTime;
+        continue;
+      }
       for (int I = 0; I < Count; ++I) {
         Faults.push_back({.At = At, .Kind = SoakFaultKind::Join, .Host = Next});
         Faults.push_back({.At = RetireAt,
@@ -230,6 +244,16 @@
   }
 
 private:
+  /// Lets one control host vanish and another one lose its disk.
+  void addVanished(milliseconds At, int Gone, int Wiped,
+                   std::vector<SoakFault> &Faults) {
+    Faults.push_back({.At = At, .Kind = SoakFaultKind::Vanish, .Host = Gone});
+    SoakFault Wipe{.At = At + milliseconds(this->pick(0, MaxVanishGapMs)),
+                   .Kind = SoakFaultKind::Wipe,
+                   .Host = Wiped};
+    Wipe.For = milliseconds(this->pick(0, MaxWipeMs));
+    Faults.push_back(Wipe);
+  }
   /// \returns when the loss no longer counts.
   milliseconds addPowerLoss(milliseconds At, std::vector<SoakFault> &Faults) {
     SoakFault Loss{
--- a/tests/system/soak_plan.h
+++ b/tests/system/soak_plan.h
@@ -33,7 +33,8 @@
   /// Whether control replicas also freeze, run slowly and lose their disks, two
   /// at a time at most, while configurations come in quick succession.
   bool ControlStorm = false;
-  /// Whether control hosts are also replaced as planned, and control loses
+  /// Whether control hosts are also replaced, as planned or because they vanish
+  /// next to a successor while another one loses its disk, and control loses
   /// power while workers come back as another kind. Jobs require kinds then.
   bool Replacements = false;
   /// Control hosts that join during the soak.
@@ -66,6 +67,8 @@
   Join,
   /// A control host is stopped for good, with SIGTERM.
   Retire,
+  /// A control host is killed for good.
+  Vanish,
   /// All control hosts are killed and keep their disks.
   PowerLoss,
   /// A worker's life ends, and another of any kind begins.
