The next replica set change is accepted while the last one is repeated

Since the leader appends a committed set once more. An operator who sent the next change right after an acknowledgement was answered 504, as the repeated entry was not committed yet. That entry proves that its set is committed, so a change may follow it at once; it is counted in that set as before.

--- a/consensus/raft_log.cpp
+++ b/consensus/raft_log.cpp
@@ -92,6 +92,7 @@
   this->Replicas = this->Base.replicas();
   this->Previous = this->Base.replicas();
   this->SameVoters = true;
+  this->Repeated = false;
   this->ReplicasIndex = this->Base.index();
   for (const peer::LogEntry &Entry : this->Entries)
     if (Entry.has_replicas())
@@ -102,6 +103,8 @@
   // A replica that joins starts without a set.
   bool IsFirst = this->Replicas.replicas().empty();
   this->Previous = IsFirst ? Set : this->Replicas;
+  this->Repeated =
+      !IsFirst && Set.SerializeAsString() == this->Previous.SerializeAsString();
   this->Replicas = Set;
   this->ReplicasIndex = Index;
   this->SameVoters = votersOf(this->Previous) == votersOf(this->Replicas);
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -57,6 +57,8 @@
   const peer::ReplicaSet &previousReplicas() const { return this->Previous; }
   /// Whether replicas() and previousReplicas() have the same voters.
   bool hasSameVoters() const { return this->SameVoters; }
+  /// Whether replicas() repeats previousReplicas(), which are committed then.
+  bool hasRepeatedReplicas() const { return this->Repeated; }
   /// Returns the index of the entry that set replicas(), or the snapshot's
   /// index if the set comes from the snapshot.
   std::uint64_t replicasIndex() const { return this->ReplicasIndex; }
@@ -78,6 +80,7 @@
   peer::ReplicaSet Replicas;
   peer::ReplicaSet Previous;
   bool SameVoters = true;
+  bool Repeated = false;
   std::uint64_t ReplicasIndex = 0;
 };
 
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -104,8 +104,9 @@
 
 std::optional<std::uint64_t>
 RaftNode::proposeReplicas(const peer::ReplicaSet &Set, TimePoint Now) {
-  bool Settled = this->Log.replicasIndex() <= this->Commit &&
-                 this->Log.hasSameVoters() &&
+  bool IsCommitted = this->Log.replicasIndex() <= this->Commit ||
+                     this->Log.hasRepeatedReplicas();
+  bool Settled = IsCommitted && this->Log.hasSameVoters() &&
                  this->LeadershipIndex <= this->Commit;
   if (!this->leads() || !Settled)
     return std::nullopt;
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -226,6 +226,27 @@
   CHECK_FALSE(contains(Cluster.applied(Leader), "refused"));
 }
 
+// An operator that has the acknowledgement of a change may send the next one.
+TEST(RaftNodeTest, AcceptsTheNextReplicaSetChangeOnceOneIsCommitted) {
+  RaftCluster Cluster(3, defaults(), 23);
+  Cluster.run(2s);
+  RaftNode &Leader = Cluster.node(Cluster.leader());
+  peer::ReplicaSet Set = Leader.log().replicas();
+  Set.add_replicas()->set_name("r4");
+  std::optional<std::uint64_t> First =
+      Leader.proposeReplicas(Set, Cluster.World.now().Steady);
+  CHECK_TRUE(First.has_value());
+  while (Leader.commitIndex() < *First)
+    Cluster.run(1ms);
+  Set.mutable_replicas()->RemoveLast();
+  CHECK_TRUE(
+      Leader.proposeReplicas(Set, Cluster.World.now().Steady).has_value());
+  Cluster.run(1s);
+  LONGS_EQUAL(3, Leader.log().replicas().replicas_size());
+  CHECK_TRUE(Leader.log().hasRepeatedReplicas());
+  CHECK_TRUE(Leader.commitIndex() >= Leader.log().replicasIndex());
+}
+
 TEST(RaftNodeTest, AllowsOneReplicaSetChangeAtATime) {
   RaftCluster Cluster(3, defaults(), 23);
   Cluster.run(2s);
