--- a/tests/control/replica_handover_test.cpp
+++ b/tests/control/replica_handover_test.cpp
@@ -745,6 +745,64 @@
   STRCMP_EQUAL("", Found.c_str());
 }
 
+// A successor makes the set even, so that each restart takes a vote of four.
+TEST(ReplicaHandoverTest, RestartsInTurnBesideASuccessorKeepAllVotes) {
+  std::string Found;
+  for (std::size_t First = 0; First < 4; ++First)
+    for (Duration Pause : {Duration(0ms), Duration(500ms), Duration(2s)}) {
+      HandoverScenario Scenario(/*Seed=*/First + 1, /*Voters=*/3, /*Hosts=*/3);
+      Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.Cluster.run(CatchUpTime);
+      for (std::size_t I = 0; I < 4; ++I) {
+        Scenario.replaceTable();
+        Scenario.Cluster.shutDown((First + I) % 4);
+        Scenario.Cluster.run(500ms);
+        Scenario.Cluster.start((First + I) % 4);
+        Scenario.Cluster.run(Pause);
+      }
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      Scenario.checkVoters({0, 1, 2, 3});
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} first: {}\n", First, Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
+// The successor is what is lost: it goes again, or loses its own disk.
+TEST(ReplicaHandoverTest, ASuccessorMayBeLostBeforeADiskIs) {
+  enum class Fate { Vanishes, Leaves, LosesDisk };
+  constexpr Duration Pause = 6s;
+  std::string Found;
+  for (Fate Ends : {Fate::Vanishes, Fate::Leaves, Fate::LosesDisk})
+    for (std::size_t Wiped = 0; Wiped < 3; ++Wiped) {
+      HandoverScenario Scenario(/*Seed=*/Wiped + 1, /*Voters=*/3, /*Hosts=*/3);
+      Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.Cluster.run(CatchUpTime);
+      if (Ends == Fate::Leaves)
+        Scenario.Cluster.shutDown(3);
+      else
+        Scenario.Cluster.kill(3);
+      if (Ends == Fate::LosesDisk)
+        Scenario.Cluster.startEmpty(3, /*First=*/false);
+      Scenario.replaceTable();
+      Scenario.Cluster.run(Pause);
+      Scenario.Cluster.kill(Wiped);
+      Scenario.Cluster.run(500ms);
+      Scenario.Cluster.startEmpty(Wiped, /*First=*/false);
+      Scenario.Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      std::set<std::size_t> Living = {0, 1, 2};
+      if (Ends == Fate::LosesDisk)
+        Living.insert(3);
+      Scenario.checkVoters(Living);
+      if (!Scenario.found().empty())
+        Found += fmt::format("fate {}, {} wiped: {}\n", static_cast<int>(Ends),
+                             Wiped, Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
 // A host that leaves while it is cut off stops all the same, and is replaced
 // once its successor has caught up.
 TEST(ReplicaHandoverTest, AHostThatLeavesWhileItIsCutOffIsReplaced) {
