Test: a living replica that is reported as lost breaks the log

A planted fault: reports on living replicas, as a late request of a former replica would make if it were taken for proof.

--- a/tests/consensus/replacement_fuzz_test.cpp
+++ b/tests/consensus/replacement_fuzz_test.cpp
@@ -31,6 +31,10 @@
   ReplacementStory(std::uint64_t Seed, RaftOptions Options)
       : Cluster(2 + Seed % 3, std::move(Options), Seed), Random(Seed) {}
 
+  /// Lets living replicas be reported as lost as well, as by a late message of
+  /// a replica that had their address before.
+  void reportFalsely() { this->AreReportsFalse = true; }
+
   /// Changes the set and injects faults in any order.
   void play() {
     for (int I = 0; I < 2; ++I)
@@ -202,6 +206,16 @@
       for (const std::string &Gone : this->Lost)
         if (this->Cluster.World.isUp(Name) && this->draw(3) == 0)
           this->Cluster.node(Name).noteLostDisk(Gone);
+    if (this->AreReportsFalse)
+      this->reportLiving();
+  }
+
+  void reportLiving() {
+    std::vector<std::string> Names = this->Cluster.names();
+    const std::string &One = Names[this->draw(Names.size())];
+    const std::string &Other = Names[this->draw(Names.size())];
+    if (this->Cluster.World.isUp(One))
+      this->Cluster.node(One).noteLostDisk(Other);
   }
 
   void endFaults() {
@@ -224,6 +238,7 @@
   RaftCluster Cluster;
   std::mt19937_64 Random;
   std::vector<std::string> Lost;
+  bool AreReportsFalse = false;
   int Spares = 0;
   std::size_t Changes = 0;
 };
@@ -292,3 +307,14 @@
   CHECK_TRUE(findBroken(&ReplacementStory::loseTwoDisks,
                         &RaftOptions::RequireOwnReports) > 0);
 }
+
+TEST(ReplacementFuzzTest, FindsThatALivingReplicaIsReportedAsLost) {
+  bool IsBroken = false;
+  for (std::uint64_t Seed = 1; Seed <= PlantedSeeds && !IsBroken; ++Seed) {
+    ReplacementStory Story(Seed, storyOptions(Seed));
+    Story.reportFalsely();
+    Story.play();
+    IsBroken = !Story.problem().empty();
+  }
+  CHECK_TRUE(IsBroken);
+}
