--- a/tests/control/replica_loss_test.cpp
+++ b/tests/control/replica_loss_test.cpp
@@ -257,8 +257,7 @@
 
 // A request that the old replica sent before it lost its disk looks like one of
 // a host that has just lost the disk of the new replica.
-TEST(ReplicaLossTest,
-     ALateRequestOfALostReplicaDoesNotReportItsSuccessorAsLost) {
+TEST(ReplicaLossTest, ALateRequestDoesNotReportTheSuccessorAsLost) {
   constexpr std::size_t Wiped = 1;
   SeededCluster Cluster(/*Seed=*/1, Voters);
   for (std::size_t Host = 0; Host < Voters; ++Host)
--- a/tests/system/soak_fleet.cpp
+++ b/tests/system/soak_fleet.cpp
@@ -335,17 +335,15 @@
     Known.StartAt = Clock::now();
     break;
   case SoakFaultKind::Retire:
-    // One that is lost at the time is not replaced.
-    if (!Known.Up || Known.Frozen || Known.Terminating)
-      break;
-    Known.Retires = true;
-    this->terminate(Fault.Host);
-    break;
   case SoakFaultKind::Vanish:
+    // One that is lost at the time is not replaced.
     if (!Known.Up || Known.Frozen || Known.Terminating)
       break;
     Known.Retires = true;
-    this->kill(Fault.Host);
+    if (Fault.Kind == SoakFaultKind::Retire)
+      this->terminate(Fault.Host);
+    else
+      this->kill(Fault.Host);
     break;
   case SoakFaultKind::PowerLoss:
     this->losePower(Fault.For);
