Tests: outcomes that arrive late are not written to a frame that has gone

SeededCluster::replace() and the checks of a read gave the service a reference to a local variable. Where the outcome came after the second that they wait, it was written to a later stack frame; the address sanitizer stopped replica_loss there. What is checked is unchanged.

--- a/tests/control/replica_loss_test.cpp
+++ b/tests/control/replica_loss_test.cpp
@@ -136,12 +136,7 @@
   /// Notes if the last acknowledged table cannot be read.
   void checkTable() {
     ControlService *Leader = this->Cluster.leader();
-    bool Confirmed = false;
-    if (Leader != nullptr)
-      Leader->read(this->Cluster.World.now(),
-                   [&Confirmed](bool Result) { Confirmed = Result; });
-    this->Cluster.run(1s);
-    if (!Confirmed)
+    if (!this->Cluster.confirm(Leader))
       this->note("the table cannot be read");
     else if (Leader->catalog().routes().version() < this->Version)
       this->note("an acknowledged table is gone");
--- a/tests/control/seeded_cluster.h
+++ b/tests/control/seeded_cluster.h
@@ -133,6 +133,18 @@
     this->kill(Host);
   }
 
+  /// Asks a replica to confirm that it leads, and runs for one second.
+  /// \returns whether it has. \p Leader may be null.
+  bool confirm(ControlService *Leader) {
+    // The reply may come after this function has returned.
+    auto Confirmed = std::make_shared<bool>(false);
+    if (Leader != nullptr)
+      Leader->read(this->World.now(),
+                   [Confirmed](bool Result) { *Confirmed = Result; });
+    this->run(std::chrono::seconds(1));
+    return *Confirmed;
+  }
+
   ControlService *leader() {
     for (auto &[Number, Host] : this->Hosts)
       if (this->World.isUp(addressOf(Number)) && Host.Service->raft().leads())
@@ -158,13 +170,14 @@
     peer::RouteTable *Table = Change.mutable_replace_routes()->mutable_table();
     Table->set_version(Version);
     Table->set_document(fmt::format("{}", Version));
-    bool Done = false;
+    // The outcome may come after this function has returned.
+    auto Done = std::make_shared<bool>(false);
     Leader->propose(Change, this->World.now(),
-                    [&Done](const ProposalOutcome &Outcome) {
-                      Done = Outcome.State == ProposalState::Applied;
+                    [Done](const ProposalOutcome &Outcome) {
+                      *Done = Outcome.State == ProposalState::Applied;
                     });
     this->run(std::chrono::seconds(1));
-    return Done;
+    return *Done;
   }
 
   std::uint32_t voters() {
