--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -506,10 +506,15 @@
   this->Sink.send(From, this->joinRequest());
 }
 
+bool ControlService::isLeaderSilent(Instant Now) const {
+  TimePoint Heard = std::max(this->Raft->lastLeaderContact(), this->Started);
+  return !this->Raft->leads() &&
+         Now.Steady - Heard > this->Options.RejoinTimeout;
+}
+
 void ControlService::tickDiskQueries(Instant Now) {
   bool IsManaged = this->Options.Replicas.Voters > 0;
-  bool HasLeader = this->Raft->leads() || this->leader() != nullptr;
-  if (!IsManaged || HasLeader || !this->Raft->isVoter() ||
+  if (!IsManaged || !this->isLeaderSilent(Now) || !this->Raft->isVoter() ||
       Now.Steady < this->NextDiskQuery)
     return;
   this->NextDiskQuery = Now.Steady + this->Options.DiskQueryInterval;
@@ -553,9 +558,7 @@
   bool IsMember = Self != nullptr && !Self->leaving();
   if (Self != nullptr)
     this->Options.IsFirstStart = false;
-  TimePoint Heard = std::max(this->Raft->lastLeaderContact(), this->Started);
-  bool IsLeaderSilent = Now.Steady - Heard > this->Options.RejoinTimeout;
-  if (IsMember && !IsLeaderSilent)
+  if (IsMember && !this->isLeaderSilent(Now))
     return;
   std::map<std::string, PeerRef> Targets = this->Askers;
   for (const PeerRef &Seed : this->Options.Seeds)
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -189,7 +189,11 @@
   /// Notes which replicas of the sender's address have lost their disks, and
   /// asks about those that the request does not name.
   void checkPredecessors(const peer::JoinRequest &Request);
-  /// Without a leader, asks the hosts of the other voters for their disks.
+  /// Whether this replica has not heard from a leader for RejoinTimeout.
+  bool isLeaderSilent(Instant Now) const;
+  /// Asks the hosts of the other voters for their disks if no leader is heard.
+  /// Not before: after a common restart the first messages to hosts that do not
+  /// listen yet would delay their connections, and so the election.
   void tickDiskQueries(Instant Now);
   void sendDiskQuery(const PeerRef &Host,
                      const std::vector<std::string> &Replicas);
