--- a/tests/control/replica_loss_test.cpp
+++ b/tests/control/replica_loss_test.cpp
@@ -202,10 +202,51 @@
   std::string Found;
 };
 
+/// Counts the queries for lost disks.
+class QueryCounter final : public PeerSink {
+public:
+  bool isCongested(const PeerRef &) const override { return false; }
+  void send(const PeerRef &, peer::Message Message) override {
+    this->Queries += Message.has_disk_query() ? 1 : 0;
+  }
+  void reconnect(const PeerRef &) override {}
+  int Queries = 0;
+};
+
 } // namespace
 
 TEST_GROUP(ReplicaLossTest){};
 
+// After a common restart most hosts do not listen yet. Queries in the first
+// round delayed the connections to them, and the election by 0.9 s.
+TEST(ReplicaLossTest, AsksForLostDisksOnlyOnceTheLeaderIsSilent) {
+  peer::ReplicaSet Set;
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    peer::Replica *Added = Set.add_replicas();
+    Added->set_name(SeededCluster::addressOf(Host));
+    Added->set_address(SeededCluster::addressOf(Host));
+  }
+  VirtualWorld World(/*Seed=*/1);
+  MemoryLogStorage Storage(Set);
+  QueryCounter Sink;
+  ControlOptions Options;
+  Options.Raft.Name = Set.replicas(0).name();
+  Options.Replicas.Voters = 3;
+  Options.Self = Set.replicas(0);
+  ControlService Service(Options, Storage, Sink, World.now());
+  auto RunFor = [&](Duration Time) {
+    for (Duration Passed{0}; Passed < Time; Passed += Step) {
+      World.run(Step);
+      Service.tick(World.now());
+    }
+  };
+  RunFor(Options.RejoinTimeout);
+  LONGS_EQUAL(0, Sink.Queries);
+  RunFor(1s);
+  // Two hosts, at an interval of half a second.
+  CHECK_TRUE(Sink.Queries >= 4);
+}
+
 TEST(ReplicaLossTest, AReplicaThatLostItsDiskIsReplacedBeforeOneThatIsCutOff) {
   constexpr std::uint64_t Seeds = 40;
   std::string Found;
