A report of a lost disk commits what was acknowledged before it

The leader had appended a replica set that the other survivor acknowledged 1 ms before it reported the lost disk. The commit was computed only when a follower's acknowledged index rose, so the report did not count until another entry followed; reads went on meanwhile.

The commit is now computed on every reply. RaftNodeTest.AReportAfterTheAcknowledgementCommits failed before.

--- a/consensus/raft_replication.cpp
+++ b/consensus/raft_replication.cpp
@@ -193,8 +193,9 @@
   } else if (Reply.match_index() > Follower.Match) {
     Follower.Match = Reply.match_index();
     Follower.Next = Follower.Match + 1;
-    this->advanceCommit(Now);
   }
+  // A report of a lost disk alone can make a quorum of earlier replies.
+  this->advanceCommit(Now);
   // advanceCommit() may have ended the leadership or removed the follower.
   Found = this->Followers.find(Message.from());
   if (this->leads() && Found != this->Followers.end() &&
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -226,6 +226,26 @@
   CHECK_FALSE(contains(Cluster.applied(Leader), "refused"));
 }
 
+// An entry was never committed if the report of a lost disk came after its
+// acknowledgement and no further entry followed.
+TEST(RaftNodeTest, AReportAfterTheAcknowledgementCommits) {
+  RaftCluster Cluster(4, defaults(), 29);
+  Cluster.run(2s);
+  std::string Leader = Cluster.leader();
+  std::vector<std::string> Others = Cluster.names();
+  std::erase(Others, Leader);
+  Cluster.crash(Others[0]);
+  Cluster.loseDisk(Others[1]);
+  Cluster.propose(Leader, "x");
+  Cluster.run(100ms);
+  CHECK_FALSE(contains(Cluster.acknowledged(), "x"));
+  Cluster.node(Leader).noteLostDisk(Others[1]);
+  Cluster.node(Others[2]).noteLostDisk(Others[1]);
+  Cluster.run(500ms);
+  STRCMP_EQUAL(Leader.c_str(), Cluster.leader().c_str());
+  CHECK_TRUE(contains(Cluster.acknowledged(), "x"));
+}
+
 // An operator that has the acknowledgement of a change may send the next one.
 TEST(RaftNodeTest, AcceptsTheNextReplicaSetChangeOnceOneIsCommitted) {
   RaftCluster Cluster(3, defaults(), 23);
