--- a/consensus/raft_election.cpp
+++ b/consensus/raft_election.cpp
@@ -38,7 +38,9 @@
     Request->set_log_format(this->Options.LogFormat);
     this->Events.send(std::move(Message));
   }
-  if (!this->quorum().isReached(this->Votes))
+  bool IsWon = this->quorum().isReached(this->Votes);
+  this->reportCampaign(Pre, NewTerm, IsWon);
+  if (!IsWon)
     return;
   if (Pre)
     this->campaign(/*Pre=*/false, Now);
@@ -46,28 +48,37 @@
     this->becomeLeader(Now);
 }
 
-bool RaftNode::mayVoteFor(const peer::RaftMessage &Message,
-                          TimePoint Now) const {
+void RaftNode::reportCampaign(bool Pre, std::uint64_t Term, bool IsWon) {
+  this->Events.onCampaign({Term, Pre, this->Votes, IsWon});
+}
+
+std::string RaftNode::refusalOf(const peer::RaftMessage &Message,
+                                TimePoint Now) const {
   const peer::VoteRequest &Request = Message.vote_request();
   if (this->Options.PreVote && this->hasRecentLeader(Now))
-    return false;
+    return "hears a leader";
   if (Request.log_format() < this->RequiredFormat)
-    return false;
+    return "the candidate cannot apply the log format";
   bool UpToDate = Request.last_term() > this->Log.lastTerm() ||
                   (Request.last_term() == this->Log.lastTerm() &&
                    Request.last_index() >= this->Log.lastIndex());
   if (!UpToDate)
-    return false;
+    return "the candidate's log is older";
   if (Request.pre())
-    return Message.term() > this->Hard.term();
+    return Message.term() > this->Hard.term() ? "" : "an old term";
+  if (Message.term() != this->Hard.term())
+    return "an old term";
   bool Free = this->Hard.voted_for().empty() ||
               this->Hard.voted_for() == Message.from();
-  return Message.term() == this->Hard.term() && Free;
+  return Free ? "" : "has voted for another one";
 }
 
 void RaftNode::onVoteRequest(const peer::RaftMessage &Message, TimePoint Now) {
   const peer::VoteRequest &Request = Message.vote_request();
-  bool Granted = this->mayVoteFor(Message, Now);
+  std::string Refusal = this->refusalOf(Message, Now);
+  bool Granted = Refusal.empty();
+  this->Events.onVoteDecision(
+      {Message.from(), Message.term(), Request.pre(), Refusal});
   if (Granted && !Request.pre()) {
     try {
       this->persistHardState(this->Hard.term(), Message.from());
@@ -98,7 +109,9 @@
   if (this->Role != Expected || Message.term() != ExpectedTerm)
     return;
   this->Votes.insert(Message.from());
-  if (!this->quorum().isReached(this->Votes))
+  bool IsWon = this->quorum().isReached(this->Votes);
+  this->reportCampaign(Reply.pre(), ExpectedTerm, IsWon);
+  if (!IsWon)
     return;
   if (Reply.pre())
     this->campaign(/*Pre=*/false, Now);
--- a/consensus/raft_node.cpp
+++ b/consensus/raft_node.cpp
@@ -59,8 +59,12 @@
   // A replica that has a live leader ignores vote requests of others, so that
   // they cannot disrupt that leader.
   if (IsVote && this->Options.CheckQuorum && this->hasRecentLeader(Now) &&
-      Message.from() != this->Leader)
+      Message.from() != this->Leader) {
+    this->Events.onVoteDecision({Message.from(), Message.term(),
+                                 Message.vote_request().pre(),
+                                 "hears a leader"});
     return;
+  }
   bool PreVote = IsVote && Message.vote_request().pre();
   if (Message.term() > this->Hard.term() && !PreVote && !PreReply) {
     bool FromLeader =
@@ -206,7 +210,10 @@
   this->dropOldReports();
   if (Name == this->Options.Name || !this->countedVoters().contains(Name))
     return false;
-  return this->Reports[this->Options.Name].insert(Name).second;
+  bool IsNew = this->Reports[this->Options.Name].insert(Name).second;
+  if (IsNew)
+    this->Events.onLossReported(this->Options.Name, Name);
+  return IsNew;
 }
 
 bool RaftNode::hasLostDisk(const std::string &Name) const {
@@ -217,8 +224,9 @@
 void RaftNode::recordLosses(const peer::RaftMessage &Message) {
   for (const std::string &Name : Message.lost()) {
     this->noteLostDisk(Name);
-    if (this->countedVoters().contains(Message.from()))
-      this->Reports[Message.from()].insert(Name);
+    if (this->countedVoters().contains(Message.from()) &&
+        this->Reports[Message.from()].insert(Name).second)
+      this->Events.onLossReported(Message.from(), Name);
   }
 }
 
--- a/consensus/raft_node.h
+++ b/consensus/raft_node.h
@@ -62,6 +62,24 @@
   bool RequireOwnReports = true;
 };
 
+/// How a replica has decided on the request of a candidate, for logs.
+struct VoteDecision {
+  std::string Candidate;
+  std::uint64_t Term = 0;
+  bool IsPreVote = false;
+  /// Why the vote is withheld; empty if it is granted.
+  std::string Refusal;
+};
+
+/// The votes that a candidate has so far, for logs.
+struct CampaignState {
+  std::uint64_t Term = 0;
+  bool IsPreVote = false;
+  /// Including its own.
+  std::set<std::string> Votes;
+  bool IsWon = false;
+};
+
 /// The callbacks of RaftNode to its owner.
 class RaftEvents {
 public:
@@ -78,6 +96,13 @@
   virtual void onReadReady(std::uint64_t Read) = 0;
   /// This replica has become leader or has ceased to be leader.
   virtual void onLeadershipChange(bool Leads) = 0;
+  virtual void onVoteDecision(const VoteDecision &) {}
+  /// A campaign has begun or has got a vote.
+  virtual void onCampaign(const CampaignState &) {}
+  /// A replica is reported for the first time to have lost its disk.
+  /// \param Reporter The replica that says so, possibly this one.
+  virtual void onLossReported(const std::string & /*Reporter*/,
+                              const std::string & /*Lost*/) {}
 };
 
 /// What a leader knows of the replication to one follower.
@@ -121,6 +146,8 @@
   /// \returns whether this was not known before.
   bool noteLostDisk(const std::string &Name);
   bool hasLostDisk(const std::string &Name) const;
+  /// What this replica and the others have reported.
+  const LossReports &lossReports() const { return this->Reports; }
   /// Requests a linearizable read.
   /// \returns the number that onReadReady() will receive, or nothing if this
   /// replica is not the leader.
@@ -192,7 +219,9 @@
   void becomeLeader(TimePoint Now);
   void onVoteRequest(const peer::RaftMessage &Message, TimePoint Now);
   void onVoteReply(const peer::RaftMessage &Message, TimePoint Now);
-  bool mayVoteFor(const peer::RaftMessage &Message, TimePoint Now) const;
+  /// \returns why this replica does not vote for a candidate; empty if it does.
+  std::string refusalOf(const peer::RaftMessage &Message, TimePoint Now) const;
+  void reportCampaign(bool Pre, std::uint64_t Term, bool IsWon);
   void resetElectionDeadline(TimePoint Now);
   std::chrono::milliseconds electionTimeout() const;
   bool hasRecentLeader(TimePoint Now) const;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -11,8 +11,8 @@
                                PeerSink &Sink, Instant Now)
     : Options(std::move(Options)), Sink(Sink), Members(this->Options.Lease),
       Demand(this->Options.Lease), Groups(this->Options.Groups),
-      Replicas(this->Options.Replicas), Started(Now.Steady), CurrentTime(Now),
-      RoundStart(Now.Steady),
+      Replicas(this->Options.Replicas), Started(Now.Steady),
+      LastLeaderAt(Now.Steady), CurrentTime(Now), RoundStart(Now.Steady),
       TableBytesLeft(this->Options.MaxTableBytesPerRound) {
   this->Raft = std::make_unique<RaftNode>(this->Options.Raft, Storage, *this,
                                           Now.Steady);
@@ -204,9 +204,9 @@
     for (const peer::Replica &Known : this->Raft->log().replicas().replicas())
       if (Known.name() == To)
         Target.Address = Known.address();
-  auto Heard = this->Addresses.find(To);
-  if (Target.Address.empty() && Heard != this->Addresses.end())
-    Target.Address = Heard->second;
+  auto Heard = this->RaftPeers.find(To);
+  if (Target.Address.empty() && Heard != this->RaftPeers.end())
+    Target.Address = Heard->second.Address;
   this->reconnectIfSilent(Target);
   peer::Message Envelope;
   *Envelope.mutable_raft() = std::move(Message);
@@ -228,7 +228,7 @@
                                const peer::Message &Message, Instant Now) {
   this->CurrentTime = Now;
   if (Message.has_raft()) {
-    this->Addresses[From.Node] = From.Address;
+    this->RaftPeers[From.Node] = {From.Address, Now.Steady};
     this->UnansweredSince.erase(From.Address);
     this->Raft->step(Message.raft(), Now.Steady);
     return;
@@ -415,12 +415,49 @@
   this->Deferred.clear();
 }
 
+void ControlService::onVoteDecision(const VoteDecision &Vote) {
+  this->Log.decision(Vote.Refusal.empty() ? "vote_granted" : "vote_refused",
+                     {{"candidate", Vote.Candidate},
+                      {"term", Vote.Term},
+                      {"pre_vote", Vote.IsPreVote},
+                      {"reason", Vote.Refusal}});
+}
+
+void ControlService::onCampaign(const CampaignState &State) {
+  this->Log.decision("campaign",
+                     {{"term", State.Term},
+                      {"pre_vote", State.IsPreVote},
+                      {"votes", fmt::format("{}", fmt::join(State.Votes, " "))},
+                      {"won", State.IsWon}});
+}
+
+void ControlService::onLossReported(const std::string &Reporter,
+                                    const std::string &Lost) {
+  this->Log.decision("disk_loss_reported",
+                     {{"replica", Lost}, {"reporter", Reporter}});
+}
+
+std::optional<TimePoint>
+ControlService::lastHeard(const std::string &Replica) const {
+  auto Found = this->RaftPeers.find(Replica);
+  if (Found == this->RaftPeers.end())
+    return std::nullopt;
+  return Found->second.HeardAt;
+}
+
+Duration ControlService::leaderlessTime(Instant Now) const {
+  return this->Raft->leader().empty() ? Now.Steady - this->LastLeaderAt
+                                      : Duration{0};
+}
+
 void ControlService::tick(Instant Now, std::optional<TimePoint> NewLastIdle) {
   this->CurrentTime = Now;
   this->LastIdle = NewLastIdle.value_or(Now.Steady);
   this->beginRound(Now.Steady);
   this->Raft->requireFormat(this->State.requiredLogFormat());
   this->Raft->tick(Now.Steady);
+  if (!this->Raft->leader().empty())
+    this->LastLeaderAt = Now.Steady;
   this->tickProposals(Now.Steady);
   if (this->IsLeaving)
     this->tickLeave(Now);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -127,6 +127,11 @@
   /// \returns the number of known upstreams in a data centre.
   std::size_t upstreamsIn(const std::string &DataCentre) const;
   const RaftNode &raft() const { return *this->Raft; }
+  /// \returns when a message of the consensus protocol last came from a replica
+  /// of this name, or nothing if none has.
+  std::optional<TimePoint> lastHeard(const std::string &Replica) const;
+  /// \returns for how long no leader has been known here; 0 while one is.
+  Duration leaderlessTime(Instant Now) const;
   /// \returns the known leader, or null if there is none.
   const peer::Replica *leader() const;
   /// Returns the size of the heartbeats that are not answered yet, encoded.
@@ -139,6 +144,10 @@
   void restoreState(const peer::Snapshot &Snapshot) override;
   void onReadReady(std::uint64_t Read) override;
   void onLeadershipChange(bool Leads) override;
+  void onVoteDecision(const VoteDecision &Vote) override;
+  void onCampaign(const CampaignState &State) override;
+  void onLossReported(const std::string &Reporter,
+                      const std::string &Lost) override;
 
 private:
   struct Proposal {
@@ -229,7 +238,15 @@
   /// may have lost theirs and know nobody else.
   std::map<std::string, PeerRef> Askers;
   Logger Log{"control"};
-  std::map<std::string, std::string> Addresses;
+  /// What is known of the sender of consensus messages.
+  struct RaftPeer {
+    std::string Address;
+    TimePoint HeardAt;
+  };
+  /// By name.
+  std::map<std::string, RaftPeer> RaftPeers;
+  /// When a leader was last known.
+  TimePoint LastLeaderAt;
   /// By address: the time of the first message to a replica there since one
   /// there has answered, or of the last reconnect. Two replicas of one address
   /// share a connection, and the one that has lost its disk never answers.
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -22,6 +22,8 @@
 /// Shorter than the operators' timeout for a call with a large body.
 constexpr std::chrono::milliseconds ProposalTimeout{2000};
 constexpr std::uint64_t EntriesPerSnapshot = 200;
+/// The time without a leader after which this is logged, and then again.
+constexpr std::chrono::milliseconds LeaderlessLogInterval{1000};
 /// Part of the memory limit, as a divisor, that the log may take, and as much
 /// again for entries that are not committed.
 constexpr std::size_t LogShareOfMemory = 64;
@@ -56,6 +58,39 @@
   return Text;
 }
 
+/// Returns the age of a time for logs, "never" if there is none.
+std::string describeAge(std::optional<TimePoint> When, TimePoint Now) {
+  return When ? fmt::format("{} ms ago", millisBetween(*When, Now)) : "never";
+}
+
+/// Describes the connection to a replica, for logs.
+std::string describeLink(const std::optional<LinkState> &Link, TimePoint Now) {
+  if (!Link)
+    return "no link";
+  std::string Text =
+      Link->OpenedAt
+          ? fmt::format("{} stream of {}", Link->IsOwnStream ? "own" : "shared",
+                        describeAge(Link->OpenedAt, Now))
+          : "no stream";
+  if (Link->AwaitedSince)
+    Text += fmt::format(", unacknowledged since {}",
+                        describeAge(Link->AwaitedSince, Now));
+  if (!Link->LastEnd.empty())
+    Text += fmt::format(", ended {}: {}", describeAge(Link->LastEndAt, Now),
+                        Link->LastEnd);
+  return Text +
+         fmt::format(", address heard {}", describeAge(Link->HeardAt, Now));
+}
+
+/// Describes who reports which disk as lost, for logs.
+std::string describeLosses(const LossReports &Reports) {
+  std::string Text;
+  for (const auto &[Reporter, Lost] : Reports)
+    Text += fmt::format("{}{} reports {}", Text.empty() ? "" : "; ", Reporter,
+                        fmt::join(Lost, " "));
+  return Text;
+}
+
 /// Returns this replica's entry in the replica set. The address is permanent;
 /// the name is stored on the disk and lost with it.
 peer::Replica selfOf(const NodePlan &Plan, const std::string &Name) {
@@ -122,12 +157,16 @@
   void publishMetrics(Instant Now);
   /// Logs what this process holds in memory, and how far its followers are.
   void logMemory(const std::vector<LinkLoad> &Loads, Instant Now) const;
+  /// Logs what the election of a leader, or the admission of this replica, is
+  /// waiting for, while no leader is known.
+  void logLeaderless(Instant Now);
   std::vector<MemoryHolder> memoryHolders() const;
   void stop();
 
   NodePlan Plan;
   std::shared_ptr<MetricsPage> Metrics = std::make_shared<MetricsPage>();
   TimePoint NextMetrics = TimePoint::min();
+  TimePoint NextLeaderlessLog = TimePoint::min();
   MemoryReport Memory{this->Plan.Limits.MemoryBytes};
   std::uint64_t Incarnation = newIncarnation();
   std::string Replica;
@@ -209,6 +248,7 @@
   this->Node.links().setRevision(this->Service.catalog().revision());
   this->OpenProposals.store(this->Service.pendingProposals());
   this->MayStop.store(this->Service.mayStop());
+  this->logLeaderless(Now);
   const std::string &Leader = this->Service.raft().leader();
   if (Leader == this->LastLeader)
     return;
@@ -301,6 +341,35 @@
                       {"behind_ms", asMillis(this->Node.loop().behindTime())}});
 }
 
+void SeededControlProcess::logLeaderless(Instant Now) {
+  Duration Leaderless = this->Service.leaderlessTime(Now);
+  if (Leaderless < LeaderlessLogInterval ||
+      Now.Steady < this->NextLeaderlessLog)
+    return;
+  this->NextLeaderlessLog = Now.Steady + LeaderlessLogInterval;
+  const RaftNode &Raft = this->Service.raft();
+  std::string Replicas;
+  for (const peer::Replica &Known : Raft.log().replicas().replicas()) {
+    if (Known.name() == this->Replica)
+      continue;
+    Replicas += fmt::format(
+        "{}{}{}: heard {}, {}", Replicas.empty() ? "" : "; ", Known.name(),
+        Known.learner() ? " (learner)" : "",
+        describeAge(this->Service.lastHeard(Known.name()), Now.Steady),
+        describeLink(this->Node.links().stateOf(Known.address()), Now.Steady));
+  }
+  this->Log.decision("leaderless",
+                     {{"for_ms", asMillis(Leaderless)},
+                      {"term", Raft.term()},
+                      {"votes", Raft.isVoter()},
+                      {"last_index", Raft.log().lastIndex()},
+                      {"commit_index", Raft.commitIndex()},
+                      {"replicas_index", Raft.log().replicasIndex()},
+                      {"replicas", Replicas},
+                      {"lost_disks", describeLosses(Raft.lossReports())},
+                      {"behind_ms", asMillis(this->Node.loop().behindTime())}});
+}
+
 void SeededControlProcess::stop() {
   this->OperatorServer.stop();
   this->MetricsServer.stop();
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -301,6 +301,24 @@
   return Loads;
 }
 
+std::optional<LinkState> LinkPool::stateOf(const std::string &Address) const {
+  auto Found = this->Links.find(Address);
+  if (Found == this->Links.end())
+    return std::nullopt;
+  const Link &Target = Found->second;
+  LinkState State{.Peer = Target.Peer,
+                  .IsOwnStream = Target.IsOwnStream,
+                  .LastEnd = Target.LastEnd,
+                  .LastEndAt = Target.LastEndAt};
+  if (Target.Stream)
+    State.OpenedAt = Target.OpenedAt;
+  if (Target.ReceivedAt != TimePoint())
+    State.HeardAt = Target.ReceivedAt;
+  if (!Target.Unacked.empty())
+    State.AwaitedSince = Target.Unacked.front().At;
+  return State;
+}
+
 void LinkPool::onWritten(Link &Target) {
   if (Target.Unwritten == 0)
     return;
@@ -331,6 +349,8 @@
 void LinkPool::onEnded(Link &Target, const grpc::Status &Why) {
   this->Log.debug("The stream to {} was closed: {}.", Target.Peer.Node,
                   Why.error_message());
+  Target.LastEnd = Why.error_message();
+  Target.LastEndAt = this->Source.now().Steady;
   this->abandon(Target);
 }
 
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -75,6 +75,22 @@
   std::size_t UnackedBytes = 0;
 };
 
+/// What is known of the connection to one peer, for logs.
+struct LinkState {
+  PeerRef Peer;
+  /// When the stream in use was opened, and whether by this process; nothing
+  /// without a stream.
+  std::optional<TimePoint> OpenedAt;
+  bool IsOwnStream = false;
+  /// When an envelope last came from the peer.
+  std::optional<TimePoint> HeardAt;
+  /// When the oldest envelope that is not acknowledged was sent.
+  std::optional<TimePoint> AwaitedSince;
+  /// Why the last stream ended by itself, and when; empty if none has.
+  std::string LastEnd;
+  TimePoint LastEndAt;
+};
+
 /// The part of a process's memory limit, as a divisor, that envelopes for its
 /// peers may take.
 constexpr std::size_t LinkShareOfMemory = 4;
@@ -142,6 +158,8 @@
   /// Returns what is held for each peer, the most bytes first. Leaves out peers
   /// for which nothing is held.
   std::vector<LinkLoad> loads() const;
+  /// \returns the state of the link to an address, or nothing if there is none.
+  std::optional<LinkState> stateOf(const std::string &Address) const;
   /// Returns an estimate of the heap memory of all envelopes held.
   std::size_t heapBytes() const {
     return (this->HeldBytes + this->QueuedBytes) * HeapBytesPerEncodedByte;
@@ -194,6 +212,9 @@
     std::uint64_t ReceivedStream = 0;
     std::uint64_t ReceivedNumber = 0;
     TimePoint ReceivedAt;
+    /// Why the last stream ended by itself.
+    std::string LastEnd;
+    TimePoint LastEndAt;
     /// The peer refuses envelopes; logged once per stream.
     bool Refused = false;
   };
