--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -7,6 +7,7 @@
 #include "core/last_words.h"
 #include "core/logger.h"
 #include "core/process_memory.h"
+#include "main/address_wait.h"
 #include "main/process.h"
 #include "platform/node_settings.h"
 #include "settings/file_watch.h"
@@ -201,6 +202,8 @@
   Plan.SharesLinks = FLAGS_two_way_links;
   Plan.MaxFirstContacts = FLAGS_first_contacts;
   Plan.LearnsSpeeds = FLAGS_learned_speeds;
+  // Before the disk is read: a former process may still write to it.
+  waitForAddresses(listenAddresses(Plan), AddressTimeout);
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings,
                            Plan.Limits);
 }
