A leader asks silent hosts for lost disks

What callers saw: after all first hosts had been replaced one by one, two of the successors lost their disks, the second one 4 s after the first was back; from then on no configuration could be read or changed.

Cause: a host with an empty disk asks its seeds to admit it. If all of them are gone, somebody in the set has to ask it, and only voters without a leader did. While there was a leader the host stayed outside, its old replica stayed a silent voter, and the next lost disk left one voter of three.

Change: a leader asks the hosts of replicas that it has not heard for RejoinTimeout, which answer with a request to join. The evidence and its safety are unchanged: it still comes from the host with the empty disk.

Test: ReplicaHandoverTest.AHostWithoutItsDiskIsFoundIfItsSeedsAreGone, nine rows.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -551,18 +551,29 @@
 
 void ControlService::tickDiskQueries(Instant Now) {
   bool IsManaged = this->Options.Replicas.Voters > 0;
-  if (!IsManaged || !this->isLeaderSilent(Now) || !this->Raft->isVoter() ||
-      Now.Steady < this->NextDiskQuery)
+  bool MayAsk = this->Raft->leads() ||
+                (this->isLeaderSilent(Now) && this->Raft->isVoter());
+  if (!IsManaged || !MayAsk || Now.Steady < this->NextDiskQuery)
     return;
   this->NextDiskQuery = Now.Steady + this->Options.DiskQueryInterval;
-  std::map<std::string, std::vector<std::string>> Voters;
+  std::map<std::string, std::vector<std::string>> Silent;
   for (const peer::Replica &Known : this->Raft->log().replicas().replicas())
-    if (!Known.learner() && Known.name() != this->Options.Self.name())
-      Voters[Known.address()].push_back(Known.name());
-  for (const auto &[Address, Names] : Voters)
+    if (Known.name() != this->Options.Self.name() &&
+        this->mayHaveLostDisk(Known))
+      Silent[Known.address()].push_back(Known.name());
+  for (const auto &[Address, Names] : Silent)
     this->sendDiskQuery({"", Address}, Names);
 }
 
+bool ControlService::mayHaveLostDisk(const peer::Replica &Known) const {
+  // Without a leader, nobody hears the voters regularly.
+  if (!this->Raft->leads())
+    return !Known.learner();
+  std::optional<TimePoint> Heard = this->Raft->lastHeard(Known.name());
+  TimePoint ReadUpTo = std::min(this->LastIdle, this->CurrentTime.Steady);
+  return Heard && ReadUpTo - *Heard > this->Options.RejoinTimeout;
+}
+
 void ControlService::onLeaveRequest(const peer::LeaveRequest &Request,
                                     Instant Now) {
   peer::Message Message;
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -200,10 +200,15 @@
   void checkPredecessors(const peer::JoinRequest &Request);
   /// Whether this replica has not heard from a leader for RejoinTimeout.
   bool isLeaderSilent(Instant Now) const;
-  /// Asks the hosts of the other voters for their disks if no leader is heard.
-  /// Not before: after a common restart the first messages to hosts that do not
-  /// listen yet would delay their connections, and so the election.
+  /// Asks hosts that may have lost their disks, and may know no address of the
+  /// other replicas. Not right after the start: after a common restart the
+  /// first messages to hosts that do not listen yet would delay their
+  /// connections, and so the election.
   void tickDiskQueries(Instant Now);
+  /// Whether the host of a replica is to be asked for its disk: a leader asks
+  /// those that it has not heard for RejoinTimeout, other voters ask all
+  /// voters.
+  bool mayHaveLostDisk(const peer::Replica &Known) const;
   void sendDiskQuery(const PeerRef &Host,
                      const std::vector<std::string> &Replicas);
   peer::Message joinRequest() const;
--- a/tests/control/replica_handover_test.cpp
+++ b/tests/control/replica_handover_test.cpp
@@ -800,6 +800,42 @@
 
 // A host that leaves while it is cut off stops all the same, and is replaced
 // once its successor has caught up.
+// All first hosts have been replaced, and the settings of their successors
+// still name them. A successor that lost its disk reached nobody: it stayed a
+// silent voter, and the next lost disk ended control.
+TEST(ReplicaHandoverTest, AHostWithoutItsDiskIsFoundIfItsSeedsAreGone) {
+  constexpr std::size_t FirstHosts = 3;
+  std::string Found;
+  for (std::size_t First = 0; First < FirstHosts; ++First)
+    for (std::size_t Second = 0; Second < FirstHosts; ++Second) {
+      HandoverScenario Scenario(/*Seed=*/First + 1, /*Voters=*/3, FirstHosts);
+      SeededCluster &Cluster = Scenario.Cluster;
+      std::set<std::size_t> Living;
+      for (std::size_t Host = FirstHosts; Host < 2 * FirstHosts; ++Host) {
+        Cluster.startEmpty(Host, /*First=*/false);
+        Living.insert(Host);
+      }
+      Cluster.run(CatchUpTime);
+      for (std::size_t Host = 0; Host < FirstHosts; ++Host) {
+        Cluster.shutDown(Host);
+        Cluster.run(CatchUpTime);
+      }
+      Scenario.replaceTable();
+      for (std::size_t Lost : {First, Second}) {
+        Cluster.kill(FirstHosts + Lost);
+        Cluster.run(500ms);
+        Cluster.startEmpty(FirstHosts + Lost, /*First=*/false);
+        Cluster.run(CatchUpTime);
+      }
+      Cluster.run(RecoveryTime);
+      Scenario.checkTable();
+      Scenario.checkVoters(Living);
+      if (!Scenario.found().empty())
+        Found += fmt::format("{} then {}: {}", First, Second, Scenario.found());
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
 TEST(ReplicaHandoverTest, AHostThatLeavesWhileItIsCutOffIsReplaced) {
   for (std::size_t Leaving = 0; Leaving < 3; ++Leaving) {
     HandoverScenario Scenario(/*Seed=*/Leaving + 1, /*Voters=*/3, /*Hosts=*/4);
--- a/tests/system/vanished_host_test.cpp
+++ b/tests/system/vanished_host_test.cpp
@@ -58,6 +58,8 @@
   /// and which.
   milliseconds InUse{0};
   int InUseOffset = 0;
+  /// Whether the host with the empty disk knows only the vanished one.
+  bool KnowsOnlyVanished = false;
   /// How often the disk is lost again, each time after Gap.
   int MoreLosses = 0;
 };
@@ -164,7 +166,8 @@
   std::optional<milliseconds> timeToRecover();
 
 private:
-  void launch(int Host, bool Bootstrap);
+  /// \param Seed The only host that it is told; 0 for the first three.
+  void launch(int Host, bool Bootstrap, int Seed = 0);
   void kill(int Host);
   std::optional<std::uint64_t> versionAt(int Host) const;
   static std::string name(int Host) { return fmt::format("core{}", Host); }
@@ -181,10 +184,12 @@
   int Wiped = 0;
 };
 
-void ControlHosts::launch(int Host, bool Bootstrap) {
+void ControlHosts::launch(int Host, bool Bootstrap, int Seed) {
   nlohmann::json Settings =
       this->Cluster.settings(name(Host), 20 + Host, "control");
   Settings["bootstrap"] = Bootstrap;
+  if (Seed != 0)
+    Settings["seeds"] = {this->address(Seed, OperatorsOffset)};
   std::filesystem::create_directories(Settings["dataDir"].get<std::string>());
   this->Processes[Host] =
       this->Cluster.launch(name(Host), Settings.dump(), {"--two_way_links"});
@@ -233,7 +238,8 @@
   if (this->Case.InUse > 0ms)
     Occupied.occupy(this->address(this->Wiped, this->Case.InUseOffset));
   std::this_thread::sleep_for(this->Case.Restart);
-  this->launch(this->Wiped, /*Bootstrap=*/false);
+  this->launch(this->Wiped, /*Bootstrap=*/false,
+               this->Case.KnowsOnlyVanished ? this->Vanished : 0);
   std::this_thread::sleep_for(this->Case.InUse);
 }
 
@@ -322,3 +328,13 @@
   for (const Condition &Case : Rows)
     play(Case);
 }
+
+// A leader did not ask for lost disks, so that the host stayed out of the set.
+TEST(VanishedHostTest, SeedsMayBeGone) {
+  const Condition Rows[] = {
+      {.Name = "without a leader", .Gap = 0ms, .KnowsOnlyVanished = true},
+      {.Name = "with a leader", .Gap = 5000ms, .KnowsOnlyVanished = true},
+  };
+  for (const Condition &Case : Rows)
+    play(Case);
+}
