--- a/control/control_service.h
+++ b/control/control_service.h
@@ -127,6 +127,11 @@
   /// \returns the number of known upstreams in a data centre.
   std::size_t upstreamsIn(const std::string &DataCentre) const;
   const RaftNode &raft() const { return *this->Raft; }
+  /// \returns when a message of the consensus protocol last came from a replica
+  /// of this name, or nothing if none has.
+  std::optional<TimePoint> lastHeard(const std::string &Replica) const;
+  /// \returns for how long no leader has been known here; 0 while one is.
+  Duration leaderlessTime(Instant Now) const;
   /// \returns the known leader, or null if there is none.
   const peer::Replica *leader() const;
   /// Returns the size of the heartbeats that are not answered yet, encoded.
@@ -139,6 +144,10 @@
   void restoreState(const peer::Snapshot &Snapshot) override;
   void onReadReady(std::uint64_t Read) override;
   void onLeadershipChange(bool Leads) override;
+  void onVoteDecision(const VoteDecision &Vote) override;
+  void onCampaign(const CampaignState &State) override;
+  void onLossReported(const std::string &Reporter,
+                      const std::string &Lost) override;
 
 private:
   struct Proposal {
@@ -191,10 +200,15 @@
   void checkPredecessors(const peer::JoinRequest &Request);
   /// Whether this replica has not heard from a leader for RejoinTimeout.
   bool isLeaderSilent(Instant Now) const;
-  /// Asks the hosts of the other voters for their disks if no leader is heard.
-  /// Not before: after a common restart the first messages to hosts that do not
-  /// listen yet would delay their connections, and so the election.
+  /// Asks hosts that may have lost their disks, and may know no address of the
+  /// other replicas. Not right after the start: after a common restart the
+  /// first messages to hosts that do not listen yet would delay their
+  /// connections, and so the election.
   void tickDiskQueries(Instant Now);
+  /// Whether the host of a replica is to be asked for its disk: a leader asks
+  /// those that it has not heard for RejoinTimeout, other voters ask all
+  /// voters.
+  bool mayHaveLostDisk(const peer::Replica &Known) const;
   void sendDiskQuery(const PeerRef &Host,
                      const std::vector<std::string> &Replicas);
   peer::Message joinRequest() const;
@@ -229,7 +243,15 @@
   /// may have lost theirs and know nobody else.
   std::map<std::string, PeerRef> Askers;
   Logger Log{"control"};
-  std::map<std::string, std::string> Addresses;
+  /// What is known of the sender of consensus messages.
+  struct RaftPeer {
+    std::string Address;
+    TimePoint HeardAt;
+  };
+  /// By name.
+  std::map<std::string, RaftPeer> RaftPeers;
+  /// When a leader was last known.
+  TimePoint LastLeaderAt;
   /// By address: the time of the first message to a replica there since one
   /// there has answered, or of the last reconnect. Two replicas of one address
   /// share a connection, and the one that has lost its disk never answers.
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -1,11 +1,13 @@
 //===- main/yardwheeld.cpp - The daemon -----------------------------------===//
 
 #include "consensus/file_log_storage.h"
+#include "core/build_info.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/last_words.h"
 #include "core/logger.h"
 #include "core/process_memory.h"
+#include "main/address_wait.h"
 #include "main/process.h"
 #include "platform/node_settings.h"
 #include "settings/file_watch.h"
@@ -153,6 +155,7 @@
   std::unique_ptr<Process> Role = Start();
   Log.decision("started",
                {{"pid", getpid()},
+                {"build", buildCommit()},
                 {"memory_limit_kb", Limits.MemoryBytes / BytesPerKilobyte},
                 {"max_descriptors", Limits.MaxDescriptors}});
   while (true) {
@@ -199,6 +202,8 @@
   Plan.SharesLinks = FLAGS_two_way_links;
   Plan.MaxFirstContacts = FLAGS_first_contacts;
   Plan.LearnsSpeeds = FLAGS_learned_speeds;
+  // Before the disk is read: a former process may still write to it.
+  waitForAddresses(listenAddresses(Plan), AddressTimeout);
   return runUntilSignalled([&] { return startPlanned(Plan); }, &Settings,
                            Plan.Limits);
 }
@@ -212,6 +217,7 @@
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   gflags::SetUsageMessage("yardwheeld --settings FILE [--init | --join]\n"
                           "yardwheeld --platform");
+  gflags::SetVersionString(buildCommit());
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   installLastWords({});
   try {
