--- a/main/address_wait.cpp
+++ b/main/address_wait.cpp
@@ -37,19 +37,25 @@
   return IsInUse;
 }
 
+/// Each role listens at some of its addresses only.
+std::vector<std::string> withoutEmpty(std::vector<std::string> Addresses) {
+  std::erase(Addresses, "");
+  return Addresses;
+}
+
 } // namespace
 
 std::vector<std::string> listenAddresses(const NodePlan &Plan) {
-  std::vector<std::string> Addresses;
-  for (const std::string &Address :
-       {Plan.LinkListen, Plan.CallerListen, Plan.HealthListen,
-        Plan.ControlListen, Plan.MetricsListen})
-    if (!Address.empty())
-      Addresses.push_back(Address);
-  return Addresses;
+  return withoutEmpty({Plan.LinkListen, Plan.CallerListen, Plan.HealthListen,
+                       Plan.ControlListen, Plan.MetricsListen});
+}
+
+std::vector<std::string> listenAddresses(const Settings &Values) {
+  return withoutEmpty(
+      {Values.Listen, Values.Entry.HttpListen, Values.Control.HttpListen});
 }
 
-bool waitForAddresses(const std::vector<std::string> &Addresses,
+void waitForAddresses(const std::vector<std::string> &Addresses,
                       std::chrono::milliseconds Timeout) {
   Logger Log("daemon");
   auto Began = std::chrono::steady_clock::now();
@@ -61,11 +67,10 @@
       auto Waited = std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::steady_clock::now() - Began);
       if (Waited >= Timeout)
-        return false;
+        return;
       std::this_thread::sleep_for(PollInterval);
     }
   }
-  return true;
 }
 
 } // namespace yardwheel
--- a/main/address_wait.h
+++ b/main/address_wait.h
@@ -10,6 +10,7 @@
 #define YARDWHEEL_MAIN_ADDRESS_WAIT_H
 
 #include "settings/node_plan.h"
+#include "settings/settings.h"
 
 #include <chrono>
 #include <string>
@@ -21,13 +22,14 @@
 /// address reports it, and the process ends.
 constexpr std::chrono::milliseconds AddressTimeout{5000};
 
-/// Returns the addresses, as "IP:PORT", that a process of this plan listens at.
+/// Returns the addresses, as "IP:PORT", that a process of this plan or with
+/// these settings listens at.
 std::vector<std::string> listenAddresses(const NodePlan &Plan);
+std::vector<std::string> listenAddresses(const Settings &Values);
 
-/// Waits until no other socket uses any of the addresses. Any other problem
-/// with an address is left to whoever binds it.
-/// \returns whether all are free within the timeout.
-bool waitForAddresses(const std::vector<std::string> &Addresses,
+/// Waits until no other socket uses any of the addresses, for at most the
+/// timeout. Any other problem with an address is left to whoever binds it.
+void waitForAddresses(const std::vector<std::string> &Addresses,
                       std::chrono::milliseconds Timeout);
 
 } // namespace yardwheel
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -183,6 +183,7 @@
     prepareFolder(Values);
     return ExitOk;
   }
+  waitForAddresses(listenAddresses(Values), AddressTimeout);
   return runUntilSignalled([&] { return startRole(Values); }, nullptr,
                            ProcessLimits());
 }
--- a/tests/system/vanished_host_test.cpp
+++ b/tests/system/vanished_host_test.cpp
@@ -10,6 +10,7 @@
 #include "tests/system/platform_cluster.h"
 #include "tests/system/system_cluster.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -60,6 +61,8 @@
   int InUseOffset = 0;
   /// Whether the host with the empty disk knows only the vanished one.
   bool KnowsOnlyVanished = false;
+  /// Whether a process starts again at the address of the lost disk.
+  bool Returns = true;
   /// How often the disk is lost again, each time after Gap.
   int MoreLosses = 0;
 };
@@ -164,6 +167,9 @@
   /// \returns how long it took until all hosts that are left serve the newest
   /// configuration; nothing if they do not within the time for recovery.
   std::optional<milliseconds> timeToRecover();
+  std::string successorLog() const {
+    return this->Cluster.log(name(Successor));
+  }
 
 private:
   /// \param Seed The only host that it is told; 0 for the first three.
@@ -237,6 +243,8 @@
   Sockets Occupied;
   if (this->Case.InUse > 0ms)
     Occupied.occupy(this->address(this->Wiped, this->Case.InUseOffset));
+  if (!this->Case.Returns)
+    return;
   std::this_thread::sleep_for(this->Case.Restart);
   this->launch(this->Wiped, /*Bootstrap=*/false,
                this->Case.KnowsOnlyVanished ? this->Vanished : 0);
@@ -338,3 +346,27 @@
   for (const Condition &Case : Rows)
     play(Case);
 }
+
+// Each hypothesis on a control that does not come back has to be told from the
+// log of one survivor.
+TEST(VanishedHostTest, ASurvivorLogsWhatAnElectionWaitsFor) {
+  ControlHosts Hosts({.Name = "the disk's host stays away", .Returns = false});
+  Hosts.start();
+  Hosts.vanish();
+  std::this_thread::sleep_for(1s);
+  Hosts.loseDisk();
+  const char *Expected[] = {
+      // The build.
+      "\"decision\":\"started\",\"pid\":", "\"build\":\"",
+      // Its own vote, those of others and why they are withheld.
+      "\"decision\":\"campaign\"", "\"decision\":\"vote_granted\"",
+      // Who is awaited, for how long and on which connection.
+      "\"decision\":\"leaderless\"", "\"votes\":true", "Connection refused",
+      "address heard ", "\"lost_disks\":\"\""};
+  CHECK(waitFor([&] {
+    std::string Log = Hosts.successorLog();
+    return std::ranges::all_of(Expected, [&](const char *Part) {
+      return Log.find(Part) != std::string::npos;
+    });
+  }));
+}
