Test: a successor votes within catchUpS

The rule for lost disks rests on this bound, and no test stated it. Seven rows (seeds, lost and slow messages, a host that vanishes as the successor starts), 20 seeds each: all hold.

--- a/tests/control/replica_handover_test.cpp
+++ b/tests/control/replica_handover_test.cpp
@@ -800,6 +800,54 @@
 
 // A host that leaves while it is cut off stops all the same, and is replaced
 // once its successor has caught up.
+// What a set tolerates next rests on this bound: from then on another host may
+// vanish while a disk is lost.
+TEST(ReplicaHandoverTest, ASuccessorVotesWithinCatchUpTime) {
+  struct Row {
+    const char *Name;
+    NetworkFaults Faults;
+    /// The hosts that the successor is told.
+    std::vector<std::size_t> Seeds;
+    /// Whether a host vanishes as the successor starts.
+    bool HostVanishes = false;
+  };
+  const Row Table[] = {
+      {"sound", {}, {0, 1, 2}},
+      {"one seed", {}, {1}},
+      {"lost messages", {.LossPermille = 200}, {0, 1, 2}},
+      {"slow messages", {.Jitter = 200ms}, {0, 1, 2}},
+      {"a host vanishes", {}, {0, 1, 2}, true},
+      {"a host vanishes, one seed", {}, {1}, true},
+      {"a host vanishes, slow messages", {.Jitter = 100ms}, {0, 1, 2}, true},
+  };
+  constexpr std::size_t Successor = 3;
+  constexpr std::uint64_t Seeds = 20;
+  std::string Found;
+  for (const Row &Case : Table)
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      HandoverScenario Scenario(Seed, /*Voters=*/3, /*Hosts=*/3);
+      SeededCluster &Cluster = Scenario.Cluster;
+      Cluster.World.setFaults(Case.Faults);
+      Cluster.SeedHosts = Case.Seeds;
+      // Not the only seed.
+      if (Case.HostVanishes)
+        Cluster.kill(Seed % 2 == 0 ? 0 : 2);
+      Cluster.startEmpty(Successor, /*First=*/false);
+      Cluster.run(CatchUpTime);
+      ControlService *Leader = Cluster.leader();
+      bool Votes = Leader != nullptr &&
+                   std::ranges::any_of(
+                       Leader->raft().log().replicas().replicas(),
+                       [&](const peer::Replica &Known) {
+                         return !Known.learner() &&
+                                Known.name() == Cluster.nameAt(Successor);
+                       });
+      if (!Votes)
+        Found += fmt::format("{}, seed {}; ", Case.Name, Seed);
+    }
+  STRCMP_EQUAL("", Found.c_str());
+}
+
 // All first hosts have been replaced, and the settings of their successors
 // still name them. A successor that lost its disk reached nobody: it stayed a
 // silent voter, and the next lost disk ended control.
