The build names a digest of its sources, and a joiner logs its seeds

Machines that start clean have no git, so that the commit alone would be unknown there. A host that is in no set yet had nothing to log about who it waits for: the leaderless line has its seeds as well.

--- /dev/null
+++ b/core/build_version.cpp
@@ -0,0 +1,11 @@
+#include "core/build_version.h"
+
+namespace yardwheel {
+
+const char *buildVersion() {
+  return
+#include "build_version.inc"
+      ;
+}
+
+} // namespace yardwheel
--- a/main/seeded_control_process.cpp
+++ b/main/seeded_control_process.cpp
@@ -358,6 +358,11 @@
         describeAge(this->Service.lastHeard(Known.name()), Now.Steady),
         describeLink(this->Node.links().stateOf(Known.address()), Now.Steady));
   }
+  std::string Seeds;
+  for (const ControlPeer &Seed : this->Plan.Seeds)
+    Seeds += fmt::format(
+        "{}{}: {}", Seeds.empty() ? "" : "; ", Seed.Address,
+        describeLink(this->Node.links().stateOf(Seed.Address), Now.Steady));
   this->Log.decision("leaderless",
                      {{"for_ms", asMillis(Leaderless)},
                       {"term", Raft.term()},
@@ -366,6 +371,7 @@
                       {"commit_index", Raft.commitIndex()},
                       {"replicas_index", Raft.log().replicasIndex()},
                       {"replicas", Replicas},
+                      {"seeds", Seeds},
                       {"lost_disks", describeLosses(Raft.lossReports())},
                       {"behind_ms", asMillis(this->Node.loop().behindTime())}});
 }
--- a/main/yardwheeld.cpp
+++ b/main/yardwheeld.cpp
@@ -1,7 +1,7 @@
 //===- main/yardwheeld.cpp - The daemon -----------------------------------===//
 
 #include "consensus/file_log_storage.h"
-#include "core/build_info.h"
+#include "core/build_version.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/last_words.h"
@@ -155,7 +155,7 @@
   std::unique_ptr<Process> Role = Start();
   Log.decision("started",
                {{"pid", getpid()},
-                {"build", buildCommit()},
+                {"build", buildVersion()},
                 {"memory_limit_kb", Limits.MemoryBytes / BytesPerKilobyte},
                 {"max_descriptors", Limits.MaxDescriptors}});
   while (true) {
@@ -218,7 +218,7 @@
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   gflags::SetUsageMessage("yardwheeld --settings FILE [--init | --join]\n"
                           "yardwheeld --platform");
-  gflags::SetVersionString(buildCommit());
+  gflags::SetVersionString(buildVersion());
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   installLastWords({});
   try {
--- a/transport/link_pool.cpp
+++ b/transport/link_pool.cpp
@@ -306,8 +306,7 @@
   if (Found == this->Links.end())
     return std::nullopt;
   const Link &Target = Found->second;
-  LinkState State{.Peer = Target.Peer,
-                  .IsOwnStream = Target.IsOwnStream,
+  LinkState State{.IsOwnStream = Target.IsOwnStream,
                   .LastEnd = Target.LastEnd,
                   .LastEndAt = Target.LastEndAt};
   if (Target.Stream)
--- a/transport/link_pool.h
+++ b/transport/link_pool.h
@@ -77,7 +77,6 @@
 
 /// What is known of the connection to one peer, for logs.
 struct LinkState {
-  PeerRef Peer;
   /// When the stream in use was opened, and whether by this process; nothing
   /// without a stream.
   std::optional<TimePoint> OpenedAt;
