Test: connects of the vanished host test are checked

The linter asked for the result of connect(): a connect that is not under way would leave the row without its condition.

--- a/tests/system/vanished_host_test.cpp
+++ b/tests/system/vanished_host_test.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <filesystem>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -152,7 +153,10 @@
     int Socket =
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     this->Descriptors.push_back(Socket);
-    ::connect(Socket, reinterpret_cast<sockaddr *>(&Target), sizeof Target);
+    bool IsUnderWay = ::connect(Socket, reinterpret_cast<sockaddr *>(&Target),
+                                sizeof Target) == 0 ||
+                      errno == EINPROGRESS;
+    CHECK_TRUE(IsUnderWay);
   }
 }
 
